--- /dev/null
+++ b/agent/peer.go
@@ -0,0 +1,201 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"time"
+
+	"opalbridge.dev/attempt"
+	"opalbridge.dev/config"
+	"opalbridge.dev/dispatch"
+	"opalbridge.dev/duty"
+	"opalbridge.dev/explain"
+	"opalbridge.dev/fair"
+	"opalbridge.dev/wire"
+	"opalbridge.dev/wire/wirepb"
+)
+
+// serveConn serves one router's connection until it ends.
+func (a *Agent) serveConn(ctx context.Context, conn net.Conn) {
+	p, err := wire.Accept(ctx, conn, a.hello())
+	if err != nil {
+		a.options.Log.Warn().Err(err).Str("from", conn.RemoteAddr().String()).Msg("connection refused")
+		return
+	}
+	a.control.Add(p)
+	a.tell(peerUp{peer: p})
+	streams := duty.NewGroup()
+	alive, end := context.WithCancel(ctx)
+	streams.Go(alive, "accept", func(ctx context.Context) { a.acceptStreams(ctx, p, streams) })
+	streams.Go(alive, "control", func(context.Context) {
+		defer end()
+		for m := range p.Control() {
+			a.takeControl(p, m)
+		}
+	})
+	streams.Collect(alive)
+	a.tell(peerDown{peer: p})
+	a.control.Remove(p)
+	a.options.Log.Info().Str("router", p.Hello.Node).AnErr("reason", p.Reason()).Msg("router disconnected")
+}
+
+// takeControl handles one control message of a router.
+func (a *Agent) takeControl(p *wire.Peer, m *wirepb.Control) {
+	if m.Revision > a.holder.Revision() && m.GetDocument() == nil {
+		p.Send(wire.Control(a.holder.Revision(), &wirepb.Control_DocumentRequest{DocumentRequest: &wirepb.DocumentRequest{}}))
+	}
+	switch b := m.Body.(type) {
+	case *wirepb.Control_Want:
+		a.tell(wantEvent{peer: p, key: a.keyOf(b.Want), count: int(b.Want.Count), estimate: float64(b.Want.Estimate)})
+	case *wirepb.Control_Decline:
+		a.tell(declineEvent{peer: p, grant: b.Decline.Grant})
+	case *wirepb.Control_Summing:
+		a.tell(summingEvent{peer: p, on: b.Summing.On})
+	case *wirepb.Control_Totals:
+		a.tell(totalsEvent{sequence: b.Totals.Sequence, totals: wire.Totals(b.Totals.Counters)})
+	case *wirepb.Control_Document:
+		a.offer(p, b.Document.Content)
+	case *wirepb.Control_DocumentRequest:
+		a.sendDocument(p)
+	case *wirepb.Control_Ping:
+		p.Send(wire.Control(a.holder.Revision(), &wirepb.Control_Pong{Pong: &wirepb.Pong{Sent: b.Ping.Sent}}))
+	case *wirepb.Control_Pong:
+	default:
+		p.Close(errUnexpected)
+	}
+}
+
+var errUnexpected = errors.New("agent: message that a router does not send")
+
+func (a *Agent) keyOf(w *wirepb.Want) dispatch.Key {
+	k := dispatch.Key{Account: fair.Account(w.Account), Pool: w.Pool, Urgent: w.Urgent}
+	if w.Pinned {
+		k.Server = a.options.Name
+	}
+	return k
+}
+
+func (a *Agent) offer(p *wire.Peer, content []byte) {
+	d, err := config.Decode(content)
+	if err != nil {
+		p.Close(err)
+		return
+	}
+	if !a.holder.Offer(d) {
+		return
+	}
+	a.options.Log.Info().Uint64("revision", d.Revision).Msg("configuration in force")
+	a.tell(configEvent{})
+}
+
+func (a *Agent) sendDocument(p *wire.Peer) {
+	d := a.holder.Current()
+	if d.Revision == 0 {
+		return
+	}
+	content, err := d.Encode()
+	if err != nil {
+		a.options.Log.Error().Err(err).Msg("configuration not sent")
+		return
+	}
+	p.Send(wire.Control(d.Revision, &wirepb.Control_Document{Document: &wirepb.Document{Content: content}}))
+}
+
+func (a *Agent) acceptStreams(ctx context.Context, p *wire.Peer, streams *duty.Group) {
+	for {
+		s, err := p.Accept(ctx)
+		if err != nil {
+			p.Close(err)
+			return
+		}
+		streams.Go(ctx, "stream", func(ctx context.Context) { a.serveStream(ctx, p, s) })
+	}
+}
+
+// firstMessageTime is how long a stream may stay without its call.
+const firstMessageTime = 10 * time.Second
+
+func (a *Agent) serveStream(ctx context.Context, p *wire.Peer, s *wire.Stream) {
+	defer s.Close()
+	wait, cancel := context.WithTimeout(ctx, firstMessageTime)
+	release := s.Shut(wait)
+	var c wirepb.Call
+	err := s.Read(&c)
+	release()
+	cancel()
+	if err != nil {
+		if !errors.Is(err, io.EOF) {
+			p.Close(err)
+		}
+		return
+	}
+	switch b := c.Body.(type) {
+	case *wirepb.Call_Start:
+		a.serveStart(ctx, p, s, b.Start)
+	case *wirepb.Call_Resume:
+		a.serveResume(ctx, s, b.Resume)
+	case *wirepb.Call_Revoke:
+		a.serveRevoke(s, b.Revoke)
+	case *wirepb.Call_Records:
+		a.serveRecords(s, b.Records)
+	default:
+		p.Close(errUnexpected)
+	}
+}
+
+func (a *Agent) serveRevoke(s *wire.Stream, r *wirepb.Revoke) {
+	if r.Incarnation != a.incarnation {
+		_ = s.Write(&wirepb.Piece{Body: &wirepb.Piece_Unknown{Unknown: &wirepb.Unknown{Reason: "another start of this agent had it"}}})
+		return
+	}
+	reply := make(chan bool, 1)
+	if !a.tell(revokeEvent{id: attempt.ID{Request: r.Request, Attempt: r.Attempt}, reply: reply}) {
+		return
+	}
+	revoked, ok := await(a, reply)
+	if !ok {
+		return
+	}
+	a.record(explain.Event{Kind: explain.Revoke, Request: r.Request, Attempt: r.Attempt, Text: revokeText(revoked)})
+	if revoked {
+		_ = s.Write(&wirepb.Piece{Body: &wirepb.Piece_Revoked{Revoked: &wirepb.Revoked{}}})
+		return
+	}
+	_ = s.Write(&wirepb.Piece{Body: &wirepb.Piece_Started{Started: &wirepb.Started{}}})
+}
+
+// await waits for the admission duty's answer; it reports false when that has
+// ended.
+func await[T any](a *Agent, reply <-chan T) (T, bool) {
+	select {
+	case v := <-reply:
+		return v, true
+	case <-a.stopped:
+		var none T
+		return none, false
+	}
+}
+
+func revokeText(revoked bool) string {
+	if revoked {
+		return "revoked: the attempt will never run here"
+	}
+	return "not revoked: the attempt has begun here"
+}
+
+func (a *Agent) serveRecords(s *wire.Stream, r *wirepb.Records) {
+	list := &wirepb.RecordList{}
+	switch {
+	case r.Status:
+		reply := make(chan *wirepb.NodeStatus, 1)
+		a.tell(statusEvent{reply: reply})
+		list.Status, _ = await(a, reply)
+	case r.Request != "":
+		list.Records = wire.Records(a.options.Records.Request(r.Request))
+	default:
+		list.Records = wire.Records(a.options.Records.Account(r.Account))
+	}
+	_ = s.Write(&wirepb.Piece{Body: &wirepb.Piece_RecordList{RecordList: list}})
+}
--- /dev/null
+++ b/agent/serve.go
@@ -0,0 +1,343 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"opalbridge.dev/attempt"
+	"opalbridge.dev/engine"
+	"opalbridge.dev/explain"
+	"opalbridge.dev/fair"
+	"opalbridge.dev/wire"
+	"opalbridge.dev/wire/wirepb"
+)
+
+// Why a running attempt was stopped.
+var (
+	errAbandoned  = errors.New("agent: no router reads the answer")
+	errCallerLeft = errors.New("agent: the caller left")
+	errDeadline   = errors.New("agent: the caller's deadline passed")
+)
+
+const (
+	readBuffer = 16 << 10
+	// chargeTime is the least time between two charges of one attempt.
+	chargeTime = 100 * time.Millisecond
+)
+
+// serveStart admits an attempt, runs it and passes its answer on.
+func (a *Agent) serveStart(ctx context.Context, p *wire.Peer, s *wire.Stream, st *wirepb.Start) {
+	parent := propagation.TraceContext{}.Extract(context.Background(), propagation.MapCarrier{"traceparent": st.Traceparent})
+	_, span := a.options.Tracer.Start(parent, "agent.admit", trace.WithAttributes(
+		attribute.String("request", st.Request), attribute.String("server", a.options.Name)))
+	reply := make(chan admitted, 1)
+	a.tell(startEvent{start: st, peer: p, reply: reply})
+	answer, ok := await(a, reply)
+	if !ok {
+		return
+	}
+	span.SetAttributes(attribute.Bool("admitted", answer.refused == nil && answer.repeat == nil && answer.unknown == ""))
+	span.End()
+	switch {
+	case answer.refused != nil:
+		a.recordStart(explain.Refuse, st, answer.refused.Reason)
+		_ = s.Write(&wirepb.Piece{Body: &wirepb.Piece_NotRun{NotRun: answer.refused}})
+		return
+	case answer.unknown != "":
+		_ = s.Write(&wirepb.Piece{Body: &wirepb.Piece_Unknown{Unknown: &wirepb.Unknown{Reason: answer.unknown}}})
+		return
+	case answer.repeat != nil:
+		a.serveRepeat(ctx, s, st, answer.repeat)
+		return
+	}
+	a.recordStart(explain.Admit, st, fmt.Sprintf("admitted with %.0f weighted tokens reserved; the account stands at %.0f", answer.reserved, answer.standing))
+	j := a.launch(parent, st, answer.reserved)
+	if err := s.Write(&wirepb.Piece{Body: &wirepb.Piece_Admitted{Admitted: &wirepb.Admitted{}}}); err != nil {
+		return
+	}
+	a.passOn(ctx, s, j, 0, false)
+}
+
+func (a *Agent) recordStart(k explain.Kind, st *wirepb.Start, text string) {
+	a.record(explain.Event{Kind: k, Request: st.Request, Account: st.Account, Attempt: st.Attempt, Text: text})
+}
+
+// serveRepeat answers a caller's retry under the same idempotency key with the
+// answer of the request that ran first.
+func (a *Agent) serveRepeat(ctx context.Context, s *wire.Stream, st *wirepb.Start, r *attempt.Repeat) {
+	a.recordStart(explain.Refuse, st, "the idempotency key was used by request "+r.Request)
+	j := a.jobs.get(attempt.ID{Request: r.Request, Attempt: r.Attempt})
+	if r.Unknown || j == nil || !j.whole() {
+		reason := "request " + r.Request + " used this idempotency key; its answer is no longer kept"
+		if r.Unknown {
+			reason = "request " + r.Request + " used this idempotency key; its outcome is unknown"
+		}
+		_ = s.Write(&wirepb.Piece{Body: &wirepb.Piece_Unknown{Unknown: &wirepb.Unknown{Reason: reason}}})
+		return
+	}
+	if err := s.Write(&wirepb.Piece{Body: &wirepb.Piece_Admitted{Admitted: &wirepb.Admitted{}}}); err != nil {
+		return
+	}
+	a.passOn(ctx, s, j, 0, false)
+}
+
+// whole reports whether the answer is kept from its beginning.
+func (j *job) whole() bool {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	return j.first == 0
+}
+
+func (a *Agent) serveResume(ctx context.Context, s *wire.Stream, r *wirepb.Resume) {
+	j := a.jobs.get(attempt.ID{Request: r.Request, Attempt: r.Attempt})
+	if j == nil {
+		_ = s.Write(&wirepb.Piece{Body: &wirepb.Piece_Unknown{Unknown: &wirepb.Unknown{Reason: "the attempt is not known here"}}})
+		return
+	}
+	a.record(explain.Event{Kind: explain.Resume, Request: r.Request, Attempt: r.Attempt, Text: fmt.Sprintf("resumed from chunk %d", r.Next)})
+	a.passOn(ctx, s, j, r.Next, r.Next > 0)
+}
+
+// passOn writes a job's answer to a stream from a chunk on. A cancel from the
+// router stops the job; a lost stream leaves it to be resumed.
+func (a *Agent) passOn(ctx context.Context, s *wire.Stream, j *job, next uint64, headSeen bool) {
+	j.attach()
+	defer j.detach()
+	lost := make(chan struct{})
+	a.duties.Go(ctx, "cancel watch", func(context.Context) { watchCancel(s, j, lost) })
+	for {
+		p := j.after(headSeen, next)
+		var err error
+		switch {
+		case p.gone:
+			_ = s.Write(&wirepb.Piece{Body: &wirepb.Piece_Unknown{Unknown: &wirepb.Unknown{Reason: "that part of the answer is no longer kept"}}})
+			return
+		case p.head != nil:
+			headSeen = true
+			err = s.Write(&wirepb.Piece{Body: &wirepb.Piece_Head{Head: p.head}})
+		case p.chunk != nil:
+			err = s.Write(&wirepb.Piece{Body: &wirepb.Piece_Chunk{Chunk: &wirepb.Chunk{Number: next, Content: p.chunk}}})
+			next++
+			j.took(next)
+		case p.last != nil:
+			_ = s.Write(p.last)
+			return
+		default:
+			select {
+			case <-p.waiting:
+			case <-lost:
+				return
+			case <-ctx.Done():
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// watchCancel waits for the router's cancel, or for the stream's end.
+func watchCancel(s *wire.Stream, j *job, lost chan<- struct{}) {
+	defer close(lost)
+	var c wirepb.Call
+	if err := s.Read(&c); err == nil && c.GetCancel() != nil {
+		j.cancel(errCallerLeft)
+	}
+}
+
+// launch starts the goroutine that runs an admitted attempt.
+func (a *Agent) launch(parent context.Context, st *wirepb.Start, reserved float64) *job {
+	ctx := trace.ContextWithSpanContext(a.life, trace.SpanContextFromContext(parent))
+	ctx, cancel := context.WithCancelCause(ctx)
+	j := newJob(attempt.ID{Request: st.Request, Attempt: st.Attempt}, cancel)
+	a.jobs.put(j)
+	r := &run{agent: a, start: st, job: j, reserved: reserved}
+	a.duties.Go(ctx, "attempt", func(ctx context.Context) {
+		defer cancel(nil)
+		budget, stop := context.WithTimeoutCause(ctx, time.Duration(st.BudgetMs)*time.Millisecond, errDeadline)
+		defer stop()
+		r.run(budget)
+	})
+	return j
+}
+
+// run is the work of one admitted attempt.
+type run struct {
+	agent    *Agent
+	start    *wirepb.Start
+	job      *job
+	reserved float64
+	meter    *engine.Meter
+	charged  float64
+	at       time.Time // of the last charge
+	begun    bool      // the server has begun to answer
+}
+
+func (r *run) run(ctx context.Context) {
+	ctx, span := r.agent.options.Tracer.Start(ctx, "agent.serve", trace.WithAttributes(attribute.String("request", r.start.Request)))
+	defer span.End()
+	r.meter = engine.NewMeter(r.agent.weights(), r.start.Content)
+	answer, err := r.agent.options.Engine.Do(ctx, r.call(ctx))
+	if err != nil {
+		r.failedBefore(ctx, err)
+		return
+	}
+	defer answer.Body.Close()
+	r.begun = true
+	r.job.setHead(&wirepb.Head{Status: uint32(answer.Status), Headers: headers(answer.Header)})
+	err = r.copy(ctx, answer.Body)
+	cost := r.cost(answer.Status)
+	r.charge(cost, true)
+	if err != nil {
+		r.cut(ctx, err, cost)
+		return
+	}
+	v := served
+	if answer.Status >= http.StatusInternalServerError {
+		v = failed
+	}
+	r.finish(&wirepb.Piece{Body: &wirepb.Piece_End{End: &wirepb.End{Chunks: r.job.count(), Complete: true, Cost: cost}}},
+		attempt.Ran{Complete: true}, v, fmt.Sprintf("the whole answer, status %d, %.0f weighted tokens", answer.Status, cost))
+}
+
+func (j *job) count() uint64 {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	return j.next
+}
+
+func (r *run) call(ctx context.Context) *engine.Call {
+	h := http.Header{}
+	for _, f := range r.start.Headers {
+		h.Add(f.Name, f.Value)
+	}
+	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(h))
+	return &engine.Call{
+		Request: r.start.Request,
+		Method:  r.start.Method,
+		Path:    r.start.Path,
+		Header:  h,
+		Content: r.start.Content,
+		Urgent:  r.start.Urgent,
+	}
+}
+
+func (a *Agent) weights() engine.Weights {
+	const thousand = 1000
+	l := a.holder.Current().Limits.WithDefaults()
+	return engine.Weights{
+		Input:  float64(l.InputWeight) / thousand,
+		Output: float64(l.OutputWeight) / thousand,
+		Cached: float64(l.CachedWeight) / thousand,
+		Call:   float64(l.CallCost),
+	}
+}
+
+func headers(h http.Header) []*wirepb.Header {
+	var list []*wirepb.Header
+	for name, values := range h {
+		for _, v := range values {
+			list = append(list, &wirepb.Header{Name: name, Value: v})
+		}
+	}
+	return list
+}
+
+// copy passes the answer's body into the job and charges it as it comes.
+func (r *run) copy(ctx context.Context, body io.Reader) error {
+	buffer := make([]byte, readBuffer)
+	for {
+		if err := r.job.room(ctx); err != nil {
+			return err
+		}
+		n, err := body.Read(buffer)
+		if n > 0 {
+			_, _ = r.meter.Write(buffer[:n])
+			r.job.add(buffer[:n])
+			r.charge(r.meter.Cost(), false)
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// cost returns what the attempt is charged in all: a plain service's calls have
+// the configured price, a model's answer what its meter says.
+func (r *run) cost(status int) float64 {
+	if p := r.agent.holder.Current().Pool(r.start.Pool); p != nil && p.Kind == "service" {
+		return r.agent.weights().Call
+	}
+	if status >= http.StatusBadRequest {
+		return r.charged
+	}
+	return max(r.meter.Finish(), r.charged)
+}
+
+// charge counts what has been served since the last charge, and takes the same
+// amount of the reservation back.
+func (r *run) charge(cost float64, last bool) {
+	if p := r.agent.holder.Current().Pool(r.start.Pool); !last && p != nil && p.Kind == "service" {
+		return
+	}
+	if !last && now().Sub(r.at) < chargeTime {
+		return
+	}
+	more := cost - r.charged
+	if more <= 0 {
+		return
+	}
+	part := min(more, r.reserved)
+	r.charged = cost
+	r.reserved -= part
+	r.at = now()
+	r.agent.tell(chargeEvent{account: fair.Account(r.start.AccountId), cost: more, reserved: part})
+}
+
+// failedBefore ends an attempt to which the server gave no answer.
+func (r *run) failedBefore(ctx context.Context, err error) {
+	if errors.Is(err, engine.ErrNotSent) {
+		r.finish(&wirepb.Piece{Body: &wirepb.Piece_NotRun{NotRun: &wirepb.NotRun{Reason: "the server cannot be reached", Busy: true}}},
+			attempt.NotRun{Reason: err.Error()}, failed, "not run: "+err.Error())
+		return
+	}
+	if ctx.Err() != nil {
+		r.cut(ctx, context.Cause(ctx), 0)
+		return
+	}
+	r.finish(&wirepb.Piece{Body: &wirepb.Piece_Unknown{Unknown: &wirepb.Unknown{Reason: "the server broke off before it answered"}}},
+		attempt.Unknown{Reason: err.Error()}, failed, "unknown: "+err.Error())
+}
+
+// cut ends an attempt whose answer broke off.
+func (r *run) cut(ctx context.Context, err error, cost float64) {
+	v := failed
+	reason := "the server broke off its answer"
+	if ctx.Err() != nil {
+		v = noVerdict
+		reason = context.Cause(ctx).Error()
+		if errors.Is(context.Cause(ctx), errDeadline) && !r.begun {
+			v = failed
+		}
+	}
+	r.finish(&wirepb.Piece{Body: &wirepb.Piece_End{End: &wirepb.End{Chunks: r.job.count(), Reason: reason, Cost: cost}}},
+		attempt.Ran{Reason: reason}, v, "cut: "+reason+": "+err.Error())
+}
+
+func (r *run) finish(last *wirepb.Piece, o attempt.Outcome, v verdict, text string) {
+	r.agent.recordStart(explain.Outcome, r.start, text)
+	r.agent.tell(doneEvent{start: r.start, reserved: r.reserved, outcome: o, verdict: v})
+	r.job.end(last)
+}
--- /dev/null
+++ b/agent/status.go
@@ -0,0 +1,98 @@
+package agent
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"opalbridge.dev/explain"
+	"opalbridge.dev/fair"
+	"opalbridge.dev/wire/wirepb"
+)
+
+// pace measures how fast the fleet serves, from the totals that come in.
+type pace struct {
+	served float64
+	at     time.Time
+	rate   float64 // weighted tokens a second, the highest of late
+}
+
+// ratePart is how much of an earlier, higher rate is kept each second.
+const ratePart = 0.98
+
+func (p *pace) observe(served float64, at time.Time) {
+	if !p.at.IsZero() && at.After(p.at) && served >= p.served {
+		rate := (served - p.served) / at.Sub(p.at).Seconds()
+		p.rate = max(rate, p.rate*ratePart)
+	}
+	p.served, p.at = served, at
+}
+
+// bound returns the gap between accounts that wait here and the bound it must
+// keep, both in service.
+func (d *admission) bound() (gap, bound float64) {
+	gap, waiting := d.book.Gap()
+	if waiting < 2 {
+		return 0, 0
+	}
+	reach, share := d.book.Waits()
+	age := 2 * d.agent.options.Interval
+	if !d.merged.IsZero() {
+		age += now().Sub(d.merged)
+	}
+	b := fair.Bound{
+		Largest:    d.largest,
+		Slots:      reach,
+		Rate:       d.pace.rate,
+		Age:        age.Seconds(),
+		Credit:     float64(d.agent.holder.Current().Limits.WithDefaults().UrgentCredit),
+		LeastShare: share,
+	}
+	return gap, b.Value()
+}
+
+// checkBound asserts the fairness bound; a violation is recorded and counted.
+func (d *admission) checkBound() {
+	d.pace.observe(d.book.Served(), now())
+	gap, bound := d.bound()
+	if gap <= bound {
+		return
+	}
+	d.violations++
+	d.agent.record(explain.Event{
+		Kind: explain.Degrade,
+		Text: fmt.Sprintf("the gap of %.0f between waiting accounts is above the bound of %.0f", gap, bound),
+	})
+	d.agent.options.Log.Error().Float64("gap", gap).Float64("bound", bound).Msg("fairness bound broken")
+}
+
+func (d *admission) status() *wirepb.NodeStatus {
+	gap, bound := d.bound()
+	_, totals := d.book.Peek()
+	s := &wirepb.NodeStatus{
+		Node:         d.agent.options.Name,
+		Role:         "agent",
+		Hall:         d.agent.options.Hall,
+		Incarnation:  d.agent.incarnation,
+		Revision:     d.agent.holder.Revision(),
+		Running:      uint32(d.desk.Running()),
+		Limit:        uint32(d.desk.Limit()),
+		Waiting:      uint32(d.desk.Waiting()),
+		Gap:          gap,
+		Bound:        bound,
+		ControlBytes: d.agent.ControlBytes(),
+		UpMs:         now().Sub(d.agent.begun).Milliseconds(),
+		Violations:   uint32(d.violations),
+	}
+	for _, t := range totals {
+		s.Counters = append(s.Counters, &wirepb.Counter{Account: uint32(t.Account), Service: t.Service, Reach: uint32(t.Reach)})
+	}
+	for what, at := range d.since {
+		s.Degraded = append(s.Degraded, fmt.Sprintf("%s: %s since %s", what, d.limit.Health(), at.UTC().Format(time.RFC3339)))
+	}
+	if d.leaving {
+		s.Degraded = append(s.Degraded, "leaving")
+	}
+	slices.Sort(s.Degraded)
+	return s
+}
--- /dev/null
+++ b/cmd/opalbridge/run.go
@@ -0,0 +1,246 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"github.com/urfave/cli/v3"
+
+	"opalbridge.dev/agent"
+	"opalbridge.dev/config"
+	"opalbridge.dev/engine"
+	"opalbridge.dev/explain"
+	"opalbridge.dev/operator"
+	"opalbridge.dev/platform"
+	"opalbridge.dev/router"
+	"opalbridge.dev/settings"
+	"opalbridge.dev/telemetry"
+)
+
+const (
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
+	longestHeader = 64 << 10
+	spansKept     = 8192
+)
+
+func settingsFlag() cli.Flag {
+	return &cli.StringFlag{Name: "settings", Aliases: []string{"s"}, Usage: "settings `FILE` (YAML)", Required: true}
+}
+
+func routerCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "router",
+		Usage:       "run a router on an entry host",
+		Description: "Example:\n  opalbridge router --settings router.yaml\n\nA first interrupt stops it when its requests are answered, a second at once.",
+		Flags:       []cli.Flag{settingsFlag()},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			s, err := readSettings(settings.Router, c.String("settings"))
+			if err != nil {
+				return err
+			}
+			return runRouter(ctx, s, newLog(s, "router"))
+		},
+	}
+}
+
+func agentCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "agent",
+		Usage:       "run an agent beside a backend server",
+		Description: "Example:\n  opalbridge agent --settings agent.yaml\n\nA first interrupt stops it when nothing runs any more, a second at once.",
+		Flags:       []cli.Flag{settingsFlag()},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			s, err := readSettings(settings.Agent, c.String("settings"))
+			if err != nil {
+				return err
+			}
+			return runAgent(ctx, s, newLog(s, "agent"))
+		},
+	}
+}
+
+func newLog(s *settings.Settings, role string) zerolog.Logger {
+	return zerolog.New(os.Stderr).Level(s.LogLevel).With().Timestamp().Str("role", role).Str("node", s.Name).Str("hall", s.Hall).Logger()
+}
+
+func newServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: longestHeader}
+}
+
+// routerParts are a router with its servers.
+type routerParts struct {
+	router *router.Router
+	done   <-chan error
+	http   *http.Server
+}
+
+// startRouter builds a router from its settings and starts it on the listeners.
+func startRouter(ctx context.Context, s *settings.Settings, t *telemetry.Telemetry, log zerolog.Logger, callers, peers net.Listener) (*routerParts, error) {
+	metrics, err := telemetry.NewRequests(t.Meter("router"))
+	if err != nil {
+		return nil, err
+	}
+	client := &platform.Client{Base: s.PlatformURL}
+	r, err := router.New(router.Options{
+		Name: s.Name, Hall: s.Hall, Address: s.PeerAddress,
+		KV: client, Directory: client, Listener: peers,
+		Degree: s.Degree, Interval: s.ReportInterval,
+		Log: log, Tracer: t.Tracer("router"), Records: explain.NewLog(s.Name, s.Records), Metrics: metrics,
+	})
+	if err != nil {
+		return nil, err
+	}
+	service := &operator.Service{Store: &config.Store{KV: client}, Fleet: r, TokenHash: s.OperatorTokenHash}
+	mux := http.NewServeMux()
+	path, calls := service.Handler()
+	mux.Handle(path, calls)
+	mux.Handle("/", r.Handler())
+	err = telemetry.Observe(t.Meter("router"), []telemetry.Gauge{
+		{Name: "opalbridge.open", Description: "requests not yet answered", Read: func() float64 { return float64(r.Open()) }},
+		{Name: "opalbridge.control", Unit: "By", Description: "control bytes sent and received since the start", Read: func() float64 { return float64(r.ControlBytes()) }},
+		{Name: "opalbridge.revision", Description: "configuration revision in force", Read: func() float64 { return float64(r.Revision()) }},
+	})
+	if err != nil {
+		return nil, err
+	}
+	parts := &routerParts{router: r, done: r.Start(ctx), http: newServer(mux)}
+	go func() {
+		if err := parts.http.Serve(callers); !errors.Is(err, http.ErrServerClosed) {
+			log.Error().Err(err).Msg("callers are no longer served")
+		}
+	}()
+	return parts, nil
+}
+
+func runRouter(ctx context.Context, s *settings.Settings, log zerolog.Logger) error {
+	t, err := telemetry.New(ctx, telemetry.Options{Service: "opalbridge-router", Node: s.Name, OTLP: s.OTLPURL, SpanKeep: spansKept})
+	if err != nil {
+		return err
+	}
+	callers, err := net.Listen("tcp", s.CallerAddress)
+	if err != nil {
+		return errors.Wrap(err, "router: listen for callers")
+	}
+	peers, err := net.Listen("tcp", s.PeerAddress)
+	if err != nil {
+		return errors.Wrap(err, "router: listen for peers")
+	}
+	life, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	parts, err := startRouter(life, s, t, log, callers, peers)
+	if err != nil {
+		return err
+	}
+	if err := serveAdmin(s, t, log); err != nil {
+		return err
+	}
+	log.Info().Str("callers", callers.Addr().String()).Str("peers", peers.Addr().String()).Msg("router started")
+	<-ctx.Done()
+	log.Info().Int("open", parts.router.Open()).Msg("stopping: new requests are refused, open ones are answered")
+	waitStop(s.StopTimeout, parts.router.Drain(), func() { log.Info().Int("open", parts.router.Open()).Msg("waiting for open requests") })
+	_ = parts.http.Close()
+	end()
+	<-parts.done
+	return t.Shutdown(context.WithoutCancel(ctx))
+}
+
+// waitEvery is how often a stop says what it waits for.
+const waitEvery = 5 * time.Second
+
+// waitStop waits for a planned stop to end, at most for the time limit, or until
+// a second signal.
+func waitStop(limit time.Duration, drained <-chan struct{}, say func()) {
+	again, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	timeout := time.NewTimer(limit)
+	defer timeout.Stop()
+	t := time.NewTicker(waitEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-drained:
+			return
+		case <-again.Done():
+			return
+		case <-timeout.C:
+			return
+		case <-t.C:
+			say()
+		}
+	}
+}
+
+func serveAdmin(s *settings.Settings, t *telemetry.Telemetry, log zerolog.Logger) error {
+	if s.AdminAddress == "" {
+		return nil
+	}
+	l, err := net.Listen("tcp", s.AdminAddress)
+	if err != nil {
+		return errors.Wrap(err, "listen for metrics")
+	}
+	go func() { _ = newServer(adminHandler(t)).Serve(l) }()
+	log.Info().Str("admin", l.Addr().String()).Msg("metrics and traces served")
+	return nil
+}
+
+func adminHandler(t *telemetry.Telemetry) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", t.Metrics())
+	mux.Handle("GET /traces/{request}", t.Traces())
+	return mux
+}
+
+// startAgent builds an agent from its settings and starts it.
+func startAgent(ctx context.Context, s *settings.Settings, t *telemetry.Telemetry, log zerolog.Logger, peers net.Listener) (*agent.Agent, <-chan error, error) {
+	a, err := agent.New(agent.Options{
+		Name: s.Name, Hall: s.Hall, Engine: engine.NewClient(s.ServerURL), Listener: peers, Slots: s.Slots, Interval: s.ReportInterval,
+		Log: log, Tracer: t.Tracer("agent"), Records: explain.NewLog(s.Name, s.Records),
+	})
+	if err != nil {
+		return nil, nil, err
+	}
+	err = telemetry.Observe(t.Meter("agent"), []telemetry.Gauge{
+		{Name: "opalbridge.running", Description: "attempts that run", Read: func() float64 { return float64(a.Running()) }},
+		{Name: "opalbridge.control", Unit: "By", Description: "control bytes sent and received since the start", Read: func() float64 { return float64(a.ControlBytes()) }},
+		{Name: "opalbridge.revision", Description: "configuration revision in force", Read: func() float64 { return float64(a.Revision()) }},
+	})
+	if err != nil {
+		return nil, nil, err
+	}
+	return a, a.Start(ctx), nil
+}
+
+func runAgent(ctx context.Context, s *settings.Settings, log zerolog.Logger) error {
+	t, err := telemetry.New(ctx, telemetry.Options{Service: "opalbridge-agent", Node: s.Name, OTLP: s.OTLPURL, SpanKeep: spansKept})
+	if err != nil {
+		return err
+	}
+	peers, err := net.Listen("tcp", s.PeerAddress)
+	if err != nil {
+		return errors.Wrap(err, "agent: listen for peers")
+	}
+	life, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	a, done, err := startAgent(life, s, t, log, peers)
+	if err != nil {
+		return err
+	}
+	if err := serveAdmin(s, t, log); err != nil {
+		return err
+	}
+	log.Info().Str("peers", peers.Addr().String()).Str("server", s.ServerURL).Msg("agent started")
+	<-ctx.Done()
+	log.Info().Int("running", a.Running()).Msg("stopping: no new work, what runs goes on")
+	waitStop(s.StopTimeout, a.Drain(), func() { log.Info().Int("running", a.Running()).Msg("waiting for running attempts") })
+	end()
+	<-done
+	return t.Shutdown(context.WithoutCancel(ctx))
+}
--- /dev/null
+++ b/config/holder.go
@@ -0,0 +1,50 @@
+package config
+
+import "sync"
+
+// Holder keeps the configuration in force at a node. Its zero value holds an
+// empty document of revision zero. It is safe for use by several goroutines.
+type Holder struct {
+	mutex   sync.RWMutex
+	current *Document
+	changed chan struct{}
+}
+
+// Current returns the document in force; it must not be changed.
+func (h *Holder) Current() *Document {
+	h.mutex.RLock()
+	defer h.mutex.RUnlock()
+	if h.current == nil {
+		return &Document{}
+	}
+	return h.current
+}
+
+// Revision returns the revision in force.
+func (h *Holder) Revision() uint64 { return h.Current().Revision }
+
+// Offer puts d in force if its revision is higher than the one in force, and
+// reports whether it did.
+func (h *Holder) Offer(d *Document) bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if d == nil || (h.current != nil && d.Revision <= h.current.Revision) || d.Revision == 0 {
+		return false
+	}
+	h.current = d
+	if h.changed != nil {
+		close(h.changed)
+		h.changed = nil
+	}
+	return true
+}
+
+// Changed returns a channel that is closed when a newer revision is in force.
+func (h *Holder) Changed() <-chan struct{} {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.changed == nil {
+		h.changed = make(chan struct{})
+	}
+	return h.changed
+}
--- /dev/null
+++ b/engine/client.go
@@ -0,0 +1,115 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Headers that the client adds to every call.
+const (
+	RequestHeader  = "X-Request-Id"
+	PriorityHeader = "X-Priority" // 0 for urgent calls, 1 for the rest
+)
+
+const dialTimeout = 2 * time.Second
+
+// Client speaks to a model engine or plain service over HTTP. It implements
+// [Server].
+type Client struct {
+	Base string // URL, without a trailing slash
+	HTTP *http.Client
+}
+
+// NewClient returns a client for the server at the given URL.
+func NewClient(base string) *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return NewClientDial(base, dialer.DialContext)
+}
+
+// NewClientDial is NewClient with another way to open connections.
+func NewClientDial(base string, dial func(ctx context.Context, network, address string) (net.Conn, error)) *Client {
+	transport := &http.Transport{
+		DialContext:         dial,
+		MaxIdleConnsPerHost: 64,
+		IdleConnTimeout:     time.Minute,
+		DisableCompression:  true,
+	}
+	return &Client{Base: base, HTTP: &http.Client{
+		Transport: transport,
+		CheckRedirect: func(*http.Request, []*http.Request) error {
+			return http.ErrUseLastResponse
+		},
+	}}
+}
+
+// Do implements Server.
+func (c *Client) Do(ctx context.Context, call *Call) (*Answer, error) {
+	body := &singleUse{reader: bytes.NewReader(call.Content)}
+	request, err := http.NewRequestWithContext(ctx, call.Method, c.Base+call.Path, body)
+	if err != nil {
+		return nil, errors.Mark(errors.Wrapf(err, "engine: %s %s", call.Method, call.Path), ErrNotSent)
+	}
+	request.ContentLength = int64(len(call.Content))
+	for name, values := range call.Header {
+		request.Header[name] = values
+	}
+	request.Header.Set(RequestHeader, call.Request)
+	request.Header.Set(PriorityHeader, priority(call.Urgent))
+	response, err := c.HTTP.Do(request)
+	if err != nil {
+		err = errors.Wrapf(err, "engine: %s %s", call.Method, call.Path)
+		if isDial(err) {
+			err = errors.Mark(err, ErrNotSent)
+		}
+		return nil, err
+	}
+	return &Answer{Status: response.StatusCode, Header: response.Header, Body: response.Body}, nil
+}
+
+func priority(urgent bool) string {
+	if urgent {
+		return "0"
+	}
+	return "1"
+}
+
+func isDial(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// singleUse is a body that net/http cannot rewind. The transport sends a request
+// again by itself when a kept connection breaks and the request looks repeatable:
+// no body, or one it can get anew. This one is neither.
+type singleUse struct{ reader *bytes.Reader }
+
+// Read implements io.Reader.
+func (s *singleUse) Read(p []byte) (int, error) { return s.reader.Read(p) }
+
+// Load implements Server.
+func (c *Client) Load(ctx context.Context) (Load, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.Base+"/load", nil)
+	if err != nil {
+		return Load{}, errors.Wrap(err, "engine: load")
+	}
+	response, err := c.HTTP.Do(request)
+	if err != nil {
+		return Load{}, errors.Wrap(err, "engine: load")
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return Load{}, errors.Newf("engine: load: status %d", response.StatusCode)
+	}
+	var l Load
+	if err := json.NewDecoder(io.LimitReader(response.Body, 1<<16)).Decode(&l); err != nil {
+		return Load{}, errors.Wrap(err, "engine: load")
+	}
+	return l, nil
+}
--- /dev/null
+++ b/fleettest/network.go
@@ -0,0 +1,369 @@
+// Package fleettest runs real routers and agents against small fakes at their
+// interfaces, for tests in virtual time: a network in memory with latency, cuts
+// and freezes, the platform's stand-in, and servers' stand-ins.
+//
+// # Usage
+//
+//	synctest.Test(t, func(t *testing.T) {
+//		f := fleettest.Start(t, fleettest.Options{Routers: 3, Models: 9})
+//		o := f.Do(ctx, fleettest.Call{Account: "quito", Router: 0})
+//		f.Network.Cut("hall-1", "hall-2")
+//	})
+//
+// It imitates no cluster: nodes are started, stopped and cut off one by one by
+// the test.
+package fleettest
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Network connects nodes by name. A node's address is its name.
+type Network struct {
+	Latency time.Duration // one way
+
+	mutex     sync.Mutex
+	listeners map[string]*listener
+	conns     map[*conn]bool
+	cut       map[[2]string]bool // from, to: nothing is delivered
+	frozen    map[string]bool    // nothing is delivered from or to the node
+	halls     map[string]string  // hall of a node
+}
+
+// NewNetwork returns a network without nodes.
+func NewNetwork(latency time.Duration) *Network {
+	return &Network{
+		Latency:   latency,
+		listeners: map[string]*listener{},
+		conns:     map[*conn]bool{},
+		cut:       map[[2]string]bool{},
+		frozen:    map[string]bool{},
+		halls:     map[string]string{},
+	}
+}
+
+// Place tells in which hall a node stands; cuts name nodes or halls.
+func (n *Network) Place(node, hall string) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.halls[node] = hall
+}
+
+// Listen returns the listener of a node.
+func (n *Network) Listen(node string) net.Listener {
+	l := &listener{network: n, node: node, incoming: make(chan net.Conn, 64), closed: make(chan struct{})}
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.listeners[node] = l
+	return l
+}
+
+// Dialer returns a function that opens connections from a node.
+func (n *Network) Dialer(from string) func(ctx context.Context, address string) (net.Conn, error) {
+	return func(ctx context.Context, to string) (net.Conn, error) {
+		return n.dial(ctx, from, to)
+	}
+}
+
+var errRefused = errors.New("fleettest: connection refused")
+
+func (n *Network) dial(ctx context.Context, from, to string) (net.Conn, error) {
+	for n.blocked(from, to) || n.blocked(to, from) {
+		select {
+		case <-time.After(10 * time.Millisecond):
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	n.mutex.Lock()
+	l := n.listeners[to]
+	n.mutex.Unlock()
+	if l == nil {
+		return nil, errRefused
+	}
+	ours, theirs := n.pair(from, to)
+	select {
+	case l.incoming <- theirs:
+		return ours, nil
+	case <-l.closed:
+		ours.Close()
+		return nil, errRefused
+	case <-ctx.Done():
+		ours.Close()
+		return nil, ctx.Err()
+	}
+}
+
+func (n *Network) pair(from, to string) (ours, theirs *conn) {
+	there := newStream(n, from, to)
+	back := newStream(n, to, from)
+	ours = &conn{network: n, local: from, remote: to, in: back, out: there}
+	theirs = &conn{network: n, local: to, remote: from, in: there, out: back}
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.conns[ours] = true
+	n.conns[theirs] = true
+	return ours, theirs
+}
+
+// Cut stops delivery between two nodes or halls, both ways.
+func (n *Network) Cut(a, b string) {
+	n.CutOneWay(a, b)
+	n.CutOneWay(b, a)
+}
+
+// CutOneWay stops delivery from one node or hall to another.
+func (n *Network) CutOneWay(from, to string) { n.change(func() { n.cut[[2]string{from, to}] = true }) }
+
+// Heal ends all cuts and freezes.
+func (n *Network) Heal() {
+	n.change(func() {
+		clear(n.cut)
+		clear(n.frozen)
+	})
+}
+
+// Freeze stops delivery from and to a node, as when its process is paused.
+func (n *Network) Freeze(node string) { n.change(func() { n.frozen[node] = true }) }
+
+// Thaw ends a freeze; what was held back arrives.
+func (n *Network) Thaw(node string) { n.change(func() { delete(n.frozen, node) }) }
+
+// Break closes every connection between two nodes.
+func (n *Network) Break(a, b string) {
+	for _, c := range n.between(func(c *conn) bool {
+		return (c.local == a && c.remote == b) || (c.local == b && c.remote == a)
+	}) {
+		c.Close()
+	}
+}
+
+// Crash closes every connection of a node at once.
+func (n *Network) Crash(node string) {
+	for _, c := range n.between(func(c *conn) bool { return c.local == node || c.remote == node }) {
+		c.Close()
+	}
+}
+
+func (n *Network) between(match func(*conn) bool) []*conn {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	var list []*conn
+	for c := range n.conns {
+		if match(c) {
+			list = append(list, c)
+		}
+	}
+	return list
+}
+
+// change applies a fault and wakes all readers.
+func (n *Network) change(f func()) {
+	n.mutex.Lock()
+	f()
+	var all []*conn
+	for c := range n.conns {
+		all = append(all, c)
+	}
+	n.mutex.Unlock()
+	for _, c := range all {
+		c.in.wake()
+	}
+}
+
+func (n *Network) blocked(from, to string) bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if n.frozen[from] || n.frozen[to] {
+		return true
+	}
+	a, b := n.halls[from], n.halls[to]
+	return n.cut[[2]string{from, to}] || n.cut[[2]string{a, b}] || n.cut[[2]string{from, b}] || n.cut[[2]string{a, to}]
+}
+
+type listener struct {
+	network  *Network
+	node     string
+	incoming chan net.Conn
+	closing  sync.Once
+	closed   chan struct{}
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.incoming:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (l *listener) Close() error {
+	l.closing.Do(func() {
+		close(l.closed)
+		l.network.mutex.Lock()
+		defer l.network.mutex.Unlock()
+		if l.network.listeners[l.node] == l {
+			delete(l.network.listeners, l.node)
+		}
+	})
+	return nil
+}
+
+// Addr implements net.Listener.
+func (l *listener) Addr() net.Addr { return address(l.node) }
+
+type address string
+
+// Network implements net.Addr.
+func (a address) Network() string { return "memory" }
+
+// String implements net.Addr.
+func (a address) String() string { return string(a) }
+
+type conn struct {
+	network       *Network
+	local, remote string
+	in, out       *stream
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) { return c.in.read(p) }
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) { return c.out.write(p) }
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.in.close()
+	c.out.close()
+	c.network.mutex.Lock()
+	defer c.network.mutex.Unlock()
+	delete(c.network.conns, c)
+	return nil
+}
+
+// LocalAddr implements net.Conn.
+func (c *conn) LocalAddr() net.Addr { return address(c.local) }
+
+// RemoteAddr implements net.Conn.
+func (c *conn) RemoteAddr() net.Addr { return address(c.remote) }
+
+// SetDeadline implements net.Conn; yamux keeps its own.
+func (c *conn) SetDeadline(time.Time) error { return nil }
+
+// SetReadDeadline implements net.Conn.
+func (c *conn) SetReadDeadline(time.Time) error { return nil }
+
+// SetWriteDeadline implements net.Conn.
+func (c *conn) SetWriteDeadline(time.Time) error { return nil }
+
+// windowBytes is how much one direction of a connection holds.
+const windowBytes = 1 << 20
+
+// stream is one direction of a connection.
+type stream struct {
+	network  *Network
+	from, to string
+	mutex    sync.Mutex
+	packets  []packet
+	held     int
+	closed   bool
+	progress chan struct{} // closed and replaced at every change
+}
+
+type packet struct {
+	bytes []byte
+	at    time.Time // when it arrives
+}
+
+func newStream(n *Network, from, to string) *stream {
+	return &stream{network: n, from: from, to: to, progress: make(chan struct{})}
+}
+
+func (s *stream) wake() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.changed()
+}
+
+func (s *stream) changed() {
+	close(s.progress)
+	s.progress = make(chan struct{})
+}
+
+func (s *stream) close() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.closed = true
+	s.changed()
+}
+
+func (s *stream) write(p []byte) (int, error) {
+	s.mutex.Lock()
+	for s.held > windowBytes && !s.closed {
+		progress := s.progress
+		s.mutex.Unlock()
+		<-progress
+		s.mutex.Lock()
+	}
+	defer s.mutex.Unlock()
+	if s.closed {
+		return 0, io.ErrClosedPipe
+	}
+	s.packets = append(s.packets, packet{bytes: append([]byte(nil), p...), at: time.Now().Add(s.network.Latency)})
+	s.held += len(p)
+	s.changed()
+	return len(p), nil
+}
+
+func (s *stream) read(p []byte) (int, error) {
+	for {
+		blocked := s.network.blocked(s.from, s.to)
+		s.mutex.Lock()
+		if s.closed {
+			s.mutex.Unlock()
+			return 0, io.EOF
+		}
+		progress := s.progress
+		var wait time.Duration = -1
+		if len(s.packets) > 0 && !blocked {
+			wait = time.Until(s.packets[0].at)
+			if wait <= 0 {
+				n := s.take(p)
+				s.mutex.Unlock()
+				return n, nil
+			}
+		}
+		s.mutex.Unlock()
+		if wait < 0 {
+			<-progress
+			continue
+		}
+		t := time.NewTimer(wait)
+		select {
+		case <-progress:
+		case <-t.C:
+		}
+		t.Stop()
+	}
+}
+
+func (s *stream) take(p []byte) int {
+	n := copy(p, s.packets[0].bytes)
+	s.held -= n
+	s.packets[0].bytes = s.packets[0].bytes[n:]
+	if len(s.packets[0].bytes) == 0 {
+		s.packets = s.packets[1:]
+	}
+	s.changed()
+	return n
+}
--- /dev/null
+++ b/ledger/fleet.go
@@ -0,0 +1,145 @@
+package ledger
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"opalbridge.dev/fair"
+)
+
+// Fleet merges the sums of all halls.
+type Fleet struct {
+	halls map[string]*hallView
+}
+
+type hallView struct {
+	service map[fair.Account]float64
+	lifts   map[fair.Account]fair.Lift
+	reach   map[string]*reach // by summing router
+}
+
+type reach struct {
+	sequence uint64
+	slots    map[fair.Account]float64
+	age      int // ticks since it was heard
+}
+
+// NewFleet returns a fleet without halls.
+func NewFleet() *Fleet { return &Fleet{halls: map[string]*hallView{}} }
+
+// HallSum is a hall's totals as one summing router told them.
+type HallSum struct {
+	Hall     string
+	Source   string // the router and its incarnation
+	Sequence uint64
+	Totals   []fair.Total
+}
+
+// Merge takes in a hall's totals. Service and lifts are merged whatever the order
+// they come in; reach counts only if the source's sequence number is new.
+func (f *Fleet) Merge(s HallSum) {
+	v := f.halls[s.Hall]
+	if v == nil {
+		v = &hallView{
+			service: map[fair.Account]float64{},
+			lifts:   map[fair.Account]fair.Lift{},
+			reach:   map[string]*reach{},
+		}
+		f.halls[s.Hall] = v
+	}
+	for _, t := range s.Totals {
+		v.service[t.Account] = math.Max(v.service[t.Account], t.Service)
+		if t.Lift.After(v.lifts[t.Account]) {
+			v.lifts[t.Account] = t.Lift
+		}
+	}
+	v.mergeReach(s)
+}
+
+func (v *hallView) mergeReach(s HallSum) {
+	r := v.reach[s.Source]
+	if r != nil && s.Sequence <= r.sequence {
+		return
+	}
+	r = &reach{sequence: s.Sequence, slots: map[fair.Account]float64{}}
+	for _, t := range s.Totals {
+		if t.Reach > 0 {
+			r.slots[t.Account] = t.Reach
+		}
+	}
+	v.reach[s.Source] = r
+}
+
+// Tick tells that one interval has passed; reach not heard again for several is
+// dropped.
+func (f *Fleet) Tick() {
+	for _, v := range f.halls {
+		for n, r := range v.reach {
+			r.age++
+			if r.age > silentTicks {
+				delete(v.reach, n)
+			}
+		}
+	}
+}
+
+// Hall returns what is known of one hall.
+func (f *Fleet) Hall(name string) []fair.Total {
+	v := f.halls[name]
+	if v == nil {
+		return nil
+	}
+	m := map[fair.Account]fair.Total{}
+	v.addTo(m)
+	return sorted(m)
+}
+
+// Halls returns the halls' names, sorted.
+func (f *Fleet) Halls() []string {
+	var names []string
+	for n := range f.halls {
+		names = append(names, n)
+	}
+	slices.SortFunc(names, cmp.Compare[string])
+	return names
+}
+
+// Sum returns the fleet's totals.
+func (f *Fleet) Sum() []fair.Total { return f.Without(nil) }
+
+// Without returns the fleet's totals less one agent's own service.
+func (f *Fleet) Without(own map[fair.Account]fair.Total) []fair.Total {
+	m := map[fair.Account]fair.Total{}
+	for _, v := range f.halls {
+		v.addTo(m)
+	}
+	for a, o := range own {
+		if t, known := m[a]; known {
+			t.Service = math.Max(0, t.Service-o.Service)
+			m[a] = t
+		}
+	}
+	return sorted(m)
+}
+
+func (v *hallView) addTo(m map[fair.Account]fair.Total) {
+	for a, service := range v.service {
+		t := m[a]
+		t.Account = a
+		t.Service += service
+		t.Reach += v.reachOf(a)
+		if l := v.lifts[a]; l.After(t.Lift) {
+			t.Lift = l
+		}
+		m[a] = t
+	}
+}
+
+func (v *hallView) reachOf(a fair.Account) float64 {
+	most := 0.0
+	for _, r := range v.reach {
+		most = math.Max(most, r.slots[a])
+	}
+	return most
+}
--- /dev/null
+++ b/ledger/ledger_test.go
@@ -0,0 +1,84 @@
+package ledger_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"opalbridge.dev/fair"
+	"opalbridge.dev/ledger"
+)
+
+func total(a fair.Account, service float64) []fair.Total {
+	return []fair.Total{{Account: a, Service: service, Reach: 8}}
+}
+
+func serviceOf(totals []fair.Total, a fair.Account) float64 {
+	for _, t := range totals {
+		if t.Account == a {
+			return t.Service
+		}
+	}
+	return 0
+}
+
+func TestRestartKeepsWhatWasServed(t *testing.T) {
+	h := ledger.NewHall()
+	require.True(t, h.Report("agent-1", "first", 1, total(1, 100)))
+	require.True(t, h.Report("agent-1", "second", 1, total(1, 7)))
+	require.InDelta(t, 107, serviceOf(h.Sum(), 1), 0.001)
+	require.False(t, h.Report("agent-1", "first", 2, total(1, 120)), "a late report of an incarnation that is gone")
+	require.InDelta(t, 107, serviceOf(h.Sum(), 1), 0.001)
+}
+
+func TestNewSummerAdoptsOnce(t *testing.T) {
+	h := ledger.NewHall()
+	h.Report("agent-1", "second", 1, total(1, 7))
+	h.Adopt([]fair.Total{{Account: 1, Service: 107}})
+	require.InDelta(t, 107, serviceOf(h.Sum(), 1), 0.001)
+	h.Report("agent-1", "second", 2, total(1, 10))
+	require.InDelta(t, 110, serviceOf(h.Sum(), 1), 0.001)
+}
+
+func TestSilentAgentLosesItsReach(t *testing.T) {
+	h := ledger.NewHall()
+	h.Report("agent-1", "a", 1, total(1, 7))
+	for range 5 {
+		h.Tick()
+	}
+	require.Zero(t, h.Sum()[0].Reach)
+	require.Equal(t, []string{"agent-1"}, h.Silent())
+}
+
+// TestFleetBearsAnyDelivery delivers the sums of two summing routers with losses,
+// repeats and in any order, and compares with the truth.
+func TestFleetBearsAnyDelivery(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var sent []ledger.HallSum
+		service := 0.0
+		for i := range 20 {
+			service += float64(rapid.IntRange(0, 50).Draw(t, "served"))
+			source := rapid.SampledFrom([]string{"r1", "r2"}).Draw(t, "source")
+			sent = append(sent, ledger.HallSum{Hall: "h", Source: source, Sequence: uint64(i + 1), Totals: total(1, service)})
+		}
+		f := ledger.NewFleet()
+		most := 0.0
+		for _, at := range rapid.SliceOf(rapid.IntRange(0, len(sent)-1)).Draw(t, "deliveries") {
+			f.Merge(sent[at])
+			most = max(most, serviceOf(sent[at].Totals, 1))
+			require.InDelta(t, most, serviceOf(f.Sum(), 1), 0.001)
+		}
+	})
+}
+
+func TestWithoutLeavesOutOneAgent(t *testing.T) {
+	h := ledger.NewHall()
+	h.Report("agent-1", "a", 1, total(1, 30))
+	h.Report("agent-2", "b", 1, total(1, 12))
+	f := ledger.NewFleet()
+	f.Merge(ledger.HallSum{Hall: "x", Source: "r", Sequence: 1, Totals: h.Sum()})
+	f.Merge(ledger.HallSum{Hall: "y", Source: "s", Sequence: 1, Totals: total(1, 100)})
+	require.InDelta(t, 112, serviceOf(f.Without(h.Own("agent-1")), 1), 0.001)
+	require.InDelta(t, 24, f.Sum()[0].Reach, 0.001)
+}
--- /dev/null
+++ b/router/configuration.go
@@ -0,0 +1,181 @@
+package router
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"opalbridge.dev/config"
+	"opalbridge.dev/explain"
+	"opalbridge.dev/wire"
+	"opalbridge.dev/wire/wirepb"
+)
+
+const (
+	firstPause   = 200 * time.Millisecond
+	longestPause = 10 * time.Second
+	watchTimeout = time.Minute
+	// idleCheck is how often a router that holds no watch looks whether it should.
+	idleCheck = 2 * time.Second
+)
+
+// watchConfiguration is the duty that learns revisions from the platform's
+// service. Only the holders of a hall watch it; the others hear from peers, but
+// every router reads it once at its start.
+func (r *Router) watchConfiguration(ctx context.Context) {
+	var version uint64
+	pause := firstPause
+	for first := true; ; first = false {
+		if !first && !r.members.holds("configuration") {
+			if !sleep(ctx, idleCheck) {
+				return
+			}
+			continue
+		}
+		d, now, err := r.readConfiguration(ctx, first, version)
+		if err != nil {
+			r.outage(err)
+			// The pause is spread so that the routers do not come back together.
+			if !sleep(ctx, pause/2+rand.N(pause)) {
+				return
+			}
+			pause = min(2*pause, longestPause)
+			continue
+		}
+		r.recovered()
+		pause = firstPause
+		version = now
+		r.offer(d, "the platform's service")
+		r.confirm(0, d.Revision)
+	}
+}
+
+func (r *Router) readConfiguration(ctx context.Context, first bool, version uint64) (*config.Document, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+	if first || version == 0 {
+		d, v, err := r.store.Load(ctx)
+		if err == nil && v == 0 {
+			return r.store.Await(ctx, 0)
+		}
+		return d, v, err
+	}
+	return r.store.Await(ctx, version)
+}
+
+// offer puts a document in force if it is newer, and tells the neighbours.
+func (r *Router) offer(d *config.Document, from string) bool {
+	if !r.holder.Offer(d) {
+		return false
+	}
+	r.record(explain.Event{Kind: explain.Repair, Text: fmt.Sprintf("revision %d in force, from %s", d.Revision, from)})
+	r.options.Log.Info().Uint64("revision", d.Revision).Str("from", from).Msg("configuration in force")
+	r.dispatcher.tell(configEvent{})
+	r.agents.broadcast(r.message(&wirepb.Control_Ping{Ping: &wirepb.Ping{Sent: time.Now().UnixNano()}}))
+	return true
+}
+
+// noteRevision asks a peer with a newer revision for it, and gives ours to one
+// with an older.
+func (r *Router) noteRevision(p *wire.Peer, m *wirepb.Control) {
+	if m.GetDocument() != nil || m.GetDocumentRequest() != nil {
+		return
+	}
+	if m.Revision > r.holder.Revision() {
+		p.Send(r.message(&wirepb.Control_DocumentRequest{DocumentRequest: &wirepb.DocumentRequest{}}))
+	}
+}
+
+func (r *Router) sendDocumentIfNewer(p *wire.Peer, theirs uint64) {
+	if r.holder.Revision() > theirs {
+		r.sendDocument(p)
+	}
+}
+
+func (r *Router) sendDocument(p *wire.Peer) {
+	d := r.holder.Current()
+	if d.Revision == 0 {
+		return
+	}
+	content, err := d.Encode()
+	if err != nil {
+		r.options.Log.Error().Err(err).Msg("configuration not sent")
+		return
+	}
+	p.Send(r.message(&wirepb.Control_Document{Document: &wirepb.Document{Content: content}}))
+}
+
+// freshness remembers when the service last confirmed the revision in force,
+// here or at a router that told so.
+type freshness struct {
+	mutex     sync.Mutex
+	confirmed time.Time
+	outage    time.Time // since when the service cannot be read; zero: it can
+}
+
+func (r *Router) confirm(age time.Duration, revision uint64) {
+	if revision < r.holder.Revision() || age < 0 {
+		return
+	}
+	r.fresh.mutex.Lock()
+	defer r.fresh.mutex.Unlock()
+	if at := time.Now().Add(-age); at.After(r.fresh.confirmed) {
+		r.fresh.confirmed = at
+	}
+}
+
+// neverConfirmed is the age told when the service was never reached.
+const neverConfirmed = 100 * 24 * time.Hour
+
+func (r *Router) confirmedAge() time.Duration {
+	r.fresh.mutex.Lock()
+	defer r.fresh.mutex.Unlock()
+	if r.fresh.confirmed.IsZero() {
+		return neverConfirmed
+	}
+	return time.Since(r.fresh.confirmed)
+}
+
+func (r *Router) outage(err error) {
+	r.fresh.mutex.Lock()
+	defer r.fresh.mutex.Unlock()
+	if r.fresh.outage.IsZero() {
+		r.fresh.outage = time.Now()
+		r.record(explain.Event{Kind: explain.Degrade, Text: "the platform's service cannot be read: " + err.Error()})
+		r.options.Log.Warn().Err(err).Msg("platform's service not read")
+	}
+}
+
+func (r *Router) recovered() {
+	r.fresh.mutex.Lock()
+	defer r.fresh.mutex.Unlock()
+	if r.fresh.outage.IsZero() {
+		return
+	}
+	r.record(explain.Event{Kind: explain.Repair,
+		Text: fmt.Sprintf("the platform's service can be read again, after %s", time.Since(r.fresh.outage).Round(time.Second))})
+	r.fresh.outage = time.Time{}
+}
+
+// counted adds up the bytes that routers exchange over streams, which are control
+// traffic too.
+type counted struct {
+	mutex sync.Mutex
+	bytes uint64
+}
+
+func (c *counted) add(m proto.Message) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.bytes += uint64(proto.Size(m))
+}
+
+func (c *counted) total() uint64 {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.bytes
+}
--- /dev/null
+++ b/router/link.go
@@ -0,0 +1,115 @@
+package router
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"opalbridge.dev/platform"
+	"opalbridge.dev/wire"
+	"opalbridge.dev/wire/wirepb"
+)
+
+const (
+	dialTimeout   = 2 * time.Second
+	firstRedial   = 100 * time.Millisecond
+	longestRedial = 5 * time.Second
+)
+
+// link keeps a connection to one process as long as it is wanted.
+type link struct {
+	host   platform.Host
+	cancel context.CancelFunc
+
+	mutex sync.Mutex
+	peer  *wire.Peer    // nil while it is not connected
+	up    chan struct{} // closed when peer is set
+}
+
+func newLink(h platform.Host, cancel context.CancelFunc) *link {
+	return &link{host: h, cancel: cancel, up: make(chan struct{})}
+}
+
+// current returns the connection, or nil and a channel that is closed when there
+// is one.
+func (l *link) current() (*wire.Peer, <-chan struct{}) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.peer, l.up
+}
+
+func (l *link) set(p *wire.Peer) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.peer = p
+	if p != nil {
+		close(l.up)
+		return
+	}
+	l.up = make(chan struct{})
+}
+
+// keep dials again and again until ctx ends, and gives each connection to use,
+// which returns when it has ended.
+func (r *Router) keep(ctx context.Context, l *link, use func(context.Context, *wire.Peer)) {
+	pause := firstRedial
+	for ctx.Err() == nil {
+		p, err := r.connect(ctx, l.host)
+		if err != nil {
+			r.options.Log.Debug().Err(err).Str("to", l.host.Name).Msg("not connected")
+			if !sleep(ctx, pause) {
+				return
+			}
+			pause = min(2*pause, longestRedial)
+			continue
+		}
+		pause = firstRedial
+		r.control.Add(p)
+		l.set(p)
+		use(ctx, p)
+		l.set(nil)
+		r.control.Remove(p)
+		r.options.Log.Info().Str("from", l.host.Name).AnErr("reason", p.Reason()).Msg("disconnected")
+		if !sleep(ctx, pause) {
+			return
+		}
+	}
+}
+
+func (r *Router) connect(ctx context.Context, h platform.Host) (*wire.Peer, error) {
+	dial, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := r.options.Dial(dial, h.Address)
+	if err != nil {
+		return nil, err
+	}
+	return wire.Connect(ctx, conn, r.hello())
+}
+
+func (r *Router) hello() *wirepb.Hello {
+	return &wirepb.Hello{
+		Node:        r.options.Name,
+		Incarnation: r.incarnation,
+		Role:        string(platform.Router),
+		Hall:        r.options.Hall,
+		Revision:    r.holder.Revision(),
+		Summing:     r.summing.isSumming(),
+	}
+}
+
+// message returns a control message that names the revision in force here.
+func (r *Router) message(body any) *wirepb.Control {
+	return wire.Control(r.holder.Revision(), body)
+}
+
+// sleep waits and reports false when ctx ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/router/members.go
@@ -0,0 +1,232 @@
+package router
+
+import (
+	"cmp"
+	"context"
+	"hash/fnv"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"opalbridge.dev/explain"
+	"opalbridge.dev/platform"
+)
+
+const (
+	// listRate bounds how often all routers together read the live list, a second.
+	listRate         = 200
+	shortestListRead = 2 * time.Second
+	// holders is how many routers of a hall take a shared duty at once.
+	holders = 2
+)
+
+// members is the duty that reads the platform's list of live hosts. The list lags
+// and may be wrong: what rests on it is who connects to whom and who takes shared
+// duties, which costs accuracy or bytes when it errs, never a promise.
+type members struct {
+	router *Router
+	mutex  sync.Mutex
+	hosts  []platform.Host
+	change chan struct{}
+	failed bool
+}
+
+func (m *members) run(ctx context.Context) {
+	for {
+		m.read(ctx)
+		if !sleep(ctx, m.interval()) {
+			return
+		}
+	}
+}
+
+// interval grows with the fleet, so that the service's load does not.
+func (m *members) interval() time.Duration {
+	routers := len(m.routers())
+	d := max(shortestListRead, time.Duration(routers)*time.Second/listRate)
+	return d/2 + rand.N(d)
+}
+
+func (m *members) read(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, shortestListRead)
+	defer cancel()
+	hosts, err := m.router.options.Directory.Hosts(ctx)
+	if err != nil {
+		m.fail(err)
+		return
+	}
+	slices.SortFunc(hosts, func(a, b platform.Host) int { return cmp.Compare(a.Name, b.Name) })
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.failed {
+		m.failed = false
+		m.router.record(explain.Event{Kind: explain.Repair, Text: "the platform's live list is readable again"})
+	}
+	if slices.Equal(hosts, m.hosts) {
+		return
+	}
+	m.hosts = hosts
+	if m.change != nil {
+		close(m.change)
+		m.change = nil
+	}
+}
+
+// fail keeps the last list: an outage of the service changes nothing here.
+func (m *members) fail(err error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.failed {
+		return
+	}
+	m.failed = true
+	m.router.record(explain.Event{Kind: explain.Degrade, Text: "the platform's live list cannot be read: " + err.Error()})
+	m.router.options.Log.Warn().Err(err).Msg("live list not read")
+}
+
+// degraded reports whether the list could not be read lately.
+func (m *members) degraded() bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.failed
+}
+
+// changed returns a channel that is closed when the list has changed.
+func (m *members) changed() <-chan struct{} {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.change == nil {
+		m.change = make(chan struct{})
+	}
+	return m.change
+}
+
+func (m *members) list(keep func(platform.Host) bool) []platform.Host {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	var list []platform.Host
+	for _, h := range m.hosts {
+		if keep(h) {
+			list = append(list, h)
+		}
+	}
+	return list
+}
+
+func (m *members) routers() []platform.Host {
+	return m.list(func(h platform.Host) bool { return h.Role == platform.Router && !h.Leaving })
+}
+
+// summers returns the routers that sum a hall's counters, by the list as it is.
+func (m *members) summers(hall string) []platform.Host {
+	all := m.list(func(h platform.Host) bool {
+		return h.Role == platform.Router && !h.Leaving && h.Hall == hall
+	})
+	return firstByHash("summing/"+hall, all, holders)
+}
+
+// halls returns the halls that have a router, sorted.
+func (m *members) halls() []string {
+	var halls []string
+	for _, h := range m.routers() {
+		if !slices.Contains(halls, h.Hall) {
+			halls = append(halls, h.Hall)
+		}
+	}
+	slices.Sort(halls)
+	return halls
+}
+
+// holds reports whether this router takes one of its hall's shared duties. One
+// that knows no list takes all of them.
+func (m *members) holds(duty string) bool {
+	all := m.list(func(h platform.Host) bool {
+		return h.Role == platform.Router && !h.Leaving && h.Hall == m.router.options.Hall
+	})
+	if len(all) == 0 {
+		return true
+	}
+	first := firstByHash(duty+"/"+m.router.options.Hall, all, holders)
+	return slices.ContainsFunc(first, func(h platform.Host) bool { return h.Name == m.router.options.Name })
+}
+
+// wantedAgents returns the agents this router connects to: of each pool a subset
+// of the configured degree, and all of its hall's when it sums their counters.
+func (m *members) wantedAgents() []platform.Host {
+	all := m.list(func(h platform.Host) bool { return h.Role == platform.Agent })
+	degree := m.router.options.Degree
+	if degree == 0 || len(all) <= degree {
+		return all
+	}
+	wanted := map[string]platform.Host{}
+	for _, hosts := range m.byPool(all) {
+		for _, h := range firstByHash(m.router.options.Name, hosts, degree) {
+			wanted[h.Name] = h
+		}
+	}
+	if m.router.summing.isSumming() {
+		for _, h := range all {
+			if h.Hall == m.router.options.Hall {
+				wanted[h.Name] = h
+			}
+		}
+	}
+	list := make([]platform.Host, 0, len(wanted))
+	for _, h := range wanted {
+		list = append(list, h)
+	}
+	return list
+}
+
+func (m *members) byPool(agents []platform.Host) map[string][]platform.Host {
+	pools := map[string][]platform.Host{}
+	c := m.router.holder.Current()
+	for _, h := range agents {
+		if s := c.Server(h.Name); s != nil {
+			for _, p := range s.Pools {
+				pools[p] = append(pools[p], h)
+			}
+		}
+	}
+	return pools
+}
+
+// firstByHash returns the n hosts with the highest rendezvous hash for a key.
+func firstByHash(key string, hosts []platform.Host, n int) []platform.Host {
+	type ranked struct {
+		hash uint64
+		host platform.Host
+	}
+	list := make([]ranked, len(hosts))
+	for i, h := range hosts {
+		list[i] = ranked{hash: rendezvous(key, h.Name), host: h}
+	}
+	slices.SortFunc(list, func(a, b ranked) int {
+		if c := cmp.Compare(b.hash, a.hash); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.host.Name, b.host.Name)
+	})
+	var first []platform.Host
+	for _, r := range list[:min(n, len(list))] {
+		first = append(first, r.host)
+	}
+	return first
+}
+
+// rendezvous hashes a key with a name; the highest of several names has the key.
+func rendezvous(key, name string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(key))
+	_, _ = h.Write([]byte{0})
+	_, _ = h.Write([]byte(name))
+	// FNV spreads the last bytes badly; mix its result.
+	x := h.Sum64()
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	x ^= x >> 33
+	return x
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,358 @@
+// Package settings reads a process's settings file: YAML, strict, with every fault
+// told at once and by its line.
+//
+// # Usage
+//
+//	s, err := settings.Parse(settings.Router, content)
+//	var faults settings.Faults
+//	if errors.As(err, &faults) { … }
+//
+// What all nodes must agree on is not here but in the configuration that the
+// operators change by remote procedure calls.
+package settings
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"net/url"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"go.yaml.in/yaml/v3"
+)
+
+// Role is which process the settings are for.
+type Role string
+
+// The roles.
+const (
+	Router Role = "router"
+	Agent  Role = "agent"
+)
+
+// Settings are a process's settings.
+type Settings struct {
+	Name              string
+	Hall              string
+	Region            string
+	CallerAddress     string
+	PeerAddress       string
+	AdminAddress      string
+	PlatformURL       string
+	OperatorTokenHash string
+	ServerURL         string
+	Slots             int
+	Degree            int
+	ReportInterval    time.Duration
+	StopTimeout       time.Duration
+	LogLevel          zerolog.Level
+	OTLPURL           string
+	Certificate       string
+	CertificateKey    string
+	PeerCA            string
+	Records           int
+}
+
+// Fault is one thing wrong with a settings file.
+type Fault struct {
+	Line    int
+	Key     string
+	Message string
+}
+
+// Error implements error.
+func (f Fault) Error() string { return fmt.Sprintf("line %d: %s: %s", f.Line, f.Key, f.Message) }
+
+// Faults are all that is wrong with a settings file.
+type Faults []Fault
+
+// Error implements error.
+func (f Faults) Error() string {
+	lines := make([]string, len(f))
+	for i, o := range f {
+		lines[i] = o.Error()
+	}
+	return "settings: " + strings.Join(lines, "\n")
+}
+
+// Field describes one key of a settings file.
+type Field struct {
+	Key      string
+	Roles    []Role
+	Required bool
+	Default  string
+	Doc      string
+	set      func(s *Settings, text string) error
+}
+
+// Fields returns the keys that a role's settings may have, in their order.
+func Fields(r Role) []Field {
+	var list []Field
+	for _, f := range fields {
+		if slices.Contains(f.Roles, r) {
+			list = append(list, f)
+		}
+	}
+	return list
+}
+
+var (
+	both   = []Role{Router, Agent}
+	router = []Role{Router}
+	agent  = []Role{Agent}
+)
+
+var fields = []Field{
+	{"name", both, true, "", "Name of this process, unique in the fleet. An agent has the name of its server in the configuration.",
+		func(s *Settings, t string) error { s.Name = t; return notEmpty(t) }},
+	{"hall", both, true, "", "Hall in which the host stands.",
+		func(s *Settings, t string) error { s.Hall = t; return notEmpty(t) }},
+	{"region", both, false, "", "Region of the hall, for reports.",
+		func(s *Settings, t string) error { s.Region = t; return nil }},
+	{"caller_address", router, true, "", "IP and port on which callers and operators are served.",
+		func(s *Settings, t string) error { s.CallerAddress = t; return ipPort(t) }},
+	{"peer_address", both, true, "", "IP and port on which other processes of the fleet are served.",
+		func(s *Settings, t string) error { s.PeerAddress = t; return ipPort(t) }},
+	{"admin_address", both, false, "", "IP and port of metrics, traces and readiness; empty: not served.",
+		func(s *Settings, t string) error { s.AdminAddress = t; return optional(t, ipPort) }},
+	{"platform_url", router, true, "", "URL of the platform's key-value service and live list.",
+		func(s *Settings, t string) error { s.PlatformURL = t; return httpURL(t) }},
+	{"operator_token_hash", router, true, "", "SHA-256 of the operators' token, in hexadecimal (opalbridge hash makes it).",
+		func(s *Settings, t string) error { s.OperatorTokenHash = t; return hash(t) }},
+	{"server_url", agent, true, "", "URL of the backend server beside the agent.",
+		func(s *Settings, t string) error { s.ServerURL = t; return httpURL(t) }},
+	{"slots", agent, false, "8", "Requests the server is given at once at most.",
+		func(s *Settings, t string) error { return integer(&s.Slots, t, 1, 4096) }},
+	{"degree", router, false, "0", "Agents of each pool the router connects to; 0: all.",
+		func(s *Settings, t string) error { return integer(&s.Degree, t, 0, 100000) }},
+	{"report_interval", both, false, "1s", "Time between exchanges of service counters (a duration such as 500ms).",
+		func(s *Settings, t string) error {
+			return duration(&s.ReportInterval, t, 100*time.Millisecond, time.Minute)
+		}},
+	{"stop_timeout", both, false, "10m", "A planned stop waits so long for requests in flight (a duration such as 10m).",
+		func(s *Settings, t string) error { return duration(&s.StopTimeout, t, 0, 24*time.Hour) }},
+	{"log_level", both, false, "info", "Least level that is logged: debug, info, warn or error.",
+		func(s *Settings, t string) error { return level(&s.LogLevel, t) }},
+	{"otlp_url", both, false, "", "OTLP/HTTP endpoint that takes traces; empty: none.",
+		func(s *Settings, t string) error { s.OTLPURL = t; return optional(t, httpURL) }},
+	{"certificate", both, false, "", "File of this process's TLS certificate chain (PEM); read again when it changes.",
+		func(s *Settings, t string) error { s.Certificate = t; return nil }},
+	{"certificate_key", both, false, "", "File of the certificate's key (PEM).",
+		func(s *Settings, t string) error { s.CertificateKey = t; return nil }},
+	{"peer_ca", both, false, "", "File of the authority whose certificates the fleet's processes show each other (PEM). Empty: no TLS between processes.",
+		func(s *Settings, t string) error { s.PeerCA = t; return nil }},
+	{"records", both, false, "4096", "Decisions kept in memory for explanations; 0: none.",
+		func(s *Settings, t string) error { return integer(&s.Records, t, 0, 1<<20) }},
+}
+
+// Parse reads the settings of a role. The error is Faults when the content is
+// YAML but not right.
+func Parse(r Role, content []byte) (*Settings, error) {
+	var document yaml.Node
+	if err := yaml.Unmarshal(content, &document); err != nil {
+		return nil, errors.Wrap(err, "settings: not YAML")
+	}
+	p := &parser{settings: &Settings{}, fields: Fields(r), seen: map[string]int{}}
+	p.defaults()
+	p.document(&document)
+	p.missing()
+	p.together()
+	if len(p.faults) > 0 {
+		slices.SortStableFunc(p.faults, func(a, b Fault) int { return a.Line - b.Line })
+		return nil, p.faults
+	}
+	return p.settings, nil
+}
+
+type parser struct {
+	settings *Settings
+	fields   []Field
+	seen     map[string]int // line of each key
+	faults   Faults
+}
+
+func (p *parser) fault(line int, key, format string, a ...any) {
+	p.faults = append(p.faults, Fault{Line: line, Key: key, Message: fmt.Sprintf(format, a...)})
+}
+
+func (p *parser) defaults() {
+	for _, f := range p.fields {
+		if f.Default != "" {
+			if err := f.set(p.settings, f.Default); err != nil {
+				panic(errors.NewAssertionErrorWithWrappedErrf(err, "settings: default of %s", f.Key))
+			}
+		}
+	}
+}
+
+func (p *parser) document(d *yaml.Node) {
+	if d.Kind == 0 {
+		return // an empty file: all keys are missing
+	}
+	root := d.Content[0]
+	if root.Kind != yaml.MappingNode {
+		p.fault(root.Line, "file", "must be a mapping of keys to values")
+		return
+	}
+	for i := 0; i+1 < len(root.Content); i += 2 {
+		p.pair(root.Content[i], root.Content[i+1])
+	}
+}
+
+func (p *parser) pair(key, value *yaml.Node) {
+	at := slices.IndexFunc(p.fields, func(f Field) bool { return f.Key == key.Value })
+	if at < 0 {
+		p.fault(key.Line, key.Value, "no such key%s", p.suggest(key.Value))
+		return
+	}
+	if first, twice := p.seen[key.Value]; twice {
+		p.fault(key.Line, key.Value, "stands twice, first on line %d", first)
+		return
+	}
+	p.seen[key.Value] = key.Line
+	if value.Kind != yaml.ScalarNode {
+		p.fault(value.Line, key.Value, "must be a single value")
+		return
+	}
+	if err := p.fields[at].set(p.settings, value.Value); err != nil {
+		p.fault(value.Line, key.Value, "%v", err)
+	}
+}
+
+func (p *parser) missing() {
+	for _, f := range p.fields {
+		if _, seen := p.seen[f.Key]; f.Required && !seen {
+			p.fault(0, f.Key, "missing: %s", f.Doc)
+		}
+	}
+}
+
+// together checks what several keys must agree on.
+func (p *parser) together() {
+	s := p.settings
+	if (s.Certificate == "") != (s.CertificateKey == "") {
+		p.fault(p.seen["certificate"], "certificate", "certificate and certificate_key must stand together")
+	}
+	if s.PeerCA != "" && s.Certificate == "" {
+		p.fault(p.seen["peer_ca"], "peer_ca", "needs certificate and certificate_key")
+	}
+}
+
+// suggest returns the known key nearest to a misspelt one.
+func (p *parser) suggest(key string) string {
+	best, least := "", len(key)/2+1
+	for _, f := range p.fields {
+		if d := distance(key, f.Key); d < least {
+			best, least = f.Key, d
+		}
+	}
+	if best == "" {
+		return ""
+	}
+	return fmt.Sprintf("; did you mean %s?", best)
+}
+
+// distance is the number of single-letter changes between two words.
+func distance(a, b string) int {
+	row := make([]int, len(b)+1)
+	for j := range row {
+		row[j] = j
+	}
+	for i := 1; i <= len(a); i++ {
+		diagonal := row[0]
+		row[0] = i
+		for j := 1; j <= len(b); j++ {
+			change := diagonal
+			if a[i-1] != b[j-1] {
+				change++
+			}
+			diagonal = row[j]
+			row[j] = min(change, row[j]+1, row[j-1]+1)
+		}
+	}
+	return row[len(b)]
+}
+
+func notEmpty(t string) error {
+	if t == "" {
+		return errors.New("must not be empty")
+	}
+	return nil
+}
+
+func optional(t string, check func(string) error) error {
+	if t == "" {
+		return nil
+	}
+	return check(t)
+}
+
+func ipPort(t string) error {
+	host, _, err := net.SplitHostPort(t)
+	if err != nil {
+		return errors.Newf("%q is not an IP and port such as 10.0.0.1:8080", t)
+	}
+	if _, err := netip.ParseAddr(host); err != nil {
+		return errors.Newf("%q is not an IP number", host)
+	}
+	if _, err := netip.ParseAddrPort(t); err != nil {
+		return errors.Newf("%q has no valid port", t)
+	}
+	return nil
+}
+
+func httpURL(t string) error {
+	u, err := url.Parse(t)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+		return errors.Newf("%q is not an http or https URL", t)
+	}
+	return nil
+}
+
+func hash(t string) error {
+	const digits = 64
+	for _, c := range t {
+		if !strings.ContainsRune("0123456789abcdef", c) {
+			return errors.New("is not in lower-case hexadecimal")
+		}
+	}
+	if len(t) != digits {
+		return errors.Newf("has %d digits, not %d", len(t), digits)
+	}
+	return nil
+}
+
+func integer(to *int, t string, least, most int) error {
+	v, err := strconv.Atoi(t)
+	if err != nil || v < least || v > most {
+		return errors.Newf("%q is not a whole number from %d to %d", t, least, most)
+	}
+	*to = v
+	return nil
+}
+
+func duration(to *time.Duration, t string, least, most time.Duration) error {
+	v, err := time.ParseDuration(t)
+	if err != nil {
+		return errors.Newf("%q is not a duration with a unit, such as 500ms", t)
+	}
+	if v < least || v > most {
+		return errors.Newf("%s is not from %s to %s", v, least, most)
+	}
+	*to = v
+	return nil
+}
+
+func level(to *zerolog.Level, t string) error {
+	v, err := zerolog.ParseLevel(t)
+	if err != nil || t == "" {
+		return errors.Newf("%q is not debug, info, warn or error", t)
+	}
+	*to = v
+	return nil
+}
--- /dev/null
+++ b/telemetry/router.go
@@ -0,0 +1,68 @@
+package telemetry
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+)
+
+// Requests records a router's requests and retries.
+type Requests struct {
+	requests metric.Int64Counter
+	retries  metric.Int64Counter
+	wait     metric.Float64Histogram
+	total    metric.Float64Histogram
+}
+
+// NewRequests returns the instruments of a router.
+func NewRequests(m metric.Meter) (*Requests, error) {
+	var r Requests
+	var faults [4]error
+	r.requests, faults[0] = m.Int64Counter("opalbridge.requests", metric.WithDescription("requests that got their outcome, by account, pool and outcome"))
+	r.retries, faults[1] = m.Int64Counter("opalbridge.retries", metric.WithDescription("attempts after the first; over opalbridge.requests"))
+	r.wait, faults[2] = m.Float64Histogram("opalbridge.wait", metric.WithUnit("s"), metric.WithDescription("time from arrival to the placement at an agent"))
+	r.total, faults[3] = m.Float64Histogram("opalbridge.total", metric.WithUnit("s"), metric.WithDescription("time from arrival to the outcome"))
+	if err := errors.Join(faults[:]...); err != nil {
+		return nil, errors.Wrap(err, "telemetry: requests")
+	}
+	return &r, nil
+}
+
+// Request counts one request's outcome.
+func (r *Requests) Request(account, pool, outcome string, wait, total time.Duration) {
+	set := metric.WithAttributes(attribute.String("account", account), attribute.String("pool", pool), attribute.String("outcome", outcome))
+	ctx := context.Background()
+	r.requests.Add(ctx, 1, set)
+	pools := metric.WithAttributes(attribute.String("pool", pool))
+	r.wait.Record(ctx, wait.Seconds(), pools)
+	r.total.Record(ctx, total.Seconds(), pools)
+}
+
+// Retry counts one attempt after the first.
+func (r *Requests) Retry(reason string) {
+	r.retries.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", reason)))
+}
+
+// Gauge is a value that is read when the metrics are.
+type Gauge struct {
+	Name, Description, Unit string
+	Read                    func() float64
+}
+
+// Observe registers gauges.
+func Observe(m metric.Meter, gauges []Gauge) error {
+	for _, g := range gauges {
+		_, err := m.Float64ObservableGauge(g.Name, metric.WithDescription(g.Description), metric.WithUnit(g.Unit),
+			metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+				o.Observe(g.Read())
+				return nil
+			}))
+		if err != nil {
+			return errors.Wrapf(err, "telemetry: gauge %s", g.Name)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/wire/control.go
@@ -0,0 +1,70 @@
+package wire
+
+import (
+	"fmt"
+
+	"opalbridge.dev/fair"
+	"opalbridge.dev/wire/wirepb"
+)
+
+// Control returns a control message with this body, which must be one of the
+// wirepb.Control_… types.
+func Control(revision uint64, body any) *wirepb.Control {
+	m := &wirepb.Control{Revision: revision}
+	switch b := body.(type) {
+	case *wirepb.Control_Want:
+		m.Body = b
+	case *wirepb.Control_Grant:
+		m.Body = b
+	case *wirepb.Control_Decline:
+		m.Body = b
+	case *wirepb.Control_Load:
+		m.Body = b
+	case *wirepb.Control_Report:
+		m.Body = b
+	case *wirepb.Control_Totals:
+		m.Body = b
+	case *wirepb.Control_Summing:
+		m.Body = b
+	case *wirepb.Control_Document:
+		m.Body = b
+	case *wirepb.Control_DocumentRequest:
+		m.Body = b
+	case *wirepb.Control_Ping:
+		m.Body = b
+	case *wirepb.Control_Pong:
+		m.Body = b
+	default:
+		panic(fmt.Sprintf("wire: %T is no control message", body))
+	}
+	return m
+}
+
+// Counters turns totals into their message form.
+func Counters(totals []fair.Total) []*wirepb.Counter {
+	counters := make([]*wirepb.Counter, len(totals))
+	for i, t := range totals {
+		counters[i] = &wirepb.Counter{
+			Account:     uint32(t.Account),
+			Service:     t.Service,
+			Reach:       uint32(t.Reach),
+			LiftVersion: t.Lift.Version,
+			Lift:        t.Lift.Value,
+		}
+	}
+	return counters
+}
+
+// Totals turns the message form back into totals.
+func Totals(counters []*wirepb.Counter) []fair.Total {
+	totals := make([]fair.Total, len(counters))
+	for i, c := range counters {
+		totals[i] = fair.Total{
+			Account: fair.Account(c.Account),
+			Service: c.Service,
+			Reach:   float64(c.Reach),
+			Lift:    fair.Lift{Version: c.LiftVersion, Value: c.Lift},
+		}
+	}
+	return totals
+}
