experiment: measure the policy against baselines in virtual time

Change: fleettest (network, platform and servers as fakes around real nodes) and experiment (workloads, service and utilisation as the servers count them).

--- a/agent/admission.go
+++ b/agent/admission.go
@@ -18,24 +18,24 @@
 // admission is the duty that owns the agent's places, counters and memory of
 // attempts. Only its goroutine touches them.
 type admission struct {
-	agent      *Agent
-	book       *fair.Book
-	desk       *dispatch.Desk
-	limit      *dispatch.Limit
-	registry   *attempt.Registry
-	keys       *attempt.Keys
-	peers      map[string]*peerState // by router
-	granted    map[uint64]time.Time
-	pools      map[string]bool
-	siblings   string // the servers of this server's pools, to notice that keys moved
-	largest    float64
-	leaving    bool
-	told       wirepb.Load
-	ticks      int
-	violations int                  // times the fairness bound was broken
-	since      map[string]time.Time // what is degraded, and since when
-	pace       pace
-	merged     time.Time // when the totals in use came
+	agent    *Agent
+	book     *fair.Book
+	desk     *dispatch.Desk
+	limit    *dispatch.Limit
+	registry *attempt.Registry
+	keys     *attempt.Keys
+	peers    map[string]*peerState // by router
+	granted  map[uint64]time.Time
+	pools    map[string]bool
+	siblings string // the servers of this server's pools, to notice that keys moved
+	largest  float64
+	leaving  bool
+	told     wirepb.Load
+	ticks    int
+
+	since  map[string]time.Time // what is degraded, and since when
+	pace   pace
+	merged time.Time // when the totals in use came
 }
 
 type peerState struct {
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -87,6 +87,7 @@
 	admission   *admission
 	jobs        jobs
 	draining    atomic.Bool
+	violations  atomic.Int64
 	drained     chan struct{}
 	stopped     chan struct{} // closed when the admission duty has ended
 	duties      *duty.Group
@@ -197,3 +198,6 @@
 
 // ControlBytes returns the bytes of control messages sent and received so far.
 func (a *Agent) ControlBytes() uint64 { return a.control.Total() }
+
+// Violations returns how often the fairness bound was seen broken here.
+func (a *Agent) Violations() int { return int(a.violations.Load()) }
--- a/agent/status.go
+++ b/agent/status.go
@@ -58,7 +58,7 @@
 	if gap <= bound {
 		return
 	}
-	d.violations++
+	d.agent.violations.Add(1)
 	d.agent.record(explain.Event{
 		Kind: explain.Degrade,
 		Text: fmt.Sprintf("the gap of %.0f between waiting accounts is above the bound of %.0f", gap, bound),
@@ -82,7 +82,7 @@
 		Bound:        bound,
 		ControlBytes: d.agent.ControlBytes(),
 		UpMs:         now().Sub(d.agent.begun).Milliseconds(),
-		Violations:   uint32(d.violations),
+		Violations:   uint32(d.agent.Violations()),
 	}
 	for _, t := range totals {
 		s.Counters = append(s.Counters, &wirepb.Counter{Account: uint32(t.Account), Service: t.Service, Reach: uint32(t.Reach)})
--- /dev/null
+++ b/experiment/experiment.go
@@ -0,0 +1,404 @@
+// Package experiment measures the fleet's policy: real routers and agents against
+// stand-ins, in virtual time, under a described workload.
+//
+// # Usage
+//
+//	r := experiment.Run(t, experiment.Scenario{Name: "uneven", Routers: 12, Models: 9, …})
+//	r.Print(os.Stdout)
+//
+// Run must be called inside a bubble of testing/synctest. Costs are in weighted
+// tokens, as the servers' stand-ins count them, not as the agents believe.
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"opalbridge.dev/config"
+	"opalbridge.dev/engine/enginetest"
+	"opalbridge.dev/fair"
+	"opalbridge.dev/fleettest"
+	"opalbridge.dev/router"
+)
+
+// Way is a way to dispatch that is measured.
+type Way struct {
+	Name     string
+	Policy   fair.Policy
+	Queueing router.Queueing
+}
+
+// The ways: the design, its variants, and the baselines.
+var (
+	Design     = Way{"design", fair.Fleet, router.LateBinding}
+	StaleTotal = Way{"least fleet total", fair.Stale, router.LateBinding}
+	AgentAlone = Way{"fair at each agent", fair.Alone, router.LateBinding}
+	RouterFair = Way{"fair at each router", fair.Unordered, router.RouterFair}
+	FirstCome  = Way{"first come first served", fair.Unordered, router.FirstCome}
+)
+
+// Client is a group of callers of one account that each keep one request open.
+type Client struct {
+	Account string
+	Routers []int   // the routers it uses
+	Callers int     // at each of them
+	Least   int     // tokens of the shortest answer
+	Most    int     // tokens of the longest answer
+	Input   int     // bytes of prompt
+	Wrong   float64 // hints are wrong by up to this factor either way; 0: right
+	Urgent  bool
+	Pool    string
+	Think   time.Duration // mean pause between two requests; 0: none
+	From    time.Duration // when it begins
+	Until   time.Duration // when it ends; 0: with the run
+}
+
+// Fault is something that happens to the fleet while it runs.
+type Fault struct {
+	At time.Duration
+	Do func(*fleettest.Fleet)
+}
+
+// Scenario describes one run.
+type Scenario struct {
+	Name     string
+	Way      Way
+	Routers  int
+	Models   int
+	Slots    int
+	Degree   int
+	Interval time.Duration
+	Shares   map[string]uint32 // of accounts whose share is not one
+	Clients  []Client
+	Pools    func(server int) []string
+	Faults   []Fault
+	Warm     time.Duration // before measuring begins
+	Length   time.Duration // of the measurement
+	Compare  []string      // accounts whose gap is measured; nil: all
+	Seed     uint64
+	Limits   config.Limits
+	Burst    int
+}
+
+// Result is what a run measured.
+type Result struct {
+	Scenario    Scenario
+	Gap         float64 // largest difference in service divided by share, weighted tokens
+	Relative    float64 // Gap over the mean service of the accounts compared
+	Utilisation float64 // of the places of all servers
+	Control     float64 // bytes a second, mean over nodes
+	ControlMost float64 // bytes a second, of the busiest node
+	Violations  int     // times an agent saw its bound broken
+	Requests    int
+	Failed      int // requests without their whole answer
+	Service     map[string]float64
+	Waits       map[string][]time.Duration // by account, or account and "!urgent"
+	Series      []Sample
+	Bound       float64
+}
+
+// Sample is the state at one moment of the measurement.
+type Sample struct {
+	At          time.Duration
+	Gap         float64
+	Utilisation float64 // since the sample before
+}
+
+const sampleEvery = time.Second
+
+// Run starts a fleet, lets the clients work, and measures.
+func Run(t testing.TB, s Scenario) *Result {
+	e := newRun(t, s)
+	ctx, stop := context.WithCancel(context.Background())
+	var callers sync.WaitGroup
+	e.launch(ctx, &callers)
+	e.faults(ctx, &callers)
+	time.Sleep(s.Warm)
+	e.measure()
+	stop()
+	callers.Wait()
+	e.fleet.Stop()
+	return e.result
+}
+
+type run struct {
+	scenario Scenario
+	fleet    *fleettest.Fleet
+	result   *Result
+	mutex    sync.Mutex
+	begun    time.Time
+	weights  config.Limits
+}
+
+func newRun(t testing.TB, s Scenario) *run {
+	e := &run{
+		scenario: s,
+		result:   &Result{Scenario: s, Service: map[string]float64{}, Waits: map[string][]time.Duration{}},
+		weights:  s.Limits.WithDefaults(),
+	}
+	if s.Burst == 0 {
+		s.Burst = 25
+	}
+	e.fleet = fleettest.Start(t, fleettest.Options{
+		Routers: s.Routers, Models: s.Models, Slots: s.Slots, Degree: s.Degree, Interval: s.Interval,
+		Policy: s.Way.Policy, Queueing: s.Way.Queueing, Accounts: s.accounts(), Pools: s.Pools, Limits: s.Limits,
+		Model: enginetest.ModelOptions{Burst: s.Burst}, Metrics: e,
+	})
+	e.begun = time.Now()
+	return e
+}
+
+func (s *Scenario) accounts() []config.Account {
+	var list []config.Account
+	for _, c := range s.Clients {
+		if slices.ContainsFunc(list, func(a config.Account) bool { return a.Name == c.Account }) {
+			continue
+		}
+		list = append(list, config.Account{Name: c.Account, Share: max(1, s.Shares[c.Account])})
+	}
+	return list
+}
+
+// Request implements router.Metrics.
+func (e *run) Request(account, _, outcome string, wait, _ time.Duration) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if since := time.Since(e.begun); since < e.scenario.Warm || since > e.scenario.Warm+e.scenario.Length {
+		return
+	}
+	e.result.Requests++
+	e.result.Waits[account] = append(e.result.Waits[account], wait)
+	if outcome != "ran" {
+		e.result.Failed++
+	}
+}
+
+// Retry implements router.Metrics.
+func (e *run) Retry(string) {}
+
+func (e *run) launch(ctx context.Context, callers *sync.WaitGroup) {
+	n := uint64(0)
+	for _, c := range e.scenario.Clients {
+		for _, at := range c.Routers {
+			for range c.Callers {
+				n++
+				random := rand.New(rand.NewPCG(e.scenario.Seed, n))
+				callers.Go(func() { e.call(ctx, c, at, random) })
+			}
+		}
+	}
+}
+
+// refusedPause is how long a caller waits after a refusal.
+const refusedPause = time.Second
+
+func (e *run) call(ctx context.Context, c Client, at int, random *rand.Rand) {
+	if !sleep(ctx, c.From+time.Duration(random.Int64N(int64(time.Second)))) {
+		return
+	}
+	for ctx.Err() == nil {
+		if c.Until > 0 && time.Since(e.begun) > c.Until {
+			return
+		}
+		tokens := c.Least + random.IntN(c.Most-c.Least+1)
+		call := fleettest.Call{
+			Router: at, Account: c.Account, Pool: c.Pool, Urgent: c.Urgent, Input: c.Input,
+			Tokens: tokens, Hint: hint(tokens, c.Wrong, random), ID: fmt.Sprintf("%s-%d", c.Account, random.Uint64()),
+		}
+		a := e.fleet.Do(ctx, call)
+		if len(a.Body) == 0 && !sleep(ctx, refusedPause) {
+			return
+		}
+		if c.Think > 0 && !sleep(ctx, time.Duration(random.ExpFloat64()*float64(c.Think))) {
+			return
+		}
+	}
+}
+
+func hint(tokens int, wrong float64, random *rand.Rand) int {
+	if wrong <= 1 {
+		return tokens
+	}
+	factor := math.Exp((2*random.Float64() - 1) * math.Log(wrong))
+	return max(1, int(float64(tokens)*factor))
+}
+
+func (e *run) faults(ctx context.Context, callers *sync.WaitGroup) {
+	for _, f := range e.scenario.Faults {
+		callers.Go(func() {
+			if sleep(ctx, f.At) {
+				f.Do(e.fleet)
+			}
+		})
+	}
+}
+
+// measure samples the servers' own counts once a second.
+func (e *run) measure() {
+	start := e.service()
+	startBusy := e.busy()
+	startControl := e.control()
+	lastBusy, last := startBusy, time.Now()
+	begun := last
+	for time.Since(begun) < e.scenario.Length {
+		time.Sleep(sampleEvery)
+		busy, now := e.busy(), time.Now()
+		gap, _ := e.gap(start, e.service())
+		e.result.Gap = max(e.result.Gap, gap)
+		e.result.Series = append(e.result.Series, Sample{
+			At: now.Sub(begun), Gap: gap, Utilisation: (busy - lastBusy).Seconds() / now.Sub(last).Seconds() / e.places(),
+		})
+		lastBusy, last = busy, now
+	}
+	end := e.service()
+	length := time.Since(begun)
+	e.result.Utilisation = (e.busy() - startBusy).Seconds() / length.Seconds() / e.places()
+	_, mean := e.gap(start, end)
+	e.result.Relative = e.result.Gap / mean
+	for a, v := range end {
+		e.result.Service[a] = v - start[a]
+	}
+	e.controlRates(startControl, e.control(), length)
+	e.bounds(length)
+}
+
+func (e *run) places() float64 {
+	return float64(len(e.fleet.Agents) * e.fleet.Options.Slots)
+}
+
+func (e *run) busy() time.Duration {
+	sum := time.Duration(0)
+	for _, a := range e.fleet.Agents {
+		busy, _ := a.Model.Busy()
+		sum += busy
+	}
+	return sum
+}
+
+// service returns what each account was served, divided by its share.
+func (e *run) service() map[string]float64 {
+	const thousand = 1000
+	sum := map[string]float64{}
+	for _, a := range e.fleet.Agents {
+		for account, t := range a.Model.Tally() {
+			cost := float64(t.Input-t.Cached)*float64(e.weights.InputWeight) +
+				float64(t.Cached)*float64(e.weights.CachedWeight) + float64(t.Output)*float64(e.weights.OutputWeight)
+			sum[account] += cost / thousand / float64(max(1, e.scenario.Shares[account]))
+		}
+	}
+	return sum
+}
+
+func (e *run) gap(start, end map[string]float64) (gap, mean float64) {
+	least, most := math.Inf(1), math.Inf(-1)
+	n := 0.0
+	for a, v := range end {
+		if e.scenario.Compare != nil && !slices.Contains(e.scenario.Compare, a) {
+			continue
+		}
+		got := v - start[a]
+		least, most = math.Min(least, got), math.Max(most, got)
+		mean += got
+		n++
+	}
+	if n == 0 {
+		return 0, 1
+	}
+	return most - least, math.Max(mean/n, 1)
+}
+
+func (e *run) control() map[string]uint64 {
+	bytes := map[string]uint64{}
+	for _, r := range e.fleet.Routers {
+		if r.Node != nil {
+			bytes[r.Name] = r.Node.ControlBytes()
+		}
+	}
+	for _, a := range e.fleet.Agents {
+		if a.Node != nil {
+			bytes[a.Name] = a.Node.ControlBytes()
+		}
+	}
+	return bytes
+}
+
+func (e *run) controlRates(start, end map[string]uint64, length time.Duration) {
+	sum := 0.0
+	for name, b := range end {
+		if b < start[name] {
+			continue // it was restarted
+		}
+		rate := float64(b-start[name]) / length.Seconds()
+		sum += rate
+		e.result.ControlMost = math.Max(e.result.ControlMost, rate)
+	}
+	e.result.Control = sum / float64(len(end))
+}
+
+// bounds reads the agents' own checks and works out the stated bound.
+func (e *run) bounds(length time.Duration) {
+	largest, least := 0.0, math.Inf(1)
+	for _, c := range e.scenario.Clients {
+		largest = math.Max(largest, float64(c.Most)+float64(c.Input)/16)
+		least = math.Min(least, float64(max(1, e.scenario.Shares[c.Account])))
+	}
+	total := 0.0
+	for a, v := range e.result.Service {
+		total += v * float64(max(1, e.scenario.Shares[a]))
+	}
+	interval := e.scenario.Interval
+	if interval == 0 {
+		interval = time.Second
+	}
+	e.result.Bound = fair.Bound{
+		Largest: largest, Slots: e.places(), Rate: total / length.Seconds(), Age: 3 * interval.Seconds(),
+		Credit: float64(e.weights.UrgentCredit), LeastShare: least,
+	}.Value()
+	for _, a := range e.fleet.Agents {
+		if a.Node != nil {
+			e.result.Violations += a.Node.Violations()
+		}
+	}
+}
+
+// Percentile returns the given percentile of some waits.
+func Percentile(waits []time.Duration, percent float64) time.Duration {
+	if len(waits) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(waits))
+	at := int(math.Ceil(percent/100*float64(len(sorted)))) - 1
+	return sorted[max(0, min(at, len(sorted)-1))]
+}
+
+// Print writes the figures of a run, a line each.
+func (r *Result) Print(w io.Writer) {
+	name := r.Scenario.Name + "/" + r.Scenario.Way.Name
+	fmt.Fprintf(w, "figure gap %q %.0f weighted-tokens\n", name, r.Gap)
+	fmt.Fprintf(w, "figure gap-of-mean-service %q %.3f ratio\n", name, r.Relative)
+	fmt.Fprintf(w, "figure bound %q %.0f weighted-tokens\n", name, r.Bound)
+	fmt.Fprintf(w, "figure utilisation %q %.4f ratio\n", name, r.Utilisation)
+	fmt.Fprintf(w, "figure control %q %.0f B/s/node\n", name, r.Control)
+	fmt.Fprintf(w, "figure control-most %q %.0f B/s\n", name, r.ControlMost)
+	fmt.Fprintf(w, "figure requests %q %d requests\n", name, r.Requests)
+	fmt.Fprintf(w, "figure failed %q %d requests\n", name, r.Failed)
+	fmt.Fprintf(w, "figure bound-violations %q %d times\n", name, r.Violations)
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/fleettest/fleet.go
+++ b/fleettest/fleet.go
@@ -48,8 +48,9 @@
 	Queueing router.Queueing
 	Interval time.Duration // 1 s
 	// Pools gives the pools of each model server; nil: all are in ModelPool.
-	Pools func(server int) []string
-	Log   zerolog.Logger // zero: nothing is logged
+	Pools   func(server int) []string
+	Log     zerolog.Logger // zero: nothing is logged
+	Metrics router.Metrics
 }
 
 func (o Options) withDefaults() Options {
@@ -211,6 +212,7 @@
 		Name: r.Name, Hall: r.Hall, Address: r.Name, KV: f.Platform, Directory: f.Platform,
 		Dial: f.Network.Dialer(r.Name), Listener: f.Network.Listen(r.Name), Degree: f.Options.Degree,
 		Interval: f.Options.Interval, Queueing: f.Options.Queueing, Log: f.Options.Log, Records: explain.NewLog(r.Name, recordsKept),
+		Metrics: f.Options.Metrics,
 	})
 	require.NoError(f.test, err)
 	ctx, stop := context.WithCancel(f.ctx)
@@ -261,11 +263,13 @@
 	for _, r := range f.Routers {
 		if r.Node != nil {
 			<-r.done
+			r.Node = nil
 		}
 	}
 	for _, a := range f.Agents {
 		if a.Node != nil {
 			<-a.done
+			a.Node = nil
 		}
 	}
 }
