agent: places do not wait for a router that is cut off

Change: a grant unused for 500 ms marks its router silent; it gets none until it is heard again (a ping is sent, its answer ends the silence). Of two summing routers that dial each other one exchanges.

--- a/agent/admission.go
+++ b/agent/admission.go
@@ -45,8 +45,9 @@
 
 const (
 	// grantTime is after how long an unused grant is taken back.
-	grantTime = 2 * time.Second
+	grantTime = 500 * time.Millisecond
 	secondsOf = time.Second
+	grantTick = 250 * time.Millisecond
 	// fullReportTicks is how often a report names every account again.
 	fullReportTicks = 30
 )
@@ -72,6 +73,8 @@
 	defer report.Stop()
 	second := time.NewTicker(secondsOf)
 	defer second.Stop()
+	grants := time.NewTicker(grantTick)
+	defer grants.Stop()
 	for {
 		select {
 		case e := <-d.agent.events:
@@ -80,6 +83,8 @@
 			d.report()
 		case <-second.C:
 			d.tick()
+		case <-grants.C:
+			d.expireGrants()
 		case <-ctx.Done():
 			return
 		}
@@ -99,10 +104,15 @@
 			s.summing = e.on
 		}
 	case wantEvent:
+		d.heard(e.peer.Hello.Node)
 		d.want(e)
 	case declineEvent:
+		d.heard(e.peer.Hello.Node)
 		d.cancel(e.grant)
+	case heardEvent:
+		d.heard(e.peer.Hello.Node)
 	case startEvent:
+		d.heard(e.peer.Hello.Node)
 		e.reply <- d.start(e)
 	case revokeEvent:
 		e.reply <- d.registry.Revoke(e.id, now())
@@ -424,13 +434,37 @@
 	d.limit.Tick()
 	d.healthChanged(before)
 	d.applyLimit()
+	d.agent.jobs.expire(now())
+	d.checkBound()
+}
+
+// expireGrants takes unused grants back. A router that left one unused gets no
+// more until it is heard again.
+func (d *admission) expireGrants() {
 	for id, at := range d.granted {
-		if now().Sub(at) > grantTime {
-			d.cancel(id)
+		if now().Sub(at) <= grantTime {
+			continue
+		}
+		if g, ok := d.desk.Grantee(id); ok && d.desk.SetSilent(g, true) {
+			d.agent.record(explain.Event{Kind: explain.Degrade, Text: g + " left a grant unused: no more until it is heard"})
+			d.settleWaits()
+			d.peers[g].peer.Send(d.message(&wirepb.Control_Ping{Ping: &wirepb.Ping{Sent: now().UnixNano()}}))
+		}
+		d.cancel(id)
+	}
+}
+
+// heard notes that a router spoke.
+func (d *admission) heard(router string) {
+	if !d.desk.SetSilent(router, false) {
+		return
+	}
+	d.agent.record(explain.Event{Kind: explain.Repair, Text: router + " is heard again"})
+	for _, a := range d.agent.holder.Current().Accounts {
+		if id := fair.Account(a.ID); d.desk.WaitsFor(id) {
+			d.book.Arrive(id)
 		}
 	}
-	d.agent.jobs.expire(now())
-	d.checkBound()
 }
 
 // report sends the counters to the summing routers.
--- a/agent/event.go
+++ b/agent/event.go
@@ -29,6 +29,9 @@
 	estimate float64
 }
 
+// heardEvent tells that a router answered a ping.
+type heardEvent struct{ peer *wire.Peer }
+
 type declineEvent struct {
 	peer  *wire.Peer
 	grant uint64
@@ -97,6 +100,7 @@
 func (peerDown) event()     {}
 func (summingEvent) event() {}
 func (wantEvent) event()    {}
+func (heardEvent) event()   {}
 func (declineEvent) event() {}
 func (startEvent) event()   {}
 func (revokeEvent) event()  {}
--- a/agent/peer.go
+++ b/agent/peer.go
@@ -62,6 +62,7 @@
 	case *wirepb.Control_Ping:
 		p.Send(wire.Control(a.holder.Revision(), &wirepb.Control_Pong{Pong: &wirepb.Pong{Sent: b.Ping.Sent}}))
 	case *wirepb.Control_Pong:
+		a.tell(heardEvent{peer: p})
 	default:
 		p.Close(errUnexpected)
 	}
--- a/dispatch/desk.go
+++ b/dispatch/desk.go
@@ -20,6 +20,7 @@
 type Desk struct {
 	limit    int
 	running  int
+	silent   map[string]bool // routers that left a grant unused
 	grants   map[uint64]Grant
 	lines    []line
 	next     uint64
@@ -39,11 +40,12 @@
 type want struct {
 	router string
 	count  int
+	silent bool // its count is not in the line's
 }
 
 // NewDesk returns a desk of so many places.
 func NewDesk(limit int) *Desk {
-	return &Desk{limit: limit, grants: map[uint64]Grant{}}
+	return &Desk{limit: limit, grants: map[uint64]Grant{}, silent: map[string]bool{}}
 }
 
 // SetLimit changes the number of places; what runs is not touched.
@@ -96,6 +98,8 @@
 	}
 	w := slices.IndexFunc(l.wants, func(w want) bool { return w.router == router })
 	switch {
+	case w >= 0 && l.wants[w].silent:
+		l.wants[w].count = count
 	case w >= 0:
 		l.waiting += count - l.wants[w].count
 		l.wants[w].count = count
@@ -107,10 +111,12 @@
 
 // DropRouter forgets a router's wants and unused grants, which it returns.
 func (d *Desk) DropRouter(router string) []Grant {
+	delete(d.silent, router)
 	for i := range d.lines {
 		l := &d.lines[i]
 		for w := range l.wants {
 			if l.wants[w].router == router {
+				l.setSilent(w, false)
 				l.waiting -= l.wants[w].count
 				l.wants[w].count = 0
 			}
@@ -126,6 +132,40 @@
 	return dropped
 }
 
+// SetSilent tells whether a router leaves its grants unused: it gets none until it
+// is heard again, so that places do not wait for one that is cut off. It returns
+// whether that changed.
+func (d *Desk) SetSilent(router string, silent bool) bool {
+	if d.silent[router] == silent {
+		return false
+	}
+	d.silent[router] = silent
+	if !silent {
+		delete(d.silent, router)
+	}
+	for i := range d.lines {
+		l := &d.lines[i]
+		for w := range l.wants {
+			if l.wants[w].router == router {
+				l.setSilent(w, silent)
+			}
+		}
+	}
+	return true
+}
+
+func (l *line) setSilent(w int, silent bool) {
+	if l.wants[w].silent == silent {
+		return
+	}
+	l.wants[w].silent = silent
+	if silent {
+		l.waiting -= l.wants[w].count
+		return
+	}
+	l.waiting += l.wants[w].count
+}
+
 // Grant reserves a free place for the account that the book picks, or reports
 // that there is no place or nobody who wants one. The book's reservation is made
 // too; it is Release's caller, or the attempt, that takes it back.
@@ -156,7 +196,7 @@
 func (l *line) take() string {
 	for range l.wants {
 		l.turn = (l.turn + 1) % len(l.wants)
-		if w := &l.wants[l.turn]; w.count > 0 {
+		if w := &l.wants[l.turn]; w.count > 0 && !w.silent {
 			w.count--
 			l.waiting--
 			return w.router
@@ -177,6 +217,12 @@
 	return g, true
 }
 
+// Grantee returns the router that holds a grant.
+func (d *Desk) Grantee(id uint64) (router string, ok bool) {
+	g, ok := d.grants[id]
+	return g.Router, ok
+}
+
 // Cancel gives a granted place back.
 func (d *Desk) Cancel(id uint64) (Grant, bool) {
 	g, ok := d.grants[id]
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -55,6 +55,26 @@
 	require.False(t, ok, "a grant is used once")
 }
 
+func TestSilentRouterGetsNoGrants(t *testing.T) {
+	b := fair.NewBook(fair.Options{Slots: 2})
+	d := dispatch.NewDesk(2)
+	d.SetWant("r1", key, 2, 10)
+	d.SetWant("r2", key, 1, 10)
+	require.True(t, d.SetSilent("r1", true))
+	require.Equal(t, 1, d.Waiting())
+	d.SetWant("r1", key, 3, 10)
+	g, ok := d.Grant(b)
+	require.True(t, ok)
+	require.Equal(t, "r2", g.Router)
+	_, ok = d.Grant(b)
+	require.False(t, ok)
+	require.True(t, d.SetSilent("r1", false))
+	require.Equal(t, 3, d.Waiting())
+	g, ok = d.Grant(b)
+	require.True(t, ok)
+	require.Equal(t, "r1", g.Router)
+}
+
 // TestDeskNeverExceedsItsLimit drives a desk with random events.
 func TestDeskNeverExceedsItsLimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -92,7 +112,8 @@
 					running--
 				}
 			},
-			"drop": func(*rapid.T) { d.DropRouter("r1") },
+			"silent": func(t *rapid.T) { d.SetSilent("r2", rapid.Bool().Draw(t, "silent")) },
+			"drop":   func(*rapid.T) { d.DropRouter("r1") },
 			"": func(t *rapid.T) {
 				require.LessOrEqual(t, d.Running()+d.Granted(), limit)
 				require.Equal(t, running, d.Running())
--- a/router/neighbours.go
+++ b/router/neighbours.go
@@ -116,7 +116,8 @@
 // exchangesSums reports whether counters go to that router this time: with one
 // summing router of each hall at a time, in turn.
 func (n *neighbours) exchangesSums(p *wire.Peer, turn int) bool {
-	if !n.router.summing.isSumming() {
+	// An exchange tells both sides; of two that dial each other one is enough.
+	if !n.router.summing.isSumming() || n.router.options.Name > p.Hello.Node {
 		return false
 	}
 	summers := n.router.members.summers(p.Hello.Hall)
