--- a/agent/admission.go
+++ b/agent/admission.go
@@ -41,6 +41,7 @@
 type peerState struct {
 	peer    *wire.Peer
 	summing bool
+	leaving bool // it reads in the live list that this host is leaving
 }
 
 const (
@@ -109,6 +110,11 @@
 	case declineEvent:
 		d.heard(e.peer.Hello.Node)
 		d.cancel(e.grant)
+	case listEvent:
+		if s := d.peers[e.peer.Hello.Node]; s != nil && s.peer == e.peer {
+			s.leaving = e.leaving
+			d.settleLeaving()
+		}
 	case heardEvent:
 		d.heard(e.peer.Hello.Node)
 	case startEvent:
@@ -150,6 +156,7 @@
 		return
 	}
 	delete(d.peers, p.Hello.Node)
+	d.settleLeaving()
 	for _, g := range d.desk.DropRouter(p.Hello.Node) {
 		delete(d.granted, g.ID)
 		d.book.Release(g.Key.Account, g.Estimate)
@@ -366,7 +373,6 @@
 	}
 	d.pools = map[string]bool{}
 	s := c.Server(d.agent.options.Name)
-	leaving := d.agent.draining.Load() || s == nil || s.Leaving
 	if s != nil {
 		for _, p := range s.Pools {
 			d.pools[p] = true
@@ -378,8 +384,7 @@
 		}
 		d.siblings = siblings
 	}
-	d.setLeaving(leaving)
-	d.applyLimit()
+	d.settleLeaving()
 }
 
 // siblingsIn names the servers among which the keys of this server's pools are
@@ -397,11 +402,23 @@
 }
 
 func (d *admission) drain() {
-	d.setLeaving(true)
-	d.applyLimit()
+	d.settleLeaving()
 	d.checkDrained()
 }
 
+// settleLeaving decides whether the server takes new work: not when its agent is
+// stopping, when the configuration says so or lacks it, or when a router reads so
+// in the live list.
+func (d *admission) settleLeaving() {
+	s := d.agent.holder.Current().Server(d.agent.options.Name)
+	leaving := d.agent.draining.Load() || s == nil || s.Leaving
+	for _, p := range d.peers {
+		leaving = leaving || p.leaving
+	}
+	d.setLeaving(leaving)
+	d.applyLimit()
+}
+
 func (d *admission) setLeaving(leaving bool) {
 	if d.leaving == leaving {
 		return
--- a/agent/event.go
+++ b/agent/event.go
@@ -29,6 +29,12 @@
 	estimate float64
 }
 
+// listEvent tells what a router reads of this host in the live list.
+type listEvent struct {
+	peer    *wire.Peer
+	leaving bool
+}
+
 // heardEvent tells that a router answered a ping.
 type heardEvent struct{ peer *wire.Peer }
 
@@ -100,6 +106,7 @@
 func (peerDown) event()     {}
 func (summingEvent) event() {}
 func (wantEvent) event()    {}
+func (listEvent) event()    {}
 func (heardEvent) event()   {}
 func (declineEvent) event() {}
 func (startEvent) event()   {}
--- a/agent/peer.go
+++ b/agent/peer.go
@@ -2,7 +2,8 @@
 
 import (
 	"context"
-	"errors"
+
+	"github.com/cockroachdb/errors"
 	"io"
 	"net"
 	"time"
@@ -61,6 +62,8 @@
 		a.sendDocument(p)
 	case *wirepb.Control_Ping:
 		p.Send(wire.Control(a.holder.Revision(), &wirepb.Control_Pong{Pong: &wirepb.Pong{Sent: b.Ping.Sent}}))
+	case *wirepb.Control_Leaving:
+		a.tell(listEvent{peer: p, leaving: b.Leaving.On})
 	case *wirepb.Control_Pong:
 		a.tell(heardEvent{peer: p})
 	default:
--- a/engine/enginetest/model.go
+++ b/engine/enginetest/model.go
@@ -38,6 +38,7 @@
 	DefaultTokens int           // answer length when the caller sets none; 32
 	Burst         int           // tokens made and sent at once; 1
 	TallyHeader   string        // requests are tallied by this header's value; empty: not
+	Signed        bool          // tokens name their request
 }
 
 func (o ModelOptions) withDefaults() ModelOptions {
@@ -345,7 +346,7 @@
 		}
 		m.count(r, 0, 0, n)
 		for j := range n {
-			word := fmt.Sprintf("t%d ", i+j)
+			word := m.word(r, i+j)
 			text = append(text, word...)
 			if c.Stream {
 				appendEvent(&events, r.URL.Path, c.Model, word, "")
@@ -374,6 +375,13 @@
 	writeWhole(w, r.URL.Path, c.Model, string(text), u)
 }
 
+func (m *Model) word(r *http.Request, i int) string {
+	if m.options.Signed {
+		return fmt.Sprintf("%s.%d ", r.Header.Get(engine.RequestHeader), i)
+	}
+	return fmt.Sprintf("t%d ", i)
+}
+
 func (m *Model) length(c *completion) int {
 	most := max(c.MaxTokens, c.MaxNew)
 	switch {
--- /dev/null
+++ b/fleettest/config_test.go
@@ -0,0 +1,146 @@
+package fleettest_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"opalbridge.dev/bubbletest"
+	"opalbridge.dev/config"
+	"opalbridge.dev/fleettest"
+	"opalbridge.dev/platform/platformtest"
+)
+
+// inForce is how long an accepted change may take to be in force everywhere after
+// the last fault has ended (source: the users' letter).
+const inForce = 18 * time.Second
+
+// watchRevisions asserts that no node's revision steps back until stop is called.
+func watchRevisions(t testing.TB, f *fleettest.Fleet) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		seen := map[any]uint64{}
+		for ctx.Err() == nil {
+			for node, revision := range f.Revisions() {
+				if revision < seen[node] {
+					t.Errorf("a revision stepped back from %d to %d", seen[node], revision)
+				}
+				seen[node] = revision
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
+// TestConfigurationUnderFaults changes the configuration around every fault; an
+// accepted change is in force everywhere in time and none reverts.
+func TestConfigurationUnderFaults(t *testing.T) {
+	moments := []time.Duration{0, 20 * time.Millisecond, time.Second}
+	for _, x := range fleettest.Faults {
+		for _, after := range moments {
+			t.Run(fmt.Sprintf("%s/%s", x.Name, after), func(t *testing.T) {
+				bubbletest.Run(t, func(t *testing.T) {
+					f := matrixFleet(t)
+					stop := watchRevisions(t, f)
+					over := make(chan struct{})
+					go func() {
+						defer close(over)
+						x.Run(context.Background(), f)
+					}()
+					time.Sleep(after)
+					o := f.Propose(func(d *config.Document) error {
+						d.Accounts[0].Share = 7
+						return nil
+					})
+					<-over
+					accepted, ok := o.(config.Accepted)
+					if !ok {
+						require.IsType(t, config.Undecided{}, o)
+					} else {
+						requireInForce(t, f, accepted.Document.Revision)
+					}
+					stop()
+				})
+			})
+		}
+	}
+}
+
+func requireInForce(t testing.TB, f *fleettest.Fleet, revision uint64) {
+	end := time.Now().Add(inForce)
+	for {
+		behind := 0
+		for _, r := range f.Revisions() {
+			if r < revision {
+				behind++
+			}
+		}
+		if behind == 0 {
+			return
+		}
+		require.True(t, time.Now().Before(end), "%d nodes are behind revision %d", behind, revision)
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// TestRestartDuringOutage restarts nodes while the service is down: they learn the
+// newest revision from several peers, not from an old copy.
+func TestRestartDuringOutage(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
+		f := matrixFleet(t)
+		o, ok := f.Propose(func(d *config.Document) error {
+			d.Accounts[0].Share = 3
+			return nil
+		}).(config.Accepted)
+		require.True(t, ok)
+		requireInForce(t, f, o.Document.Revision)
+		f.Platform.SetFaults(platformtest.Faults{Down: true})
+		f.CrashAgent(f.Agents[0])
+		f.StartAgent(f.Agents[0])
+		requireInForce(t, f, o.Document.Revision)
+	})
+}
+
+// TestServiceLoadIsBounded counts the calls of routers that wait, and of routers
+// that come back from an outage together.
+func TestServiceLoadIsBounded(t *testing.T) {
+	for _, routers := range []int{10, 50} {
+		t.Run(fmt.Sprint(routers), func(t *testing.T) {
+			bubbletest.Run(t, func(t *testing.T) {
+				f := fleettest.Start(t, fleettest.Options{Routers: routers, Models: 1, Halls: 2})
+				time.Sleep(time.Minute)
+				steady := callRate(f, 2*time.Minute)
+				f.Platform.SetFaults(platformtest.Faults{Down: true})
+				time.Sleep(5 * time.Minute)
+				outage := callRate(f, time.Minute)
+				f.Platform.SetFaults(platformtest.Faults{})
+				most := 0.0
+				for range 20 {
+					most = max(most, callRate(f, time.Second))
+				}
+				t.Logf("figure service-calls %d routers: steady %.2f outage %.2f most-after-outage %.2f calls/s", routers, steady, outage, most)
+				require.LessOrEqual(t, steady, float64(routers))
+				require.LessOrEqual(t, most, 2*float64(routers))
+			})
+		})
+	}
+}
+
+func callRate(f *fleettest.Fleet, d time.Duration) float64 {
+	sum := func() int {
+		c := f.Platform.Calls()
+		return c.Reads + c.Writes + c.Watches
+	}
+	before := sum()
+	time.Sleep(d)
+	return float64(sum()-before) / d.Seconds()
+}
--- a/fleettest/fleet.go
+++ b/fleettest/fleet.go
@@ -92,6 +92,7 @@
 type Router struct {
 	Name, Hall string
 	Node       *router.Router
+	mutex      sync.Mutex // guards Node where faults strike while calls are made
 	stop       context.CancelFunc
 	done       <-chan error
 }
@@ -100,6 +101,7 @@
 type Agent struct {
 	Name, Hall string
 	Node       *agent.Agent
+	mutex      sync.Mutex          // guards Node where faults strike while calls are made
 	Model      *enginetest.Model   // nil for a plain service
 	Service    *enginetest.Service // nil for a model
 	Server     engine.Server
@@ -203,7 +205,10 @@
 	})
 	require.NoError(f.test, err)
 	ctx, stop := context.WithCancel(f.ctx)
-	a.Node, a.stop, a.done = node, stop, node.Start(ctx)
+	done := node.Start(ctx)
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.Node, a.stop, a.done = node, stop, done
 }
 
 // StartRouter starts a router's process anew, with no state.
@@ -216,25 +221,46 @@
 	})
 	require.NoError(f.test, err)
 	ctx, stop := context.WithCancel(f.ctx)
-	r.Node, r.stop, r.done = node, stop, node.Start(ctx)
+	done := node.Start(ctx)
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.Node, r.stop, r.done = node, stop, done
 }
 
-// Crash ends an agent's process at once.
+// CrashAgent ends an agent's process at once.
 func (f *Fleet) CrashAgent(a *Agent) {
 	f.Network.Crash(a.Name)
 	a.stop()
 	<-a.done
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
 	a.Node = nil
 }
 
+// running returns the agent's process, or nil.
+func (a *Agent) running() *agent.Agent {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.Node
+}
+
 // CrashRouter ends a router's process at once.
 func (f *Fleet) CrashRouter(r *Router) {
 	f.Network.Crash(r.Name)
 	r.stop()
 	<-r.done
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
 	r.Node = nil
 }
 
+// running returns the router's process, or nil.
+func (r *Router) running() *router.Router {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.Node
+}
+
 // readyTime is how long a fleet may take to be connected.
 const readyTime = time.Minute
 
@@ -242,7 +268,7 @@
 func (f *Fleet) WaitReady() {
 	end := time.Now().Add(readyTime)
 	for _, r := range f.Routers {
-		for r.Node != nil && !f.ready(r.Node) {
+		for r.running() != nil && !f.ready(r.running()) {
 			require.True(f.test, time.Now().Before(end), "%s is not ready", r.Name)
 			time.Sleep(10 * time.Millisecond)
 		}
@@ -313,7 +339,7 @@
 // Do sends a request to a router as its HTTP handler would, and waits for the
 // answer.
 func (f *Fleet) Do(ctx context.Context, c Call) Answer {
-	node := f.Routers[c.Router].Node
+	node := f.Routers[c.Router].running()
 	if node == nil {
 		return Answer{Outcome: attempt.NotRun{Reason: "the router is down"}}
 	}
@@ -387,3 +413,24 @@
 	s.body = append(s.body, chunk...)
 	return nil
 }
+
+// Revisions returns the revision in force at each running node, by process.
+func (f *Fleet) Revisions() map[any]uint64 {
+	revisions := map[any]uint64{}
+	for _, r := range f.Routers {
+		if node := r.running(); node != nil {
+			revisions[node] = node.Revision()
+		}
+	}
+	for _, a := range f.Agents {
+		if node := a.running(); node != nil {
+			revisions[node] = node.Revision()
+		}
+	}
+	return revisions
+}
+
+// ListLeaving has the live list tell that an agent's host is leaving.
+func (f *Fleet) ListLeaving(a *Agent) {
+	f.Platform.SetHost(platform.Host{Name: a.Name, Role: platform.Agent, Hall: a.Hall, Address: a.Name, Leaving: true})
+}
--- /dev/null
+++ b/fleettest/random_test.go
@@ -0,0 +1,145 @@
+package fleettest_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+
+	"opalbridge.dev/attempt"
+	"opalbridge.dev/bubbletest"
+	"opalbridge.dev/config"
+	"opalbridge.dev/engine/enginetest"
+	"opalbridge.dev/fleettest"
+)
+
+var (
+	firstSeed = flag.Uint64("seed", 1, "first seed of the randomised runs")
+	seeds     = flag.Uint64("seeds", 3, "how many seeds to run")
+	simulated = flag.Duration("simulated", 10*time.Minute, "virtual time of each seed")
+)
+
+// keptSeeds found violations once and are run for ever after.
+var keptSeeds = []uint64{}
+
+// tally counts what a randomised run saw.
+type tally struct {
+	mutex    sync.Mutex
+	outcomes map[string]int
+	faults   int
+	repeated int // answers of a caller's retry under its idempotency key
+}
+
+// TestRandomised runs random callers through random faults, several at once.
+func TestRandomised(t *testing.T) {
+	for i := range *seeds {
+		seed := *firstSeed + i
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { randomRun(t, seed) })
+	}
+	for _, seed := range keptSeeds {
+		t.Run(fmt.Sprintf("kept seed %d", seed), func(t *testing.T) { randomRun(t, seed) })
+	}
+}
+
+func randomRun(t *testing.T, seed uint64) {
+	bubbletest.Run(t, func(t *testing.T) {
+		f := fleettest.Start(t, fleettest.Options{
+			Routers: 3, Models: 3, Halls: 3, Services: 1, Latency: 5 * time.Millisecond,
+			Accounts: []config.Account{{Name: "solo", Share: 1}, {Name: "other", Share: 2}},
+			Model:    enginetest.ModelOptions{Signed: true, DecodeStep: 50 * time.Millisecond},
+		})
+		stop := watchRevisions(t, f)
+		ctx, cancel := context.WithTimeout(context.Background(), *simulated)
+		defer cancel()
+		sum := &tally{outcomes: map[string]int{}}
+		var workers sync.WaitGroup
+		for i := range uint64(10) {
+			random := rand.New(rand.NewPCG(seed, i))
+			workers.Go(func() { randomCaller(ctx, t, f, random, sum) })
+		}
+		random := rand.New(rand.NewPCG(seed, 1000))
+		workers.Go(func() { randomFaults(ctx, f, random, sum) })
+		workers.Wait()
+		stop()
+		f.Network.Heal()
+		requireRecovery(t, f)
+		t.Logf("figure randomised seed %d: %s virtual, %d faults, outcomes %v, retries under a key %d", seed, *simulated, sum.faults, sum.outcomes, sum.repeated)
+	})
+}
+
+// randomFaults strikes again and again, also while earlier faults last.
+func randomFaults(ctx context.Context, f *fleettest.Fleet, random *rand.Rand, sum *tally) {
+	var running sync.WaitGroup
+	for ctx.Err() == nil {
+		wait := time.Duration(random.Int64N(int64(40 * time.Second)))
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+			continue
+		}
+		x := fleettest.Faults[random.IntN(len(fleettest.Faults))]
+		sum.faults++
+		if x.Router {
+			x.Run(ctx, f) // one process is not crashed twice at once
+			continue
+		}
+		running.Go(func() { x.Run(ctx, f) })
+	}
+	running.Wait()
+}
+
+func randomCaller(ctx context.Context, t *testing.T, f *fleettest.Fleet, random *rand.Rand, sum *tally) {
+	for ctx.Err() == nil {
+		c := call(random.IntN(2) == 0)
+		c.Router = 1 + random.IntN(2) // the first router crashes: its callers see nothing
+		c.Account = []string{"solo", "other"}[random.IntN(2)]
+		c.Urgent = random.IntN(4) == 0
+		if random.IntN(3) == 0 {
+			c.Pool, c.NoRepeat = fleettest.ServicePool, true
+		}
+		if c.NoRepeat && random.IntN(2) == 0 {
+			c.Key = uuid.Must(uuid.NewV7()).String()
+		}
+		first := f.Do(context.Background(), c)
+		checkPromises(t, f, c, first)
+		sum.count(first)
+		if c.Key != "" {
+			retryUnderKey(t, f, c, first, random, sum)
+		}
+		time.Sleep(time.Duration(random.Int64N(int64(2 * time.Second))))
+	}
+}
+
+// retryUnderKey makes a caller's own retry at another router; both together must
+// have run at most once.
+func retryUnderKey(t *testing.T, f *fleettest.Fleet, c fleettest.Call, first fleettest.Answer, random *rand.Rand, sum *tally) {
+	c.Router = 1 + random.IntN(2)
+	second := f.Do(context.Background(), c)
+	checkPromises(t, f, c, fleettest.Answer{ID: first.ID, Outcome: attempt.Unknown{}})
+	runs := 0
+	for _, g := range f.Agents {
+		var counts map[string]int
+		if g.Model != nil {
+			counts = g.Model.Runs()
+		} else {
+			counts = g.Service.Runs()
+		}
+		runs += counts[first.ID] + counts[second.ID]
+	}
+	require.LessOrEqual(t, runs, 1, "a caller's retry under its key ran again")
+	sum.mutex.Lock()
+	defer sum.mutex.Unlock()
+	sum.repeated++
+}
+
+func (s *tally) count(a fleettest.Answer) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.outcomes[outcomeText(a)]++
+}
--- /dev/null
+++ b/fleettest/stop_test.go
@@ -0,0 +1,104 @@
+package fleettest_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"opalbridge.dev/attempt"
+	"opalbridge.dev/bubbletest"
+	"opalbridge.dev/config"
+	"opalbridge.dev/fleettest"
+)
+
+// TestPlannedStopCutsOffNothing begins a planned stop at every step of a request.
+func TestPlannedStopCutsOffNothing(t *testing.T) {
+	stops := []struct {
+		name string
+		stop func(*fleettest.Fleet) <-chan struct{}
+	}{
+		{"agent", func(f *fleettest.Fleet) <-chan struct{} { return f.Agents[0].Node.Drain() }},
+		{"router", func(f *fleettest.Fleet) <-chan struct{} { return f.Routers[0].Node.Drain() }},
+		{"server marked leaving", func(f *fleettest.Fleet) <-chan struct{} {
+			f.Propose(func(d *config.Document) error {
+				d.Servers[0].Leaving = true
+				return nil
+			})
+			return nil
+		}},
+	}
+	for _, stop := range stops {
+		for _, s := range steps[1:] {
+			t.Run(stop.name+"/"+s.name, func(t *testing.T) {
+				bubbletest.Run(t, func(t *testing.T) {
+					f := matrixFleet(t)
+					var drained <-chan struct{}
+					go func() {
+						time.Sleep(s.at)
+						drained = stop.stop(f)
+					}()
+					a := f.Do(context.Background(), call(true))
+					require.Equal(t, attempt.Ran{Complete: true}, a.Outcome, "cut off by a planned stop")
+					checkPromises(t, f, call(true), a)
+					if drained != nil {
+						<-drained
+					}
+				})
+			})
+		}
+	}
+}
+
+// leavingBound is how long after an accepted change a server that is leaving may
+// still get new work; the change itself may take 18 s to reach a node that lost
+// touch (docs/operators/stops.md).
+const leavingBound = 3 * time.Second
+
+// TestLeavingServerGetsNoNewWork keeps a fleet busy and marks a server leaving, or
+// stops its agent, and measures until when it got new work.
+func TestLeavingServerGetsNoNewWork(t *testing.T) {
+	ways := []struct {
+		name  string
+		leave func(*fleettest.Fleet)
+	}{
+		{"by an operator", func(f *fleettest.Fleet) {
+			f.Propose(func(d *config.Document) error {
+				d.Servers[0].Leaving = true
+				return nil
+			})
+		}},
+		{"by its agent", func(f *fleettest.Fleet) { f.Agents[0].Node.Drain() }},
+		{"by the live list", func(f *fleettest.Fleet) { f.ListLeaving(f.Agents[0]) }},
+	}
+	for _, way := range ways {
+		t.Run(way.name, func(t *testing.T) {
+			bubbletest.Run(t, func(t *testing.T) {
+				f := matrixFleet(t)
+				ctx, cancel := context.WithCancel(context.Background())
+				for range 40 {
+					go func() {
+						for ctx.Err() == nil {
+							f.Do(ctx, call(false))
+							time.Sleep(10 * time.Millisecond)
+						}
+					}()
+				}
+				time.Sleep(5 * time.Second)
+				way.leave(f)
+				begun := time.Now()
+				last := time.Duration(0)
+				for runs := len(f.Agents[0].Model.Runs()); time.Since(begun) < 20*time.Second; time.Sleep(50 * time.Millisecond) {
+					if now := len(f.Agents[0].Model.Runs()); now > runs {
+						runs, last = now, time.Since(begun)
+					}
+				}
+				t.Logf("figure last-new-work-after-leaving %q %.2f s", way.name, last.Seconds())
+				cancel()
+				time.Sleep(time.Minute)
+				require.LessOrEqual(t, last, leavingBound)
+			})
+		})
+	}
+}
--- a/router/agents.go
+++ b/router/agents.go
@@ -2,7 +2,8 @@
 
 import (
 	"context"
-	"errors"
+
+	"github.com/cockroachdb/errors"
 	"sync"
 	"time"
 
@@ -49,7 +50,10 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for name, l := range s.links {
-		if h, keep := wanted[name]; !keep || h.Address != l.host.Address {
+		h, keep := wanted[name]
+		l.setListed(keep)
+		s.tellLeaving(l, h.Leaving)
+		if l.given() || (keep && h.Address != l.host.Address) {
 			l.cancel()
 			delete(s.links, name)
 		}
@@ -67,6 +71,13 @@
 	}
 }
 
+// tellLeaving passes on to an agent what the live list says of its host.
+func (s *agents) tellLeaving(l *link, leaving bool) {
+	if p := l.news(leaving); p != nil {
+		p.Send(s.router.message(&wirepb.Control_Leaving{Leaving: &wirepb.Leaving{On: leaving}}))
+	}
+}
+
 func (s *agents) use(_ context.Context, p *wire.Peer) {
 	r := s.router
 	r.dispatcher.tell(upEvent{peer: p})
--- a/router/dispatcher.go
+++ b/router/dispatcher.go
@@ -156,7 +156,11 @@
 		if only := t.request.Key.Server; only != "" && only != name {
 			continue
 		}
-		if s := d.suits(v, t.request.Prefix); s > most || (s == most && name < best.peer.Hello.Node) {
+		s := d.suits(v, t.request.Prefix)
+		if slices.Contains(t.failed, name) {
+			s -= failedWorth
+		}
+		if s > most || (s == most && name < best.peer.Hello.Node) {
 			best, most = v, s
 		}
 	}
@@ -170,6 +174,7 @@
 const (
 	prefixWorth = 0.5
 	hallWorth   = 0.25
+	failedWorth = 10 // an agent where the request failed before is the last choice
 )
 
 func (d *dispatcher) suits(v *agentView, prefix uint64) float64 {
@@ -241,6 +246,11 @@
 		v.running = max(v.running-1, v.limit)
 	} else if v != nil {
 		v.running = max(0, v.running-1)
+		e.ticket.failed = append(e.ticket.failed, e.agent)
+		if other, why := d.free(e.ticket); other != nil && other != v {
+			d.bind(e.ticket, other, 0, why)
+			return
+		}
 	}
 	d.queue.PutBack(e.ticket.request)
 	d.tickets[e.ticket.request] = e.ticket
--- a/router/event.go
+++ b/router/event.go
@@ -79,6 +79,7 @@
 	answer   chan placed // capacity one: the dispatcher never waits
 	estimate float64     // expected cost, settled when it is bound
 	waited   time.Duration
+	failed   []string // agents where an attempt failed
 }
 
 // placed is the dispatcher's word on a request: placement or refusal.
--- a/router/link.go
+++ b/router/link.go
@@ -24,6 +24,9 @@
 	mutex sync.Mutex
 	peer  *wire.Peer    // nil while it is not connected
 	up    chan struct{} // closed when peer is set
+	// unlisted is since when the live list lacks the host; zero: it names it.
+	unlisted time.Time
+	told     bool // the agent was told that its host is leaving
 }
 
 func newLink(h platform.Host, cancel context.CancelFunc) *link {
@@ -42,6 +45,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.peer = p
+	l.told = false
 	if p != nil {
 		close(l.up)
 		return
@@ -49,6 +53,42 @@
 	l.up = make(chan struct{})
 }
 
+// setListed notes whether the live list names the host.
+func (l *link) setListed(listed bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	switch {
+	case listed:
+		l.unlisted = time.Time{}
+	case l.unlisted.IsZero():
+		l.unlisted = time.Now()
+	}
+}
+
+// news returns the connection if its agent has not been told yet whether its host
+// is leaving, and counts it as told.
+func (l *link) news(leaving bool) *wire.Peer {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.peer == nil || l.told == leaving {
+		return nil
+	}
+	l.told = leaving
+	return l.peer
+}
+
+// given reports whether to give the host up: the list has lacked it for long and
+// it cannot be reached either. A connection that works is never ended because of
+// the list, which may be wrong.
+func (l *link) given() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.peer == nil && !l.unlisted.IsZero() && time.Since(l.unlisted) > unlistedTime
+}
+
+// unlistedTime is how long a host that left the live list is still dialled.
+const unlistedTime = 30 * time.Second
+
 // keep dials again and again until ctx ends, and gives each connection to use,
 // which returns when it has ended.
 func (r *Router) keep(ctx context.Context, l *link, use func(context.Context, *wire.Peer)) {
--- a/router/serve.go
+++ b/router/serve.go
@@ -2,14 +2,15 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
-	"sync"
-	"time"
 
+	"fmt"
+	"github.com/cockroachdb/errors"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
+	"net/http"
+	"sync"
+	"time"
 
 	"opalbridge.dev/attempt"
 	"opalbridge.dev/dispatch"
@@ -362,6 +363,10 @@
 			f.life.Fire(attempt.Admit)
 		case *wirepb.Piece_Head:
 			head = b.Head
+			if f.mayTryElsewhere(head) {
+				_ = s.Write(&wirepb.Call{Body: &wirepb.Call_Cancel{Cancel: &wirepb.Cancel{Reason: "tried elsewhere"}}})
+				return f.life.Fire(attempt.Vanish)
+			}
 		case *wirepb.Piece_Chunk:
 			if next, stop := f.chunk(ctx, p, s, head, b.Chunk); stop {
 				return next
@@ -377,6 +382,13 @@
 	}
 }
 
+// mayTryElsewhere reports whether an answer is a server's own failure that another
+// server may not share, to a request that may run again.
+func (f *flight) mayTryElsewhere(head *wirepb.Head) bool {
+	return head.Status >= http.StatusInternalServerError && f.request.Repeatable && f.next == 0 &&
+		f.retries < mostRetries && f.life.State() == attempt.Admitted
+}
+
 // chunk passes one piece of the answer on, if it is the next one.
 func (f *flight) chunk(ctx context.Context, p placement, s *wire.Stream, head *wirepb.Head, c *wirepb.Chunk) (attempt.Next, bool) {
 	if c.Number != f.next || f.life.State() == attempt.Sent {
--- a/wire/control.go
+++ b/wire/control.go
@@ -34,6 +34,8 @@
 		m.Body = b
 	case *wirepb.Control_Pong:
 		m.Body = b
+	case *wirepb.Control_Leaving:
+		m.Body = b
 	default:
 		panic(fmt.Sprintf("wire: %T is no control message", body))
 	}
