cmd/opalbridge: the path over real connections, with a published client

Cause: virtual time shows the policy; real sockets, HTTP and a client nobody here wrote show the rest.

Change: tests of the dev fleet with openai-go, streamed and not, a prompt of 120 kB, 200 callers at once, 17 kinds of bad input, smuggled headers, a caller that leaves, every operators' call through ctl, explanations and traces from another router. The engine's call is a hop of its own in the trace.

--- a/agent/serve.go
+++ b/agent/serve.go
@@ -186,7 +186,7 @@
 	ctx, span := r.agent.options.Tracer.Start(ctx, "agent.serve", trace.WithAttributes(attribute.String("request", r.start.Request)))
 	defer span.End()
 	r.meter = engine.NewMeter(r.agent.weights(), r.start.Content)
-	answer, err := r.agent.options.Engine.Do(ctx, r.call(ctx))
+	answer, err := r.engine(ctx)
 	if err != nil {
 		r.failedBefore(ctx, err)
 		return
@@ -209,6 +209,13 @@
 		attempt.Ran{Complete: true}, v, fmt.Sprintf("the whole answer, status %d, %.0f weighted tokens", answer.Status, cost))
 }
 
+// engine makes the call, as a hop of its own in the trace.
+func (r *run) engine(ctx context.Context) (*engine.Answer, error) {
+	_, span := r.agent.options.Tracer.Start(ctx, "engine.call", trace.WithAttributes(attribute.String("request", r.start.Request)))
+	defer span.End()
+	return r.agent.options.Engine.Do(ctx, r.call(trace.ContextWithSpan(ctx, span)))
+}
+
 func (j *job) count() uint64 {
 	j.mutex.Lock()
 	defer j.mutex.Unlock()
--- /dev/null
+++ b/cmd/opalbridge/main_test.go
@@ -0,0 +1,283 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"opalbridge.dev/config"
+)
+
+// startDev starts the fleet that the dev command runs, over real loopback
+// connections. It ends with the test.
+func startDev(t testing.TB) *devFleet {
+	life, end := context.WithCancel(context.Background())
+	f := &devFleet{life: life, log: zerolog.Nop()}
+	require.NoError(t, f.start("127.0.0.1:0"))
+	require.NoError(t, f.waitReady(context.Background()))
+	t.Cleanup(func() { f.stop(end) })
+	return f
+}
+
+func (f *devFleet) client(at, account int) openai.Client {
+	return openai.NewClient(option.WithBaseURL(f.callers[at]+"/v1"), option.WithAPIKey(f.keys[account]), option.WithMaxRetries(0))
+}
+
+func chat(prompt string, tokens int64) openai.ChatCompletionNewParams {
+	return openai.ChatCompletionNewParams{
+		Model:     devModel,
+		MaxTokens: openai.Int(tokens),
+		Messages:  []openai.ChatCompletionMessageParamUnion{openai.UserMessage(prompt)},
+	}
+}
+
+// wantText is what the stand-in answers.
+func wantText(tokens int) string {
+	var b strings.Builder
+	for i := range tokens {
+		fmt.Fprintf(&b, "t%d ", i)
+	}
+	return b.String()
+}
+
+func streamed(t testing.TB, c openai.Client, p openai.ChatCompletionNewParams) string {
+	s := c.Chat.Completions.NewStreaming(context.Background(), p)
+	var text strings.Builder
+	for s.Next() {
+		if choices := s.Current().Choices; len(choices) > 0 {
+			text.WriteString(choices[0].Delta.Content)
+		}
+	}
+	require.NoError(t, s.Err())
+	return text.String()
+}
+
+// TestPublishedClient drives the path with a published client library.
+func TestPublishedClient(t *testing.T) {
+	f := startDev(t)
+	c := f.client(0, 0)
+
+	models, err := c.Models.List(context.Background())
+	require.NoError(t, err)
+	require.Equal(t, devModel, models.Data[0].ID)
+
+	whole, err := c.Chat.Completions.New(context.Background(), chat("hello", 5))
+	require.NoError(t, err)
+	require.Equal(t, wantText(5), whole.Choices[0].Message.Content)
+	require.Equal(t, int64(5), whole.Usage.CompletionTokens)
+
+	require.Equal(t, wantText(7), streamed(t, c, chat("hello", 7)))
+	const longPrompt = 120_000
+	require.Equal(t, wantText(3), streamed(t, c, chat(strings.Repeat("pressure ", longPrompt/9), 3)))
+}
+
+// TestManyCallersAtOnce has 200 callers at both routers; each gets its own answer.
+func TestManyCallersAtOnce(t *testing.T) {
+	f := startDev(t)
+	var callers sync.WaitGroup
+	answers := make([]string, 200)
+	for i := range answers {
+		callers.Go(func() {
+			answers[i] = streamed(t, f.client(i%2, i/2%2), chat(fmt.Sprint("caller ", i), int64(1+i%9)))
+		})
+	}
+	callers.Wait()
+	for i, a := range answers {
+		require.Equal(t, wantText(1+i%9), a, "caller %d", i)
+	}
+}
+
+// ask sends one raw request and returns the answer with its error body.
+func (f *devFleet) ask(t testing.TB, method, path, body string, headers map[string]string) (*http.Response, map[string]any) {
+	r, err := http.NewRequest(method, f.callers[0]+path, strings.NewReader(body))
+	require.NoError(t, err)
+	r.Header.Set("Authorization", "Bearer "+f.keys[0])
+	for name, value := range headers {
+		r.Header.Set(name, value)
+	}
+	answer, err := http.DefaultClient.Do(r)
+	require.NoError(t, err)
+	defer answer.Body.Close()
+	var m struct{ Error map[string]any }
+	_ = json.NewDecoder(answer.Body).Decode(&m)
+	return answer, m.Error
+}
+
+// TestBadInput holds that each fault is told by its field, as not run, and that
+// the fleet serves on.
+func TestBadInput(t *testing.T) {
+	f := startDev(t)
+	const path = "/v1/chat/completions"
+	good := `{"model":"small","max_tokens":2,"messages":[]}`
+	tests := []struct {
+		name, method, path, body string
+		headers                  map[string]string
+		status                   int
+		code, field              string
+	}{
+		{"wrong key", "POST", path, good, map[string]string{"Authorization": "Bearer nobody"}, 401, "wrong_key", "Authorization"},
+		{"no key", "POST", path, good, map[string]string{"Authorization": "Basic x"}, 401, "missing_key", "Authorization"},
+		{"unknown model", "POST", path, `{"model":"huge"}`, nil, 404, "model_not_found", "model"},
+		{"no model", "POST", path, `{}`, nil, 400, "missing_field", "model"},
+		{"malformed JSON", "POST", path, `{"model":`, nil, 400, "malformed_json", "body"},
+		{"not an object", "POST", path, `[1]`, nil, 400, "malformed_json", "body"},
+		{"negative limit", "POST", path, `{"model":"small","max_tokens":-1}`, nil, 400, "invalid_field", "max_tokens"},
+		{"body too large", "POST", path, strings.Repeat(" ", 5<<20), nil, 413, "body_too_large", "body"},
+		{"deadline past", "POST", path, good, map[string]string{"Opalbridge-Deadline-Ms": "0"}, 504, "deadline_passed", "Opalbridge-Deadline-Ms"},
+		{"deadline not a number", "POST", path, good, map[string]string{"Opalbridge-Deadline-Ms": "soon"}, 400, "invalid_header", "Opalbridge-Deadline-Ms"},
+		{"mark not a bool", "POST", path, good, map[string]string{"Opalbridge-Urgent": "very"}, 400, "invalid_header", "Opalbridge-Urgent"},
+		{"key too long", "POST", path, good, map[string]string{"Idempotency-Key": strings.Repeat("k", 300)}, 400, "invalid_header", "Idempotency-Key"},
+		{"headers too long", "POST", path, good, map[string]string{"X-Long": strings.Repeat("h", 40<<10)}, 431, "headers_too_large", "headers"},
+		{"unknown service", "POST", "/services/none/x", "", nil, 404, "service_not_found", "service"},
+		{"model as a service", "POST", "/services/small/x", "", nil, 404, "service_not_found", "service"},
+		{"unknown path", "GET", "/v2", "", nil, 404, "no_such_path", ""},
+		{"wrong method", "GET", path, "", nil, 405, "method_not_allowed", ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			answer, fault := f.ask(t, test.method, test.path, test.body, test.headers)
+			require.Equal(t, test.status, answer.StatusCode)
+			require.Equal(t, test.code, fault["code"])
+			require.Equal(t, test.field, fault["param"])
+			require.Equal(t, "not-run", answer.Header.Get("Opalbridge-Outcome"))
+		})
+	}
+	require.Equal(t, wantText(2), streamed(t, f.client(0, 0), chat("still there", 2)))
+}
+
+// TestSmuggledHeadersDoNotPass writes requests by hand that try to hide a second
+// request, or to speak as the router does to a server.
+func TestSmuggledHeadersDoNotPass(t *testing.T) {
+	f := startDev(t)
+	for _, raw := range []string{
+		"POST /services/booking/x HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /hidden HTTP/1.1\r\n\r\n",
+		"POST /services/booking/x HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: 1\r\nContent-Length: 9\r\n\r\nabcdefghi",
+		"POST /services/booking/x HTTP/1.1\r\nHost: x\r\nAuthorization : Bearer %s\r\nContent-Length: 0\r\n\r\n",
+	} {
+		conn, err := net.Dial("tcp", strings.TrimPrefix(f.callers[0], "http://"))
+		require.NoError(t, err)
+		fmt.Fprintf(conn, raw, f.keys[0])
+		_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+		first := make([]byte, 64)
+		n, _ := io.ReadAtLeast(conn, first, 12)
+		answer := string(first[:n])
+		conn.Close()
+		require.NotContains(t, answer, "hidden")
+		require.True(t, strings.HasPrefix(answer, "HTTP/1.1 400") || strings.HasPrefix(answer, "HTTP/1.1 200"), answer)
+	}
+	answer, _ := f.ask(t, "POST", "/services/booking/x", "", map[string]string{"X-Request-Id": "mine"})
+	require.NotEqual(t, "mine", answer.Header.Get("Opalbridge-Request-Id"))
+}
+
+// TestLeavingCallerStopsTheWork has a caller leave in the middle of an answer; the
+// place is free again soon.
+func TestLeavingCallerStopsTheWork(t *testing.T) {
+	f := startDev(t)
+	ctx, leave := context.WithCancel(context.Background())
+	c := f.client(0, 0)
+	s := c.Chat.Completions.NewStreaming(ctx, chat("a long story", 100_000))
+	require.True(t, s.Next())
+	leave()
+	require.Eventually(t, func() bool {
+		running := 0
+		for _, a := range f.agents {
+			running += a.Running()
+		}
+		return running == 0
+	}, 10*time.Second, 10*time.Millisecond)
+}
+
+// ctl runs an operators' command.
+func (f *devFleet) ctl(t testing.TB, words ...string) error {
+	c := command()
+	var out bytes.Buffer
+	c.Writer = &out
+	err := c.Run(context.Background(), append([]string{"opalbridge", "ctl", "--router", f.callers[1], "--token", f.token}, words...))
+	t.Logf("ctl %v: %s", words, out.String())
+	return err
+}
+
+// TestOperators drives every call of the operators through the command line.
+func TestOperators(t *testing.T) {
+	f := startDev(t)
+	for _, words := range []string{
+		"configuration", "status", "--output json status",
+		"account create --share 3 loja", "account update --share 4 --max-waiting 9 loja", "account rotate-key loja", "account update --disabled loja",
+		"pool put --kind service stock", "server put --hall hall-1 --pool stock stock-1", "server put --hall hall-1 --pool stock --leaving stock-1",
+		"server delete stock-1", "pool delete stock", "limits put --urgent-credit 5000", "explain --account quito",
+	} {
+		err := f.ctl(t, strings.Fields(words)...)
+		require.NoError(t, err, words)
+	}
+	faults := []struct {
+		words string
+		code  int
+	}{
+		{"--expect 1 account update --share 4 loja", exitConflict},
+		{"account update --share 4 nobody", exitUsage},
+		{"account create --share 1 loja", exitUsage},
+		{"account create --share 1 Bad_Name!", exitUsage},
+		{"pool put --kind odd stock", exitUsage},
+		{"account update --share 0 loja", exitUsage},
+		{"--output yaml status", exitUsage},
+		{"explain", exitUsage},
+		{"--token wrong status", exitFailure},
+	}
+	for _, test := range faults {
+		err := f.ctl(t, strings.Fields(test.words)...)
+		require.Error(t, err, test.words)
+		require.Equal(t, test.code, exitCode(err), test.words)
+	}
+}
+
+// TestExplainTellsTheWholeStory asks the other router about a request.
+func TestExplainTellsTheWholeStory(t *testing.T) {
+	f := startDev(t)
+	answer, _ := f.ask(t, "POST", "/services/booking/bays/4", `{"bay":4}`, map[string]string{"Opalbridge-Not-Repeatable": "true"})
+	require.Equal(t, http.StatusOK, answer.StatusCode)
+	id := answer.Header.Get("Opalbridge-Request-Id")
+	events, unreached := f.routers[1].router.Explain(context.Background(), id, "")
+	require.Empty(t, unreached)
+	var kinds []string
+	for _, e := range events {
+		kinds = append(kinds, e.Node+" "+string(e.Kind))
+	}
+	require.Equal(t, []string{"router-1 arrive", "router-1 choose", "booking-1 admit", "booking-1 outcome", "router-1 outcome"}, kinds)
+	spans, err := http.Get(f.admin + "/traces/" + id)
+	require.NoError(t, err)
+	defer spans.Body.Close()
+	text, err := io.ReadAll(spans.Body)
+	require.NoError(t, err)
+	for _, hop := range []string{"router.request", "router.wait", "router.dispatch", "agent.admit", "agent.serve", "engine.call"} {
+		require.Contains(t, string(text), `"`+hop+`"`)
+	}
+}
+
+// TestDisabledAccountAndChangedShareAreInForce changes the configuration under a
+// running fleet.
+func TestDisabledAccountAndChangedShareAreInForce(t *testing.T) {
+	f := startDev(t)
+	err := f.ctl(t, "account", "update", "--disabled", "quito")
+	require.NoError(t, err)
+	require.Eventually(t, func() bool {
+		answer, _ := f.ask(t, "GET", "/v1/models", "", nil)
+		return answer.StatusCode == http.StatusForbidden
+	}, 10*time.Second, 20*time.Millisecond)
+	store := config.Store{KV: &f.platform}
+	d, _, err := store.Load(context.Background())
+	require.NoError(t, err)
+	require.True(t, d.Account("quito").Disabled)
+}
--- a/fleettest/stop_test.go
+++ b/fleettest/stop_test.go
@@ -34,15 +34,15 @@
 			t.Run(stop.name+"/"+s.name, func(t *testing.T) {
 				bubbletest.Run(t, func(t *testing.T) {
 					f := matrixFleet(t)
-					var drained <-chan struct{}
+					stopping := make(chan (<-chan struct{}), 1)
 					go func() {
 						time.Sleep(s.at)
-						drained = stop.stop(f)
+						stopping <- stop.stop(f)
 					}()
 					a := f.Do(context.Background(), call(true))
 					require.Equal(t, attempt.Ran{Complete: true}, a.Outcome, "cut off by a planned stop")
 					checkPromises(t, f, call(true), a)
-					if drained != nil {
+					if drained := <-stopping; drained != nil {
 						<-drained
 					}
 				})
