secure: TLS for callers, mutual TLS between processes, read again when changed

Cause: a process that cannot show who it is must take no part.

Found: a usage record with negative counts made a negative charge; it counts as zero now.

--- a/cmd/opalbridge/run.go
+++ b/cmd/opalbridge/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"os"
@@ -20,6 +21,7 @@
 	"opalbridge.dev/operator"
 	"opalbridge.dev/platform"
 	"opalbridge.dev/router"
+	"opalbridge.dev/secure"
 	"opalbridge.dev/settings"
 	"opalbridge.dev/telemetry"
 )
@@ -75,6 +77,39 @@
 	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: longestHeader}
 }
 
+// keeper is a process's TLS; nil when its settings name no certificate.
+type keeper struct {
+	*secure.Keeper
+	mutual bool
+}
+
+func openKeeper(s *settings.Settings) (*keeper, error) {
+	if s.Certificate == "" {
+		return nil, nil
+	}
+	k, err := secure.Open(s.Certificate, s.CertificateKey, s.PeerCA)
+	if err != nil {
+		return nil, usage(err)
+	}
+	return &keeper{Keeper: k, mutual: s.PeerCA != ""}, nil
+}
+
+// peers puts mutual TLS on a listener for processes of the fleet, if it is set up.
+func (k *keeper) peers(l net.Listener) net.Listener {
+	if k == nil || !k.mutual {
+		return l
+	}
+	return tls.NewListener(l, k.Peers())
+}
+
+// dial returns the way to other processes of the fleet; nil: plain TCP.
+func (k *keeper) dial() router.Dialer {
+	if k == nil || !k.mutual {
+		return nil
+	}
+	return k.Dial
+}
+
 // routerParts are a router with its servers.
 type routerParts struct {
 	router *router.Router
@@ -89,8 +124,16 @@
 		return nil, err
 	}
 	client := &platform.Client{Base: s.PlatformURL}
+	k, err := openKeeper(s)
+	if err != nil {
+		return nil, err
+	}
+	if k != nil {
+		callers = tls.NewListener(callers, k.Callers())
+	}
+	peers = k.peers(peers)
 	r, err := router.New(router.Options{
-		Name: s.Name, Hall: s.Hall, Address: s.PeerAddress,
+		Dial: k.dial(), Name: s.Name, Hall: s.Hall, Address: s.PeerAddress,
 		KV: client, Directory: client, Listener: peers,
 		Degree: s.Degree, Interval: s.ReportInterval,
 		Log: log, Tracer: t.Tracer("router"), Records: explain.NewLog(s.Name, s.Records), Metrics: metrics,
@@ -200,6 +243,11 @@
 
 // startAgent builds an agent from its settings and starts it.
 func startAgent(ctx context.Context, s *settings.Settings, t *telemetry.Telemetry, log zerolog.Logger, peers net.Listener) (*agent.Agent, <-chan error, error) {
+	k, err := openKeeper(s)
+	if err != nil {
+		return nil, nil, err
+	}
+	peers = k.peers(peers)
 	a, err := agent.New(agent.Options{
 		Name: s.Name, Hall: s.Hall, Engine: engine.NewClient(s.ServerURL), Listener: peers, Slots: s.Slots, Interval: s.ReportInterval,
 		Log: log, Tracer: t.Tracer("agent"), Records: explain.NewLog(s.Name, s.Records),
--- a/engine/meter.go
+++ b/engine/meter.go
@@ -99,10 +99,11 @@
 		return float64(m.Input)*m.Weights.Input + float64(m.events)*m.Weights.Output
 	}
 	u := m.usage
-	fresh := max(0, u.PromptTokens-u.Details.CachedTokens)
+	cached := max(0, u.Details.CachedTokens)
+	fresh := max(0, u.PromptTokens-cached)
 	return float64(fresh)*m.Weights.Input +
-		float64(u.Details.CachedTokens)*m.Weights.Cached +
-		float64(u.CompletionTokens)*m.Weights.Output
+		float64(cached)*m.Weights.Cached +
+		float64(max(0, u.CompletionTokens))*m.Weights.Output
 }
 
 // Finish reads what is left when the answer has ended and returns its cost.
--- a/router/http.go
+++ b/router/http.go
@@ -171,7 +171,10 @@
 }
 
 func parseService(q *Request, h *http.Request, c *config.Document) *fault {
-	name := chi.URLParam(h, "service")
+	return parseServiceNamed(q, h, c, chi.URLParam(h, "service"))
+}
+
+func parseServiceNamed(q *Request, h *http.Request, c *config.Document, name string) *fault {
 	p := c.Pool(name)
 	if p == nil || p.Kind != config.Service {
 		return &fault{status: http.StatusNotFound, code: "service_not_found", field: "service", message: fmt.Sprintf("there is no service %q", name)}
--- /dev/null
+++ b/router/http_test.go
@@ -0,0 +1,81 @@
+package router
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"opalbridge.dev/config"
+	"opalbridge.dev/platform/platformtest"
+)
+
+func parseRouter(t testing.TB) *Router {
+	r := &Router{options: Options{KV: &platformtest.Service{}}.withDefaults()}
+	require.True(t, r.holder.Offer(&config.Document{
+		Revision: 1,
+		Accounts: []config.Account{{ID: 1, Name: "a", Share: 1, Keys: []config.Key{{Hash: config.HashKey("key")}}}},
+		Pools:    []config.Pool{{Name: "small", Kind: config.Model}, {Name: "booking", Kind: config.Service}},
+	}))
+	return r
+}
+
+func TestParseMarks(t *testing.T) {
+	r := parseRouter(t)
+	tests := []struct {
+		name, method, path string
+		header             http.Header
+		urgent, repeatable bool
+	}{
+		{"a model's request may run again", "POST", "/v1/completions", http.Header{}, false, true},
+		{"marked", "POST", "/v1/completions", http.Header{UrgentHeader: {"true"}, NotRepeatableHeader: {"true"}}, true, false},
+		{"a service's POST may not run again", "POST", "/services/booking/x", http.Header{}, false, false},
+		{"a service's GET may", "GET", "/services/booking/x", http.Header{}, false, true},
+		{"unless marked", "GET", "/services/booking/x", http.Header{NotRepeatableHeader: {"true"}}, false, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			h := httptest.NewRequest(test.method, test.path, strings.NewReader(`{"model":"small"}`))
+			h.Header = test.header
+			h.Header.Set("Authorization", "Bearer key")
+			q, f := r.parse(h)
+			require.Nil(t, f)
+			if strings.HasPrefix(test.path, "/services") {
+				c := httptest.NewRequest(test.method, test.path, nil)
+				c.Header = test.header
+				require.Nil(t, parseServiceNamed(q, c, r.holder.Current(), "booking"))
+				require.Equal(t, "/x", q.Path)
+			}
+			require.Equal(t, test.urgent, q.Urgent)
+			require.Equal(t, test.repeatable, q.Repeatable)
+		})
+	}
+}
+
+// FuzzRequest parses any body and headers; it must refuse or accept, never fail.
+func FuzzRequest(f *testing.F) {
+	f.Add(`{"model":"small","max_tokens":3}`, "true", "100", "text/plain")
+	f.Add(`{"model":`, "x", "-1", ";;")
+	f.Add("", "", "99999999999999999999", "")
+	r := parseRouter(f)
+	f.Fuzz(func(t *testing.T, body, mark, deadline, kind string) {
+		h := httptest.NewRequest(http.MethodPost, "/v1/completions", strings.NewReader(body))
+		h.Header.Set("Authorization", "Bearer key")
+		h.Header.Set(UrgentHeader, mark)
+		h.Header.Set(DeadlineHeader, deadline)
+		h.Header.Set("Content-Type", kind)
+		q, fault := r.parse(h)
+		if fault == nil {
+			fault = parseModel(q, r.holder.Current())
+		}
+		if fault != nil {
+			require.GreaterOrEqual(t, fault.status, 400)
+			require.NotEmpty(t, fault.code)
+			return
+		}
+		require.Equal(t, "small", q.Pool)
+		require.GreaterOrEqual(t, q.Estimate, 1.0)
+	})
+}
--- /dev/null
+++ b/secure/secure_test.go
@@ -0,0 +1,141 @@
+package secure_test
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"opalbridge.dev/secure"
+)
+
+// authority signs test certificates.
+type authority struct {
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+	file        string
+}
+
+func newAuthority(t *testing.T, dir, name string) *authority {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(t, err)
+	c := &x509.Certificate{SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: name}, NotAfter: time.Now().Add(time.Hour),
+		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign}
+	der, err := x509.CreateCertificate(rand.Reader, c, c, &key.PublicKey, key)
+	require.NoError(t, err)
+	c, err = x509.ParseCertificate(der)
+	require.NoError(t, err)
+	a := &authority{certificate: c, key: key, file: filepath.Join(dir, name+".pem")}
+	writePEM(t, a.file, "CERTIFICATE", der)
+	return a
+}
+
+func writePEM(t *testing.T, file, kind string, der []byte) {
+	require.NoError(t, os.WriteFile(file, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600))
+}
+
+// issue writes a certificate and key for a node and returns the files.
+func (a *authority) issue(t *testing.T, dir, node string, serial int64) (certificate, key string) {
+	k, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(t, err)
+	c := &x509.Certificate{SerialNumber: big.NewInt(serial), Subject: pkix.Name{CommonName: node}, DNSNames: []string{node}, NotAfter: time.Now().Add(time.Hour),
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}}
+	der, err := x509.CreateCertificate(rand.Reader, c, a.certificate, &k.PublicKey, a.key)
+	require.NoError(t, err)
+	pk, err := x509.MarshalECPrivateKey(k)
+	require.NoError(t, err)
+	certificate, key = filepath.Join(dir, node+"-cert.pem"), filepath.Join(dir, node+"-key.pem")
+	writePEM(t, certificate, "CERTIFICATE", der)
+	writePEM(t, key, "EC PRIVATE KEY", pk)
+	return certificate, key
+}
+
+func open(t *testing.T, a, trusted *authority, dir, node string) *secure.Keeper {
+	certificate, key := a.issue(t, dir, node, 2)
+	k, err := secure.Open(certificate, key, trusted.file)
+	require.NoError(t, err)
+	return k
+}
+
+// serve accepts connections and tells of each whether its handshake succeeded.
+func serve(t *testing.T, k *secure.Keeper) (address string, let chan error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	let = make(chan error, 8)
+	peers := tls.NewListener(l, k.Peers())
+	go func() {
+		for {
+			c, err := peers.Accept()
+			if err != nil {
+				return
+			}
+			let <- c.(*tls.Conn).HandshakeContext(context.Background())
+			c.Close()
+		}
+	}()
+	return l.Addr().String(), let
+}
+
+func TestWhoCannotShowWhoItIsTakesNoPart(t *testing.T) {
+	dir := t.TempDir()
+	fleet, other := newAuthority(t, dir, "fleet"), newAuthority(t, dir, "other")
+	server := open(t, fleet, fleet, dir, "agent")
+	address, let := serve(t, server)
+
+	c, err := open(t, fleet, fleet, dir, "router").Dial(context.Background(), address)
+	require.NoError(t, err)
+	require.NoError(t, <-let)
+	c.Close()
+
+	c, err = open(t, other, fleet, dir, "stranger").Dial(context.Background(), address)
+	if err == nil { // the refusal reaches the dialler with its first read
+		_, err = c.Read(make([]byte, 1))
+		c.Close()
+	}
+	require.Error(t, err)
+	require.Error(t, <-let)
+
+	_, err = open(t, fleet, other, dir, "misled").Dial(context.Background(), address)
+	require.Error(t, err, "an agent the router's authority does not vouch for")
+	<-let
+
+	plain, err := tls.Dial("tcp", address, &tls.Config{InsecureSkipVerify: true})
+	if err == nil {
+		_, err = plain.Read(make([]byte, 1))
+		plain.Close()
+	}
+	require.Error(t, err, "no certificate at all")
+	require.Error(t, <-let)
+}
+
+func TestCertificateIsReadAgain(t *testing.T) {
+	dir := t.TempDir()
+	fleet := newAuthority(t, dir, "fleet")
+	server := open(t, fleet, fleet, dir, "agent")
+	first, err := server.Callers().GetCertificate(nil)
+	require.NoError(t, err)
+	certificate, _ := fleet.issue(t, dir, "agent", 3)
+	require.NoError(t, os.Chtimes(certificate, time.Now(), time.Now().Add(time.Minute)))
+	require.Eventually(t, func() bool {
+		now, err := server.Callers().GetCertificate(nil)
+		return err == nil && string(now.Certificate[0]) != string(first.Certificate[0])
+	}, 10*time.Second, 20*time.Millisecond)
+
+	require.NoError(t, os.WriteFile(certificate, []byte("rubbish"), 0o600))
+	now, err := server.Callers().GetCertificate(nil)
+	require.NoError(t, err)
+	require.NotNil(t, now, "the last good certificate stays in use")
+}
