--- /dev/null
+++ b/cmd/opalbridge/bench_test.go
@@ -0,0 +1,170 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"slices"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"opalbridge.dev/engine/enginetest"
+)
+
+// quickModel is a stand-in that costs almost no time of its own.
+func quickModel() *enginetest.Model {
+	return enginetest.NewModel(enginetest.ModelOptions{
+		Models: []string{devModel}, Slots: 4096, PrefillToken: time.Nanosecond, DecodeStep: time.Microsecond, DecodeExtra: time.Nanosecond,
+	})
+}
+
+// startQuick starts a dev fleet whose model servers are quick.
+func startQuick(b testing.TB, slots int, model func() http.Handler) *devFleet {
+	life, end := context.WithCancel(context.Background())
+	f := &devFleet{life: life, model: model, slots: slots}
+	require.NoError(b, f.start("127.0.0.1:0"))
+	require.NoError(b, f.waitReady(context.Background()))
+	b.Cleanup(func() { f.stop(end) })
+	return f
+}
+
+func body(tokens int, stream bool) []byte {
+	return fmt.Appendf(nil, `{"model":%q,"stream":%v,"max_tokens":%d,"messages":[{"role":"user","content":"x"}]}`, devModel, stream, tokens)
+}
+
+// first sends a request and returns the time to the answer's first byte.
+func first(b testing.TB, client *http.Client, url, key string, content []byte) time.Duration {
+	r, err := http.NewRequest(http.MethodPost, url+"/v1/chat/completions", bytes.NewReader(content))
+	require.NoError(b, err)
+	r.Header.Set("Authorization", "Bearer "+key)
+	begun := time.Now()
+	answer, err := client.Do(r)
+	require.NoError(b, err)
+	one := make([]byte, 1)
+	_, err = io.ReadFull(answer.Body, one)
+	took := time.Since(begun)
+	require.NoError(b, err)
+	_, err = io.Copy(io.Discard, answer.Body)
+	require.NoError(b, err)
+	answer.Body.Close()
+	return took
+}
+
+func percentile(d []time.Duration, p int) float64 {
+	slices.Sort(d)
+	return float64(d[len(d)*p/100]) / float64(time.Millisecond)
+}
+
+// BenchmarkFirstByte compares the time to the first byte with the stand-in called
+// directly, both in turn in one run.
+func BenchmarkFirstByte(b *testing.B) {
+	f := startQuick(b, 64, func() http.Handler { return quickModel() })
+	direct := httptest.NewServer(quickModel())
+	defer direct.Close()
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+	content := body(4, true)
+	var through, alone []time.Duration
+	for b.Loop() {
+		through = append(through, first(b, client, f.callers[0], f.keys[0], content))
+		alone = append(alone, first(b, client, direct.URL, "", content))
+	}
+	const middle, high = 50, 99
+	b.ReportMetric(percentile(through, middle)-percentile(alone, middle), "added-p50-ms")
+	b.ReportMetric(percentile(through, high)-percentile(alone, high), "added-p99-ms")
+	b.ReportMetric(percentile(alone, middle), "direct-p50-ms")
+}
+
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// BenchmarkThroughput counts requests and tokens for each second of processor time
+// through router, agent, the stand-in and the client together.
+func BenchmarkThroughput(b *testing.B) {
+	for _, tokens := range []int{1, 200} {
+		b.Run(fmt.Sprint(tokens, " tokens"), func(b *testing.B) {
+			f := startQuick(b, 256, func() http.Handler { return quickModel() })
+			client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+			content := body(tokens, true)
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			processor := processorTime()
+			b.SetParallelism(4)
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					first(b, client, f.callers[0], f.keys[0], content)
+				}
+			})
+			spent := (processorTime() - processor).Seconds()
+			runtime.ReadMemStats(&after)
+			b.ReportMetric(float64(b.N)/spent, "requests/cpu-s")
+			b.ReportMetric(float64(b.N*tokens)/spent, "tokens/cpu-s")
+			b.ReportMetric(float64(after.TotalAlloc-before.TotalAlloc)/float64(b.N), "B-allocated/request")
+		})
+	}
+}
+
+// idleModel answers with one event and then holds its stream open.
+func idleModel() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/load" {
+			fmt.Fprint(w, `{}`)
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		fmt.Fprint(w, "data: {}\n\n")
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	})
+}
+
+// BenchmarkIdleStreams measures the memory of open streams that carry nothing,
+// client and stand-in included.
+func BenchmarkIdleStreams(b *testing.B) {
+	for _, streams := range []int{1000, 4000} {
+		b.Run(fmt.Sprint(streams), func(b *testing.B) {
+			for b.Loop() {
+				b.ReportMetric(idleStreams(b, streams)/float64(streams)/1024, "KiB/stream")
+			}
+		})
+	}
+}
+
+func idleStreams(b testing.TB, streams int) float64 {
+	f := startQuick(b, 4096, idleModel)
+	client := &http.Client{Transport: &http.Transport{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	before := inUse()
+	var open sync.WaitGroup
+	for range streams {
+		open.Go(func() {
+			r, _ := http.NewRequestWithContext(ctx, http.MethodPost, f.callers[0]+"/v1/chat/completions", bytes.NewReader(body(1, true)))
+			r.Header.Set("Authorization", "Bearer "+f.keys[0])
+			answer, err := client.Do(r)
+			if err == nil {
+				_, _ = io.ReadFull(answer.Body, make([]byte, 1))
+			}
+		})
+	}
+	open.Wait()
+	after := inUse()
+	cancel()
+	return after - before
+}
+
+func inUse() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapInuse + m.StackInuse)
+}
--- a/cmd/opalbridge/dev.go
+++ b/cmd/opalbridge/dev.go
@@ -66,6 +66,8 @@
 	done      []<-chan error
 	callers   []string
 	admin     string
+	slots     int                 // of each server; 0: devSlots
+	model     func() http.Handler // makes a model server; nil: the usual stand-in
 }
 
 func dev(ctx context.Context, c *cli.Command) error {
@@ -146,13 +148,20 @@
 func devHall(i int) string { return devHalls[i%len(devHalls)] }
 
 func (f *devFleet) startAgents() error {
+	if f.slots == 0 {
+		f.slots = devSlots
+	}
+	if f.model == nil {
+		f.model = func() http.Handler {
+			return enginetest.NewModel(enginetest.ModelOptions{Models: []string{devModel}, Slots: f.slots})
+		}
+	}
 	for i := range devModels {
-		m := enginetest.NewModel(enginetest.ModelOptions{Models: []string{devModel}, Slots: devSlots})
-		if err := f.startAgent(fmt.Sprintf("model-%d", i+1), devHall(i), devSlots, m); err != nil {
+		if err := f.startAgent(fmt.Sprintf("model-%d", i+1), devHall(i), f.slots, f.model()); err != nil {
 			return err
 		}
 	}
-	return f.startAgent("booking-1", devHall(0), devSlots, &enginetest.Service{})
+	return f.startAgent("booking-1", devHall(0), f.slots, &enginetest.Service{})
 }
 
 func (f *devFleet) startAgent(name, hall string, slots int, server http.Handler) error {
--- a/cmd/opalbridge/main.go
+++ b/cmd/opalbridge/main.go
@@ -86,7 +86,7 @@
 			return usage(err)
 		},
 		Commands: []*cli.Command{
-			devCommand(), routerCommand(), agentCommand(), checkCommand(), ctlCommand(), hashCommand(), versionCommand(),
+			devCommand(), routerCommand(), agentCommand(), checkCommand(), ctlCommand(), hashCommand(), standinCommand(), versionCommand(),
 		},
 	}
 }
