capacity: the page from measured slopes; a hall's sum costs what a report names

Cause: the users' size decides the design; adding up a hall anew with every report grew by 21 µs for each agent (1.1 ms at 50, 8.5 ms at 400), which at 667 agents of a hall and 333 reports a second is several cores.

Change: the sum is kept up to date with each report, and the fleet's total is added up once for many answers. capacity fits slopes of at least four points and writes docs/CAPACITY.md; a test fails when page and figures disagree. Messages are encoded without a copy.

--- /dev/null
+++ b/capacity/capacity_test.go
@@ -0,0 +1,282 @@
+package capacity_test
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"net"
+	"os"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"opalbridge.dev/bubbletest"
+	"opalbridge.dev/capacity"
+	"opalbridge.dev/config"
+	"opalbridge.dev/experiment"
+	"opalbridge.dev/fair"
+	"opalbridge.dev/ledger"
+	"opalbridge.dev/wire"
+	"opalbridge.dev/wire/wirepb"
+)
+
+var (
+	measure = flag.Bool("measure", false, "measure the slopes anew and write figures.json")
+	update  = flag.Bool("update", false, "write the generated part of docs/CAPACITY.md anew")
+)
+
+const (
+	figuresPath = "figures.json"
+	pagePath    = "../docs/CAPACITY.md"
+	begin       = "<!-- generated: go test ./capacity -update -->\n"
+	end         = "<!-- end of the generated part -->\n"
+)
+
+func TestFitFindsALine(t *testing.T) {
+	s := capacity.Fit("s", "x", "y", []capacity.Point{{X: 1, Y: 5}, {X: 2, Y: 7}, {X: 3, Y: 9}, {X: 4, Y: 11}})
+	require.InDelta(t, 2, s.Value, 1e-9)
+	require.InDelta(t, 3, s.Base, 1e-9)
+	require.InDelta(t, 0, s.Error, 1e-9)
+}
+
+// TestPageAgreesWithTheFigures fails when the page's tables are not what the
+// figures give.
+func TestPageAgreesWithTheFigures(t *testing.T) {
+	f, err := capacity.Read(figuresPath)
+	require.NoError(t, err)
+	for _, s := range f.Slopes {
+		require.GreaterOrEqual(t, len(s.Points), 4, s.Name)
+		again := capacity.Fit(s.Name, s.Per, s.Unit, s.Points)
+		require.InEpsilon(t, again.Value, s.Value, 1e-6, s.Name)
+	}
+	page, err := os.ReadFile(pagePath)
+	require.NoError(t, err)
+	before, rest, found := strings.Cut(string(page), begin)
+	require.True(t, found, "the page lacks its mark")
+	old, after, found := strings.Cut(rest, end)
+	require.True(t, found, "the page lacks its end mark")
+	made := capacity.Page(f, capacity.TwoYears) + "\n"
+	if *update {
+		require.NoError(t, os.WriteFile(pagePath, []byte(before+begin+made+end+after), 0o644))
+		return
+	}
+	require.Equal(t, made, old, "docs/CAPACITY.md does not agree with figures.json; run with -update")
+}
+
+// TestMeasure measures the slopes. It takes minutes and needs a quiet machine.
+func TestMeasure(t *testing.T) {
+	if !*measure {
+		t.Log("slopes are measured with -measure only")
+		return
+	}
+	f := capacity.Figures{
+		Machine: fmt.Sprintf("%d processors, %s %s/%s, one machine for everything", runtime.NumCPU(), runtime.Version(), runtime.GOOS, runtime.GOARCH),
+		Date:    time.Now().UTC().Format(time.DateOnly),
+		Slopes: []capacity.Slope{
+			slope("report bytes", "backlogged account", "B a report", []int{5, 10, 20, 40}, reportBytes),
+			capacity.Fit("want and grant bytes", "request", "B, counted at both ends", wantPoints(t)),
+			slope("gossip bytes", "neighbour", "B/s", []int{3, 5, 9, 17}, func(n int) float64 { return gossipBytes(t, n) }),
+			slope("pick", "account that waits", "ns", []int{10, 20, 40, 80}, pickTime),
+			slope("merge", "account", "ns", []int{50, 100, 200, 400}, mergeTime),
+			slope("answer", "account", "ns a report", []int{50, 100, 200, 400}, answerTime),
+			slope("hall memory", "agent of the hall", "B", []int{50, 100, 200, 400}, hallMemory),
+			slope("connection memory", "connection", "B, both ends", []int{50, 100, 200, 400}, func(n int) float64 { return connectionMemory(t, n) }),
+			slope("document bytes", "account or server", "B", []int{100, 400, 1600, 6400}, documentBytes),
+		},
+	}
+	b, err := json.MarshalIndent(f, "", "  ")
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(figuresPath, append(b, '\n'), 0o644))
+	for _, s := range f.Slopes {
+		fmt.Printf("figure slope %q %.4g ± %.2g %s for each %s\n", s.Name, s.Value, s.Error, s.Unit, s.Per)
+	}
+}
+
+func slope(name, per, unit string, xs []int, y func(int) float64) capacity.Slope {
+	var points []capacity.Point
+	for _, x := range xs {
+		points = append(points, capacity.Point{X: float64(x), Y: y(x)})
+	}
+	return capacity.Fit(name, per, unit, points)
+}
+
+// reportBytes is the size of a report that names so many accounts, after a day's
+// service at a server's speed.
+func reportBytes(accounts int) float64 {
+	var totals []fair.Total
+	for a := range accounts {
+		totals = append(totals, fair.Total{Account: fair.Account(a + 1), Service: 4e8 / float64(accounts), Pending: 3000, Reach: 64})
+	}
+	m := wire.Control(900_000, &wirepb.Control_Report{Report: &wirepb.Report{Sequence: 40_000, Counters: wire.Counters(totals)}})
+	return float64(proto.Size(m))
+}
+
+// wantPoints are the control bytes of a backlogged fleet against the requests it
+// served, on servers with more and more places.
+func wantPoints(t *testing.T) []capacity.Point {
+	var points []capacity.Point
+	for _, places := range []int{2, 4, 8, 16} {
+		var r *experiment.Result
+		bubbletest.Run(t, func(t *testing.T) {
+			s := experiment.Even(experiment.Design, experiment.Size{Routers: 3, Models: 9, Length: time.Minute})
+			s.Slots = places
+			r = experiment.Run(t, s)
+		})
+		const nodes = 12
+		points = append(points, capacity.Point{X: float64(r.Requests), Y: r.Control * nodes * time.Minute.Seconds()})
+	}
+	return points
+}
+
+// gossipBytes is what an idle fleet of so many routers exchanges, a router.
+func gossipBytes(t *testing.T, routers int) float64 {
+	var r *experiment.Result
+	bubbletest.Run(t, func(t *testing.T) {
+		s := experiment.Scenario{Name: "gossip", Way: experiment.Design, Routers: routers, Models: 1, Slots: 1,
+			Clients: []experiment.Client{{Account: "idle", Routers: []int{0}, Callers: 1, Least: 1, Most: 1, Think: time.Hour}},
+			Warm:    10 * time.Second, Length: time.Minute}
+		r = experiment.Run(t, s)
+	})
+	return r.Control
+}
+
+func book(accounts, waiting int) (*fair.Book, []fair.Total, []fair.Candidate) {
+	b := fair.NewBook(fair.Options{Slots: 64, DebtCap: 60000})
+	var totals []fair.Total
+	var candidates []fair.Candidate
+	for a := range accounts {
+		id := fair.Account(a)
+		b.SetShare(id, 1)
+		if a < waiting {
+			b.Arrive(id)
+			candidates = append(candidates, fair.Candidate{Account: id})
+			totals = append(totals, fair.Total{Account: id, Service: float64(a), Reach: 640})
+		}
+	}
+	return b, totals, candidates
+}
+
+func timeOf(f func()) float64 {
+	r := testing.Benchmark(func(b *testing.B) {
+		for b.Loop() {
+			f()
+		}
+	})
+	return float64(r.T.Nanoseconds()) / float64(r.N)
+}
+
+func pickTime(waiting int) float64 {
+	b, _, candidates := book(400, waiting)
+	return timeOf(func() {
+		at := b.Pick(candidates)
+		b.Reserve(candidates[at].Account, 100)
+		b.Charge(candidates[at].Account, 100, 100)
+	})
+}
+
+func mergeTime(accounts int) float64 {
+	b, totals, _ := book(accounts, 40)
+	return timeOf(func() {
+		sequence, _ := b.Report(false)
+		b.Merge(sequence, totals)
+		b.Forgive()
+	})
+}
+
+func hall(agents int) *ledger.Hall {
+	h := ledger.NewHall()
+	for a := range agents {
+		h.Report(fmt.Sprintf("agent-%d", a), "x", 1, hallReport(400))
+	}
+	return h
+}
+
+func hallReport(accounts int) []fair.Total {
+	var totals []fair.Total
+	for i := range accounts {
+		totals = append(totals, fair.Total{Account: fair.Account(i), Service: 1e6, Reach: 64})
+	}
+	return totals
+}
+
+// answerTime is the time a summing router takes to count a report of 40 accounts
+// and to work out its answer, with so many accounts known in 15 halls.
+func answerTime(accounts int) float64 {
+	f := ledger.NewFleet()
+	h := ledger.NewHall()
+	for i := range 15 {
+		f.Merge(ledger.HallSum{Hall: fmt.Sprint(i), Source: "r", Sequence: 1, Totals: hallReport(accounts)})
+	}
+	report := hallReport(40)
+	sequence := uint64(1)
+	return timeOf(func() {
+		sequence++
+		h.Report("agent-0", "x", sequence, report)
+		f.Without(h.Own("agent-0"))
+	})
+}
+
+func inUse() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapInuse + m.StackInuse)
+}
+
+func hallMemory(agents int) float64 {
+	before := inUse()
+	h := hall(agents)
+	after := inUse()
+	runtime.KeepAlive(h)
+	return after - before
+}
+
+func connectionMemory(t *testing.T, connections int) float64 {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	before := inUse()
+	var kept []*wire.Peer
+	for range connections {
+		accepted := make(chan *wire.Peer, 1)
+		go func() {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			p, _ := wire.Accept(ctx, c, &wirepb.Hello{Node: "agent"})
+			accepted <- p
+		}()
+		c, err := net.Dial("tcp", l.Addr().String())
+		require.NoError(t, err)
+		p, err := wire.Connect(ctx, c, &wirepb.Hello{Node: "router"})
+		require.NoError(t, err)
+		kept = append(kept, p, <-accepted)
+	}
+	after := inUse()
+	for _, p := range kept {
+		p.Close(nil)
+	}
+	return after - before
+}
+
+func documentBytes(n int) float64 {
+	d := &config.Document{Revision: 900_000}
+	for i := range n / 2 {
+		d.Accounts = append(d.Accounts, config.Account{ID: uint32(i), Name: fmt.Sprintf("account-%05d", i), Share: 10, Keys: []config.Key{{Hash: config.HashKey("k")}}})
+		d.Servers = append(d.Servers, config.Server{Name: fmt.Sprintf("hall-07-model-%05d", i), Hall: "hall-07", Pools: []string{"model-12", "model-30"}})
+	}
+	b, err := d.Encode()
+	if err != nil {
+		return 0
+	}
+	return float64(len(b))
+}
--- a/ledger/fleet.go
+++ b/ledger/fleet.go
@@ -11,6 +11,7 @@
 // Fleet merges the sums of all halls.
 type Fleet struct {
 	halls map[string]*hallView
+	total []fair.Total // of all halls, sorted; nil: to be added up anew
 }
 
 type hallView struct {
@@ -41,6 +42,7 @@
 // they come in; reach and what is pending count only if the source's sequence
 // number is new.
 func (f *Fleet) Merge(s HallSum) {
+	f.total = nil
 	v := f.halls[s.Hall]
 	if v == nil {
 		v = &hallView{
@@ -76,6 +78,7 @@
 // Tick tells that one interval has passed; reach not heard again for several is
 // dropped.
 func (f *Fleet) Tick() {
+	f.total = nil
 	for _, v := range f.halls {
 		for n, l := range v.latest {
 			l.age++
@@ -110,19 +113,26 @@
 // Sum returns the fleet's totals.
 func (f *Fleet) Sum() []fair.Total { return f.Without(nil) }
 
-// Without returns the fleet's totals less one agent's own service.
+// Without returns the fleet's totals less one agent's own.
 func (f *Fleet) Without(own map[fair.Account]fair.Total) []fair.Total {
+	if f.total == nil {
+		f.total = f.addUp()
+	}
+	totals := slices.Clone(f.total)
+	for i := range totals {
+		t := &totals[i]
+		o := own[t.Account]
+		t.Service = math.Max(0, t.Service-o.Service)
+		t.Pending = math.Max(0, t.Pending-o.Pending)
+	}
+	return totals
+}
+
+func (f *Fleet) addUp() []fair.Total {
 	m := map[fair.Account]fair.Total{}
 	for _, v := range f.halls {
 		v.addTo(m)
 	}
-	for a, o := range own {
-		if t, known := m[a]; known {
-			t.Service = math.Max(0, t.Service-o.Service)
-			t.Pending = math.Max(0, t.Pending-o.Pending)
-			m[a] = t
-		}
-	}
 	return sorted(m)
 }
 
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -28,16 +28,18 @@
 // Hall sums the counters of one hall's agents.
 type Hall struct {
 	sources map[string]*source
-	retired map[fair.Account]float64 // served by incarnations that are gone
-	lifts   map[fair.Account]fair.Lift
+	// sum is kept up to date with every report, so that a report costs what it
+	// names and not what the hall holds.
+	sum map[fair.Account]fair.Total
 }
 
 type source struct {
 	incarnation string
 	sequence    uint64
 	totals      map[fair.Account]fair.Total
-	gone        []string // earlier incarnations, latest last
-	silent      int      // ticks without a report
+	waiting     []fair.Account // named last with a reach or something pending
+	gone        []string       // earlier incarnations, latest last
+	silent      int            // ticks without a report
 }
 
 const (
@@ -53,8 +55,7 @@
 func NewHall() *Hall {
 	return &Hall{
 		sources: map[string]*source{},
-		retired: map[fair.Account]float64{},
-		lifts:   map[fair.Account]fair.Lift{},
+		sum:     map[fair.Account]fair.Total{},
 	}
 }
 
@@ -77,24 +78,46 @@
 	}
 	s.sequence = sequence
 	s.silent = 0
-	for a, t := range s.totals {
-		t.Reach, t.Pending = 0, 0
-		s.totals[a] = t
-	}
+	h.settle(s)
 	for _, t := range totals {
 		t.Service = math.Max(t.Service, s.totals[t.Account].Service)
-		s.totals[t.Account] = t
-		if t.Lift.After(h.lifts[t.Account]) {
-			h.lifts[t.Account] = t.Lift
+		h.replace(s, t)
+		if t.Reach > 0 || t.Pending > 0 {
+			s.waiting = append(s.waiting, t.Account)
 		}
 	}
 	return true
 }
 
-func (h *Hall) retire(s *source, incarnation string) {
-	for a, t := range s.totals {
-		h.retired[a] += t.Service
+// replace puts an agent's new total of an account in place of its old one.
+func (h *Hall) replace(s *source, t fair.Total) {
+	old := s.totals[t.Account]
+	sum := h.sum[t.Account]
+	sum.Account = t.Account
+	sum.Service += t.Service - old.Service
+	sum.Pending += t.Pending - old.Pending
+	sum.Reach += t.Reach - old.Reach
+	if t.Lift.After(sum.Lift) {
+		sum.Lift = t.Lift
+	}
+	h.sum[t.Account] = sum
+	s.totals[t.Account] = t
+}
+
+// settle takes away an agent's reach and what is pending there.
+func (h *Hall) settle(s *source) {
+	for _, a := range s.waiting {
+		t := s.totals[a]
+		t.Reach, t.Pending = 0, 0
+		h.replace(s, t)
 	}
+	s.waiting = s.waiting[:0]
+}
+
+// retire begins a new incarnation of an agent; what the old one served stays in
+// the sum.
+func (h *Hall) retire(s *source, incarnation string) {
+	h.settle(s)
 	s.gone = append(s.gone, s.incarnation)
 	if extra := len(s.gone) - goneKept; extra > 0 {
 		s.gone = slices.Delete(s.gone, 0, extra)
@@ -109,12 +132,8 @@
 func (h *Hall) Tick() {
 	for _, s := range h.sources {
 		s.silent++
-		if s.silent < silentTicks {
-			continue
-		}
-		for a, t := range s.totals {
-			t.Reach, t.Pending = 0, 0
-			s.totals[a] = t
+		if s.silent == silentTicks {
+			h.settle(s)
 		}
 	}
 }
@@ -141,38 +160,17 @@
 }
 
 // Sum returns the hall's totals, by account.
-func (h *Hall) Sum() []fair.Total {
-	sum := map[fair.Account]fair.Total{}
-	for a, v := range h.retired {
-		sum[a] = fair.Total{Account: a, Service: v}
-	}
-	for _, s := range h.sources {
-		for a, t := range s.totals {
-			o := sum[a]
-			sum[a] = fair.Total{Account: a, Service: o.Service + t.Service, Pending: o.Pending + t.Pending, Reach: o.Reach + t.Reach}
-		}
-	}
-	for a, l := range h.lifts {
-		t := sum[a]
-		t.Account = a
-		t.Lift = l
-		sum[a] = t
-	}
-	return sorted(sum)
-}
+func (h *Hall) Sum() []fair.Total { return sorted(h.sum) }
 
 // Adopt raises the sum to at least what others know of this hall: a router that
 // begins to sum after a restart has not seen the incarnations that are gone. It
 // is to be called once, when every live agent has reported.
 func (h *Hall) Adopt(known []fair.Total) {
-	have := map[fair.Account]float64{}
-	for _, t := range h.Sum() {
-		have[t.Account] = t.Service
-	}
 	for _, t := range known {
-		if missing := t.Service - have[t.Account]; missing > 0 {
-			h.retired[t.Account] += missing
-		}
+		sum := h.sum[t.Account]
+		sum.Account = t.Account
+		sum.Service = math.Max(sum.Service, t.Service)
+		h.sum[t.Account] = sum
 	}
 }
 
--- a/router/summing.go
+++ b/router/summing.go
@@ -25,6 +25,7 @@
 	sequence uint64
 	ticks    int
 	adopted  bool
+	merged   time.Time                              // when the hall's sum was last put into the fleet's
 	told     map[string]map[fair.Account]fair.Total // by agent: what it was told last
 	peers    map[string]*wire.Peer
 	asked    map[*wire.Peer]bool // agents that were asked for reports
@@ -60,6 +61,9 @@
 	// adoptTicks is after how many ticks a router that began to sum takes over
 	// what others know of its hall.
 	adoptTicks = 3
+	// mergesEach is how often in an interval the hall's sum is put into the
+	// fleet's: with many agents not at every report.
+	mergesEach = 8
 )
 
 func newSumming(r *Router) *summing {
@@ -129,7 +133,9 @@
 	if !s.hall.Report(agent, e.peer.Hello.Incarnation, e.report.Sequence, wire.Totals(e.report.Counters)) {
 		return
 	}
-	s.mergeOwn()
+	if time.Since(s.merged) >= s.router.options.Interval/mergesEach {
+		s.mergeOwn()
+	}
 	if !s.answers(e.report.Sequence) {
 		return
 	}
@@ -168,6 +174,7 @@
 }
 
 func (s *summing) mergeOwn() {
+	s.merged = time.Now()
 	s.sequence++
 	s.fleet.Merge(ledger.HallSum{
 		Hall:     s.router.options.Hall,
@@ -194,6 +201,9 @@
 func (s *summing) tick() {
 	s.hall.Tick()
 	s.fleet.Tick()
+	if s.on.Load() {
+		s.mergeOwn()
+	}
 	s.decide()
 	s.ask()
 	if !s.on.Load() || s.adopted {
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -30,6 +30,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
 	"opalbridge.dev/wire/wirepb"
@@ -273,16 +274,9 @@
 }
 
 func appendDelimited(b []byte, m proto.Message) ([]byte, error) {
-	w := appender{bytes: b}
-	_, err := protodelim.MarshalTo(&w, m)
-	return w.bytes, err
-}
-
-type appender struct{ bytes []byte }
-
-func (a *appender) Write(p []byte) (int, error) {
-	a.bytes = append(a.bytes, p...)
-	return len(p), nil
+	o := proto.MarshalOptions{}
+	b = protowire.AppendVarint(b, uint64(o.Size(m)))
+	return o.MarshalAppend(b, m)
 }
 
 // Read receives one message of at most MaxMessage bytes.
