fair: an account's urgent credit is one for the whole fleet

Cause: an account that had just begun to wait was not known to wait elsewhere, and borrowed its whole credit at every server: 10,040 weighted tokens ahead of the mean where the credit is 4,000.

Ruled out: the steering (its target keeps an account ahead by its credit) and the bound (203,000 here, too wide to notice).

Change: a server lends its part of the credit, by the widest reach seen, and nothing before the first totals. Plots of gap and utilisation over time.

Measured (go test -run AllUrgentGains ./experiment): 10,040 before, which fails the test, 4,408 after.

--- a/experiment/experiment_test.go
+++ b/experiment/experiment_test.go
@@ -116,3 +116,45 @@
 		})
 	}
 }
+
+// TestAllUrgentGainsOnlyItsCredit has one account mark all it asks urgent; it may
+// be ahead of the others' mean by the credit and what is in flight, not more.
+func TestAllUrgentGainsOnlyItsCredit(t *testing.T) {
+	s := experiment.AllUrgent(experiment.Design, experiment.Today(length()))
+	s.Warm = time.Second // what it borrows at the very start counts too
+	r := measure(t, s)
+	mean, n := 0.0, 0.0
+	marked := s.Clients[4].Account
+	for account, service := range r.Service {
+		if account != marked {
+			mean += service
+			n++
+		}
+	}
+	mean /= n
+	const credit, largest = 4000, 925
+	fmt.Printf("figure all-urgent-gain %.0f weighted-tokens\n", r.Service[marked]-mean)
+	require.LessOrEqual(t, r.Service[marked]-mean, float64(credit+4*largest))
+}
+
+var plots = flag.Bool("plots", false, "write the pictures of docs/experiments anew")
+
+// TestPlots draws gap and utilisation over time under the design and the baselines.
+func TestPlots(t *testing.T) {
+	if !*plots {
+		t.Log("pictures are drawn with -plots only")
+		return
+	}
+	z := experiment.Today(2 * time.Minute)
+	for _, scenario := range []func(experiment.Way, experiment.Size) experiment.Scenario{experiment.Uneven, experiment.Partition} {
+		var runs []*experiment.Result
+		for _, way := range []experiment.Way{experiment.Design, experiment.RouterFair, experiment.FirstCome} {
+			runs = append(runs, measure(t, scenario(way, z)))
+		}
+		name := runs[0].Scenario.Name
+		require.NoError(t, experiment.Plot("../docs/experiments/"+name+"-gap.png", name+": gap between accounts", "weighted tokens for each share", runs,
+			func(s experiment.Sample) float64 { return s.Gap }))
+		require.NoError(t, experiment.Plot("../docs/experiments/"+name+"-utilisation.png", name+": utilisation", "part of all places", runs,
+			func(s experiment.Sample) float64 { return min(s.Utilisation, 1.2) }))
+	}
+}
--- a/fair/fair.go
+++ b/fair/fair.go
@@ -94,6 +94,7 @@
 	floor    float64 // standing of the account picked last
 	turn     float64 // key of the account picked last
 	steered  uint64  // report whose totals were last used to correct
+	widest   float64 // largest reach of any account seen; zero: no totals yet
 	picks    uint64
 	spare    []Total
 	sorted   []float64
@@ -183,6 +184,20 @@
 	return b.options.Slots / math.Max(s.reach, b.options.Slots)
 }
 
+// credit is this server's part of what the account may borrow for urgent work. An
+// account that has just begun to wait is not yet known to wait elsewhere, and
+// would get the whole credit at every server; the widest reach seen stands in.
+func (b *Book) credit(s *standing) float64 {
+	whole := b.options.UrgentCredit / s.share
+	if b.options.Policy != Fleet {
+		return whole
+	}
+	if b.widest == 0 {
+		return 0
+	}
+	return whole * b.options.Slots / max(b.options.Slots, s.reach, b.widest)
+}
+
 // Pick returns the index of the candidate to serve next: the account furthest
 // behind, an urgent candidate counting as further behind by the credit. Of equals
 // the one picked longest ago wins. It returns -1 when there is no candidate.
@@ -198,9 +213,10 @@
 		s := b.at(c.Account)
 		v := b.key(s)
 		if c.Urgent {
-			v -= b.options.UrgentCredit / s.share * b.part(s)
+			v -= b.credit(s)
 		}
-		if best < 0 || v < least || (v == least && s.picked < oldest) {
+		older := s.picked < oldest || (s.picked == oldest && c.Urgent)
+		if best < 0 || v < least || (v == least && older) {
 			best, least, oldest = i, v, s.picked
 		}
 	}
@@ -379,6 +395,7 @@
 		s := b.at(t.Account)
 		s.others = t.Service + t.Pending
 		s.reach = t.Reach
+		b.widest = max(b.widest, t.Reach)
 		if t.Lift.After(s.lift) {
 			s.lift = t.Lift
 		}
--- a/fair/fair_test.go
+++ b/fair/fair_test.go
@@ -38,6 +38,8 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			b := fair.NewBook(fair.Options{Slots: 1, UrgentCredit: 20})
+			sequence, _ := b.Report(true)
+			b.Merge(sequence, []fair.Total{{Account: 9, Reach: 1}})
 			for a, cost := range test.served {
 				b.Charge(a, cost, 0)
 			}
@@ -56,6 +58,20 @@
 	require.Equal(t, map[int]int{0: 3, 1: 3, 2: 3}, seen)
 }
 
+// TestCreditIsOneForTheWholeFleet holds that an account which begins to wait at all
+// servers at once borrows its credit once and not at each of them.
+func TestCreditIsOneForTheWholeFleet(t *testing.T) {
+	b := fair.NewBook(fair.Options{Slots: 8, UrgentCredit: 4000})
+	candidates := []fair.Candidate{{Account: 1, Urgent: true}, {Account: 2}}
+	b.Charge(1, 500, 0)
+	require.Equal(t, 1, b.Pick(candidates), "before any totals nothing is lent")
+	sequence, _ := b.Report(true)
+	b.Merge(sequence, []fair.Total{{Account: 3, Reach: 80}})
+	require.Equal(t, 1, b.Pick(candidates), "500 is more than a tenth of the credit")
+	b.Charge(2, 101, 0)
+	require.Equal(t, 0, b.Pick(candidates))
+}
+
 func TestIdleAccountSavesNothingUp(t *testing.T) {
 	b := fair.NewBook(fair.Options{Slots: 1})
 	b.Arrive(1)
