--- /dev/null
+++ b/cmd/opalbridge/docs_test.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestSettingsPage fails when the operators' page of settings is not what the code
+// says.
+func TestSettingsPage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operators/settings.md")
+	require.NoError(t, err)
+	for _, role := range []string{"router", "agent"} {
+		c := command()
+		var out bytes.Buffer
+		c.Writer = &out
+		require.NoError(t, c.Run(context.Background(), []string{"opalbridge", "check", "--role", role, "--reference"}))
+		require.Contains(t, string(page), out.String())
+	}
+}
+
+// TestCheckCommand tries the exit codes of check.
+func TestCheckCommand(t *testing.T) {
+	file := t.TempDir() + "/agent.yaml"
+	require.NoError(t, os.WriteFile(file, []byte("name: a\nhall: h\npeer_address: 127.0.0.1:1\nserver_url: http://127.0.0.1:2\n"), 0o600))
+	tests := []struct {
+		words []string
+		code  int
+	}{
+		{[]string{"--role", "agent", file}, 0},
+		{[]string{"--role", "router", file}, exitUsage},
+		{[]string{"--role", "other", file}, exitUsage},
+		{[]string{"--role", "agent", file + ".none"}, exitUsage},
+		{[]string{"--role", "agent"}, exitUsage},
+	}
+	for _, test := range tests {
+		c := command()
+		c.Writer = &bytes.Buffer{}
+		err := c.Run(context.Background(), append([]string{"opalbridge", "check"}, test.words...))
+		if test.code == 0 {
+			require.NoError(t, err)
+			continue
+		}
+		require.Error(t, err)
+		require.Equal(t, test.code, exitCode(err), test.words)
+	}
+}
--- /dev/null
+++ b/mutants/main.go
@@ -0,0 +1,147 @@
+// Command mutants breaks the protocol on purpose, one break at a time, and checks
+// that a named test catches each.
+//
+// # Usage
+//
+//	go run ./mutants          (from the repository's root; takes minutes)
+//
+// It copies the tree into a temporary folder, changes one place, runs the test and
+// expects it to fail. It writes docs/MUTATIONS.md and exits with 1 when a break was
+// not caught. It is for developers and not part of CI.
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// mutant is one deliberate break.
+type mutant struct {
+	name     string
+	file     string
+	old, new string
+	pkg, run string // the test that must fail
+}
+
+var mutants = []mutant{
+	{"retry after unknown", "attempt/attempt.go", "return l.repeatable && !l.passed", "return !l.passed", "./attempt", "TestEveryLife"},
+	{"skip the revoke", "attempt/attempt.go", "OnEntry(decide(Ask{})).", "OnEntry(decide(Again{})).", "./attempt", "TestLifeAfterALostAttempt"},
+	{"call not run what may have run", "attempt/attempt.go", "	l.uncertain = true\n", "", "./attempt", "TestEveryLife"},
+	{"revoke what has begun", "attempt/registry.go", "		return e.revoked\n", "		return true\n", "./attempt", "TestRegistryRevokes"},
+	{"forget a revoked attempt", "attempt/registry.go", "	case known && e.revoked:\n		return Revoked{}\n", "	case known && e.revoked:\n		return Fresh{}\n", "./attempt", "TestRegistryRevokes"},
+	{"ignore the incarnation when revoking", "router/serve.go", "case peer.Hello.Incarnation != p.peer.Hello.Incarnation:", "case false:", "./fleettest", "TestFaultMatrix"},
+	{"accept a lower revision", "config/holder.go", "d.Revision <= h.current.Revision", "d.Revision == h.current.Revision", "./config", "TestHolder"},
+	{"write a lost change twice", "config/store.go", "		case slices.Contains(current.Recent, next.Change):\n", "		case false:\n", "./config", "TestLostAnswer"},
+	{"drop the last chunk", "router/serve.go", "!e.Complete || e.Chunks != f.next ||", "!e.Complete ||", "./fleettest", "TestDroppedChunk"},
+	{"take chunks in any order", "router/serve.go", "if c.Number != f.next || f.life.State() == attempt.Sent {", "if f.life.State() == attempt.Sent {", "./fleettest", "TestRepeatedChunk"},
+	{"resume from the beginning", "router/serve.go", "Attempt: f.life.Attempts(), Next: f.next,", "Attempt: f.life.Attempts(), Next: 0,", "./fleettest", "TestFaultMatrix"},
+	{"admit while leaving", "agent/admission.go", "	if d.leaving {\n		d.cancel(s.Grant)\n", "	if false {\n		d.cancel(s.Grant)\n", "./fleettest", "TestLeavingServer"},
+	{"grant while leaving", "agent/admission.go", "	if d.leaving {\n		return\n	}\n	for {", "	for {", "./fleettest", "TestLeavingServer"},
+	{"cut off requests at a stop", "agent/agent.go", "		a.tell(drainEvent{})\n", "		a.tell(drainEvent{})\n		for _, j := range a.jobs.list() {\n			j.cancel(errAbandoned)\n		}\n", "./fleettest", "TestPlannedStop"},
+	{"let a key be used again", "attempt/keys.go", "	if c, known := k.entries[id]; known {\n		return Repeat", "	if c, known := k.entries[id]; known && false {\n		return Repeat", "./attempt", "TestKeys"},
+	{"let the transport repeat", "engine/client.go", "c.Base+call.Path, body)", "c.Base+call.Path, bytes.NewReader(call.Content))", "./engine", "TestTransportRepeats"},
+	{"pick the account ahead", "fair/fair.go", "if best < 0 || v < least ||", "if best < 0 || v > least ||", "./fair", "TestPickOrder|TestAgentsTogether"},
+	{"forget what a dead incarnation served", "ledger/ledger.go", "	h.settle(s)\n	s.gone = append", "	h.settle(s)\n	for _, t := range s.totals {\n		h.replace(s, fair.Total{Account: t.Account})\n	}\n	s.gone = append", "./ledger", "TestRestart"},
+	{"lend the credit at every server", "fair/fair.go", "max(b.options.Slots, s.reach, b.widest)", "b.options.Slots", "./fair", "TestCreditIsOne"},
+}
+
+const pageHead = `# Deliberate breaks, and what catches them
+
+Written by ` + "`go run ./mutants`" + `, which makes each break in a copy of the tree, runs
+the test named, and expects it to fail.
+
+| break | where | caught by | caught |
+| --- | --- | --- | --- |
+`
+
+func main() {
+	missed, err := run()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "mutants:", err)
+		os.Exit(1)
+	}
+	if missed > 0 {
+		fmt.Fprintf(os.Stderr, "mutants: %d breaks were not caught\n", missed)
+		os.Exit(1)
+	}
+}
+
+func run() (missed int, err error) {
+	dir, err := os.MkdirTemp("", "mutants")
+	if err != nil {
+		return 0, errors.Wrap(err, "make a folder")
+	}
+	defer os.RemoveAll(dir)
+	if err := copyTree(dir); err != nil {
+		return 0, err
+	}
+	var page bytes.Buffer
+	page.WriteString(pageHead)
+	for _, m := range mutants {
+		caught, err := m.try(dir)
+		if err != nil {
+			return 0, err
+		}
+		word := "yes"
+		if !caught {
+			word = "**no**"
+			missed++
+		}
+		fmt.Printf("figure mutant %q %s caught\n", m.name, word)
+		fmt.Fprintf(&page, "| %s | `%s` | `go test -run '%s' %s` | %s |\n", m.name, m.file, strings.ReplaceAll(m.run, "|", "\\|"), m.pkg, word)
+	}
+	return missed, errors.Wrap(os.WriteFile("docs/MUTATIONS.md", page.Bytes(), 0o644), "write the page")
+}
+
+func copyTree(dir string) error {
+	list, err := exec.Command("git", "ls-files", "-co", "--exclude-standard").Output()
+	if err != nil {
+		return errors.Wrap(err, "list files")
+	}
+	for name := range strings.Lines(string(list)) {
+		name = strings.TrimSpace(name)
+		content, err := os.ReadFile(name)
+		if err != nil {
+			return errors.Wrap(err, "copy")
+		}
+		to := filepath.Join(dir, name)
+		if err := os.MkdirAll(filepath.Dir(to), 0o755); err != nil {
+			return errors.Wrap(err, "copy")
+		}
+		if err := os.WriteFile(to, content, 0o644); err != nil {
+			return errors.Wrap(err, "copy")
+		}
+	}
+	return nil
+}
+
+// try makes the break, runs the test, and reports whether the test failed; a break
+// that does not compile is an error.
+func (m mutant) try(dir string) (caught bool, err error) {
+	file := filepath.Join(dir, m.file)
+	good, err := os.ReadFile(file)
+	if err != nil {
+		return false, errors.Wrapf(err, "mutant %s", m.name)
+	}
+	if strings.Count(string(good), m.old) != 1 {
+		return false, errors.Newf("mutant %s: %q stands %d times in %s", m.name, m.old, strings.Count(string(good), m.old), m.file)
+	}
+	defer func() { _ = os.WriteFile(file, good, 0o644) }()
+	if err := os.WriteFile(file, []byte(strings.Replace(string(good), m.old, m.new, 1)), 0o644); err != nil {
+		return false, errors.Wrapf(err, "mutant %s", m.name)
+	}
+	build := exec.Command("go", "build", "./"+filepath.Dir(m.file))
+	build.Dir = dir
+	if out, err := build.CombinedOutput(); err != nil {
+		return false, errors.Newf("mutant %s does not compile: %s", m.name, out)
+	}
+	test := exec.Command("go", "test", "-vet=off", "-count=1", "-failfast", "-timeout", "120s", "-run", m.run, m.pkg)
+	test.Dir = dir
+	return test.Run() != nil, nil
+}
