--- a/agent/serve.go
+++ b/agent/serve.go
@@ -23,8 +23,8 @@
 // Why a running attempt was stopped.
 var (
 	errAbandoned  = errors.New("agent: no router reads the answer")
-	errCallerLeft = errors.New("agent: the caller left")
-	errDeadline   = errors.New("agent: the caller's deadline passed")
+	errCallerLeft = errors.New(wire.ReasonCallerLeft)
+	errDeadline   = errors.New(wire.ReasonDeadline)
 )
 
 const (
--- a/attempt/attempt.go
+++ b/attempt/attempt.go
@@ -27,7 +27,7 @@
 // Outcome is what became of a request: [NotRun], [Ran] or [Unknown].
 type Outcome interface{ outcome() }
 
-// Cause tells apart why a request was not run.
+// Cause tells apart why a request did not get its whole answer.
 type Cause string
 
 // The causes.
@@ -39,6 +39,7 @@
 	Stopping   Cause = "stopping"    // the router is
 	Failing    Cause = "failing"     // several attempts did not run
 	Untold     Cause = "untold"      // an idempotency key cannot be told to be new
+	Broken     Cause = "broken"      // a server, agent or connection broke
 )
 
 // NotRun says that the request did not run and will not.
@@ -51,11 +52,15 @@
 // Ran says that the request ran, and whether its whole answer arrived.
 type Ran struct {
 	Complete bool
+	Cause    Cause // of an answer that is not complete
 	Reason   string
 }
 
 // Unknown says that it cannot be known whether the request ran.
-type Unknown struct{ Reason string }
+type Unknown struct {
+	Cause  Cause
+	Reason string
+}
 
 func (NotRun) outcome()  {}
 func (Ran) outcome()     {}
@@ -203,7 +208,7 @@
 		Permit(Cut, Ended)
 	m.Configure(Ended).
 		OnEntryFrom(Finish, decide(Stop{Outcome: Ran{Complete: true}})).
-		OnEntryFrom(Cut, decide(Stop{Outcome: Ran{Reason: "the answer was cut"}})).
+		OnEntryFrom(Cut, decide(Stop{Outcome: Ran{Cause: Broken, Reason: "the answer was cut"}})).
 		OnEntryFrom(GiveUp, gaveUp).
 		OnEntryFrom(Vanish, vanished)
 	return m
@@ -245,7 +250,7 @@
 func gaveUp(ctx context.Context, _ ...any) error {
 	l := lifeOf(ctx)
 	if l.uncertain {
-		l.next = Stop{Outcome: Unknown{Reason: "an earlier attempt may have run"}}
+		l.next = Stop{Outcome: Unknown{Cause: Broken, Reason: "an earlier attempt may have run"}}
 		return nil
 	}
 	l.next = Stop{Outcome: NotRun{}}
@@ -257,10 +262,10 @@
 func vanished(ctx context.Context, _ ...any) error {
 	l := lifeOf(ctx)
 	if l.passed {
-		l.next = Stop{Outcome: Ran{Reason: "the answer was cut: its agent is gone"}}
+		l.next = Stop{Outcome: Ran{Cause: Broken, Reason: "the answer was cut: its agent is gone"}}
 		return nil
 	}
-	l.next = Stop{Outcome: Unknown{Reason: "the agent that had it is gone"}}
+	l.next = Stop{Outcome: Unknown{Cause: Broken, Reason: "the agent that had it is gone"}}
 	return nil
 }
 
--- a/experiment/experiment.go
+++ b/experiment/experiment.go
@@ -172,7 +172,7 @@
 }
 
 // Request implements router.Metrics.
-func (e *run) Request(account, _, outcome string, urgent bool, wait, _ time.Duration) {
+func (e *run) Request(account, _, outcome, _ string, urgent bool, wait, _ time.Duration) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	if since := time.Since(e.begun); since < e.scenario.Warm || since >= e.scenario.Warm+e.scenario.Length {
--- a/experiment/experiment_test.go
+++ b/experiment/experiment_test.go
@@ -14,8 +14,9 @@
 )
 
 var (
-	full    = flag.Bool("full", false, "run every scenario and size for the whole length; takes minutes")
-	minutes = flag.Int("minutes", 2, "length of a full run's measurement in virtual minutes")
+	full      = flag.Bool("full", false, "run every scenario and size for the whole length; takes minutes")
+	sizeSeeds = flag.Int("size-seeds", 4, "seeds of each size in a full run")
+	minutes   = flag.Int("minutes", 2, "length of a full run's measurement in virtual minutes")
 )
 
 // length is how long a run of this call measures.
@@ -110,9 +111,14 @@
 	} {
 		z.Length = length()
 		t.Run(fmt.Sprintf("%d routers degree %d", z.Routers, z.Degree), func(t *testing.T) {
-			s := experiment.Uneven(experiment.Design, z)
-			s.Name = fmt.Sprintf("uneven, %d routers, degree %d", z.Routers, z.Degree)
-			measure(t, s)
+			sum := 0.0
+			for seed := range uint64(*sizeSeeds) {
+				s := experiment.Uneven(experiment.Design, z)
+				s.Name = fmt.Sprintf("uneven, %d routers, degree %d, seed %d", z.Routers, z.Degree, seed)
+				s.Seed = seed
+				sum += measure(t, s).Gap
+			}
+			fmt.Printf("figure mean-gap \"%d routers, degree %d, %d seeds\" %.0f weighted-tokens\n", z.Routers, z.Degree, *sizeSeeds, sum/float64(*sizeSeeds))
 		})
 	}
 }
--- a/fleettest/random_test.go
+++ b/fleettest/random_test.go
@@ -141,5 +141,9 @@
 func (s *tally) count(a fleettest.Answer) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.outcomes[outcomeText(a)]++
+	text := outcomeText(a)
+	if o, notRun := a.Outcome.(attempt.NotRun); notRun {
+		text += " (" + string(o.Cause) + ")"
+	}
+	s.outcomes[text]++
 }
--- a/router/router.go
+++ b/router/router.go
@@ -74,7 +74,7 @@
 
 // Metrics is what a router tells of its work.
 type Metrics interface {
-	Request(account, pool, outcome string, urgent bool, wait, total time.Duration)
+	Request(account, pool, outcome, cause string, urgent bool, wait, total time.Duration)
 	Retry(reason string)
 }
 
@@ -99,8 +99,8 @@
 
 type noMetrics struct{}
 
-func (noMetrics) Request(_, _, _ string, _ bool, _, _ time.Duration) {}
-func (noMetrics) Retry(string)                                       {}
+func (noMetrics) Request(_, _, _, _ string, _ bool, _, _ time.Duration) {}
+func (noMetrics) Retry(string)                                          {}
 
 // Router is a running or ready router.
 type Router struct {
--- a/router/serve.go
+++ b/router/serve.go
@@ -77,9 +77,10 @@
 	r.record(explain.Event{Kind: explain.Arrive, Request: q.ID, Account: q.Account, Text: q.describe()})
 	o := f.run(ctx)
 	name, text := describe(o)
+	cause := string(causeIn(o))
 	span.SetAttributes(attribute.String("outcome", name))
 	r.record(explain.Event{Kind: explain.Outcome, Request: q.ID, Account: q.Account, Attempt: f.life.Attempts(), Text: name + ": " + text})
-	r.options.Metrics.Request(q.Account, q.Pool, name, q.Urgent, f.ticketWait(), time.Since(arrived))
+	r.options.Metrics.Request(q.Account, q.Pool, name, cause, q.Urgent, f.ticketWait(), time.Since(arrived))
 	return o
 }
 
@@ -116,6 +117,20 @@
 	}
 }
 
+// causeIn returns why a request did not get its whole answer; empty: it did.
+func causeIn(o attempt.Outcome) attempt.Cause {
+	switch o := o.(type) {
+	case attempt.NotRun:
+		return o.Cause
+	case attempt.Ran:
+		return o.Cause
+	case attempt.Unknown:
+		return o.Cause
+	default:
+		panic(fmt.Sprintf("router: unknown outcome %T", o))
+	}
+}
+
 // flight is one request under way.
 type flight struct {
 	router  *Router
@@ -428,11 +443,24 @@
 	stop, stopped := n.(attempt.Stop)
 	if ran, cut := stop.Outcome.(attempt.Ran); stopped && cut && reason != "" {
 		ran.Reason = reason
+		ran.Cause = causeOf(reason)
 		stop.Outcome = ran
 	}
 	return stop
 }
 
+// causeOf tells the agent's own reasons for a cut apart.
+func causeOf(reason string) attempt.Cause {
+	switch reason {
+	case wire.ReasonDeadline:
+		return attempt.Deadline
+	case wire.ReasonCallerLeft:
+		return attempt.CallerLeft
+	default:
+		return attempt.Broken
+	}
+}
+
 func (f *flight) declined(n *wirepb.NotRun) attempt.Next {
 	f.lastBusy = n.Busy
 	if !n.Busy {
@@ -471,14 +499,15 @@
 // abandoned ends a request whose caller has left, or whose time is up, while an
 // attempt may run.
 func (f *flight) abandoned(ctx context.Context) attempt.Next {
-	reason := "the caller left"
+	cause, reason := attempt.CallerLeft, "the caller left"
 	if errors.Is(context.Cause(ctx), errDeadline) {
-		reason = "the deadline passed while it ran"
+		cause, reason = attempt.Deadline, "the deadline passed while it ran"
 	}
 	if f.life.State() == attempt.Severed {
-		return f.because(f.life.Fire(attempt.Cut), reason)
+		f.life.Fire(attempt.Cut)
+		return attempt.Stop{Outcome: attempt.Ran{Cause: cause, Reason: reason}}
 	}
-	return attempt.Stop{Outcome: attempt.Unknown{Reason: reason}}
+	return attempt.Stop{Outcome: attempt.Unknown{Cause: cause, Reason: reason}}
 }
 
 // revoke asks the same incarnation of the agent that the attempt never runs.
--- a/telemetry/router.go
+++ b/telemetry/router.go
@@ -21,7 +21,7 @@
 func NewRequests(m metric.Meter) (*Requests, error) {
 	var r Requests
 	var faults [4]error
-	r.requests, faults[0] = m.Int64Counter("opalbridge.requests", metric.WithDescription("requests that got their outcome, by account, pool and outcome"))
+	r.requests, faults[0] = m.Int64Counter("opalbridge.requests", metric.WithDescription("requests that got their outcome, by account, pool, outcome and cause"))
 	r.retries, faults[1] = m.Int64Counter("opalbridge.retries", metric.WithDescription("attempts after the first; over opalbridge.requests"))
 	r.wait, faults[2] = m.Float64Histogram("opalbridge.wait", metric.WithUnit("s"), metric.WithDescription("time from arrival to the placement at an agent"))
 	r.total, faults[3] = m.Float64Histogram("opalbridge.total", metric.WithUnit("s"), metric.WithDescription("time from arrival to the outcome"))
@@ -32,8 +32,8 @@
 }
 
 // Request counts one request's outcome.
-func (r *Requests) Request(account, pool, outcome string, urgent bool, wait, total time.Duration) {
-	set := metric.WithAttributes(attribute.String("account", account), attribute.String("pool", pool), attribute.String("outcome", outcome))
+func (r *Requests) Request(account, pool, outcome, cause string, urgent bool, wait, total time.Duration) {
+	set := metric.WithAttributes(attribute.String("account", account), attribute.String("pool", pool), attribute.String("outcome", outcome), attribute.String("cause", cause))
 	ctx := context.Background()
 	r.requests.Add(ctx, 1, set)
 	pools := metric.WithAttributes(attribute.String("pool", pool), attribute.Bool("urgent", urgent))
--- a/wire/control.go
+++ b/wire/control.go
@@ -7,6 +7,12 @@
 	"opalbridge.dev/wire/wirepb"
 )
 
+// Reasons of an End that is not complete, where the server is not at fault.
+const (
+	ReasonDeadline   = "the caller's deadline passed"
+	ReasonCallerLeft = "the caller left"
+)
+
 // Control returns a control message with this body, which must be one of the
 // wirepb.Control_… types.
 func Control(revision uint64, body any) *wirepb.Control {
