ledger: what an agent is told never lacks what others have reported

Change: each report updates the accounts it touches in the kept total. The agent asserts after every event that no place is free while a request that could have it waits.

--- a/agent/admission.go
+++ b/agent/admission.go
@@ -6,6 +6,8 @@
 	"math"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"opalbridge.dev/attempt"
 	"opalbridge.dev/config"
 	"opalbridge.dev/dispatch"
@@ -90,10 +92,20 @@
 			return
 		}
 		d.grant()
+		d.assertBusy()
 		d.tell()
 	}
 }
 
+// assertBusy holds that no place is free while a request that could have it waits:
+// whatever happened, places were granted before anything else is looked at.
+func (d *admission) assertBusy() {
+	if !d.leaving && d.desk.Room() && d.desk.Waiting() > 0 {
+		panic(errors.AssertionFailedf("agent: %d of %d places taken while %d requests wait",
+			d.desk.Running()+d.desk.Granted(), d.desk.Limit(), d.desk.Waiting()))
+	}
+}
+
 func (d *admission) handle(e event) {
 	switch e := e.(type) {
 	case peerUp:
--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -81,6 +81,9 @@
 			slope("report bytes", "backlogged account", "B a report", []int{5, 10, 20, 40}, reportBytes),
 			capacity.Fit("want and grant bytes", "request", "B, counted at both ends", wantPoints(t)),
 			slope("gossip bytes", "neighbour", "B/s", []int{3, 5, 9, 17}, func(n int) float64 { return gossipBytes(t, n) }),
+			slope("control by accounts", "backlogged account", "B/s a node", []int{4, 8, 16, 32}, func(n int) float64 { return control(t, n, 3, 9) }),
+			slope("control by routers", "router", "B/s a node", []int{3, 6, 12, 24}, func(n int) float64 { return control(t, 16, n, 9) }),
+			slope("control by servers", "server", "B/s a node", []int{6, 12, 24, 48}, func(n int) float64 { return control(t, 16, 3, n) }),
 			slope("pick", "account that waits", "ns", []int{10, 20, 40, 80}, pickTime),
 			slope("merge", "account", "ns", []int{50, 100, 200, 400}, mergeTime),
 			slope("answer", "account", "ns a report", []int{50, 100, 200, 400}, answerTime),
@@ -93,6 +96,7 @@
 	require.NoError(t, err)
 	require.NoError(t, os.WriteFile(figuresPath, append(b, '\n'), 0o644))
 	for _, s := range f.Slopes {
+		require.NoError(t, capacity.Plot("../docs/capacity", s))
 		fmt.Printf("figure slope %q %.4g ± %.2g %s for each %s\n", s.Name, s.Value, s.Error, s.Unit, s.Per)
 	}
 }
@@ -133,6 +137,26 @@
 	return points
 }
 
+// control is what a node of a backlogged fleet sends and receives.
+func control(t *testing.T, accounts, routers, servers int) float64 {
+	var r *experiment.Result
+	bubbletest.Run(t, func(t *testing.T) {
+		z := experiment.Size{Routers: routers, Models: servers, Length: time.Minute}
+		s := experiment.Even(experiment.Design, z)
+		s.Clients = nil
+		var all []int
+		for i := range routers {
+			all = append(all, i)
+		}
+		for a := range accounts {
+			s.Clients = append(s.Clients, experiment.Client{Account: fmt.Sprintf("a-%02d", a), Routers: all,
+				Callers: max(1, 24*servers/accounts/routers), Least: 50, Most: 800, Input: 2000, Wrong: 3})
+		}
+		r = experiment.Run(t, s)
+	})
+	return r.Control
+}
+
 // gossipBytes is what an idle fleet of so many routers exchanges, a router.
 func gossipBytes(t *testing.T, routers int) float64 {
 	var r *experiment.Result
@@ -217,6 +241,7 @@
 	return timeOf(func() {
 		sequence++
 		h.Report("agent-0", "x", sequence, report)
+		f.Update(ledger.HallSum{Hall: "0", Source: "r", Sequence: sequence, Totals: h.Touched()})
 		f.Without(h.Own("agent-0"))
 	})
 }
--- a/ledger/fleet.go
+++ b/ledger/fleet.go
@@ -43,22 +43,62 @@
 // number is new.
 func (f *Fleet) Merge(s HallSum) {
 	f.total = nil
-	v := f.halls[s.Hall]
+	v := f.view(s.Hall)
+	v.mergeService(s.Totals)
+	v.mergeLatest(s)
+}
+
+// Update takes in the totals of some accounts of a hall that is summed here, and
+// leaves its other accounts as they are.
+func (f *Fleet) Update(s HallSum) {
+	v := f.view(s.Hall)
+	v.mergeService(s.Totals)
+	l := v.latest[s.Source]
+	if l == nil {
+		l = &latest{totals: map[fair.Account]fair.Total{}}
+		v.latest[s.Source] = l
+	}
+	l.sequence, l.age = s.Sequence, 0
+	for _, t := range s.Totals {
+		l.totals[t.Account] = t
+		f.refresh(t.Account)
+	}
+}
+
+// refresh adds one account up anew in the total that is kept.
+func (f *Fleet) refresh(a fair.Account) {
+	at, known := slices.BinarySearchFunc(f.total, a, func(t fair.Total, a fair.Account) int { return cmp.Compare(t.Account, a) })
+	if !known {
+		f.total = nil
+		return
+	}
+	total := fair.Total{Account: a}
+	for _, v := range f.halls {
+		v.add(a, &total)
+	}
+	f.total[at] = total
+}
+
+func (f *Fleet) view(hall string) *hallView {
+	v := f.halls[hall]
 	if v == nil {
 		v = &hallView{
 			service: map[fair.Account]float64{},
 			lifts:   map[fair.Account]fair.Lift{},
 			latest:  map[string]*latest{},
 		}
-		f.halls[s.Hall] = v
+		f.halls[hall] = v
 	}
-	for _, t := range s.Totals {
+	return v
+}
+
+func (v *hallView) mergeService(totals []fair.Total) {
+	for _, t := range totals {
 		v.service[t.Account] = math.Max(v.service[t.Account], t.Service)
 		if t.Lift.After(v.lifts[t.Account]) {
 			v.lifts[t.Account] = t.Lift
 		}
 	}
-	v.mergeLatest(s)
 }
 
 func (v *hallView) mergeLatest(s HallSum) {
@@ -137,20 +177,25 @@
 }
 
 func (v *hallView) addTo(m map[fair.Account]fair.Total) {
-	for a, service := range v.service {
+	for a := range v.service {
 		t := m[a]
 		t.Account = a
-		t.Service += service
-		reach, pending := v.latestOf(a)
-		t.Reach += reach
-		t.Pending += pending
-		if l := v.lifts[a]; l.After(t.Lift) {
-			t.Lift = l
-		}
+		v.add(a, &t)
 		m[a] = t
 	}
 }
 
+// add adds the hall's part of one account to a total.
+func (v *hallView) add(a fair.Account, t *fair.Total) {
+	reach, pending := v.latestOf(a)
+	t.Service += v.service[a]
+	t.Reach += reach
+	t.Pending += pending
+	if l := v.lifts[a]; l.After(t.Lift) {
+		t.Lift = l
+	}
+}
+
 func (v *hallView) latestOf(a fair.Account) (reach, pending float64) {
 	for _, l := range v.latest {
 		reach = math.Max(reach, l.totals[a].Reach)
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -31,6 +31,8 @@
 	// sum is kept up to date with every report, so that a report costs what it
 	// names and not what the hall holds.
 	sum map[fair.Account]fair.Total
+	// touched are the accounts that the latest report changed.
+	touched []fair.Account
 }
 
 type source struct {
@@ -78,6 +80,7 @@
 	}
 	s.sequence = sequence
 	s.silent = 0
+	h.touched = h.touched[:0]
 	h.settle(s)
 	for _, t := range totals {
 		t.Service = math.Max(t.Service, s.totals[t.Account].Service)
@@ -102,6 +105,7 @@
 	}
 	h.sum[t.Account] = sum
 	s.totals[t.Account] = t
+	h.touched = append(h.touched, t.Account)
 }
 
 // settle takes away an agent's reach and what is pending there.
@@ -159,6 +163,16 @@
 	return names
 }
 
+// Touched returns the hall's totals of the accounts that the latest report changed;
+// one may stand several times.
+func (h *Hall) Touched() []fair.Total {
+	totals := make([]fair.Total, len(h.touched))
+	for i, a := range h.touched {
+		totals[i] = h.sum[a]
+	}
+	return totals
+}
+
 // Sum returns the hall's totals, by account.
 func (h *Hall) Sum() []fair.Total { return sorted(h.sum) }
 
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -82,3 +82,34 @@
 	require.InDelta(t, 112, serviceOf(f.Without(h.Own("agent-1")), 1), 0.001)
 	require.InDelta(t, 24, f.Sum()[0].Reach, 0.001)
 }
+
+// TestTotalsWithoutAnAgentAreTheOthers keeps a fleet up to date report by report
+// and holds what an agent is told to what the others reported, at every moment. A
+// total older than the agent's own report would understate the others.
+func TestTotalsWithoutAnAgentAreTheOthers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h, f := ledger.NewHall(), ledger.NewFleet()
+		f.Merge(ledger.HallSum{Hall: "far", Source: "s", Sequence: 1, Totals: total(1, 1000)})
+		served := map[string]float64{}
+		for i := range uint64(30) {
+			agent := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "agent")
+			served[agent] += float64(rapid.IntRange(0, 9).Draw(t, "served"))
+			var named []fair.Total
+			if rapid.Bool().Draw(t, "waits") {
+				named = total(1, served[agent])
+			} else {
+				named = []fair.Total{{Account: 1, Service: served[agent]}}
+			}
+			require.True(t, h.Report(agent, "x", i+1, named))
+			f.Update(ledger.HallSum{Hall: "near", Source: "r", Sequence: i + 1, Totals: h.Touched()})
+			others := 1000.0
+			for name, v := range served {
+				if name != agent {
+					others += v
+				}
+			}
+			require.InDelta(t, others, serviceOf(f.Without(h.Own(agent)), 1), 0.001)
+			require.InDelta(t, f.Sum()[0].Reach, h.Sum()[0].Reach+8, 0.001)
+		}
+	})
+}
--- a/router/summing.go
+++ b/router/summing.go
@@ -61,9 +61,6 @@
 	// adoptTicks is after how many ticks a router that began to sum takes over
 	// what others know of its hall.
 	adoptTicks = 3
-	// mergesEach is how often in an interval the hall's sum is put into the
-	// fleet's: with many agents not at every report.
-	mergesEach = 8
 )
 
 func newSumming(r *Router) *summing {
@@ -133,9 +130,8 @@
 	if !s.hall.Report(agent, e.peer.Hello.Incarnation, e.report.Sequence, wire.Totals(e.report.Counters)) {
 		return
 	}
-	if time.Since(s.merged) >= s.router.options.Interval/mergesEach {
-		s.mergeOwn()
-	}
+	s.sequence++
+	s.fleet.Update(ledger.HallSum{Hall: s.router.options.Hall, Source: s.source(), Sequence: s.sequence, Totals: s.hall.Touched()})
 	if !s.answers(e.report.Sequence) {
 		return
 	}
@@ -174,7 +170,6 @@
 }
 
 func (s *summing) mergeOwn() {
-	s.merged = time.Now()
 	s.sequence++
 	s.fleet.Merge(ledger.HallSum{
 		Hall:     s.router.options.Hall,
