router, agent: a file for each step of a request's way

Change: attempts, recovery, retries, parsing, refusals, starting, leaving and telling stand in files of their own, moved without a change; keys of random runs carry the bubble's time.

--- a/agent/admission.go
+++ b/agent/admission.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"fmt"
-	"math"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"opalbridge.dev/attempt"
-	"opalbridge.dev/config"
 	"opalbridge.dev/dispatch"
 	"opalbridge.dev/explain"
 	"opalbridge.dev/fair"
@@ -229,118 +227,6 @@
 	}
 }
 
-// start decides whether an attempt may run.
-func (d *admission) start(e startEvent) admitted {
-	s := e.start
-	id := attempt.ID{Request: s.Request, Attempt: s.Attempt}
-	if s.Incarnation != d.agent.incarnation {
-		return refuse("the attempt is meant for another start of this agent", true)
-	}
-	if !d.pools[s.Pool] {
-		d.cancel(s.Grant)
-		return refuse("this server is not in the pool", true)
-	}
-	if d.leaving {
-		d.cancel(s.Grant)
-		return refuse("this server is leaving", true)
-	}
-	switch b := d.registry.Begin(id, now()).(type) {
-	case attempt.Fresh:
-	case attempt.Revoked:
-		return refuse("the attempt was revoked", false)
-	case attempt.Seen:
-		return admitted{unknown: "the attempt was sent twice"}
-	case attempt.Full:
-		return refuse("this agent remembers too many attempts", true)
-	default:
-		panic(fmt.Sprintf("agent: unknown answer %T", b))
-	}
-	reserved, ok := d.place(s)
-	if !ok {
-		d.registry.NotRun(id, now())
-		return refuse("this server is full", true)
-	}
-	if a, stop := d.claim(s); stop {
-		d.desk.Done()
-		d.book.Release(fair.Account(s.AccountId), reserved)
-		d.registry.NotRun(id, now())
-		return a
-	}
-	d.largest = math.Max(d.largest, reserved)
-	return admitted{reserved: reserved, standing: d.book.Standing(fair.Account(s.AccountId))}
-}
-
-func refuse(reason string, busy bool) admitted {
-	return admitted{refused: &wirepb.NotRun{Reason: reason, Busy: busy}}
-}
-
-// place takes the granted place, or a free one when nobody waits.
-func (d *admission) place(s *wirepb.Start) (reserved float64, ok bool) {
-	delete(d.granted, s.Grant)
-	if g, granted := d.desk.Use(s.Grant); granted {
-		d.book.Release(g.Key.Account, g.Estimate)
-		d.book.Reserve(fair.Account(s.AccountId), float64(s.Estimate))
-		return float64(s.Estimate), true
-	}
-	if !d.desk.Take() {
-		return 0, false
-	}
-	d.book.Reserve(fair.Account(s.AccountId), float64(s.Estimate))
-	return float64(s.Estimate), true
-}
-
-// claim settles the caller's idempotency key, if there is one.
-func (d *admission) claim(s *wirepb.Start) (admitted, bool) {
-	if s.IdempotencyKey == "" {
-		return admitted{}, false
-	}
-	id := attempt.KeyID{Account: s.AccountId, Key: s.IdempotencyKey}
-	switch c := d.keys.Claim(id, s.Request, s.Attempt, now()).(type) {
-	case attempt.First:
-		return admitted{}, false
-	case attempt.Repeat:
-		return admitted{repeat: &c}, true
-	case attempt.CannotTell:
-		a := refuse("it cannot be told whether this idempotency key was used before", false)
-		a.refused.RetryAfterMs = max(c.RetryAfter, time.Second).Milliseconds()
-		return a, true
-	default:
-		panic(fmt.Sprintf("agent: unknown claim %T", c))
-	}
-}
-
-func (d *admission) done(e doneEvent) {
-	d.desk.Done()
-	s := e.start
-	id := attempt.ID{Request: s.Request, Attempt: s.Attempt}
-	key := attempt.KeyID{Account: s.AccountId, Key: s.IdempotencyKey}
-	d.book.Release(fair.Account(s.AccountId), e.reserved)
-	switch o := e.outcome.(type) {
-	case attempt.NotRun:
-		d.registry.NotRun(id, now())
-		d.keys.Release(key, s.Request)
-	case attempt.Ran:
-		d.registry.End(id, now())
-		d.keys.Settle(key, s.Request, false)
-	case attempt.Unknown:
-		d.registry.End(id, now())
-		d.keys.Settle(key, s.Request, true)
-	default:
-		panic(fmt.Sprintf("agent: unknown outcome %T", o))
-	}
-	before := d.limit.Health()
-	switch e.verdict {
-	case served:
-		d.limit.Success()
-	case failed:
-		d.limit.Failure()
-	case noVerdict:
-	}
-	d.healthChanged(before)
-	d.applyLimit()
-	d.checkDrained()
-}
-
 func (d *admission) healthChanged(before dispatch.Health) {
 	after := d.limit.Health()
 	if after == before {
@@ -377,86 +263,6 @@
 	d.applyLimit()
 }
 
-func (d *admission) configure(c *config.Document) {
-	limits := c.Limits.WithDefaults()
-	d.book.SetLimits(float64(limits.UrgentCredit), float64(limits.DebtCap))
-	for _, a := range c.Accounts {
-		d.book.SetShare(fair.Account(a.ID), float64(a.Share))
-	}
-	d.pools = map[string]bool{}
-	s := c.Server(d.agent.options.Name)
-	if s != nil {
-		for _, p := range s.Pools {
-			d.pools[p] = true
-		}
-	}
-	if siblings := d.siblingsIn(c); siblings != d.siblings {
-		if d.siblings != "" {
-			d.keys.Moved(now())
-		}
-		d.siblings = siblings
-	}
-	d.settleLeaving()
-}
-
-// siblingsIn names the servers among which the keys of this server's pools are
-// divided.
-func (d *admission) siblingsIn(c *config.Document) string {
-	names := ""
-	for _, s := range c.Servers {
-		for _, p := range s.Pools {
-			if d.pools[p] {
-				names += p + "/" + s.Name + " "
-			}
-		}
-	}
-	return names
-}
-
-func (d *admission) drain() {
-	d.settleLeaving()
-	d.checkDrained()
-}
-
-// settleLeaving decides whether the server takes new work: not when its agent is
-// stopping, when the configuration says so or lacks it, or when a router reads so
-// in the live list.
-func (d *admission) settleLeaving() {
-	s := d.agent.holder.Current().Server(d.agent.options.Name)
-	leaving := d.agent.draining.Load() || s == nil || s.Leaving
-	for _, p := range d.peers {
-		leaving = leaving || p.leaving
-	}
-	d.setLeaving(leaving)
-	d.applyLimit()
-}
-
-func (d *admission) setLeaving(leaving bool) {
-	if d.leaving == leaving {
-		return
-	}
-	d.leaving = leaving
-	kind, text := explain.Repair, "takes new work again"
-	if leaving {
-		kind, text = explain.Degrade, "takes no new work: leaving"
-		for id := range d.granted {
-			d.cancel(id)
-		}
-	}
-	d.agent.record(explain.Event{Kind: kind, Text: text})
-}
-
-func (d *admission) checkDrained() {
-	if !d.agent.draining.Load() || d.desk.Running() > 0 {
-		return
-	}
-	select {
-	case <-d.agent.drained:
-	default:
-		close(d.agent.drained)
-	}
-}
-
 func (d *admission) tick() {
 	d.ticks++
 	before := d.limit.Health()
@@ -495,51 +301,3 @@
 		}
 	}
 }
-
-// report sends the counters to the summing routers.
-func (d *admission) report() {
-	var to []*wire.Peer
-	for _, s := range d.peers {
-		if s.summing {
-			to = append(to, s.peer)
-		}
-	}
-	if len(to) == 0 {
-		return
-	}
-	sequence, totals := d.book.Report(d.ticks%fullReportTicks == 0)
-	r := &wirepb.Report{Sequence: sequence, Counters: wire.Counters(totals)}
-	for _, p := range to {
-		p.Send(d.message(&wirepb.Control_Report{Report: r}))
-	}
-}
-
-func (d *admission) loadNow() *wirepb.Load {
-	return &wirepb.Load{
-		Running: uint32(d.desk.Running() + d.desk.Granted()),
-		Limit:   uint32(d.desk.Limit()),
-		Leaving: d.leaving,
-		Sick:    d.limit.Health() != dispatch.Healthy,
-		Waiting: uint32(d.desk.Waiting()),
-	}
-}
-
-// tell sends the load to all routers when it begins or ceases to have room, or
-// when its limit or state changes; in between routers count for themselves.
-func (d *admission) tell() {
-	l := d.loadNow()
-	room := func(l *wirepb.Load) bool { return l.Running < l.Limit && l.Waiting == 0 }
-	same := room(l) == room(&d.told) && l.Limit == d.told.Limit && l.Leaving == d.told.Leaving && l.Sick == d.told.Sick
-	if same {
-		return
-	}
-	d.told.Running, d.told.Limit, d.told.Leaving = l.Running, l.Limit, l.Leaving
-	d.told.Sick, d.told.Waiting = l.Sick, l.Waiting
-	for _, s := range d.peers {
-		s.peer.Send(d.message(&wirepb.Control_Load{Load: l}))
-	}
-}
-
-func (d *admission) message(body any) *wirepb.Control {
-	return wire.Control(d.agent.holder.Revision(), body)
-}
--- /dev/null
+++ b/agent/leaving.go
@@ -0,0 +1,87 @@
+package agent
+
+import (
+	"opalbridge.dev/config"
+	"opalbridge.dev/explain"
+	"opalbridge.dev/fair"
+)
+
+func (d *admission) configure(c *config.Document) {
+	limits := c.Limits.WithDefaults()
+	d.book.SetLimits(float64(limits.UrgentCredit), float64(limits.DebtCap))
+	for _, a := range c.Accounts {
+		d.book.SetShare(fair.Account(a.ID), float64(a.Share))
+	}
+	d.pools = map[string]bool{}
+	s := c.Server(d.agent.options.Name)
+	if s != nil {
+		for _, p := range s.Pools {
+			d.pools[p] = true
+		}
+	}
+	if siblings := d.siblingsIn(c); siblings != d.siblings {
+		if d.siblings != "" {
+			d.keys.Moved(now())
+		}
+		d.siblings = siblings
+	}
+	d.settleLeaving()
+}
+
+// siblingsIn names the servers among which the keys of this server's pools are
+// divided.
+func (d *admission) siblingsIn(c *config.Document) string {
+	names := ""
+	for _, s := range c.Servers {
+		for _, p := range s.Pools {
+			if d.pools[p] {
+				names += p + "/" + s.Name + " "
+			}
+		}
+	}
+	return names
+}
+
+func (d *admission) drain() {
+	d.settleLeaving()
+	d.checkDrained()
+}
+
+// settleLeaving decides whether the server takes new work: not when its agent is
+// stopping, when the configuration says so or lacks it, or when a router reads so
+// in the live list.
+func (d *admission) settleLeaving() {
+	s := d.agent.holder.Current().Server(d.agent.options.Name)
+	leaving := d.agent.draining.Load() || s == nil || s.Leaving
+	for _, p := range d.peers {
+		leaving = leaving || p.leaving
+	}
+	d.setLeaving(leaving)
+	d.applyLimit()
+}
+
+func (d *admission) setLeaving(leaving bool) {
+	if d.leaving == leaving {
+		return
+	}
+	d.leaving = leaving
+	kind, text := explain.Repair, "takes new work again"
+	if leaving {
+		kind, text = explain.Degrade, "takes no new work: leaving"
+		for id := range d.granted {
+			d.cancel(id)
+		}
+	}
+	d.agent.record(explain.Event{Kind: kind, Text: text})
+}
+
+func (d *admission) checkDrained() {
+	if !d.agent.draining.Load() || d.desk.Running() > 0 {
+		return
+	}
+	select {
+	case <-d.agent.drained:
+	default:
+		close(d.agent.drained)
+	}
+}
--- a/agent/peer.go
+++ b/agent/peer.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-
-	"github.com/cockroachdb/errors"
 	"io"
 	"net"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"opalbridge.dev/attempt"
 	"opalbridge.dev/config"
 	"opalbridge.dev/dispatch"
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -2,15 +2,15 @@
 
 import (
 	"context"
-
 	"fmt"
+	"io"
+	"net/http"
+	"time"
+
 	"github.com/cockroachdb/errors"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
-	"io"
-	"net/http"
-	"time"
 
 	"opalbridge.dev/attempt"
 	"opalbridge.dev/engine"
--- /dev/null
+++ b/agent/start.go
@@ -0,0 +1,123 @@
+package agent
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"opalbridge.dev/attempt"
+	"opalbridge.dev/fair"
+	"opalbridge.dev/wire/wirepb"
+)
+
+// start decides whether an attempt may run.
+func (d *admission) start(e startEvent) admitted {
+	s := e.start
+	id := attempt.ID{Request: s.Request, Attempt: s.Attempt}
+	if s.Incarnation != d.agent.incarnation {
+		return refuse("the attempt is meant for another start of this agent", true)
+	}
+	if !d.pools[s.Pool] {
+		d.cancel(s.Grant)
+		return refuse("this server is not in the pool", true)
+	}
+	if d.leaving {
+		d.cancel(s.Grant)
+		return refuse("this server is leaving", true)
+	}
+	switch b := d.registry.Begin(id, now()).(type) {
+	case attempt.Fresh:
+	case attempt.Revoked:
+		return refuse("the attempt was revoked", false)
+	case attempt.Seen:
+		return admitted{unknown: "the attempt was sent twice"}
+	case attempt.Full:
+		return refuse("this agent remembers too many attempts", true)
+	default:
+		panic(fmt.Sprintf("agent: unknown answer %T", b))
+	}
+	reserved, ok := d.place(s)
+	if !ok {
+		d.registry.NotRun(id, now())
+		return refuse("this server is full", true)
+	}
+	if a, stop := d.claim(s); stop {
+		d.desk.Done()
+		d.book.Release(fair.Account(s.AccountId), reserved)
+		d.registry.NotRun(id, now())
+		return a
+	}
+	d.largest = math.Max(d.largest, reserved)
+	return admitted{reserved: reserved, standing: d.book.Standing(fair.Account(s.AccountId))}
+}
+
+func refuse(reason string, busy bool) admitted {
+	return admitted{refused: &wirepb.NotRun{Reason: reason, Busy: busy}}
+}
+
+// place takes the granted place, or a free one when nobody waits.
+func (d *admission) place(s *wirepb.Start) (reserved float64, ok bool) {
+	delete(d.granted, s.Grant)
+	if g, granted := d.desk.Use(s.Grant); granted {
+		d.book.Release(g.Key.Account, g.Estimate)
+		d.book.Reserve(fair.Account(s.AccountId), float64(s.Estimate))
+		return float64(s.Estimate), true
+	}
+	if !d.desk.Take() {
+		return 0, false
+	}
+	d.book.Reserve(fair.Account(s.AccountId), float64(s.Estimate))
+	return float64(s.Estimate), true
+}
+
+// claim settles the caller's idempotency key, if there is one.
+func (d *admission) claim(s *wirepb.Start) (admitted, bool) {
+	if s.IdempotencyKey == "" {
+		return admitted{}, false
+	}
+	id := attempt.KeyID{Account: s.AccountId, Key: s.IdempotencyKey}
+	switch c := d.keys.Claim(id, s.Request, s.Attempt, now()).(type) {
+	case attempt.First:
+		return admitted{}, false
+	case attempt.Repeat:
+		return admitted{repeat: &c}, true
+	case attempt.CannotTell:
+		a := refuse("it cannot be told whether this idempotency key was used before", false)
+		a.refused.RetryAfterMs = max(c.RetryAfter, time.Second).Milliseconds()
+		return a, true
+	default:
+		panic(fmt.Sprintf("agent: unknown claim %T", c))
+	}
+}
+
+func (d *admission) done(e doneEvent) {
+	d.desk.Done()
+	s := e.start
+	id := attempt.ID{Request: s.Request, Attempt: s.Attempt}
+	key := attempt.KeyID{Account: s.AccountId, Key: s.IdempotencyKey}
+	d.book.Release(fair.Account(s.AccountId), e.reserved)
+	switch o := e.outcome.(type) {
+	case attempt.NotRun:
+		d.registry.NotRun(id, now())
+		d.keys.Release(key, s.Request)
+	case attempt.Ran:
+		d.registry.End(id, now())
+		d.keys.Settle(key, s.Request, false)
+	case attempt.Unknown:
+		d.registry.End(id, now())
+		d.keys.Settle(key, s.Request, true)
+	default:
+		panic(fmt.Sprintf("agent: unknown outcome %T", o))
+	}
+	before := d.limit.Health()
+	switch e.verdict {
+	case served:
+		d.limit.Success()
+	case failed:
+		d.limit.Failure()
+	case noVerdict:
+	}
+	d.healthChanged(before)
+	d.applyLimit()
+	d.checkDrained()
+}
--- a/fleettest/random_test.go
+++ b/fleettest/random_test.go
@@ -73,6 +73,22 @@
 	})
 }
 
+// timedKey returns a version 7 UUID of the bubble's clock. The library's own
+// generator never goes back in time, from one bubble to the next either.
+func timedKey(random *rand.Rand) string {
+	var u uuid.UUID
+	for i := range u {
+		u[i] = byte(random.Uint32())
+	}
+	ms := time.Now().UnixMilli()
+	for i := range 6 {
+		u[i] = byte(ms >> (8 * (5 - i)))
+	}
+	u[6] = u[6]&0x0f | 0x70
+	u[8] = u[8]&0x3f | 0x80
+	return u.String()
+}
+
 // randomFaults strikes again and again, also while earlier faults last.
 func randomFaults(ctx context.Context, f *fleettest.Fleet, random *rand.Rand, sum *tally) {
 	var running sync.WaitGroup
@@ -104,7 +120,7 @@
 			c.Pool, c.NoRepeat = fleettest.ServicePool, true
 		}
 		if c.NoRepeat && random.IntN(2) == 0 {
-			c.Key = uuid.Must(uuid.NewV7()).String()
+			c.Key = timedKey(random)
 		}
 		first := f.Do(context.Background(), c)
 		checkPromises(t, f, c, first)
--- a/router/agents.go
+++ b/router/agents.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-
-	"github.com/cockroachdb/errors"
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"opalbridge.dev/config"
 	"opalbridge.dev/duty"
 	"opalbridge.dev/platform"
--- /dev/null
+++ b/router/recover.go
@@ -0,0 +1,111 @@
+package router
+
+import (
+	"context"
+	"fmt"
+
+	"opalbridge.dev/attempt"
+	"opalbridge.dev/explain"
+	"opalbridge.dev/wire"
+	"opalbridge.dev/wire/wirepb"
+)
+
+// revoke asks the same incarnation of the agent that the attempt never runs.
+func (f *flight) revoke(ctx context.Context, p placement) attempt.Next {
+	answer, reason := f.ask(ctx, p, &wirepb.Call{Body: &wirepb.Call_Revoke{Revoke: &wirepb.Revoke{
+		Request: f.request.ID, Attempt: f.life.Attempts(), Incarnation: p.peer.Hello.Incarnation,
+	}}})
+	text := reason
+	var next attempt.Next
+	switch answer.GetBody().(type) {
+	case *wirepb.Piece_Revoked:
+		next, text = f.life.Fire(attempt.Revoke), "it was revoked and never ran"
+	case *wirepb.Piece_Started:
+		next, text = f.life.Fire(attempt.Found), "it has begun there"
+	default:
+		if ctx.Err() != nil {
+			return f.abandoned(ctx)
+		}
+		next = f.life.Fire(attempt.Vanish)
+	}
+	f.router.record(explain.Event{Kind: explain.Revoke, Request: f.request.ID, Account: f.request.Account, Attempt: f.life.Attempts(),
+		Text: fmt.Sprintf("asked %s to revoke the attempt: %s", p.peer.Hello.Node, text)})
+	return next
+}
+
+// ask makes a short call to the incarnation that had the attempt, over another
+// connection if need be. Without an answer it tells why.
+func (f *flight) ask(ctx context.Context, p placement, c *wirepb.Call) (*wirepb.Piece, string) {
+	ctx, cancel := context.WithTimeout(ctx, recoverTime)
+	defer cancel()
+	s, reason := f.reopen(ctx, p, c)
+	if s == nil {
+		return nil, reason
+	}
+	defer s.Close()
+	release := s.Shut(ctx)
+	defer release()
+	var answer wirepb.Piece
+	if err := s.Read(&answer); err != nil {
+		return nil, err.Error()
+	}
+	return &answer, ""
+}
+
+// reopen finds the agent again and sends it a call.
+func (f *flight) reopen(ctx context.Context, p placement, c *wirepb.Call) (*wire.Stream, string) {
+	broken := p.peer
+	for {
+		peer := p.peer
+		if peer.Reason() != nil || isClosed(peer) {
+			peer = f.router.agents.find(ctx, p.peer.Hello.Node, broken)
+		}
+		switch {
+		case peer == nil:
+			return nil, "the agent cannot be reached"
+		case peer.Hello.Incarnation != p.peer.Hello.Incarnation:
+			return nil, "the agent was restarted"
+		}
+		s, err := peer.Open()
+		if err == nil {
+			err = s.Write(c)
+		}
+		if err == nil {
+			return s, ""
+		}
+		broken = peer
+		peer.Close(err)
+		if ctx.Err() != nil {
+			return nil, "the agent cannot be reached"
+		}
+	}
+}
+
+func isClosed(p *wire.Peer) bool {
+	select {
+	case <-p.Closed():
+		return true
+	default:
+		return false
+	}
+}
+
+// resume goes on with the answer from the next chunk.
+func (f *flight) resume(ctx context.Context, p placement) attempt.Next {
+	find, cancel := context.WithTimeout(ctx, recoverTime)
+	defer cancel()
+	s, reason := f.reopen(find, p, &wirepb.Call{Body: &wirepb.Call_Resume{Resume: &wirepb.Resume{
+		Request: f.request.ID, Attempt: f.life.Attempts(), Next: f.next,
+	}}})
+	f.router.record(explain.Event{Kind: explain.Resume, Request: f.request.ID, Account: f.request.Account, Attempt: f.life.Attempts(),
+		Text: fmt.Sprintf("asked %s for the answer from chunk %d on %s", p.peer.Hello.Node, f.next, reason)})
+	if s == nil {
+		if ctx.Err() != nil {
+			return f.abandoned(ctx)
+		}
+		return f.life.Fire(attempt.Vanish)
+	}
+	defer s.Close()
+	f.life.Fire(attempt.Resume)
+	return f.read(ctx, p, s)
+}
