router: one summing router answers an agent for a while, not in turns

Cause: with two summing routers a hall the answers alternate between totals of different age; service seems to come and go with every report.

--- a/router/summing.go
+++ b/router/summing.go
@@ -132,7 +132,7 @@
 	}
 	s.sequence++
 	s.fleet.Update(ledger.HallSum{Hall: s.router.options.Hall, Source: s.source(), Sequence: s.sequence, Totals: s.hall.Touched()})
-	if !s.answers(e.report.Sequence) {
+	if !s.answers(agent, e.report.Sequence) {
 		return
 	}
 	e.peer.Send(s.router.message(&wirepb.Control_Totals{Totals: &wirepb.Totals{
@@ -141,12 +141,18 @@
 	}}))
 }
 
-// answers reports whether it is this router's turn to answer a report: of the
-// holders one answers each.
-func (s *summing) answers(sequence uint64) bool {
+// answerTurn is how many reports one router answers before the next one does: the
+// holders' totals are of different age, and changing between them with every report
+// would look like service that comes and goes.
+const answerTurn = 16
+
+// answers reports whether it is this router's turn to answer an agent: of the
+// holders one does, and another after a while, lest the first be gone.
+func (s *summing) answers(agent string, sequence uint64) bool {
 	summers := s.router.members.summers(s.router.options.Hall)
 	at := slices.IndexFunc(summers, func(h platform.Host) bool { return h.Name == s.router.options.Name })
-	return at < 0 || sequence%uint64(len(summers)) == uint64(at)
+	turn := sequence/answerTurn + rendezvous(agent, "answers")
+	return at < 0 || turn%uint64(len(summers)) == uint64(at)
 }
 
 // news returns the totals the agent has not been told, and all that it needs to
