--- a/router/summing.go
+++ b/router/summing.go
@@ -25,7 +25,6 @@
 	sequence uint64
 	ticks    int
 	adopted  bool
-	merged   time.Time                              // when the hall's sum was last put into the fleet's
 	told     map[string]map[fair.Account]fair.Total // by agent: what it was told last
 	peers    map[string]*wire.Peer
 	asked    map[*wire.Peer]bool // agents that were asked for reports
