wire: closing a connection twice does not wait for the first to end

Cause: once in about eight runs the fleet tests hung with idle processors. sync.Once holds the others until the session has closed, which takes time; in a bubble a goroutine that waits for a mutex keeps virtual time from passing. The likely cause, not proved: no dump of the hung run was kept.

Change: the first call closes, the others return.

--- a/wire/wire.go
+++ b/wire/wire.go
@@ -68,7 +68,7 @@
 	outgoing chan *wirepb.Control // full: the peer is cut off, see controlQueue
 	sent     atomic.Uint64
 	received atomic.Uint64
-	closing  sync.Once
+	closing  atomic.Bool
 	closed   chan struct{}
 	reason   error
 }
@@ -221,13 +221,15 @@
 	return &Stream{stream: s, reader: bufio.NewReader(s)}, nil
 }
 
-// Close ends the connection for the reason given; only the first call counts.
+// Close ends the connection for the reason given; only the first call counts. The
+// others do not wait for it: the session takes its time to end.
 func (p *Peer) Close(reason error) {
-	p.closing.Do(func() {
-		p.reason = reason
-		close(p.closed)
-		_ = p.session.Close()
-	})
+	if !p.closing.CompareAndSwap(false, true) {
+		return
+	}
+	p.reason = reason
+	close(p.closed)
+	_ = p.session.Close()
 }
 
 // Closed is closed when the connection has ended.
