fleettest: a cut does not tear a frame apart

Cause, now proved by a dump: yamux holds a stream's lock from a frame's header to its body; a cut between the two left a reader waiting for the lock, and a bubble's clock stands still while one does.

Change: what was sent in one instant arrives together.

Measured: matrix, stop, leaving and chunk tests pass; the pairs were not run again in full.

--- a/fleettest/network.go
+++ b/fleettest/network.go
@@ -295,6 +295,7 @@
 	mutex    sync.Mutex
 	packets  []packet
 	held     int
+	last     time.Time // when the packet read last arrived
 	closed   bool
 	progress chan struct{} // closed and replaced at every change
 }
@@ -355,7 +356,10 @@
 		}
 		progress := s.progress
 		var wait time.Duration = -1
-		if len(s.packets) > 0 && !blocked {
+		// What was sent in one instant is not torn apart by a cut: yamux holds a lock
+		// between a header and its body, and a lock that waits stops a bubble's clock.
+		begun := len(s.packets) > 0 && s.packets[0].at.Equal(s.last)
+		if len(s.packets) > 0 && (!blocked || begun) {
 			wait = time.Until(s.packets[0].at)
 			if wait <= 0 {
 				n := s.take(p)
@@ -378,6 +382,7 @@
 }
 
 func (s *stream) take(p []byte) int {
+	s.last = s.packets[0].at
 	n := copy(p, s.packets[0].bytes)
 	s.held -= n
 	s.packets[0].bytes = s.packets[0].bytes[n:]
