--- a/cmd/opalbridge/check.go
+++ b/cmd/opalbridge/check.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
@@ -20,7 +21,7 @@
 		Description: "Examples:\n  opalbridge check --role router router.yaml\n  opalbridge check --role agent agent.yaml\n" +
 			"  opalbridge check --role router --reference   (prints every key with its default)\n\nExit code 0: right; 2: faults.",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "role", Usage: "router or agent", Value: string(settings.Router)},
+			&cli.StringFlag{Name: "role", Usage: "router, agent or gateway", Value: string(settings.Router)},
 			&cli.BoolFlag{Name: "reference", Usage: "print the reference of all keys as Markdown"},
 		},
 		Action: check,
@@ -29,8 +30,8 @@
 
 func check(_ context.Context, c *cli.Command) error {
 	role := settings.Role(c.String("role"))
-	if role != settings.Router && role != settings.Agent {
-		return usage(errors.Newf("check: --role %q is neither router nor agent", role))
+	if !slices.Contains(settings.Roles, role) {
+		return usage(errors.Newf("check: --role %q is none of %v", role, settings.Roles))
 	}
 	if c.Bool("reference") {
 		printReference(c, role)
--- a/cmd/opalbridge/dev.go
+++ b/cmd/opalbridge/dev.go
@@ -15,9 +15,9 @@
 	"opalbridge.dev/agent"
 	"opalbridge.dev/config"
 	"opalbridge.dev/engine/enginetest"
+	"opalbridge.dev/kv"
+	"opalbridge.dev/kv/kvtest"
 	"opalbridge.dev/operator"
-	"opalbridge.dev/platform"
-	"opalbridge.dev/platform/platformtest"
 	"opalbridge.dev/settings"
 	"opalbridge.dev/telemetry"
 )
@@ -57,7 +57,7 @@
 	life      context.Context
 	log       zerolog.Logger
 	telemetry *telemetry.Telemetry
-	platform  platformtest.Service
+	platform  kvtest.Service
 	url       string // of the platform
 	token     string
 	keys      []string
@@ -180,7 +180,7 @@
 	}
 	f.agents = append(f.agents, a)
 	f.done = append(f.done, done)
-	f.platform.SetHost(platform.Host{Name: name, Role: platform.Agent, Hall: hall, Address: l.Addr().String()})
+	f.platform.SetHost(kv.Host{Name: name, Role: kv.Agent, Hall: hall, Address: l.Addr().String()})
 	return nil
 }
 
@@ -206,7 +206,7 @@
 			Name: name, Hall: devHall(i), PeerAddress: peers.Addr().String(), PlatformURL: f.url,
 			OperatorTokenHash: config.HashKey(f.token), ReportInterval: reportInterval, Records: recordsKept,
 		}
-		f.platform.SetHost(platform.Host{Name: name, Role: platform.Router, Hall: devHall(i), Address: s.PeerAddress})
+		f.platform.SetHost(kv.Host{Name: name, Role: kv.Router, Hall: devHall(i), Address: s.PeerAddress})
 		parts, err := startRouter(f.life, s, f.telemetry, f.log.With().Str("node", name).Logger(), callers, peers)
 		if err != nil {
 			return err
--- /dev/null
+++ b/cmd/opalbridge/gateway.go
@@ -0,0 +1,171 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"github.com/urfave/cli/v3"
+
+	"opalbridge.dev/gateway"
+	"opalbridge.dev/gateway/budget"
+	"opalbridge.dev/gateway/peer"
+	"opalbridge.dev/gateway/placement"
+	"opalbridge.dev/platform"
+	"opalbridge.dev/settings"
+	"opalbridge.dev/telemetry"
+)
+
+const (
+	// The collector works harder when the heap nears this share of the memory, which
+	// leaves room for stacks and for bytes in sockets.
+	heapShare = 0.6
+	// Connections to the store: one call waits at a time, and a list needs a second.
+	storeConnections = 2
+	storeDialTimeout = time.Second
+)
+
+func gatewayCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "gateway",
+		Usage: "run a gateway on an entry host, before servers without agents",
+		Description: "Example:\n  opalbridge gateway --settings gateway.yaml\n\n" +
+			"Without --settings, the file is named by the platform's environment variable.\n" +
+			"A first interrupt stops it when its requests are answered.",
+		Flags: []cli.Flag{&cli.StringFlag{
+			Name: "settings", Aliases: []string{"s"}, Usage: "settings `FILE` (YAML)",
+			Sources: cli.EnvVars(platform.SettingsVariable),
+		}},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			file := c.String("settings")
+			s, err := readSettings(settings.Gateway, file)
+			if err != nil {
+				return err
+			}
+			return runGateway(ctx, s, file)
+		},
+	}
+}
+
+// calls counts the ends of requests in the process's metrics.
+type calls struct{ *telemetry.Calls }
+
+// Ended implements gateway.Metrics.
+func (c calls) Ended(o gateway.Outcome) {
+	c.Request(o.Service, o.Kind, o.Result, o.Attempts, o.First, o.Whole)
+}
+
+func runGateway(ctx context.Context, s *settings.Settings, file string) error {
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(heapShare * float64(s.MemoryMB) * (1 << 20)))
+	}
+	lines := telemetry.NewLines(os.Stdout)
+	written := make(chan struct{})
+	writing, stopWriting := context.WithCancel(context.Background())
+	go func() {
+		lines.Run(writing)
+		close(written)
+	}()
+	defer func() {
+		stopWriting()
+		<-written
+	}()
+	log := zerolog.New(lines).Level(s.LogLevel).With().Timestamp().Str("node", s.Name).Str("hall", s.Hall).Logger()
+	t, err := telemetry.New(ctx, telemetry.Options{Service: "gateway", Node: s.Name, OTLP: s.OTLPURL})
+	if err != nil {
+		return err
+	}
+	g, err := openGateway(s, t, log)
+	if err != nil {
+		return err
+	}
+	stopReload := watchReload(file, log)
+	defer stopReload()
+	if s.AdminAddress != "" {
+		if err := serveMetrics(s.AdminAddress, t, log); err != nil {
+			return err
+		}
+	}
+	return errors.CombineErrors(g.Run(ctx), t.Shutdown(context.WithoutCancel(ctx)))
+}
+
+// openGateway opens the gateway's sockets and puts its parts together.
+func openGateway(s *settings.Settings, t *telemetry.Telemetry, log zerolog.Logger) (*gateway.Gateway, error) {
+	metrics, err := telemetry.NewCalls(t.Meter("gateway"))
+	if err != nil {
+		return nil, err
+	}
+	var listeners [3]net.Listener
+	for i, address := range []string{s.FrontAddress, s.ReadyAddress, s.PeerAddress} {
+		listeners[i], err = net.Listen("tcp4", address)
+		if err != nil {
+			return nil, errors.Wrap(err, "gateway: listen")
+		}
+	}
+	store := &platform.Store{Address: s.StoreAddress, HTTP: &http.Client{Transport: &http.Transport{
+		DialContext:  (&net.Dialer{Timeout: storeDialTimeout}).DialContext,
+		MaxIdleConns: storeConnections, MaxIdleConnsPerHost: storeConnections,
+		DisableCompression: true,
+	}}}
+	unreadable := func(err error) {
+		log.Error().Str("event", "store.unreadable").Err(err).Msg("passed over")
+	}
+	return gateway.New(gateway.Options{
+		Front: listeners[0], Ready: listeners[1], Peers: listeners[2],
+		ReadyPath: platform.ReadyPath,
+		Peer:      peer.Options{Address: s.PeerAddress, Seeds: s.Seeds},
+		Source:    &platform.Feed{Store: store, Unreadable: unreadable},
+		Codec:     platform.Codec{},
+		Desk: gateway.DeskSettings{
+			Repeats: budget.Limits{Ratio: s.RepeatRatio, Extra: s.RepeatExtra, Window: s.RepeatWindow},
+			Shares:  s.ShareWindow, Policy: placement.DefaultPolicy(), Hall: s.Hall,
+		},
+		StopGrace: s.StopTimeout, Log: log, Metrics: calls{metrics},
+	})
+}
+
+// watchReload reads the settings again at each hang-up and says what it finds. What
+// a gateway has in its settings (addresses, bounds) holds for the life of a process;
+// what may change while it runs is in the operators' configuration.
+func watchReload(file string, log zerolog.Logger) (stop func()) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		for range signals {
+			if _, err := readSettings(settings.Gateway, file); err != nil {
+				log.Error().Str("event", "reload").Err(err).Msg("settings are wrong; the process goes on with the old ones")
+				continue
+			}
+			log.Info().Str("event", "reload").Msg("settings are right; they hold from the next start")
+		}
+	}()
+	return func() {
+		signal.Stop(signals)
+		close(signals)
+		<-ended
+	}
+}
+
+// serveMetrics serves the metrics page until the process ends.
+func serveMetrics(address string, t *telemetry.Telemetry, log zerolog.Logger) error {
+	l, err := net.Listen("tcp4", address)
+	if err != nil {
+		return errors.Wrap(err, "gateway: metrics")
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", t.Metrics())
+	go func() {
+		err := newServer(mux).Serve(l)
+		log.Error().Str("event", "metrics.ended").Err(err).Msg("no metrics any more")
+	}()
+	return nil
+}
--- a/cmd/opalbridge/main.go
+++ b/cmd/opalbridge/main.go
@@ -1,5 +1,5 @@
 // Command opalbridge is the whole product in one binary: the router on entry
-// hosts, the agent beside each backend server, the operators' client, a check of
+// hosts, the agent beside each backend server, the gateway that needs no agents, the operators' client, a check of
 // settings, and a whole fleet in one process to try it.
 //
 // # Usage
@@ -7,6 +7,7 @@
 //	opalbridge dev --listen 127.0.0.1:8080
 //	opalbridge router --settings router.yaml
 //	opalbridge agent --settings agent.yaml
+//	opalbridge gateway --settings gateway.yaml
 //	opalbridge check --role router router.yaml
 //	opalbridge ctl status
 //
@@ -86,7 +87,7 @@
 			return usage(err)
 		},
 		Commands: []*cli.Command{
-			devCommand(), routerCommand(), agentCommand(), checkCommand(), ctlCommand(), hashCommand(), standinCommand(), versionCommand(),
+			devCommand(), routerCommand(), agentCommand(), gatewayCommand(), checkCommand(), ctlCommand(), hashCommand(), standinCommand(), versionCommand(),
 		},
 	}
 }
--- a/cmd/opalbridge/process_test.go
+++ b/cmd/opalbridge/process_test.go
@@ -19,8 +19,8 @@
 	"github.com/stretchr/testify/require"
 
 	"opalbridge.dev/config"
+	"opalbridge.dev/kv"
 	"opalbridge.dev/operator"
-	"opalbridge.dev/platform"
 )
 
 // asProgram makes the test's own binary run as opalbridge.
@@ -77,7 +77,7 @@
 	settings []string // of the agents
 }
 
-func listHost(t *testing.T, url string, h platform.Host) {
+func listHost(t *testing.T, url string, h kv.Host) {
 	body := fmt.Sprintf(`{"role":%q,"hall":%q,"address":%q}`, h.Role, h.Hall, h.Address)
 	r, err := http.NewRequest(http.MethodPut, url+"/hosts/"+h.Name, strings.NewReader(body))
 	require.NoError(t, err)
@@ -88,7 +88,7 @@
 
 func startProcessFleet(t *testing.T) *processFleet {
 	f := &processFleet{platform: startStandin(t, "platform"), key: operator.NewKey()}
-	store := config.Store{KV: &platform.Client{Base: f.platform}}
+	store := config.Store{KV: &kv.Client{Base: f.platform}}
 	o := store.Propose(context.Background(), 0, func(d *config.Document) error {
 		operator.AddAccount(d, config.Account{Name: "quito", Share: 1}, f.key)
 		d.Pools = []config.Pool{{Name: devModel, Kind: config.Model}}
@@ -106,7 +106,7 @@
 		require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
 		p, _ := startProcess(t, "agent", "--settings", file)
 		f.agents, f.settings = append(f.agents, p), append(f.settings, file)
-		listHost(t, f.platform, platform.Host{Name: name, Role: platform.Agent, Hall: "hall-1", Address: address})
+		listHost(t, f.platform, kv.Host{Name: name, Role: kv.Agent, Hall: "hall-1", Address: address})
 	}
 	for i := range 2 {
 		f.startRouter(t, fmt.Sprintf("router-%d", i))
@@ -123,7 +123,7 @@
 	text := fmt.Sprintf("name: %s\nhall: hall-1\ncaller_address: %s\npeer_address: %s\nplatform_url: %s\noperator_token_hash: %s\nlog_level: error\n",
 		name, callers, peers, f.platform, config.HashKey("token"))
 	require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
-	listHost(t, f.platform, platform.Host{Name: name, Role: platform.Router, Hall: "hall-1", Address: peers})
+	listHost(t, f.platform, kv.Host{Name: name, Role: kv.Router, Hall: "hall-1", Address: peers})
 	p, _ := startProcess(t, "router", "--settings", file)
 	f.routers, f.callers = append(f.routers, p), append(f.callers, "http://"+callers)
 }
--- a/cmd/opalbridge/run.go
+++ b/cmd/opalbridge/run.go
@@ -18,8 +18,8 @@
 	"opalbridge.dev/config"
 	"opalbridge.dev/engine"
 	"opalbridge.dev/explain"
+	"opalbridge.dev/kv"
 	"opalbridge.dev/operator"
-	"opalbridge.dev/platform"
 	"opalbridge.dev/router"
 	"opalbridge.dev/secure"
 	"opalbridge.dev/settings"
@@ -123,7 +123,7 @@
 	if err != nil {
 		return nil, err
 	}
-	client := &platform.Client{Base: s.PlatformURL}
+	client := &kv.Client{Base: s.PlatformURL}
 	k, err := openKeeper(s)
 	if err != nil {
 		return nil, err
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -11,7 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"opalbridge.dev/config"
-	"opalbridge.dev/platform/platformtest"
+	"opalbridge.dev/kv/kvtest"
 )
 
 func addAccount(name string) func(*config.Document) error {
@@ -37,7 +37,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			s := config.Store{KV: &platformtest.Service{}}
+			s := config.Store{KV: &kvtest.Service{}}
 			require.IsType(t, config.Accepted{}, s.Propose(context.Background(), 0, addAccount("a")))
 			require.IsType(t, test.want, s.Propose(context.Background(), test.expect, test.change))
 		})
@@ -48,9 +48,9 @@
 // effect; each change must stand exactly once.
 func TestLostAnswerIsSettledByReadingBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var p platformtest.Service
+		var p kvtest.Service
 		s := config.Store{KV: &p}
-		p.SetFaults(platformtest.Faults{LoseWrites: 1})
+		p.SetFaults(kvtest.Faults{LoseWrites: 1})
 		o, ok := s.Propose(context.Background(), 0, addAccount("a")).(config.Accepted)
 		require.True(t, ok)
 		require.Equal(t, uint64(1), o.Document.Revision)
@@ -63,9 +63,9 @@
 // lost answer is settled.
 func TestLostAnswerUnderALaterChange(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var p platformtest.Service
+		var p kvtest.Service
 		s := config.Store{KV: &p}
-		p.SetFaults(platformtest.Faults{LoseWrites: 1, Delay: 10 * time.Millisecond})
+		p.SetFaults(kvtest.Faults{LoseWrites: 1, Delay: 10 * time.Millisecond})
 		var first config.Outcome
 		var done sync.WaitGroup
 		done.Go(func() { first = s.Propose(context.Background(), 0, addAccount("a")) })
@@ -86,8 +86,8 @@
 // accepted change is in the last document once, and revisions have no gaps.
 func TestRacingOperatorsLoseNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var p platformtest.Service
-		p.SetFaults(platformtest.Faults{LoseWrites: 3, Delay: time.Millisecond})
+		var p kvtest.Service
+		p.SetFaults(kvtest.Faults{LoseWrites: 3, Delay: time.Millisecond})
 		var done sync.WaitGroup
 		accepted := make([]bool, 6)
 		for i := range accepted {
--- a/config/store.go
+++ b/config/store.go
@@ -8,7 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"opalbridge.dev/platform"
+	"opalbridge.dev/kv"
 )
 
 // DocumentKey is where the platform's service keeps the document.
@@ -49,7 +49,7 @@
 
 // Store reads and changes the document in the platform's service.
 type Store struct {
-	KV platform.KV
+	KV kv.KV
 }
 
 // Load returns the accepted document and the version the service gives it; an
@@ -72,7 +72,7 @@
 	return decodeEntry(e)
 }
 
-func decodeEntry(e platform.Entry) (*Document, uint64, error) {
+func decodeEntry(e kv.Entry) (*Document, uint64, error) {
 	if e.Version == 0 {
 		return &Document{}, 0, nil
 	}
@@ -158,7 +158,7 @@
 	switch {
 	case err == nil:
 		return Accepted{Document: next}
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, kv.ErrConflict):
 		return Conflict{}
 	default:
 		return Undecided{Change: next.Change, Reason: err}
--- a/fleettest/config_test.go
+++ b/fleettest/config_test.go
@@ -11,7 +11,7 @@
 	"opalbridge.dev/bubbletest"
 	"opalbridge.dev/config"
 	"opalbridge.dev/fleettest"
-	"opalbridge.dev/platform/platformtest"
+	"opalbridge.dev/kv/kvtest"
 )
 
 // inForce is how long an accepted change may take to be in force everywhere after
@@ -103,7 +103,7 @@
 		}).(config.Accepted)
 		require.True(t, ok)
 		requireInForce(t, f, o.Document.Revision)
-		f.Platform.SetFaults(platformtest.Faults{Down: true})
+		f.Platform.SetFaults(kvtest.Faults{Down: true})
 		f.CrashAgent(f.Agents[0])
 		f.StartAgent(f.Agents[0])
 		requireInForce(t, f, o.Document.Revision)
@@ -119,10 +119,10 @@
 				f := fleettest.Start(t, fleettest.Options{Routers: routers, Models: 1, Halls: 2})
 				time.Sleep(time.Minute)
 				steady := callRate(f, 2*time.Minute)
-				f.Platform.SetFaults(platformtest.Faults{Down: true})
+				f.Platform.SetFaults(kvtest.Faults{Down: true})
 				time.Sleep(5 * time.Minute)
 				outage := callRate(f, time.Minute)
-				f.Platform.SetFaults(platformtest.Faults{})
+				f.Platform.SetFaults(kvtest.Faults{})
 				most := 0.0
 				for range 20 {
 					most = max(most, callRate(f, time.Second))
--- a/fleettest/faults.go
+++ b/fleettest/faults.go
@@ -6,8 +6,8 @@
 
 	"opalbridge.dev/config"
 	"opalbridge.dev/engine/enginetest"
-	"opalbridge.dev/platform"
-	"opalbridge.dev/platform/platformtest"
+	"opalbridge.dev/kv"
+	"opalbridge.dev/kv/kvtest"
 )
 
 // Fault is something that goes wrong with a fleet of at least two routers and two
@@ -49,8 +49,8 @@
 	{Name: "server breaks off its answers", Strike: model(enginetest.ModelFaults{BreakAfter: 1}), Recover: model(enginetest.ModelFaults{}), Lasts: short},
 	{Name: "server takes calls and never answers", Strike: model(enginetest.ModelFaults{Silent: true}), Recover: model(enginetest.ModelFaults{}), Lasts: short},
 	{Name: "server is ten times slower", Strike: model(enginetest.ModelFaults{Slower: 10}), Recover: model(enginetest.ModelFaults{}), Lasts: short},
-	{Name: "platform's service is down long", Strike: service(platformtest.Faults{Down: true}), Recover: service(platformtest.Faults{}), Lasts: long},
-	{Name: "platform's service is slow", Strike: service(platformtest.Faults{Delay: time.Second}), Recover: service(platformtest.Faults{}), Lasts: long},
+	{Name: "platform's service is down long", Strike: service(kvtest.Faults{Down: true}), Recover: service(kvtest.Faults{}), Lasts: long},
+	{Name: "platform's service is slow", Strike: service(kvtest.Faults{Delay: time.Second}), Recover: service(kvtest.Faults{}), Lasts: long},
 	{Name: "live list drops the agent", Strike: func(f *Fleet) { f.Platform.RemoveHost("model-000") }, Recover: listFirstAgent, Lasts: long},
 	{Name: "live list drops the other routers", Strike: func(f *Fleet) { f.Platform.RemoveHost("router-01") }, Recover: listSecondRouter, Lasts: long},
 	{Name: "operator marks the server leaving", Strike: leaving(true), Recover: leaving(false), Lasts: short},
@@ -97,18 +97,18 @@
 	return func(f *Fleet) { f.Agents[0].Model.SetFaults(m) }
 }
 
-func service(s platformtest.Faults) func(*Fleet) {
+func service(s kvtest.Faults) func(*Fleet) {
 	return func(f *Fleet) { f.Platform.SetFaults(s) }
 }
 
 func listFirstAgent(f *Fleet) {
 	a := f.Agents[0]
-	f.Platform.SetHost(platform.Host{Name: a.Name, Role: platform.Agent, Hall: a.Hall, Address: a.Name})
+	f.Platform.SetHost(kv.Host{Name: a.Name, Role: kv.Agent, Hall: a.Hall, Address: a.Name})
 }
 
 func listSecondRouter(f *Fleet) {
 	r := f.Routers[1]
-	f.Platform.SetHost(platform.Host{Name: r.Name, Role: platform.Router, Hall: r.Hall, Address: r.Name})
+	f.Platform.SetHost(kv.Host{Name: r.Name, Role: kv.Router, Hall: r.Hall, Address: r.Name})
 }
 
 func leaving(on bool) func(*Fleet) {
--- a/fleettest/fleet.go
+++ b/fleettest/fleet.go
@@ -18,8 +18,8 @@
 	"opalbridge.dev/engine/enginetest"
 	"opalbridge.dev/explain"
 	"opalbridge.dev/fair"
-	"opalbridge.dev/platform"
-	"opalbridge.dev/platform/platformtest"
+	"opalbridge.dev/kv"
+	"opalbridge.dev/kv/kvtest"
 	"opalbridge.dev/router"
 	"opalbridge.dev/wire/wirepb"
 )
@@ -79,7 +79,7 @@
 type Fleet struct {
 	Options  Options
 	Network  *Network
-	Platform *platformtest.Service
+	Platform *kvtest.Service
 	Routers  []*Router
 	Agents   []*Agent
 
@@ -114,7 +114,7 @@
 func Start(t testing.TB, o Options) *Fleet {
 	o = o.withDefaults()
 	ctx, end := context.WithCancel(context.Background())
-	f := &Fleet{Options: o, Network: NewNetwork(o.Latency), Platform: &platformtest.Service{}, test: t, ctx: ctx, end: end}
+	f := &Fleet{Options: o, Network: NewNetwork(o.Latency), Platform: &kvtest.Service{}, test: t, ctx: ctx, end: end}
 	f.configure()
 	for i := range o.Models + o.Services {
 		f.addAgent(i)
@@ -124,7 +124,7 @@
 		r := &Router{Name: name, Hall: f.hall(i)}
 		f.Network.Place(name, r.Hall)
 		f.Routers = append(f.Routers, r)
-		f.Platform.SetHost(platform.Host{Name: name, Role: platform.Router, Hall: r.Hall, Address: name})
+		f.Platform.SetHost(kv.Host{Name: name, Role: kv.Router, Hall: r.Hall, Address: name})
 	}
 	for _, r := range f.Routers {
 		f.StartRouter(r)
@@ -192,7 +192,7 @@
 	f.Network.Place(a.Name, a.Hall)
 	f.Agents = append(f.Agents, a)
 	f.StartAgent(a)
-	f.Platform.SetHost(platform.Host{Name: a.Name, Role: platform.Agent, Hall: a.Hall, Address: a.Name})
+	f.Platform.SetHost(kv.Host{Name: a.Name, Role: kv.Agent, Hall: a.Hall, Address: a.Name})
 }
 
 const recordsKept = 4096
@@ -432,5 +432,5 @@
 
 // ListLeaving has the live list tell that an agent's host is leaving.
 func (f *Fleet) ListLeaving(a *Agent) {
-	f.Platform.SetHost(platform.Host{Name: a.Name, Role: platform.Agent, Hall: a.Hall, Address: a.Name, Leaving: true})
+	f.Platform.SetHost(kv.Host{Name: a.Name, Role: kv.Agent, Hall: a.Hall, Address: a.Name, Leaving: true})
 }
--- /dev/null
+++ b/gateway/call.go
@@ -0,0 +1,237 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"opalbridge.dev/gateway/catalog"
+	"opalbridge.dev/gateway/placement"
+	"opalbridge.dev/gateway/protocol"
+	"opalbridge.dev/gateway/upstream"
+)
+
+// call is a caller's request on its way.
+type call struct {
+	gateway  *Gateway
+	w        http.ResponseWriter
+	request  *http.Request
+	told     protocol.Request
+	body     []byte
+	route    *catalog.Route
+	account  string
+	service  string
+	engine   bool    // the service is a model engine
+	tokens   float64 // what it counts in its account's share
+	ask      placement.Ask
+	arrived  time.Time
+	deadline time.Time
+
+	attempts  int       // sends to servers
+	arrivals  int       // sends that have reached a server
+	mayRun    bool      // a server may have run it
+	headSent  bool      // the caller has got the head of an answer
+	lastEvent string    // ID of the last event passed on
+	first     time.Time // when the caller was sent the first byte; zero: not yet
+	result    string    // for logs and metrics
+	reason    string
+}
+
+// step is what to do after an attempt.
+type step interface{ step() }
+
+// done: the caller has its answer, or has gone.
+type done struct{}
+
+// again: another server may have the request.
+type again struct{ err error }
+
+// fail: no answer can be had.
+type fail struct {
+	err  error
+	late bool // the deadline has passed
+}
+
+func (done) step()  {}
+func (again) step() {}
+func (fail) step()  {}
+
+// run brings the request to servers until it has an answer or none can be had.
+func (c *call) run(ctx context.Context) {
+	c.gateway.desk.tell(arrivedMessage{service: c.service, account: c.account, tokens: c.tokens})
+	defer c.report()
+	for {
+		switch s := c.attempt(ctx).(type) {
+		case done:
+			return
+		case fail:
+			c.fail(ctx, s)
+			return
+		case again:
+			c.gateway.log.Info().Str("event", "attempt.failed").Str("request", c.told.ID).Int("attempt", c.attempts).
+				Err(s.err).Bool("may_have_run", c.mayRun).Msg("look for another server")
+		}
+	}
+}
+
+// attempt places the request once and sends it.
+func (c *call) attempt(ctx context.Context) step {
+	now := time.Now()
+	c.ask.Remaining = c.deadline.Sub(now)
+	c.ask.Objective = 0
+	if c.route.Objective > 0 && !c.mayRun {
+		c.ask.Objective = max(c.route.Objective-now.Sub(c.arrived), time.Millisecond)
+	}
+	decision, ok := c.gateway.desk.place(ctx, &c.ask, c.arrivals > 0, c.tokens)
+	if !ok {
+		return fail{err: context.Cause(ctx), late: errors.Is(context.Cause(ctx), errDeadline)}
+	}
+	switch d := decision.(type) {
+	case placement.Assign:
+		return c.send(ctx, d)
+	case placement.Refuse:
+		c.refuse(d)
+		return done{}
+	default:
+		return fail{err: errors.Newf("gateway: no server of service %s takes work", c.service)}
+	}
+}
+
+// send sends the request to a server and passes the answer on.
+func (c *call) send(ctx context.Context, d placement.Assign) step {
+	c.attempts++
+	c.ask.Exclude = append(c.ask.Exclude, d.Server.ID)
+	sent := time.Now()
+	c.gateway.log.Info().Str("event", "attempt.sent").Str("request", c.told.ID).Int("attempt", c.attempts).
+		Str("server", d.Server.ID).Dur("predicted", d.Predicted).Dur("work", d.Load.Work).
+		Dur("left", c.deadline.Sub(sent)).Str("account", c.account).Msg("placed")
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel() // stops the server's work if the answer was not read to its end
+	result := c.gateway.pool.Send(ctx, d.Server, c.forServer(d.Server, sent))
+	end, next := c.judge(ctx, d, sent, result)
+	c.gateway.desk.tell(endedMessage{server: d.Server.ID, end: end})
+	return next
+}
+
+// forServer makes the request that goes to a server.
+func (c *call) forServer(s catalog.Server, now time.Time) *upstream.Request {
+	h := c.request.Header.Clone()
+	upstream.RemoveHopHeaders(h)
+	h.Del("Expect") // the whole body is here
+	c.gateway.options.Codec.Forward(h, protocol.Forward{
+		Server: s.ID, Account: c.account, Deadline: c.deadline.Sub(now), LastEvent: c.lastEvent,
+	})
+	return &upstream.Request{
+		ID: c.told.ID, Method: c.request.Method, Target: target(c.request), Host: c.request.Host,
+		Header: h, Body: c.body, MayRepeat: c.route.MayRepeat(),
+	}
+}
+
+// judge turns what is known of an attempt into the next step.
+func (c *call) judge(ctx context.Context, d placement.Assign, sent time.Time, r upstream.Result) (placement.End, step) {
+	switch r := r.(type) {
+	case upstream.Unsent:
+		if ctx.Err() != nil {
+			return placement.Abandoned, c.ended(ctx)
+		}
+		return placement.Unreachable, again{r.Err}
+	case upstream.NotRun:
+		c.arrivals++
+		return placement.Full, again{errors.Newf("gateway: server %s has not run it: status %d", d.Server.ID, r.Status)}
+	case upstream.Lost:
+		c.arrivals++
+		c.mayRun = true
+		if ctx.Err() != nil {
+			return placement.Abandoned, c.ended(ctx)
+		}
+		return placement.Failed, c.afterFailure(r.Err)
+	case upstream.Answered:
+		c.arrivals++
+		c.mayRun = true
+		end, next := c.pass(ctx, d, sent, r.Answer)
+		r.Answer.Close()
+		return end, next
+	default:
+		panic(errors.AssertionFailedf("gateway: result %T", r))
+	}
+}
+
+// ended is the step after the request's context has ended.
+func (c *call) ended(ctx context.Context) step {
+	cause := context.Cause(ctx)
+	return fail{err: cause, late: errors.Is(cause, errDeadline)}
+}
+
+// afterFailure decides whether a request that a server may have run goes on.
+func (c *call) afterFailure(err error) step {
+	if !c.route.MayRepeat() || c.attempts >= c.route.MaxAttempts {
+		return fail{err: err}
+	}
+	return again{err}
+}
+
+// refuse tells the caller that the request is given up and has not run, and when to
+// come back. After an attempt that may have run it can only say that it failed.
+func (c *call) refuse(d placement.Refuse) {
+	c.result, c.reason = "refused", d.Reason
+	if c.mayRun {
+		c.fail(context.Background(), fail{err: errors.New(d.Reason)})
+		return
+	}
+	c.write(denial{http.StatusServiceUnavailable, d.Reason, d.RetryAfter})
+	c.gateway.log.Info().Str("event", "request.refused").Str("request", c.told.ID).Str("account", c.account).
+		Str("reason", d.Reason).Dur("predicted", d.Predicted).Dur("retry_after", d.RetryAfter).Msg("not run")
+}
+
+// fail gives the final answer to a request that no server has answered.
+func (c *call) fail(ctx context.Context, f fail) {
+	c.reason = f.err.Error()
+	switch {
+	case c.request.Context().Err() != nil:
+		c.result = "left" // nobody is there to be answered
+	case c.headSent:
+		c.result = "cut"
+		c.gateway.log.Warn().Str("event", "request.cut").Str("request", c.told.ID).Err(f.err).Str("last_event", c.lastEvent).Msg("answer is incomplete")
+		panic(http.ErrAbortHandler) // the connection breaks, so that the answer looks cut
+	case !c.mayRun:
+		c.result = "refused"
+		c.write(denial{http.StatusServiceUnavailable, "not run: " + c.reason, unknownRetryAfter})
+	case f.late:
+		c.result = "failed"
+		c.write(denial{status: http.StatusGatewayTimeout, reason: c.reason})
+	default:
+		c.result = "failed"
+		c.write(denial{status: http.StatusBadGateway, reason: c.reason})
+	}
+}
+
+func (c *call) write(d denial) { writeDenial(c.w, d) }
+
+// report writes the request's last log line and counts it.
+func (c *call) report() {
+	now := time.Now()
+	o := Outcome{Service: c.service, Account: c.account, Kind: kindName(c.route), Result: c.result, Whole: now.Sub(c.arrived), Attempts: c.attempts}
+	if !c.first.IsZero() {
+		o.First = c.first.Sub(c.arrived)
+	}
+	if o.Result == "served" && c.route.Objective > 0 && o.First > c.route.Objective {
+		o.Result = "late"
+	}
+	c.gateway.options.Metrics.Ended(o)
+	c.gateway.log.Info().Str("event", "request.ended").Str("request", c.told.ID).Str("route", c.route.Name).
+		Str("account", c.account).Str("result", o.Result).Str("reason", c.reason).Int("attempts", c.attempts).
+		Dur("first", o.First).Dur("whole", o.Whole).Uint64("revision", c.gateway.view.Load().Revision).Msg("request")
+}
+
+func kindName(r *catalog.Route) string {
+	switch r.Kind {
+	case catalog.Stream:
+		return "stream"
+	case catalog.Repeatable:
+		return "repeatable"
+	default:
+		return "one-shot"
+	}
+}
--- /dev/null
+++ b/gateway/catalog/catalog.go
@@ -0,0 +1,177 @@
+// Package catalog holds what the operators and the backend servers have announced:
+// the configuration in force and the servers that take work.
+//
+// # Usage
+//
+//	c, err := catalog.NewConfiguration(document)
+//	route, ok := c.Route("example.org", "/chat/completions")
+//	account, ok := c.Account(key)
+//
+// Values are read-only once they are made, so that any goroutine may use them. The
+// package does no input or output and reads no clock.
+package catalog
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Kind tells whether a request may run more than once.
+type Kind int
+
+// The kinds of requests.
+const (
+	OneShot    Kind = iota // runs at most once
+	Repeatable             // may run more than once
+	Stream                 // an answer in events; runs at most once unless its route is resumable
+)
+
+// Route says where requests of a host and a path prefix go.
+type Route struct {
+	Name        string
+	Host        string
+	Prefix      string // begins and ends with a slash
+	Kind        Kind
+	Targets     []Target
+	Timeout     time.Duration // longest time a request may be held; 0: no limit
+	Objective   time.Duration // an answer (a stream: its first event) within this time is in time
+	PauseLimit  time.Duration // longest pause between events that is still in time; 0: none is told
+	Priority    int           // 0 is the most urgent
+	MaxAttempts int           // most servers that one request may go to
+	Public      bool          // needs no key
+	Resumable   bool          // a stream that may go on at another server after an event
+}
+
+// Target is a service that takes a share of a route's requests.
+type Target struct {
+	Service string
+	Weight  int
+}
+
+// MayRepeat tells whether a request of the route may run more than once.
+func (r *Route) MayRepeat() bool {
+	return r.Kind == Repeatable || (r.Kind == Stream && r.Resumable)
+}
+
+// Pick returns the service for a request; draw is uniform in [0, 1).
+func (r *Route) Pick(draw float64) string {
+	total := 0
+	for _, t := range r.Targets {
+		total += t.Weight
+	}
+	left := draw * float64(total)
+	for _, t := range r.Targets {
+		left -= float64(t.Weight)
+		if left < 0 {
+			return t.Service
+		}
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
+
+// Service is a group of servers that do the same work.
+type Service struct {
+	Name           string
+	MaxConnections int     // connections one server takes from all callers together; 0: unknown
+	Engine         *Engine // nil: a plain service
+}
+
+// Engine describes the model servers of a service.
+type Engine struct {
+	Slots     int // requests that run at once
+	KVTokens  int // memory for the tokens of running requests and cached prompts
+	MostEvent int // tokens in one event of a stream, for estimates; 0: unknown
+}
+
+// Account is a client account.
+type Account struct {
+	Name     string
+	Priority int
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	HeaderBytes     int
+	BodyBytes       int64
+	HeaderTimeout   time.Duration
+	IdleTimeout     time.Duration
+	TokensPerSecond float64 // tokens that the servers make together, a read token once and a made one twice; 0: unknown
+}
+
+// Document is a configuration as it was announced.
+type Document struct {
+	Version  uint64
+	Routes   []Route
+	Services []Service
+	Accounts []Account
+	Keys     map[string]int // key to index in Accounts
+	Limits   Limits
+}
+
+// Configuration is a document with its look-ups.
+type Configuration struct {
+	Document
+	hosts    map[string][]*Route // longest prefix first
+	services map[string]*Service
+}
+
+// NewConfiguration checks a document and makes its look-ups.
+func NewConfiguration(d Document) (*Configuration, error) {
+	c := &Configuration{Document: d, hosts: map[string][]*Route{}, services: map[string]*Service{}}
+	for i := range c.Services {
+		c.services[c.Services[i].Name] = &c.Services[i]
+	}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		if len(r.Targets) == 0 {
+			return nil, errors.Newf("catalog: route %q of version %d goes to no service", r.Name, d.Version)
+		}
+		host := strings.ToLower(r.Host)
+		c.hosts[host] = append(c.hosts[host], r)
+	}
+	for _, list := range c.hosts {
+		slices.SortStableFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	return c, nil
+}
+
+// Route returns the route with the longest prefix that begins the path; a port in
+// host is ignored.
+func (c *Configuration) Route(host, path string) (*Route, bool) {
+	name, _, _ := strings.Cut(strings.ToLower(host), ":")
+	for _, r := range c.hosts[name] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// Account returns the account that holds a key.
+func (c *Configuration) Account(key string) (Account, bool) {
+	i, ok := c.Keys[key]
+	if !ok {
+		return Account{}, false
+	}
+	return c.Accounts[i], true
+}
+
+// Service returns the service of that name.
+func (c *Configuration) Service(name string) (*Service, bool) {
+	s, ok := c.services[name]
+	return s, ok
+}
+
+// Server is one incarnation of a backend server: a server that starts again has
+// another ID.
+type Server struct {
+	ID       string
+	Service  string
+	Address  string // IP and port
+	Hall     string
+	Capacity int  // requests it works on at once
+	Leaving  bool // it takes no new work
+}
--- /dev/null
+++ b/gateway/desk.go
@@ -0,0 +1,304 @@
+package gateway
+
+import (
+	"context"
+	"hash/fnv"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"opalbridge.dev/gateway/budget"
+	"opalbridge.dev/gateway/catalog"
+	"opalbridge.dev/gateway/peer"
+	"opalbridge.dev/gateway/peer/peerpb"
+	"opalbridge.dev/gateway/placement"
+	"opalbridge.dev/gateway/share"
+)
+
+// Times and sizes of the desk.
+const (
+	// Shares of accounts are computed anew this often, as often as the others' demands
+	// arrive.
+	settleEvery = 250 * time.Millisecond
+	// Accounts told to the others at most: those with the largest demands.
+	mostDemands = 48
+	// Questions to the desk that wait. A request that finds the queue full waits; the
+	// desk never waits for a request, so this cannot deadlock.
+	deskQueue = 256
+)
+
+// desk is the duty that owns all decisions on placing: the board, the shares of
+// accounts and the budget of repeats. Others ask it through its channel.
+type desk struct {
+	log      zerolog.Logger
+	peers    *peer.Node
+	asks     chan any // one of the messages below
+	done     chan struct{}
+	telling  atomic.Pointer[peer.State]
+	settings DeskSettings
+
+	// Owned by run.
+	board    *placement.Board
+	book     *share.Book
+	budget   *budget.Budget
+	view     *View
+	running  map[string]int              // own requests by server
+	ids      map[uint64]string           // server by hash of its ID
+	gateways map[string]map[uint64]int   // running requests at servers, by live gateway
+	demands  map[string][]*peerpb.Demand // by live gateway
+}
+
+// DeskSettings are the bounds that the desk keeps.
+type DeskSettings struct {
+	Repeats budget.Limits
+	Shares  time.Duration // window of accounts' fair shares
+	Policy  placement.Policy
+	Hall    string
+}
+
+// Messages to the desk.
+type (
+	// placeMessage asks for a decision; if it is to send, all is booked as sent.
+	placeMessage struct {
+		ask    *placement.Ask
+		repeat bool // the request has been at a server before
+		tokens float64
+		reply  chan<- placement.Decision
+	}
+	// arrivedMessage tells of a caller's request.
+	arrivedMessage struct {
+		service string
+		account string
+		tokens  float64
+	}
+	startedMessage struct {
+		server          string
+		predicted, took time.Duration
+	}
+	endedMessage struct {
+		server string
+		end    placement.End
+	}
+	viewMessage   struct{ view *View }
+	updateMessage struct{ update peer.Update }
+)
+
+func newDesk(log zerolog.Logger, s DeskSettings, now time.Time) *desk {
+	d := &desk{
+		log: log, settings: s, asks: make(chan any, deskQueue), done: make(chan struct{}),
+		board: placement.NewBoard(s.Policy), book: share.NewBook(s.Shares), budget: budget.New(s.Repeats, now),
+		view: &View{}, running: map[string]int{}, ids: map[uint64]string{},
+		gateways: map[string]map[uint64]int{}, demands: map[string][]*peerpb.Demand{},
+	}
+	d.telling.Store(&peer.State{})
+	return d
+}
+
+// tell passes a message to the desk; once the desk has ended, messages are dropped.
+func (d *desk) tell(m any) {
+	select {
+	case d.asks <- m:
+	case <-d.done:
+	}
+}
+
+func (d *desk) viewChanged(v *View) { d.tell(viewMessage{v}) }
+
+// place asks for a decision. ok is false when ctx has ended first.
+func (d *desk) place(ctx context.Context, a *placement.Ask, repeat bool, tokens float64) (placement.Decision, bool) {
+	reply := make(chan placement.Decision, 1)
+	d.tell(placeMessage{ask: a, repeat: repeat, tokens: tokens, reply: reply})
+	select {
+	case decision := <-reply:
+		return decision, true
+	case <-d.done:
+		return nil, false
+	case <-ctx.Done():
+		go d.takeBack(reply)
+		return nil, false
+	}
+}
+
+// takeBack undoes a decision that nobody waits for any more.
+func (d *desk) takeBack(reply <-chan placement.Decision) {
+	select {
+	case decision := <-reply:
+		if a, ok := decision.(placement.Assign); ok {
+			d.tell(endedMessage{server: a.Server.ID, end: placement.Abandoned})
+		}
+	case <-d.done:
+	}
+}
+
+// run answers until ctx ends.
+func (d *desk) run(ctx context.Context) {
+	defer close(d.done)
+	settle := time.NewTicker(settleEvery)
+	defer settle.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-d.asks:
+			d.handle(time.Now(), m)
+		case now := <-settle.C:
+			d.settle(now)
+		}
+	}
+}
+
+func (d *desk) handle(now time.Time, m any) {
+	switch m := m.(type) {
+	case placeMessage:
+		m.reply <- d.decide(now, m)
+	case arrivedMessage:
+		d.budget.Request(now, m.service)
+		if m.account != "" {
+			d.book.Ask(now, m.account, m.tokens)
+		}
+	case startedMessage:
+		d.board.Started(now, m.server, m.predicted, m.took)
+	case endedMessage:
+		d.end(now, m)
+	case viewMessage:
+		d.setView(now, m.view)
+	case updateMessage:
+		d.update(now, m.update)
+	}
+}
+
+// repeatsSpent is the reason for a refusal when the fleet's budget of repeats is used.
+const repeatsSpent = "budget of repeats spent"
+
+func (d *desk) decide(now time.Time, m placeMessage) placement.Decision {
+	if m.repeat && d.budget.Left(now, m.ask.Service, d.fleetSize()) < 1 {
+		return placement.Refuse{RetryAfter: d.settings.Policy.LeastRetryAfter, Reason: repeatsSpent}
+	}
+	m.ask.OverShare = m.ask.Account != "" && d.book.Over(m.ask.Account)
+	decision := d.board.Place(now, m.ask)
+	assign, ok := decision.(placement.Assign)
+	if !ok {
+		return decision
+	}
+	if m.repeat {
+		d.budget.Take(now, m.ask.Service, d.fleetSize())
+	} else if m.ask.Account != "" {
+		d.book.Admit(now, m.ask.Account, m.tokens)
+	}
+	d.board.Sent(now, assign.Load, true)
+	d.running[assign.Server.ID]++
+	d.publish(now)
+	if assign.Load.Work > 0 {
+		d.peers.Tell(peer.Load{Server: hash(assign.Server.ID), Work: assign.Load.Work, Parts: assign.Load.Parts})
+	}
+	return decision
+}
+
+func (d *desk) end(now time.Time, m endedMessage) {
+	d.board.Ended(now, m.server, true, m.end)
+	d.running[m.server]--
+	if d.running[m.server] <= 0 {
+		delete(d.running, m.server)
+	}
+	d.publish(now)
+}
+
+// publish makes the state that the next beacon tells.
+func (d *desk) publish(now time.Time) {
+	old := d.telling.Load()
+	s := &peer.State{Running: make(map[uint64]int, len(d.running)), Demands: old.Demands, StoreRevision: d.view.Revision}
+	for id, n := range d.running {
+		s.Running[hash(id)] = n
+	}
+	if d.view.Configuration != nil {
+		s.ConfigurationVersion = d.view.Configuration.Version
+	}
+	d.telling.Store(s)
+}
+
+func (d *desk) setView(now time.Time, v *View) {
+	d.view = v
+	d.board.SetServers(now, v.Servers, func(service string) *catalog.Engine {
+		if v.Configuration == nil {
+			return nil
+		}
+		s, ok := v.Configuration.Service(service)
+		if !ok {
+			return nil
+		}
+		return s.Engine
+	})
+	clear(d.ids)
+	for _, s := range v.Servers {
+		d.ids[hash(s.ID)] = s.ID
+	}
+	d.publish(now)
+}
+
+// update takes over the news of another gateway.
+func (d *desk) update(now time.Time, u peer.Update) {
+	if !u.Alive {
+		if _, known := d.gateways[u.From]; known {
+			d.log.Info().Str("event", "peer.lost").Str("peer", u.From).Int("gateways", len(d.gateways)).Msg("silent or leaving")
+		}
+		delete(d.gateways, u.From)
+		d.book.SetOthers(u.From, nil)
+		d.sumOthers()
+		return
+	}
+	if _, known := d.gateways[u.From]; !known {
+		d.log.Info().Str("event", "peer.regained").Str("peer", u.From).Int("gateways", len(d.gateways)+2).Msg("heard")
+	}
+	d.gateways[u.From] = u.Running
+	for _, l := range u.Loads {
+		d.board.Sent(now, placement.Load{Server: d.ids[l.Server], Work: l.Work, Parts: l.Parts}, false)
+	}
+	if u.DemandsTold {
+		list := make([]share.Demand, len(u.Demands))
+		for i, p := range u.Demands {
+			list[i] = share.Demand{Account: p.Account, Asked: float64(p.Asked), Admitted: float64(p.Admitted)}
+		}
+		d.book.SetOthers(u.From, list)
+	}
+	d.sumOthers()
+}
+
+// sumOthers tells the board what the other gateways have at each server.
+func (d *desk) sumOthers() {
+	for h, id := range d.ids {
+		sum := 0
+		for _, running := range d.gateways {
+			sum += running[h]
+		}
+		d.board.SetOthers(id, sum)
+	}
+}
+
+func (d *desk) settle(now time.Time) {
+	rate := 0.0
+	if d.view.Configuration != nil {
+		rate = d.view.Configuration.Limits.TokensPerSecond
+	}
+	d.book.Settle(now, rate)
+	d.board.Forget(now)
+	own := d.book.Own(now)
+	list := make([]*peerpb.Demand, 0, min(len(own), mostDemands))
+	for _, o := range own[:min(len(own), mostDemands)] {
+		list = append(list, &peerpb.Demand{Account: o.Account, Asked: uint32(o.Asked), Admitted: uint32(o.Admitted)})
+	}
+	s := *d.telling.Load()
+	s.Demands = list
+	s.StoreRevision = d.view.Revision
+	d.telling.Store(&s)
+}
+
+// fleetSize is the number of gateways that are known to live, this one included.
+func (d *desk) fleetSize() int { return len(d.gateways) + 1 }
+
+// hash names an ID in few bytes.
+func hash(id string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(id))
+	return h.Sum64()
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,130 @@
+// Package gateway is the process on entry hosts that takes callers' requests and
+// carries them to backend servers directly. Every gateway decides for itself; they
+// tell each other what they send (package peer), so that each sees nearly the whole
+// load. Nothing is kept on the host: configuration and servers come from a [Source],
+// and from other gateways when the source is out of reach.
+//
+// # Usage
+//
+//	g, err := gateway.New(gateway.Options{Front: l, Source: source, Codec: codec, …})
+//	err = g.Run(ctx) // until ctx ends and the requests in flight are answered
+//
+// A request goes through these steps, each in a file of its own: ingress.go reads and
+// checks it, call.go brings it to a server and decides what to do when that fails,
+// relay.go passes the answer on, desk.go owns the decisions of package placement,
+// view.go follows the source, handover.go asks other gateways, stop.go ends it all.
+package gateway
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"opalbridge.dev/duty"
+	"opalbridge.dev/gateway/peer"
+	"opalbridge.dev/gateway/protocol"
+	"opalbridge.dev/gateway/upstream"
+)
+
+// Options set up a Gateway.
+type Options struct {
+	Front     net.Listener // callers
+	Ready     net.Listener // the balancer's questions
+	ReadyPath string
+	Peers     net.Listener // views for other gateways, on the address of Peer
+	Peer      peer.Options // State and Failed are set by New
+	Source    Source
+	Codec     protocol.Codec
+	Desk      DeskSettings
+	StopGrace time.Duration // a planned stop ends after this time at the latest
+	Log       zerolog.Logger
+	Metrics   Metrics
+}
+
+// Metrics hears how requests end. Its methods must not block.
+type Metrics interface {
+	// Ended tells of a request's end: its route's kind, outcome and times.
+	Ended(o Outcome)
+}
+
+// Outcome is how a request ended.
+type Outcome struct {
+	Service  string
+	Account  string
+	Kind     string // "stream", "repeatable", "one-shot"
+	Result   string // "served", "late", "refused", "failed", "left", "cut", "denied"
+	First    time.Duration
+	Whole    time.Duration
+	Attempts int
+}
+
+// Gateway is one gateway of a fleet.
+type Gateway struct {
+	options  Options
+	log      zerolog.Logger
+	view     atomic.Pointer[View]
+	desk     *desk
+	pool     *upstream.Pool
+	peers    *peer.Node
+	follower *follower
+	stopping atomic.Bool
+	active   atomic.Int64 // requests being served
+}
+
+// New returns a gateway that does not run yet.
+func New(o Options) (*Gateway, error) {
+	g := &Gateway{options: o, log: o.Log, pool: upstream.NewPool(o.Codec)}
+	g.view.Store(&View{})
+	g.desk = newDesk(o.Log, o.Desk, time.Now())
+	o.Peer.State = func() peer.State { return *g.desk.telling.Load() }
+	o.Peer.Failed = func(err error) { g.log.Debug().Str("event", "peer.datagram").Err(err).Msg("passed over") }
+	peers, err := peer.Listen(o.Peer)
+	if err != nil {
+		return nil, err
+	}
+	g.peers, g.desk.peers = peers, peers
+	g.follower = newFollower(g)
+	return g, nil
+}
+
+// Run serves until ctx ends, then stops in the order of stop.go.
+func (g *Gateway) Run(ctx context.Context) error {
+	duties, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	group := duty.NewGroup()
+	group.Go(duties, "peers", g.peers.Run)
+	group.Go(duties, "desk", g.desk.run)
+	group.Go(duties, "follower", g.follower.run)
+	group.Go(duties, "news", g.hear)
+	group.Go(duties, "idle", g.closeIdle)
+	g.log.Info().Str("event", "start").Str("front", g.options.Front.Addr().String()).Msg("gateway")
+	err := g.serve(ctx, duties)
+	cancel()
+	group.Collect(duties)
+	g.log.Info().Str("event", "stopped").Msg("gateway")
+	return err
+}
+
+// Idle connections to servers are looked through this often.
+const idleEvery = time.Second
+
+// closeIdle closes connections to servers that are old or whose server has gone.
+func (g *Gateway) closeIdle(ctx context.Context) {
+	tick := time.NewTicker(idleEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		servers := map[string]bool{}
+		for _, s := range g.view.Load().Servers {
+			servers[s.ID] = true
+		}
+		g.pool.Retain(servers)
+	}
+}
--- /dev/null
+++ b/gateway/peer/peer.go
@@ -0,0 +1,425 @@
+// Package peer lets the gateways of a fleet know each other: who is alive, what each
+// has sent to the backend servers, what it was asked by accounts, and how new its
+// configuration is. They tell it in small datagrams. There is no leader, nothing is
+// agreed, and any number of gateways may go.
+//
+// # Usage
+//
+//	n, err := peer.Listen(peer.Options{Address: "10.1.0.33:7400", Seeds: seeds, State: state})
+//	go n.Run(ctx)
+//	n.Tell(load)           // a request was sent
+//	for u := range n.Updates() { … }
+//
+// A gateway finds the others by its seeds and by the addresses that they pass on. All
+// use one port, so an IP address names a gateway.
+package peer
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"opalbridge.dev/gateway/peer/peerpb"
+)
+
+// Times and sizes.
+const (
+	// Loads are told this soon after the first one. Two gateways that do not know of
+	// each other's loads choose the same server; in 20 ms a server reads 1,000 tokens.
+	loadDelay = 20 * time.Millisecond
+	// A beacon goes out at least this often; it carries gauges and demands.
+	heartbeat = 250 * time.Millisecond
+	// Addresses are passed on, and silent gateways tried, once in so many heartbeats.
+	rareEvery = 4
+	// A gateway that was not heard for this long counts as gone: four heartbeats.
+	aliveFor = time.Second
+	// An address that was silent for this long is forgotten, unless it is a seed.
+	forgetAfter = 30 * time.Second
+	// A load is told in so many beacons, in case some are lost.
+	repeatLoads = 3
+	// Loads in one beacon at most; with more, the oldest are left out.
+	mostLoads = 64
+	// Addresses in one beacon at most.
+	mostAddresses = 64
+	// Queues between duties. Loads and updates that find them full are dropped: they
+	// cost accuracy only.
+	queue         = 256
+	longestPacket = 16 << 10
+)
+
+// Load is what a request put on a server.
+type Load struct {
+	Server uint64 // hash of the incarnation's id
+	Work   time.Duration
+	Parts  []uint64
+}
+
+// State is what a gateway tells of itself.
+type State struct {
+	Running              map[uint64]int // own requests by hash of the server's id
+	Demands              []*peerpb.Demand
+	ConfigurationVersion uint64
+	StoreRevision        uint64
+}
+
+// Update is news of another gateway.
+type Update struct {
+	From  string // IP address
+	Alive bool
+	// What follows is set only when Alive.
+	Loads   []Load // not told before
+	Running map[uint64]int
+	// Demands are set only when DemandsTold.
+	Demands              []*peerpb.Demand
+	DemandsTold          bool
+	ConfigurationVersion uint64
+	StoreRevision        uint64
+}
+
+// Options set up a Node.
+type Options struct {
+	Address string   // own IP and port
+	Seeds   []string // IP addresses (a port is ignored) where other gateways may be
+	State   func() State
+	Failed  func(error) // hears of datagrams that could not be sent or read; must not block
+}
+
+// Node is one gateway among its peers.
+type Node struct {
+	options     Options
+	self        netip.Addr
+	port        uint16
+	conn        *net.UDPConn
+	incarnation uint64
+	loads       chan Load
+	packets     chan packet
+	updates     chan Update
+
+	// Owned by Run.
+	peers   map[netip.Addr]*remote
+	pending []numbered // loads that are still being told
+	newest  uint64
+	beats   int
+	leaving bool
+}
+
+// numbered is a load with how often it was told.
+type numbered struct {
+	load *peerpb.Load
+	told int
+}
+
+// remote is what is known of another gateway.
+type remote struct {
+	seed        bool
+	incarnation uint64
+	heard       time.Time // zero: never
+	known       time.Time // since when its address is known
+	newest      uint64    // newest load taken over
+	alive       bool
+}
+
+type packet struct {
+	from   netip.Addr
+	beacon *peerpb.Beacon
+}
+
+// Listen opens the node's socket.
+func Listen(o Options) (*Node, error) {
+	at, err := netip.ParseAddrPort(o.Address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "peer: address %q", o.Address)
+	}
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at))
+	if err != nil {
+		return nil, errors.Wrapf(err, "peer: listen on %s", o.Address)
+	}
+	now := time.Now()
+	n := &Node{
+		options: o, self: at.Addr(), port: at.Port(), conn: conn,
+		incarnation: uint64(now.UnixNano()),
+		loads:       make(chan Load, queue), packets: make(chan packet, queue), updates: make(chan Update, queue),
+		peers: map[netip.Addr]*remote{},
+	}
+	for _, s := range o.Seeds {
+		a, err := seedAddr(s)
+		if err != nil {
+			conn.Close()
+			return nil, errors.Wrapf(err, "peer: seed %q", s)
+		}
+		if a != n.self {
+			n.peers[a] = &remote{seed: true, known: now}
+		}
+	}
+	return n, nil
+}
+
+func seedAddr(s string) (netip.Addr, error) {
+	if at, err := netip.ParseAddrPort(s); err == nil {
+		return at.Addr(), nil
+	}
+	return netip.ParseAddr(s)
+}
+
+// Tell passes a load on to the others soon; it never blocks.
+func (n *Node) Tell(l Load) {
+	select {
+	case n.loads <- l:
+	default: // accuracy only
+	}
+}
+
+// Updates returns the channel on which news of other gateways arrive. It is closed
+// when Run has ended.
+func (n *Node) Updates() <-chan Update { return n.updates }
+
+// Run tells and hears until ctx ends, then says that the node leaves.
+func (n *Node) Run(ctx context.Context) {
+	defer close(n.updates)
+	received := make(chan struct{})
+	go n.receive(received)
+	n.exchange(ctx)
+	n.conn.Close()
+	<-received
+}
+
+// receive reads datagrams until the socket is closed.
+func (n *Node) receive(ended chan<- struct{}) {
+	defer close(ended)
+	buffer := make([]byte, longestPacket)
+	for {
+		size, from, err := n.conn.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			n.options.Failed(errors.Wrap(err, "peer: receive"))
+			time.Sleep(loadDelay) // an error that lasts must not spin
+			continue
+		}
+		b := &peerpb.Beacon{}
+		if err := proto.Unmarshal(buffer[:size], b); err != nil {
+			n.options.Failed(errors.Wrapf(err, "peer: datagram from %s", from))
+			continue
+		}
+		select {
+		case n.packets <- packet{from: from.Addr().Unmap(), beacon: b}:
+		default: // accuracy only
+		}
+	}
+}
+
+// exchange owns the peers: it sends beacons and takes over those that arrive.
+func (n *Node) exchange(ctx context.Context) {
+	beat := time.NewTicker(heartbeat)
+	defer beat.Stop()
+	soon := time.NewTimer(time.Hour)
+	defer soon.Stop()
+	waiting := false
+	n.send(time.Now(), true)
+	for {
+		select {
+		case <-ctx.Done():
+			n.leaving = true
+			n.send(time.Now(), true)
+			return
+		case l := <-n.loads:
+			n.add(l)
+			if !waiting {
+				soon.Reset(loadDelay)
+				waiting = true
+			}
+		case <-soon.C:
+			waiting = false
+			n.send(time.Now(), false)
+		case <-beat.C:
+			n.beat(time.Now())
+		case p := <-n.packets:
+			n.take(time.Now(), p)
+		}
+	}
+}
+
+func (n *Node) add(l Load) {
+	n.newest++
+	load := &peerpb.Load{Server: l.Server, WorkUs: uint32(min(l.Work.Microseconds(), int64(^uint32(0)))), Parts: l.Parts}
+	n.pending = append(n.pending, numbered{load: load})
+	if len(n.pending) > mostLoads {
+		n.pending = slices.Delete(n.pending, 0, len(n.pending)-mostLoads)
+	}
+}
+
+// beat sends a whole beacon and gives up peers that were silent too long.
+func (n *Node) beat(now time.Time) {
+	n.send(now, true)
+	for a, r := range n.peers {
+		if r.alive && now.Sub(r.heard) > aliveFor {
+			r.alive = false
+			n.update(Update{From: a.String()})
+		}
+		if !r.seed && now.Sub(latest(r.heard, r.known)) > forgetAfter {
+			delete(n.peers, a)
+		}
+	}
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// send tells the loads that are pending; a whole beacon carries demands as well, and
+// now and then goes to silent peers too and names the live ones.
+func (n *Node) send(now time.Time, whole bool) {
+	rare := whole && n.beats%rareEvery == 0
+	if whole {
+		n.beats++
+	}
+	packed, err := proto.Marshal(n.beacon(whole, rare))
+	if err != nil {
+		panic(errors.NewAssertionErrorWithWrappedErrf(err, "peer: encode beacon"))
+	}
+	for a, r := range n.peers {
+		if !r.alive && !rare {
+			continue
+		}
+		// A peer that is gone makes a send fail now and then; its silence tells enough.
+		_, _ = n.conn.WriteToUDPAddrPort(packed, netip.AddrPortFrom(a, n.port))
+	}
+}
+
+func (n *Node) beacon(whole, rare bool) *peerpb.Beacon {
+	s := n.options.State()
+	b := &peerpb.Beacon{
+		Incarnation: n.incarnation, NewestLoad: n.newest,
+		ConfigurationVersion: s.ConfigurationVersion, StoreRevision: s.StoreRevision, Leaving: n.leaving,
+	}
+	kept := n.pending[:0]
+	for _, l := range n.pending {
+		b.Loads = append(b.Loads, l.load)
+		l.told++
+		if l.told < repeatLoads {
+			kept = append(kept, l)
+		}
+	}
+	n.pending = kept
+	for server, requests := range s.Running {
+		b.Running = append(b.Running, &peerpb.Running{Server: server, Requests: uint32(requests)})
+	}
+	if whole {
+		b.Demands, b.DemandsTold = s.Demands, true
+	}
+	if rare {
+		b.Peers = n.live()
+	}
+	return b
+}
+
+func (n *Node) live() []uint32 {
+	var list []uint32
+	for a, r := range n.peers {
+		if r.alive && len(list) < mostAddresses {
+			list = append(list, pack(a))
+		}
+	}
+	return list
+}
+
+func pack(a netip.Addr) uint32 {
+	b := a.As4()
+	return uint32(b[0])<<24 | uint32(b[1])<<16 | uint32(b[2])<<8 | uint32(b[3])
+}
+
+func unpack(v uint32) netip.Addr {
+	return netip.AddrFrom4([4]byte{byte(v >> 24), byte(v >> 16), byte(v >> 8), byte(v)})
+}
+
+// take takes over a beacon.
+func (n *Node) take(now time.Time, p packet) {
+	if p.from == n.self {
+		return
+	}
+	r := n.meet(now, p.from)
+	b := p.beacon
+	if b.Incarnation < r.incarnation {
+		return // a late datagram of a process that has ended
+	}
+	first := b.Incarnation > r.incarnation
+	r.incarnation, r.heard = b.Incarnation, now
+	if b.Leaving {
+		if r.alive {
+			r.alive = false
+			n.update(Update{From: p.from.String()})
+		}
+		return
+	}
+	if first || !r.alive {
+		n.answer(p.from)
+	}
+	r.alive = true
+	for _, v := range b.Peers {
+		if a := unpack(v); a != n.self {
+			n.meet(now, a)
+		}
+	}
+	u := Update{
+		From: p.from.String(), Alive: true, Loads: r.news(b, first), Running: map[uint64]int{},
+		Demands: b.Demands, DemandsTold: b.DemandsTold,
+		ConfigurationVersion: b.ConfigurationVersion, StoreRevision: b.StoreRevision,
+	}
+	for _, g := range b.Running {
+		u.Running[g.Server] = int(g.Requests)
+	}
+	n.update(u)
+}
+
+// meet returns the peer at an address, which may be new.
+func (n *Node) meet(now time.Time, a netip.Addr) *remote {
+	r := n.peers[a]
+	if r == nil {
+		r = &remote{known: now}
+		n.peers[a] = r
+	}
+	return r
+}
+
+// answer lets a peer that was not alive here know of this node at once.
+func (n *Node) answer(to netip.Addr) {
+	packed, err := proto.Marshal(n.beacon(true, true))
+	if err != nil {
+		panic(errors.NewAssertionErrorWithWrappedErrf(err, "peer: encode beacon"))
+	}
+	_, _ = n.conn.WriteToUDPAddrPort(packed, netip.AddrPortFrom(to, n.port))
+}
+
+// news returns the loads of a beacon that were not taken over yet.
+func (r *remote) news(b *peerpb.Beacon, first bool) []Load {
+	oldest := b.NewestLoad - uint64(len(b.Loads)) // number before the first one here
+	if first {
+		r.newest = oldest
+	}
+	skip := 0
+	if r.newest > oldest {
+		skip = int(min(r.newest-oldest, uint64(len(b.Loads))))
+	}
+	r.newest = max(r.newest, b.NewestLoad)
+	var list []Load
+	for _, l := range b.Loads[skip:] {
+		list = append(list, Load{Server: l.Server, Work: time.Duration(l.WorkUs) * time.Microsecond, Parts: l.Parts})
+	}
+	return list
+}
+
+func (n *Node) update(u Update) {
+	select {
+	case n.updates <- u:
+	default: // the next beacon brings gauges and versions again; loads cost accuracy only
+	}
+}
--- /dev/null
+++ b/gateway/placement/placement.go
@@ -0,0 +1,340 @@
+// Package placement decides which backend server serves a request, or that none can
+// serve it in time. It keeps a small model of each server: how much prompt it has
+// still to read, what runs there, which parts of prompts it holds in its cache, and
+// how often it failed lately.
+//
+// # Usage
+//
+//	b := placement.NewBoard(placement.DefaultPolicy())
+//	b.SetServers(now, servers)
+//	switch d := b.Place(now, ask).(type) {
+//	case placement.Assign: // send it to d.Server, then b.Sent(now, d.Load)
+//	case placement.Refuse: // tell the caller to come back after d.RetryAfter
+//	case placement.None:   // no server of the service is known
+//	}
+//
+// What other gateways send is told by [Board.Sent] too, so that all see the same
+// load a few milliseconds apart. A wrong model costs time, never a promise.
+//
+// The package takes no lock, does no input or output and reads no clock: every call
+// says what time it is. A Board belongs to one goroutine.
+package placement
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"opalbridge.dev/gateway/catalog"
+)
+
+// Part is a piece of a prompt that requests may share, named by a hash of its ID.
+type Part struct {
+	Hash   uint64
+	Tokens int
+}
+
+// Ask describes a request to place.
+type Ask struct {
+	Service   string
+	Account   string
+	Parts     []Part        // of the prompt, in order; the last one is the caller's own
+	Prompt    int           // tokens of the whole prompt
+	Output    int           // tokens the answer is expected to have
+	Objective time.Duration // what is left of the time in which the first event is in time; 0: none
+	Remaining time.Duration // what is left of the time in which an answer is of use at all
+	Again     bool          // the caller has asked before and was refused
+	OverShare bool          // the account asks for more than its share of the fleet
+	Exclude   []string      // servers that have been tried
+	Hall      string        // of the gateway
+}
+
+// Decision is what [Board.Place] decides.
+type Decision interface{ decision() }
+
+// Assign gives the request to a server.
+type Assign struct {
+	Server    catalog.Server
+	Load      Load
+	Predicted time.Duration // until the first event
+}
+
+// Refuse means that no server can serve the request in time.
+type Refuse struct {
+	RetryAfter time.Duration
+	Predicted  time.Duration // until the first event, at the best server
+	Reason     string
+}
+
+// None means that no server of the service takes work.
+type None struct{}
+
+func (Assign) decision() {}
+func (Refuse) decision() {}
+func (None) decision()   {}
+
+// Load is what a request puts on a server.
+type Load struct {
+	Server string        // incarnation
+	Work   time.Duration // to read the part of the prompt that is not cached there
+	Parts  []uint64      // parts of the prompt, in order
+}
+
+// Board is the model of all servers.
+type Board struct {
+	policy   Policy
+	servers  map[string]*server
+	services map[string][]*server // sorted by ID
+}
+
+// NewBoard returns a board without servers.
+func NewBoard(p Policy) *Board {
+	return &Board{policy: p, servers: map[string]*server{}, services: map[string][]*server{}}
+}
+
+// server is the model of one server.
+type server struct {
+	catalog.Server
+	engine    *catalog.Engine
+	busyUntil time.Time            // when it will have read all prompts sent to it
+	parts     map[uint64]time.Time // last use of cached parts
+	running   int                  // requests of this gateway, from sending to the end
+	others    int                  // requests of the other gateways
+	failures  float64              // weight of recent failures, which fades
+	successes float64              // weight of recent successes, which fades
+	faded     time.Time
+	resting   time.Time // no work before then: it can't be reached
+	rest      time.Duration
+}
+
+// SetServers replaces the servers that exist; engines tells a service's engine, nil
+// for a plain one. What is known of servers that stay is kept.
+func (b *Board) SetServers(now time.Time, list []catalog.Server, engine func(service string) *catalog.Engine) {
+	kept := map[string]*server{}
+	b.services = map[string][]*server{}
+	for _, s := range list {
+		m := b.servers[s.ID]
+		if m == nil {
+			m = &server{parts: map[uint64]time.Time{}, busyUntil: now, faded: now}
+		}
+		m.Server, m.engine = s, engine(s.Service)
+		kept[s.ID] = m
+		b.services[s.Service] = append(b.services[s.Service], m)
+	}
+	b.servers = kept
+	for _, group := range b.services {
+		slices.SortFunc(group, func(a, c *server) int { return cmp.Compare(a.ID, c.ID) })
+	}
+}
+
+// Place decides where a request goes. It changes nothing; tell [Board.Sent] when the
+// request goes out.
+func (b *Board) Place(now time.Time, a *Ask) Decision {
+	open := b.open(now, a)
+	if len(open) == 0 {
+		return None{}
+	}
+	if open[0].engine == nil {
+		return b.placePlain(now, a, open)
+	}
+	return b.placeEngine(now, a, open)
+}
+
+// open returns the servers of the service that take work; those that rest are left
+// out unless all do.
+func (b *Board) open(now time.Time, a *Ask) []*server {
+	var awake, resting []*server
+	for _, s := range b.services[a.Service] {
+		if s.Leaving || slices.Contains(a.Exclude, s.ID) {
+			continue
+		}
+		if now.Before(s.resting) {
+			resting = append(resting, s)
+			continue
+		}
+		awake = append(awake, s)
+	}
+	if len(awake) > 0 {
+		return awake
+	}
+	return resting
+}
+
+// placePlain takes the server with the most room, the own hall first.
+func (b *Board) placePlain(now time.Time, a *Ask, open []*server) Decision {
+	cost := func(s *server) float64 {
+		c := float64(s.running+s.others) / float64(max(s.Capacity, 1))
+		c += b.policy.PlainFailureCost * s.failureRate(now)
+		if s.Hall != a.Hall {
+			c += b.policy.OtherHallCost
+		}
+		return c
+	}
+	best := slices.MinFunc(open, func(x, y *server) int { return cmp.Compare(cost(x), cost(y)) })
+	return Assign{Server: best.Server, Load: Load{Server: best.ID}}
+}
+
+// option is a server with what it would cost to send the request there.
+type option struct {
+	server    *server
+	work      time.Duration
+	predicted time.Duration
+	cost      time.Duration
+}
+
+func (b *Board) placeEngine(now time.Time, a *Ask, open []*server) Decision {
+	best := b.best(now, a, open)
+	if reason := b.late(a, best); reason != "" {
+		wait := best.predicted - b.limit(a)
+		return Refuse{RetryAfter: b.comeBack(a, wait), Predicted: best.predicted, Reason: reason}
+	}
+	load := Load{Server: best.server.ID, Work: best.work, Parts: hashes(a.Parts)}
+	return Assign{Server: best.server.Server, Load: load, Predicted: best.predicted}
+}
+
+// best returns the cheapest of the servers that may serve the request.
+func (b *Board) best(now time.Time, a *Ask, open []*server) option {
+	options := make([]option, 0, len(open))
+	for _, s := range b.homes(now, a, open) {
+		options = append(options, b.option(now, a, s))
+	}
+	return slices.MinFunc(options, func(x, y option) int { return cmp.Compare(x.cost, y.cost) })
+}
+
+func (b *Board) option(now time.Time, a *Ask, s *server) option {
+	cached, shared := s.cached(now, a, b.policy.CacheLife)
+	work := b.policy.reading(a.Prompt-cached, a.Prompt)
+	waiting := max(s.busyUntil.Sub(now), 0)
+	o := option{server: s, work: work, predicted: waiting + work + b.policy.FirstStep}
+	// Reading a shared part once more delays whoever comes after as well.
+	copied := b.policy.reading(shared, shared)
+	o.cost = o.predicted + time.Duration(b.policy.CopyCost*float64(copied))
+	o.cost += time.Duration(s.failureRate(now) * float64(b.policy.FailureCost))
+	if over := s.running + s.others - s.engine.Slots + b.policy.SpareSlots; over > 0 {
+		o.cost += time.Duration(over) * b.policy.SlotCost
+		o.predicted += time.Duration(over) * b.policy.SlotCost
+	}
+	if s.Hall != a.Hall {
+		o.cost += b.policy.OtherHallDelay
+	}
+	return o
+}
+
+// homes returns the servers that may read the request's shared part: the first few
+// in an order that every gateway finds alike and that hardly changes when servers
+// come and go. A part that is small may go anywhere.
+func (b *Board) homes(now time.Time, a *Ask, open []*server) []*server {
+	key, tokens := sharedPart(a)
+	if tokens < b.policy.FreeTokens || len(open) <= b.policy.Homes {
+		return open
+	}
+	ranked := slices.Clone(open)
+	slices.SortFunc(ranked, func(x, y *server) int { return cmp.Compare(rank(key, y.ID), rank(key, x.ID)) })
+	return ranked[:b.policy.Homes]
+}
+
+// late tells why a request should not be sent to its best server; "" when it should.
+func (b *Board) late(a *Ask, best option) string {
+	if a.Objective <= 0 {
+		return ""
+	}
+	limit := b.limit(a)
+	waiting := best.predicted - best.work - b.policy.FirstStep
+	switch {
+	case a.OverShare && waiting > b.policy.IdleWait:
+		return "account over its share"
+	case best.predicted <= limit:
+		return ""
+	case best.work+b.policy.FirstStep > limit && waiting < b.policy.LongWait:
+		return "" // too long to be in time anywhere; it is served while the wait is short
+	case a.Again && best.predicted <= b.policy.AgainFactor*a.Objective:
+		return ""
+	}
+	return "no server in time"
+}
+
+// limit is the longest predicted time to the first event at which a request is sent.
+func (b *Board) limit(a *Ask) time.Duration {
+	return time.Duration(b.policy.LimitShare * float64(a.Objective))
+}
+
+// comeBack returns when a caller should ask again. Callers wait up to a third of the
+// time they have left.
+func (b *Board) comeBack(a *Ask, wait time.Duration) time.Duration {
+	after := max(wait, b.policy.LeastRetryAfter)
+	if a.Remaining > 0 {
+		after = min(after, a.Remaining/4)
+	}
+	return max(after, 10*time.Millisecond)
+}
+
+// cached returns how many tokens of the prompt the server holds, and how many tokens
+// of shared parts it would have to read.
+func (s *server) cached(now time.Time, a *Ask, life time.Duration) (held, missing int) {
+	broken := false
+	for i, p := range a.Parts {
+		used, known := s.parts[p.Hash]
+		if !broken && known && now.Sub(used) < life {
+			held += p.Tokens
+			continue
+		}
+		broken = true // a part counts only if all before it are held
+		if i < len(a.Parts)-1 {
+			missing += p.Tokens
+		}
+	}
+	return min(held, a.Prompt), missing
+}
+
+// sharedPart returns the last part that other requests may have too, with the tokens
+// of the whole shared beginning.
+func sharedPart(a *Ask) (hash uint64, tokens int) {
+	if len(a.Parts) < 2 {
+		return 0, 0
+	}
+	for _, p := range a.Parts[:len(a.Parts)-1] {
+		hash = p.Hash
+		tokens += p.Tokens
+	}
+	return hash, tokens
+}
+
+func hashes(parts []Part) []uint64 {
+	list := make([]uint64, len(parts))
+	for i, p := range parts {
+		list[i] = p.Hash
+	}
+	return list
+}
+
+// rank orders servers for a part (rendezvous hashing).
+func rank(key uint64, server string) uint64 {
+	h := key ^ 0x9e3779b97f4a7c15
+	for i := range len(server) {
+		h = (h ^ uint64(server[i])) * 0x100000001b3
+	}
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	return h
+}
+
+// fade lets what was seen of failures lose weight.
+func (s *server) fade(now time.Time) {
+	age := now.Sub(s.faded)
+	if age <= 0 {
+		return
+	}
+	keep := math.Exp2(-float64(age) / float64(failureHalfLife))
+	s.failures *= keep
+	s.successes *= keep
+	s.faded = now
+}
+
+// failureRate returns the share of recent requests that failed; a server of which
+// little is known counts as sound.
+func (s *server) failureRate(now time.Time) float64 {
+	s.fade(now)
+	return s.failures / (s.failures + s.successes + failurePrior)
+}
--- /dev/null
+++ b/gateway/placement/policy.go
@@ -0,0 +1,73 @@
+package placement
+
+import "time"
+
+// Policy holds the weights and limits of placement. Figures without a source were
+// chosen by trials over several seeds of both deployments (docs/SCORES.md).
+type Policy struct {
+	TokensPerMS     float64       // prompt tokens a server reads in a millisecond, decoding beside it
+	PairsPerMS      float64       // pairs of tokens that attention handles in a millisecond
+	FirstStep       time.Duration // from the end of reading to the first event
+	CacheLife       time.Duration // a part that was not used for this long counts as gone
+	CopyCost        float64       // weight of reading a shared part once more, in times of the reading
+	FreeTokens      int           // requests with a shorter shared beginning may go to any server
+	Homes           int           // servers that may read a shared part
+	LimitShare      float64       // share of the objective that a prediction may fill
+	AgainFactor     time.Duration // a caller that was refused before is served up to so many times its objective
+	IdleWait        time.Duration // an account over its share is served while the wait is shorter
+	LongWait        time.Duration // prompts too long to be in time are served while the wait is shorter
+	LeastRetryAfter time.Duration // shortest time a refused caller is told to wait
+	SpareSlots      int           // a server within so many slots of its batch counts as full
+	SlotCost        time.Duration // delay expected for each request beyond that
+	FailureCost     time.Duration // cost of a server that fails every request
+	OtherHallDelay  time.Duration // cost of an answer that crosses between halls
+
+	PlainFailureCost float64 // cost of a plain server that fails every request, in full loads
+	OtherHallCost    float64 // cost of another hall's plain server, in full loads
+}
+
+// DefaultPolicy returns the policy in use.
+func DefaultPolicy() Policy {
+	return Policy{
+		TokensPerMS:     45,
+		PairsPerMS:      3.0e6,
+		FirstStep:       50 * time.Millisecond,
+		CacheLife:       12 * time.Second,
+		CopyCost:        1,
+		FreeTokens:      1024,
+		Homes:           2,
+		LimitShare:      0.85,
+		AgainFactor:     2,
+		IdleWait:        100 * time.Millisecond,
+		LongWait:        300 * time.Millisecond,
+		LeastRetryAfter: 200 * time.Millisecond,
+		SpareSlots:      2,
+		SlotCost:        50 * time.Millisecond,
+		FailureCost:     2 * time.Second,
+		OtherHallDelay:  5 * time.Millisecond,
+
+		PlainFailureCost: 2,
+		OtherHallCost:    0.05,
+	}
+}
+
+// reading returns the time a server takes to read so many tokens at the end of a
+// prompt: a part that grows with them and a part that grows with the pairs they form
+// with all before them.
+func (p Policy) reading(tokens, prompt int) time.Duration {
+	if tokens <= 0 {
+		return 0
+	}
+	n := float64(tokens)
+	pairs := n * (float64(prompt) - n/2)
+	ms := n/p.TokensPerMS + pairs/p.PairsPerMS
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
+// Failures of servers.
+const (
+	failureHalfLife = 3 * time.Second // a server's failures lose half of their weight
+	failurePrior    = 2.0             // successes assumed of every server
+	firstRest       = 500 * time.Millisecond
+	longestRest     = 4 * time.Second
+)
--- /dev/null
+++ b/gateway/share/share.go
@@ -0,0 +1,170 @@
+// Package share tells which client accounts ask for more than their max-min fair
+// share of what the servers make. Every gateway counts what it was asked and what it
+// admitted in a sliding window; the others' counts are added as they arrive.
+//
+// # Usage
+//
+//	b := share.NewBook(4 * time.Second)
+//	b.Ask(now, account, tokens)
+//	if !b.Over(now, account) { b.Admit(now, account, tokens) }
+//	b.SetOthers(node, demands)
+//	b.Settle(now, tokensPerSecond)
+//
+// The package takes no lock, does no input or output and reads no clock. A Book
+// belongs to one goroutine.
+package share
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// buckets divide the window.
+const buckets = 8
+
+// Demand is what an account asked and was admitted in the window, in tokens.
+type Demand struct {
+	Account  string
+	Asked    float64
+	Admitted float64
+}
+
+// Book counts the demands of accounts.
+type Book struct {
+	window  time.Duration
+	own     map[string]*counter
+	others  map[string][]Demand // by gateway
+	totals  map[string]Demand   // over the fleet, as of the last Settle
+	allowed float64             // tokens of an account in a window; 0: no bound is known
+}
+
+// NewBook returns an empty book.
+func NewBook(window time.Duration) *Book {
+	return &Book{window: window, own: map[string]*counter{}, others: map[string][]Demand{}, totals: map[string]Demand{}}
+}
+
+// counter sums over a sliding window.
+type counter struct {
+	bucket   int64 // number of the newest bucket
+	asked    [buckets]float64
+	admitted [buckets]float64
+}
+
+func (c *counter) advance(bucket int64) {
+	for n := c.bucket + 1; n <= bucket && n <= c.bucket+buckets; n++ {
+		c.asked[n%buckets] = 0
+		c.admitted[n%buckets] = 0
+	}
+	c.bucket = max(c.bucket, bucket)
+}
+
+func (b *Book) counter(now time.Time, account string) *counter {
+	c := b.own[account]
+	if c == nil {
+		c = &counter{}
+		b.own[account] = c
+	}
+	c.advance(now.UnixNano() / int64(b.window/buckets))
+	return c
+}
+
+// Ask counts what an account asked of this gateway.
+func (b *Book) Ask(now time.Time, account string, tokens float64) {
+	c := b.counter(now, account)
+	c.asked[c.bucket%buckets] += tokens
+}
+
+// Admit counts what this gateway sent to a server for an account.
+func (b *Book) Admit(now time.Time, account string, tokens float64) {
+	c := b.counter(now, account)
+	c.admitted[c.bucket%buckets] += tokens
+	t := b.totals[account]
+	t.Admitted += tokens
+	b.totals[account] = t
+}
+
+// Own returns this gateway's demands, the largest first.
+func (b *Book) Own(now time.Time) []Demand {
+	var list []Demand
+	for account := range b.own {
+		d := b.demand(now, account)
+		if d.Asked == 0 && d.Admitted == 0 {
+			delete(b.own, account)
+			continue
+		}
+		list = append(list, d)
+	}
+	slices.SortFunc(list, func(x, y Demand) int {
+		return cmp.Or(cmp.Compare(y.Asked, x.Asked), cmp.Compare(x.Account, y.Account))
+	})
+	return list
+}
+
+func (b *Book) demand(now time.Time, account string) Demand {
+	c := b.counter(now, account)
+	d := Demand{Account: account}
+	for i := range buckets {
+		d.Asked += c.asked[i]
+		d.Admitted += c.admitted[i]
+	}
+	return d
+}
+
+// SetOthers replaces the demands of another gateway; none: it has gone.
+func (b *Book) SetOthers(node string, list []Demand) {
+	if len(list) == 0 {
+		delete(b.others, node)
+		return
+	}
+	b.others[node] = list
+}
+
+// Settle computes the share that holds from now on; rate is what the servers make,
+// in tokens a second (0: unknown).
+func (b *Book) Settle(now time.Time, rate float64) {
+	b.totals = map[string]Demand{}
+	add := func(d Demand) {
+		t := b.totals[d.Account]
+		t.Account = d.Account
+		t.Asked += d.Asked
+		t.Admitted += d.Admitted
+		b.totals[d.Account] = t
+	}
+	for _, d := range b.Own(now) {
+		add(d)
+	}
+	for _, list := range b.others {
+		for _, d := range list {
+			add(d)
+		}
+	}
+	asked := make([]float64, 0, len(b.totals))
+	for _, d := range b.totals {
+		asked = append(asked, d.Asked)
+	}
+	b.allowed = Level(asked, rate*b.window.Seconds())
+}
+
+// Over tells whether an account was admitted its share of the window already. An
+// account that asks for no more than its share is never over.
+func (b *Book) Over(account string) bool {
+	return b.allowed > 0 && b.totals[account].Admitted >= b.allowed
+}
+
+// Level returns the max-min fair share: the amount up to which every demand can be
+// met when all together may have capacity. It is 0 when all demands fit, or when the
+// capacity is unknown.
+func Level(demands []float64, capacity float64) float64 {
+	sorted := slices.Clone(demands)
+	slices.Sort(sorted)
+	left := capacity
+	for i, d := range sorted {
+		even := left / float64(len(sorted)-i)
+		if d > even {
+			return max(even, 0)
+		}
+		left -= d
+	}
+	return 0
+}
--- /dev/null
+++ b/gateway/source.go
@@ -0,0 +1,53 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"opalbridge.dev/gateway/catalog"
+)
+
+// ErrHistoryGone is what [Source.Watch] returns when changes after a revision can no
+// longer be told: list again.
+var ErrHistoryGone = errors.New("gateway: history of the store is gone")
+
+// Snapshot is all that the source holds.
+type Snapshot struct {
+	Configuration *catalog.Configuration // nil: none yet
+	Raw           []byte                 // the configuration as it was announced
+	Servers       []catalog.Server
+	Revision      uint64 // changes up to it are included
+}
+
+// Change is one change of what the source holds.
+type Change interface{ change() }
+
+// ConfigurationChanged brings a new configuration.
+type ConfigurationChanged struct {
+	Configuration *catalog.Configuration
+	Raw           []byte
+}
+
+// ServerChanged brings a new or changed server.
+type ServerChanged struct{ Server catalog.Server }
+
+// ServerGone says that a server's entry has gone.
+type ServerGone struct{ ID string }
+
+func (ConfigurationChanged) change() {}
+func (ServerChanged) change()        {}
+func (ServerGone) change()           {}
+
+// Source tells the operators' configuration and the backend servers. It may be slow,
+// away, or answer for some gateways only.
+type Source interface {
+	// List returns all there is.
+	List(ctx context.Context) (Snapshot, error)
+	// Watch waits at most wait for changes after a revision, and returns them with
+	// the revision to go on from.
+	Watch(ctx context.Context, revision uint64, wait time.Duration) ([]Change, uint64, error)
+	// Decode decodes a configuration that another gateway has handed over.
+	Decode(raw []byte) (*catalog.Configuration, error)
+}
--- /dev/null
+++ b/gateway/view.go
@@ -0,0 +1,263 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"opalbridge.dev/gateway/catalog"
+)
+
+// Times of following the source.
+const (
+	// One watch waits this long. A watch that the store has silently forgotten is
+	// noticed after it, which has to be well within the time in which a configuration
+	// is in force and a leaving server gets no more work (two seconds).
+	watchWait = 1500 * time.Millisecond
+	// An answer may come so much later than the wait asked for.
+	watchSlack = 400 * time.Millisecond
+	// A list is given up after this time.
+	listTimeout = time.Second
+	// Tries after a failure are this far apart.
+	sourceRetry = 200 * time.Millisecond
+	// A server whose entry has gone while the store was away is kept for this long
+	// after its return: servers that live write their entry again within about two
+	// seconds (source: the users' second letter).
+	returnGrace = 2500 * time.Millisecond
+)
+
+// View is what a gateway believes of the configuration and the servers. It is not
+// changed once it is published.
+type View struct {
+	Configuration *catalog.Configuration // nil: none is known
+	Raw           []byte                 // the configuration as it was announced
+	Servers       []catalog.Server
+	Revision      uint64    // of the store; complete up to it
+	Confirmed     time.Time // when the source last answered, or a gateway that follows it told it
+}
+
+// follower is the duty that keeps the view.
+type follower struct {
+	gateway *Gateway
+	servers map[string]catalog.Server
+	missing map[string]bool // servers kept for a moment although their entry has gone
+	failed  time.Time       // last failure of the source
+	away    bool
+	handed  chan handover
+}
+
+// handover is a view that another gateway has told.
+type handover struct {
+	from     string
+	snapshot Snapshot
+}
+
+func newFollower(g *Gateway) *follower {
+	return &follower{gateway: g, servers: map[string]catalog.Server{}, missing: map[string]bool{}, handed: make(chan handover, 1)}
+}
+
+// answer is the end of one call to the source.
+type answer struct {
+	listed   bool
+	snapshot Snapshot
+	changes  []Change
+	revision uint64
+	err      error
+}
+
+// run follows the source until ctx ends. Calls run beside it, so that handed-over
+// views and ends of grace are taken up while a call waits.
+func (f *follower) run(ctx context.Context) {
+	answers := make(chan answer, 1)
+	call := func(listed bool) {
+		revision := f.gateway.view.Load().Revision
+		go func() { answers <- f.call(ctx, listed, revision) }()
+	}
+	call(true)
+	sweep := time.NewTicker(sourceRetry)
+	defer sweep.Stop()
+	var next *bool // the call to make at the next sweep; nil: one is under way
+	for {
+		select {
+		case <-ctx.Done():
+			if next == nil {
+				<-answers
+			}
+			return
+		case a := <-answers:
+			list, wait := f.take(time.Now(), a)
+			if wait {
+				next = &list
+				continue
+			}
+			call(list)
+		case h := <-f.handed:
+			f.takeHandover(time.Now(), h)
+		case now := <-sweep.C:
+			f.dropMissing(now)
+			if next != nil {
+				list := *next
+				next = nil
+				call(list)
+			}
+		}
+	}
+}
+
+func (f *follower) call(ctx context.Context, listed bool, revision uint64) answer {
+	if listed {
+		ctx, cancel := context.WithTimeout(ctx, listTimeout)
+		defer cancel()
+		s, err := f.gateway.options.Source.List(ctx)
+		return answer{listed: true, snapshot: s, err: err}
+	}
+	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	defer cancel()
+	changes, now, err := f.gateway.options.Source.Watch(ctx, revision, watchWait)
+	return answer{changes: changes, revision: now, err: err}
+}
+
+// take takes an answer over. It returns whether to list next, and whether to wait
+// before.
+func (f *follower) take(now time.Time, a answer) (list, wait bool) {
+	switch {
+	case errors.Is(a.err, ErrHistoryGone):
+		f.gateway.log.Warn().Str("event", "store.history_gone").Uint64("revision", f.gateway.view.Load().Revision).Msg("list again")
+		return true, false
+	case a.err != nil:
+		f.fail(now, a.err)
+		return a.listed || f.gateway.view.Load().Configuration == nil, true
+	}
+	f.recover(now)
+	if a.listed {
+		f.takeSnapshot(now, a.snapshot)
+		return a.snapshot.Configuration == nil, a.snapshot.Configuration == nil
+	}
+	f.takeChanges(now, a.changes, a.revision)
+	return false, false
+}
+
+func (f *follower) fail(now time.Time, err error) {
+	f.failed = now
+	if !f.away {
+		f.away = true
+		f.gateway.log.Warn().Str("event", "store.lost").Err(err).Uint64("revision", f.gateway.view.Load().Revision).Msg("go on with what is known")
+	}
+}
+
+func (f *follower) recover(now time.Time) {
+	if f.away {
+		f.away = false
+		f.gateway.log.Info().Str("event", "store.regained").Dur("away", now.Sub(f.failed)).Msg("follow the store again")
+	}
+}
+
+// grace tells whether entries that are missing may come back: the store was away a
+// moment ago.
+func (f *follower) grace(now time.Time) bool { return now.Sub(f.failed) < returnGrace }
+
+func (f *follower) takeSnapshot(now time.Time, s Snapshot) {
+	present := map[string]bool{}
+	for _, server := range s.Servers {
+		present[server.ID] = true
+		f.set(server)
+	}
+	for id := range f.servers {
+		if !present[id] {
+			f.remove(now, id)
+		}
+	}
+	f.publish(now, s.Configuration, s.Raw, s.Revision)
+}
+
+func (f *follower) takeChanges(now time.Time, changes []Change, revision uint64) {
+	v := f.gateway.view.Load()
+	configuration, raw := v.Configuration, v.Raw
+	for _, c := range changes {
+		switch c := c.(type) {
+		case ConfigurationChanged:
+			configuration, raw = c.Configuration, c.Raw
+		case ServerChanged:
+			f.set(c.Server)
+		case ServerGone:
+			f.remove(now, c.ID)
+		}
+	}
+	f.publish(now, configuration, raw, revision)
+}
+
+// takeHandover takes over the view of another gateway if it is newer than the own one.
+func (f *follower) takeHandover(now time.Time, h handover) {
+	v := f.gateway.view.Load()
+	if h.snapshot.Revision <= v.Revision {
+		return
+	}
+	f.gateway.log.Info().Str("event", "view.handed_over").Str("peer", h.from).
+		Uint64("revision", h.snapshot.Revision).Uint64("before", v.Revision).Msg("a gateway knows more than the store tells")
+	f.takeSnapshot(now, h.snapshot)
+}
+
+func (f *follower) set(s catalog.Server) {
+	delete(f.missing, s.ID)
+	if old, known := f.servers[s.ID]; !known || old != s {
+		f.gateway.log.Info().Str("event", "server.changed").Str("server", s.ID).Str("service", s.Service).
+			Str("address", s.Address).Str("hall", s.Hall).Bool("leaving", s.Leaving).Bool("new", !known).Msg("server entry")
+	}
+	f.servers[s.ID] = s
+}
+
+func (f *follower) remove(now time.Time, id string) {
+	s, known := f.servers[id]
+	if !known {
+		return
+	}
+	if f.grace(now) && !s.Leaving {
+		if !f.missing[id] {
+			f.missing[id] = true
+			f.gateway.log.Info().Str("event", "server.missing").Str("server", id).Msg("kept for a moment: the store was away")
+		}
+		return
+	}
+	delete(f.servers, id)
+	delete(f.missing, id)
+	f.gateway.log.Info().Str("event", "server.gone").Str("server", id).Msg("no new work")
+}
+
+// dropMissing removes servers whose entry has not come back.
+func (f *follower) dropMissing(now time.Time) {
+	if len(f.missing) == 0 || f.away || f.grace(now) {
+		return
+	}
+	for id := range f.missing {
+		delete(f.missing, id)
+		delete(f.servers, id)
+		f.gateway.log.Info().Str("event", "server.gone").Str("server", id).Msg("entry has not come back")
+	}
+	v := f.gateway.view.Load()
+	f.publish(v.Confirmed, v.Configuration, v.Raw, v.Revision)
+}
+
+// publish makes a new view known. A configuration never steps back.
+func (f *follower) publish(now time.Time, c *catalog.Configuration, raw []byte, revision uint64) {
+	old := f.gateway.view.Load()
+	if old.Configuration != nil && (c == nil || c.Version < old.Configuration.Version) {
+		c, raw = old.Configuration, old.Raw
+	}
+	if c != old.Configuration {
+		f.gateway.log.Info().Str("event", "configuration.in_force").Uint64("version", c.Version).
+			Uint64("revision", revision).Int("routes", len(c.Routes)).Int("accounts", len(c.Accounts)).Msg("apply")
+	}
+	v := &View{Configuration: c, Raw: raw, Revision: max(revision, old.Revision), Confirmed: now}
+	for _, s := range f.servers {
+		v.Servers = append(v.Servers, s)
+	}
+	slices.SortFunc(v.Servers, func(a, b catalog.Server) int { return strings.Compare(a.ID, b.ID) })
+	changed := c != old.Configuration || !slices.Equal(v.Servers, old.Servers)
+	f.gateway.view.Store(v)
+	if changed {
+		f.gateway.desk.viewChanged(v)
+	}
+}
--- a/platform/client.go
+++ b/kv/client.go
@@ -1,4 +1,4 @@
-package platform
+package kv
 
 import (
 	"bytes"
@@ -47,14 +47,14 @@
 	path := "/leases/" + url.PathEscape(name) + "?" + query.Encode()
 	body, _, err := c.call(ctx, http.MethodPost, path, 0, nil)
 	if errors.Is(err, ErrConflict) {
-		return Lease{}, errors.Wrapf(ErrHeld, "platform: acquire %s", name)
+		return Lease{}, errors.Wrapf(ErrHeld, "kv: acquire %s", name)
 	}
 	if err != nil {
 		return Lease{}, err
 	}
 	var l Lease
 	if err := json.Unmarshal(body, &l); err != nil {
-		return Lease{}, errors.Wrapf(err, "platform: acquire %s", name)
+		return Lease{}, errors.Wrapf(err, "kv: acquire %s", name)
 	}
 	return l, nil
 }
@@ -67,7 +67,7 @@
 	}
 	var hosts []Host
 	if err := json.Unmarshal(body, &hosts); err != nil {
-		return nil, errors.Wrap(err, "platform: list hosts")
+		return nil, errors.Wrap(err, "kv: list hosts")
 	}
 	return hosts, nil
 }
@@ -80,7 +80,7 @@
 func (c *Client) call(ctx context.Context, method, path string, version uint64, value []byte) ([]byte, uint64, error) {
 	request, err := http.NewRequestWithContext(ctx, method, c.Base+path, bytes.NewReader(value))
 	if err != nil {
-		return nil, 0, errors.Wrapf(err, "platform: %s %s", method, path)
+		return nil, 0, errors.Wrapf(err, "kv: %s %s", method, path)
 	}
 	// Go's transport would send a request with a replayable body again over a
 	// new connection; a write must go out at most once.
@@ -92,22 +92,22 @@
 	}
 	response, err := client.Do(request)
 	if err != nil {
-		return nil, 0, errors.Wrapf(err, "platform: %s %s", method, path)
+		return nil, 0, errors.Wrapf(err, "kv: %s %s", method, path)
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
 	if err != nil {
-		return nil, 0, errors.Wrapf(err, "platform: %s %s", method, path)
+		return nil, 0, errors.Wrapf(err, "kv: %s %s", method, path)
 	}
 	switch response.StatusCode {
 	case http.StatusOK, http.StatusNotFound:
 		now, _ := strconv.ParseUint(response.Header.Get(VersionHeader), 10, 64)
 		return body, now, nil
 	case http.StatusConflict:
-		return nil, 0, errors.Wrapf(ErrConflict, "platform: %s %s", method, path)
+		return nil, 0, errors.Wrapf(ErrConflict, "kv: %s %s", method, path)
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
-		return nil, 0, errors.Wrapf(ErrUnavailable, "platform: %s %s", method, path)
+		return nil, 0, errors.Wrapf(ErrUnavailable, "kv: %s %s", method, path)
 	default:
-		return nil, 0, errors.Newf("platform: %s %s: status %d", method, path, response.StatusCode)
+		return nil, 0, errors.Newf("kv: %s %s: status %d", method, path, response.StatusCode)
 	}
 }
--- a/platform/platformtest/platformtest.go
+++ b/kv/kvtest/kvtest.go
@@ -1,14 +1,14 @@
-// Package platformtest is a small stand-in for the platform: a key-value service
+// Package kvtest is a small stand-in for the platform: a key-value service
 // with versions, leases and watches, and a list of live hosts that can lag.
 //
 // # Usage
 //
-//	s := &platformtest.Service{}
-//	s.SetFaults(platformtest.Faults{Down: true})
+//	s := &kvtest.Service{}
+//	s.SetFaults(kvtest.Faults{Down: true})
 //	http.Serve(listener, s.Handler())
 //
 // It keeps everything in memory and is for tests and for the dev command only.
-package platformtest
+package kvtest
 
 import (
 	"context"
@@ -22,7 +22,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"opalbridge.dev/platform"
+	"opalbridge.dev/kv"
 )
 
 // WatchTime is how long a watch waits before it returns the unchanged entry.
@@ -41,16 +41,16 @@
 // Service is the stand-in. Its zero value is empty and healthy.
 type Service struct {
 	mutex   sync.Mutex
-	entries map[string]platform.Entry
-	leases  map[string]platform.Lease
-	hosts   []platform.Host
+	entries map[string]kv.Entry
+	leases  map[string]kv.Lease
+	hosts   []kv.Host
 	faults  Faults
 	calls   Calls
 	changed chan struct{}
 }
 
 // ErrLost stands for an answer that did not arrive.
-var ErrLost = errors.New("platformtest: answer lost")
+var ErrLost = errors.New("kvtest: answer lost")
 
 // SetFaults replaces the faults.
 func (s *Service) SetFaults(f Faults) {
@@ -67,10 +67,10 @@
 }
 
 // SetHost adds or replaces a host of the live list.
-func (s *Service) SetHost(h platform.Host) {
+func (s *Service) SetHost(h kv.Host) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.hosts = slices.DeleteFunc(s.hosts, func(o platform.Host) bool { return o.Name == h.Name })
+	s.hosts = slices.DeleteFunc(s.hosts, func(o kv.Host) bool { return o.Name == h.Name })
 	s.hosts = append(s.hosts, h)
 }
 
@@ -78,11 +78,11 @@
 func (s *Service) RemoveHost(name string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.hosts = slices.DeleteFunc(s.hosts, func(o platform.Host) bool { return o.Name == name })
+	s.hosts = slices.DeleteFunc(s.hosts, func(o kv.Host) bool { return o.Name == name })
 }
 
-// Hosts implements platform.Directory.
-func (s *Service) Hosts(ctx context.Context) ([]platform.Host, error) {
+// Hosts implements kv.Directory.
+func (s *Service) Hosts(ctx context.Context) ([]kv.Host, error) {
 	if err := s.enter(ctx, func(c *Calls) { c.Reads++ }); err != nil {
 		return nil, err
 	}
@@ -90,28 +90,28 @@
 	return slices.Clone(s.hosts), nil
 }
 
-// Get implements platform.KV.
-func (s *Service) Get(ctx context.Context, key string) (platform.Entry, error) {
+// Get implements kv.KV.
+func (s *Service) Get(ctx context.Context, key string) (kv.Entry, error) {
 	if err := s.enter(ctx, func(c *Calls) { c.Reads++ }); err != nil {
-		return platform.Entry{}, err
+		return kv.Entry{}, err
 	}
 	defer s.mutex.Unlock()
 	return s.entries[key], nil
 }
 
-// CompareAndSwap implements platform.KV.
+// CompareAndSwap implements kv.KV.
 func (s *Service) CompareAndSwap(ctx context.Context, key string, version uint64, value []byte) (uint64, error) {
 	if err := s.enter(ctx, func(c *Calls) { c.Writes++ }); err != nil {
 		return 0, err
 	}
 	defer s.mutex.Unlock()
 	if s.entries[key].Version != version {
-		return 0, platform.ErrConflict
+		return 0, kv.ErrConflict
 	}
 	if s.entries == nil {
-		s.entries = map[string]platform.Entry{}
+		s.entries = map[string]kv.Entry{}
 	}
-	s.entries[key] = platform.Entry{Value: slices.Clone(value), Version: version + 1}
+	s.entries[key] = kv.Entry{Value: slices.Clone(value), Version: version + 1}
 	s.wake()
 	if s.faults.LoseWrites > 0 {
 		s.faults.LoseWrites--
@@ -120,10 +120,10 @@
 	return version + 1, nil
 }
 
-// Watch implements platform.KV.
-func (s *Service) Watch(ctx context.Context, key string, version uint64) (platform.Entry, error) {
+// Watch implements kv.KV.
+func (s *Service) Watch(ctx context.Context, key string, version uint64) (kv.Entry, error) {
 	if err := s.enter(ctx, func(c *Calls) { c.Watches++ }); err != nil {
-		return platform.Entry{}, err
+		return kv.Entry{}, err
 	}
 	end := time.NewTimer(WatchTime)
 	defer end.Stop()
@@ -139,29 +139,29 @@
 		case <-end.C:
 			return e, nil
 		case <-ctx.Done():
-			return platform.Entry{}, ctx.Err()
+			return kv.Entry{}, ctx.Err()
 		}
 		s.mutex.Lock()
 	}
 }
 
-// Acquire implements platform.KV.
-func (s *Service) Acquire(ctx context.Context, name, holder string, ttl time.Duration) (platform.Lease, error) {
+// Acquire implements kv.KV.
+func (s *Service) Acquire(ctx context.Context, name, holder string, ttl time.Duration) (kv.Lease, error) {
 	if err := s.enter(ctx, func(c *Calls) { c.Writes++ }); err != nil {
-		return platform.Lease{}, err
+		return kv.Lease{}, err
 	}
 	defer s.mutex.Unlock()
 	now := time.Now()
 	l := s.leases[name]
 	if l.Holder != holder && now.Before(l.Expires) {
-		return platform.Lease{}, platform.ErrHeld
+		return kv.Lease{}, kv.ErrHeld
 	}
 	if l.Holder != holder || !now.Before(l.Expires) {
-		l = platform.Lease{Name: name, Holder: holder, Fence: l.Fence + 1}
+		l = kv.Lease{Name: name, Holder: holder, Fence: l.Fence + 1}
 	}
 	l.Expires = now.Add(ttl)
 	if s.leases == nil {
-		s.leases = map[string]platform.Lease{}
+		s.leases = map[string]kv.Lease{}
 	}
 	s.leases[name] = l
 	return l, nil
@@ -184,7 +184,7 @@
 		}
 	}
 	if f.Down {
-		return platform.ErrUnavailable
+		return kv.ErrUnavailable
 	}
 	s.mutex.Lock()
 	return nil
@@ -195,7 +195,7 @@
 	s.changed = make(chan struct{})
 }
 
-// Handler serves the stand-in over HTTP as platform.Client expects it.
+// Handler serves the stand-in over HTTP as kv.Client expects it.
 func (s *Service) Handler() http.Handler {
 	m := http.NewServeMux()
 	m.HandleFunc("GET /kv/{key}", s.serveGet)
@@ -222,31 +222,31 @@
 
 func (s *Service) servePut(w http.ResponseWriter, r *http.Request) {
 	key := r.PathValue("key")
-	version, _ := strconv.ParseUint(r.Header.Get(platform.VersionHeader), 10, 64)
+	version, _ := strconv.ParseUint(r.Header.Get(kv.VersionHeader), 10, 64)
 	value, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
 	}
 	now, err := s.CompareAndSwap(r.Context(), key, version, value)
-	answer(w, platform.Entry{Version: now}, err)
+	answer(w, kv.Entry{Version: now}, err)
 }
 
 func (s *Service) serveLease(w http.ResponseWriter, r *http.Request) {
 	ttl, _ := time.ParseDuration(r.URL.Query().Get("ttl"))
 	l, err := s.Acquire(r.Context(), r.PathValue("name"), r.URL.Query().Get("holder"), ttl)
 	b, _ := json.Marshal(l)
-	answer(w, platform.Entry{Value: b}, err)
+	answer(w, kv.Entry{Value: b}, err)
 }
 
 func (s *Service) serveHosts(w http.ResponseWriter, r *http.Request) {
 	hosts, err := s.Hosts(r.Context())
 	b, _ := json.Marshal(hosts)
-	answer(w, platform.Entry{Value: b}, err)
+	answer(w, kv.Entry{Value: b}, err)
 }
 
 // serveSetHost puts a host on the list, as the platform does by itself.
 func (s *Service) serveSetHost(w http.ResponseWriter, r *http.Request) {
-	var h platform.Host
+	var h kv.Host
 	if err := json.NewDecoder(r.Body).Decode(&h); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -255,14 +255,14 @@
 	s.SetHost(h)
 }
 
-func answer(w http.ResponseWriter, e platform.Entry, err error) {
+func answer(w http.ResponseWriter, e kv.Entry, err error) {
 	switch {
 	case err == nil:
-		w.Header().Set(platform.VersionHeader, strconv.FormatUint(e.Version, 10))
+		w.Header().Set(kv.VersionHeader, strconv.FormatUint(e.Version, 10))
 		_, _ = w.Write(e.Value)
-	case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrHeld):
+	case errors.Is(err, kv.ErrConflict), errors.Is(err, kv.ErrHeld):
 		w.WriteHeader(http.StatusConflict)
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, kv.ErrUnavailable):
 		w.WriteHeader(http.StatusServiceUnavailable)
 	default:
 		panic(http.ErrAbortHandler) // the connection breaks: the answer is lost
--- a/router/agents.go
+++ b/router/agents.go
@@ -9,7 +9,7 @@
 
 	"opalbridge.dev/config"
 	"opalbridge.dev/duty"
-	"opalbridge.dev/platform"
+	"opalbridge.dev/kv"
 	"opalbridge.dev/wire"
 	"opalbridge.dev/wire/wirepb"
 )
@@ -43,7 +43,7 @@
 
 // choose keeps the links that are wanted, ends the others and starts new ones.
 func (s *agents) choose(ctx context.Context, connections *duty.Group) {
-	wanted := map[string]platform.Host{}
+	wanted := map[string]kv.Host{}
 	for _, h := range s.router.members.wantedAgents() {
 		wanted[h.Name] = h
 	}
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -9,7 +9,7 @@
 
 	"opalbridge.dev/explain"
 	"opalbridge.dev/fair"
-	"opalbridge.dev/platform"
+	"opalbridge.dev/kv"
 	"opalbridge.dev/wire"
 	"opalbridge.dev/wire/wirepb"
 )
@@ -19,7 +19,7 @@
 
 // NodeView is one node as seen from here; Status is nil when it did not answer.
 type NodeView struct {
-	Host   platform.Host
+	Host   kv.Host
 	Status *wirepb.NodeStatus
 }
 
@@ -34,7 +34,7 @@
 
 // Nodes asks every node of the live list how it is.
 func (r *Router) Nodes(ctx context.Context) []NodeView {
-	hosts := r.members.list(func(platform.Host) bool { return true })
+	hosts := r.members.list(func(kv.Host) bool { return true })
 	views := make([]NodeView, len(hosts))
 	var asked sync.WaitGroup
 	for i, h := range hosts {
@@ -52,7 +52,7 @@
 // Explain gathers what the whole fleet recorded about a request or an account, in
 // order, and names the nodes that did not answer.
 func (r *Router) Explain(ctx context.Context, request, account string) (events []explain.Event, unreached []string) {
-	hosts := r.members.list(func(platform.Host) bool { return true })
+	hosts := r.members.list(func(kv.Host) bool { return true })
 	lists := make([]*wirepb.RecordList, len(hosts))
 	var asked sync.WaitGroup
 	for i, h := range hosts {
@@ -73,7 +73,7 @@
 }
 
 // askNode asks one node for its records; it returns nil when it does not answer.
-func (r *Router) askNode(ctx context.Context, h platform.Host, q *wirepb.Records) *wirepb.RecordList {
+func (r *Router) askNode(ctx context.Context, h kv.Host, q *wirepb.Records) *wirepb.RecordList {
 	ctx, cancel := context.WithTimeout(ctx, askTime)
 	defer cancel()
 	if h.Name == r.options.Name {
@@ -103,7 +103,7 @@
 
 // reach returns a connection to a node: the one that is kept, or a new one that
 // ends with the call to done.
-func (r *Router) reach(ctx context.Context, h platform.Host) (p *wire.Peer, done func()) {
+func (r *Router) reach(ctx context.Context, h kv.Host) (p *wire.Peer, done func()) {
 	if p := r.kept(h.Name); p != nil {
 		return p, func() {}
 	}
@@ -145,7 +145,7 @@
 func (r *Router) ownStatus(ctx context.Context) *wirepb.NodeStatus {
 	s := &wirepb.NodeStatus{
 		Node:         r.options.Name,
-		Role:         string(platform.Router),
+		Role:         string(kv.Router),
 		Hall:         r.options.Hall,
 		Incarnation:  r.incarnation,
 		Revision:     r.holder.Revision(),
--- a/router/http_test.go
+++ b/router/http_test.go
@@ -9,11 +9,11 @@
 	"github.com/stretchr/testify/require"
 
 	"opalbridge.dev/config"
-	"opalbridge.dev/platform/platformtest"
+	"opalbridge.dev/kv/kvtest"
 )
 
 func parseRouter(t testing.TB) *Router {
-	r := &Router{options: Options{KV: &platformtest.Service{}}.withDefaults()}
+	r := &Router{options: Options{KV: &kvtest.Service{}}.withDefaults()}
 	require.True(t, r.holder.Offer(&config.Document{
 		Revision: 1,
 		Accounts: []config.Account{{ID: 1, Name: "a", Share: 1, Keys: []config.Key{{Hash: config.HashKey("key")}}}},
--- a/router/link.go
+++ b/router/link.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"opalbridge.dev/platform"
+	"opalbridge.dev/kv"
 	"opalbridge.dev/wire"
 	"opalbridge.dev/wire/wirepb"
 )
@@ -18,7 +18,7 @@
 
 // link keeps a connection to one process as long as it is wanted.
 type link struct {
-	host   platform.Host
+	host   kv.Host
 	cancel context.CancelFunc
 
 	mutex sync.Mutex
@@ -29,7 +29,7 @@
 	told     bool // the agent was told that its host is leaving
 }
 
-func newLink(h platform.Host, cancel context.CancelFunc) *link {
+func newLink(h kv.Host, cancel context.CancelFunc) *link {
 	return &link{host: h, cancel: cancel, up: make(chan struct{})}
 }
 
@@ -116,7 +116,7 @@
 	}
 }
 
-func (r *Router) connect(ctx context.Context, h platform.Host) (*wire.Peer, error) {
+func (r *Router) connect(ctx context.Context, h kv.Host) (*wire.Peer, error) {
 	dial, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	conn, err := r.options.Dial(dial, h.Address)
@@ -130,7 +130,7 @@
 	return &wirepb.Hello{
 		Node:        r.options.Name,
 		Incarnation: r.incarnation,
-		Role:        string(platform.Router),
+		Role:        string(kv.Router),
 		Hall:        r.options.Hall,
 		Revision:    r.holder.Revision(),
 	}
--- a/router/members.go
+++ b/router/members.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"opalbridge.dev/explain"
-	"opalbridge.dev/platform"
+	"opalbridge.dev/kv"
 )
 
 const (
@@ -27,7 +27,7 @@
 type members struct {
 	router *Router
 	mutex  sync.Mutex
-	hosts  []platform.Host
+	hosts  []kv.Host
 	change chan struct{}
 	failed bool
 }
@@ -56,7 +56,7 @@
 		m.fail(err)
 		return
 	}
-	slices.SortFunc(hosts, func(a, b platform.Host) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(hosts, func(a, b kv.Host) int { return cmp.Compare(a.Name, b.Name) })
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	if m.failed {
@@ -102,10 +102,10 @@
 	return m.change
 }
 
-func (m *members) list(keep func(platform.Host) bool) []platform.Host {
+func (m *members) list(keep func(kv.Host) bool) []kv.Host {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	var list []platform.Host
+	var list []kv.Host
 	for _, h := range m.hosts {
 		if keep(h) {
 			list = append(list, h)
@@ -114,18 +114,18 @@
 	return list
 }
 
-func (m *members) routers() []platform.Host {
-	return m.list(func(h platform.Host) bool { return h.Role == platform.Router && !h.Leaving })
+func (m *members) routers() []kv.Host {
+	return m.list(func(h kv.Host) bool { return h.Role == kv.Router && !h.Leaving })
 }
 
 // summers returns the routers that sum a hall's counters, by the list as it is.
-func (m *members) summers(hall string) []platform.Host {
+func (m *members) summers(hall string) []kv.Host {
 	return firstByHash("summing/"+hall, m.routersOf(hall), holders)
 }
 
-func (m *members) routersOf(hall string) []platform.Host {
-	return m.list(func(h platform.Host) bool {
-		return h.Role == platform.Router && !h.Leaving && h.Hall == hall
+func (m *members) routersOf(hall string) []kv.Host {
+	return m.list(func(h kv.Host) bool {
+		return h.Role == kv.Router && !h.Leaving && h.Hall == hall
 	})
 }
 
@@ -161,18 +161,18 @@
 		return true
 	}
 	first := firstByHash(duty+"/"+m.router.options.Hall, all, holders)
-	return slices.ContainsFunc(first, func(h platform.Host) bool { return h.Name == m.router.options.Name })
+	return slices.ContainsFunc(first, func(h kv.Host) bool { return h.Name == m.router.options.Name })
 }
 
 // wantedAgents returns the agents this router connects to: of each pool a subset
 // of the configured degree, and all whose counters it sums.
-func (m *members) wantedAgents() []platform.Host {
-	all := m.list(func(h platform.Host) bool { return h.Role == platform.Agent })
+func (m *members) wantedAgents() []kv.Host {
+	all := m.list(func(h kv.Host) bool { return h.Role == kv.Agent })
 	degree := m.router.options.Degree
 	if degree == 0 || len(all) <= degree {
 		return all
 	}
-	wanted := map[string]platform.Host{}
+	wanted := map[string]kv.Host{}
 	for _, hosts := range m.byPool(all) {
 		for _, h := range firstByHash(m.router.options.Name, hosts, degree) {
 			wanted[h.Name] = h
@@ -185,15 +185,15 @@
 			}
 		}
 	}
-	list := make([]platform.Host, 0, len(wanted))
+	list := make([]kv.Host, 0, len(wanted))
 	for _, h := range wanted {
 		list = append(list, h)
 	}
 	return list
 }
 
-func (m *members) byPool(agents []platform.Host) map[string][]platform.Host {
-	pools := map[string][]platform.Host{}
+func (m *members) byPool(agents []kv.Host) map[string][]kv.Host {
+	pools := map[string][]kv.Host{}
 	c := m.router.holder.Current()
 	for _, h := range agents {
 		if s := c.Server(h.Name); s != nil {
@@ -206,10 +206,10 @@
 }
 
 // firstByHash returns the n hosts with the highest rendezvous hash for a key.
-func firstByHash(key string, hosts []platform.Host, n int) []platform.Host {
+func firstByHash(key string, hosts []kv.Host, n int) []kv.Host {
 	type ranked struct {
 		hash uint64
-		host platform.Host
+		host kv.Host
 	}
 	list := make([]ranked, len(hosts))
 	for i, h := range hosts {
@@ -221,7 +221,7 @@
 		}
 		return cmp.Compare(a.host.Name, b.host.Name)
 	})
-	var first []platform.Host
+	var first []kv.Host
 	for _, r := range list[:min(n, len(list))] {
 		first = append(first, r.host)
 	}
--- a/router/neighbours.go
+++ b/router/neighbours.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"opalbridge.dev/duty"
-	"opalbridge.dev/platform"
+	"opalbridge.dev/kv"
 	"opalbridge.dev/wire"
 	"opalbridge.dev/wire/wirepb"
 )
@@ -69,11 +69,11 @@
 	}
 }
 
-func (n *neighbours) wanted() map[string]platform.Host {
+func (n *neighbours) wanted() map[string]kv.Host {
 	m := n.router.members
-	wanted := map[string]platform.Host{}
+	wanted := map[string]kv.Host{}
 	all := m.routers()
-	self := slices.IndexFunc(all, func(h platform.Host) bool { return h.Name == n.router.options.Name })
+	self := slices.IndexFunc(all, func(h kv.Host) bool { return h.Name == n.router.options.Name })
 	for step := 1; step < len(all); step *= 2 {
 		h := all[(max(self, 0)+step)%len(all)]
 		wanted[h.Name] = h
@@ -121,7 +121,7 @@
 		return false
 	}
 	summers := n.router.members.summers(p.Hello.Hall)
-	at := slices.IndexFunc(summers, func(h platform.Host) bool { return h.Name == p.Hello.Node })
+	at := slices.IndexFunc(summers, func(h kv.Host) bool { return h.Name == p.Hello.Node })
 	return at >= 0 && turn%len(summers) == at
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -31,7 +31,7 @@
 	"opalbridge.dev/config"
 	"opalbridge.dev/duty"
 	"opalbridge.dev/explain"
-	"opalbridge.dev/platform"
+	"opalbridge.dev/kv"
 	"opalbridge.dev/wire"
 )
 
@@ -48,8 +48,8 @@
 	Name      string
 	Hall      string
 	Address   string // of Listener, as the live list shows it
-	KV        platform.KV
-	Directory platform.Directory
+	KV        kv.KV
+	Directory kv.Directory
 	Dial      Dialer        // nil: TCP
 	Listener  net.Listener  // for other routers; the router closes it
 	Degree    int           // agents of a pool it connects to; 0: all
--- a/router/summing.go
+++ b/router/summing.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"opalbridge.dev/fair"
+	"opalbridge.dev/kv"
 	"opalbridge.dev/ledger"
-	"opalbridge.dev/platform"
 	"opalbridge.dev/wire"
 	"opalbridge.dev/wire/wirepb"
 )
@@ -149,7 +149,7 @@
 // holders one does, and another after a while, lest the first be gone.
 func (s *summing) answers(agent string, sequence uint64) bool {
 	summers := s.router.members.summers(s.router.options.Hall)
-	at := slices.IndexFunc(summers, func(h platform.Host) bool { return h.Name == s.router.options.Name })
+	at := slices.IndexFunc(summers, func(h kv.Host) bool { return h.Name == s.router.options.Name })
 	turn := sequence/answerTurn + rendezvous(agent, "answers")
 	return at < 0 || turn%uint64(len(summers)) == uint64(at)
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -31,10 +31,14 @@
 
 // The roles.
 const (
-	Router Role = "router"
-	Agent  Role = "agent"
+	Router  Role = "router"
+	Agent   Role = "agent"
+	Gateway Role = "gateway"
 )
 
+// Roles are all roles.
+var Roles = []Role{Router, Agent, Gateway}
+
 // Settings are a process's settings.
 type Settings struct {
 	Name              string
@@ -56,6 +60,17 @@
 	CertificateKey    string
 	PeerCA            string
 	Records           int
+
+	// Of a gateway.
+	FrontAddress string
+	ReadyAddress string
+	StoreAddress string
+	Seeds        []string
+	MemoryMB     int
+	RepeatRatio  float64
+	RepeatExtra  float64
+	RepeatWindow time.Duration
+	ShareWindow  time.Duration
 }
 
 // Fault is one thing wrong with a settings file.
@@ -102,23 +117,25 @@
 }
 
 var (
-	both   = []Role{Router, Agent}
-	router = []Role{Router}
-	agent  = []Role{Agent}
+	all     = []Role{Router, Agent, Gateway}
+	both    = []Role{Router, Agent}
+	router  = []Role{Router}
+	agent   = []Role{Agent}
+	gateway = []Role{Gateway}
 )
 
 var fields = []Field{
-	{"name", both, true, "", "Name of this process, unique in the fleet. An agent has the name of its server in the configuration.",
+	{"name", all, true, "", "Name of this process, unique in the fleet. An agent has the name of its server in the configuration.",
 		func(s *Settings, t string) error { s.Name = t; return notEmpty(t) }},
-	{"hall", both, true, "", "Hall in which the host stands.",
+	{"hall", all, true, "", "Hall in which the host stands.",
 		func(s *Settings, t string) error { s.Hall = t; return notEmpty(t) }},
-	{"region", both, false, "", "Region of the hall, for reports.",
+	{"region", all, false, "", "Region of the hall, for reports.",
 		func(s *Settings, t string) error { s.Region = t; return nil }},
 	{"caller_address", router, true, "", "IP and port on which callers and operators are served.",
 		func(s *Settings, t string) error { s.CallerAddress = t; return ipPort(t) }},
-	{"peer_address", both, true, "", "IP and port on which other processes of the fleet are served.",
+	{"peer_address", all, true, "", "IP and port on which other processes of the fleet are served.",
 		func(s *Settings, t string) error { s.PeerAddress = t; return ipPort(t) }},
-	{"admin_address", both, false, "", "IP and port of metrics, traces and readiness; empty: not served.",
+	{"admin_address", all, false, "", "IP and port of metrics, traces and readiness; empty: not served.",
 		func(s *Settings, t string) error { s.AdminAddress = t; return optional(t, ipPort) }},
 	{"platform_url", router, true, "", "URL of the platform's key-value service and live list.",
 		func(s *Settings, t string) error { s.PlatformURL = t; return httpURL(t) }},
@@ -134,11 +151,11 @@
 		func(s *Settings, t string) error {
 			return duration(&s.ReportInterval, t, 100*time.Millisecond, time.Minute)
 		}},
-	{"stop_timeout", both, false, "10m", "A planned stop waits so long for requests in flight (a duration such as 10m).",
+	{"stop_timeout", all, false, "10m", "A planned stop waits so long for requests in flight (a duration such as 10m).",
 		func(s *Settings, t string) error { return duration(&s.StopTimeout, t, 0, 24*time.Hour) }},
-	{"log_level", both, false, "info", "Least level that is logged: debug, info, warn or error.",
+	{"log_level", all, false, "info", "Least level that is logged: debug, info, warn or error.",
 		func(s *Settings, t string) error { return level(&s.LogLevel, t) }},
-	{"otlp_url", both, false, "", "OTLP/HTTP endpoint that takes traces; empty: none.",
+	{"otlp_url", all, false, "", "OTLP/HTTP endpoint that takes traces; empty: none.",
 		func(s *Settings, t string) error { s.OTLPURL = t; return optional(t, httpURL) }},
 	{"certificate", both, false, "", "File of this process's TLS certificate chain (PEM); read again when it changes.",
 		func(s *Settings, t string) error { s.Certificate = t; return nil }},
@@ -148,6 +165,24 @@
 		func(s *Settings, t string) error { s.PeerCA = t; return nil }},
 	{"records", both, false, "4096", "Decisions kept in memory for explanations; 0: none.",
 		func(s *Settings, t string) error { return integer(&s.Records, t, 0, 1<<20) }},
+	{"front_address", gateway, true, "", "IP and port on which callers are served.",
+		func(s *Settings, t string) error { s.FrontAddress = t; return ipPort(t) }},
+	{"ready_address", gateway, true, "", "IP and port on which the balancer asks whether the gateway takes connections.",
+		func(s *Settings, t string) error { s.ReadyAddress = t; return ipPort(t) }},
+	{"store_address", gateway, true, "", "IP and port of the platform's store.",
+		func(s *Settings, t string) error { s.StoreAddress = t; return ipPort(t) }},
+	{"seeds", gateway, false, "", "IP numbers, by commas, where other gateways may be; a port is ignored.",
+		func(s *Settings, t string) error { return addresses(&s.Seeds, t) }},
+	{"memory_mb", gateway, false, "0", "Memory of the process in MB, of which the garbage collector keeps clear; 0: no limit.",
+		func(s *Settings, t string) error { return integer(&s.MemoryMB, t, 0, 1<<20) }},
+	{"repeat_ratio", gateway, false, "0.2", "Requests that the fleet may send to servers again in a window, for each request of it.",
+		func(s *Settings, t string) error { return number(&s.RepeatRatio, t, 0, 10) }},
+	{"repeat_extra", gateway, false, "20", "Requests that the fleet may send again in a window besides.",
+		func(s *Settings, t string) error { return number(&s.RepeatExtra, t, 0, 1e6) }},
+	{"repeat_window", gateway, false, "10s", "Window of repeat_ratio and repeat_extra (a duration such as 10s).",
+		func(s *Settings, t string) error { return duration(&s.RepeatWindow, t, time.Second, time.Hour) }},
+	{"share_window", gateway, false, "4s", "Window in which accounts' shares are kept (a duration such as 4s).",
+		func(s *Settings, t string) error { return duration(&s.ShareWindow, t, time.Second, time.Hour) }},
 }
 
 // Parse reads the settings of a role. The error is Faults when the content is
@@ -336,6 +371,30 @@
 	return nil
 }
 
+func number(to *float64, t string, least, most float64) error {
+	v, err := strconv.ParseFloat(t, 64)
+	if err != nil || !(v >= least && v <= most) {
+		return errors.Newf("%q is not a number from %g to %g", t, least, most)
+	}
+	*to = v
+	return nil
+}
+
+func addresses(to *[]string, t string) error {
+	*to = nil
+	for _, a := range strings.Split(t, ",") {
+		a = strings.TrimSpace(a)
+		if a == "" {
+			continue
+		}
+		if _, err := netip.ParseAddr(a); err != nil && ipPort(a) != nil {
+			return errors.Newf("%q is not an IP number", a)
+		}
+		*to = append(*to, a)
+	}
+	return nil
+}
+
 func duration(to *time.Duration, t string, least, most time.Duration) error {
 	v, err := time.ParseDuration(t)
 	if err != nil {
--- /dev/null
+++ b/telemetry/lines.go
@@ -0,0 +1,97 @@
+package telemetry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync/atomic"
+	"time"
+)
+
+// Sizes and times of a process's log.
+const (
+	// Lines that wait to be written; more are dropped and counted.
+	lineQueue = 2048
+	// Waiting lines are written together this often.
+	lineEvery = 100 * time.Millisecond
+	// Bytes written a second at most, so that a flood costs neither the host's
+	// processor nor its disk; what is beyond is dropped and counted.
+	mostLineBytes = 256 << 10
+)
+
+// Lines is a writer for log lines that never blocks: lines are queued and written by
+// Run. It is safe for use by several goroutines.
+type Lines struct {
+	queue   chan []byte
+	dropped atomic.Int64
+	out     io.Writer
+}
+
+// NewLines returns a writer of lines to out.
+func NewLines(out io.Writer) *Lines {
+	return &Lines{queue: make(chan []byte, lineQueue), out: out}
+}
+
+// Write queues one line. It never fails: what finds no room is counted.
+func (l *Lines) Write(line []byte) (int, error) {
+	kept := append([]byte(nil), line...) // the caller uses its buffer again
+	select {
+	case l.queue <- kept:
+	default:
+		l.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Dropped returns how many lines were dropped so far.
+func (l *Lines) Dropped() int64 { return l.dropped.Load() }
+
+// Run writes queued lines until ctx ends, then those that are left.
+func (l *Lines) Run(ctx context.Context) {
+	tick := time.NewTicker(lineEvery)
+	defer tick.Stop()
+	budget := mostLineBytes
+	second := time.Now()
+	told := int64(0)
+	for {
+		ended := false
+		select {
+		case <-ctx.Done():
+			ended = true
+		case now := <-tick.C:
+			if now.Sub(second) >= time.Second {
+				budget, second = mostLineBytes, now
+			}
+		}
+		batch := l.batch(&budget)
+		if d := l.dropped.Load(); d > told && budget > 0 {
+			told = d
+			batch = fmt.Appendf(batch, `{"level":"warn","event":"log.dropped","lines":%d,"message":"lines since the start that were not written"}`+"\n", d)
+		}
+		if len(batch) > 0 {
+			// Nobody can be told of a log that can't be written.
+			_, _ = l.out.Write(batch)
+		}
+		if ended {
+			return
+		}
+	}
+}
+
+// batch takes the queued lines, as far as the budget goes.
+func (l *Lines) batch(budget *int) []byte {
+	var batch []byte
+	for {
+		select {
+		case line := <-l.queue:
+			if len(line) > *budget {
+				l.dropped.Add(1)
+				continue
+			}
+			*budget -= len(line)
+			batch = append(batch, line...)
+		default:
+			return batch
+		}
+	}
+}
