gateway: an account's share counts the tokens of whole prompts

Cause: the operators' tokens_per_s counts every token of a prompt; shares were counted in the caller's own part only, so hardly any account was ever over. Change: a request counts its whole prompt and twice its expected answer.

--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -187,11 +187,7 @@
 		sum += p.Tokens
 	}
 	prompt = max(prompt, sum)
-	own := prompt
-	if len(parts) > 0 {
-		own = parts[len(parts)-1].Tokens
-	}
-	c.tokens = float64(own + outputWeight*output)
+	c.tokens = float64(prompt + outputWeight*output)
 	c.ask = placement.Ask{
 		Service: c.service, Account: c.account, Parts: parts, Prompt: prompt, Output: output,
 		Hall: c.gateway.options.Desk.Hall,
