share: what is left goes to the accounts that got least so far

Change: a second level, of what the servers were in fact given, tells how far ahead an account is; the further, the shorter the wait at which it is served.

--- a/gateway/desk.go
+++ b/gateway/desk.go
@@ -175,7 +175,10 @@
 	if m.repeat && d.budget.Left(now, m.ask.Service, d.fleetSize()) < 1 {
 		return placement.Refuse{RetryAfter: d.settings.Policy.LeastRetryAfter, Reason: repeatsSpent}
 	}
-	m.ask.OverShare = m.ask.Account != "" && d.book.Over(m.ask.Account)
+	if m.ask.Account != "" {
+		standing := d.book.Standing(m.ask.Account)
+		m.ask.OverShare, m.ask.Ahead = standing.Over, standing.Ahead
+	}
 	decision := d.board.Place(now, m.ask)
 	assign, ok := decision.(placement.Assign)
 	if !ok {
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -45,7 +45,8 @@
 	Objective time.Duration // what is left of the time in which the first event is in time; 0: none
 	Remaining time.Duration // what is left of the time in which an answer is of use at all
 	Again     bool          // the caller has asked before and was refused
-	OverShare bool          // the account asks for more than its share of the fleet
+	OverShare bool          // the account has got its share of the fleet
+	Ahead     float64       // what it got over an even share of all that was given; 0: unknown
 	Exclude   []string      // servers that have been tried
 	Hall      string        // of the gateway
 }
@@ -242,7 +243,7 @@
 	limit := b.limit(a)
 	waiting := best.predicted - best.work - b.policy.FirstStep
 	switch {
-	case a.OverShare && waiting > b.policy.IdleWait:
+	case a.OverShare && waiting > b.spareWait(a.Ahead):
 		return "account over its share"
 	case best.predicted <= limit:
 		return ""
@@ -254,6 +255,13 @@
 	return "no server in time"
 }
 
+// spareWait is the longest wait at which an account that has got its share is served
+// with what others leave. Those that got the most so far come last.
+func (b *Board) spareWait(ahead float64) time.Duration {
+	const none = 2 // times an even share; from there on an account waits for idle servers
+	return time.Duration(max(none-ahead, 0) * float64(b.policy.IdleWait))
+}
+
 // limit is the longest predicted time to the first event at which a request is sent.
 func (b *Board) limit(a *Ask) time.Duration {
 	return time.Duration(b.policy.LimitShare * float64(a.Objective))
--- a/gateway/share/share.go
+++ b/gateway/share/share.go
@@ -6,7 +6,7 @@
 //
 //	b := share.NewBook(4 * time.Second)
 //	b.Ask(now, account, tokens)
-//	if !b.Over(now, account) { b.Admit(now, account, tokens) }
+//	if !b.Standing(account).Over { b.Admit(now, account, tokens) }
 //	b.SetOthers(node, demands)
 //	b.Settle(now, tokensPerSecond)
 //
@@ -36,7 +36,8 @@
 	own     map[string]*counter
 	others  map[string][]Demand // by gateway
 	totals  map[string]Demand   // over the fleet, as of the last Settle
-	allowed float64             // tokens of an account in a window; 0: no bound is known
+	owed    float64             // tokens of an account in a window, of what the servers are said to make; 0: all demands fit
+	level   float64             // the same of what the servers were given; 0: all demands fit
 }
 
 // NewBook returns an empty book.
@@ -143,13 +144,33 @@
 	for _, d := range b.totals {
 		asked = append(asked, d.Asked)
 	}
-	b.allowed = Level(asked, rate*b.window.Seconds())
+	given := 0.0
+	for _, d := range b.totals {
+		given += d.Admitted
+	}
+	capacity := rate * b.window.Seconds()
+	b.owed = 0
+	if capacity > 0 {
+		b.owed = Level(asked, capacity)
+	}
+	b.level = Level(asked, max(given, capacity))
 }
 
-// Over tells whether an account was admitted its share of the window already. An
-// account that asks for no more than its share is never over.
-func (b *Book) Over(account string) bool {
-	return b.allowed > 0 && b.totals[account].Admitted >= b.allowed
+// Standing tells where an account stands against its share.
+type Standing struct {
+	Over  bool    // it was admitted all that it is owed in the window
+	Ahead float64 // what it was admitted over what an even share of all that was admitted would be; 0: unknown
+}
+
+// Standing returns where an account stands. An account that asks for no more than its
+// share is never over.
+func (b *Book) Standing(account string) Standing {
+	admitted := b.totals[account].Admitted
+	s := Standing{Over: b.owed > 0 && admitted >= b.owed}
+	if b.level > 0 {
+		s.Ahead = admitted / b.level
+	}
+	return s
 }
 
 // Level returns the max-min fair share: the amount up to which every demand can be
