placement: callers that come back are known and served more readily

Cause: a request that was refused, came back and was refused again costs more than one served late, and over-share callers were told 200 ms. Change: a deadline shorter than the route's longest marks a caller that has come back; accounts over their share are told 1.5 s; spare wait 50 ms. Also: an old failure no longer keeps an idle server out (a test found it).

--- /dev/null
+++ b/gateway/again.go
@@ -0,0 +1,42 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"opalbridge.dev/gateway/protocol"
+)
+
+const (
+	// A caller whose deadline is so much shorter than the longest one of its route
+	// has spent time on it before: it was refused and has come back.
+	spentBefore = 50 * time.Millisecond
+	// Routes remembered; a configuration holds some hundred.
+	mostStarts = 4096
+)
+
+// starts remembers with how long a deadline callers of each route begin, which tells
+// those that come back from those that come first. It is safe for use by several
+// goroutines. Its zero value is ready.
+type starts struct {
+	mutex   sync.Mutex
+	longest map[string]time.Duration // by route
+}
+
+// again tells whether a request looks like one that has come back.
+func (s *starts) again(route string, told protocol.Request) bool {
+	if !told.HasDeadline {
+		return false
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.longest == nil || len(s.longest) > mostStarts {
+		s.longest = map[string]time.Duration{}
+	}
+	longest := s.longest[route]
+	if told.Deadline > longest {
+		s.longest[route] = told.Deadline
+		return false
+	}
+	return told.Deadline < longest-spentBefore
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -70,6 +70,7 @@
 	pool     *upstream.Pool
 	peers    *peer.Node
 	follower *follower
+	starts   starts
 	stopping atomic.Bool
 	active   atomic.Int64 // requests being served
 }
--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -189,6 +189,7 @@
 	prompt = max(prompt, sum)
 	c.tokens = float64(prompt + outputWeight*output)
 	c.ask = placement.Ask{
+		Again:   c.gateway.starts.again(c.route.Name, c.told),
 		Service: c.service, Account: c.account, Parts: parts, Prompt: prompt, Output: output,
 		Hall: c.gateway.options.Desk.Hall,
 	}
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -186,9 +186,8 @@
 
 func (b *Board) placeEngine(now time.Time, a *Ask, open []*server) Decision {
 	best := b.best(now, a, open)
-	if reason := b.late(a, best); reason != "" {
-		wait := best.predicted - b.limit(a)
-		return Refuse{RetryAfter: b.comeBack(a, wait), Predicted: best.predicted, Reason: reason}
+	if r := b.late(a, best); r != inTime {
+		return Refuse{RetryAfter: b.comeBack(a, best, r), Predicted: best.predicted, Reason: string(r)}
 	}
 	load := Load{Server: best.server.ID, Work: best.work, Parts: hashes(a.Parts)}
 	return Assign{Server: best.server.Server, Load: load, Predicted: best.predicted}
@@ -235,31 +234,45 @@
 	return ranked[:b.policy.Homes]
 }
 
-// late tells why a request should not be sent to its best server; "" when it should.
-func (b *Board) late(a *Ask, best option) string {
+// lateness tells why a request should not be sent to its best server.
+type lateness string
+
+const (
+	inTime    lateness = "" // it should be sent
+	overShare lateness = "account over its share"
+	tooLate   lateness = "no server in time"
+)
+
+// late tells whether and why a request should not be sent to its best server.
+func (b *Board) late(a *Ask, best option) lateness {
 	if a.Objective <= 0 {
-		return ""
+		return inTime
 	}
 	limit := b.limit(a)
 	waiting := best.predicted - best.work - b.policy.FirstStep
 	switch {
-	case a.OverShare && waiting > b.spareWait(a.Ahead):
-		return "account over its share"
+	case a.OverShare && waiting > b.spareWait(a):
+		return overShare
 	case best.predicted <= limit:
-		return ""
+		return inTime
 	case best.work+b.policy.FirstStep > limit && waiting < b.policy.LongWait:
-		return "" // too long to be in time anywhere; it is served while the wait is short
+		return inTime // too long to be in time anywhere; it is served while the wait is short
 	case a.Again && best.predicted <= b.policy.AgainFactor*a.Objective:
-		return ""
+		return inTime
 	}
-	return "no server in time"
+	return tooLate
 }
 
 // spareWait is the longest wait at which an account that has got its share is served
 // with what others leave. Those that got the most so far come last.
-func (b *Board) spareWait(ahead float64) time.Duration {
+// A caller that was refused before is served more readily: it can't come back again.
+func (b *Board) spareWait(a *Ask) time.Duration {
 	const none = 2 // times an even share; from there on an account waits for idle servers
-	return time.Duration(max(none-ahead, 0) * float64(b.policy.IdleWait))
+	wait := max(none-a.Ahead, 0) * float64(b.policy.IdleWait)
+	if a.Again {
+		wait = max(wait, float64(b.policy.IdleWait)) * b.policy.AgainSpare
+	}
+	return time.Duration(wait)
 }
 
 // limit is the longest predicted time to the first event at which a request is sent.
@@ -267,10 +280,14 @@
 	return time.Duration(b.policy.LimitShare * float64(a.Objective))
 }
 
-// comeBack returns when a caller should ask again. Callers wait up to a third of the
+// comeBack returns when a caller should ask again: when the wait will have gone down,
+// or when the account's window will have moved on. Callers wait up to a third of the
 // time they have left.
-func (b *Board) comeBack(a *Ask, wait time.Duration) time.Duration {
-	after := max(wait, b.policy.LeastRetryAfter)
+func (b *Board) comeBack(a *Ask, best option, l lateness) time.Duration {
+	after := max(best.predicted-b.limit(a), b.policy.LeastRetryAfter)
+	if l == overShare {
+		after = max(after, b.policy.ShareRetryAfter)
+	}
 	if a.Remaining > 0 {
 		after = min(after, a.Remaining/4)
 	}
@@ -344,5 +361,9 @@
 // little is known counts as sound.
 func (s *server) failureRate(now time.Time) float64 {
 	s.fade(now)
-	return s.failures / (s.failures + s.successes + failurePrior)
+	rate := s.failures / (s.failures + s.successes + failurePrior)
+	if rate < forgivenRate {
+		return 0 // or an idle server with an old failure would never be tried again
+	}
+	return rate
 }
--- /dev/null
+++ b/gateway/placement/placement_test.go
@@ -0,0 +1,232 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"opalbridge.dev/gateway/catalog"
+	"opalbridge.dev/gateway/placement"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func engine(string) *catalog.Engine { return &catalog.Engine{Slots: 64, KVTokens: 500000} }
+
+func plain(string) *catalog.Engine { return nil }
+
+func servers(n int) []catalog.Server {
+	list := make([]catalog.Server, n)
+	for i := range list {
+		list[i] = catalog.Server{ID: fmt.Sprintf("i-%02d", i), Service: "s", Hall: "h", Capacity: 6}
+	}
+	return list
+}
+
+func engines(n int) *placement.Board {
+	b := placement.NewBoard(placement.DefaultPolicy())
+	b.SetServers(start, servers(n), engine)
+	return b
+}
+
+// long is a request with a large shared part.
+func long(key uint64) *placement.Ask {
+	return &placement.Ask{
+		Service: "s", Hall: "h", Prompt: 17000, Output: 100, Objective: 800 * time.Millisecond, Remaining: 12 * time.Second,
+		Parts: []placement.Part{{Hash: key, Tokens: 13300}, {Hash: key ^ 0xffff, Tokens: 3700}},
+	}
+}
+
+// put places a request and books it.
+func put(b *placement.Board, now time.Time, a *placement.Ask) placement.Decision {
+	d := b.Place(now, a)
+	if assign, ok := d.(placement.Assign); ok {
+		b.Sent(now, assign.Load, false) // it takes no place: these tests are about reading
+	}
+	return d
+}
+
+func TestSharedPartKeepsItsServer(t *testing.T) {
+	b := engines(9)
+	first := put(b, start, long(7)).(placement.Assign)
+	for i := range 5 {
+		now := start.Add(time.Duration(i+1) * time.Second)
+		next := put(b, now, long(7)).(placement.Assign)
+		require.Equal(t, first.Server.ID, next.Server.ID)
+		require.Less(t, next.Load.Work, first.Load.Work/2, "the shared part must not be read again")
+	}
+}
+
+func TestCopiesAreFew(t *testing.T) {
+	b := engines(9)
+	used := map[string]bool{}
+	for range 40 {
+		if a, ok := put(b, start, long(7)).(placement.Assign); ok {
+			used[a.Server.ID] = true
+		}
+	}
+	require.LessOrEqual(t, len(used), placement.DefaultPolicy().Homes)
+}
+
+func TestHomesHardlyMove(t *testing.T) {
+	const keys = 200
+	before, after := engines(9), placement.NewBoard(placement.DefaultPolicy())
+	after.SetServers(start, servers(9)[:8], engine)
+	moved := 0
+	for k := range uint64(keys) {
+		a := before.Place(start, long(k*7919)).(placement.Assign)
+		c := after.Place(start, long(k*7919)).(placement.Assign)
+		if a.Server.ID != c.Server.ID {
+			moved++
+			require.Equal(t, "i-08", a.Server.ID, "only the parts of the server that has gone may move")
+		}
+	}
+	require.Positive(t, moved)
+}
+
+func TestShortPromptsFillIdleServers(t *testing.T) {
+	b := engines(2)
+	for range 3 {
+		put(b, start, long(7))
+	}
+	busy := b.Place(start, long(7))
+	short := &placement.Ask{Service: "s", Hall: "h", Prompt: 1000, Objective: 600 * time.Millisecond,
+		Parts: []placement.Part{{Hash: 1, Tokens: 200}, {Hash: 2, Tokens: 800}}}
+	a := b.Place(start, short).(placement.Assign)
+	if assign, ok := busy.(placement.Assign); ok {
+		require.LessOrEqual(t, a.Predicted, assign.Predicted)
+	}
+	require.Less(t, a.Predicted, 600*time.Millisecond)
+}
+
+func TestRefusals(t *testing.T) {
+	fill := func(b *placement.Board, n int) {
+		for range n {
+			for _, s := range servers(9) {
+				b.Sent(start, placement.Load{Server: s.ID, Work: 100 * time.Millisecond}, false)
+			}
+		}
+	}
+	tests := []struct {
+		name   string
+		load   int // units of 100 ms on every server
+		change func(a *placement.Ask)
+		reason string // "": it is assigned
+	}{
+		{"idle", 0, func(*placement.Ask) {}, ""},
+		{"late everywhere", 8, func(*placement.Ask) {}, "no server in time"},
+		{"late, but asked before", 8, func(a *placement.Ask) { a.Again = true }, ""},
+		{"very late, and asked before", 30, func(a *placement.Ask) { a.Again = true }, "no server in time"},
+		{"no objective", 30, func(a *placement.Ask) { a.Objective = 0 }, ""},
+		{"over its share, idle", 0, func(a *placement.Ask) { a.OverShare, a.Ahead = true, 3 }, ""},
+		{"over its share, servers busy", 3, func(a *placement.Ask) { a.OverShare, a.Ahead = true, 1 }, "account over its share"},
+		{"within its share, servers busy", 2, func(*placement.Ask) {}, ""},
+		{"too long to be in time, idle", 0, func(a *placement.Ask) { a.Prompt = 90000 }, ""},
+		{"too long to be in time, busy", 8, func(a *placement.Ask) { a.Prompt = 90000 }, "no server in time"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			b := engines(9)
+			fill(b, test.load)
+			a := long(7)
+			test.change(a)
+			switch d := b.Place(start, a).(type) {
+			case placement.Assign:
+				require.Empty(t, test.reason)
+			case placement.Refuse:
+				require.Equal(t, test.reason, d.Reason)
+				require.Positive(t, d.RetryAfter)
+				require.LessOrEqual(t, d.RetryAfter, a.Remaining/3, "callers do not wait longer")
+			default:
+				t.Fatalf("decision %T", d)
+			}
+		})
+	}
+}
+
+// TestNoRefusalWhileIdle: whatever the request, an idle service takes it.
+func TestNoRefusalWhileIdle(t *testing.T) {
+	for _, over := range []bool{false, true} {
+		for _, prompt := range []int{10, 1000, 17000, 60000, 400000} {
+			a := long(uint64(prompt))
+			a.Prompt, a.OverShare, a.Ahead = prompt, over, 1.5
+			require.IsType(t, placement.Assign{}, engines(9).Place(start, a))
+		}
+	}
+}
+
+func TestFailingServersGetLess(t *testing.T) {
+	b := placement.NewBoard(placement.DefaultPolicy())
+	b.SetServers(start, servers(3), plain)
+	ask := &placement.Ask{Service: "s", Hall: "h"}
+	bad := b.Place(start, ask).(placement.Assign).Server.ID
+	for range 5 {
+		b.Ended(start, bad, false, placement.Failed)
+	}
+	require.NotEqual(t, bad, b.Place(start, ask).(placement.Assign).Server.ID)
+	later := start.Add(time.Minute)
+	require.Equal(t, bad, b.Place(later, ask).(placement.Assign).Server.ID, "it is tried again")
+}
+
+func TestUnreachableServersRest(t *testing.T) {
+	b := placement.NewBoard(placement.DefaultPolicy())
+	b.SetServers(start, servers(2), plain)
+	ask := &placement.Ask{Service: "s", Hall: "h"}
+	b.Ended(start, "i-00", false, placement.Unreachable)
+	require.Equal(t, "i-01", b.Place(start, ask).(placement.Assign).Server.ID)
+	b.Ended(start, "i-01", false, placement.Unreachable)
+	require.IsType(t, placement.Assign{}, b.Place(start, ask), "if all rest, one is tried")
+}
+
+func TestWhoIsLeftOut(t *testing.T) {
+	b := placement.NewBoard(placement.DefaultPolicy())
+	list := servers(3)
+	list[0].Leaving = true
+	b.SetServers(start, list, plain)
+	for range 10 {
+		a := b.Place(start, &placement.Ask{Service: "s", Exclude: []string{"i-01"}}).(placement.Assign)
+		require.Equal(t, "i-02", a.Server.ID)
+		b.Sent(start, a.Load, true)
+	}
+	require.Equal(t, placement.None{}, b.Place(start, &placement.Ask{Service: "s", Exclude: []string{"i-01", "i-02"}}))
+	require.Equal(t, placement.None{}, b.Place(start, &placement.Ask{Service: "other"}))
+}
+
+// TestCollapseEnds: after a burst far beyond what the servers can read, requests are
+// in time again within seconds and shared parts are still where they were.
+func TestCollapseEnds(t *testing.T) {
+	b := engines(3)
+	const parts = 12
+	now := start
+	for i := range 600 { // ten seconds at three times the rate that can be read
+		now = now.Add(16 * time.Millisecond)
+		put(b, now, long(uint64(i%parts)*7919))
+	}
+	now = now.Add(time.Second)
+	refused, work := 0, time.Duration(0)
+	const calm = 60
+	for i := range calm {
+		now = now.Add(100 * time.Millisecond)
+		a, ok := put(b, now, long(uint64(i%parts)*7919)).(placement.Assign)
+		if !ok {
+			refused++
+			continue
+		}
+		work += a.Load.Work
+	}
+	require.Zero(t, refused)
+	require.Less(t, work/calm, 150*time.Millisecond, "shared parts must not be read again")
+}
+
+func BenchmarkPlace(b *testing.B) {
+	for _, n := range []int{9, 38, 1000} {
+		b.Run(fmt.Sprintf("servers=%d", n), func(b *testing.B) {
+			board := engines(n)
+			for i := 0; b.Loop(); i++ {
+				board.Place(start, long(uint64(i)))
+			}
+		})
+	}
+}
--- a/gateway/placement/policy.go
+++ b/gateway/placement/policy.go
@@ -16,6 +16,8 @@
 	AgainFactor     time.Duration // a caller that was refused before is served up to so many times its objective
 	IdleWait        time.Duration // an account over its share is served while the wait is shorter
 	LongWait        time.Duration // prompts too long to be in time are served while the wait is shorter
+	AgainSpare      float64       // a caller that was refused before waits so many times longer for what is left
+	ShareRetryAfter time.Duration // a caller whose account is over its share is told to wait at least so long
 	LeastRetryAfter time.Duration // shortest time a refused caller is told to wait
 	SpareSlots      int           // a server within so many slots of its batch counts as full
 	SlotCost        time.Duration // delay expected for each request beyond that
@@ -38,8 +40,10 @@
 		Homes:           2,
 		LimitShare:      0.85,
 		AgainFactor:     2,
-		IdleWait:        100 * time.Millisecond,
+		IdleWait:        50 * time.Millisecond,
 		LongWait:        300 * time.Millisecond,
+		AgainSpare:      3,
+		ShareRetryAfter: 1500 * time.Millisecond,
 		LeastRetryAfter: 200 * time.Millisecond,
 		SpareSlots:      2,
 		SlotCost:        50 * time.Millisecond,
@@ -68,6 +72,7 @@
 const (
 	failureHalfLife = 3 * time.Second // a server's failures lose half of their weight
 	failurePrior    = 2.0             // successes assumed of every server
+	forgivenRate    = 0.02            // a lower share of failures counts as none
 	firstRest       = 500 * time.Millisecond
 	longestRest     = 4 * time.Second
 )
--- a/gateway/share/share.go
+++ b/gateway/share/share.go
@@ -32,12 +32,12 @@
 
 // Book counts the demands of accounts.
 type Book struct {
-	window  time.Duration
-	own     map[string]*counter
-	others  map[string][]Demand // by gateway
-	totals  map[string]Demand   // over the fleet, as of the last Settle
-	owed    float64             // tokens of an account in a window, of what the servers are said to make; 0: all demands fit
-	level   float64             // the same of what the servers were given; 0: all demands fit
+	window time.Duration
+	own    map[string]*counter
+	others map[string][]Demand // by gateway
+	totals map[string]Demand   // over the fleet, as of the last Settle
+	owed   float64             // tokens of an account in a window, of what the servers are said to make; 0: all demands fit
+	level  float64             // the same of what the servers were given; 0: all demands fit
 }
 
 // NewBook returns an empty book.
--- /dev/null
+++ b/gateway/share/share_test.go
@@ -0,0 +1,109 @@
+package share_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"opalbridge.dev/gateway/share"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func TestLevel(t *testing.T) {
+	tests := []struct {
+		name     string
+		demands  []float64
+		capacity float64
+		want     float64
+	}{
+		{"all fit", []float64{1, 2, 3}, 6, 0},
+		{"one is large", []float64{1, 1, 100}, 12, 10},
+		{"even", []float64{10, 10, 10, 10}, 20, 5},
+		{"nobody asks", nil, 10, 0},
+		{"no capacity", []float64{1, 2}, 0, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			require.InDelta(t, test.want, share.Level(test.demands, test.capacity), 1e-9)
+		})
+	}
+}
+
+// TestLevelUsesCapacity: met up to the level, demands use all there is, and nobody
+// who gets less than it asked gets less than another.
+func TestLevelUsesCapacity(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 2))
+	for range 1000 {
+		demands := make([]float64, 1+r.IntN(20))
+		sum := 0.0
+		for i := range demands {
+			demands[i] = r.ExpFloat64()
+			sum += demands[i]
+		}
+		capacity := r.ExpFloat64() * 5
+		level := share.Level(demands, capacity)
+		if level == 0 {
+			require.LessOrEqual(t, sum, capacity+1e-9)
+			continue
+		}
+		used := 0.0
+		for _, d := range demands {
+			used += min(d, level)
+		}
+		require.InDelta(t, capacity, used, 1e-6)
+	}
+}
+
+func TestStanding(t *testing.T) {
+	b := share.NewBook(4 * time.Second)
+	ask := func(now time.Time, account string, tokens float64, admit bool) {
+		b.Ask(now, account, tokens)
+		if admit {
+			b.Admit(now, account, tokens)
+		}
+	}
+	ask(start, "large", 9000, true)
+	ask(start, "large", 9000, false)
+	ask(start, "small", 500, true)
+	b.Settle(start, 1000) // 4,000 in a window
+	require.True(t, b.Standing("large").Over)
+	require.GreaterOrEqual(t, b.Standing("large").Ahead, 1.0)
+	require.False(t, b.Standing("small").Over)
+	require.Less(t, b.Standing("small").Ahead, 1.0)
+	require.False(t, b.Standing("unknown").Over)
+
+	later := start.Add(5 * time.Second)
+	b.Settle(later, 1000)
+	require.False(t, b.Standing("large").Over, "the window has passed")
+}
+
+func TestOthersCount(t *testing.T) {
+	b := share.NewBook(4 * time.Second)
+	b.Ask(start, "a", 100)
+	b.Admit(start, "a", 100)
+	b.SetOthers("10.0.0.2", []share.Demand{{Account: "a", Asked: 5000, Admitted: 4000}, {Account: "b", Asked: 3000, Admitted: 1000}})
+	b.Settle(start, 1000)
+	require.True(t, b.Standing("a").Over)
+	require.False(t, b.Standing("b").Over)
+	b.SetOthers("10.0.0.2", nil)
+	b.Settle(start, 1000)
+	require.False(t, b.Standing("a").Over, "the other gateway has gone")
+}
+
+func TestNoRateKnown(t *testing.T) {
+	b := share.NewBook(4 * time.Second)
+	b.Ask(start, "a", 1e9)
+	b.Admit(start, "a", 1e9)
+	b.Settle(start, 0)
+	require.False(t, b.Standing("a").Over)
+}
+
+func TestOwnForgets(t *testing.T) {
+	b := share.NewBook(4 * time.Second)
+	b.Ask(start, "a", 10)
+	require.Len(t, b.Own(start), 1)
+	require.Empty(t, b.Own(start.Add(time.Minute)))
+}
