--- a/gateway/call.go
+++ b/gateway/call.go
@@ -106,7 +106,8 @@
 	sent := time.Now()
 	c.gateway.log.Info().Str("event", "attempt.sent").Str("request", c.told.ID).Int("attempt", c.attempts).
 		Str("server", d.Server.ID).Dur("predicted", d.Predicted).Dur("work", d.Load.Work).
-		Dur("left", c.deadline.Sub(sent)).Str("account", c.account).Msg("placed")
+		Dur("left", c.deadline.Sub(sent)).Str("account", c.account).Bool("over_share", c.ask.OverShare).
+		Float64("ahead", c.ask.Ahead).Bool("again", c.ask.Again).Msg("placed")
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel() // stops the server's work if the answer was not read to its end
 	result := c.gateway.pool.Send(ctx, d.Server, c.forServer(d.Server, sent))
@@ -182,7 +183,8 @@
 	}
 	c.write(denial{http.StatusServiceUnavailable, d.Reason, d.RetryAfter})
 	c.gateway.log.Info().Str("event", "request.refused").Str("request", c.told.ID).Str("account", c.account).
-		Str("reason", d.Reason).Dur("predicted", d.Predicted).Dur("retry_after", d.RetryAfter).Msg("not run")
+		Str("reason", d.Reason).Dur("predicted", d.Predicted).Dur("retry_after", d.RetryAfter).
+		Bool("over_share", c.ask.OverShare).Float64("ahead", c.ask.Ahead).Bool("again", c.ask.Again).Msg("not run")
 }
 
 // fail gives the final answer to a request that no server has answered.
--- /dev/null
+++ b/gateway/peer/peer_test.go
@@ -0,0 +1,189 @@
+package peer_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"opalbridge.dev/gateway/peer"
+	"opalbridge.dev/gateway/peer/peerpb"
+)
+
+// member is a running node that remembers what it has heard.
+type member struct {
+	node  *peer.Node
+	stop  context.CancelFunc
+	mutex sync.Mutex
+	alive map[string]bool
+	loads map[string][]peer.Load
+	last  map[string]peer.Update
+	ended chan struct{}
+}
+
+func freePort(t *testing.T) int {
+	t.Helper()
+	c, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer c.Close()
+	return c.LocalAddr().(*net.UDPAddr).Port
+}
+
+// join starts a node at 127.0.0.N.
+func join(t *testing.T, port, n int, state peer.State, seeds ...string) *member {
+	t.Helper()
+	node, err := peer.Listen(peer.Options{
+		Address: fmt.Sprintf("127.0.0.%d:%d", n, port), Seeds: seeds,
+		State: func() peer.State { return state }, Failed: func(error) {},
+	})
+	require.NoError(t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	m := &member{node: node, stop: stop, alive: map[string]bool{}, loads: map[string][]peer.Load{}, last: map[string]peer.Update{}, ended: make(chan struct{})}
+	go node.Run(ctx)
+	go m.listen()
+	t.Cleanup(func() {
+		stop()
+		<-m.ended
+	})
+	return m
+}
+
+func (m *member) listen() {
+	defer close(m.ended)
+	for u := range m.node.Updates() {
+		m.mutex.Lock()
+		m.alive[u.From] = u.Alive
+		m.loads[u.From] = append(m.loads[u.From], u.Loads...)
+		if u.Alive {
+			m.last[u.From] = u
+		}
+		m.mutex.Unlock()
+	}
+}
+
+func (m *member) living() int {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	n := 0
+	for _, alive := range m.alive {
+		if alive {
+			n++
+		}
+	}
+	return n
+}
+
+func (m *member) heard(from string) []peer.Load {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return append([]peer.Load(nil), m.loads[from]...)
+}
+
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	require.Eventually(t, f, 5*time.Second, 2*time.Millisecond, what)
+}
+
+// TestAllFindEachOther though each knows only the first one.
+func TestAllFindEachOther(t *testing.T) {
+	port := freePort(t)
+	const nodes = 6
+	var members []*member
+	for n := 1; n <= nodes; n++ {
+		members = append(members, join(t, port, n, peer.State{}, "127.0.0.1", "127.0.0.99:8785"))
+	}
+	for i, m := range members {
+		eventually(t, fmt.Sprintf("node %d", i), func() bool { return m.living() == nodes-1 })
+	}
+	members[0].stop()
+	<-members[0].ended
+	for _, m := range members[1:] {
+		eventually(t, "a node that leaves is known to have left", func() bool { return m.living() == nodes-2 })
+	}
+	late := join(t, port, 7, peer.State{}, "127.0.0.1", "127.0.0.3")
+	eventually(t, "the first seed is gone, the second is enough", func() bool { return late.living() == nodes-1 })
+}
+
+// TestLoadsArriveOnce in their order, although each is told several times.
+func TestLoadsArriveOnce(t *testing.T) {
+	port := freePort(t)
+	a := join(t, port, 1, peer.State{Running: map[uint64]int{7: 2}, ConfigurationVersion: 5, StoreRevision: 9})
+	b := join(t, port, 2, peer.State{}, "127.0.0.1")
+	eventually(t, "they meet", func() bool { return a.living() == 1 && b.living() == 1 })
+	const many = 40
+	for i := range many {
+		a.node.Tell(peer.Load{Server: uint64(i), Work: time.Duration(i) * time.Millisecond, Parts: []uint64{1, 2}})
+		time.Sleep(2 * time.Millisecond)
+	}
+	eventually(t, "all loads", func() bool { return len(b.heard("127.0.0.1")) >= many })
+	time.Sleep(600 * time.Millisecond) // they are told again meanwhile
+	got := b.heard("127.0.0.1")
+	require.Len(t, got, many)
+	for i, l := range got {
+		require.Equal(t, peer.Load{Server: uint64(i), Work: time.Duration(i) * time.Millisecond, Parts: []uint64{1, 2}}, l)
+	}
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	require.Equal(t, 2, b.last["127.0.0.1"].Running[7])
+	require.Equal(t, uint64(9), b.last["127.0.0.1"].StoreRevision)
+}
+
+// TestOldProcessIsNotHeard: datagrams of a process that has ended come late.
+func TestOldProcessIsNotHeard(t *testing.T) {
+	port := freePort(t)
+	m := join(t, port, 1, peer.State{})
+	from, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 2), Port: port})
+	require.NoError(t, err)
+	defer from.Close()
+	send := func(b *peerpb.Beacon) {
+		packed, err := proto.Marshal(b)
+		require.NoError(t, err)
+		_, err = from.WriteToUDP(packed, &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: port})
+		require.NoError(t, err)
+	}
+	load := []*peerpb.Load{{Server: 1, WorkUs: 1000}}
+	send(&peerpb.Beacon{Incarnation: 20, NewestLoad: 1, Loads: load})
+	eventually(t, "the new process", func() bool { return len(m.heard("127.0.0.2")) == 1 })
+	send(&peerpb.Beacon{Incarnation: 10, NewestLoad: 50, Loads: load, StoreRevision: 99})
+	send(&peerpb.Beacon{Incarnation: 20, NewestLoad: 2, Loads: load})
+	eventually(t, "its next load", func() bool { return len(m.heard("127.0.0.2")) == 2 })
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	require.Zero(t, m.last["127.0.0.2"].StoreRevision)
+}
+
+func TestBadDatagramsAreBorne(t *testing.T) {
+	port := freePort(t)
+	m := join(t, port, 1, peer.State{})
+	from, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 2), Port: port})
+	require.NoError(t, err)
+	defer from.Close()
+	for _, b := range [][]byte{nil, {0xff}, make([]byte, 9000)} {
+		_, err := from.WriteToUDP(b, &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: port})
+		require.NoError(t, err)
+	}
+	other := join(t, port, 3, peer.State{}, "127.0.0.1")
+	eventually(t, "it still hears", func() bool { return m.living() >= 1 && other.living() >= 1 })
+}
+
+func TestListenFaults(t *testing.T) {
+	tests := []struct {
+		name    string
+		options peer.Options
+	}{
+		{"no port", peer.Options{Address: "127.0.0.1"}},
+		{"a name", peer.Options{Address: "localhost:7400"}},
+		{"a seed that is no number", peer.Options{Address: "127.0.0.1:0", Seeds: []string{"nobody"}}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			_, err := peer.Listen(test.options)
+			require.Error(t, err)
+		})
+	}
+}
