gateway: requests wait a moment for a server, accounts that got least first

Cause: a request refused because all servers are busy for another 50 ms comes back 200 ms later, whoever it is. Change: the desk holds refused requests up to a fifth of their objective and looks again every 10 ms, in the order of standing.

--- a/gateway/desk.go
+++ b/gateway/desk.go
@@ -41,6 +41,7 @@
 	// Owned by run.
 	board    *placement.Board
 	book     *share.Book
+	held     []heldRequest // waiting for a server
 	budget   *budget.Budget
 	view     *View
 	running  map[string]int              // own requests by server
@@ -61,6 +62,7 @@
 type (
 	// placeMessage asks for a decision; if it is to send, all is booked as sent.
 	placeMessage struct {
+		ctx    context.Context // of the request: once it has ended, nobody waits for the reply
 		ask    *placement.Ask
 		repeat bool // the request has been at a server before
 		tokens float64
@@ -108,9 +110,11 @@
 // place asks for a decision. ok is false when ctx has ended first.
 func (d *desk) place(ctx context.Context, a *placement.Ask, repeat bool, tokens float64) (placement.Decision, bool) {
 	reply := make(chan placement.Decision, 1)
-	d.tell(placeMessage{ask: a, repeat: repeat, tokens: tokens, reply: reply})
+	asked := *a // the desk may hold it longer than the caller waits
+	d.tell(placeMessage{ctx: ctx, ask: &asked, repeat: repeat, tokens: tokens, reply: reply})
 	select {
 	case decision := <-reply:
+		*a = asked // the desk has filled in where the account stands
 		return decision, true
 	case <-d.done:
 		return nil, false
@@ -136,12 +140,19 @@
 	defer close(d.done)
 	settle := time.NewTicker(settleEvery)
 	defer settle.Stop()
+	look := time.NewTimer(time.Hour)
+	defer look.Stop()
 	for {
+		if len(d.held) > 0 {
+			look.Reset(holdEvery)
+		}
 		select {
 		case <-ctx.Done():
 			return
 		case m := <-d.asks:
 			d.handle(time.Now(), m)
+		case now := <-look.C:
+			d.look(now)
 		case now := <-settle.C:
 			d.settle(now)
 		}
@@ -151,7 +162,7 @@
 func (d *desk) handle(now time.Time, m any) {
 	switch m := m.(type) {
 	case placeMessage:
-		m.reply <- d.decide(now, m)
+		d.admit(now, m)
 	case arrivedMessage:
 		d.budget.Request(now, m.service)
 		if m.account != "" {
@@ -175,10 +186,7 @@
 	if m.repeat && d.budget.Left(now, m.ask.Service, d.fleetSize()) < 1 {
 		return placement.Refuse{RetryAfter: d.settings.Policy.LeastRetryAfter, Reason: repeatsSpent}
 	}
-	if m.ask.Account != "" {
-		standing := d.book.Standing(m.ask.Account)
-		m.ask.OverShare, m.ask.Ahead = standing.Over, standing.Ahead
-	}
+	d.stand(m.ask)
 	decision := d.board.Place(now, m.ask)
 	assign, ok := decision.(placement.Assign)
 	if !ok {
@@ -198,6 +206,15 @@
 	return decision
 }
 
+// stand fills in where the request's account stands against its share.
+func (d *desk) stand(a *placement.Ask) {
+	if a.Account == "" {
+		return
+	}
+	standing := d.book.Standing(a.Account)
+	a.OverShare, a.Ahead = standing.Over, standing.Ahead
+}
+
 func (d *desk) end(now time.Time, m endedMessage) {
 	d.board.Ended(now, m.server, true, m.end)
 	d.running[m.server]--
