platform: one client for the store; the old protocol of our own is gone

Cause: two adapters for one store: our own HTTP form for routers with agents and the users' for gateways. Change: platform.KV implements kv.KV over the users' store; kv's HTTP client, its stand-in's handler and the unused leases are removed; dev, standin and the process tests run over the platform's protocol. Conclusion: what the platform makes needless goes, the product's interface stays.

--- a/cmd/opalbridge/dev.go
+++ b/cmd/opalbridge/dev.go
@@ -16,8 +16,9 @@
 	"opalbridge.dev/config"
 	"opalbridge.dev/engine/enginetest"
 	"opalbridge.dev/kv"
-	"opalbridge.dev/kv/kvtest"
 	"opalbridge.dev/operator"
+	"opalbridge.dev/platform"
+	"opalbridge.dev/platform/platformtest"
 	"opalbridge.dev/settings"
 	"opalbridge.dev/telemetry"
 )
@@ -57,7 +58,7 @@
 	life      context.Context
 	log       zerolog.Logger
 	telemetry *telemetry.Telemetry
-	platform  kvtest.Service
+	store     platform.KV
 	url       string // of the platform
 	token     string
 	keys      []string
@@ -97,7 +98,10 @@
 	if err != nil {
 		return err
 	}
-	if f.url, err = f.serve("127.0.0.1:0", f.platform.Handler()); err != nil {
+	if f.url, err = f.serve("127.0.0.1:0", &platformtest.Store{}); err != nil {
+		return err
+	}
+	if f.store, err = openKV(f.url); err != nil {
 		return err
 	}
 	if f.admin, err = f.serve("127.0.0.1:0", adminHandler(f.telemetry)); err != nil {
@@ -125,7 +129,7 @@
 // configure puts the first configuration into the platform's service.
 func (f *devFleet) configure() error {
 	f.token = operator.NewKey()
-	store := config.Store{KV: &f.platform}
+	store := config.Store{KV: f.store}
 	o := store.Propose(f.life, 0, func(d *config.Document) error {
 		for _, a := range devAccounts {
 			key := operator.NewKey()
@@ -180,7 +184,9 @@
 	}
 	f.agents = append(f.agents, a)
 	f.done = append(f.done, done)
-	f.platform.SetHost(kv.Host{Name: name, Role: kv.Agent, Hall: hall, Address: l.Addr().String()})
+	if err := f.store.SetHost(f.life, kv.Host{Name: name, Role: kv.Agent, Hall: hall, Address: l.Addr().String()}); err != nil {
+		return err
+	}
 	return nil
 }
 
@@ -206,7 +212,9 @@
 			Name: name, Hall: devHall(i), PeerAddress: peers.Addr().String(), PlatformURL: f.url,
 			OperatorTokenHash: config.HashKey(f.token), ReportInterval: reportInterval, Records: recordsKept,
 		}
-		f.platform.SetHost(kv.Host{Name: name, Role: kv.Router, Hall: devHall(i), Address: s.PeerAddress})
+		if err := f.store.SetHost(f.life, kv.Host{Name: name, Role: kv.Router, Hall: devHall(i), Address: s.PeerAddress}); err != nil {
+			return err
+		}
 		parts, err := startRouter(f.life, s, f.telemetry, f.log.With().Str("node", name).Logger(), callers, peers)
 		if err != nil {
 			return err
--- a/cmd/opalbridge/docs_test.go
+++ b/cmd/opalbridge/docs_test.go
@@ -14,7 +14,7 @@
 func TestSettingsPage(t *testing.T) {
 	page, err := os.ReadFile("../../docs/operators/settings.md")
 	require.NoError(t, err)
-	for _, role := range []string{"router", "agent"} {
+	for _, role := range []string{"router", "agent", "gateway"} {
 		c := command()
 		var out bytes.Buffer
 		c.Writer = &out
--- a/cmd/opalbridge/main_test.go
+++ b/cmd/opalbridge/main_test.go
@@ -276,7 +276,7 @@
 		answer, _ := f.ask(t, "GET", "/v1/models", "", nil)
 		return answer.StatusCode == http.StatusForbidden
 	}, 10*time.Second, 20*time.Millisecond)
-	store := config.Store{KV: &f.platform}
+	store := config.Store{KV: f.store}
 	d, _, err := store.Load(context.Background())
 	require.NoError(t, err)
 	require.True(t, d.Account("quito").Disabled)
--- a/cmd/opalbridge/process_test.go
+++ b/cmd/opalbridge/process_test.go
@@ -78,17 +78,16 @@
 }
 
 func listHost(t *testing.T, url string, h kv.Host) {
-	body := fmt.Sprintf(`{"role":%q,"hall":%q,"address":%q}`, h.Role, h.Hall, h.Address)
-	r, err := http.NewRequest(http.MethodPut, url+"/hosts/"+h.Name, strings.NewReader(body))
+	store, err := openKV(url)
 	require.NoError(t, err)
-	answer, err := http.DefaultClient.Do(r)
-	require.NoError(t, err)
-	answer.Body.Close()
+	require.NoError(t, store.SetHost(context.Background(), h))
 }
 
 func startProcessFleet(t *testing.T) *processFleet {
 	f := &processFleet{platform: startStandin(t, "platform"), key: operator.NewKey()}
-	store := config.Store{KV: &kv.Client{Base: f.platform}}
+	kvStore, err := openKV(f.platform)
+	require.NoError(t, err)
+	store := config.Store{KV: kvStore}
 	o := store.Propose(context.Background(), 0, func(d *config.Document) error {
 		operator.AddAccount(d, config.Account{Name: "quito", Share: 1}, f.key)
 		d.Pools = []config.Pool{{Name: devModel, Kind: config.Model}}
--- a/cmd/opalbridge/run.go
+++ b/cmd/opalbridge/run.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"net"
 	"net/http"
+	"net/url"
 	"os"
 	"os/signal"
 	"syscall"
@@ -18,8 +19,8 @@
 	"opalbridge.dev/config"
 	"opalbridge.dev/engine"
 	"opalbridge.dev/explain"
-	"opalbridge.dev/kv"
 	"opalbridge.dev/operator"
+	"opalbridge.dev/platform"
 	"opalbridge.dev/router"
 	"opalbridge.dev/secure"
 	"opalbridge.dev/settings"
@@ -110,6 +111,15 @@
 	return k.Dial
 }
 
+// openKV returns a client of the platform's service at a URL.
+func openKV(address string) (platform.KV, error) {
+	u, err := url.Parse(address)
+	if err != nil || u.Host == "" {
+		return platform.KV{}, usage(errors.Newf("platform_url %q is no URL", address))
+	}
+	return platform.KV{Store: &platform.Store{Address: u.Host, TLS: u.Scheme == "https"}}, nil
+}
+
 // routerParts are a router with its servers.
 type routerParts struct {
 	router *router.Router
@@ -123,7 +133,10 @@
 	if err != nil {
 		return nil, err
 	}
-	client := &kv.Client{Base: s.PlatformURL}
+	client, err := openKV(s.PlatformURL)
+	if err != nil {
+		return nil, err
+	}
 	k, err := openKeeper(s)
 	if err != nil {
 		return nil, err
--- a/cmd/opalbridge/standin.go
+++ b/cmd/opalbridge/standin.go
@@ -10,7 +10,7 @@
 	"github.com/urfave/cli/v3"
 
 	"opalbridge.dev/engine/enginetest"
-	"opalbridge.dev/kv/kvtest"
+	"opalbridge.dev/platform/platformtest"
 )
 
 func standinCommand() *cli.Command {
@@ -22,7 +22,7 @@
 			"  opalbridge standin service --listen 127.0.0.1:7003\n\nThey keep everything in memory and are not for production.",
 		Commands: []*cli.Command{
 			{Name: "platform", Flags: []cli.Flag{listen}, Action: func(ctx context.Context, c *cli.Command) error {
-				return serveStandin(ctx, c, (&kvtest.Service{}).Handler())
+				return serveStandin(ctx, c, &platformtest.Store{})
 			}},
 			{Name: "model", Flags: []cli.Flag{listen,
 				&cli.StringSliceFlag{Name: "model", Value: []string{devModel}}, &cli.IntFlag{Name: "slots", Value: devSlots},
--- a/kv/kv.go
+++ b/kv/kv.go
@@ -1,22 +1,17 @@
-// Package kv is what opalbridge needs of the platform it runs on: a small
+// Package kv is what a router with agents needs of the platform it runs on: a small
 // key-value service and a list of live hosts, each behind a narrow interface.
 //
 // # Usage
 //
-// [Client] speaks to both over HTTP:
+//	var store kv.KV = platform.KV{Store: &platform.Store{Address: "10.0.0.1:2379"}}
+//	e, err := store.Get(ctx, "opalbridge/configuration")
 //
-//	c := kv.Client{Base: "http://10.0.0.1:2379"}
-//	e, err := c.Get(ctx, "opalbridge/configuration")
-//	hosts, err := c.Hosts(ctx)
-//
-// Another platform is met by another implementation of [KV] and [Directory];
-// nothing else in the project knows how the platform is spoken to. Stand-ins for
-// tests are in kvtest.
+// Package platform implements both over the users' platform; another platform is met
+// by another implementation. A stand-in in memory is in kvtest.
 package kv
 
 import (
 	"context"
-	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -26,7 +21,6 @@
 var (
 	ErrConflict    = errors.New("kv: version conflict")
 	ErrUnavailable = errors.New("kv: service unavailable") // refused before any effect
-	ErrHeld        = errors.New("kv: lease is held")
 )
 
 // Entry is a value and the version the service gives it; version zero means that
@@ -36,14 +30,6 @@
 	Version uint64
 }
 
-// Lease is a time-limited right with a fence that grows with every holder.
-type Lease struct {
-	Name    string
-	Holder  string
-	Fence   uint64
-	Expires time.Time
-}
-
 // KV is the platform's key-value service. It takes about 100 writes and 2,000
 // reads a second, holds values up to 1 MB, has outages and loses answers
 // (source: the users' brief, "What the platform gives").
@@ -55,8 +41,6 @@
 	// Watch waits for a version other than the one given. The service may end
 	// the wait early and return the unchanged entry.
 	Watch(ctx context.Context, key string, version uint64) (Entry, error)
-	// Acquire takes or renews a lease, or returns ErrHeld.
-	Acquire(ctx context.Context, name, holder string, ttl time.Duration) (Lease, error)
 }
 
 // Role tells which duty a host's process has.
