--- a/gateway/hold.go
+++ b/gateway/hold.go
@@ -31,7 +31,7 @@
 	decision := d.decide(now, m)
 	refuse, refused := decision.(placement.Refuse)
 	hold := time.Duration(d.settings.Policy.HoldShare * float64(m.ask.Objective))
-	if !refused || refuse.Reason == repeatsSpent || hold < holdEvery || len(d.held) >= mostHeld {
+	if !refused || refuse.Reason == repeatsSpent || m.ask.OverShare || hold < holdEvery || len(d.held) >= mostHeld {
 		m.reply <- decision
 		return
 	}
