--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -265,15 +265,19 @@
 }
 
 // spareWait is the longest wait at which an account that has got its share is served
-// with what others leave. Those that got the most so far come last.
-// A caller that was refused before is served more readily: it can't come back again.
+// with what others leave. The more it got so far against an even part, the shorter;
+// a quarter beyond that, it waits for idle servers. A caller that was refused before
+// is served more readily: it can't come back again.
 func (b *Board) spareWait(a *Ask) time.Duration {
-	const none = 2 // times an even share; from there on an account waits for idle servers
-	wait := max(none-a.Ahead, 0) * float64(b.policy.IdleWait)
+	const (
+		slope = 4 // waits at which an even part more or less counts
+		most  = 3 // waits
+	)
+	waits := min(max(1+slope*(1-a.Ahead), 0), most)
 	if a.Again {
-		wait = max(wait, float64(b.policy.IdleWait)) * b.policy.AgainSpare
+		waits = max(waits, 1) * b.policy.AgainSpare
 	}
-	return time.Duration(wait)
+	return time.Duration(waits * float64(b.policy.IdleWait))
 }
 
 // limit is the longest predicted time to the first event at which a request is sent.
