gateway: requests do not wait at the desk after all; clock steps borne

Change: the hold is taken back. A process that starts again after the time of day was set back is heard at once (its incarnation is lower), and the window of shares follows the steady clock. Beacons tell how old a view is.

--- a/gateway/desk.go
+++ b/gateway/desk.go
@@ -44,7 +44,6 @@
 	heard    map[string]time.Time // last sign of life, by server
 	board    *placement.Board
 	book     *share.Book
-	held     []heldRequest // waiting for a server
 	budget   *budget.Budget
 	view     *View
 	running  map[string]int              // own requests by server
@@ -72,7 +71,6 @@
 type (
 	// placeMessage asks for a decision; if it is to send, all is booked as sent.
 	placeMessage struct {
-		ctx    context.Context // of the request: once it has ended, nobody waits for the reply
 		ask    *placement.Ask
 		repeat bool // the request has been at a server before
 		tokens float64
@@ -123,8 +121,8 @@
 // place asks for a decision. ok is false when ctx has ended first.
 func (d *desk) place(ctx context.Context, a *placement.Ask, repeat bool, tokens float64) (placement.Decision, bool) {
 	reply := make(chan placement.Decision, 1)
-	asked := *a // the desk may hold it longer than the caller waits
-	d.tell(placeMessage{ctx: ctx, ask: &asked, repeat: repeat, tokens: tokens, reply: reply})
+	asked := *a // the desk may be slower than the caller is patient
+	d.tell(placeMessage{ask: &asked, repeat: repeat, tokens: tokens, reply: reply})
 	select {
 	case decision := <-reply:
 		*a = asked // the desk has filled in where the account stands
@@ -153,19 +151,12 @@
 	defer close(d.done)
 	settle := time.NewTicker(settleEvery)
 	defer settle.Stop()
-	look := time.NewTimer(time.Hour)
-	defer look.Stop()
 	for {
-		if len(d.held) > 0 {
-			look.Reset(holdEvery)
-		}
 		select {
 		case <-ctx.Done():
 			return
 		case m := <-d.asks:
 			d.handle(time.Now(), m)
-		case now := <-look.C:
-			d.look(now)
 		case now := <-settle.C:
 			d.settle(now)
 		}
@@ -175,7 +166,7 @@
 func (d *desk) handle(now time.Time, m any) {
 	switch m := m.(type) {
 	case placeMessage:
-		d.admit(now, m)
+		m.reply <- d.decide(now, m)
 	case arrivedMessage:
 		d.budget.Request(now, m.service)
 		if m.account != "" {
--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -50,6 +50,11 @@
 	// cost accuracy only.
 	queue         = 256
 	longestPacket = 16 << 10
+	// Ages are told up to this one.
+	longestAge = time.Hour
+	// A process that has ended is heard no more after this time, whatever its clock
+	// said: a later one at its address may have started with an earlier time of day.
+	lateDatagrams = 500 * time.Millisecond
 )
 
 // Load is what a request put on a server.
@@ -65,6 +70,7 @@
 	Demands              []*peerpb.Demand
 	ConfigurationVersion uint64
 	StoreRevision        uint64
+	Confirmed            time.Time // when StoreRevision was last known to be the store's latest
 }
 
 // Update is news of another gateway.
@@ -79,6 +85,7 @@
 	DemandsTold          bool
 	ConfigurationVersion uint64
 	StoreRevision        uint64
+	Confirmed            time.Time // when StoreRevision was last known to be the store's latest
 }
 
 // Options set up a Node.
@@ -97,6 +104,7 @@
 	conn        *net.UDPConn
 	incarnation uint64
 	loads       chan Load
+	hurry       chan struct{}
 	packets     chan packet
 	updates     chan Update
 
@@ -143,7 +151,7 @@
 	n := &Node{
 		options: o, self: at.Addr(), port: at.Port(), conn: conn,
 		incarnation: uint64(now.UnixNano()),
-		loads:       make(chan Load, queue), packets: make(chan packet, queue), updates: make(chan Update, queue),
+		loads:       make(chan Load, queue), hurry: make(chan struct{}, 1), packets: make(chan packet, queue), updates: make(chan Update, queue),
 		peers: map[netip.Addr]*remote{},
 	}
 	for _, s := range o.Seeds {
@@ -174,6 +182,14 @@
 	}
 }
 
+// TellNow lets the next beacon go out soon; it never blocks.
+func (n *Node) TellNow() {
+	select {
+	case n.hurry <- struct{}{}:
+	default: // one is on its way
+	}
+}
+
 // Updates returns the channel on which news of other gateways arrive. It is closed
 // when Run has ended.
 func (n *Node) Updates() <-chan Update { return n.updates }
@@ -234,6 +250,11 @@
 				soon.Reset(loadDelay)
 				waiting = true
 			}
+		case <-n.hurry:
+			if !waiting {
+				soon.Reset(loadDelay)
+				waiting = true
+			}
 		case <-soon.C:
 			waiting = false
 			n.send(time.Now(), false)
@@ -300,6 +321,7 @@
 	b := &peerpb.Beacon{
 		Incarnation: n.incarnation, NewestLoad: n.newest,
 		ConfigurationVersion: s.ConfigurationVersion, StoreRevision: s.StoreRevision, Leaving: n.leaving,
+		ConfirmedMs: uint32(min(time.Since(s.Confirmed), longestAge).Milliseconds()),
 	}
 	kept := n.pending[:0]
 	for _, l := range n.pending {
@@ -348,10 +370,10 @@
 	}
 	r := n.meet(now, p.from)
 	b := p.beacon
-	if b.Incarnation < r.incarnation {
+	if b.Incarnation < r.incarnation && now.Sub(r.heard) < lateDatagrams {
 		return // a late datagram of a process that has ended
 	}
-	first := b.Incarnation > r.incarnation
+	first := b.Incarnation != r.incarnation
 	r.incarnation, r.heard = b.Incarnation, now
 	if b.Leaving {
 		if r.alive {
@@ -373,6 +395,7 @@
 		From: p.from.String(), Alive: true, Loads: r.news(b, first), Running: map[uint64]int{},
 		Demands: b.Demands, DemandsTold: b.DemandsTold,
 		ConfigurationVersion: b.ConfigurationVersion, StoreRevision: b.StoreRevision,
+		Confirmed: now.Add(-time.Duration(b.ConfirmedMs) * time.Millisecond),
 	}
 	for _, g := range b.Running {
 		u.Running[g.Server] = int(g.Requests)
--- a/gateway/placement/policy.go
+++ b/gateway/placement/policy.go
@@ -16,7 +16,6 @@
 	AgainFactor     time.Duration // a caller that was refused before is served up to so many times its objective
 	IdleWait        time.Duration // an account over its share is served while the wait is shorter
 	LongWait        time.Duration // prompts too long to be in time are served while the wait is shorter
-	HoldShare       float64       // share of the objective for which a request may wait at a gateway for a server
 	AgainSpare      float64       // a caller that was refused before waits so many times longer for what is left
 	ShareRetryAfter time.Duration // a caller whose account is over its share is told to wait at least so long
 	LeastRetryAfter time.Duration // shortest time a refused caller is told to wait
@@ -43,7 +42,6 @@
 		AgainFactor:     2,
 		IdleWait:        50 * time.Millisecond,
 		LongWait:        300 * time.Millisecond,
-		HoldShare:       0.2,
 		AgainSpare:      1,
 		ShareRetryAfter: 200 * time.Millisecond,
 		LeastRetryAfter: 200 * time.Millisecond,
--- a/gateway/share/share.go
+++ b/gateway/share/share.go
@@ -66,7 +66,10 @@
 		c = &counter{}
 		b.own[account] = c
 	}
-	c.advance(now.UnixNano() / int64(b.window/buckets))
+	if b.epoch.IsZero() {
+		b.epoch = now
+	}
+	c.advance(int64(now.Sub(b.epoch) / (b.window / buckets)))
 	return c
 }
 
