gateway: one gateway of a hall watches the store, the others learn from it

Ruled out: longer waits alone (most calls return for a change, not for time). Change: the gateway with the lowest hash in its hall watches; beacons tell the store's revision and how old that news is; who is behind fetches the view from its hall, and asks the store itself when nobody has confirmed its view for 2.5 s. Changes within 100 ms cost one call.

--- a/gateway/desk.go
+++ b/gateway/desk.go
@@ -208,7 +208,7 @@
 	assign.Ticket = d.tickets
 	d.pending[assign.Ticket] = &awaited{server: assign.Server.ID, due: now.Add(assign.Predicted)}
 	d.running[assign.Server.ID]++
-	d.publish(now)
+	d.publish()
 	if assign.Load.Work > 0 {
 		d.peers.Tell(peer.Load{Server: hash(assign.Server.ID), Work: assign.Load.Work, Parts: assign.Load.Parts})
 	}
@@ -234,19 +234,16 @@
 	if d.running[m.server] <= 0 {
 		delete(d.running, m.server)
 	}
-	d.publish(now)
+	d.publish()
 }
 
 // publish makes the state that the next beacon tells.
-func (d *desk) publish(now time.Time) {
+func (d *desk) publish() {
 	old := d.telling.Load()
-	s := &peer.State{Running: make(map[uint64]int, len(d.running)), Demands: old.Demands, StoreRevision: d.view.Revision}
+	s := &peer.State{Running: make(map[uint64]int, len(d.running)), Demands: old.Demands}
 	for id, n := range d.running {
 		s.Running[hash(id)] = n
 	}
-	if d.view.Configuration != nil {
-		s.ConfigurationVersion = d.view.Configuration.Version
-	}
 	d.telling.Store(s)
 }
 
@@ -266,7 +263,7 @@
 	for _, s := range v.Servers {
 		d.ids[hash(s.ID)] = s.ID
 	}
-	d.publish(now)
+	d.publish()
 }
 
 // update takes over the news of another gateway.
@@ -323,7 +320,6 @@
 	}
 	s := *d.telling.Load()
 	s.Demands = list
-	s.StoreRevision = d.view.Revision
 	d.telling.Store(&s)
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -63,24 +63,31 @@
 
 // Gateway is one gateway of a fleet.
 type Gateway struct {
-	options  Options
-	log      zerolog.Logger
-	view     atomic.Pointer[View]
-	desk     *desk
-	pool     *upstream.Pool
-	peers    *peer.Node
-	follower *follower
-	starts   starts
-	stopping atomic.Bool
-	active   atomic.Int64 // requests being served
+	options Options
+	log     zerolog.Logger
+	started time.Time
+	view    atomic.Pointer[View]
+	// When the view was last known to be the store's latest, as time since started:
+	// the steady clock, not the time of day.
+	confirmed atomic.Int64
+	watches   atomic.Bool // this gateway watches the store for its hall
+	desk      *desk
+	pool      *upstream.Pool
+	peers     *peer.Node
+	follower  *follower
+	starts    starts
+	stopping  atomic.Bool
+	active    atomic.Int64 // requests being served
 }
 
 // New returns a gateway that does not run yet.
 func New(o Options) (*Gateway, error) {
-	g := &Gateway{options: o, log: o.Log, pool: upstream.NewPool(o.Codec)}
+	g := &Gateway{options: o, log: o.Log, started: time.Now(), pool: upstream.NewPool(o.Codec)}
 	g.view.Store(&View{})
 	g.desk = newDesk(o.Log, o.Desk, time.Now())
-	o.Peer.State = func() peer.State { return *g.desk.telling.Load() }
+	o.Peer.Hall = o.Desk.Hall
+	o.Peer.State = g.tell
+	g.watches.Store(true) // until others are known
 	o.Peer.Failed = func(err error) { g.log.Debug().Str("event", "peer.datagram").Err(err).Msg("passed over") }
 	peers, err := peer.Listen(o.Peer)
 	if err != nil {
@@ -91,6 +98,32 @@
 	return g, nil
 }
 
+// tell is what the others hear of this gateway.
+func (g *Gateway) tell() peer.State {
+	s := *g.desk.telling.Load()
+	v := g.view.Load()
+	s.StoreRevision, s.Confirmed = v.Revision, g.confirmedAt()
+	if v.Configuration != nil {
+		s.ConfigurationVersion = v.Configuration.Version
+	}
+	return s
+}
+
+// confirmedAt returns when the view was last known to be the store's latest; the
+// process's start if it never was.
+func (g *Gateway) confirmedAt() time.Time { return g.started.Add(time.Duration(g.confirmed.Load())) }
+
+// confirm notes that the view was the store's latest at a time.
+func (g *Gateway) confirm(at time.Time) {
+	since := int64(at.Sub(g.started))
+	for {
+		old := g.confirmed.Load()
+		if since <= old || g.confirmed.CompareAndSwap(old, since) {
+			return
+		}
+	}
+}
+
 // Run serves until ctx ends, then stops in the order of stop.go.
 func (g *Gateway) Run(ctx context.Context) error {
 	duties, cancel := context.WithCancel(context.WithoutCancel(ctx))
--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"opalbridge.dev/gateway/catalog"
+	"opalbridge.dev/gateway/peer"
 )
 
 // Times and sizes of handing views over.
@@ -42,54 +43,100 @@
 	}
 }
 
-// hear takes up what other gateways tell, until their channel is closed. A gateway
-// that has known more for a while is asked for its view: the store may be out of
-// reach here, or its watch may have been cut in silence.
+// hear takes up what other gateways tell, until their channel is closed.
 func (g *Gateway) hear(ctx context.Context) {
-	var behind time.Time // since when another gateway knows more; zero: none does
-	var revision uint64  // that it told
-	ended := make(chan struct{}, 1)
-	asking := false
+	h := hearing{gateway: g, halls: map[string]string{}, ended: make(chan struct{}, 1)}
 	for {
 		select {
-		case <-ended:
-			asking, behind = false, time.Time{}
+		case <-h.ended:
+			h.asking = false
 		case u, open := <-g.peers.Updates():
 			if !open {
-				if asking {
-					<-ended
+				if h.asking {
+					<-h.ended
 				}
 				return
 			}
 			g.desk.tell(updateMessage{u})
-			own := g.view.Load().Revision
-			if !u.Alive || u.StoreRevision <= own {
-				continue
-			}
-			now := time.Now()
-			if behind.IsZero() || own >= revision {
-				behind, revision = now, u.StoreRevision
-			}
-			if !asking && now.Sub(behind) > handoverAfter {
-				asking = true
-				go func() {
-					g.askView(ctx, u.From)
-					ended <- struct{}{}
-				}()
-			}
+			h.take(ctx, time.Now(), u)
+		}
+	}
+}
+
+// hearing is the state of the duty that hears other gateways.
+type hearing struct {
+	gateway *Gateway
+	halls   map[string]string // of live gateways, by address
+	behind  time.Time         // since when a gateway knows more of the store; zero: none does
+	asking  bool              // a view is being fetched
+	ended   chan struct{}     // tells that it was
+}
+
+func (h *hearing) take(ctx context.Context, now time.Time, u peer.Update) {
+	if !u.Alive {
+		delete(h.halls, u.From)
+		h.elect()
+		return
+	}
+	if hall, known := h.halls[u.From]; !known || hall != u.Hall {
+		h.halls[u.From] = u.Hall
+		h.elect()
+	}
+	g := h.gateway
+	if u.StoreRevision <= g.view.Load().Revision {
+		h.behind = time.Time{}
+		g.confirm(u.Confirmed)
+		return
+	}
+	if h.behind.IsZero() {
+		h.behind = now
+	}
+	// A gateway of the own hall that watches is asked at once. For the others the own
+	// hall's news are waited for; they cost no bytes between halls.
+	patience := handoverAfter
+	if u.Hall == g.options.Desk.Hall && !g.watches.Load() {
+		patience = 0
+	}
+	if !h.asking && now.Sub(h.behind) >= patience {
+		h.asking = true
+		h.behind = time.Time{}
+		go func() {
+			g.askView(ctx, u)
+			h.ended <- struct{}{}
+		}()
+	}
+}
+
+// elect decides whether this gateway watches the store for its hall: the live gateway
+// of the hall with the lowest hash does. If lists differ for a moment, two watch or
+// none does, and who hears nothing asks the store itself.
+func (h *hearing) elect() {
+	g := h.gateway
+	own, _, err := net.SplitHostPort(g.options.Peer.Address)
+	if err != nil {
+		return // peer.Listen has checked it
+	}
+	least := hash(own)
+	watches := true
+	for address, hall := range h.halls {
+		if hall == g.options.Desk.Hall && hash(address) < least {
+			watches = false
 		}
 	}
+	if g.watches.Swap(watches) != watches {
+		g.log.Info().Str("event", "watch.duty").Bool("watches", watches).Int("gateways", len(h.halls)+1).Msg("store")
+	}
 }
 
 // askView fetches the view of another gateway and hands it to the follower.
-func (g *Gateway) askView(ctx context.Context, from string) {
-	s, err := g.fetchView(ctx, from)
+func (g *Gateway) askView(ctx context.Context, u peer.Update) {
+	s, err := g.fetchView(ctx, u.From)
 	if err != nil {
-		g.log.Warn().Str("event", "view.not_handed_over").Str("peer", from).Err(err).Msg("go on with what is known")
+		g.log.Warn().Str("event", "view.not_handed_over").Str("peer", u.From).Err(err).Msg("go on with what is known")
 		return
 	}
 	select {
-	case g.follower.handed <- handover{from: from, snapshot: s}:
+	case g.follower.handed <- handover{from: u.From, snapshot: s, confirmed: u.Confirmed}:
 	case <-ctx.Done():
 	}
 }
--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -72,7 +72,7 @@
 	}
 	route, ok := v.Configuration.Route(r.Host, rawPath(r))
 	if !ok {
-		return nil, v.unexplained(arrived, http.StatusNotFound, "no route")
+		return nil, g.unexplained(arrived, http.StatusNotFound, "no route")
 	}
 	told, err := g.options.Codec.Request(r.Header)
 	if err != nil {
@@ -80,7 +80,7 @@
 	}
 	account, ok := v.account(route, told.Key)
 	if !ok {
-		return nil, v.unexplained(arrived, http.StatusUnauthorized, "unknown key")
+		return nil, g.unexplained(arrived, http.StatusUnauthorized, "unknown key")
 	}
 	c := &call{
 		gateway: g, w: w, request: r, told: told, route: route, account: account.Name,
@@ -95,8 +95,8 @@
 
 // unexplained denies what the configuration does not allow. If the view may be old,
 // a newer one may well allow it, so the caller is told to come back.
-func (v *View) unexplained(now time.Time, status int, reason string) denial {
-	if now.Sub(v.Confirmed) > freshView {
+func (g *Gateway) unexplained(now time.Time, status int, reason string) denial {
+	if now.Sub(g.confirmedAt()) > freshView {
 		return denial{http.StatusServiceUnavailable, reason + " in a configuration that may be old", unknownRetryAfter}
 	}
 	return denial{status: status, reason: reason}
@@ -214,7 +214,7 @@
 	writeDenial(w, d)
 	g.log.Info().Str("event", "request.denied").Str("host", r.Host).Str("path", r.URL.Path).
 		Int("status", d.status).Str("reason", d.reason).Dur("retry_after", d.retryAfter).
-		Uint64("revision", g.view.Load().Revision).Dur("view_age", time.Since(g.view.Load().Confirmed)).Msg("answered")
+		Uint64("revision", g.view.Load().Revision).Dur("view_age", time.Since(g.confirmedAt())).Msg("answered")
 	g.options.Metrics.Ended(Outcome{Result: "denied"})
 }
 
--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -76,6 +76,7 @@
 // Update is news of another gateway.
 type Update struct {
 	From  string // IP address
+	Hall  string // empty: not told yet
 	Alive bool
 	// What follows is set only when Alive.
 	Loads   []Load // not told before
@@ -91,6 +92,7 @@
 // Options set up a Node.
 type Options struct {
 	Address string   // own IP and port
+	Hall    string   // of this gateway
 	Seeds   []string // IP addresses (a port is ignored) where other gateways may be
 	State   func() State
 	Failed  func(error) // hears of datagrams that could not be sent or read; must not block
@@ -129,6 +131,7 @@
 	heard       time.Time // zero: never
 	known       time.Time // since when its address is known
 	newest      uint64    // newest load taken over
+	hall        string
 	alive       bool
 }
 
@@ -336,7 +339,7 @@
 		b.Running = append(b.Running, &peerpb.Running{Server: server, Requests: uint32(requests)})
 	}
 	if whole {
-		b.Demands, b.DemandsTold = s.Demands, true
+		b.Demands, b.DemandsTold, b.Hall = s.Demands, true, n.options.Hall
 	}
 	if rare {
 		b.Peers = n.live()
@@ -386,13 +389,16 @@
 		n.answer(p.from)
 	}
 	r.alive = true
+	if b.Hall != "" {
+		r.hall = b.Hall
+	}
 	for _, v := range b.Peers {
 		if a := unpack(v); a != n.self {
 			n.meet(now, a)
 		}
 	}
 	u := Update{
-		From: p.from.String(), Alive: true, Loads: r.news(b, first), Running: map[uint64]int{},
+		From: p.from.String(), Hall: r.hall, Alive: true, Loads: r.news(b, first), Running: map[uint64]int{},
 		Demands: b.Demands, DemandsTold: b.DemandsTold,
 		ConfigurationVersion: b.ConfigurationVersion, StoreRevision: b.StoreRevision,
 		Confirmed: now.Add(-time.Duration(b.ConfirmedMs) * time.Millisecond),
--- a/gateway/share/share.go
+++ b/gateway/share/share.go
@@ -32,6 +32,7 @@
 
 // Book counts the demands of accounts.
 type Book struct {
+	epoch  time.Time // of the first call: steps of the time of day must not move the window
 	window time.Duration
 	own    map[string]*counter
 	others map[string][]Demand // by gateway
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -23,6 +23,12 @@
 	listTimeout = time.Second
 	// Tries after a failure are this far apart.
 	sourceRetry = 200 * time.Millisecond
+	// After changes the next watch waits so long, so that changes that come together
+	// cost one call.
+	gatherChanges = 100 * time.Millisecond
+	// A gateway that does not watch for its hall asks the store itself when nobody has
+	// confirmed its view for this long: four beacons were lost, or the store's answers.
+	unconfirmed = watchWait + time.Second
 	// A server whose entry has gone while the store was away is kept for this long
 	// after its return: servers that live write their entry again within about two
 	// seconds (source: the users' second letter).
@@ -35,8 +41,7 @@
 	Configuration *catalog.Configuration // nil: none is known
 	Raw           []byte                 // the configuration as it was announced
 	Servers       []catalog.Server
-	Revision      uint64    // of the store; complete up to it
-	Confirmed     time.Time // when the source last answered, or a gateway that follows it told it
+	Revision      uint64 // of the store; complete up to it
 }
 
 // follower is the duty that keeps the view.
@@ -51,8 +56,9 @@
 
 // handover is a view that another gateway has told.
 type handover struct {
-	from     string
-	snapshot Snapshot
+	from      string
+	snapshot  Snapshot
+	confirmed time.Time // when it was the store's latest
 }
 
 func newFollower(g *Gateway) *follower {
@@ -79,7 +85,17 @@
 	call(true)
 	sweep := time.NewTicker(sourceRetry)
 	defer sweep.Stop()
-	var next *bool // the call to make at the next sweep; nil: one is under way
+	soon := time.NewTimer(time.Hour)
+	defer soon.Stop()
+	var next *bool // the call to make, whether to list; nil: one is under way
+	proceed := func(now time.Time) {
+		if next == nil || !f.mustCall(now) {
+			return
+		}
+		list := *next
+		next = nil
+		call(list)
+	}
 	for {
 		select {
 		case <-ctx.Done():
@@ -89,24 +105,28 @@
 			return
 		case a := <-answers:
 			list, wait := f.take(time.Now(), a)
-			if wait {
-				next = &list
-				continue
+			next = &list
+			if !wait {
+				soon.Reset(gatherChanges)
 			}
-			call(list)
 		case h := <-f.handed:
-			f.takeHandover(time.Now(), h)
+			f.takeHandover(h)
+		case now := <-soon.C:
+			proceed(now)
 		case now := <-sweep.C:
 			f.dropMissing(now)
-			if next != nil {
-				list := *next
-				next = nil
-				call(list)
-			}
+			proceed(now)
 		}
 	}
 }
 
+// mustCall tells whether this gateway has to ask the store: it watches for its hall, or
+// nobody who does has been heard.
+func (f *follower) mustCall(now time.Time) bool {
+	g := f.gateway
+	return g.watches.Load() || g.view.Load().Configuration == nil || now.Sub(g.confirmedAt()) > unconfirmed
+}
+
 func (f *follower) call(ctx context.Context, listed bool, revision uint64) answer {
 	if listed {
 		ctx, cancel := context.WithTimeout(ctx, listTimeout)
@@ -132,8 +152,9 @@
 		return a.listed || f.gateway.view.Load().Configuration == nil, true
 	}
 	f.recover(now)
+	f.gateway.confirm(now)
 	if a.listed {
-		f.takeSnapshot(now, a.snapshot)
+		f.takeSnapshot(a.snapshot, func(id string) { f.remove(now, id) })
 		return a.snapshot.Configuration == nil, a.snapshot.Configuration == nil
 	}
 	f.takeChanges(now, a.changes, a.revision)
@@ -159,7 +180,8 @@
 // moment ago.
 func (f *follower) grace(now time.Time) bool { return now.Sub(f.failed) < returnGrace }
 
-func (f *follower) takeSnapshot(now time.Time, s Snapshot) {
+// takeSnapshot takes over all there is; lacking hears of the servers that are no more.
+func (f *follower) takeSnapshot(s Snapshot, lacking func(id string)) {
 	present := map[string]bool{}
 	for _, server := range s.Servers {
 		present[server.ID] = true
@@ -167,10 +189,10 @@
 	}
 	for id := range f.servers {
 		if !present[id] {
-			f.remove(now, id)
+			lacking(id)
 		}
 	}
-	f.publish(now, s.Configuration, s.Raw, s.Revision)
+	f.publish(s.Configuration, s.Raw, s.Revision)
 }
 
 func (f *follower) takeChanges(now time.Time, changes []Change, revision uint64) {
@@ -186,18 +208,20 @@
 			f.remove(now, c.ID)
 		}
 	}
-	f.publish(now, configuration, raw, revision)
+	f.publish(configuration, raw, revision)
 }
 
 // takeHandover takes over the view of another gateway if it is newer than the own one.
-func (f *follower) takeHandover(now time.Time, h handover) {
+func (f *follower) takeHandover(h handover) {
 	v := f.gateway.view.Load()
 	if h.snapshot.Revision <= v.Revision {
 		return
 	}
 	f.gateway.log.Info().Str("event", "view.handed_over").Str("peer", h.from).
 		Uint64("revision", h.snapshot.Revision).Uint64("before", v.Revision).Msg("a gateway knows more than the store tells")
-	f.takeSnapshot(now, h.snapshot)
+	// The other gateway has kept the servers that may come back.
+	f.takeSnapshot(h.snapshot, f.drop)
+	f.gateway.confirm(h.confirmed)
 }
 
 func (f *follower) set(s catalog.Server) {
@@ -221,6 +245,11 @@
 		}
 		return
 	}
+	f.drop(id)
+}
+
+// drop forgets a server.
+func (f *follower) drop(id string) {
 	delete(f.servers, id)
 	delete(f.missing, id)
 	f.gateway.log.Info().Str("event", "server.gone").Str("server", id).Msg("no new work")
@@ -232,16 +261,14 @@
 		return
 	}
 	for id := range f.missing {
-		delete(f.missing, id)
-		delete(f.servers, id)
-		f.gateway.log.Info().Str("event", "server.gone").Str("server", id).Msg("entry has not come back")
+		f.drop(id)
 	}
 	v := f.gateway.view.Load()
-	f.publish(v.Confirmed, v.Configuration, v.Raw, v.Revision)
+	f.publish(v.Configuration, v.Raw, v.Revision)
 }
 
 // publish makes a new view known. A configuration never steps back.
-func (f *follower) publish(now time.Time, c *catalog.Configuration, raw []byte, revision uint64) {
+func (f *follower) publish(c *catalog.Configuration, raw []byte, revision uint64) {
 	old := f.gateway.view.Load()
 	if old.Configuration != nil && (c == nil || c.Version < old.Configuration.Version) {
 		c, raw = old.Configuration, old.Raw
@@ -250,7 +277,7 @@
 		f.gateway.log.Info().Str("event", "configuration.in_force").Uint64("version", c.Version).
 			Uint64("revision", revision).Int("routes", len(c.Routes)).Int("accounts", len(c.Accounts)).Msg("apply")
 	}
-	v := &View{Configuration: c, Raw: raw, Revision: max(revision, old.Revision), Confirmed: now}
+	v := &View{Configuration: c, Raw: raw, Revision: max(revision, old.Revision)}
 	for _, s := range f.servers {
 		v.Servers = append(v.Servers, s)
 	}
@@ -259,5 +286,6 @@
 	f.gateway.view.Store(v)
 	if changed {
 		f.gateway.desk.viewChanged(v)
+		f.gateway.peers.TellNow()
 	}
 }
