--- /dev/null
+++ b/cmd/opalbridge/explain.go
@@ -0,0 +1,40 @@
+package main
+
+import (
+	"context"
+	"io"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"opalbridge.dev/explain"
+)
+
+func explainCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "explain",
+		Usage:     "tell a request's story from log lines",
+		ArgsUsage: "REQUEST [FILE...]",
+		Description: "Examples:\n  opalbridge explain 9c41d07be2a35f68 gateway-1.log gateway-2.log\n  cat *.log | opalbridge explain 9c41d07be2a35f68\n\n" +
+			"Reads the files, or standard input. Lines marked with a dot are beliefs of the gateways that had the request.",
+		Action: func(_ context.Context, c *cli.Command) error {
+			if c.Args().Len() < 1 {
+				return usage(errors.New("explain: name a request"))
+			}
+			var logs []io.Reader
+			for _, name := range c.Args().Tail() {
+				file, err := os.Open(name)
+				if err != nil {
+					return usage(errors.Wrap(err, "explain"))
+				}
+				defer file.Close()
+				logs = append(logs, file)
+			}
+			if len(logs) == 0 {
+				logs = append(logs, c.Root().Reader)
+			}
+			return explain.Story(c.Root().Writer, c.Args().First(), logs...)
+		},
+	}
+}
--- a/cmd/opalbridge/gateway.go
+++ b/cmd/opalbridge/gateway.go
@@ -24,6 +24,8 @@
 )
 
 const (
+	// Lines of one request are milliseconds apart.
+	logTime = "2006-01-02T15:04:05.000Z07:00"
 	// The collector works harder when the heap nears this share of the memory, which
 	// leaves room for stacks and for bytes in sockets.
 	heapShare = 0.6
@@ -77,6 +79,7 @@
 		stopWriting()
 		<-written
 	}()
+	zerolog.TimeFieldFormat = logTime
 	log := zerolog.New(lines).Level(s.LogLevel).With().Timestamp().Str("node", s.Name).Str("hall", s.Hall).Logger()
 	t, err := telemetry.New(ctx, telemetry.Options{Service: "gateway", Node: s.Name, OTLP: s.OTLPURL})
 	if err != nil {
--- /dev/null
+++ b/explain/story.go
@@ -0,0 +1,172 @@
+package explain
+
+import (
+	"bufio"
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Line is one line of a process's log, as far as stories need it. Fields that a line
+// lacks are zero.
+type Line struct {
+	Time       time.Time `json:"time"`
+	Node       string    `json:"node"`
+	Event      string    `json:"event"`
+	Request    string    `json:"request"`
+	Server     string    `json:"server"`
+	Account    string    `json:"account"`
+	Reason     string    `json:"reason"`
+	Error      string    `json:"error"`
+	Result     string    `json:"result"`
+	Attempt    int       `json:"attempt"`
+	Attempts   int       `json:"attempts"`
+	Status     int       `json:"status"`
+	Version    uint64    `json:"version"`
+	Revision   uint64    `json:"revision"`
+	Predicted  float64   `json:"predicted"` // milliseconds, as all times below
+	Work       float64   `json:"work"`
+	Left       float64   `json:"left"`
+	First      float64   `json:"first"`
+	Whole      float64   `json:"whole"`
+	RetryAfter float64   `json:"retry_after"`
+	Ahead      float64   `json:"ahead"`
+	OverShare  bool      `json:"over_share"`
+	Again      bool      `json:"again"`
+	Leaving    bool      `json:"leaving"`
+	MayHaveRun bool      `json:"may_have_run"`
+
+	order int // of reading
+}
+
+// Limits of reading logs.
+const (
+	longestLogLine = 1 << 20
+	// Beliefs of a node are told if they changed at most this long before the request's
+	// last line.
+	recentBelief = 30 * time.Second
+)
+
+// Story reads log lines and writes what happened to a request, in order over all
+// processes, with what the processes involved came to believe shortly before. Lines
+// that are no JSON objects are passed over; what stands before an object is ignored.
+func Story(w io.Writer, request string, logs ...io.Reader) error {
+	var own, beliefs []Line
+	for _, r := range logs {
+		err := read(r, func(l Line) {
+			if l.Request == request {
+				own = append(own, l)
+			} else if l.Request == "" {
+				beliefs = append(beliefs, l)
+			}
+		})
+		if err != nil {
+			return err
+		}
+	}
+	if len(own) == 0 {
+		return errors.Newf("explain: no line names request %s", request)
+	}
+	lines := append(own, relevant(own, beliefs)...)
+	slices.SortStableFunc(lines, func(a, b Line) int {
+		return cmp.Or(a.Time.Compare(b.Time), cmp.Compare(a.order, b.order))
+	})
+	for _, l := range lines {
+		mark := " "
+		if l.Request == "" {
+			mark = "." // a belief, not a step of the request
+		}
+		if _, err := fmt.Fprintf(w, "%s %s %-20s %s\n", l.Time.Format("15:04:05.000"), mark, l.Node, tell(l)); err != nil {
+			return errors.Wrap(err, "explain: write")
+		}
+	}
+	return nil
+}
+
+func read(r io.Reader, take func(Line)) error {
+	s := bufio.NewScanner(r)
+	s.Buffer(make([]byte, 64<<10), longestLogLine)
+	order := 0
+	for s.Scan() {
+		at := bytes.IndexByte(s.Bytes(), '{')
+		if at < 0 {
+			continue
+		}
+		var l Line
+		if err := json.Unmarshal(s.Bytes()[at:], &l); err != nil {
+			continue // another program's line
+		}
+		order++
+		l.order = order
+		take(l)
+	}
+	return errors.Wrap(s.Err(), "explain: read log")
+}
+
+// relevant returns the beliefs that bear on a request: of the nodes that had it, about
+// the store, the configuration and the servers it went to.
+func relevant(own, beliefs []Line) []Line {
+	nodes, servers := map[string]bool{}, map[string]bool{}
+	last := own[0].Time
+	for _, l := range own {
+		nodes[l.Node] = true
+		if l.Server != "" {
+			servers[l.Server] = true
+		}
+		if l.Time.After(last) {
+			last = l.Time
+		}
+	}
+	var kept []Line
+	for _, l := range beliefs {
+		age := last.Sub(l.Time)
+		about := l.Server == "" || servers[l.Server]
+		if nodes[l.Node] && about && age >= 0 && age < recentBelief && !strings.HasPrefix(l.Event, "request.") {
+			kept = append(kept, l)
+		}
+	}
+	return kept
+}
+
+// tell says in words what a line says.
+func tell(l Line) string {
+	switch l.Event {
+	case "attempt.sent":
+		share := "within its share"
+		if l.OverShare {
+			share = fmt.Sprintf("over its share (%.2f of an even part)", l.Ahead)
+		}
+		return fmt.Sprintf("attempt %d sent to server %s: first event predicted in %.0f ms, %.0f ms of it reading; %.0f ms left; account %s %s",
+			l.Attempt, l.Server, l.Predicted, l.Work, l.Left, l.Account, share)
+	case "attempt.failed":
+		return fmt.Sprintf("attempt %d failed (may have run: %t): %s", l.Attempt, l.MayHaveRun, l.Error)
+	case "request.refused":
+		return fmt.Sprintf("refused as not run: %s; the best server would have taken %.0f ms; told to come back after %.0f ms (over share: %t, had come back: %t)",
+			l.Reason, l.Predicted, l.RetryAfter, l.OverShare, l.Again)
+	case "request.denied":
+		return fmt.Sprintf("denied with %d: %s", l.Status, l.Reason)
+	case "request.cut":
+		return "answer broken off: " + l.Error
+	case "request.ended":
+		text := fmt.Sprintf("%s after %d attempts, first byte after %.0f ms, end after %.0f ms", l.Result, l.Attempts, l.First, l.Whole)
+		if l.Reason != "" {
+			text += ": " + l.Reason
+		}
+		return text
+	case "configuration.in_force":
+		return fmt.Sprintf("configuration %d in force (store revision %d)", l.Version, l.Revision)
+	case "server.changed":
+		return fmt.Sprintf("server %s: leaving %t", l.Server, l.Leaving)
+	case "server.gone", "server.missing", "server.silent":
+		return fmt.Sprintf("server %s: %s", l.Server, strings.TrimPrefix(l.Event, "server."))
+	default:
+		return strings.TrimSpace(l.Event + " " + l.Error + " " + l.Reason)
+	}
+}
--- /dev/null
+++ b/explain/story_test.go
@@ -0,0 +1,66 @@
+package explain_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"opalbridge.dev/explain"
+)
+
+// recorded lines of two gateways; the second one's log has a prefix, as a collector
+// may put before a line.
+const first = `{"level":"info","node":"g1","event":"configuration.in_force","version":7,"revision":12,"time":"2026-12-02T14:00:00Z"}
+not a line of ours
+{"level":"warn","node":"g1","event":"server.silent","server":"i-1","time":"2026-12-02T14:00:05Z"}
+{"level":"warn","node":"g1","event":"server.silent","server":"i-9","time":"2026-12-02T14:00:05Z"}
+{"level":"info","node":"g1","event":"attempt.sent","request":"r1","attempt":1,"server":"i-1","predicted":210.4,"work":80,"left":900,"account":"t1","time":"2026-12-02T14:00:06Z"}
+{"level":"info","node":"g1","event":"attempt.failed","request":"r1","attempt":1,"error":"reset","may_have_run":true,"time":"2026-12-02T14:00:06Z"}
+{"level":"info","node":"g1","event":"attempt.sent","request":"r2","attempt":1,"server":"i-2","time":"2026-12-02T14:00:06Z"}
+{"level":"info","node":"g1","event":"request.ended","request":"r1","result":"failed","reason":"reset","attempts":1,"whole":31,"time":"2026-12-02T14:00:07Z"}
+`
+
+const second = `  12.31 g2 {"level":"info","node":"g2","event":"request.refused","request":"r3","reason":"no server in time","predicted":900,"retry_after":200,"time":"2026-12-02T14:00:08Z"}
+`
+
+func TestStory(t *testing.T) {
+	tests := []struct {
+		name    string
+		request string
+		want    []string
+		lacks   []string
+	}{
+		{"failed", "r1", []string{
+			"configuration 7 in force", "server i-1: silent", "attempt 1 sent to server i-1: first event predicted in 210 ms",
+			"attempt 1 failed (may have run: true): reset", "failed after 1 attempts",
+		}, []string{"i-9", "i-2"}},
+		{"refused", "r3", []string{"refused as not run: no server in time", "come back after 200 ms"}, []string{"configuration 7"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var out strings.Builder
+			require.NoError(t, explain.Story(&out, test.request, strings.NewReader(second), strings.NewReader(first)))
+			at := 0
+			for _, want := range test.want {
+				next := strings.Index(out.String()[at:], want)
+				require.GreaterOrEqual(t, next, 0, "%q, in order, in:\n%s", want, out.String())
+				at += next
+			}
+			for _, lacks := range test.lacks {
+				require.NotContains(t, out.String(), lacks)
+			}
+		})
+	}
+}
+
+func TestStoryOfNobody(t *testing.T) {
+	require.ErrorContains(t, explain.Story(&strings.Builder{}, "r9", strings.NewReader(first)), "no line names request r9")
+}
+
+func FuzzStory(f *testing.F) {
+	f.Add("r1", first)
+	f.Fuzz(func(_ *testing.T, request, log string) {
+		_ = explain.Story(&strings.Builder{}, request, strings.NewReader(log)) // must not panic
+	})
+}
