soak: random trouble on real processes, promises checked from both ends

Change: module soak: gateways as processes under signals, proxies that delay, hold back and reset, a store and servers that fail; 25 kinds of trouble that overlap; checks of bodies, runs, refusals, configurations, planned stops and recovery.

--- /dev/null
+++ b/soak/process.go
@@ -0,0 +1,133 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"opalbridge.dev/platform"
+)
+
+// process is one gateway as a separate process, which is started again and again.
+type process struct {
+	name     string
+	front    string
+	address  string // of readiness
+	settings string // file
+	binary   string
+	log      *os.File
+	proxy    *Proxy // before the store
+
+	mutex       sync.Mutex
+	command     *exec.Cmd
+	ended       chan struct{} // closed when the command has ended
+	incarnation int
+}
+
+func newProcess(o Options, i, port int, store string) (*process, error) {
+	p := &process{name: fmt.Sprintf("gateway-%d", i), binary: o.Binary}
+	var err error
+	if p.proxy, err = NewProxy(store); err != nil {
+		return nil, err
+	}
+	var ports [2]int
+	for n := range ports {
+		if ports[n], err = freePort(); err != nil {
+			return nil, err
+		}
+	}
+	p.front, p.address = fmt.Sprintf("127.0.0.1:%d", ports[0]), fmt.Sprintf("127.0.0.1:%d", ports[1])
+	p.settings = filepath.Join(o.Dir, p.name+".yaml")
+	text := fmt.Sprintf("name: %s\nhall: hall\nfront_address: %s\nready_address: %s\npeer_address: 127.0.0.%d:%d\nstore_address: %s\n"+
+		"seeds: 127.0.0.1,127.0.0.2\nstop_timeout: 6s\nrepeat_ratio: 1\nrepeat_extra: 200\n", p.name, p.front, p.address, i+1, port, p.proxy.Address())
+	if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
+		return nil, err
+	}
+	p.log, err = os.Create(filepath.Join(o.Dir, p.name+".log"))
+	return p, err
+}
+
+// start starts the process if it does not run.
+func (p *process) start() error {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.running() {
+		return nil
+	}
+	c := exec.Command(p.binary, "gateway", "--settings", p.settings)
+	c.Stdout, c.Stderr = p.log, p.log
+	if err := c.Start(); err != nil {
+		return err
+	}
+	ended := make(chan struct{})
+	go func() {
+		_ = c.Wait() // a killed process ends with an error
+		close(ended)
+	}()
+	p.command, p.ended = c, ended
+	p.incarnation++
+	return nil
+}
+
+func (p *process) running() bool {
+	if p.command == nil {
+		return false
+	}
+	select {
+	case <-p.ended:
+		return false
+	default:
+		return true
+	}
+}
+
+// lifetime names the process's present incarnation.
+func (p *process) lifetime() int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.incarnation
+}
+
+func (p *process) signal(s syscall.Signal) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.running() {
+		_ = p.command.Process.Signal(s) // it may have ended just now
+	}
+}
+
+// kill ends the process at once and waits for its end.
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	p.wait()
+}
+
+// terminate asks the process to stop and waits for its end.
+func (p *process) terminate() {
+	p.signal(syscall.SIGTERM)
+	p.wait()
+}
+
+func (p *process) wait() {
+	p.mutex.Lock()
+	ended := p.ended
+	p.mutex.Unlock()
+	if ended != nil {
+		<-ended
+	}
+}
+
+func (p *process) ready() bool {
+	client := http.Client{Timeout: time.Second}
+	r, err := client.Get("http://" + p.address + platform.ReadyPath)
+	if err != nil {
+		return false
+	}
+	r.Body.Close()
+	return r.StatusCode == http.StatusOK
+}
--- /dev/null
+++ b/soak/proxy.go
@@ -0,0 +1,140 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// Link is how a proxy treats the bytes that pass it.
+type Link struct {
+	Delay      time.Duration // of each piece, both ways
+	SilentTo   bool          // bytes to the target are held back
+	SilentFrom bool          // bytes from the target are held back
+}
+
+// linkCheck is how often a held-back piece looks whether it may go on.
+const linkCheck = 5 * time.Millisecond
+
+// Proxy is a loopback proxy that misbehaves on demand.
+type Proxy struct {
+	target   string
+	listener net.Listener
+	mutex    sync.Mutex
+	link     Link
+	conns    map[net.Conn]bool
+}
+
+// NewProxy starts a proxy before a target.
+func NewProxy(target string) (*Proxy, error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &Proxy{target: target, listener: l, conns: map[net.Conn]bool{}}
+	go p.accept()
+	return p, nil
+}
+
+// Address is where the proxy listens.
+func (p *Proxy) Address() string { return p.listener.Addr().String() }
+
+// Set replaces the treatment of bytes.
+func (p *Proxy) Set(l Link) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.link = l
+}
+
+// Reset breaks all connections.
+func (p *Proxy) Reset() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for c := range p.conns {
+		if t, ok := c.(*net.TCPConn); ok {
+			_ = t.SetLinger(0) // the peer sees a reset, not an end
+		}
+		c.Close()
+	}
+}
+
+// Close ends the proxy and its connections.
+func (p *Proxy) Close() {
+	p.listener.Close()
+	p.Reset()
+}
+
+func (p *Proxy) accept() {
+	for {
+		in, err := p.listener.Accept()
+		if err != nil {
+			return // closed
+		}
+		go p.carry(in)
+	}
+}
+
+func (p *Proxy) carry(in net.Conn) {
+	out, err := net.Dial("tcp4", p.target)
+	if err != nil {
+		in.Close()
+		return
+	}
+	p.hold(in, out, true)
+	ended := make(chan struct{}, 2)
+	go p.copy(out, in, func(l Link) bool { return l.SilentTo }, ended)
+	go p.copy(in, out, func(l Link) bool { return l.SilentFrom }, ended)
+	<-ended
+	<-ended
+	p.hold(in, out, false)
+	in.Close()
+	out.Close()
+}
+
+func (p *Proxy) hold(in, out net.Conn, held bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, c := range []net.Conn{in, out} {
+		if held {
+			p.conns[c] = true
+		} else {
+			delete(p.conns, c)
+		}
+	}
+}
+
+func (p *Proxy) now() Link {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.link
+}
+
+// copy carries bytes one way until either side ends, then passes the end on.
+func (p *Proxy) copy(to, from net.Conn, silent func(Link) bool, ended chan<- struct{}) {
+	defer func() { ended <- struct{}{} }()
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 {
+			for silent(p.now()) {
+				time.Sleep(linkCheck)
+			}
+			time.Sleep(p.now().Delay)
+			if _, werr := to.Write(buffer[:n]); werr != nil {
+				from.Close()
+				return
+			}
+		}
+		if err == io.EOF {
+			if t, ok := to.(*net.TCPConn); ok {
+				_ = t.CloseWrite()
+			}
+			return
+		}
+		if err != nil {
+			to.Close()
+			return
+		}
+	}
+}
--- /dev/null
+++ b/soak/soak.go
@@ -0,0 +1,249 @@
+// Package soak plays random trouble on a fleet of real processes and checks, from what
+// callers and backend servers see, that the promises hold meanwhile.
+//
+// # Usage
+//
+//	r, err := soak.Start(soak.Options{Seed: 7, Binary: "target/opalbridge", Dir: dir})
+//	faults := r.Play(10 * time.Second)
+//
+// The gateways are separate processes that are paused, killed, stopped and restarted by
+// signals. The store and the backend servers are stand-ins in this process; what the
+// gateways say to them passes proxies that delay, hold back one way and reset. Troubles
+// come in series and overlap. The gateways' datagrams among themselves are not touched.
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"time"
+
+	"opalbridge.dev/platform"
+	"opalbridge.dev/platform/platformtest"
+)
+
+// Options set up a Run.
+type Options struct {
+	Seed     uint64
+	Binary   string // the opalbridge command
+	Dir      string // for settings and logs
+	Gateways int    // 0: 3
+	Servers  int    // 0: 4
+	Callers  int    // 0: 12
+}
+
+// Times of a run.
+const (
+	calmBefore = 2 * time.Second        // before the first trouble
+	calmAfter  = 4 * time.Second        // from the last trouble to the last checks
+	inForce    = 2 * time.Second        // a configuration is in force everywhere
+	noNewWork  = 2 * time.Second        // a leaving server gets no new work
+	goesBack   = 250 * time.Millisecond // answers under way when a configuration takes effect
+	longest    = 1500 * time.Millisecond
+	shortest   = 100 * time.Millisecond
+)
+
+// Run is one soak of one seed.
+type Run struct {
+	options  Options
+	random   *rand.Rand // of the troubles; owned by Play
+	store    *platformtest.Store
+	servers  []*backend
+	gateways []*process
+	book     *book
+	callers  sync.WaitGroup
+	stop     context.CancelFunc
+	version  int
+	closers  []func()
+}
+
+// backend is a stand-in server behind its proxy.
+type backend struct {
+	*platformtest.Server
+	proxy *Proxy
+}
+
+// calm is how a sound server behaves.
+var calm = platformtest.Behaviour{
+	Work: 5 * time.Millisecond, Echo: true, Events: streamEvents, Pause: 10 * time.Millisecond, Streams: []string{"/stream/", "/resume/"},
+}
+
+// streamEvents is how many events a stream has.
+const streamEvents = 8
+
+// Start starts the stand-ins, the gateways and the callers.
+func Start(o Options) (*Run, error) {
+	o.Gateways, o.Servers, o.Callers = orDefault(o.Gateways, 3), orDefault(o.Servers, 4), orDefault(o.Callers, 12)
+	r := &Run{options: o, random: rand.New(rand.NewPCG(o.Seed, 1)), store: &platformtest.Store{}, book: newBook()}
+	store := httptest.NewServer(r.store)
+	r.closers = append(r.closers, store.Close)
+	r.configure()
+	for i := range o.Servers {
+		if err := r.addServer(i); err != nil {
+			return r, err
+		}
+	}
+	port, err := freePort()
+	if err != nil {
+		return r, err
+	}
+	for i := range o.Gateways {
+		p, err := newProcess(o, i, port, strings.TrimPrefix(store.URL, "http://"))
+		if err != nil {
+			return r, err
+		}
+		r.gateways = append(r.gateways, p)
+		if err := p.start(); err != nil {
+			return r, err
+		}
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	r.stop = stop
+	for i := range o.Callers {
+		r.callers.Add(1)
+		go r.call(ctx, i)
+	}
+	return r, nil
+}
+
+func orDefault(n, otherwise int) int {
+	if n == 0 {
+		return otherwise
+	}
+	return n
+}
+
+func freePort() (int, error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return 0, err
+	}
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).Port, nil
+}
+
+func (r *Run) addServer(i int) error {
+	s := &platformtest.Server{ID: fmt.Sprintf("i-%d", i), Service: "s", Hall: "hall"}
+	s.Set(calm)
+	h := httptest.NewServer(s)
+	r.closers = append(r.closers, h.Close)
+	p, err := NewProxy(strings.TrimPrefix(h.URL, "http://"))
+	if err != nil {
+		return err
+	}
+	r.closers = append(r.closers, p.Close)
+	b := &backend{Server: s, proxy: p}
+	r.servers = append(r.servers, b)
+	r.announce(b, "ready")
+	return nil
+}
+
+func (r *Run) announce(b *backend, state string) {
+	r.store.Put(platform.ServersPrefix+b.ID, b.Entry(b.proxy.Address(), state))
+}
+
+// configure puts the next configuration: the key "steady" is in all of them, another
+// one only in this version.
+func (r *Run) configure() {
+	r.version++
+	r.store.Put(platform.ConfigurationKey, fmt.Appendf(nil, `{"version":%d,"routes":[
+ {"name":"stream","host":"h","prefix":"/stream/","kind":"streaming","timeout_ms":4000,"goal_ms":800,"service":"s","max_attempts":1},
+ {"name":"resume","host":"h","prefix":"/resume/","kind":"streaming","timeout_ms":4000,"goal_ms":800,"service":"s","max_attempts":2,"resumable":true},
+ {"name":"once","host":"h","prefix":"/once/","kind":"non_idempotent","timeout_ms":1500,"goal_ms":300,"service":"s","max_attempts":1},
+ {"name":"many","host":"h","prefix":"/many/","kind":"idempotent","timeout_ms":1500,"goal_ms":300,"service":"s","max_attempts":2}],
+ "services":[{"name":"s","max_conns":500}],"limits":{"idle_timeout_ms":15000},
+ "tenants":[{"name":"t1","api_keys":["steady","key-%d"]}]}`, r.version, r.version))
+}
+
+// Play troubles the fleet for so long, then lets it rest and returns what was broken.
+func (r *Run) Play(d time.Duration) []string {
+	defer r.close()
+	time.Sleep(calmBefore)
+	var under sync.WaitGroup
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		if r.random.IntN(8) == 0 {
+			under.Wait() // a planned stop is judged only without other trouble
+			r.plannedStop()
+			continue
+		}
+		t := troubles[r.random.IntN(len(troubles))]
+		lasts := shortest + time.Duration(r.random.Int64N(int64(longest-shortest)))
+		undo := t.strike(r, r.random)
+		under.Add(1)
+		go func() {
+			defer under.Done()
+			time.Sleep(lasts)
+			undo()
+		}()
+		time.Sleep(time.Duration(r.random.Int64N(int64(longest / 3))))
+	}
+	under.Wait()
+	time.Sleep(calmAfter)
+	r.checkRecovery()
+	r.stop()
+	r.callers.Wait()
+	r.book.checkRuns(r.servers)
+	return r.book.broken()
+}
+
+// plannedStop stops a gateway with nothing else going on: no request may be cut.
+func (r *Run) plannedStop() {
+	time.Sleep(calmAfter) // what earlier troubles broke has ended
+	p := r.gateways[r.random.IntN(len(r.gateways))]
+	r.book.planned(p.front, true)
+	p.terminate()
+	time.Sleep(time.Second)
+	r.book.planned(p.front, false)
+	if err := p.start(); err != nil {
+		r.book.breaks("gateway %s does not start again: %v", p.name, err)
+	}
+}
+
+// checkRecovery checks, after the trouble, that the fleet serves, takes a new
+// configuration and lets a server leave.
+func (r *Run) checkRecovery() {
+	for _, p := range r.gateways {
+		if !p.ready() {
+			r.book.breaks("gateway %s is not ready after the trouble", p.name)
+		}
+	}
+	r.configure()
+	key := fmt.Sprintf("key-%d", r.version)
+	time.Sleep(inForce)
+	for _, p := range r.gateways {
+		if status := r.ask(p, key); status != http.StatusOK {
+			r.book.breaks("gateway %s answers %d to a key %s after it was put", p.name, status, inForce)
+		}
+	}
+	leaving := r.servers[0]
+	r.announce(leaving, "draining")
+	time.Sleep(noNewWork)
+	before := len(leaving.Runs())
+	for range 5 {
+		for _, p := range r.gateways {
+			r.ask(p, "steady")
+		}
+	}
+	if after := len(leaving.Runs()); after != before {
+		r.book.breaks("a leaving server got %d requests", after-before)
+	}
+}
+
+func (r *Run) close() {
+	if r.stop != nil {
+		r.stop()
+	}
+	r.callers.Wait()
+	for _, p := range r.gateways {
+		p.kill()
+		p.proxy.Close()
+	}
+	for _, c := range r.closers {
+		c()
+	}
+}
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,71 @@
+package soak_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"opalbridge.dev/soak"
+)
+
+var (
+	seeds = flag.Int("seeds", 1, "seeds to play")
+	first = flag.Uint64("first", 1, "first seed")
+	plays = flag.Duration("plays", 6*time.Second, "trouble of each seed")
+	fresh = flag.Bool("fresh", false, "seeds begin at the time of day")
+	logs  = flag.String("logs", "", "folder that keeps the gateways' logs")
+)
+
+// failed are the seeds that ever failed, each with its cause.
+var failed = []struct {
+	seed  uint64
+	cause string
+}{}
+
+// build makes the command that is soaked.
+func build(t *testing.T) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "opalbridge")
+	out, err := exec.Command("go", "build", "-o", binary, "opalbridge.dev/cmd/opalbridge").CombinedOutput()
+	require.NoError(t, err, string(out))
+	return binary
+}
+
+func play(t *testing.T, binary string, seed uint64) {
+	dir := t.TempDir()
+	if *logs != "" {
+		dir = filepath.Join(*logs, fmt.Sprint(seed))
+		require.NoError(t, os.MkdirAll(dir, 0o700))
+	}
+	r, err := soak.Start(soak.Options{Seed: seed, Binary: binary, Dir: dir})
+	require.NoError(t, err)
+	require.Empty(t, r.Play(*plays), "seed %d", seed)
+}
+
+// TestSoak plays a few seeds in CI; by hand, with -seeds 50 or -fresh, many more.
+func TestSoak(t *testing.T) {
+	binary, from := build(t), *first
+	if *fresh {
+		from = uint64(time.Now().Unix())
+	}
+	for n := range uint64(*seeds) {
+		t.Run(fmt.Sprintf("seed=%d", from+n), func(t *testing.T) { play(t, binary, from+n) })
+	}
+}
+
+// TestFailedSeeds plays the seeds that ever failed.
+func TestFailedSeeds(t *testing.T) {
+	binary := build(t)
+	for _, f := range failed {
+		t.Run(fmt.Sprintf("seed=%d", f.seed), func(t *testing.T) {
+			t.Log(f.cause)
+			play(t, binary, f.seed)
+		})
+	}
+}
--- /dev/null
+++ b/soak/trouble.go
@@ -0,0 +1,121 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"syscall"
+	"time"
+
+	"opalbridge.dev/platform/platformtest"
+)
+
+// trouble is one kind of trouble; strike begins it and returns what ends it.
+type trouble struct {
+	name   string
+	strike func(r *Run, random *rand.Rand) (undo func())
+}
+
+func (r *Run) aGateway(random *rand.Rand) *process { return r.gateways[random.IntN(len(r.gateways))] }
+
+func (r *Run) aServer(random *rand.Rand) *backend { return r.servers[random.IntN(len(r.servers))] }
+
+// behaving makes a trouble of a change of a server's behaviour.
+func behaving(change func(b *platformtest.Behaviour)) func(*Run, *rand.Rand) func() {
+	return func(r *Run, random *rand.Rand) func() {
+		s, b := r.aServer(random), calm
+		change(&b)
+		s.Set(b)
+		return func() { s.Set(calm) }
+	}
+}
+
+// linked makes a trouble of the link between one gateway and the store, or between all
+// gateways and a server.
+func linked(l Link, store bool) func(*Run, *rand.Rand) func() {
+	return func(r *Run, random *rand.Rand) func() {
+		p := r.aServer(random).proxy
+		if store {
+			p = r.aGateway(random).proxy
+		}
+		p.Set(l)
+		return func() { p.Set(Link{}) }
+	}
+}
+
+// storing makes a trouble of the store itself.
+func storing(f platformtest.Faults) func(*Run, *rand.Rand) func() {
+	return func(r *Run, _ *rand.Rand) func() {
+		r.store.SetFaults(f)
+		return func() { r.store.SetFaults(platformtest.Faults{}) }
+	}
+}
+
+const slowLink = 150 * time.Millisecond
+
+var troubles = []trouble{
+	{"gateway pauses", func(r *Run, random *rand.Rand) func() {
+		p := r.aGateway(random)
+		p.signal(syscall.SIGSTOP)
+		return func() { p.signal(syscall.SIGCONT) }
+	}},
+	{"gateway is killed", func(r *Run, random *rand.Rand) func() {
+		p := r.aGateway(random)
+		p.kill()
+		return func() { r.restart(p) }
+	}},
+	{"gateway is stopped", func(r *Run, random *rand.Rand) func() {
+		p := r.aGateway(random)
+		p.signal(syscall.SIGTERM)
+		return func() {
+			p.kill()
+			r.restart(p)
+		}
+	}},
+	{"settings are read again", func(r *Run, random *rand.Rand) func() {
+		r.aGateway(random).signal(syscall.SIGHUP)
+		return func() {}
+	}},
+	{"configuration changes", func(r *Run, _ *rand.Rand) func() {
+		r.configure()
+		return func() {}
+	}},
+	{"server leaves and returns", func(r *Run, random *rand.Rand) func() {
+		s := r.aServer(random)
+		r.announce(s, "draining")
+		return func() { r.announce(s, "ready") }
+	}},
+	{"server's entry lapses", func(r *Run, random *rand.Rand) func() {
+		s := r.aServer(random)
+		r.store.Remove("servers/" + s.ID)
+		return func() { r.announce(s, "ready") }
+	}},
+	{"server's connections are reset", func(r *Run, random *rand.Rand) func() {
+		r.aServer(random).proxy.Reset()
+		return func() {}
+	}},
+	{"store's connections are reset", func(r *Run, random *rand.Rand) func() {
+		r.aGateway(random).proxy.Reset()
+		return func() {}
+	}},
+	{"link to a server is slow", linked(Link{Delay: slowLink}, false)},
+	{"link to a server is silent", linked(Link{SilentTo: true, SilentFrom: true}, false)},
+	{"link to a server is cut one way", linked(Link{SilentFrom: true}, false)},
+	{"link to the store is slow", linked(Link{Delay: slowLink}, true)},
+	{"link to the store is silent", linked(Link{SilentTo: true, SilentFrom: true}, true)},
+	{"link to the store is cut one way", linked(Link{SilentTo: true}, true)},
+	{"store is down", storing(platformtest.Faults{Down: true})},
+	{"store is silent", storing(platformtest.Faults{Silent: true})},
+	{"store is slow", storing(platformtest.Faults{Delay: slowLink})},
+	{"store forgets its history", storing(platformtest.Faults{Forgotten: true})},
+	{"server fails", behaving(func(b *platformtest.Behaviour) { b.Status = 500 })},
+	{"server breaks off", behaving(func(b *platformtest.Behaviour) { b.Reset = true })},
+	{"server cuts streams", behaving(func(b *platformtest.Behaviour) { b.CutFrom = 3 })},
+	{"server is full", behaving(func(b *platformtest.Behaviour) { b.Full = true })},
+	{"server is mute", behaving(func(b *platformtest.Behaviour) { b.Silent = true })},
+	{"server is slow", behaving(func(b *platformtest.Behaviour) { b.Work = 400 * time.Millisecond })},
+}
+
+func (r *Run) restart(p *process) {
+	if err := p.start(); err != nil {
+		r.book.breaks("gateway %s does not start again: %v", p.name, err)
+	}
+}
