gateway: an answer older than the view does not turn it back

Ruled out: a watch hung in silence (its time is 1.5 s, the bound is 2 s). Change: a watch's answer counts only if the view is still at the revision it went on from; a list only if it is not older.

--- a/gateway/view.go
+++ b/gateway/view.go
@@ -67,6 +67,7 @@
 
 // answer is the end of one call to the source.
 type answer struct {
+	since    uint64 // revision that a watch went on from
 	listed   bool
 	snapshot Snapshot
 	changes  []Change
@@ -137,7 +138,7 @@
 	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
 	defer cancel()
 	changes, now, err := f.gateway.options.Source.Watch(ctx, revision, watchWait)
-	return answer{changes: changes, revision: now, err: err}
+	return answer{since: revision, changes: changes, revision: now, err: err}
 }
 
 // take takes an answer over. It returns whether to list next, and whether to wait
@@ -153,6 +154,14 @@
 	}
 	f.recover(now)
 	f.gateway.confirm(now)
+	// Another gateway may have handed over a newer view while the call was under way.
+	known := f.gateway.view.Load().Revision
+	if a.listed && a.snapshot.Revision < known {
+		return true, true
+	}
+	if !a.listed && a.since != known {
+		return false, false // its changes are older than what is known: watch on from there
+	}
 	if a.listed {
 		f.takeSnapshot(a.snapshot, func(id string) { f.remove(now, id) })
 		return a.snapshot.Configuration == nil, a.snapshot.Configuration == nil
