gateway: a gateway cut off from the store does not watch for its hall

Change: patience counts from the highest revision told; a gateway whose calls to the store fail says so and is passed over in the election. Figures: both tests fail on the code before (the first by its assertion).

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -71,6 +71,7 @@
 	// the steady clock, not the time of day.
 	confirmed atomic.Int64
 	watches   atomic.Bool // this gateway watches the store for its hall
+	storeAway atomic.Bool // own calls to the store fail
 	desk      *desk
 	pool      *upstream.Pool
 	peers     *peer.Node
@@ -102,7 +103,7 @@
 func (g *Gateway) tell() peer.State {
 	s := *g.desk.telling.Load()
 	v := g.view.Load()
-	s.StoreRevision, s.Confirmed = v.Revision, g.confirmedAt()
+	s.StoreRevision, s.Confirmed, s.StoreAway = v.Revision, g.confirmedAt(), g.storeAway.Load()
 	if v.Configuration != nil {
 		s.ConfigurationVersion = v.Configuration.Version
 	}
--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -66,28 +66,28 @@
 // hearing is the state of the duty that hears other gateways.
 type hearing struct {
 	gateway *Gateway
-	halls   map[string]string // of live gateways, by address
+	halls   map[string]string // of live gateways that reach the store, by address
+	ahead   uint64            // the highest revision that was told
 	behind  time.Time         // since when a gateway knows more of the store; zero: none does
 	asking  bool              // a view is being fetched
 	ended   chan struct{}     // tells that it was
 }
 
 func (h *hearing) take(ctx context.Context, now time.Time, u peer.Update) {
+	h.count(u)
 	if !u.Alive {
-		delete(h.halls, u.From)
-		h.elect()
 		return
 	}
-	if hall, known := h.halls[u.From]; !known || hall != u.Hall {
-		h.halls[u.From] = u.Hall
-		h.elect()
-	}
 	g := h.gateway
-	if u.StoreRevision <= g.view.Load().Revision {
+	own := g.view.Load().Revision
+	if own >= h.ahead {
 		h.behind = time.Time{}
+	}
+	if u.StoreRevision <= own {
 		g.confirm(u.Confirmed)
 		return
 	}
+	h.ahead = max(h.ahead, u.StoreRevision)
 	if h.behind.IsZero() {
 		h.behind = now
 	}
@@ -107,8 +107,24 @@
 	}
 }
 
-// elect decides whether this gateway watches the store for its hall: the live gateway
-// of the hall with the lowest hash does. If lists differ for a moment, two watch or
+// count keeps the list of gateways that can watch the store.
+func (h *hearing) count(u peer.Update) {
+	hall, known := h.halls[u.From]
+	if !u.Alive || u.StoreAway {
+		delete(h.halls, u.From)
+		if known {
+			h.elect()
+		}
+		return
+	}
+	if !known || hall != u.Hall {
+		h.halls[u.From] = u.Hall
+		h.elect()
+	}
+}
+
+// elect decides whether this gateway watches the store for its hall: the gateway
+// of the hall with the lowest hash that reaches it does. If lists differ for a moment, two watch or
 // none does, and who hears nothing asks the store itself.
 func (h *hearing) elect() {
 	g := h.gateway
--- /dev/null
+++ b/gateway/handover_test.go
@@ -0,0 +1,61 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"opalbridge.dev/gateway/peer"
+)
+
+// TestAskAlthoughOneIsBehindToo: a gateway of the own hall that is cut off from the
+// store goes on telling an old revision between the beacons of one that knows more.
+func TestAskAlthoughOneIsBehindToo(t *testing.T) {
+	g := quiet(t)
+	g.follower.publish(version(1), nil, 16)
+	h := hearing{gateway: g, halls: map[string]string{}, ended: make(chan struct{}, 1)}
+	now := time.Now()
+	for range 4 {
+		now = now.Add(100 * time.Millisecond)
+		h.take(t.Context(), now, peer.Update{From: "127.0.0.3", Hall: "other", Alive: true, StoreRevision: 17})
+		h.take(t.Context(), now, peer.Update{From: "127.0.0.2", Hall: "h", Alive: true, StoreRevision: 16})
+	}
+	require.True(t, h.asking, "300 ms are over")
+	<-h.ended
+}
+
+// TestElect: who watches the store for the hall.
+func TestElect(t *testing.T) {
+	lower, higher := "", "" // addresses that come before and after the own one
+	for n := 2; n < 255; n++ {
+		address := fmt.Sprintf("127.0.0.%d", n)
+		if hash(address) < hash("127.0.0.1") {
+			lower = address
+		} else {
+			higher = address
+		}
+	}
+	require.NotEmpty(t, lower)
+	require.NotEmpty(t, higher)
+	tests := []struct {
+		name    string
+		update  peer.Update
+		watches bool
+	}{
+		{"alone", peer.Update{From: lower}, true},
+		{"one before it", peer.Update{From: lower, Hall: "h", Alive: true}, false},
+		{"one before it that has lost the store", peer.Update{From: lower, Hall: "h", Alive: true, StoreAway: true}, true},
+		{"one before it in another hall", peer.Update{From: lower, Hall: "other", Alive: true}, true},
+		{"one after it", peer.Update{From: higher, Hall: "h", Alive: true}, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			g := quiet(t)
+			h := hearing{gateway: g, halls: map[string]string{}, ended: make(chan struct{}, 1)}
+			h.take(t.Context(), time.Now(), test.update)
+			require.Equal(t, test.watches, g.watches.Load())
+		})
+	}
+}
--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -71,6 +71,7 @@
 	ConfigurationVersion uint64
 	StoreRevision        uint64
 	Confirmed            time.Time // when StoreRevision was last known to be the store's latest
+	StoreAway            bool      // own calls to the store fail
 }
 
 // Update is news of another gateway.
@@ -87,6 +88,7 @@
 	ConfigurationVersion uint64
 	StoreRevision        uint64
 	Confirmed            time.Time // when StoreRevision was last known to be the store's latest
+	StoreAway            bool      // own calls to the store fail
 }
 
 // Options set up a Node.
@@ -323,7 +325,7 @@
 	s := n.options.State()
 	b := &peerpb.Beacon{
 		Incarnation: n.incarnation, NewestLoad: n.newest,
-		ConfigurationVersion: s.ConfigurationVersion, StoreRevision: s.StoreRevision, Leaving: n.leaving,
+		ConfigurationVersion: s.ConfigurationVersion, StoreRevision: s.StoreRevision, StoreAway: s.StoreAway, Leaving: n.leaving,
 		ConfirmedMs: uint32(min(time.Since(s.Confirmed), longestAge).Milliseconds()),
 	}
 	kept := n.pending[:0]
@@ -400,7 +402,7 @@
 	u := Update{
 		From: p.from.String(), Hall: r.hall, Alive: true, Loads: r.news(b, first), Running: map[uint64]int{},
 		Demands: b.Demands, DemandsTold: b.DemandsTold,
-		ConfigurationVersion: b.ConfigurationVersion, StoreRevision: b.StoreRevision,
+		ConfigurationVersion: b.ConfigurationVersion, StoreRevision: b.StoreRevision, StoreAway: b.StoreAway,
 		Confirmed: now.Add(-time.Duration(b.ConfirmedMs) * time.Millisecond),
 	}
 	for _, g := range b.Running {
--- a/gateway/placement/policy.go
+++ b/gateway/placement/policy.go
@@ -35,7 +35,7 @@
 		PairsPerMS:      3.0e6,
 		FirstStep:       50 * time.Millisecond,
 		CacheLife:       12 * time.Second,
-		CopyCost:        1,
+		CopyCost:        4,
 		FreeTokens:      1024,
 		Homes:           2,
 		LimitShare:      0.85,
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -174,6 +174,8 @@
 	f.failed = now
 	if !f.away {
 		f.away = true
+		f.gateway.storeAway.Store(true)
+		f.gateway.peers.TellNow()
 		f.gateway.log.Warn().Str("event", "store.lost").Err(err).Uint64("revision", f.gateway.view.Load().Revision).Msg("go on with what is known")
 	}
 }
@@ -181,6 +183,7 @@
 func (f *follower) recover(now time.Time) {
 	if f.away {
 		f.away = false
+		f.gateway.storeAway.Store(false)
 		f.gateway.log.Info().Str("event", "store.regained").Dur("away", now.Sub(f.failed)).Msg("follow the store again")
 	}
 }
