--- a/cmd/opalbridge/gateway.go
+++ b/cmd/opalbridge/gateway.go
@@ -89,6 +89,9 @@
 	if err != nil {
 		return err
 	}
+	if err := observe(t, g, lines); err != nil {
+		return err
+	}
 	stopReload := watchReload(file, log)
 	defer stopReload()
 	if s.AdminAddress != "" {
@@ -99,6 +102,18 @@
 	return errors.CombineErrors(g.Run(ctx), t.Shutdown(context.WithoutCancel(ctx)))
 }
 
+// observe registers the gauges of what the gateway believes.
+func observe(t *telemetry.Telemetry, g *gateway.Gateway, lines *telemetry.Lines) error {
+	return telemetry.Observe(t.Meter("gateway"), []telemetry.Gauge{
+		{Name: "opalbridge.gateway.view_age", Unit: "s", Description: "since the view was last known to be the store's latest", Read: func() float64 { return g.Status().ViewAge.Seconds() }},
+		{Name: "opalbridge.gateway.configuration_version", Description: "version in force; 0: none", Read: func() float64 { return float64(g.Status().ConfigurationVersion) }},
+		{Name: "opalbridge.gateway.servers", Description: "servers believed to exist", Read: func() float64 { return float64(g.Status().Servers) }},
+		{Name: "opalbridge.gateway.peers", Description: "other gateways believed to live", Read: func() float64 { return float64(g.Status().Peers) }},
+		{Name: "opalbridge.gateway.active_requests", Description: "requests in hand", Read: func() float64 { return float64(g.Status().Active) }},
+		{Name: "opalbridge.gateway.log_lines_dropped", Description: "log lines that were not written", Read: func() float64 { return float64(lines.Dropped()) }},
+	})
+}
+
 // openGateway opens the gateway's sockets and puts its parts together.
 func openGateway(s *settings.Settings, t *telemetry.Telemetry, log zerolog.Logger) (*gateway.Gateway, error) {
 	metrics, err := telemetry.NewCalls(t.Meter("gateway"))
--- a/gateway/desk.go
+++ b/gateway/desk.go
@@ -38,6 +38,8 @@
 	telling  atomic.Pointer[peer.State]
 	settings DeskSettings
 
+	peersAlive atomic.Int64 // live gateways besides this one
+
 	// Owned by run.
 	tickets  uint64               // the last one given
 	pending  map[uint64]*awaited  // own requests without a first event, by ticket
@@ -273,6 +275,7 @@
 			d.log.Info().Str("event", "peer.lost").Str("peer", u.From).Int("gateways", len(d.gateways)).Msg("silent or leaving")
 		}
 		delete(d.gateways, u.From)
+		d.peersAlive.Store(int64(len(d.gateways)))
 		d.book.SetOthers(u.From, nil)
 		d.sumOthers()
 		return
@@ -281,6 +284,7 @@
 		d.log.Info().Str("event", "peer.regained").Str("peer", u.From).Int("gateways", len(d.gateways)+2).Msg("heard")
 	}
 	d.gateways[u.From] = u.Running
+	d.peersAlive.Store(int64(len(d.gateways)))
 	for _, l := range u.Loads {
 		d.board.Sent(now, placement.Load{Server: d.ids[l.Server], Work: l.Work, Parts: l.Parts}, false)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -143,6 +143,25 @@
 	return err
 }
 
+// Status is what a gateway believes, for metrics.
+type Status struct {
+	ViewAge              time.Duration // since the view was last known to be the store's latest
+	ConfigurationVersion uint64        // 0: none
+	Servers              int
+	Peers                int
+	Active               int // requests in hand
+}
+
+// Status returns what the gateway believes now.
+func (g *Gateway) Status() Status {
+	v := g.view.Load()
+	s := Status{ViewAge: time.Since(g.confirmedAt()), Servers: len(v.Servers), Peers: int(g.desk.peersAlive.Load()), Active: int(g.active.Load())}
+	if v.Configuration != nil {
+		s.ConfigurationVersion = v.Configuration.Version
+	}
+	return s
+}
+
 // Idle connections to servers are looked through this often.
 const idleEvery = time.Second
 
