gateway: a view is handed over with the servers that are only kept for a moment

Ruled out: late watches (the view was handed over 10 ms after the change). Change: views tell for how long such servers are still kept, and who takes one over drops them then as well.

--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -31,13 +31,36 @@
 	Configuration []byte           `json:"configuration"` // as it was announced
 	Servers       []catalog.Server `json:"servers"`
 	Revision      uint64           `json:"revision"`
+	// Missing tells for how much longer servers are kept whose entry has gone, in
+	// milliseconds.
+	Missing map[string]int64 `json:"missing,omitempty"`
+}
+
+// document is the view as it goes to another gateway.
+func (v *View) document(now time.Time) viewDocument {
+	d := viewDocument{Configuration: v.Raw, Servers: v.Servers, Revision: v.Revision}
+	for id, until := range v.Missing {
+		if d.Missing == nil {
+			d.Missing = map[string]int64{}
+		}
+		d.Missing[id] = max(until.Sub(now).Milliseconds(), 0)
+	}
+	return d
+}
+
+// snapshot is what a view that has arrived tells, but for the configuration.
+func (d viewDocument) snapshot(now time.Time) Snapshot {
+	s := Snapshot{Raw: d.Configuration, Servers: d.Servers, Revision: d.Revision, Missing: map[string]time.Time{}}
+	for id, ms := range d.Missing {
+		s.Missing[id] = now.Add(time.Duration(ms) * time.Millisecond)
+	}
+	return s
 }
 
 // serveView answers another gateway that asks for the view.
 func (g *Gateway) serveView(w http.ResponseWriter, _ *http.Request) {
-	v := g.view.Load()
 	w.Header().Set("Content-Type", "application/json")
-	err := json.NewEncoder(w).Encode(viewDocument{Configuration: v.Raw, Servers: v.Servers, Revision: v.Revision})
+	err := json.NewEncoder(w).Encode(g.view.Load().document(time.Now()))
 	if err != nil {
 		g.log.Debug().Str("event", "view.not_told").Err(err).Msg("the asking gateway has gone")
 	}
@@ -185,7 +208,7 @@
 	if err := json.Unmarshal(raw, &d); err != nil {
 		return Snapshot{}, errors.Wrapf(err, "gateway: view of %s", from)
 	}
-	s := Snapshot{Raw: d.Configuration, Servers: d.Servers, Revision: d.Revision}
+	s := d.snapshot(time.Now())
 	if len(d.Configuration) == 0 {
 		return s, nil
 	}
--- a/gateway/source.go
+++ b/gateway/source.go
@@ -18,7 +18,8 @@
 	Configuration *catalog.Configuration // nil: none yet
 	Raw           []byte                 // the configuration as it was announced
 	Servers       []catalog.Server
-	Revision      uint64 // changes up to it are included
+	Missing       map[string]time.Time // servers that are kept until then although their entry has gone
+	Revision      uint64               // changes up to it are included
 }
 
 // Change is one change of what the source holds.
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -41,15 +42,16 @@
 	Configuration *catalog.Configuration // nil: none is known
 	Raw           []byte                 // the configuration as it was announced
 	Servers       []catalog.Server
-	Revision      uint64 // of the store; complete up to it
+	Missing       map[string]time.Time // those of the servers that are kept until then although their entry has gone
+	Revision      uint64               // of the store; complete up to it
 }
 
 // follower is the duty that keeps the view.
 type follower struct {
 	gateway *Gateway
 	servers map[string]catalog.Server
-	missing map[string]bool // servers kept for a moment although their entry has gone
-	failed  time.Time       // last failure of the source
+	missing map[string]time.Time // servers kept until then although their entry has gone
+	failed  time.Time            // last failure of the source
 	away    bool
 	handed  chan handover
 }
@@ -62,7 +64,7 @@
 }
 
 func newFollower(g *Gateway) *follower {
-	return &follower{gateway: g, servers: map[string]catalog.Server{}, missing: map[string]bool{}, handed: make(chan handover, 1)}
+	return &follower{gateway: g, servers: map[string]catalog.Server{}, missing: map[string]time.Time{}, handed: make(chan handover, 1)}
 }
 
 // answer is the end of one call to the source.
@@ -172,6 +174,9 @@
 
 func (f *follower) fail(now time.Time, err error) {
 	f.failed = now
+	for id := range f.missing {
+		f.missing[id] = now.Add(returnGrace)
+	}
 	if !f.away {
 		f.away = true
 		f.gateway.storeAway.Store(true)
@@ -197,6 +202,10 @@
 	present := map[string]bool{}
 	for _, server := range s.Servers {
 		present[server.ID] = true
+		if _, missing := s.Missing[server.ID]; missing {
+			f.servers[server.ID] = server
+			continue
+		}
 		f.set(server)
 	}
 	for id := range f.servers {
@@ -231,7 +240,10 @@
 	}
 	f.gateway.log.Info().Str("event", "view.handed_over").Str("peer", h.from).
 		Uint64("revision", h.snapshot.Revision).Uint64("before", v.Revision).Msg("a gateway knows more than the store tells")
-	// The other gateway has kept the servers that may come back.
+	clear(f.missing)
+	for id, until := range h.snapshot.Missing {
+		f.missing[id] = until
+	}
 	f.takeSnapshot(h.snapshot, f.drop)
 	f.gateway.confirm(h.confirmed)
 }
@@ -251,8 +263,8 @@
 		return
 	}
 	if f.grace(now) && !s.Leaving {
-		if !f.missing[id] {
-			f.missing[id] = true
+		if _, already := f.missing[id]; !already {
+			f.missing[id] = f.failed.Add(returnGrace)
 			f.gateway.log.Info().Str("event", "server.missing").Str("server", id).Msg("kept for a moment: the store was away")
 		}
 		return
@@ -269,14 +281,17 @@
 
 // dropMissing removes servers whose entry has not come back.
 func (f *follower) dropMissing(now time.Time) {
-	if len(f.missing) == 0 || f.away || f.grace(now) {
-		return
+	dropped := false
+	for id, until := range f.missing {
+		if now.After(until) {
+			f.drop(id)
+			dropped = true
+		}
 	}
-	for id := range f.missing {
-		f.drop(id)
+	if dropped {
+		v := f.gateway.view.Load()
+		f.publish(v.Configuration, v.Raw, v.Revision)
 	}
-	v := f.gateway.view.Load()
-	f.publish(v.Configuration, v.Raw, v.Revision)
 }
 
 // publish makes a new view known. A configuration never steps back.
@@ -289,7 +304,7 @@
 		f.gateway.log.Info().Str("event", "configuration.in_force").Uint64("version", c.Version).
 			Uint64("revision", revision).Int("routes", len(c.Routes)).Int("accounts", len(c.Accounts)).Msg("apply")
 	}
-	v := &View{Configuration: c, Raw: raw, Revision: max(revision, old.Revision)}
+	v := &View{Configuration: c, Raw: raw, Revision: max(revision, old.Revision), Missing: maps.Clone(f.missing)}
 	for _, s := range f.servers {
 		v.Servers = append(v.Servers, s)
 	}
--- a/gateway/view_test.go
+++ b/gateway/view_test.go
@@ -84,7 +84,7 @@
 			f := g.follower
 			f.take(now, answer{listed: true, snapshot: Snapshot{Configuration: version(1), Servers: []catalog.Server{test.server}, Revision: 3}})
 			if test.failed > 0 {
-				f.failed = now.Add(-test.failed)
+				f.failed = now.Add(-test.failed) // and has answered since
 			}
 			f.take(now, answer{since: 3, revision: 4, changes: []Change{ServerGone{"i-1"}}})
 			require.Equal(t, test.kept, len(g.view.Load().Servers) == 1)
@@ -106,3 +106,21 @@
 	f.dropMissing(now.Add(time.Minute))
 	require.Len(t, g.view.Load().Servers, 1)
 }
+
+// TestHandedOverMissingServers: a gateway that keeps a server for a moment hands it
+// over as such; who takes the view over drops it as well if it does not come back.
+func TestHandedOverMissingServers(t *testing.T) {
+	now := time.Now()
+	from, to := quiet(t), quiet(t)
+	f := from.follower
+	f.take(now, answer{listed: true, snapshot: Snapshot{Configuration: version(1), Servers: []catalog.Server{ready("i-1"), ready("i-2")}, Revision: 3}})
+	f.fail(now, ErrHistoryGone)
+	f.take(now, answer{since: 3, revision: 4, changes: []Change{ServerGone{"i-1"}}})
+	s := from.view.Load().document(now).snapshot(now)
+	s.Configuration = version(1)
+	to.follower.takeHandover(handover{snapshot: s})
+	require.Len(t, to.view.Load().Servers, 2)
+	later := now.Add(returnGrace + time.Millisecond)
+	to.follower.dropMissing(later)
+	require.Equal(t, []catalog.Server{ready("i-2")}, to.view.Load().Servers)
+}
