--- /dev/null
+++ b/gateway/peer/beacon.go
@@ -0,0 +1,147 @@
+package peer
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"opalbridge.dev/gateway/peer/peerpb"
+)
+
+// beacon returns what goes out next: the loads that are pending, and in a whole one the
+// demands; a rare one names the live gateways as well.
+func (n *Node) beacon(whole, rare bool) *peerpb.Beacon {
+	s := n.options.State()
+	b := &peerpb.Beacon{
+		Incarnation: n.incarnation, NewestLoad: n.newest,
+		ConfigurationVersion: s.ConfigurationVersion, StoreRevision: s.StoreRevision, StoreAway: s.StoreAway, Leaving: n.leaving,
+		ConfirmedMs: uint32(min(time.Since(s.Confirmed), longestAge).Milliseconds()),
+	}
+	kept := n.pending[:0]
+	for _, l := range n.pending {
+		b.Loads = append(b.Loads, l.load)
+		l.told++
+		if l.told < repeatLoads {
+			kept = append(kept, l)
+		}
+	}
+	n.pending = kept
+	for server, requests := range s.Running {
+		b.Running = append(b.Running, &peerpb.Running{Server: server, Requests: uint32(requests)})
+	}
+	if whole {
+		b.Demands, b.DemandsTold, b.Hall = s.Demands, true, n.options.Hall
+	}
+	if rare {
+		b.Peers = n.live()
+	}
+	return b
+}
+
+func (n *Node) live() []uint32 {
+	var list []uint32
+	for a, r := range n.peers {
+		if r.alive && len(list) < mostAddresses {
+			list = append(list, pack(a))
+		}
+	}
+	return list
+}
+
+func pack(a netip.Addr) uint32 {
+	b := a.As4()
+	return uint32(b[0])<<24 | uint32(b[1])<<16 | uint32(b[2])<<8 | uint32(b[3])
+}
+
+func unpack(v uint32) netip.Addr {
+	return netip.AddrFrom4([4]byte{byte(v >> 24), byte(v >> 16), byte(v >> 8), byte(v)})
+}
+
+// take takes over a beacon.
+func (n *Node) take(now time.Time, p packet) {
+	if p.from == n.self {
+		return
+	}
+	r := n.meet(now, p.from)
+	b := p.beacon
+	if b.Incarnation < r.incarnation && now.Sub(r.heard) < lateDatagrams {
+		return // a late datagram of a process that has ended
+	}
+	first := b.Incarnation != r.incarnation
+	r.incarnation, r.heard = b.Incarnation, now
+	if b.Leaving {
+		if r.alive {
+			r.alive = false
+			n.update(Update{From: p.from.String()})
+		}
+		return
+	}
+	if first || !r.alive {
+		n.answer(p.from)
+	}
+	r.alive = true
+	if b.Hall != "" {
+		r.hall = b.Hall
+	}
+	for _, v := range b.Peers {
+		if a := unpack(v); a != n.self {
+			n.meet(now, a)
+		}
+	}
+	u := Update{
+		From: p.from.String(), Hall: r.hall, Alive: true, Loads: r.news(b, first), Running: map[uint64]int{},
+		Demands: b.Demands, DemandsTold: b.DemandsTold,
+		ConfigurationVersion: b.ConfigurationVersion, StoreRevision: b.StoreRevision, StoreAway: b.StoreAway,
+		Confirmed: now.Add(-time.Duration(b.ConfirmedMs) * time.Millisecond),
+	}
+	for _, g := range b.Running {
+		u.Running[g.Server] = int(g.Requests)
+	}
+	n.update(u)
+}
+
+// meet returns the peer at an address, which may be new.
+func (n *Node) meet(now time.Time, a netip.Addr) *remote {
+	r := n.peers[a]
+	if r == nil {
+		r = &remote{known: now}
+		n.peers[a] = r
+	}
+	return r
+}
+
+// answer lets a peer that was not alive here know of this node at once.
+func (n *Node) answer(to netip.Addr) {
+	packed, err := proto.Marshal(n.beacon(true, true))
+	if err != nil {
+		panic(errors.NewAssertionErrorWithWrappedErrf(err, "peer: encode beacon"))
+	}
+	_, _ = n.conn.WriteToUDPAddrPort(packed, netip.AddrPortFrom(to, n.port))
+}
+
+// news returns the loads of a beacon that were not taken over yet.
+func (r *remote) news(b *peerpb.Beacon, first bool) []Load {
+	oldest := b.NewestLoad - uint64(len(b.Loads)) // number before the first one here
+	if first {
+		r.newest = oldest
+	}
+	skip := 0
+	if r.newest > oldest {
+		skip = int(min(r.newest-oldest, uint64(len(b.Loads))))
+	}
+	r.newest = max(r.newest, b.NewestLoad)
+	var list []Load
+	for _, l := range b.Loads[skip:] {
+		list = append(list, Load{Server: l.Server, Work: time.Duration(l.WorkUs) * time.Microsecond, Parts: l.Parts})
+	}
+	return list
+}
+
+func (n *Node) update(u Update) {
+	select {
+	case n.updates <- u:
+	default: // the next beacon brings gauges and versions again; loads cost accuracy only
+	}
+}
