placement: an account behind the others is served nearly as within its share

Change: the wait that is allowed grows to 430 ms for an account that got nothing of what is left; one a quarter ahead waits for idle servers.

--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -265,19 +265,16 @@
 }
 
 // spareWait is the longest wait at which an account that has got its share is served
-// with what others leave. The more it got so far against an even part, the shorter;
-// a quarter beyond that, it waits for idle servers. A caller that was refused before
-// is served more readily: it can't come back again.
+// with what others leave. One that got less than an even part of that is served nearly
+// as if it were within its share; one that is a quarter ahead waits for idle servers.
 func (b *Board) spareWait(a *Ask) time.Duration {
-	const (
-		slope = 4 // waits at which an even part more or less counts
-		most  = 3 // waits
-	)
-	waits := min(max(1+slope*(1-a.Ahead), 0), most)
+	const slope = 4 // a quarter ahead leaves nothing
+	wait := float64(b.policy.IdleWait) * max(1-slope*max(a.Ahead-1, 0), 0)
+	wait += float64(b.policy.BehindWait) * max(1-a.Ahead, 0)
 	if a.Again {
-		waits = max(waits, 1) * b.policy.AgainSpare
+		wait = max(wait, float64(b.policy.IdleWait))
 	}
-	return time.Duration(waits * float64(b.policy.IdleWait))
+	return time.Duration(wait)
 }
 
 // limit is the longest predicted time to the first event at which a request is sent.
--- a/gateway/placement/placement_test.go
+++ b/gateway/placement/placement_test.go
@@ -122,6 +122,8 @@
 		{"no objective", 30, func(a *placement.Ask) { a.Objective = 0 }, ""},
 		{"over its share, idle", 0, func(a *placement.Ask) { a.OverShare, a.Ahead = true, 3 }, ""},
 		{"over its share, servers busy", 3, func(a *placement.Ask) { a.OverShare, a.Ahead = true, 1 }, "account over its share"},
+		{"over its share, behind the others, servers busy", 2, func(a *placement.Ask) { a.OverShare, a.Ahead = true, 0.4 }, ""},
+		{"over its share, ahead of the others, servers busy", 2, func(a *placement.Ask) { a.OverShare, a.Ahead = true, 1.6 }, "account over its share"},
 		{"within its share, servers busy", 2, func(*placement.Ask) {}, ""},
 		{"too long to be in time, idle", 0, func(a *placement.Ask) { a.Prompt = 90000 }, ""},
 		{"too long to be in time, busy", 8, func(a *placement.Ask) { a.Prompt = 90000 }, "no server in time"},
--- a/gateway/placement/policy.go
+++ b/gateway/placement/policy.go
@@ -15,8 +15,8 @@
 	LimitShare      float64       // share of the objective that a prediction may fill
 	AgainFactor     time.Duration // a caller that was refused before is served up to so many times its objective
 	IdleWait        time.Duration // an account over its share is served while the wait is shorter
+	BehindWait      time.Duration // and so much longer if it got nothing of what is left
 	LongWait        time.Duration // prompts too long to be in time are served while the wait is shorter
-	AgainSpare      float64       // a caller that was refused before waits so many times longer for what is left
 	ShareRetryAfter time.Duration // a caller whose account is over its share is told to wait at least so long
 	LeastRetryAfter time.Duration // shortest time a refused caller is told to wait
 	SpareSlots      int           // a server within so many slots of its batch counts as full
@@ -41,8 +41,8 @@
 		LimitShare:      0.95,
 		AgainFactor:     2,
 		IdleWait:        30 * time.Millisecond,
+		BehindWait:      400 * time.Millisecond,
 		LongWait:        300 * time.Millisecond,
-		AgainSpare:      1,
 		ShareRetryAfter: 200 * time.Millisecond,
 		LeastRetryAfter: 200 * time.Millisecond,
 		SpareSlots:      2,
