--- a/gateway/desk.go
+++ b/gateway/desk.go
@@ -328,7 +328,8 @@
 }
 
 // A server that is this late with a first event, and gave no sign of life since it was
-// due, counts as failing: predictions miss by less in 98 of 100 cases (docs/SCORES.md).
+// due, counts as failing: 95 of 100 predictions miss by less than half of it
+// (docs/SCORES.md).
 const overdue = 500 * time.Millisecond
 
 // findSilent marks servers that owe a first event and are silent.
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -210,8 +210,8 @@
 	o := option{server: s, work: work, predicted: waiting + work + b.policy.FirstStep}
 	// Reading a shared part once more delays whoever comes after as well.
 	copied := b.policy.reading(shared, shared)
-	o.cost = o.predicted + time.Duration(b.policy.CopyCost*float64(copied))
-	o.cost += time.Duration(s.failureRate(now) * float64(b.policy.FailureCost))
+	o.cost = o.predicted + scale(copied, b.policy.CopyCost)
+	o.cost += scale(b.policy.FailureCost, s.failureRate(now))
 	if over := s.running + s.others - s.engine.Slots + b.policy.SpareSlots; over > 0 {
 		o.cost += time.Duration(over) * b.policy.SlotCost
 		o.predicted += time.Duration(over) * b.policy.SlotCost
@@ -258,7 +258,7 @@
 		return inTime
 	case best.work+b.policy.FirstStep > limit && waiting < b.policy.LongWait:
 		return inTime // too long to be in time anywhere; it is served while the wait is short
-	case a.Again && best.predicted <= b.policy.AgainFactor*a.Objective:
+	case a.Again && best.predicted <= scale(a.Objective, b.policy.AgainFactor):
 		return inTime
 	}
 	return tooLate
@@ -279,9 +279,11 @@
 
 // limit is the longest predicted time to the first event at which a request is sent.
 func (b *Board) limit(a *Ask) time.Duration {
-	return time.Duration(b.policy.LimitShare * float64(a.Objective))
+	return scale(a.Objective, b.policy.LimitShare)
 }
 
+func scale(d time.Duration, by float64) time.Duration { return time.Duration(by * float64(d)) }
+
 // comeBack returns when a caller should ask again: when the wait will have gone down,
 // or when the account's window will have moved on. Callers wait up to a third of the
 // time they have left.
--- a/gateway/placement/policy.go
+++ b/gateway/placement/policy.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// Policy holds the weights and limits of placement. Figures without a source were
-// chosen by trials over several seeds of both deployments (docs/SCORES.md).
+// Policy holds the weights and limits of placement. The figures were chosen by trials
+// over several seeds of two deployments (docs/design/platform.md).
 type Policy struct {
 	TokensPerMS     float64       // prompt tokens a server reads in a millisecond, decoding beside it
 	PairsPerMS      float64       // pairs of tokens that attention handles in a millisecond
@@ -13,7 +13,7 @@
 	FreeTokens      int           // requests with a shorter shared beginning may go to any server
 	Homes           int           // servers that may read a shared part
 	LimitShare      float64       // share of the objective that a prediction may fill
-	AgainFactor     time.Duration // a caller that was refused before is served up to so many times its objective
+	AgainFactor     float64       // a caller that was refused before is served up to so many times its objective
 	IdleWait        time.Duration // an account over its share is served while the wait is shorter
 	BehindWait      time.Duration // and so much longer if it got nothing of what is left
 	LongWait        time.Duration // prompts too long to be in time are served while the wait is shorter
