--- a/soak/book.go
+++ b/soak/book.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"opalbridge.dev/platform"
 )
 
 // book holds what callers saw, and what was broken.
@@ -176,6 +178,9 @@
 	}
 }
 
+// callerDeadline is shorter than the routes' longest timeout.
+const callerDeadline = 3500 * time.Millisecond
+
 // newest is the newest version that any gateway was seen to accept.
 func (b *book) newest() int {
 	n := 0
@@ -205,9 +210,7 @@
 	}
 	request.GetBody = nil // it must not be sent again by itself
 	request.Host = "h"
-	request.Header.Set("Attempt-Id", id)
-	request.Header.Set("Authorization", "Bearer "+key)
-	request.Header.Set("Deadline-Ms", "3500")
+	platform.SetCaller(request.Header, id, key, callerDeadline)
 	response, err := client.Do(request)
 	if err != nil {
 		return 0, "", err
