placement: what servers hold and how far they are is seen, told and copied

A miss moved only the own model, and only half-way; with twenty gateways each saw a twentieth of them. 95 in 100 predictions missed by up to 706 ms.

Change: - A request's first event shows what its server has still to read: what was sent after it. That is believed and told to all gateways; overdue first events tell as well. A server's pace is learned from two such moments between which it never rested. - Servers take cached parts from one another (Kv-Fetch) when the one that holds them is busy or leaves; only what has been read can be copied. - Caches are modelled by the tokens that came since a part's last use. - A gateway that starts asks the model servers once what they hold. - A delay far below the objective weighs less; servers alike are chosen at random, since gateways decide at the same moment.

--- a/cmd/opalbridge/gateway.go
+++ b/cmd/opalbridge/gateway.go
@@ -140,6 +140,7 @@
 		ReadyPath: platform.ReadyPath,
 		Peer:      peer.Options{Address: s.PeerAddress, Seeds: s.Seeds},
 		Source:    &platform.Feed{Store: store, Unreadable: unreadable},
+		Caches:    &platform.Caches{},
 		Codec:     platform.Codec{},
 		Desk: gateway.DeskSettings{
 			Repeats: budget.Limits{Ratio: s.RepeatRatio, Extra: s.RepeatExtra, Window: s.RepeatWindow},
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -107,22 +107,23 @@
 	c.gateway.log.Info().Str("event", "attempt.sent").Str("request", c.told.ID).Int("attempt", c.attempts).
 		Str("server", d.Server.ID).Dur("predicted", d.Predicted).Dur("work", d.Load.Work).
 		Dur("left", c.deadline.Sub(sent)).Str("account", c.account).Bool("over_share", c.ask.OverShare).
-		Float64("ahead", c.ask.Ahead).Bool("again", c.ask.Again).Msg("placed")
+		Float64("ahead", c.ask.Ahead).Bool("again", c.ask.Again).Str("copy_from", d.CopyFrom).Msg("placed")
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel() // stops the server's work if the answer was not read to its end
-	result := c.gateway.pool.Send(ctx, d.Server, c.forServer(d.Server, sent))
+	result := c.gateway.pool.Send(ctx, d.Server, c.forServer(d, sent))
 	end, next := c.judge(ctx, d, sent, result)
 	c.gateway.desk.tell(endedMessage{ticket: d.Ticket, server: d.Server.ID, end: end})
 	return next
 }
 
 // forServer makes the request that goes to a server.
-func (c *call) forServer(s catalog.Server, now time.Time) *upstream.Request {
+func (c *call) forServer(d placement.Assign, now time.Time) *upstream.Request {
 	h := c.request.Header.Clone()
 	upstream.RemoveHopHeaders(h)
 	h.Del("Expect") // the whole body is here
 	c.gateway.options.Codec.Forward(h, protocol.Forward{
-		Server: s.ID, Account: c.account, Deadline: c.deadline.Sub(now), LastEvent: c.lastEvent,
+		Server: d.Server.ID, Account: c.account, Deadline: c.deadline.Sub(now), LastEvent: c.lastEvent,
+		CopyFrom: d.CopyFrom,
 	})
 	return &upstream.Request{
 		ID: c.told.ID, Method: c.request.Method, Target: target(c.request), Host: c.request.Host,
--- a/gateway/catalog/catalog.go
+++ b/gateway/catalog/catalog.go
@@ -84,8 +84,14 @@
 	Slots     int // requests that run at once
 	KVTokens  int // memory for the tokens of running requests and cached prompts
 	MostEvent int // tokens in one event of a stream, for estimates; 0: unknown
+	// How servers take cached parts of prompts from one another; 0: they don't.
+	TokenBytes int     // memory of one token
+	LinkMbps   float64 // of a server, for copies
 }
 
+// Copies tells whether servers take cached parts of prompts from one another.
+func (e *Engine) Copies() bool { return e != nil && e.TokenBytes > 0 && e.LinkMbps > 0 }
+
 // Account is a client account.
 type Account struct {
 	Name     string
--- a/gateway/desk.go
+++ b/gateway/desk.go
@@ -21,8 +21,16 @@
 	// Shares of accounts are computed anew this often, as often as the others' demands
 	// arrive.
 	settleEvery = 250 * time.Millisecond
+	// What servers hold no more is forgotten once in so many of these.
+	forgetEvery = 8
 	// Accounts told to the others at most: those with the largest demands.
 	mostDemands = 48
+	// Requests without a first event are looked through this often for late ones; a
+	// server reads 2,500 tokens meanwhile.
+	lateEvery = 50 * time.Millisecond
+	// The others hear at once of a server that is ahead or behind by so much; of less they
+	// hear with the next load, some 50 ms later.
+	newsMiss = 100 * time.Millisecond
 	// Questions to the desk that wait. A request that finds the queue full waits; the
 	// desk never waits for a request, so this cannot deadlock.
 	deskQueue = 256
@@ -42,6 +50,7 @@
 
 	// Owned by run.
 	tickets  uint64               // the last one given
+	settled  int                  // times that shares were computed
 	pending  map[uint64]*awaited  // own requests without a first event, by ticket
 	heard    map[string]time.Time // last sign of life, by server
 	board    *placement.Board
@@ -64,9 +73,11 @@
 
 // awaited is a request whose server has not made its first event yet.
 type awaited struct {
-	server string
-	due    time.Time // by the prediction
-	told   bool      // that it is overdue
+	server   string
+	due      time.Time     // by the prediction
+	told     bool          // that it is overdue
+	position time.Duration // work sent to the server up to this request
+	copies   bool          // it takes cached parts from another server first
 }
 
 // Messages to the desk.
@@ -85,15 +96,18 @@
 		tokens  float64
 	}
 	startedMessage struct {
-		ticket          uint64
-		server          string
-		predicted, took time.Duration
+		ticket uint64
+		server string
 	}
 	endedMessage struct {
 		ticket uint64
 		server string
 		end    placement.End
 	}
+	cacheMessage struct {
+		server string
+		parts  []uint64 // that its cache holds
+	}
 	viewMessage   struct{ view *View }
 	updateMessage struct{ update peer.Update }
 )
@@ -153,6 +167,8 @@
 	defer close(d.done)
 	settle := time.NewTicker(settleEvery)
 	defer settle.Stop()
+	late := time.NewTicker(lateEvery)
+	defer late.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -161,6 +177,8 @@
 			d.handle(time.Now(), m)
 		case now := <-settle.C:
 			d.settle(now)
+		case now := <-late.C:
+			d.findLate(now)
 		}
 	}
 }
@@ -175,11 +193,11 @@
 			d.book.Ask(now, m.account, m.tokens)
 		}
 	case startedMessage:
-		delete(d.pending, m.ticket)
-		d.heard[m.server] = now
-		d.board.Started(now, m.server, m.predicted, m.took)
+		d.start(now, m)
 	case endedMessage:
 		d.end(now, m)
+	case cacheMessage:
+		d.board.Holds(now, m.server, m.parts)
 	case viewMessage:
 		d.setView(now, m.view)
 	case updateMessage:
@@ -205,14 +223,16 @@
 	} else if m.ask.Account != "" {
 		d.book.Admit(now, m.ask.Account, m.tokens)
 	}
-	d.board.Sent(now, assign.Load, true)
+	position := d.board.Sent(now, assign.Load, true)
 	d.tickets++
 	assign.Ticket = d.tickets
-	d.pending[assign.Ticket] = &awaited{server: assign.Server.ID, due: now.Add(assign.Predicted)}
+	d.pending[assign.Ticket] = &awaited{
+		server: assign.Server.ID, due: now.Add(assign.Predicted), position: position, copies: assign.CopyFrom != "",
+	}
 	d.running[assign.Server.ID]++
 	d.publish()
 	if assign.Load.Work > 0 {
-		d.peers.Tell(peer.Load{Server: hash(assign.Server.ID), Work: assign.Load.Work, Parts: assign.Load.Parts})
+		d.peers.Tell(peer.Load{Server: hash(assign.Server.ID), Work: assign.Load.Work, Parts: assign.Load.Parts, Tokens: assign.Load.Tokens})
 	}
 	return assign
 }
@@ -226,6 +246,27 @@
 	a.OverShare, a.Ahead = standing.Over, standing.Ahead
 }
 
+// start takes over that a request has its first event, which shows how far its server
+// has got.
+func (d *desk) start(now time.Time, m startedMessage) {
+	p := d.pending[m.ticket]
+	delete(d.pending, m.ticket)
+	d.heard[m.server] = now
+	if p == nil || p.copies {
+		return // while it was copying, others may have overtaken it
+	}
+	left, miss := d.board.Started(now, m.server, p.position)
+	d.tellBacklog(m.server, left, miss)
+}
+
+// tellBacklog tells the others how far a server has got, at once if that is news.
+func (d *desk) tellBacklog(server string, left, miss time.Duration) {
+	d.peers.TellBacklog(peer.Backlog{Server: hash(server), Left: left})
+	if miss.Abs() > newsMiss {
+		d.peers.TellNow()
+	}
+}
+
 func (d *desk) end(now time.Time, m endedMessage) {
 	delete(d.pending, m.ticket)
 	if m.end == placement.Served || m.end == placement.Full {
@@ -286,7 +327,10 @@
 	d.gateways[u.From] = u.Running
 	d.peersAlive.Store(int64(len(d.gateways)))
 	for _, l := range u.Loads {
-		d.board.Sent(now, placement.Load{Server: d.ids[l.Server], Work: l.Work, Parts: l.Parts}, false)
+		d.board.Sent(now, placement.Load{Server: d.ids[l.Server], Work: l.Work, Parts: l.Parts, Tokens: l.Tokens}, false)
+	}
+	for _, l := range u.Backlogs {
+		d.board.Backlog(now, d.ids[l.Server], l.Left)
 	}
 	if u.DemandsTold {
 		list := make([]share.Demand, len(u.Demands))
@@ -315,7 +359,9 @@
 		rate = d.view.Configuration.Limits.TokensPerSecond
 	}
 	d.book.Settle(now, rate)
-	d.board.Forget(now)
+	if d.settled++; d.settled%forgetEvery == 0 {
+		d.board.Forget()
+	}
 	d.findSilent(now)
 	own := d.book.Own(now)
 	list := make([]*peerpb.Demand, 0, min(len(own), mostDemands))
@@ -327,6 +373,19 @@
 	d.telling.Store(&s)
 }
 
+// findLate looks for servers that owe a first event, and so are further behind than was
+// believed.
+func (d *desk) findLate(now time.Time) {
+	for _, p := range d.pending {
+		if now.Before(p.due) || p.copies {
+			continue
+		}
+		if left, miss := d.board.Overdue(now, p.server, p.position); miss > newsMiss {
+			d.tellBacklog(p.server, left, miss)
+		}
+	}
+}
+
 // A server that is this late with a first event, and gave no sign of life since it was
 // due, counts as failing: 95 of 100 predictions miss by less than half of it
 // (docs/SCORES.md).
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -37,6 +37,7 @@
 	Peers     net.Listener // views for other gateways, on the address of Peer
 	Peer      peer.Options // State and Failed are set by New
 	Source    Source
+	Caches    Caches // nil: servers don't tell what their caches hold
 	Codec     protocol.Codec
 	Desk      DeskSettings
 	StopGrace time.Duration // a planned stop ends after this time at the latest
@@ -135,6 +136,7 @@
 	group.Go(duties, "follower", g.follower.run)
 	group.Go(duties, "news", g.hear)
 	group.Go(duties, "idle", g.closeIdle)
+	group.Go(duties, "caches", g.askCaches)
 	g.log.Info().Str("event", "start").Str("front", g.options.Front.Addr().String()).Msg("gateway")
 	err := g.serve(ctx, duties)
 	cancel()
--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -183,7 +183,7 @@
 	parts := make([]placement.Part, len(c.told.Parts))
 	sum := 0
 	for i, p := range c.told.Parts {
-		parts[i] = placement.Part{Hash: hash(c.told.Model + "/" + p.ID), Tokens: p.Tokens}
+		parts[i] = placement.Part{Hash: partHash(c.told.Model, p.ID), Tokens: p.Tokens}
 		sum += p.Tokens
 	}
 	prompt = max(prompt, sum)
@@ -191,13 +191,16 @@
 	c.ask = placement.Ask{
 		Again:   c.gateway.starts.again(c.route.Name, c.told),
 		Service: c.service, Account: c.account, Parts: parts, Prompt: prompt, Output: output,
-		Hall: c.gateway.options.Desk.Hall,
+		Hall: c.gateway.options.Desk.Hall, Draw: hash(c.told.ID),
 	}
 	if s, ok := v.Configuration.Service(c.service); ok {
 		c.engine = s.Engine != nil
 	}
 }
 
+// partHash names a part of a model's prompts in few bytes.
+func partHash(model, id string) uint64 { return hash(model + "/" + id) }
+
 // A token that is made counts as much as two that are read (source: the platform's
 // page on the servers' rate).
 const outputWeight = 2
--- a/gateway/peer/beacon.go
+++ b/gateway/peer/beacon.go
@@ -28,6 +28,10 @@
 		}
 	}
 	n.pending = kept
+	for server, left := range n.seen {
+		b.Backlogs = append(b.Backlogs, &peerpb.Backlog{Server: server, LeftUs: microseconds(left)})
+	}
+	clear(n.seen)
 	for server, requests := range s.Running {
 		b.Running = append(b.Running, &peerpb.Running{Server: server, Requests: uint32(requests)})
 	}
@@ -40,6 +44,11 @@
 	return b
 }
 
+// microseconds encodes a time, cut to what the field holds.
+func microseconds(d time.Duration) uint32 {
+	return uint32(min(max(d.Microseconds(), 0), int64(^uint32(0))))
+}
+
 func (n *Node) live() []uint32 {
 	var list []uint32
 	for a, r := range n.peers {
@@ -86,8 +95,9 @@
 		r.hall = b.Hall
 	}
 	for _, v := range b.Peers {
-		if a := unpack(v); a != n.self {
+		if a := unpack(v); a != n.self && n.peers[a] == nil {
 			n.meet(now, a)
+			n.answer(a)
 		}
 	}
 	u := Update{
@@ -96,6 +106,9 @@
 		ConfigurationVersion: b.ConfigurationVersion, StoreRevision: b.StoreRevision, StoreAway: b.StoreAway,
 		Confirmed: now.Add(-time.Duration(b.ConfirmedMs) * time.Millisecond),
 	}
+	for _, l := range b.Backlogs {
+		u.Backlogs = append(u.Backlogs, Backlog{Server: l.Server, Left: time.Duration(l.LeftUs) * time.Microsecond})
+	}
 	for _, g := range b.Running {
 		u.Running[g.Server] = int(g.Requests)
 	}
@@ -112,7 +125,8 @@
 	return r
 }
 
-// answer lets a peer that was not alive here know of this node at once.
+// answer lets a peer know of this node at once: one that was not alive here, or whose
+// address has just been learned.
 func (n *Node) answer(to netip.Addr) {
 	packed, err := proto.Marshal(n.beacon(true, true))
 	if err != nil {
@@ -134,7 +148,7 @@
 	r.newest = max(r.newest, b.NewestLoad)
 	var list []Load
 	for _, l := range b.Loads[skip:] {
-		list = append(list, Load{Server: l.Server, Work: time.Duration(l.WorkUs) * time.Microsecond, Parts: l.Parts})
+		list = append(list, Load{Server: l.Server, Work: time.Duration(l.WorkUs) * time.Microsecond, Parts: l.Parts, Tokens: int(l.Tokens)})
 	}
 	return list
 }
--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -31,7 +31,7 @@
 const (
 	// Loads are told this soon after the first one. Two gateways that do not know of
 	// each other's loads choose the same server; in 20 ms a server reads 1,000 tokens.
-	loadDelay = 20 * time.Millisecond
+	loadDelay = 2 * time.Millisecond
 	// A beacon goes out at least this often; it carries gauges and demands.
 	heartbeat = 250 * time.Millisecond
 	// Addresses are passed on, and silent gateways tried, once in so many heartbeats.
@@ -62,6 +62,13 @@
 	Server uint64 // hash of the incarnation's id
 	Work   time.Duration
 	Parts  []uint64
+	Tokens int // that the server's cache takes up for it
+}
+
+// Backlog is what a server had still to read when a request's first event showed it.
+type Backlog struct {
+	Server uint64 // hash of the incarnation's id
+	Left   time.Duration
 }
 
 // State is what a gateway tells of itself.
@@ -80,8 +87,9 @@
 	Hall  string // empty: not told yet
 	Alive bool
 	// What follows is set only when Alive.
-	Loads   []Load // not told before
-	Running map[uint64]int
+	Loads    []Load // not told before
+	Backlogs []Backlog
+	Running  map[uint64]int
 	// Demands are set only when DemandsTold.
 	Demands              []*peerpb.Demand
 	DemandsTold          bool
@@ -108,13 +116,15 @@
 	conn        *net.UDPConn
 	incarnation uint64
 	loads       chan Load
+	backlogs    chan Backlog
 	hurry       chan struct{}
 	packets     chan packet
 	updates     chan Update
 
 	// Owned by Run.
 	peers   map[netip.Addr]*remote
-	pending []numbered // loads that are still being told
+	pending []numbered               // loads that are still being told
+	seen    map[uint64]time.Duration // backlogs not told yet, by server
 	newest  uint64
 	beats   int
 	leaving bool
@@ -156,7 +166,7 @@
 	n := &Node{
 		options: o, self: at.Addr(), port: at.Port(), conn: conn,
 		incarnation: uint64(now.UnixNano()),
-		loads:       make(chan Load, queue), hurry: make(chan struct{}, 1), packets: make(chan packet, queue), updates: make(chan Update, queue),
+		loads:       make(chan Load, queue), backlogs: make(chan Backlog, queue), seen: map[uint64]time.Duration{}, hurry: make(chan struct{}, 1), packets: make(chan packet, queue), updates: make(chan Update, queue),
 		peers: map[netip.Addr]*remote{},
 	}
 	for _, s := range o.Seeds {
@@ -187,6 +197,14 @@
 	}
 }
 
+// TellBacklog passes on how far a server has got, with the next beacon; it never blocks.
+func (n *Node) TellBacklog(b Backlog) {
+	select {
+	case n.backlogs <- b:
+	default: // accuracy only
+	}
+}
+
 // TellNow lets the next beacon go out soon; it never blocks.
 func (n *Node) TellNow() {
 	select {
@@ -255,6 +273,8 @@
 				soon.Reset(loadDelay)
 				waiting = true
 			}
+		case l := <-n.backlogs:
+			n.seen[l.Server] = l.Left
 		case <-n.hurry:
 			if !waiting {
 				soon.Reset(loadDelay)
@@ -273,7 +293,7 @@
 
 func (n *Node) add(l Load) {
 	n.newest++
-	load := &peerpb.Load{Server: l.Server, WorkUs: uint32(min(l.Work.Microseconds(), int64(^uint32(0)))), Parts: l.Parts}
+	load := &peerpb.Load{Server: l.Server, WorkUs: microseconds(l.Work), Parts: l.Parts, Tokens: uint32(max(l.Tokens, 0))}
 	n.pending = append(n.pending, numbered{load: load})
 	if len(n.pending) > mostLoads {
 		n.pending = slices.Delete(n.pending, 0, len(n.pending)-mostLoads)
--- a/gateway/peer/peer_test.go
+++ b/gateway/peer/peer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -22,6 +23,7 @@
 	mutex sync.Mutex
 	alive map[string]bool
 	loads map[string][]peer.Load
+	seen  map[string][]peer.Backlog
 	last  map[string]peer.Update
 	ended chan struct{}
 }
@@ -43,7 +45,7 @@
 	})
 	require.NoError(t, err)
 	ctx, stop := context.WithCancel(context.Background())
-	m := &member{node: node, stop: stop, alive: map[string]bool{}, loads: map[string][]peer.Load{}, last: map[string]peer.Update{}, ended: make(chan struct{})}
+	m := &member{node: node, stop: stop, alive: map[string]bool{}, loads: map[string][]peer.Load{}, seen: map[string][]peer.Backlog{}, last: map[string]peer.Update{}, ended: make(chan struct{})}
 	go node.Run(ctx)
 	go m.listen()
 	t.Cleanup(func() {
@@ -59,6 +61,7 @@
 		m.mutex.Lock()
 		m.alive[u.From] = u.Alive
 		m.loads[u.From] = append(m.loads[u.From], u.Loads...)
+		m.seen[u.From] = append(m.seen[u.From], u.Backlogs...)
 		if u.Alive {
 			m.last[u.From] = u
 		}
@@ -133,6 +136,30 @@
 	require.Equal(t, uint64(9), b.last["127.0.0.1"].StoreRevision)
 }
 
+// TestBacklogsAreTold once each, the newest of a server, and soon when that is asked for.
+func TestBacklogsAreTold(t *testing.T) {
+	port := freePort(t)
+	a := join(t, port, 1, peer.State{})
+	b := join(t, port, 2, peer.State{}, "127.0.0.1")
+	eventually(t, "they meet", func() bool { return a.living() == 1 && b.living() == 1 })
+	for _, left := range []time.Duration{700, 800, -1} {
+		a.node.TellBacklog(peer.Backlog{Server: 7, Left: left * time.Millisecond})
+	}
+	a.node.TellBacklog(peer.Backlog{Server: 8, Left: time.Second})
+	a.node.TellNow()
+	told := func() []peer.Backlog {
+		b.mutex.Lock()
+		defer b.mutex.Unlock()
+		return append([]peer.Backlog(nil), b.seen["127.0.0.1"]...)
+	}
+	eventually(t, "the newest of both servers; less than nothing is nothing", func() bool {
+		return slices.Contains(told(), peer.Backlog{Server: 7}) && slices.Contains(told(), peer.Backlog{Server: 8, Left: time.Second})
+	})
+	many := len(told())
+	time.Sleep(600 * time.Millisecond) // two heartbeats
+	require.Len(t, told(), many, "they are not told again")
+}
+
 // TestOldProcessIsNotHeard: datagrams of a process that has ended come late.
 func TestOldProcessIsNotHeard(t *testing.T) {
 	port := freePort(t)
--- a/gateway/placement/observe.go
+++ b/gateway/placement/observe.go
@@ -1,15 +1,17 @@
 package placement
 
 import (
+	"math"
 	"time"
 )
 
-// Sent tells that a gateway has sent a request; own tells whether it was this one.
+// Sent tells that a gateway has sent a request; own tells whether it was this one. It
+// returns the request's position: all the work that was sent to the server so far.
 // Loads on servers that are not known are passed over.
-func (b *Board) Sent(now time.Time, l Load, own bool) {
+func (b *Board) Sent(now time.Time, l Load, own bool) (position time.Duration) {
 	s := b.servers[l.Server]
 	if s == nil {
-		return
+		return 0
 	}
 	if own {
 		s.running++
@@ -17,22 +19,106 @@
 	if s.busyUntil.Before(now) {
 		s.busyUntil = now
 	}
-	s.busyUntil = s.busyUntil.Add(l.Work)
-	for _, h := range l.Parts {
-		s.parts[h] = now
-	}
+	s.sent += l.Work
+	s.busyUntil = s.busyUntil.Add(s.atPace(l.Work))
+	s.cache.use(l.Parts, l.Tokens, s.busyUntil)
+	return s.sent
 }
 
-// Started tells that a server has made the first event of an own request, predicted
-// from the time it was sent. What the prediction missed moves the model half-way.
-func (b *Board) Started(now time.Time, server string, predicted, took time.Duration) {
+// Holds tells which parts of prompts a server has in its cache, beside those that were
+// sent there. When they were used last is not known, so they count as old by half.
+func (b *Board) Holds(now time.Time, server string, parts []uint64) {
 	s := b.servers[server]
 	if s == nil {
 		return
 	}
-	miss := took - predicted
-	until := s.busyUntil.Add(miss / 2)
+	s.cache.hold(parts, now)
+}
+
+// Started tells that a server has made the first event of an own request. Servers read
+// prompts in order of arrival, so what was sent after it is what they have still to
+// read. It returns that, and by how much the model was wrong.
+func (b *Board) Started(now time.Time, server string, position time.Duration) (left, miss time.Duration) {
+	s := b.servers[server]
+	if s == nil {
+		return 0, 0
+	}
+	left = max(s.sent-position, 0)
+	return left, b.Backlog(now, server, left)
+}
+
+// Backlog tells how much work a server has still to do, as an event there has shown. It
+// returns by how much the model was wrong.
+func (b *Board) Backlog(now time.Time, server string, left time.Duration) (miss time.Duration) {
+	s := b.servers[server]
+	if s == nil {
+		return 0
+	}
+	s.learnPace(now, left)
+	until := now.Add(s.atPace(left) - b.policy.FirstStep)
+	miss = until.Sub(latest(s.busyUntil, now))
+	s.busyUntil = until
+	return miss
+}
+
+// Overdue tells that an own request at a position should have had its first event and
+// did not, so the server is at least so far behind. It returns as [Board.Started] does.
+func (b *Board) Overdue(now time.Time, server string, position time.Duration) (left, miss time.Duration) {
+	s := b.servers[server]
+	if s == nil {
+		return 0, 0
+	}
+	left = max(s.sent-position, 0)
+	until := now.Add(s.atPace(left))
+	miss = until.Sub(latest(s.busyUntil, now))
+	if miss <= 0 {
+		return left, 0
+	}
 	s.busyUntil = until
+	return left, miss
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// atPace returns the time that the server takes for work.
+func (s *server) atPace(work time.Duration) time.Duration {
+	return scale(work, s.pace())
+}
+
+// pace is how much longer than a usual server this one takes.
+func (s *server) pace() float64 {
+	ratio := (s.paceTook + pacePrior.Seconds()) / (s.paceWork + pacePrior.Seconds())
+	return min(max(ratio, fastestPace), slowestPace)
+}
+
+// learnPace compares two moments at which it was known how far the server had got. If
+// all the work that it did between them was there at the first one, it has worked all
+// the time between.
+func (s *server) learnPace(now time.Time, left time.Duration) {
+	done := s.sent - left
+	last := s.progress
+	if done-last.done < leastPaceWork {
+		return
+	}
+	s.progress = progress{at: now, done: done, sent: s.sent}
+	if last.at.IsZero() || done > last.sent {
+		return
+	}
+	keep := math.Exp2(-float64(now.Sub(last.at)) / float64(paceHalfLife))
+	s.paceTook = s.paceTook*keep + now.Sub(last.at).Seconds()
+	s.paceWork = s.paceWork*keep + (done - last.done).Seconds()
+}
+
+// progress is how far a server had got at a moment.
+type progress struct {
+	at   time.Time
+	done time.Duration // of the work sent to it
+	sent time.Duration // at that moment
 }
 
 // End says how a request ended at its server.
@@ -92,12 +178,8 @@
 }
 
 // Forget drops the parts that no server holds any more, to bound memory.
-func (b *Board) Forget(now time.Time) {
+func (b *Board) Forget() {
 	for _, s := range b.servers {
-		for h, used := range s.parts {
-			if now.Sub(used) > b.policy.CacheLife {
-				delete(s.parts, h)
-			}
-		}
+		s.cache.forget()
 	}
 }
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -49,6 +49,7 @@
 	Ahead     float64       // what it got over an even share of all that was given; 0: unknown
 	Exclude   []string      // servers that have been tried
 	Hall      string        // of the gateway
+	Draw      uint64        // random, to choose among servers that are as good
 }
 
 // Decision is what [Board.Place] decides.
@@ -59,6 +60,7 @@
 	Server    catalog.Server
 	Load      Load
 	Predicted time.Duration // until the first event
+	CopyFrom  string        // address of a server whose cache holds more of the prompt; empty: none
 	Ticket    uint64        // names the request to whoever keeps the board
 }
 
@@ -81,6 +83,7 @@
 	Server string        // incarnation
 	Work   time.Duration // to read the part of the prompt that is not cached there
 	Parts  []uint64      // parts of the prompt, in order
+	Tokens int           // that its cache takes up for the request: what it does not hold yet, and the answer
 }
 
 // Board is the model of all servers.
@@ -99,12 +102,16 @@
 type server struct {
 	catalog.Server
 	engine    *catalog.Engine
-	busyUntil time.Time            // when it will have read all prompts sent to it
-	parts     map[uint64]time.Time // last use of cached parts
-	running   int                  // requests of this gateway, from sending to the end
-	others    int                  // requests of the other gateways
-	failures  float64              // weight of recent failures, which fades
-	successes float64              // weight of recent successes, which fades
+	busyUntil time.Time     // when it will have read all prompts sent to it
+	sent      time.Duration // work sent to it so far
+	progress  progress      // when it was last seen how far it has got
+	paceTook  float64       // seconds that it took for paceWork, which fades
+	paceWork  float64       // seconds of work, which fades
+	cache     cache         // parts of prompts
+	running   int           // requests of this gateway, from sending to the end
+	others    int           // requests of the other gateways
+	failures  float64       // weight of recent failures, which fades
+	successes float64       // weight of recent successes, which fades
 	faded     time.Time
 	resting   time.Time // no work before then: it can't be reached
 	rest      time.Duration
@@ -118,9 +125,10 @@
 	for _, s := range list {
 		m := b.servers[s.ID]
 		if m == nil {
-			m = &server{parts: map[uint64]time.Time{}, busyUntil: now, faded: now}
+			m = &server{cache: cache{parts: map[uint64]part{}}, busyUntil: now, faded: now}
 		}
 		m.Server, m.engine = s, engine(s.Service)
+		m.cache.size = b.policy.cacheSize(m.engine)
 		kept[s.ID] = m
 		b.services[s.Service] = append(b.services[s.Service], m)
 	}
@@ -183,6 +191,7 @@
 	work      time.Duration
 	predicted time.Duration
 	cost      time.Duration
+	from      *server // takes cached parts of the prompt from this one; nil: from none
 }
 
 func (b *Board) placeEngine(now time.Time, a *Ask, open []*server) Decision {
@@ -190,27 +199,82 @@
 	if r := b.late(a, best); r != inTime {
 		return Refuse{RetryAfter: b.comeBack(a, best, r), Predicted: best.predicted, Reason: string(r)}
 	}
-	load := Load{Server: best.server.ID, Work: best.work, Parts: hashes(a.Parts)}
-	return Assign{Server: best.server.Server, Load: load, Predicted: best.predicted}
+	held, _ := best.server.cache.prompt(a)
+	load := Load{Server: best.server.ID, Work: best.work, Parts: hashes(a.Parts), Tokens: a.Prompt - held + a.Output}
+	assign := Assign{Server: best.server.Server, Load: load, Predicted: best.predicted}
+	if best.from != nil {
+		assign.CopyFrom = best.from.Address
+	}
+	return assign
 }
 
 // best returns the cheapest of the servers that may serve the request.
 func (b *Board) best(now time.Time, a *Ask, open []*server) option {
-	options := make([]option, 0, len(open))
-	for _, s := range b.homes(now, a, open) {
-		options = append(options, b.option(now, a, s))
+	from := b.fullest(now, a)
+	candidates := b.homes(now, a, open)
+	if from.server != nil {
+		candidates = open // a copy costs little anywhere
+	}
+	options := make([]option, 0, len(candidates))
+	for _, s := range candidates {
+		options = append(options, b.option(now, a, s, from))
 	}
 	return slices.MinFunc(options, func(x, y option) int { return cmp.Compare(x.cost, y.cost) })
 }
 
-func (b *Board) option(now time.Time, a *Ask, s *server) option {
-	cached, shared := s.cached(now, a, b.policy.CacheLife)
+// holder is a server with how much of a prompt its cache holds.
+type holder struct {
+	server *server // nil: none that a copy would be worth it
+	tokens int
+}
+
+// fullest returns the server that holds most of a prompt, if others can take it from
+// there. One that leaves may serve as well, and one that was tried may not.
+func (b *Board) fullest(now time.Time, a *Ask) holder {
+	var best holder
+	for _, s := range b.services[a.Service] {
+		if !s.engine.Copies() || now.Before(s.resting) || slices.Contains(a.Exclude, s.ID) {
+			continue
+		}
+		held := s.cache.ready(now, a)
+		if held >= b.policy.LeastCopy && held > best.tokens {
+			best = holder{server: s, tokens: held}
+		}
+	}
+	return best
+}
+
+// copying returns the time in which a server takes so many tokens from another one.
+func (b *Board) copying(tokens int, to, from *server) time.Duration {
+	bytes := float64(tokens) * float64(from.engine.TokenBytes)
+	bytesPerMS := from.engine.LinkMbps * 1e6 / 8 / 1e3
+	d := time.Duration(bytes / bytesPerMS * float64(time.Millisecond))
+	if to.Hall != from.Hall {
+		d *= 2
+	}
+	return d + b.policy.CopySetup
+}
+
+func (b *Board) option(now time.Time, a *Ask, s *server, from holder) option {
+	cached, shared := s.cache.prompt(a)
+	o := option{server: s}
+	if from.server != nil && from.server != s && from.tokens-cached >= b.policy.LeastCopy {
+		o.from = from.server
+		copied := from.tokens - cached
+		d := b.copying(copied, s, from.server)
+		o.predicted += d
+		o.cost += scale(d, b.policy.CopyCost)
+		cached += copied
+		shared = max(shared-copied, 0)
+	}
 	work := b.policy.reading(a.Prompt-cached, a.Prompt)
+	o.work = work
 	waiting := max(s.busyUntil.Sub(now), 0)
-	o := option{server: s, work: work, predicted: waiting + work + b.policy.FirstStep}
+	o.predicted += waiting + s.atPace(work) + b.policy.FirstStep
 	// Reading a shared part once more delays whoever comes after as well.
-	copied := b.policy.reading(shared, shared)
-	o.cost = o.predicted + scale(copied, b.policy.CopyCost)
+	again := b.policy.reading(shared, shared)
+	o.cost += b.delayCost(a, o.predicted) + scale(again, b.policy.RereadCost)
+	o.cost += time.Duration(rank(a.Draw, s.ID) % uint64(b.policy.Spread))
 	o.cost += scale(b.policy.FailureCost, s.failureRate(now))
 	if over := s.running + s.others - s.engine.Slots + b.policy.SpareSlots; over > 0 {
 		o.cost += time.Duration(over) * b.policy.SlotCost
@@ -222,6 +286,17 @@
 	return o
 }
 
+// delayCost weighs the time to the first event: it matters the more the nearer it comes
+// to the objective.
+func (b *Board) delayCost(a *Ask, predicted time.Duration) time.Duration {
+	limit := b.limit(a)
+	if limit <= 0 || predicted >= limit {
+		return predicted
+	}
+	early := b.policy.EarlyWeight
+	return scale(predicted, early+(1-early)*float64(predicted)/float64(limit))
+}
+
 // homes returns the servers that may read the request's shared part: the first few
 // in an order that every gateway finds alike and that hardly changes when servers
 // come and go. A part that is small may go anywhere.
@@ -298,24 +373,6 @@
 	return max(after, 10*time.Millisecond)
 }
 
-// cached returns how many tokens of the prompt the server holds, and how many tokens
-// of shared parts it would have to read.
-func (s *server) cached(now time.Time, a *Ask, life time.Duration) (held, missing int) {
-	broken := false
-	for i, p := range a.Parts {
-		used, known := s.parts[p.Hash]
-		if !broken && known && now.Sub(used) < life {
-			held += p.Tokens
-			continue
-		}
-		broken = true // a part counts only if all before it are held
-		if i < len(a.Parts)-1 {
-			missing += p.Tokens
-		}
-	}
-	return min(held, a.Prompt), missing
-}
-
 // sharedPart returns the last part that other requests may have too, with the tokens
 // of the whole shared beginning.
 func sharedPart(a *Ask) (hash uint64, tokens int) {
--- a/gateway/placement/placement_test.go
+++ b/gateway/placement/placement_test.go
@@ -20,7 +20,7 @@
 func servers(n int) []catalog.Server {
 	list := make([]catalog.Server, n)
 	for i := range list {
-		list[i] = catalog.Server{ID: fmt.Sprintf("i-%02d", i), Service: "s", Hall: "h", Capacity: 6}
+		list[i] = catalog.Server{ID: fmt.Sprintf("i-%02d", i), Address: fmt.Sprintf("10.0.0.%d:80", i), Service: "s", Hall: "h", Capacity: 6}
 	}
 	return list
 }
--- a/gateway/placement/policy.go
+++ b/gateway/placement/policy.go
@@ -1,6 +1,10 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"opalbridge.dev/gateway/catalog"
+)
 
 // Policy holds the weights and limits of placement. The figures were chosen by trials
 // over several seeds of two deployments (docs/design/platform.md).
@@ -8,8 +12,11 @@
 	TokensPerMS     float64       // prompt tokens a server reads in a millisecond, decoding beside it
 	PairsPerMS      float64       // pairs of tokens that attention handles in a millisecond
 	FirstStep       time.Duration // from the end of reading to the first event
-	CacheLife       time.Duration // a part that was not used for this long counts as gone
-	CopyCost        float64       // weight of reading a shared part once more, in times of the reading
+	CacheShare      float64       // of a server's memory that holds parts of prompts which are not in use
+	RereadCost      float64       // weight of reading a shared part once more, in times of the reading
+	CopyCost        float64       // weight of copying a cached part from another server, in times of the copying
+	CopySetup       time.Duration // for each copy, whatever its length
+	LeastCopy       int           // tokens for which a copy is worth its setup
 	FreeTokens      int           // requests with a shorter shared beginning may go to any server
 	Homes           int           // servers that may read a shared part
 	LimitShare      float64       // share of the objective that a prediction may fill
@@ -22,6 +29,8 @@
 	SpareSlots      int           // a server within so many slots of its batch counts as full
 	SlotCost        time.Duration // delay expected for each request beyond that
 	FailureCost     time.Duration // cost of a server that fails every request
+	EarlyWeight     float64       // weight of a delay far below the objective; at the objective it is 1
+	Spread          time.Duration // servers whose costs differ by less are chosen at random: gateways decide at the same time
 	OtherHallDelay  time.Duration // cost of an answer that crosses between halls
 
 	PlainFailureCost float64 // cost of a plain server that fails every request, in full loads
@@ -34,8 +43,11 @@
 		TokensPerMS:     45,
 		PairsPerMS:      3.0e6,
 		FirstStep:       50 * time.Millisecond,
-		CacheLife:       12 * time.Second,
+		CacheShare:      0.9,
+		RereadCost:      4,
 		CopyCost:        4,
+		CopySetup:       4 * time.Millisecond,
+		LeastCopy:       1024,
 		FreeTokens:      1024,
 		Homes:           2,
 		LimitShare:      0.95,
@@ -48,6 +60,8 @@
 		SpareSlots:      2,
 		SlotCost:        50 * time.Millisecond,
 		FailureCost:     2 * time.Second,
+		EarlyWeight:     0.3,
+		Spread:          10 * time.Millisecond,
 		OtherHallDelay:  25 * time.Millisecond,
 
 		PlainFailureCost: 2,
@@ -68,6 +82,23 @@
 	return time.Duration(ms * float64(time.Millisecond))
 }
 
+// cacheSize is how many tokens of prompts a server keeps.
+func (p Policy) cacheSize(e *catalog.Engine) int {
+	if e == nil {
+		return 0
+	}
+	return int(p.CacheShare * float64(e.KVTokens))
+}
+
+// How much slower or faster than the policy's figures a server is.
+const (
+	paceHalfLife  = 2 * time.Second        // what was seen of it loses half of its weight
+	pacePrior     = 200 * time.Millisecond // work at the usual pace that is assumed of every server
+	leastPaceWork = 30 * time.Millisecond  // shorter work tells more of chance than of the pace
+	fastestPace   = 0.5
+	slowestPace   = 10.0
+)
+
 // Failures of servers.
 const (
 	failureHalfLife = 3 * time.Second // a server's failures lose half of their weight
--- a/gateway/protocol/protocol.go
+++ b/gateway/protocol/protocol.go
@@ -41,6 +41,7 @@
 	Account   string // empty: none
 	Deadline  time.Duration
 	LastEvent string // go on after this event; empty: what the caller said
+	CopyFrom  string // address of a server that holds more of the prompt in its cache; empty: none
 }
 
 // Answer is what a server's headers say.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -54,7 +54,7 @@
 		}
 		return placement.Failed, c.afterFailure(errors.Wrapf(err, "gateway: answer of server %s", d.Server.ID))
 	}
-	c.gateway.desk.tell(startedMessage{ticket: d.Ticket, server: d.Server.ID, predicted: d.Predicted, took: time.Since(sent)})
+	c.gateway.desk.tell(startedMessage{ticket: d.Ticket, server: d.Server.ID})
 	c.copyHead(a)
 	if a.Length < 0 && len(body) < wholeAnswer && c.request.Method != http.MethodHead {
 		c.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
@@ -113,7 +113,7 @@
 		}
 		if !started {
 			started = true
-			c.gateway.desk.tell(startedMessage{ticket: d.Ticket, server: d.Server.ID, predicted: d.Predicted, took: time.Since(sent)})
+			c.gateway.desk.tell(startedMessage{ticket: d.Ticket, server: d.Server.ID})
 		}
 		if len(event) > 0 && !c.repeated(event) {
 			if werr := c.passEvent(a, control, event, events.Buffered() > 0); werr != nil {
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -103,8 +103,13 @@
 // Ready tells whether the gateway takes connections: it knows a configuration and
 // servers, and does not stop.
 func (g *Gateway) Ready() bool {
+	return g.known() && !g.stopping.Load()
+}
+
+// known tells whether the gateway knows a configuration and servers.
+func (g *Gateway) known() bool {
 	v := g.view.Load()
-	return v.Configuration != nil && len(v.Servers) > 0 && !g.stopping.Load()
+	return v.Configuration != nil && len(v.Servers) > 0
 }
 
 func (g *Gateway) viewHandler() http.Handler {
