gateway: news of another gateway cost a look at what changed, streams small buffers

Change: sums of other gateways' requests at servers change by what a beacon changed, instead of being added up over all servers and gateways at each beacon; a stream is read through 2 KB instead of 64 KB, and the limit holds for whole events.

The gateway that gets the most is still behind: open.

--- a/gateway/desk.go
+++ b/gateway/desk.go
@@ -304,7 +304,13 @@
 	})
 	clear(d.ids)
 	for _, s := range v.Servers {
-		d.ids[hash(s.ID)] = s.ID
+		h := hash(s.ID)
+		d.ids[h] = s.ID
+		sum := 0
+		for _, running := range d.gateways {
+			sum += running[h]
+		}
+		d.board.SetOthers(s.ID, sum) // a server that is new here may have been told of before
 	}
 	d.publish()
 }
@@ -315,15 +321,16 @@
 		if _, known := d.gateways[u.From]; known {
 			d.log.Info().Str("event", "peer.lost").Str("peer", u.From).Int("gateways", len(d.gateways)).Msg("silent or leaving")
 		}
+		d.addOthers(d.gateways[u.From], nil)
 		delete(d.gateways, u.From)
 		d.peersAlive.Store(int64(len(d.gateways)))
 		d.book.SetOthers(u.From, nil)
-		d.sumOthers()
 		return
 	}
 	if _, known := d.gateways[u.From]; !known {
 		d.log.Info().Str("event", "peer.regained").Str("peer", u.From).Int("gateways", len(d.gateways)+2).Msg("heard")
 	}
+	before := d.gateways[u.From]
 	d.gateways[u.From] = u.Running
 	d.peersAlive.Store(int64(len(d.gateways)))
 	for _, l := range u.Loads {
@@ -339,17 +346,20 @@
 		}
 		d.book.SetOthers(u.From, list)
 	}
-	d.sumOthers()
+	d.addOthers(before, u.Running)
 }
 
-// sumOthers tells the board what the other gateways have at each server.
-func (d *desk) sumOthers() {
-	for h, id := range d.ids {
-		sum := 0
-		for _, running := range d.gateways {
-			sum += running[h]
+// addOthers tells the board what has changed of another gateway's requests at servers.
+func (d *desk) addOthers(before, now map[uint64]int) {
+	for h, n := range now {
+		if n != before[h] {
+			d.board.AddOthers(d.ids[h], n-before[h])
+		}
+	}
+	for h, n := range before {
+		if _, still := now[h]; !still {
+			d.board.AddOthers(d.ids[h], -n)
 		}
-		d.board.SetOthers(id, sum)
 	}
 }
 
--- a/gateway/placement/observe.go
+++ b/gateway/placement/observe.go
@@ -177,6 +177,13 @@
 	}
 }
 
+// AddOthers tells that other gateways have so many requests more at a server, or fewer.
+func (b *Board) AddOthers(server string, more int) {
+	if s := b.servers[server]; s != nil {
+		s.others = max(s.others+more, 0)
+	}
+}
+
 // Forget drops the parts that no server holds any more, to bound memory.
 func (b *Board) Forget() {
 	for _, s := range b.servers {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -22,8 +22,10 @@
 	// An answer that is no stream is read whole up to this size before its first byte
 	// goes on, so that a broken one can be asked for again or be called failed.
 	wholeAnswer = 1 << 20
-	// The longest line of a stream. Events hold a few tokens.
-	longestLine = 64 << 10
+	// The longest event of a stream. Events hold a few tokens.
+	longestEvent = 64 << 10
+	// A stream is read in pieces of this size: several events fit.
+	eventBuffer = 2 << 10
 )
 
 // pass passes an answer on to the caller.
@@ -97,7 +99,7 @@
 // passStream passes events on as they come. Only whole events go on, so that a broken
 // stream can go on at another server where its route allows that.
 func (c *call) passStream(ctx context.Context, d placement.Assign, sent time.Time, a *upstream.Answer) (placement.End, step) {
-	events := bufio.NewReaderSize(a.Body, longestLine)
+	events := bufio.NewReaderSize(a.Body, eventBuffer)
 	control := http.NewResponseController(c.w)
 	started := false
 	for {
@@ -174,14 +176,18 @@
 	var event []byte
 	for {
 		line, err := r.ReadSlice('\n')
+		begins := len(event) == 0 || event[len(event)-1] == '\n'
 		event = append(event, line...)
+		if len(event) > longestEvent {
+			return event, errors.New("gateway: event of a stream is too long")
+		}
 		if err == bufio.ErrBufferFull {
-			return event, errors.New("gateway: line of a stream is too long")
+			continue // the line goes on
 		}
 		if err != nil {
 			return event, err
 		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+		if begins && len(bytes.TrimRight(line, "\r\n")) == 0 {
 			return event, nil
 		}
 	}
