placement: who comes back beyond the share waits for idle servers as all do

Cause: a caller that was refused because its account has got its share, and comes back, was served up to 30 ms of wait whatever its account got; with predictions that hold this only takes from accounts that got less. Change: the exception is gone.

--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -346,9 +346,6 @@
 	const slope = 4 // a quarter ahead leaves nothing
 	wait := float64(b.policy.IdleWait) * max(1-slope*max(a.Ahead-1, 0), 0)
 	wait += float64(b.policy.BehindWait) * max(1-a.Ahead, 0)
-	if a.Again {
-		wait = max(wait, float64(b.policy.IdleWait))
-	}
 	return time.Duration(wait)
 }
 
