--- a/gateway/peer/size_test.go
+++ b/gateway/peer/size_test.go
@@ -13,7 +13,7 @@
 
 // TestBeaconBytes measures what beacons weigh, for docs/CAPACITY.md.
 func TestBeaconBytes(t *testing.T) {
-	size := func(loads, servers, accounts int, whole bool) int {
+	size := func(loads, servers, accounts, backlogs int, whole bool) int {
 		s := State{Running: map[uint64]int{}, StoreRevision: 1000, ConfigurationVersion: 500, Confirmed: time.Now()}
 		for i := range servers {
 			s.Running[uint64(i)<<40] = 5
@@ -21,18 +21,22 @@
 		for i := range accounts {
 			s.Demands = append(s.Demands, &peerpb.Demand{Account: fmt.Sprintf("account-%02d", i), Asked: 100000, Admitted: 90000})
 		}
-		n := &Node{options: Options{Hall: "hall-1", State: func() State { return s }}, incarnation: 1 << 60}
+		n := &Node{options: Options{Hall: "hall-1", State: func() State { return s }}, incarnation: 1 << 60, seen: map[uint64]time.Duration{}}
 		for i := range loads {
-			n.add(Load{Server: uint64(i) << 40, Work: 80 * time.Millisecond, Parts: []uint64{1 << 60, 1 << 61}})
+			n.add(Load{Server: uint64(i) << 40, Work: 80 * time.Millisecond, Parts: []uint64{1 << 60, 1 << 61}, Tokens: 17000})
+		}
+		for i := range backlogs {
+			n.seen[uint64(i)<<40] = 80 * time.Millisecond
 		}
 		packed, err := proto.Marshal(n.beacon(whole, false))
 		require.NoError(t, err)
 		return len(packed)
 	}
-	bare := size(0, 0, 0, false)
+	bare := size(0, 0, 0, 0, false)
 	fmt.Printf("figure beacon-bare %d B\n", bare)
-	fmt.Printf("figure beacon-load %d B\n", (size(20, 0, 0, false)-bare)/20)
-	fmt.Printf("figure beacon-server %d B\n", (size(0, 20, 0, false)-bare)/20)
-	fmt.Printf("figure beacon-account %d B\n", (size(0, 0, 20, true)-size(0, 0, 0, true))/20)
-	require.Less(t, size(mostLoads, 100, 48, true), longestPacket, "a beacon must fit into one datagram")
+	fmt.Printf("figure beacon-load %d B\n", (size(20, 0, 0, 0, false)-bare)/20)
+	fmt.Printf("figure beacon-server %d B\n", (size(0, 20, 0, 0, false)-bare)/20)
+	fmt.Printf("figure beacon-backlog %d B\n", (size(0, 0, 0, 20, false)-bare)/20)
+	fmt.Printf("figure beacon-account %d B\n", (size(0, 0, 20, 0, true)-size(0, 0, 0, 0, true))/20)
+	require.Less(t, size(mostLoads, 100, 48, 100, true), longestPacket, "a beacon must fit into one datagram")
 }
