--- a/gateway/placement/policy.go
+++ b/gateway/placement/policy.go
@@ -30,7 +30,7 @@
 	SlotCost        time.Duration // delay expected for each request beyond that
 	FailureCost     time.Duration // cost of a server that fails every request
 	EarlyWeight     float64       // weight of a delay far below the objective; at the objective it is 1
-	Spread          time.Duration // servers whose costs differ by less are chosen at random: gateways decide at the same time
+	Spread          time.Duration // servers whose costs differ by less are chosen at random, since gateways decide at the same time; above 0
 	OtherHallDelay  time.Duration // cost of an answer that crosses between halls
 
 	PlainFailureCost float64 // cost of a plain server that fails every request, in full loads
