placement: a server that was slow is tried again

Cause: what was learned of a server's pace faded only when something new was learned. One that was slow and then got no requests counted as slow for good, and idled. Found by reading the diff; TestSlownessIsForgotten fails on the code before (1.74 s predicted after twenty idle seconds, 0.48 s usual) and passes now. Change: the pace fades with time.

--- a/gateway/placement/backlog_test.go
+++ b/gateway/placement/backlog_test.go
@@ -174,3 +174,23 @@
 		require.Less(t, n, 30, id)
 	}
 }
+
+// TestSlownessIsForgotten: a server that was slow and then got no requests is tried again,
+// or it would idle for good.
+func TestSlownessIsForgotten(t *testing.T) {
+	b := engines(1)
+	now := start
+	var positions []time.Duration
+	for range 40 {
+		positions = append(positions, b.Sent(start, placement.Load{Server: "i-00", Work: 50 * time.Millisecond}, false))
+	}
+	for _, p := range positions {
+		now = now.Add(250 * time.Millisecond)
+		b.Started(now, "i-00", p)
+	}
+	ask := &placement.Ask{Service: "s", Hall: "h", Prompt: 17000}
+	usual := engines(1).Place(now, ask).(placement.Assign).Predicted
+	require.Greater(t, b.Place(now, ask).(placement.Assign).Predicted, 3*usual)
+	later := b.Place(now.Add(20*time.Second), ask).(placement.Assign).Predicted
+	require.InDelta(t, usual, later, float64(20*time.Millisecond))
+}
--- a/gateway/placement/observe.go
+++ b/gateway/placement/observe.go
@@ -20,7 +20,7 @@
 		s.busyUntil = now
 	}
 	s.sent += l.Work
-	s.busyUntil = s.busyUntil.Add(s.atPace(l.Work))
+	s.busyUntil = s.busyUntil.Add(s.atPace(now, l.Work))
 	s.cache.use(l.Parts, l.Tokens, s.busyUntil)
 	return s.sent
 }
@@ -55,7 +55,7 @@
 		return 0
 	}
 	s.learnPace(now, left)
-	until := now.Add(s.atPace(left) - b.policy.FirstStep)
+	until := now.Add(s.atPace(now, left) - b.policy.FirstStep)
 	miss = until.Sub(latest(s.busyUntil, now))
 	s.busyUntil = until
 	return miss
@@ -69,7 +69,7 @@
 		return 0, 0
 	}
 	left = max(s.sent-position, 0)
-	until := now.Add(s.atPace(left))
+	until := now.Add(s.atPace(now, left))
 	miss = until.Sub(latest(s.busyUntil, now))
 	if miss <= 0 {
 		return left, 0
@@ -86,16 +86,23 @@
 }
 
 // atPace returns the time that the server takes for work.
-func (s *server) atPace(work time.Duration) time.Duration {
-	return scale(work, s.pace())
+func (s *server) atPace(now time.Time, work time.Duration) time.Duration {
+	return scale(work, s.pace(now))
 }
 
-// pace is how much longer than a usual server this one takes.
-func (s *server) pace() float64 {
-	ratio := (s.paceTook + pacePrior.Seconds()) / (s.paceWork + pacePrior.Seconds())
+// pace is how much longer than a usual server this one takes. What was learned fades, so
+// that a server that was slow is tried again.
+func (s *server) pace(now time.Time) float64 {
+	keep := s.paceKept(now)
+	ratio := (s.paceTook*keep + pacePrior.Seconds()) / (s.paceWork*keep + pacePrior.Seconds())
 	return min(max(ratio, fastestPace), slowestPace)
 }
 
+// paceKept is the weight that is left of what was learned of the pace.
+func (s *server) paceKept(now time.Time) float64 {
+	return math.Exp2(-float64(now.Sub(s.progress.at)) / float64(paceHalfLife))
+}
+
 // learnPace compares two moments at which it was known how far the server had got. If
 // all the work that it did between them was there at the first one, it has worked all
 // the time between.
@@ -105,13 +112,15 @@
 	if done-last.done < leastPaceWork {
 		return
 	}
+	keep := s.paceKept(now)
+	s.paceTook *= keep
+	s.paceWork *= keep
 	s.progress = progress{at: now, done: done, sent: s.sent}
 	if last.at.IsZero() || done > last.sent {
 		return
 	}
-	keep := math.Exp2(-float64(now.Sub(last.at)) / float64(paceHalfLife))
-	s.paceTook = s.paceTook*keep + now.Sub(last.at).Seconds()
-	s.paceWork = s.paceWork*keep + (done - last.done).Seconds()
+	s.paceTook += now.Sub(last.at).Seconds()
+	s.paceWork += (done - last.done).Seconds()
 }
 
 // progress is how far a server had got at a moment.
--- a/gateway/placement/option.go
+++ b/gateway/placement/option.go
@@ -28,7 +28,7 @@
 	}
 	o.work = b.policy.reading(o.added-copied, a.Prompt)
 	waiting := max(s.busyUntil.Sub(now), 0)
-	o.predicted = waiting + copying + s.atPace(o.work) + b.policy.FirstStep
+	o.predicted = waiting + copying + s.atPace(now, o.work) + b.policy.FirstStep
 	o.cost = b.delayCost(a, o.predicted) + b.sideCosts(now, a, s)
 	o.cost += scale(copying, b.policy.CopyCost)
 	// Reading a shared part once more delays whoever comes after as well.
