--- a/soak/process.go
+++ b/soak/process.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"opalbridge.dev/platform"
+	"opalbridge.dev/platform/platformtest"
 )
 
 // process is one gateway as a separate process, which is started again and again.
@@ -37,7 +38,7 @@
 	}
 	var ports [2]int
 	for n := range ports {
-		if ports[n], err = freePort(); err != nil {
+		if ports[n], err = platformtest.FreePort(); err != nil {
 			return nil, err
 		}
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -16,7 +16,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -88,7 +87,7 @@
 			return r, err
 		}
 	}
-	port, err := freePort()
+	port, err := platformtest.FreePort()
 	if err != nil {
 		return r, err
 	}
@@ -118,15 +117,6 @@
 	return n
 }
 
-func freePort() (int, error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return 0, err
-	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port, nil
-}
-
 func (r *Run) addServer(i int) error {
 	s := &platformtest.Server{ID: fmt.Sprintf("i-%d", i), Service: "s", Hall: "hall"}
 	s.Set(calm)
