--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -26,7 +26,9 @@
 var failed = []struct {
 	seed  uint64
 	cause string
-}{}
+}{
+	{2040, "open: a gateway was not ready after the trouble, once, beside four other runs; likely one of them had taken its port while it was down, as free ports were then looked for"},
+}
 
 // build makes the command that is soaked.
 func build(t *testing.T) string {
