--- a/gateway/protocol/protocol.go
+++ b/gateway/protocol/protocol.go
@@ -37,8 +37,9 @@
 
 // Forward is what the gateway sets on a request for a server.
 type Forward struct {
-	Server    string // only this incarnation may run it
-	Account   string // empty: none
+	Caller    http.Header // as the caller sent them; what describes the request is taken from here
+	Server    string      // only this incarnation may run it
+	Account   string      // empty: none
 	Deadline  time.Duration
 	LastEvent string // go on after this event; empty: what the caller said
 	CopyFrom  string // address of a server that holds more of the prompt in its cache; empty: none
