placement: how fast engines are is learned from first events

Cause: reading rate and first step were constants of earlier customers' engines (45 tokens a ms, paces kept above a half), so servers of 112 tokens a ms were predicted at half their speed at best, and requests refused that were in time. Change: two estimates a service, of reading and of the first step, move up with each first event that is later than predicted and down with an earlier one, fast at first; a server's own pace is kept relative to the median of its service's servers, so one odd server moves nothing. Work that is told stays in the policy's units, alike at all gateways. Changes of belief are written to the log.

--- a/gateway/desk.go
+++ b/gateway/desk.go
@@ -49,10 +49,11 @@
 	peersAlive atomic.Int64 // live gateways besides this one
 
 	// Owned by run.
-	tickets  uint64               // the last one given
-	settled  int                  // times that shares were computed
-	pending  map[uint64]*awaited  // own requests without a first event, by ticket
-	heard    map[string]time.Time // last sign of life, by server
+	tickets  uint64                     // the last one given
+	settled  int                        // times that shares were computed
+	pending  map[uint64]*awaited        // own requests without a first event, by ticket
+	heard    map[string]time.Time       // last sign of life, by server
+	speeds   map[string]placement.Speed // last written to the log, by service
 	board    *placement.Board
 	book     *share.Book
 	budget   *budget.Budget
@@ -78,6 +79,9 @@
 	told     bool          // that it is overdue
 	position time.Duration // work sent to the server up to this request
 	copies   bool          // it takes cached parts from another server first
+	sent     time.Time
+	waiting  time.Duration // predicted, until the server comes to it
+	reading  time.Duration // predicted, of its own prompt
 }
 
 // Messages to the desk.
@@ -116,7 +120,7 @@
 	d := &desk{
 		log: log, settings: s, asks: make(chan any, deskQueue), done: make(chan struct{}),
 		board: placement.NewBoard(s.Policy), book: share.NewBook(s.Shares), budget: budget.New(s.Repeats, now),
-		pending: map[uint64]*awaited{}, heard: map[string]time.Time{},
+		pending: map[uint64]*awaited{}, heard: map[string]time.Time{}, speeds: map[string]placement.Speed{},
 		view: &View{}, running: map[string]int{}, ids: map[uint64]string{},
 		gateways: map[string]map[uint64]int{}, demands: map[string][]*peerpb.Demand{},
 	}
@@ -228,6 +232,7 @@
 	assign.Ticket = d.tickets
 	d.pending[assign.Ticket] = &awaited{
 		server: assign.Server.ID, due: now.Add(assign.Predicted), position: position, copies: assign.CopyFrom != "",
+		sent: now, waiting: assign.Waiting, reading: assign.Reading,
 	}
 	d.running[assign.Server.ID]++
 	d.publish()
@@ -304,6 +309,7 @@
 		d.board.Forget()
 	}
 	d.findSilent(now)
+	d.tellSpeeds()
 	own := d.book.Own(now)
 	list := make([]*peerpb.Demand, 0, min(len(own), mostDemands))
 	for _, o := range own[:min(len(own), mostDemands)] {
--- a/gateway/desk_news.go
+++ b/gateway/desk_news.go
@@ -20,6 +20,7 @@
 	if p == nil || p.copies {
 		return // while it was copying, others may have overtaken it
 	}
+	d.board.Took(m.server, now.Sub(p.sent), p.waiting, p.reading)
 	left, miss := d.board.Started(now, m.server, p.position)
 	d.tellBacklog(m.server, left, miss)
 }
@@ -68,6 +69,32 @@
 	}
 }
 
+// A belief of engines' speed is written to the log when it has changed by this factor.
+const speedNews = 1.25
+
+// tellSpeeds writes to the log how fast services' engines are believed to be, if that has
+// changed.
+func (d *desk) tellSpeeds() {
+	if d.view.Configuration == nil {
+		return
+	}
+	for _, s := range d.view.Configuration.Services {
+		if s.Engine == nil {
+			continue
+		}
+		now, last := d.board.Speed(s.Name), d.speeds[s.Name]
+		if alike(now.Reading, last.Reading) && alike(now.FirstStep.Seconds(), last.FirstStep.Seconds()) {
+			continue
+		}
+		d.speeds[s.Name] = now
+		d.log.Info().Str("event", "engine.speed").Str("service", s.Name).Float64("reading", now.Reading).
+			Dur("first_step", now.FirstStep).Msg("learned from first events")
+	}
+}
+
+// alike tells whether two figures differ by less than the factor that makes news.
+func alike(x, y float64) bool { return x < speedNews*y && y < speedNews*x }
+
 // update takes over the news of another gateway.
 func (d *desk) update(now time.Time, u peer.Update) {
 	if !u.Alive {
--- a/gateway/placement/observe.go
+++ b/gateway/placement/observe.go
@@ -54,8 +54,10 @@
 	if s == nil {
 		return 0
 	}
-	s.learnPace(now, left)
-	until := now.Add(s.atPace(now, left) - b.policy.FirstStep)
+	if s.learnPace(now, left) {
+		b.learnUsual(now, s.Service)
+	}
+	until := now.Add(s.atPace(now, left) - s.speed.first())
 	miss = until.Sub(latest(s.busyUntil, now))
 	s.busyUntil = until
 	return miss
@@ -90,12 +92,19 @@
 	return scale(work, s.pace(now))
 }
 
-// pace is how much longer than a usual server this one takes. What was learned fades, so
-// that a server that was slow is tried again.
+// pace is how much longer than the policy says this server takes. What was learned of it
+// fades to what its service's servers take, so that a server that was slow is tried again.
 func (s *server) pace(now time.Time) float64 {
+	return s.speed.reading.value * s.progressPace(now) / s.speed.usual
+}
+
+// progressPace is the pace by the server's progress alone.
+func (s *server) progressPace(now time.Time) float64 {
 	keep := s.paceKept(now)
-	ratio := (s.paceTook*keep + pacePrior.Seconds()) / (s.paceWork*keep + pacePrior.Seconds())
-	return min(max(ratio, fastestPace), slowestPace)
+	usual := s.speed.usual
+	prior := pacePrior.Seconds() / usual // work that takes pacePrior
+	ratio := (s.paceTook*keep + pacePrior.Seconds()) / (s.paceWork*keep + prior)
+	return min(max(ratio, fastestPace*usual), slowestPace*usual)
 }
 
 // paceKept is the weight that is left of what was learned of the pace.
@@ -105,22 +114,23 @@
 
 // learnPace compares two moments at which it was known how far the server had got. If
 // all the work that it did between them was there at the first one, it has worked all
-// the time between.
-func (s *server) learnPace(now time.Time, left time.Duration) {
+// the time between. It returns whether that told something.
+func (s *server) learnPace(now time.Time, left time.Duration) bool {
 	done := s.sent - left
 	last := s.progress
 	if done-last.done < leastPaceWork {
-		return
+		return false
 	}
 	keep := s.paceKept(now)
 	s.paceTook *= keep
 	s.paceWork *= keep
 	s.progress = progress{at: now, done: done, sent: s.sent}
 	if last.at.IsZero() || done > last.sent {
-		return
+		return false
 	}
 	s.paceTook += now.Sub(last.at).Seconds()
 	s.paceWork += (done - last.done).Seconds()
+	return true
 }
 
 // progress is how far a server had got at a moment.
--- a/gateway/placement/option.go
+++ b/gateway/placement/option.go
@@ -12,6 +12,8 @@
 	from      *server       // takes cached parts of the prompt from this one; nil: from none
 	added     int           // tokens of the prompt that its cache does not hold yet
 	work      time.Duration // to read what is neither cached nor copied, at the usual pace
+	waiting   time.Duration // until the server comes to it, copies and crowding included
+	reading   time.Duration // for its own prompt
 	predicted time.Duration // until the first event
 	cost      time.Duration // to compare options by
 }
@@ -27,16 +29,15 @@
 		copying = b.copying(copied, s, from.server)
 	}
 	o.work = b.policy.reading(o.added-copied, a.Prompt)
-	waiting := max(s.busyUntil.Sub(now), 0)
-	o.predicted = waiting + copying + s.atPace(now, o.work) + b.policy.FirstStep
-	o.cost = b.delayCost(a, o.predicted) + b.sideCosts(now, a, s)
+	crowd := b.crowding(s)
+	o.waiting = max(s.busyUntil.Sub(now), 0) + copying + crowd
+	o.reading = s.atPace(now, o.work)
+	o.predicted = o.waiting + o.reading + s.speed.first()
+	o.cost = b.delayCost(a, o.predicted-crowd) + crowd + b.sideCosts(now, a, s)
 	o.cost += scale(copying, b.policy.CopyCost)
 	// Reading a shared part once more delays whoever comes after as well.
 	reread := max(missing-copied, 0)
-	o.cost += scale(b.policy.reading(reread, reread), b.policy.RereadCost)
-	crowd := b.crowding(s)
-	o.predicted += crowd
-	o.cost += crowd
+	o.cost += scale(s.atPace(now, b.policy.reading(reread, reread)), b.policy.RereadCost)
 	return o
 }
 
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -60,6 +60,8 @@
 	Server    catalog.Server
 	Load      Load
 	Predicted time.Duration // until the first event
+	Waiting   time.Duration // of that, until the server comes to it
+	Reading   time.Duration // of that, to read what its cache does not hold
 	CopyFrom  string        // address of a server whose cache holds more of the prompt; empty: none
 	Ticket    uint64        // names the request to whoever keeps the board
 }
@@ -91,17 +93,19 @@
 	policy   Policy
 	servers  map[string]*server
 	services map[string][]*server // sorted by ID
+	speeds   map[string]*speed    // by service
 }
 
 // NewBoard returns a board without servers.
 func NewBoard(p Policy) *Board {
-	return &Board{policy: p, servers: map[string]*server{}, services: map[string][]*server{}}
+	return &Board{policy: p, servers: map[string]*server{}, services: map[string][]*server{}, speeds: map[string]*speed{}}
 }
 
 // server is the model of one server.
 type server struct {
 	catalog.Server
 	engine    *catalog.Engine
+	speed     *speed        // of its service's engines
 	busyUntil time.Time     // when it will have read all prompts sent to it
 	sent      time.Duration // work sent to it so far
 	progress  progress      // when it was last seen how far it has got
@@ -127,7 +131,7 @@
 		if m == nil {
 			m = &server{cache: cache{parts: map[uint64]part{}}, busyUntil: now, faded: now}
 		}
-		m.Server, m.engine = s, engine(s.Service)
+		m.Server, m.engine, m.speed = s, engine(s.Service), b.speedOf(s.Service)
 		m.cache.size = b.policy.cacheSize(m.engine)
 		kept[s.ID] = m
 		b.services[s.Service] = append(b.services[s.Service], m)
@@ -191,7 +195,7 @@
 		return Refuse{RetryAfter: b.comeBack(a, best, r), Predicted: best.predicted, Reason: string(r)}
 	}
 	load := Load{Server: best.server.ID, Work: best.work, Parts: hashes(a.Parts), Tokens: best.added + a.Output}
-	assign := Assign{Server: best.server.Server, Load: load, Predicted: best.predicted}
+	assign := Assign{Server: best.server.Server, Load: load, Predicted: best.predicted, Waiting: best.waiting, Reading: best.reading}
 	if best.from != nil {
 		assign.CopyFrom = best.from.Address
 	}
@@ -213,13 +217,13 @@
 		return inTime
 	}
 	limit := b.limit(a)
-	waiting := best.predicted - best.work - b.policy.FirstStep
+	alone := best.predicted - best.waiting // if it found the server idle
 	switch {
-	case a.OverShare && waiting > b.spareWait(a):
+	case a.OverShare && best.waiting > b.spareWait(a):
 		return overShare
 	case best.predicted <= limit:
 		return inTime
-	case best.work+b.policy.FirstStep > limit && waiting < b.policy.LongWait:
+	case alone > limit && best.waiting < b.policy.LongWait:
 		return inTime // too long to be in time anywhere; it is served while the wait is short
 	case a.Again && best.predicted <= scale(a.Objective, b.policy.AgainFactor):
 		return inTime
--- a/gateway/placement/policy.go
+++ b/gateway/placement/policy.go
@@ -9,9 +9,9 @@
 // Policy holds the weights and limits of placement. The figures were chosen by trials
 // over several seeds of two deployments (docs/design/platform.md).
 type Policy struct {
-	TokensPerMS     float64       // prompt tokens a server reads in a millisecond, decoding beside it
+	TokensPerMS     float64       // prompt tokens a server reads in a millisecond, decoding beside it, until that is learned
 	PairsPerMS      float64       // pairs of tokens that attention handles in a millisecond
-	FirstStep       time.Duration // from the end of reading to the first event
+	FirstStep       time.Duration // from the end of reading to the first event, until that is learned
 	CacheShare      float64       // of a server's memory that holds parts of prompts which are not in use
 	RereadCost      float64       // weight of reading a shared part once more, in times of the reading
 	CopyCost        float64       // weight of copying a cached part from another server, in times of the copying
