gateway: who can't be in time any more waits behind those who can

And accounts beyond their share were refused at the first busy moment, by luck rather than by who got least, while servers ran dry in between. Change: an objective counts from the caller's first try. What can't be in time waits in the gateway, at most as long as its caller does, until servers hardly wait (30 ms); what is beyond its account's share is held for an eighth of its objective, the account that got least first; a queue too long for its callers refuses at once, the account furthest ahead first. A moment's wait at engines of 3 ms instead of 10 is let to accounts beyond their share. Decisions are logged with prompt, wait, re-reading and the time since the first try, ends with the longest pause. Those on who asked before say now what is held: a late request is served when there is room or at the last moment, which is stricter than a refusal. One test found an objective that is used up to the nanosecond taken for none.

--- a/gateway/again.go
+++ b/gateway/again.go
@@ -23,10 +23,11 @@
 	longest map[string]time.Duration // by route
 }
 
-// again tells whether a request looks like one that has come back.
-func (s *starts) again(route string, told protocol.Request) bool {
+// spent returns how long ago a caller tried first, if its request looks like one that has
+// come back; 0: it is the first try.
+func (s *starts) spent(route string, told protocol.Request) time.Duration {
 	if !told.HasDeadline {
-		return false
+		return 0
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -36,7 +37,11 @@
 	longest := s.longest[route]
 	if told.Deadline > longest {
 		s.longest[route] = told.Deadline
-		return false
+		return 0
 	}
-	return told.Deadline < longest-spentBefore
+	spent := longest - told.Deadline
+	if spent <= spentBefore {
+		return 0
+	}
+	return spent
 }
--- a/gateway/catalog/catalog.go
+++ b/gateway/catalog/catalog.go
@@ -38,6 +38,7 @@
 	Targets     []Target
 	Timeout     time.Duration // longest time a request may be held; 0: no limit
 	Objective   time.Duration // an answer (a stream: its first event) within this time is in time
+	Patience    time.Duration // a caller waits this long for a first event before it gives up
 	PauseLimit  time.Duration // longest pause between events that is still in time; 0: none is told
 	Priority    int           // 0 is the most urgent
 	MaxAttempts int           // most servers that one request may go to
--- a/gateway/desk.go
+++ b/gateway/desk.go
@@ -58,6 +58,7 @@
 	book     *share.Book
 	budget   *budget.Budget
 	view     *View
+	waits    waitQueue
 	running  map[string]int              // own requests by server
 	ids      map[uint64]string           // server by hash of its ID
 	gateways map[string]map[uint64]int   // running requests at servers, by live gateway
@@ -89,7 +90,8 @@
 	// placeMessage asks for a decision; if it is to send, all is booked as sent.
 	placeMessage struct {
 		ask    *placement.Ask
-		repeat bool // the request has been at a server before
+		repeat bool            // the request has been at a server before
+		ended  <-chan struct{} // closed when nobody waits for a decision any more
 		tokens float64
 		reply  chan<- placement.Decision
 	}
@@ -138,11 +140,11 @@
 
 func (d *desk) viewChanged(v *View) { d.tell(viewMessage{v}) }
 
-// place asks for a decision. ok is false when ctx has ended first.
-func (d *desk) place(ctx context.Context, a *placement.Ask, repeat bool, tokens float64) (placement.Decision, bool) {
+// decision asks for a decision, which may wait. ok is false when ctx has ended first.
+func (d *desk) decision(ctx context.Context, a *placement.Ask, repeat bool, tokens float64) (placement.Decision, bool) {
 	reply := make(chan placement.Decision, 1)
 	asked := *a // the desk may be slower than the caller is patient
-	d.tell(placeMessage{ask: &asked, repeat: repeat, tokens: tokens, reply: reply})
+	d.tell(placeMessage{ask: &asked, repeat: repeat, tokens: tokens, ended: ctx.Done(), reply: reply})
 	select {
 	case decision := <-reply:
 		*a = asked // the desk has filled in where the account stands
@@ -173,6 +175,8 @@
 	defer settle.Stop()
 	late := time.NewTicker(lateEvery)
 	defer late.Stop()
+	d.waits.timer = time.NewTimer(waitEvery)
+	defer d.waits.timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -181,6 +185,8 @@
 			d.handle(time.Now(), m)
 		case now := <-settle.C:
 			d.settle(now)
+		case now := <-d.waits.timer.C:
+			d.look(now)
 		case now := <-late.C:
 			d.findLate(now)
 		}
@@ -190,7 +196,7 @@
 func (d *desk) handle(now time.Time, m any) {
 	switch m := m.(type) {
 	case placeMessage:
-		m.reply <- d.decide(now, m)
+		d.place(now, m)
 	case arrivedMessage:
 		d.budget.Request(now, m.service)
 		if m.account != "" {
@@ -210,7 +216,7 @@
 }
 
 // repeatsSpent is the reason for a refusal when the fleet's budget of repeats is used.
-const repeatsSpent = "budget of repeats spent"
+const repeatsSpent placement.Reason = "budget of repeats spent"
 
 func (d *desk) decide(now time.Time, m placeMessage) placement.Decision {
 	if m.repeat && d.budget.Left(now, m.ask.Service, d.fleetSize()) < 1 {
--- a/gateway/placement/engine.go
+++ b/gateway/placement/engine.go
@@ -107,6 +107,9 @@
 	}
 }
 
+// Servers returns how many servers a service has.
+func (b *Board) Servers(service string) int { return len(b.services[service]) }
+
 // Speed is what is believed of a service's engines.
 type Speed struct {
 	Reading   float64       // how much longer reading takes than [Policy] says
--- a/gateway/placement/option.go
+++ b/gateway/placement/option.go
@@ -12,8 +12,9 @@
 	from      *server       // takes cached parts of the prompt from this one; nil: from none
 	added     int           // tokens of the prompt that its cache does not hold yet
 	work      time.Duration // to read what is neither cached nor copied, at the usual pace
-	waiting   time.Duration // until the server comes to it, copies and crowding included
+	waiting   time.Duration // until the server begins to read, copies and crowding included
 	reading   time.Duration // for its own prompt
+	reread    int           // tokens of shared parts that are read here although another server may hold them
 	predicted time.Duration // until the first event
 	cost      time.Duration // to compare options by
 }
@@ -36,8 +37,8 @@
 	o.cost = b.delayCost(a, o.predicted-crowd) + crowd + b.sideCosts(now, a, s)
 	o.cost += scale(copying, b.policy.CopyCost)
 	// Reading a shared part once more delays whoever comes after as well.
-	reread := max(missing-copied, 0)
-	o.cost += scale(s.atPace(now, b.policy.reading(reread, reread)), b.policy.RereadCost)
+	o.reread = max(missing-copied, 0)
+	o.cost += scale(s.atPace(now, b.policy.reading(o.reread, o.reread)), b.policy.RereadCost)
 	return o
 }
 
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -42,9 +42,12 @@
 	Parts     []Part        // of the prompt, in order; the last one is the caller's own
 	Prompt    int           // tokens of the whole prompt
 	Output    int           // tokens the answer is expected to have
-	Objective time.Duration // what is left of the time in which the first event is in time; 0: none
+	Objective time.Duration // what is left, since the caller's first try, of the time in which the first event is in time; below 0: it is late; 0: none
+	Patience  time.Duration // what is left of the time in which the caller waits for the first event
 	Remaining time.Duration // what is left of the time in which an answer is of use at all
 	Again     bool          // the caller has asked before and was refused
+	Held      Reason        // why it was held so far
+	Waited    time.Duration // for how long
 	OverShare bool          // the account has got its share of the fleet
 	Ahead     float64       // what it got over an even share of all that was given; 0: unknown
 	Exclude   []string      // servers that have been tried
@@ -62,6 +65,7 @@
 	Predicted time.Duration // until the first event
 	Waiting   time.Duration // of that, until the server comes to it
 	Reading   time.Duration // of that, to read what its cache does not hold
+	Reread    int           // tokens of shared parts that its cache does not hold
 	CopyFrom  string        // address of a server whose cache holds more of the prompt; empty: none
 	Ticket    uint64        // names the request to whoever keeps the board
 }
@@ -70,7 +74,15 @@
 type Refuse struct {
 	RetryAfter time.Duration
 	Predicted  time.Duration // until the first event, at the best server
-	Reason     string
+	Reason     Reason
+}
+
+// Hold means that the request is kept until servers have room for it, and others go
+// first: ask again soon.
+type Hold struct {
+	Predicted time.Duration // until the first event, at the best server now
+	Reading   time.Duration // of that, to read what its cache does not hold
+	Reason    Reason
 }
 
 // None means that no server of the service takes work.
@@ -78,6 +90,7 @@
 
 func (Assign) decision() {}
 func (Refuse) decision() {}
+func (Hold) decision()   {}
 func (None) decision()   {}
 
 // Load is what a request puts on a server.
@@ -191,44 +204,54 @@
 
 func (b *Board) placeEngine(now time.Time, a *Ask, open []*server) Decision {
 	best := b.best(now, a, open)
-	if r := b.late(a, best); r != inTime {
-		return Refuse{RetryAfter: b.comeBack(a, best, r), Predicted: best.predicted, Reason: string(r)}
+	if r := b.reason(a, best); r != InTime {
+		if b.holds(a, best, r) {
+			return Hold{Predicted: best.predicted, Reading: best.reading, Reason: r}
+		}
+		return Refuse{RetryAfter: b.comeBack(a, best, r), Predicted: best.predicted, Reason: r}
 	}
 	load := Load{Server: best.server.ID, Work: best.work, Parts: hashes(a.Parts), Tokens: best.added + a.Output}
-	assign := Assign{Server: best.server.Server, Load: load, Predicted: best.predicted, Waiting: best.waiting, Reading: best.reading}
+	assign := Assign{Server: best.server.Server, Load: load, Predicted: best.predicted, Waiting: best.waiting, Reading: best.reading, Reread: best.reread}
 	if best.from != nil {
 		assign.CopyFrom = best.from.Address
 	}
 	return assign
 }
 
-// lateness tells why a request should not be sent to its best server.
-type lateness string
+// Reason tells why a request should not be sent to its best server now.
+type Reason string
 
+// The reasons.
 const (
-	inTime    lateness = "" // it should be sent
-	overShare lateness = "account over its share"
-	tooLate   lateness = "no server in time"
+	InTime    Reason = "" // it should be sent
+	OverShare Reason = "account over its share"
+	TooLate   Reason = "no server in time"
 )
 
-// late tells whether and why a request should not be sent to its best server.
-func (b *Board) late(a *Ask, best option) lateness {
-	if a.Objective <= 0 {
-		return inTime
+// reason tells whether and why a request should not be sent to its best server.
+func (b *Board) reason(a *Ask, best option) Reason {
+	if a.Objective == 0 {
+		return InTime
+	}
+	if a.OverShare && a.Held != TooLate && best.waiting > b.spareWait(a) {
+		return OverShare
 	}
-	limit := b.limit(a)
-	alone := best.predicted - best.waiting // if it found the server idle
 	switch {
-	case a.OverShare && best.waiting > b.spareWait(a):
-		return overShare
-	case best.predicted <= limit:
-		return inTime
-	case alone > limit && best.waiting < b.policy.LongWait:
-		return inTime // too long to be in time anywhere; it is served while the wait is short
-	case a.Again && best.predicted <= scale(a.Objective, b.policy.AgainFactor):
-		return inTime
+	case best.predicted <= b.limit(a), best.waiting <= b.policy.LateWait:
+		return InTime // one that is late delays others by little
+	case a.Held == TooLate && best.predicted > a.Patience-b.policy.LastMoment:
+		return InTime // having waited, it is served at the last moment rather than never
+	}
+	return TooLate
+}
+
+// holds tells whether a request is held. One beyond its account's share waits a moment
+// for a server to run dry; one that is late waits as long as its caller does.
+func (b *Board) holds(a *Ask, best option, r Reason) bool {
+	if a.OverShare && a.Held != TooLate {
+		return r == OverShare && a.Waited < b.policy.SpareMoment(a) && best.predicted <= b.limit(a)
 	}
-	return tooLate
+	return best.predicted < a.Patience
 }
 
 // spareWait is the longest wait at which an account that has got its share is served
@@ -251,9 +274,9 @@
 // comeBack returns when a caller should ask again: when the wait will have gone down,
 // or when the account's window will have moved on. Callers wait up to a third of the
 // time they have left.
-func (b *Board) comeBack(a *Ask, best option, l lateness) time.Duration {
+func (b *Board) comeBack(a *Ask, best option, r Reason) time.Duration {
 	after := max(best.predicted-b.limit(a), b.policy.LeastRetryAfter)
-	if l == overShare {
+	if r == OverShare {
 		after = max(after, b.policy.ShareRetryAfter)
 	}
 	if a.Remaining > 0 {
--- a/gateway/placement/policy.go
+++ b/gateway/placement/policy.go
@@ -9,9 +9,9 @@
 // Policy holds the weights and limits of placement. The figures were chosen by trials
 // over several seeds of two deployments (docs/design/platform.md).
 type Policy struct {
-	TokensPerMS     float64       // prompt tokens a server reads in a millisecond, decoding beside it, until that is learned
+	TokensPerMS     float64       // prompt tokens a server reads in a millisecond, decoding beside it
 	PairsPerMS      float64       // pairs of tokens that attention handles in a millisecond
-	FirstStep       time.Duration // from the end of reading to the first event, until that is learned
+	FirstStep       time.Duration // from the end of reading to the first event
 	CacheShare      float64       // of a server's memory that holds parts of prompts which are not in use
 	RereadCost      float64       // weight of reading a shared part once more, in times of the reading
 	CopyCost        float64       // weight of copying a cached part from another server, in times of the copying
@@ -20,10 +20,11 @@
 	FreeTokens      int           // requests with a shorter shared beginning may go to any server
 	Homes           int           // servers that may read a shared part
 	LimitShare      float64       // share of the objective that a prediction may fill
-	AgainFactor     float64       // a caller that was refused before is served up to so many times its objective
 	IdleWait        time.Duration // an account over its share is served while the wait is shorter
 	BehindWait      time.Duration // and so much longer if it got nothing of what is left
-	LongWait        time.Duration // prompts too long to be in time are served while the wait is shorter
+	SpareHold       float64       // share of its objective for which it is held until one runs dry
+	LastMoment      time.Duration // what waited is sent when so much of its caller's patience is left after the first event
+	LateWait        time.Duration // what can't be in time is served while the wait is shorter
 	ShareRetryAfter time.Duration // a caller whose account is over its share is told to wait at least so long
 	LeastRetryAfter time.Duration // shortest time a refused caller is told to wait
 	SpareSlots      int           // a server within so many slots of its batch counts as full
@@ -51,10 +52,11 @@
 		FreeTokens:      1024,
 		Homes:           2,
 		LimitShare:      0.95,
-		AgainFactor:     2,
-		IdleWait:        10 * time.Millisecond,
+		IdleWait:        3 * time.Millisecond,
 		BehindWait:      400 * time.Millisecond,
-		LongWait:        300 * time.Millisecond,
+		SpareHold:       0.125,
+		LastMoment:      200 * time.Millisecond,
+		LateWait:        30 * time.Millisecond,
 		ShareRetryAfter: 200 * time.Millisecond,
 		LeastRetryAfter: 200 * time.Millisecond,
 		SpareSlots:      2,
@@ -82,6 +84,11 @@
 	return time.Duration(ms * float64(time.Millisecond))
 }
 
+// SpareMoment is how long a request beyond its account's share is held.
+func (p Policy) SpareMoment(a *Ask) time.Duration {
+	return scale(a.Objective+a.Waited, p.SpareHold)
+}
+
 // cacheSize is how many tokens of prompts a server keeps.
 func (p Policy) cacheSize(e *catalog.Engine) int {
 	if e == nil {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -151,6 +151,11 @@
 	if _, err := c.w.Write(event); err != nil {
 		return err
 	}
+	now := time.Now()
+	if !c.latest.IsZero() {
+		c.pause = max(c.pause, now.Sub(c.latest))
+	}
+	c.latest = now
 	if id := eventID(event); id != "" {
 		c.lastEvent = id
 	}
--- /dev/null
+++ b/gateway/wait_test.go
@@ -0,0 +1,173 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"opalbridge.dev/gateway/budget"
+	"opalbridge.dev/gateway/catalog"
+	"opalbridge.dev/gateway/peer"
+	"opalbridge.dev/gateway/placement"
+)
+
+// modelDesk is a desk before model servers, whose duty does not run.
+func modelDesk(t *testing.T, now time.Time, servers int) *desk {
+	t.Helper()
+	g, err := New(Options{
+		Peer: peer.Options{Address: "127.0.0.1:0"}, Log: zerolog.Nop(),
+		Desk: DeskSettings{Shares: 4 * time.Second, Hall: "h", Policy: placement.DefaultPolicy(), Repeats: budget.Limits{Ratio: 0.2, Extra: 50, Window: 10 * time.Second}},
+	})
+	require.NoError(t, err)
+	c, err := catalog.NewConfiguration(catalog.Document{
+		Version: 1, Services: []catalog.Service{{Name: "s", Engine: &catalog.Engine{Slots: 64, KVTokens: 500000}}},
+		Limits: catalog.Limits{TokensPerSecond: 1000},
+	})
+	require.NoError(t, err)
+	v := &View{Configuration: c}
+	for i := range servers {
+		v.Servers = append(v.Servers, catalog.Server{ID: fmt.Sprintf("i-%d", i), Service: "s", Hall: "h"})
+	}
+	d := g.desk
+	d.waits.timer = time.NewTimer(time.Hour)
+	d.setView(now, v)
+	return d
+}
+
+// busy gives every server so much to read.
+func (d *desk) busy(now time.Time, work time.Duration) {
+	for id := range d.ids {
+		d.board.Sent(now, placement.Load{Server: d.ids[id], Work: work}, false)
+	}
+}
+
+// request asks for a place for a request of an account.
+func (d *desk) request(now time.Time, account string, change func(a *placement.Ask)) (reply chan placement.Decision, leave func()) {
+	a := &placement.Ask{
+		Service: "s", Account: account, Hall: "h", Prompt: 1000, Objective: 300 * time.Millisecond,
+		Patience: 2400 * time.Millisecond, Remaining: 10 * time.Second,
+	}
+	if change != nil {
+		change(a)
+	}
+	reply = make(chan placement.Decision, 1)
+	ended := make(chan struct{})
+	d.place(now, placeMessage{ask: a, tokens: 1000, ended: ended, reply: reply})
+	return reply, func() { close(ended) }
+}
+
+// overdrawn is an account that has got more than its share.
+func (d *desk) overdrawn(now time.Time, account string, tokens float64) {
+	d.book.Ask(now, account, 10*tokens)
+	d.book.Admit(now, account, tokens)
+	d.book.Settle(now, 1000)
+}
+
+// TestLateRequestsWait: what can't be in time any more is neither refused nor put before
+// those that can be; it is sent when servers hardly wait.
+func TestLateRequestsWait(t *testing.T) {
+	now := time.Now()
+	d := modelDesk(t, now, 2)
+	d.busy(now, 600*time.Millisecond)
+	reply, _ := d.request(now, "a", nil)
+	require.Empty(t, reply)
+	d.look(now.Add(300 * time.Millisecond))
+	require.Empty(t, reply, "servers have 300 ms to read")
+	d.look(now.Add(590 * time.Millisecond))
+	require.IsType(t, placement.Assign{}, <-reply)
+	require.Empty(t, d.waits.list)
+	require.Zero(t, d.waits.reading)
+}
+
+// TestBeyondShareWaitsAMoment: one that can still be in time is held until a server runs
+// dry, and refused soon if none does.
+func TestBeyondShareWaitsAMoment(t *testing.T) {
+	tests := []struct {
+		name string
+		work time.Duration // of every server
+		want placement.Decision
+	}{
+		{"a server runs dry", 40 * time.Millisecond, placement.Assign{}},
+		{"none does", 120 * time.Millisecond, placement.Refuse{}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			now := time.Now()
+			d := modelDesk(t, now, 3)
+			d.overdrawn(now, "a", 9000)
+			d.busy(now, test.work)
+			reply, _ := d.request(now, "a", nil)
+			require.Empty(t, reply)
+			d.look(now.Add(38 * time.Millisecond))
+			require.IsType(t, test.want, <-reply)
+		})
+	}
+}
+
+// TestFurthestAheadGoesLast: of accounts beyond their share, the one that got least is
+// served first, and a full queue turns away the one that got most.
+func TestFurthestAheadGoesLast(t *testing.T) {
+	now := time.Now()
+	d := modelDesk(t, now, 1)
+	d.overdrawn(now, "much", 9000)
+	d.overdrawn(now, "less", 6000)
+	d.busy(now, 100*time.Millisecond)
+	long := func(a *placement.Ask) { a.Prompt = 1200 }
+	much, _ := d.request(now, "much", long)
+	require.Empty(t, much)
+	less, _ := d.request(now, "less", long)
+	require.Empty(t, less)
+	require.IsType(t, placement.Refuse{}, <-much, "there is place for one")
+	again, _ := d.request(now, "much", long)
+	require.IsType(t, placement.Refuse{}, <-again, "refused at once: nobody is further ahead")
+}
+
+// TestLongQueueRefuses: who would come too late is told so at once.
+func TestLongQueueRefuses(t *testing.T) {
+	now := time.Now()
+	d := modelDesk(t, now, 1)
+	d.busy(now, time.Second)
+	waiting, refused := 0, 0
+	for range 100 {
+		reply, _ := d.request(now, "a", func(a *placement.Ask) { a.Prompt = 4000 })
+		if len(reply) == 0 {
+			waiting++
+			continue
+		}
+		require.IsType(t, placement.Refuse{}, <-reply)
+		refused++
+	}
+	require.Positive(t, refused)
+	require.Positive(t, waiting)
+	require.Less(t, d.waits.reading, 1200*time.Millisecond, "half of what callers wait")
+}
+
+// TestWhoLeavesWaitsNoMore: a caller that has gone gets no server.
+func TestWhoLeavesWaitsNoMore(t *testing.T) {
+	now := time.Now()
+	d := modelDesk(t, now, 1)
+	d.busy(now, time.Second)
+	reply, leave := d.request(now, "a", nil)
+	require.Empty(t, reply)
+	leave()
+	d.look(now.Add(2 * time.Second))
+	require.IsType(t, placement.None{}, <-reply)
+	require.Empty(t, d.running)
+}
+
+// TestHeldAreServedAtLast: who has waited as long as its caller does is sent to a busy
+// server rather than refused.
+func TestHeldAreServedAtLast(t *testing.T) {
+	now := time.Now()
+	d := modelDesk(t, now, 1)
+	d.busy(now, time.Second)
+	reply, _ := d.request(now, "a", nil)
+	for at := 100 * time.Millisecond; at < 2400*time.Millisecond && len(reply) == 0; at += 100 * time.Millisecond {
+		d.busy(now.Add(at), 100*time.Millisecond) // those that are in time keep coming
+		d.look(now.Add(at))
+	}
+	require.IsType(t, placement.Assign{}, <-reply)
+}
