gateway, upstream, soak: open connections that go silent for good are found

Cause: open connections may go silent without a reset while new ones work. To servers the kernel's probes found them one by one (2.5 s), so each connection that was idle beside a silent one cost a request its time; callers' connections had Go's default (15 s idle, no bound on unacknowledged bytes), so a stream for a caller that has gone kept a server at work; the store's second idle connection was tried after the first one's time-out. Ruled out: time-outs on a stream's events (a slow stream is no dead one; the probes tell them apart). The soak's proxy silences the connections that are open, both ways or one.

--- /dev/null
+++ b/gateway/callers.go
@@ -0,0 +1,106 @@
+package gateway
+
+import (
+	"context"
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"opalbridge.dev/gateway/upstream"
+)
+
+// This file holds what a gateway does about callers' connections between requests, and
+// about those that have gone silent.
+
+const (
+	// Idle connections of callers are looked through this often.
+	callerSweep = time.Second
+	// A caller's idle connection is kept this much longer than the configuration says.
+	idleSlack = time.Second
+	// Callers' idle connections kept; of more, those that rest longest are closed. It is
+	// a quarter of the descriptors of a small host.
+	mostIdleCallers = 1000
+)
+
+// callerSilence finds callers whose connections have gone silent without a reset: bytes
+// that nobody acknowledges for four seconds, or three lost probes. Callers give a stream
+// up after two seconds or more without an event, so nobody is cut who still listens; four
+// losses in a row take three seconds.
+var callerSilence = upstream.Silence{
+	Unacknowledged: 4 * time.Second, ProbeIdle: 2 * time.Second, ProbeInterval: time.Second, Probes: 3,
+}
+
+// watchCaller lets the kernel find out when a caller's connection has gone silent. Its
+// signature is that of http.Server.ConnContext.
+func (g *Gateway) watchCaller(ctx context.Context, c net.Conn) context.Context {
+	t, ok := c.(*net.TCPConn)
+	if !ok {
+		return ctx
+	}
+	if err := callerSilence.Watch(t); err != nil {
+		// The connection has ended already, or it is found silent later by its writes.
+		g.log.Debug().Str("event", "caller.unwatched").Err(err).Msg("served all the same")
+	}
+	return ctx
+}
+
+// idleCallers closes callers' connections that rest longer than the configuration
+// allows. The server's own limit can't follow a change of the configuration.
+type idleCallers struct {
+	mutex sync.Mutex
+	since map[net.Conn]time.Time
+}
+
+func (i *idleCallers) observe(c net.Conn, s http.ConnState) {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	if s == http.StateIdle || s == http.StateNew {
+		i.since[c] = time.Now()
+		return
+	}
+	delete(i.since, c)
+}
+
+func (i *idleCallers) run(ctx context.Context, g *Gateway) {
+	tick := time.NewTicker(callerSweep)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			i.closeBeyond(mostIdleCallers)
+			if v := g.view.Load(); v.Configuration != nil && v.Configuration.Limits.IdleTimeout > 0 {
+				i.closeOlder(now.Add(-v.Configuration.Limits.IdleTimeout - idleSlack))
+			}
+		}
+	}
+}
+
+// closeBeyond closes those that rest longest, down to a number.
+func (i *idleCallers) closeBeyond(most int) {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	if len(i.since) <= most {
+		return
+	}
+	conns := slices.SortedFunc(maps.Keys(i.since), func(a, b net.Conn) int { return i.since[a].Compare(i.since[b]) })
+	for _, c := range conns[:len(conns)-most] {
+		c.Close()
+		delete(i.since, c)
+	}
+}
+
+func (i *idleCallers) closeOlder(than time.Time) {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	for c, since := range i.since {
+		if since.Before(than) {
+			c.Close()
+			delete(i.since, c)
+		}
+	}
+}
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"maps"
 	"net"
 	"net/http"
-	"slices"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,13 +21,6 @@
 	stopAccepting = 2500 * time.Millisecond
 	// So much of the grace is kept for ending what is left.
 	stopReserve = 500 * time.Millisecond
-	// Idle connections of callers are looked through this often.
-	callerSweep = time.Second
-	// A caller's idle connection is kept this much longer than the configuration says.
-	idleSlack = time.Second
-	// Callers' idle connections kept; of more, those that rest longest are closed. It is
-	// a quarter of the descriptors of a small host.
-	mostIdleCallers = 1000
 )
 
 // serve takes requests until ctx ends, then stops: the balancer is told first, idle
@@ -40,7 +30,7 @@
 	idle := &idleCallers{since: map[net.Conn]time.Time{}}
 	front := &http.Server{
 		Handler: http.HandlerFunc(g.handle), ReadHeaderTimeout: headTimeout, MaxHeaderBytes: longestHead,
-		ConnState: idle.observe, ErrorLog: nil,
+		ConnState: idle.observe, ConnContext: g.watchCaller, ErrorLog: nil,
 	}
 	ready := &http.Server{Handler: g.readyHandler(), ReadHeaderTimeout: headTimeout}
 	views := &http.Server{Handler: g.viewHandler(), ReadHeaderTimeout: headTimeout}
@@ -117,61 +107,3 @@
 	r.Get(viewPath, g.serveView)
 	return r
 }
-
-// idleCallers closes callers' connections that rest longer than the configuration
-// allows. The server's own limit can't follow a change of the configuration.
-type idleCallers struct {
-	mutex sync.Mutex
-	since map[net.Conn]time.Time
-}
-
-func (i *idleCallers) observe(c net.Conn, s http.ConnState) {
-	i.mutex.Lock()
-	defer i.mutex.Unlock()
-	if s == http.StateIdle || s == http.StateNew {
-		i.since[c] = time.Now()
-		return
-	}
-	delete(i.since, c)
-}
-
-func (i *idleCallers) run(ctx context.Context, g *Gateway) {
-	tick := time.NewTicker(callerSweep)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-tick.C:
-			i.closeBeyond(mostIdleCallers)
-			if v := g.view.Load(); v.Configuration != nil && v.Configuration.Limits.IdleTimeout > 0 {
-				i.closeOlder(now.Add(-v.Configuration.Limits.IdleTimeout - idleSlack))
-			}
-		}
-	}
-}
-
-// closeBeyond closes those that rest longest, down to a number.
-func (i *idleCallers) closeBeyond(most int) {
-	i.mutex.Lock()
-	defer i.mutex.Unlock()
-	if len(i.since) <= most {
-		return
-	}
-	conns := slices.SortedFunc(maps.Keys(i.since), func(a, b net.Conn) int { return i.since[a].Compare(i.since[b]) })
-	for _, c := range conns[:len(conns)-most] {
-		c.Close()
-		delete(i.since, c)
-	}
-}
-
-func (i *idleCallers) closeOlder(than time.Time) {
-	i.mutex.Lock()
-	defer i.mutex.Unlock()
-	for c, since := range i.since {
-		if since.Before(than) {
-			c.Close()
-			delete(i.since, c)
-		}
-	}
-}
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -23,14 +23,6 @@
 	// A second connection is tried when the first has not come up by then: its first
 	// packet may have been lost, which the kernel notices only after a second.
 	dialAgain = 150 * time.Millisecond
-	// Bytes that nobody acknowledges for this long end the connection. A request that
-	// a cut link holds back must not reach a server that has said meanwhile that it
-	// leaves, which is two seconds at the least; three losses in a row take 1.4 s.
-	unacknowledged = 1500 * time.Millisecond
-	// Probes on a silent connection find a host without power in about two seconds.
-	probeIdle     = time.Second
-	probeInterval = 500 * time.Millisecond
-	probeCount    = 3
 	// A connection is not used again in the last part of the time for which the
 	// server keeps it: the request would cross the close.
 	lifetimeReserve = 1500 * time.Millisecond
@@ -101,6 +93,16 @@
 	p.idle[server] = append(p.idle[server], c)
 }
 
+// drop closes the idle connections to a server.
+func (p *Pool) drop(server string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, c := range p.idle[server] {
+		c.Close()
+	}
+	delete(p.idle, server)
+}
+
 // Retain closes the idle connections to servers that are not among those given, and
 // those that are too old for use.
 func (p *Pool) Retain(servers map[string]bool) {
@@ -207,17 +209,12 @@
 	}
 }
 
-var dialer = net.Dialer{
-	KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
-	Control:         limitUnacknowledged,
+// serverSilence finds connections to servers that have gone silent, and hosts without
+// power, in 2.5 seconds at most. A request that a cut link holds back must not reach a
+// server that has said meanwhile that it leaves, which is two seconds at the least; three
+// losses in a row take 1.4 s.
+var serverSilence = Silence{
+	Unacknowledged: 1500 * time.Millisecond, ProbeIdle: time.Second, ProbeInterval: 500 * time.Millisecond, Probes: 3,
 }
 
-// limitUnacknowledged makes the kernel end a connection whose bytes nobody
-// acknowledges.
-func limitUnacknowledged(_, _ string, raw syscall.RawConn) error {
-	var failed error
-	err := raw.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacknowledged.Milliseconds()))
-	})
-	return errors.CombineErrors(err, failed)
-}
+var dialer = net.Dialer{KeepAliveConfig: serverSilence.probes(), Control: serverSilence.control}
--- /dev/null
+++ b/gateway/upstream/silence_test.go
@@ -0,0 +1,45 @@
+package upstream_test
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+
+	"opalbridge.dev/gateway/upstream"
+)
+
+// TestWatchedConnections: the kernel is told all the times of a connection's silence.
+func TestWatchedConnections(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	c, err := net.Dial("tcp4", l.Addr().String())
+	require.NoError(t, err)
+	defer c.Close()
+	s := upstream.Silence{Unacknowledged: 4 * time.Second, ProbeIdle: 2 * time.Second, ProbeInterval: time.Second, Probes: 3}
+	require.NoError(t, s.Watch(c.(*net.TCPConn)))
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	require.NoError(t, err)
+	tests := []struct {
+		name   string
+		option int
+		want   int
+	}{
+		{"unacknowledged, ms", unix.TCP_USER_TIMEOUT, 4000},
+		{"idle, s", unix.TCP_KEEPIDLE, 2},
+		{"interval, s", unix.TCP_KEEPINTVL, 1},
+		{"probes", unix.TCP_KEEPCNT, 3},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			require.NoError(t, raw.Control(func(fd uintptr) {
+				got, err := unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, test.option)
+				require.NoError(t, err)
+				require.Equal(t, test.want, got)
+			}))
+		})
+	}
+}
--- a/gateway/upstream/upstream.go
+++ b/gateway/upstream/upstream.go
@@ -26,6 +26,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -145,11 +146,20 @@
 	if err != nil {
 		stop()
 		c.Close()
+		if silent(ctx, err) {
+			p.drop(s.ID)
+		}
 		return Lost{Err: errors.CombineErrors(context.Cause(ctx), err)}
 	}
 	return p.judge(c, s, r, response, written, stop)
 }
 
+// silent tells whether a connection gave no sign of life to the end. Others that were open
+// beside it may have gone silent with it, which shows only when they are used.
+func silent(ctx context.Context, err error) bool {
+	return errors.Is(ctx.Err(), context.DeadlineExceeded) || errors.Is(err, syscall.ETIMEDOUT)
+}
+
 // judge turns the head of an answer into a result.
 func (p *Pool) judge(c *conn, s catalog.Server, r *Request, response *http.Response, written <-chan error, stop func() bool) Result {
 	a := &Answer{
--- a/gateway/upstream/upstream_test.go
+++ b/gateway/upstream/upstream_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -229,3 +230,46 @@
 	upstream.RemoveHopHeaders(h)
 	require.Equal(t, http.Header{"Kept": {"1"}}, h)
 }
+
+// TestSilencedConnectionsAreDropped: when one open connection turns out to have gone
+// silent for good, the others that were open beside it are not tried.
+func TestSilencedConnectionsAreDropped(t *testing.T) {
+	silent := make(chan struct{})
+	var mutex sync.Mutex
+	used := map[net.Conn]int{}
+	_, server := serve(t, func(c net.Conn, n int, _ *http.Request) bool {
+		mutex.Lock()
+		used[c]++
+		again := used[c] > 1
+		mutex.Unlock()
+		if again {
+			<-silent // connections that have answered once say nothing more
+			return false
+		}
+		_, err := io.WriteString(c, whole)
+		return err == nil
+	})
+	t.Cleanup(func() { close(silent) })
+	pool := upstream.NewPool(codec{})
+	var open []*upstream.Answer
+	for range 3 {
+		open = append(open, answered(t, pool.Send(t.Context(), server, request())))
+	}
+	for _, a := range open {
+		_, err := io.ReadAll(a.Body)
+		require.NoError(t, err)
+		a.Close()
+	}
+	soon, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	require.IsType(t, upstream.Lost{}, pool.Send(soon, server, request()))
+	next, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	answered(t, pool.Send(next, server, request())).Close()
+}
+
+func answered(t *testing.T, r upstream.Result) *upstream.Answer {
+	t.Helper()
+	require.IsType(t, upstream.Answered{}, r)
+	return r.(upstream.Answered).Answer
+}
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -24,15 +24,20 @@
 	mutex    sync.Mutex
 	link     Link
 	conns    map[net.Conn]bool
+	open     map[*passage]bool
+	closed   bool
 }
 
+// passage is one connection through a proxy.
+type passage struct{ link Link }
+
 // NewProxy starts a proxy before a target.
 func NewProxy(target string) (*Proxy, error) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{target: target, listener: l, conns: map[net.Conn]bool{}}
+	p := &Proxy{target: target, listener: l, conns: map[net.Conn]bool{}, open: map[*passage]bool{}}
 	go p.accept()
 	return p, nil
 }
@@ -59,9 +64,23 @@
 	}
 }
 
+// Silence holds back for good what passes the connections that are open now; new ones
+// work.
+func (p *Proxy) Silence(to, from bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for c := range p.open {
+		c.link.SilentTo = c.link.SilentTo || to
+		c.link.SilentFrom = c.link.SilentFrom || from
+	}
+}
+
 // Close ends the proxy and its connections.
 func (p *Proxy) Close() {
 	p.listener.Close()
+	p.mutex.Lock()
+	p.closed = true
+	p.mutex.Unlock()
 	p.Reset()
 }
 
@@ -81,20 +100,26 @@
 		in.Close()
 		return
 	}
-	p.hold(in, out, true)
+	way := &passage{}
+	p.hold(way, in, out, true)
 	ended := make(chan struct{}, 2)
-	go p.copy(out, in, func(l Link) bool { return l.SilentTo }, ended)
-	go p.copy(in, out, func(l Link) bool { return l.SilentFrom }, ended)
+	go p.copy(way, out, in, func(l Link) bool { return l.SilentTo }, ended)
+	go p.copy(way, in, out, func(l Link) bool { return l.SilentFrom }, ended)
 	<-ended
 	<-ended
-	p.hold(in, out, false)
+	p.hold(way, in, out, false)
 	in.Close()
 	out.Close()
 }
 
-func (p *Proxy) hold(in, out net.Conn, held bool) {
+func (p *Proxy) hold(way *passage, in, out net.Conn, held bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	if held {
+		p.open[way] = true
+	} else {
+		delete(p.open, way)
+	}
 	for _, c := range []net.Conn{in, out} {
 		if held {
 			p.conns[c] = true
@@ -104,23 +129,30 @@
 	}
 }
 
-func (p *Proxy) now() Link {
+// now returns how a connection's bytes are treated.
+func (p *Proxy) now(way *passage) Link {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	return p.link
+	if p.closed {
+		return Link{}
+	}
+	l := p.link
+	l.SilentTo = l.SilentTo || way.link.SilentTo
+	l.SilentFrom = l.SilentFrom || way.link.SilentFrom
+	return l
 }
 
 // copy carries bytes one way until either side ends, then passes the end on.
-func (p *Proxy) copy(to, from net.Conn, silent func(Link) bool, ended chan<- struct{}) {
+func (p *Proxy) copy(way *passage, to, from net.Conn, silent func(Link) bool, ended chan<- struct{}) {
 	defer func() { ended <- struct{}{} }()
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
 		if n > 0 {
-			for silent(p.now()) {
+			for silent(p.now(way)) {
 				time.Sleep(linkCheck)
 			}
-			time.Sleep(p.now().Delay)
+			time.Sleep(p.now(way).Delay)
 			if _, werr := to.Write(buffer[:n]); werr != nil {
 				from.Close()
 				return
--- a/soak/trouble.go
+++ b/soak/trouble.go
@@ -96,6 +96,18 @@
 		r.aGateway(random).proxy.Reset()
 		return func() {}
 	}},
+	{"server's open connections go silent", func(r *Run, random *rand.Rand) func() {
+		r.aServer(random).proxy.Silence(true, true)
+		return func() {}
+	}},
+	{"server's open connections go silent one way", func(r *Run, random *rand.Rand) func() {
+		r.aServer(random).proxy.Silence(false, true)
+		return func() {}
+	}},
+	{"store's open connections go silent", func(r *Run, random *rand.Rand) func() {
+		r.aGateway(random).proxy.Silence(true, true)
+		return func() {}
+	}},
 	{"link to a server is slow", linked(Link{Delay: slowLink}, false)},
 	{"link to a server is silent", linked(Link{SilentTo: true, SilentFrom: true}, false)},
 	{"link to a server is cut one way", linked(Link{SilentFrom: true}, false)},
