explain, cmd: opalbridge account counts what callers got

Change: a verb that reads log lines of any number of gateways and counts, by route, account, hall, server and second, who was served in time on the first try, late, only after coming back, refused by reason and of these with a prediction within four fifths of the objective, seconds held in vain, failed repeats, reading given to servers, misses of predictions and the gap between accounts; tables, JSON and a plot. Decisions are logged with reading, tokens and objective for it.

--- a/cmd/opalbridge/explain.go
+++ b/cmd/opalbridge/explain.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"io"
-	"os"
 
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
@@ -22,17 +20,10 @@
 			if c.Args().Len() < 1 {
 				return usage(errors.New("explain: name a request"))
 			}
-			var logs []io.Reader
-			for _, name := range c.Args().Tail() {
-				file, err := os.Open(name)
-				if err != nil {
-					return usage(errors.Wrap(err, "explain"))
-				}
-				defer file.Close()
-				logs = append(logs, file)
-			}
-			if len(logs) == 0 {
-				logs = append(logs, c.Root().Reader)
+			logs, closeLogs, err := openLogs(c.Args().Tail(), c.Root().Reader)
+			defer closeLogs()
+			if err != nil {
+				return usage(errors.Wrap(err, "explain"))
 			}
 			return explain.Story(c.Root().Writer, c.Args().First(), logs...)
 		},
--- a/cmd/opalbridge/main.go
+++ b/cmd/opalbridge/main.go
@@ -87,7 +87,7 @@
 			return usage(err)
 		},
 		Commands: []*cli.Command{
-			devCommand(), routerCommand(), agentCommand(), gatewayCommand(), explainCommand(), checkCommand(), ctlCommand(), hashCommand(), standinCommand(), versionCommand(),
+			devCommand(), routerCommand(), agentCommand(), gatewayCommand(), explainCommand(), accountingCommand(), checkCommand(), ctlCommand(), hashCommand(), standinCommand(), versionCommand(),
 		},
 	}
 }
--- a/explain/story.go
+++ b/explain/story.go
@@ -37,6 +37,13 @@
 	First      float64   `json:"first"`
 	Whole      float64   `json:"whole"`
 	RetryAfter float64   `json:"retry_after"`
+	Reading    float64   `json:"reading"`
+	Objective  float64   `json:"objective"`
+	Spent      float64   `json:"spent"` // since the caller's first try
+	Tokens     float64   `json:"tokens"`
+	Hall       string    `json:"hall"`
+	Route      string    `json:"route"`
+	Kind       string    `json:"kind"`
 	Ahead      float64   `json:"ahead"`
 	OverShare  bool      `json:"over_share"`
 	Again      bool      `json:"again"`
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -120,7 +120,7 @@
 	c.ask.Exclude = append(c.ask.Exclude, d.Server.ID)
 	sent := time.Now()
 	c.gateway.log.Info().Str("event", "attempt.sent").Str("request", c.told.ID).Int("attempt", c.attempts).
-		Str("server", d.Server.ID).Dur("predicted", d.Predicted).Dur("work", d.Load.Work).
+		Str("server", d.Server.ID).Dur("predicted", d.Predicted).Dur("work", d.Load.Work).Dur("reading", d.Reading).Float64("tokens", c.tokens).
 		Dur("left", c.deadline.Sub(sent)).Str("account", c.account).Bool("over_share", c.ask.OverShare).
 		Int("prompt", c.ask.Prompt).Dur("waiting", d.Waiting).Int("reread", d.Reread).Dur("spent", c.spent).Float64("ahead", c.ask.Ahead).Bool("again", c.ask.Again).Str("copy_from", d.CopyFrom).Msg("placed")
 	ctx, cancel := context.WithCancel(ctx)
@@ -199,7 +199,7 @@
 	}
 	c.write(denial{http.StatusServiceUnavailable, string(d.Reason), d.RetryAfter})
 	c.gateway.log.Info().Str("event", "request.refused").Str("request", c.told.ID).Str("account", c.account).
-		Str("reason", string(d.Reason)).Int("prompt", c.ask.Prompt).Dur("spent", c.spent).Dur("predicted", d.Predicted).Dur("retry_after", d.RetryAfter).
+		Str("reason", string(d.Reason)).Dur("objective", c.route.Objective).Int("prompt", c.ask.Prompt).Dur("spent", c.spent).Dur("predicted", d.Predicted).Dur("retry_after", d.RetryAfter).
 		Bool("over_share", c.ask.OverShare).Float64("ahead", c.ask.Ahead).Bool("again", c.ask.Again).Msg("not run")
 }
 
@@ -239,7 +239,7 @@
 	}
 	c.gateway.options.Metrics.Ended(o)
 	c.gateway.log.Info().Str("event", "request.ended").Str("request", c.told.ID).Str("route", c.route.Name).
-		Str("account", c.account).Str("result", o.Result).Str("reason", c.reason).Int("attempts", c.attempts).
+		Str("kind", kindName(c.route)).Dur("spent", c.spent).Str("account", c.account).Str("result", o.Result).Str("reason", c.reason).Int("attempts", c.attempts).
 		Dur("first", o.First).Dur("pause", c.pause).Dur("whole", o.Whole).Uint64("revision", c.gateway.view.Load().Revision).Msg("request")
 }
 
