gateway, peer: a gateway short of processor turns callers away at once

One gateway of 0.144 core got three quarters of its hall's callers, some 700 requests a second; 31,000 tries met their deadline unread, and its news of servers were seconds old. Change: the process measures how late a goroutine runs that comes after all that are ready, and admits a share of the requests that it has time for; the others are refused as not run at once, to come back in 20 ms. Beacons between the whole ones tell running requests that changed only, and come later among many gateways (1 ms for each beyond six): they took a third of a small host's processor. Options of callers' connections are set on the listening socket, nine system calls less a connection. Its callers come back to the same gateway, so most are still refused there: what binds is a request's processor time at a small host.

--- a/cmd/opalbridge/gateway.go
+++ b/cmd/opalbridge/gateway.go
@@ -110,6 +110,8 @@
 		{Name: "opalbridge.gateway.servers", Description: "servers believed to exist", Read: func() float64 { return float64(g.Status().Servers) }},
 		{Name: "opalbridge.gateway.peers", Description: "other gateways believed to live", Read: func() float64 { return float64(g.Status().Peers) }},
 		{Name: "opalbridge.gateway.active_requests", Description: "requests in hand", Read: func() float64 { return float64(g.Status().Active) }},
+		{Name: "opalbridge.gateway.lateness", Unit: "s", Description: "of the process's own timers, as of the latest measurement", Read: func() float64 { return g.Status().Lateness.Seconds() }},
+		{Name: "opalbridge.gateway.admitted", Description: "share of requests that the process has time for", Read: func() float64 { return g.Status().Admitted }},
 		{Name: "opalbridge.gateway.log_lines_dropped", Description: "log lines that were not written", Read: func() float64 { return float64(lines.Dropped()) }},
 	})
 }
@@ -120,12 +122,17 @@
 	if err != nil {
 		return nil, err
 	}
-	var listeners [3]net.Listener
-	for i, address := range []string{s.FrontAddress, s.ReadyAddress, s.PeerAddress} {
-		listeners[i], err = net.Listen("tcp4", address)
-		if err != nil {
-			return nil, errors.Wrap(err, "gateway: listen")
-		}
+	front, err := gateway.ListenCallers(s.FrontAddress)
+	if err != nil {
+		return nil, errors.Wrap(err, "gateway: listen for callers")
+	}
+	ready, err := net.Listen("tcp4", s.ReadyAddress)
+	if err != nil {
+		return nil, errors.Wrap(err, "gateway: listen for the balancer")
+	}
+	peers, err := net.Listen("tcp4", s.PeerAddress)
+	if err != nil {
+		return nil, errors.Wrap(err, "gateway: listen for other gateways")
 	}
 	store := &platform.Store{Address: s.StoreAddress, HTTP: &http.Client{Transport: &http.Transport{
 		DialContext:  (&net.Dialer{Timeout: storeDialTimeout}).DialContext,
@@ -136,7 +143,7 @@
 		log.Error().Str("event", "store.unreadable").Err(err).Msg("passed over")
 	}
 	return gateway.New(gateway.Options{
-		Front: listeners[0], Ready: listeners[1], Peers: listeners[2],
+		Front: front, Ready: ready, Peers: peers,
 		ReadyPath: platform.ReadyPath,
 		Peer:      peer.Options{Address: s.PeerAddress, Seeds: s.Seeds},
 		Source:    &platform.Feed{Store: store, Unreadable: unreadable},
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -33,18 +33,12 @@
 	Unacknowledged: 4 * time.Second, ProbeIdle: 2 * time.Second, ProbeInterval: time.Second, Probes: 3,
 }
 
-// watchCaller lets the kernel find out when a caller's connection has gone silent. Its
-// signature is that of http.Server.ConnContext.
-func (g *Gateway) watchCaller(ctx context.Context, c net.Conn) context.Context {
-	t, ok := c.(*net.TCPConn)
-	if !ok {
-		return ctx
-	}
-	if err := callerSilence.Watch(t); err != nil {
-		// The connection has ended already, or it is found silent later by its writes.
-		g.log.Debug().Str("event", "caller.unwatched").Err(err).Msg("served all the same")
-	}
-	return ctx
+// ListenCallers listens for callers. The options are set once, on the listening socket,
+// and connections have them from the start: set on each, they cost nine system calls a
+// connection.
+func ListenCallers(address string) (net.Listener, error) {
+	l := net.ListenConfig{KeepAlive: -1, Control: callerSilence.Control}
+	return l.Listen(context.Background(), "tcp4", address)
 }
 
 // idleCallers closes callers' connections that rest longer than the configuration
--- a/gateway/desk.go
+++ b/gateway/desk.go
@@ -49,20 +49,22 @@
 	peersAlive atomic.Int64 // live gateways besides this one
 
 	// Owned by run.
-	tickets  uint64                     // the last one given
-	settled  int                        // times that shares were computed
-	pending  map[uint64]*awaited        // own requests without a first event, by ticket
-	heard    map[string]time.Time       // last sign of life, by server
-	speeds   map[string]placement.Speed // last written to the log, by service
-	board    *placement.Board
-	book     *share.Book
-	budget   *budget.Budget
-	view     *View
-	waits    waitQueue
-	running  map[string]int              // own requests by server
-	ids      map[uint64]string           // server by hash of its ID
-	gateways map[string]map[uint64]int   // running requests at servers, by live gateway
-	demands  map[string][]*peerpb.Demand // by live gateway
+	tickets     uint64                     // the last one given
+	settled     int                        // times that shares were computed
+	pending     map[uint64]*awaited        // own requests without a first event, by ticket
+	heard       map[string]time.Time       // last sign of life, by server
+	speeds      map[string]placement.Speed // last written to the log, by service
+	board       *placement.Board
+	book        *share.Book
+	budget      *budget.Budget
+	view        *View
+	waits       waitQueue
+	published   time.Time                   // when the state that beacons tell was made
+	unpublished bool                        // it has changed since
+	running     map[string]int              // own requests by server
+	ids         map[uint64]string           // server by hash of its ID
+	gateways    map[string]map[uint64]int   // running requests at servers, by live gateway
+	demands     map[string][]*peerpb.Demand // by live gateway
 }
 
 // DeskSettings are the bounds that the desk keeps.
@@ -189,6 +191,9 @@
 			d.look(now)
 		case now := <-late.C:
 			d.findLate(now)
+			if d.unpublished {
+				d.publish()
+			}
 		}
 	}
 }
@@ -241,7 +246,7 @@
 		sent: now, waiting: assign.Waiting, reading: assign.Reading,
 	}
 	d.running[assign.Server.ID]++
-	d.publish()
+	d.changed(now)
 	if assign.Load.Work > 0 {
 		d.peers.Tell(peer.Load{Server: hash(assign.Server.ID), Work: assign.Load.Work, Parts: assign.Load.Parts, Tokens: assign.Load.Tokens})
 	}
@@ -267,11 +272,26 @@
 	if d.running[m.server] <= 0 {
 		delete(d.running, m.server)
 	}
+	d.changed(now)
+}
+
+// The state that beacons tell is made at most this often: it takes some microseconds for
+// each server.
+const publishEvery = 5 * time.Millisecond
+
+// changed makes the state that beacons tell, now or with the next look for late ones.
+func (d *desk) changed(now time.Time) {
+	if now.Sub(d.published) < publishEvery {
+		d.unpublished = true
+		return
+	}
+	d.published = now
 	d.publish()
 }
 
 // publish makes the state that the next beacon tells.
 func (d *desk) publish() {
+	d.unpublished = false
 	old := d.telling.Load()
 	s := &peer.State{Running: make(map[uint64]int, len(d.running)), Demands: old.Demands}
 	for id, n := range d.running {
--- a/gateway/desk_news.go
+++ b/gateway/desk_news.go
@@ -110,9 +110,6 @@
 	if _, known := d.gateways[u.From]; !known {
 		d.log.Info().Str("event", "peer.regained").Str("peer", u.From).Int("gateways", len(d.gateways)+2).Msg("heard")
 	}
-	before := d.gateways[u.From]
-	d.gateways[u.From] = u.Running
-	d.peersAlive.Store(int64(len(d.gateways)))
 	for _, l := range u.Loads {
 		d.board.Sent(now, placement.Load{Server: d.ids[l.Server], Work: l.Work, Parts: l.Parts, Tokens: l.Tokens}, false)
 	}
@@ -126,7 +123,29 @@
 		}
 		d.book.SetOthers(u.From, list)
 	}
-	d.addOthers(before, u.Running)
+	defer func() { d.peersAlive.Store(int64(len(d.gateways))) }()
+	if u.Whole {
+		d.addOthers(d.gateways[u.From], u.Running)
+		d.gateways[u.From] = u.Running
+		return
+	}
+	d.changeOthers(u.From, u.Running)
+}
+
+// changeOthers takes over what has changed of another gateway's requests at servers.
+func (d *desk) changeOthers(from string, changed map[uint64]int) {
+	known := d.gateways[from]
+	if known == nil {
+		known = map[uint64]int{}
+		d.gateways[from] = known
+	}
+	for h, n := range changed {
+		d.board.AddOthers(d.ids[h], n-known[h])
+		known[h] = n
+		if n == 0 {
+			delete(known, h)
+		}
+	}
 }
 
 // addOthers tells the board what has changed of another gateway's requests at servers.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -80,6 +80,7 @@
 	starts    starts
 	stopping  atomic.Bool
 	active    atomic.Int64 // requests being served
+	overload  overload
 }
 
 // New returns a gateway that does not run yet.
@@ -137,6 +138,7 @@
 	group.Go(duties, "news", g.hear)
 	group.Go(duties, "idle", g.closeIdle)
 	group.Go(duties, "caches", g.askCaches)
+	group.Go(duties, "overload", func(ctx context.Context) { g.overload.run(ctx, g) })
 	g.log.Info().Str("event", "start").Str("front", g.options.Front.Addr().String()).Msg("gateway")
 	err := g.serve(ctx, duties)
 	cancel()
@@ -151,13 +153,15 @@
 	ConfigurationVersion uint64        // 0: none
 	Servers              int
 	Peers                int
-	Active               int // requests in hand
+	Active               int           // requests in hand
+	Lateness             time.Duration // of the process, as of the latest measurement
+	Admitted             float64       // share of requests that the process has time for
 }
 
 // Status returns what the gateway believes now.
 func (g *Gateway) Status() Status {
 	v := g.view.Load()
-	s := Status{ViewAge: time.Since(g.confirmedAt()), Servers: len(v.Servers), Peers: int(g.desk.peersAlive.Load()), Active: int(g.active.Load())}
+	s := Status{ViewAge: time.Since(g.confirmedAt()), Servers: len(v.Servers), Peers: int(g.desk.peersAlive.Load()), Active: int(g.active.Load()), Lateness: time.Duration(g.overload.lateness.Load()), Admitted: g.overload.share()}
 	if v.Configuration != nil {
 		s.ConfigurationVersion = v.Configuration.Version
 	}
--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -48,6 +48,10 @@
 		return
 	}
 	defer g.active.Add(-1)
+	if !g.overload.admits() {
+		g.turnAway(w, r)
+		return
+	}
 	if g.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/gateway/peer/beacon.go
+++ b/gateway/peer/beacon.go
@@ -11,8 +11,9 @@
 )
 
 // beacon returns what goes out next: the loads that are pending, and in a whole one the
-// demands; a rare one names the live gateways as well.
-func (n *Node) beacon(whole, rare bool) *peerpb.Beacon {
+// demands and all running requests, in others those that have changed; a rare one names
+// the live gateways as well. It returns the state that it tells, too.
+func (n *Node) beacon(whole, rare bool) (*peerpb.Beacon, State) {
 	s := n.options.State()
 	b := &peerpb.Beacon{
 		Incarnation: n.incarnation, NewestLoad: n.newest,
@@ -33,7 +34,16 @@
 	}
 	clear(n.seen)
 	for server, requests := range s.Running {
-		b.Running = append(b.Running, &peerpb.Running{Server: server, Requests: uint32(requests)})
+		if whole || requests != n.told[server] {
+			b.Running = append(b.Running, &peerpb.Running{Server: server, Requests: uint32(requests)})
+		}
+	}
+	if !whole {
+		for server := range n.told {
+			if _, still := s.Running[server]; !still {
+				b.Running = append(b.Running, &peerpb.Running{Server: server})
+			}
+		}
 	}
 	if whole {
 		b.Demands, b.DemandsTold, b.Hall = s.Demands, true, n.options.Hall
@@ -41,7 +51,7 @@
 	if rare {
 		b.Peers = n.live()
 	}
-	return b
+	return b, s
 }
 
 // microseconds encodes a time, cut to what the field holds.
@@ -101,7 +111,7 @@
 		}
 	}
 	u := Update{
-		From: p.from.String(), Hall: r.hall, Alive: true, Loads: r.news(b, first), Running: map[uint64]int{},
+		From: p.from.String(), Hall: r.hall, Alive: true, Loads: r.news(b, first), Running: map[uint64]int{}, Whole: b.DemandsTold,
 		Demands: b.Demands, DemandsTold: b.DemandsTold,
 		ConfigurationVersion: b.ConfigurationVersion, StoreRevision: b.StoreRevision, StoreAway: b.StoreAway,
 		Confirmed: now.Add(-time.Duration(b.ConfirmedMs) * time.Millisecond),
@@ -128,7 +138,8 @@
 // answer lets a peer know of this node at once: one that was not alive here, or whose
 // address has just been learned.
 func (n *Node) answer(to netip.Addr) {
-	packed, err := proto.Marshal(n.beacon(true, true))
+	b, _ := n.beacon(true, true)
+	packed, err := proto.Marshal(b)
 	if err != nil {
 		panic(errors.NewAssertionErrorWithWrappedErrf(err, "peer: encode beacon"))
 	}
--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -32,6 +32,11 @@
 	// Loads are told this soon after the first one. Two gateways that do not know of
 	// each other's loads choose the same server; in 20 ms a server reads 1,000 tokens.
 	loadDelay = 2 * time.Millisecond
+	// And later by this for each live peer, since all of them hear each beacon: among 30
+	// gateways a small host spent a third of its processor on them.
+	peerDelay = time.Millisecond
+	// Peers for which loads are not told later.
+	fewPeers = 6
 	// A beacon goes out at least this often; it carries gauges and demands.
 	heartbeat = 250 * time.Millisecond
 	// Addresses are passed on, and silent gateways tried, once in so many heartbeats.
@@ -94,7 +99,8 @@
 	// What follows is set only when Alive.
 	Loads    []Load // not told before
 	Backlogs []Backlog
-	Running  map[uint64]int
+	Running  map[uint64]int // if Whole, of all servers; else of those where it has changed
+	Whole    bool
 	// Demands are set only when DemandsTold.
 	Demands              []*peerpb.Demand
 	DemandsTold          bool
@@ -131,6 +137,7 @@
 	pending []numbered               // loads that are still being told
 	seen    map[uint64]time.Duration // backlogs not told yet, by server
 	newest  uint64
+	told    map[uint64]int // running requests as the last beacon told them
 	beats   int
 	leaving bool
 }
@@ -278,7 +285,7 @@
 		case l := <-n.loads:
 			n.add(l)
 			if !waiting {
-				soon.Reset(loadDelay)
+				soon.Reset(n.delay())
 				waiting = true
 			}
 		case l := <-n.backlogs:
@@ -322,6 +329,17 @@
 	}
 }
 
+// delay is how soon loads are told.
+func (n *Node) delay() time.Duration {
+	alive := 0
+	for _, r := range n.peers {
+		if r.alive {
+			alive++
+		}
+	}
+	return loadDelay + time.Duration(max(alive-fewPeers, 0))*peerDelay
+}
+
 // beat sends a whole beacon and gives up peers that were silent too long.
 func (n *Node) beat(now time.Time) {
 	n.send(now, true)
@@ -350,7 +368,9 @@
 	if whole {
 		n.beats++
 	}
-	packed, err := proto.Marshal(n.beacon(whole, rare))
+	b, state := n.beacon(whole, rare)
+	n.told = state.Running
+	packed, err := proto.Marshal(b)
 	if err != nil {
 		panic(errors.NewAssertionErrorWithWrappedErrf(err, "peer: encode beacon"))
 	}
--- a/gateway/peer/peer_test.go
+++ b/gateway/peer/peer_test.go
@@ -224,3 +224,46 @@
 		})
 	}
 }
+
+// TestRunningIsTold: beacons between the whole ones tell what has changed of running
+// requests, so that they stay small; whole ones tell all.
+func TestRunningIsTold(t *testing.T) {
+	port := freePort(t)
+	hears := join(t, port, 1, peer.State{})
+	state := peer.State{Running: map[uint64]int{7: 2, 8: 1}}
+	var mutex sync.Mutex
+	node, err := peer.Listen(peer.Options{Address: fmt.Sprintf("127.0.0.2:%d", port), Seeds: []string{"127.0.0.1"}, Failed: func(error) {}, State: func() peer.State {
+		mutex.Lock()
+		defer mutex.Unlock()
+		return state
+	}})
+	require.NoError(t, err)
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		node.Run(ctx)
+		close(ended)
+	}()
+	latest := func(whole bool) (running map[uint64]int) {
+		hears.mutex.Lock()
+		defer hears.mutex.Unlock()
+		u := hears.last["127.0.0.2"]
+		if u.Whole != whole {
+			return nil
+		}
+		return u.Running
+	}
+	require.Eventually(t, func() bool { return len(latest(true)) == 2 }, time.Second, time.Millisecond)
+	mutex.Lock()
+	state = peer.State{Running: map[uint64]int{7: 3}}
+	mutex.Unlock()
+	node.TellNow()
+	require.Eventually(t, func() bool {
+		changed := latest(false)
+		n, gone := changed[8]
+		return len(changed) == 2 && changed[7] == 3 && gone && n == 0
+	}, time.Second, time.Millisecond/4)
+	require.Eventually(t, func() bool { return len(latest(true)) == 1 }, time.Second, time.Millisecond)
+	stop()
+	<-ended
+}
--- a/gateway/peer/size_test.go
+++ b/gateway/peer/size_test.go
@@ -28,7 +28,8 @@
 		for i := range backlogs {
 			n.seen[uint64(i)<<40] = 80 * time.Millisecond
 		}
-		packed, err := proto.Marshal(n.beacon(whole, false))
+		b, _ := n.beacon(whole, false)
+		packed, err := proto.Marshal(b)
 		require.NoError(t, err)
 		return len(packed)
 	}
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -30,7 +30,7 @@
 	idle := &idleCallers{since: map[net.Conn]time.Time{}}
 	front := &http.Server{
 		Handler: http.HandlerFunc(g.handle), ReadHeaderTimeout: headTimeout, MaxHeaderBytes: longestHead,
-		ConnState: idle.observe, ConnContext: g.watchCaller, ErrorLog: nil,
+		ConnState: idle.observe, ErrorLog: nil,
 	}
 	ready := &http.Server{Handler: g.readyHandler(), ReadHeaderTimeout: headTimeout}
 	views := &http.Server{Handler: g.viewHandler(), ReadHeaderTimeout: headTimeout}
--- a/gateway/upstream/silence.go
+++ b/gateway/upstream/silence.go
@@ -13,30 +13,36 @@
 // nobody has closed or reset it.
 type Silence struct {
 	Unacknowledged time.Duration // written bytes that nobody acknowledges for so long
-	ProbeIdle      time.Duration // a connection is probed after so long without bytes
-	ProbeInterval  time.Duration // between probes
+	ProbeIdle      time.Duration // a connection is probed after so long without bytes; whole seconds at a listener
+	ProbeInterval  time.Duration // between probes; whole seconds at a listener
 	Probes         int           // that are lost in a row
 }
 
-// Watch lets the kernel end the connection when it has gone silent.
-func (s Silence) Watch(c *net.TCPConn) error {
-	if err := c.SetKeepAliveConfig(s.probes()); err != nil {
-		return errors.Wrap(err, "upstream: probes")
-	}
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return errors.Wrap(err, "upstream: watch connection")
-	}
-	return s.control("", "", raw)
-}
-
 func (s Silence) probes() net.KeepAliveConfig {
 	return net.KeepAliveConfig{Enable: true, Idle: s.ProbeIdle, Interval: s.ProbeInterval, Count: s.Probes}
 }
 
-// control bounds how long written bytes may stay unacknowledged. Its signature is that of
-// net.Dialer.Control.
-func (s Silence) control(_, _ string, raw syscall.RawConn) error {
+// Control sets all of it on a socket. Its signature is that of net.ListenConfig.Control;
+// connections have what their listener had.
+func (s Silence) Control(network, address string, raw syscall.RawConn) error {
+	options := []struct{ level, name, value int }{
+		{unix.SOL_SOCKET, unix.SO_KEEPALIVE, 1},
+		{unix.IPPROTO_TCP, unix.TCP_KEEPIDLE, int(s.ProbeIdle.Seconds())},
+		{unix.IPPROTO_TCP, unix.TCP_KEEPINTVL, int(s.ProbeInterval.Seconds())},
+		{unix.IPPROTO_TCP, unix.TCP_KEEPCNT, s.Probes},
+	}
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		for _, o := range options {
+			failed = errors.CombineErrors(failed, unix.SetsockoptInt(int(fd), o.level, o.name, o.value))
+		}
+	})
+	return errors.CombineErrors(errors.CombineErrors(err, failed), s.limitUnacknowledged(network, address, raw))
+}
+
+// limitUnacknowledged bounds how long written bytes may stay unacknowledged. Its signature
+// is that of net.Dialer.Control.
+func (s Silence) limitUnacknowledged(_, _ string, raw syscall.RawConn) error {
 	var failed error
 	err := raw.Control(func(fd uintptr) {
 		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(s.Unacknowledged.Milliseconds()))
--- a/gateway/upstream/silence_test.go
+++ b/gateway/upstream/silence_test.go
@@ -11,17 +11,20 @@
 	"opalbridge.dev/gateway/upstream"
 )
 
-// TestWatchedConnections: the kernel is told all the times of a connection's silence.
-func TestWatchedConnections(t *testing.T) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+// TestSilentConnections: connections have the times of silence that their listener had.
+func TestSilentConnections(t *testing.T) {
+	silence := upstream.Silence{Unacknowledged: 4 * time.Second, ProbeIdle: 2 * time.Second, ProbeInterval: time.Second, Probes: 3}
+	config := net.ListenConfig{KeepAlive: -1, Control: silence.Control}
+	l, err := config.Listen(t.Context(), "tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer l.Close()
-	c, err := net.Dial("tcp4", l.Addr().String())
+	caller, err := net.Dial("tcp4", l.Addr().String())
 	require.NoError(t, err)
-	defer c.Close()
-	s := upstream.Silence{Unacknowledged: 4 * time.Second, ProbeIdle: 2 * time.Second, ProbeInterval: time.Second, Probes: 3}
-	require.NoError(t, s.Watch(c.(*net.TCPConn)))
-	raw, err := c.(*net.TCPConn).SyscallConn()
+	defer caller.Close()
+	accepted, err := l.Accept()
+	require.NoError(t, err)
+	defer accepted.Close()
+	raw, err := accepted.(*net.TCPConn).SyscallConn()
 	require.NoError(t, err)
 	tests := []struct {
 		name   string
--- a/gateway/wait_test.go
+++ b/gateway/wait_test.go
@@ -171,3 +171,28 @@
 	}
 	require.IsType(t, placement.Assign{}, <-reply)
 }
+
+// TestOthersRunning: what other gateways run is known from whole beacons and from those
+// that tell changes only.
+func TestOthersRunning(t *testing.T) {
+	now := time.Now()
+	d := modelDesk(t, now, 2)
+	first, second := hash("i-0"), hash("i-1")
+	steps := []struct {
+		update peer.Update
+		want   map[uint64]int
+	}{
+		{peer.Update{From: "p", Alive: true, Whole: true, Running: map[uint64]int{first: 3}}, map[uint64]int{first: 3}},
+		{peer.Update{From: "p", Alive: true, Running: map[uint64]int{second: 2}}, map[uint64]int{first: 3, second: 2}},
+		{peer.Update{From: "p", Alive: true, Running: map[uint64]int{first: 0}}, map[uint64]int{second: 2}},
+		{peer.Update{From: "p", Alive: true, Whole: true, Running: map[uint64]int{first: 1}}, map[uint64]int{first: 1}},
+		{peer.Update{From: "p"}, nil},
+		{peer.Update{From: "q", Alive: true, Running: map[uint64]int{second: 4}}, nil},
+	}
+	for _, s := range steps {
+		d.update(now, s.update)
+		require.Equal(t, s.want, d.gateways["p"])
+	}
+	require.Equal(t, map[uint64]int{second: 4}, d.gateways["q"], "its whole beacon was lost")
+	require.EqualValues(t, 1, d.peersAlive.Load())
+}
