gateway, peer: what is learned of engines is handed to gateways that start

Cause: a gateway that starts predicts by the policy's figures until it has seen some sixty first events of its own, a second or two, though the others know. Ruled out: keeping it in the store (gateways write nothing there). Change: whole beacons tell, for each service, the reading rate and first step that the sender has learned; a gateway that has not learned takes them over.

--- a/gateway/desk.go
+++ b/gateway/desk.go
@@ -293,7 +293,7 @@
 func (d *desk) publish() {
 	d.unpublished = false
 	old := d.telling.Load()
-	s := &peer.State{Running: make(map[uint64]int, len(d.running)), Demands: old.Demands}
+	s := &peer.State{Running: make(map[uint64]int, len(d.running)), Demands: old.Demands, Speeds: old.Speeds}
 	for id, n := range d.running {
 		s.Running[hash(id)] = n
 	}
@@ -342,7 +342,7 @@
 		list = append(list, &peerpb.Demand{Account: o.Account, Asked: uint32(o.Asked), Admitted: uint32(o.Admitted)})
 	}
 	s := *d.telling.Load()
-	s.Demands = list
+	s.Demands, s.Speeds = list, d.learned()
 	d.telling.Store(&s)
 }
 
--- a/gateway/desk_news.go
+++ b/gateway/desk_news.go
@@ -92,6 +92,34 @@
 	}
 }
 
+// learned is what this gateway has learned of engines, for the others.
+func (d *desk) learned() []peer.Speed {
+	if d.view.Configuration == nil {
+		return nil
+	}
+	var list []peer.Speed
+	for _, s := range d.view.Configuration.Services {
+		if v := d.board.Speed(s.Name); s.Engine != nil && v.Learned {
+			list = append(list, peer.Speed{Service: hash(s.Name), Reading: v.Reading, FirstStep: v.FirstStep})
+		}
+	}
+	return list
+}
+
+// takeSpeeds takes over what another gateway has learned of engines.
+func (d *desk) takeSpeeds(list []peer.Speed) {
+	if d.view.Configuration == nil {
+		return
+	}
+	for _, v := range list {
+		for _, s := range d.view.Configuration.Services {
+			if hash(s.Name) == v.Service {
+				d.board.SetSpeed(s.Name, placement.Speed{Reading: v.Reading, FirstStep: v.FirstStep})
+			}
+		}
+	}
+}
+
 // alike tells whether two figures differ by less than the factor that makes news.
 func alike(x, y float64) bool { return x < speedNews*y && y < speedNews*x }
 
@@ -110,6 +138,7 @@
 	if _, known := d.gateways[u.From]; !known {
 		d.log.Info().Str("event", "peer.regained").Str("peer", u.From).Int("gateways", len(d.gateways)+2).Msg("heard")
 	}
+	d.takeSpeeds(u.Speeds)
 	for _, l := range u.Loads {
 		d.board.Sent(now, placement.Load{Server: d.ids[l.Server], Work: l.Work, Parts: l.Parts, Tokens: l.Tokens}, false)
 	}
--- a/gateway/peer/beacon.go
+++ b/gateway/peer/beacon.go
@@ -47,6 +47,9 @@
 	}
 	if whole {
 		b.Demands, b.DemandsTold, b.Hall = s.Demands, true, n.options.Hall
+		for _, v := range s.Speeds {
+			b.Speeds = append(b.Speeds, &peerpb.Speed{Service: v.Service, Reading: float32(v.Reading), FirstStepUs: microseconds(v.FirstStep)})
+		}
 	}
 	if rare {
 		b.Peers = n.live()
@@ -119,6 +122,9 @@
 	for _, l := range b.Backlogs {
 		u.Backlogs = append(u.Backlogs, Backlog{Server: l.Server, Left: time.Duration(l.LeftUs) * time.Microsecond})
 	}
+	for _, v := range b.Speeds {
+		u.Speeds = append(u.Speeds, Speed{Service: v.Service, Reading: float64(v.Reading), FirstStep: time.Duration(v.FirstStepUs) * time.Microsecond})
+	}
 	for _, g := range b.Running {
 		u.Running[g.Server] = int(g.Requests)
 	}
--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -81,10 +81,18 @@
 	Left   time.Duration
 }
 
+// Speed is how fast a service's engines are believed to be.
+type Speed struct {
+	Service   uint64        // hash of its name
+	Reading   float64       // how much longer reading takes than the policy says
+	FirstStep time.Duration // from the end of reading to the first event
+}
+
 // State is what a gateway tells of itself.
 type State struct {
 	Running              map[uint64]int // own requests by hash of the server's id
 	Demands              []*peerpb.Demand
+	Speeds               []Speed
 	ConfigurationVersion uint64
 	StoreRevision        uint64
 	Confirmed            time.Time // when StoreRevision was last known to be the store's latest
@@ -101,6 +109,7 @@
 	Backlogs []Backlog
 	Running  map[uint64]int // if Whole, of all servers; else of those where it has changed
 	Whole    bool
+	Speeds   []Speed // only if Whole
 	// Demands are set only when DemandsTold.
 	Demands              []*peerpb.Demand
 	DemandsTold          bool
--- a/gateway/placement/engine.go
+++ b/gateway/placement/engine.go
@@ -20,6 +20,9 @@
 	firstMove = 0.2
 	leastMove = 0.03
 	halfMove  = 10 // requests after which a move is half of the first one
+	// After so many first events a belief is told to others, and those of others are not
+	// taken over any more.
+	learnedAfter = 60
 	// Requests that are read in a shorter time than this share of the first step tell of
 	// the first step, the others of the reading.
 	shortReading = 0.5
@@ -114,10 +117,22 @@
 type Speed struct {
 	Reading   float64       // how much longer reading takes than [Policy] says
 	FirstStep time.Duration // from the end of reading to the first event
+	Learned   bool          // from many first events, or from another gateway that saw them
+}
+
+// SetSpeed takes over what another gateway has learned of a service's engines, unless this
+// one has learned it itself.
+func (b *Board) SetSpeed(service string, s Speed) {
+	v := b.speedOf(service)
+	if v.reading.seen >= learnedAfter {
+		return
+	}
+	v.reading = estimate{value: min(max(s.Reading, leastPace), mostPace), seen: learnedAfter}
+	v.firstStep = estimate{value: min(max(s.FirstStep, leastFirstStep), mostFirstStep).Seconds(), seen: learnedAfter}
 }
 
 // Speed returns what is believed of a service's engines.
 func (b *Board) Speed(service string) Speed {
 	v := b.speedOf(service)
-	return Speed{Reading: v.reading.value, FirstStep: v.first()}
+	return Speed{Reading: v.reading.value, FirstStep: v.first(), Learned: v.reading.seen >= learnedAfter}
 }
