placement: failing servers cost less; early weight and the idle wait go

Three servers that had lost some answers were avoided, at two seconds a certain failure, while three others were full and accounts beyond their share were refused there. Change: a certain failure costs 0.5 s, about an objective, since that is what a caller loses.

--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -256,12 +256,9 @@
 
 // spareWait is the longest wait at which an account that has got its share is served
 // with what others leave. One that got less than an even part of that is served nearly
-// as if it were within its share; one that is a quarter ahead waits for idle servers.
+// as if it were within its share; the others get idle servers.
 func (b *Board) spareWait(a *Ask) time.Duration {
-	const slope = 4 // a quarter ahead leaves nothing
-	wait := float64(b.policy.IdleWait) * max(1-slope*max(a.Ahead-1, 0), 0)
-	wait += float64(b.policy.BehindWait) * max(1-a.Ahead, 0)
-	return time.Duration(wait)
+	return scale(b.policy.BehindWait, max(1-a.Ahead, 0))
 }
 
 // limit is the longest predicted time to the first event at which a request is sent.
--- a/gateway/placement/policy.go
+++ b/gateway/placement/policy.go
@@ -20,8 +20,7 @@
 	FreeTokens      int           // requests with a shorter shared beginning may go to any server
 	Homes           int           // servers that may read a shared part
 	LimitShare      float64       // share of the objective that a prediction may fill
-	IdleWait        time.Duration // an account over its share is served while the wait is shorter
-	BehindWait      time.Duration // and so much longer if it got nothing of what is left
+	BehindWait      time.Duration // an account over its share that got nothing of what is left is served while the wait is shorter
 	SpareHold       float64       // share of its objective for which it is held until one runs dry
 	LastMoment      time.Duration // what waited is sent when so much of its caller's patience is left after the first event
 	LateWait        time.Duration // what can't be in time is served while the wait is shorter
@@ -30,7 +29,6 @@
 	SpareSlots      int           // a server within so many slots of its batch counts as full
 	SlotCost        time.Duration // delay expected for each request beyond that
 	FailureCost     time.Duration // cost of a server that fails every request
-	EarlyWeight     float64       // weight of a delay far below the objective; at the objective it is 1
 	Spread          time.Duration // servers whose costs differ by less are chosen at random, since gateways decide at the same time; above 0
 	OtherHallDelay  time.Duration // cost of an answer that crosses between halls
 
@@ -52,7 +50,6 @@
 		FreeTokens:      1024,
 		Homes:           2,
 		LimitShare:      0.95,
-		IdleWait:        3 * time.Millisecond,
 		BehindWait:      400 * time.Millisecond,
 		SpareHold:       0.125,
 		LastMoment:      200 * time.Millisecond,
@@ -61,8 +58,7 @@
 		LeastRetryAfter: 200 * time.Millisecond,
 		SpareSlots:      2,
 		SlotCost:        50 * time.Millisecond,
-		FailureCost:     2 * time.Second,
-		EarlyWeight:     0.3,
+		FailureCost:     500 * time.Millisecond,
 		Spread:          10 * time.Millisecond,
 		OtherHallDelay:  25 * time.Millisecond,
 
