placement: beyond the share only while half of a server's places are free

By windows: from 20 s on servers read and decode without rest, streams take ten seconds in place of two, and 20 to 150 in two seconds are cut when gateways stop or lose power (4 to 96 with fewer callers served). Change: a request beyond its account's share gets a server only while half of its places are free, unless its account got less than half of an even part. Test: TestPlacesToSpare.

--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -232,7 +232,7 @@
 	if a.Objective == 0 {
 		return InTime
 	}
-	if a.OverShare && a.Held != TooLate && best.waiting > b.spareWait(a) {
+	if a.OverShare && a.Held != TooLate && !b.spare(a, best) {
 		return OverShare
 	}
 	switch {
@@ -253,6 +253,17 @@
 	return best.predicted < a.Patience
 }
 
+// spare tells whether a server has room for a request beyond its account's share: it
+// hardly waits, and has places to spare unless the account is far behind the others.
+func (b *Board) spare(a *Ask, best option) bool {
+	s := best.server
+	taken := float64(s.running+s.others) / float64(max(s.engine.Slots, 1))
+	if a.Ahead > b.policy.FarBehind && taken > b.policy.SparePlaces {
+		return false
+	}
+	return best.waiting <= b.spareWait(a)
+}
+
 // spareWait is the longest wait at which an account that has got its share is served
 // with what others leave. One that got less than an even part of that is served nearly
 // as if it were within its share; the others get idle servers.
--- a/gateway/placement/placement_test.go
+++ b/gateway/placement/placement_test.go
@@ -161,6 +161,34 @@
 	}
 }
 
+// TestPlacesToSpare: a request beyond its account's share gets no server of which more than
+// half of the places are taken, unless its account is far behind the others.
+func TestPlacesToSpare(t *testing.T) {
+	tests := []struct {
+		name    string
+		running int // of 64 places
+		over    bool
+		ahead   float64
+		want    placement.Decision
+	}{
+		{"under half", 32, true, 1, placement.Assign{}},
+		{"over half", 33, true, 1, placement.Hold{}},
+		{"over half, far behind", 33, true, 0.3, placement.Assign{}},
+		{"over half, within its share", 33, false, 1, placement.Assign{}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			b := engines(3)
+			for _, s := range servers(3) {
+				b.SetOthers(s.ID, test.running)
+			}
+			a := long(7)
+			a.OverShare, a.Ahead = test.over, test.ahead
+			require.IsType(t, test.want, b.Place(start, a))
+		})
+	}
+}
+
 // TestNoRefusalWhileIdle: whatever the request, an idle service takes it.
 func TestNoRefusalWhileIdle(t *testing.T) {
 	for _, over := range []bool{false, true} {
