placement: homes found in one pass; short requests beyond the share get idle servers

Cause: a decision before 180 servers sorted them all by hashes of their IDs for each request that no server holds, and looked at the cheapest server alone for requests beyond their account's share, whatever the others did.

Ruled out: any idle server for whatever is beyond the share (measured before: a tenth more callers, paid by long prompts with shared parts read again).

Change: IDs are hashed once and the homes selected in one pass. A request beyond its account's share goes to a server with nothing to read if that has at most 500 tokens of shared parts to read again.

--- a/gateway/placement/option.go
+++ b/gateway/placement/option.go
@@ -45,7 +45,7 @@
 // sideCosts weighs what has nothing to do with the time to the first event.
 func (b *Board) sideCosts(now time.Time, a *Ask, s *server) time.Duration {
 	cost := scale(b.policy.FailureCost, s.failureRate(now))
-	cost += time.Duration(rank(a.Draw, s.ID) % uint64(b.policy.Spread))
+	cost += time.Duration(rank(a.Draw, s.hash) % uint64(b.policy.Spread))
 	if s.Hall != a.Hall {
 		cost += b.policy.OtherHallDelay
 	}
@@ -73,6 +73,28 @@
 	return slices.MinFunc(options, func(x, y option) int { return cmp.Compare(x.cost, y.cost) })
 }
 
+// idle returns the cheapest server that has nothing to read and would have to read hardly
+// any shared part again for the request: one beyond its account's share then delays
+// nobody, and no cache is filled with what others hold. ok is false if there is none.
+func (b *Board) idle(now time.Time, a *Ask, open []*server) (best option, ok bool) {
+	for _, s := range open {
+		if s.busyUntil.After(now) || !b.places(a, s) {
+			continue
+		}
+		if _, missing := s.cache.prompt(a); missing > b.policy.SpareReread {
+			continue
+		}
+		o := b.option(now, a, s, holder{})
+		if o.waiting > 0 || o.predicted > b.limit(a) {
+			continue
+		}
+		if !ok || o.cost < best.cost {
+			best, ok = o, true
+		}
+	}
+	return best, ok
+}
+
 // holder is a server with how much of a prompt its cache holds.
 type holder struct {
 	server *server // nil: none that a copy would be worth it
@@ -125,9 +147,24 @@
 	if tokens < b.policy.FreeTokens || len(open) <= b.policy.Homes {
 		return open
 	}
-	ranked := slices.Clone(open)
-	slices.SortFunc(ranked, func(x, y *server) int { return cmp.Compare(rank(key, y.ID), rank(key, x.ID)) })
-	return ranked[:b.policy.Homes]
+	return highest(key, open, b.policy.Homes)
+}
+
+// highest returns the servers that rank highest for a part, in one pass.
+func highest(key uint64, open []*server, count int) []*server {
+	found := make([]*server, 0, count+1)
+	ranks := make([]uint64, 0, count+1)
+	for _, s := range open {
+		r := rank(key, s.hash)
+		at, _ := slices.BinarySearchFunc(ranks, r, func(x, y uint64) int { return cmp.Compare(y, x) })
+		if at == count {
+			continue
+		}
+		ranks = slices.Insert(ranks, at, r)
+		found = slices.Insert(found, at, s)
+		ranks, found = ranks[:min(len(ranks), count)], found[:min(len(found), count)]
+	}
+	return found
 }
 
 // sharedPart returns the last part that other requests may have too, with the tokens
@@ -151,14 +188,20 @@
 	return list
 }
 
-// rank orders servers for a part (rendezvous hashing).
-func rank(key uint64, server string) uint64 {
-	h := key ^ 0x9e3779b97f4a7c15
-	for i := range len(server) {
-		h = (h ^ uint64(server[i])) * 0x100000001b3
-	}
+// rank orders servers, by the hashes of their IDs, for a part (rendezvous hashing).
+func rank(key, server uint64) uint64 {
+	h := (key ^ 0x9e3779b97f4a7c15 ^ server) * 0x100000001b3
 	h ^= h >> 33
 	h *= 0xff51afd7ed558ccd
 	h ^= h >> 33
 	return h
 }
+
+// hashID is the hash of a server's ID (FNV-1a).
+func hashID(id string) uint64 {
+	h := uint64(0xcbf29ce484222325)
+	for i := range len(id) {
+		h = (h ^ uint64(id[i])) * 0x100000001b3
+	}
+	return h
+}
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -116,6 +116,7 @@
 // server is the model of one server.
 type server struct {
 	catalog.Server
+	hash      uint64 // of its ID
 	engine    *catalog.Engine
 	speed     *speed        // of its service's engines
 	busyUntil time.Time     // when it will have read all prompts sent to it
@@ -141,7 +142,7 @@
 	for _, s := range list {
 		m := b.servers[s.ID]
 		if m == nil {
-			m = &server{cache: cache{parts: map[uint64]part{}}, busyUntil: now, faded: now}
+			m = &server{hash: hashID(s.ID), cache: cache{parts: map[uint64]part{}}, busyUntil: now, faded: now}
 		}
 		m.Server, m.engine, m.speed = s, engine(s.Service), b.speedOf(s.Service)
 		m.cache.size = b.policy.cacheSize(m.engine)
@@ -203,7 +204,13 @@
 
 func (b *Board) placeEngine(now time.Time, a *Ask, open []*server) Decision {
 	best := b.best(now, a, open)
-	if r := b.reason(a, best); r != InTime {
+	r := b.reason(a, best)
+	if r == OverShare {
+		if o, ok := b.idle(now, a, open); ok {
+			best, r = o, InTime
+		}
+	}
+	if r != InTime {
 		if b.holds(a, best, r) {
 			return Hold{Predicted: best.predicted, Reading: best.reading, Reason: r}
 		}
@@ -256,12 +263,14 @@
 // spare tells whether a server has room for a request beyond its account's share: it
 // hardly waits, and has places to spare unless the account is far behind the others.
 func (b *Board) spare(a *Ask, best option) bool {
-	s := best.server
+	return b.places(a, best.server) && best.waiting <= b.spareWait(a)
+}
+
+// places tells whether a server has places to spare for a request beyond its account's
+// share.
+func (b *Board) places(a *Ask, s *server) bool {
 	taken := float64(s.running+s.others) / float64(max(s.engine.Slots, 1))
-	if a.Ahead > b.policy.FarBehind && taken > b.policy.SparePlaces {
-		return false
-	}
-	return best.waiting <= b.spareWait(a)
+	return a.Ahead <= b.policy.FarBehind || taken <= b.policy.SparePlaces
 }
 
 // spareWait is the longest wait at which an account that has got its share is served
--- a/gateway/placement/placement_test.go
+++ b/gateway/placement/placement_test.go
@@ -200,6 +200,50 @@
 	}
 }
 
+// TestIdleServersBeyondTheShare: a request beyond its account's share goes to an idle
+// server where its own is busy, if that has hardly any shared part to read again.
+func TestIdleServersBeyondTheShare(t *testing.T) {
+	short := func() *placement.Ask {
+		return &placement.Ask{
+			Service: "s", Hall: "h", Prompt: 1460, Output: 100, Objective: 600 * time.Millisecond, Remaining: 15 * time.Second, Patience: 5 * time.Second,
+			Parts: []placement.Part{{Hash: 1, Tokens: 210}, {Hash: 2, Tokens: 140}, {Hash: 3, Tokens: 1110}}, OverShare: true, Ahead: 3,
+		}
+	}
+	tests := []struct {
+		name string
+		ask  func() *placement.Ask
+		busy int // servers that have something to read, the request's own one first
+		sent bool
+	}{
+		{"a short one, its server busy", short, 1, true},
+		{"a short one, all busy", short, 9, false},
+		{"a long one, its server busy", func() *placement.Ask {
+			a := long(7)
+			a.OverShare, a.Ahead = true, 3
+			return a
+		}, 1, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			b := engines(9)
+			own := put(b, start, test.ask()).(placement.Assign).Server.ID
+			now := start.Add(2 * time.Second)
+			b.Sent(now, placement.Load{Server: own, Work: 200 * time.Millisecond}, false)
+			for _, s := range servers(9)[:test.busy] {
+				if s.ID != own && test.busy > 1 {
+					b.Sent(now, placement.Load{Server: s.ID, Work: 200 * time.Millisecond}, false)
+				}
+			}
+			assign, ok := b.Place(now, test.ask()).(placement.Assign)
+			require.Equal(t, test.sent, ok)
+			if ok {
+				require.NotEqual(t, own, assign.Server.ID)
+				require.Zero(t, assign.Waiting)
+			}
+		})
+	}
+}
+
 func TestFailingServersGetLess(t *testing.T) {
 	b := placement.NewBoard(placement.DefaultPolicy())
 	b.SetServers(start, servers(3), plain)
@@ -263,12 +307,22 @@
 	require.Less(t, work/calm, 150*time.Millisecond, "shared parts must not be read again")
 }
 
+// BenchmarkPlace places requests whose shared parts some servers hold, at servers of which
+// half have something to read.
 func BenchmarkPlace(b *testing.B) {
-	for _, n := range []int{9, 38, 1000} {
+	for _, n := range []int{12, 60, 180, 10000} {
 		b.Run(fmt.Sprintf("servers=%d", n), func(b *testing.B) {
 			board := engines(n)
+			const parts = 3
+			for i := range n * parts {
+				d := board.Place(start, long(uint64(i)<<20))
+				if assign, ok := d.(placement.Assign); ok {
+					board.Sent(start, assign.Load, false)
+				}
+			}
+			now := start.Add(500 * time.Millisecond)
 			for i := 0; b.Loop(); i++ {
-				board.Place(start, long(uint64(i)))
+				board.Place(now, long(uint64(i%(n*parts))<<20))
 			}
 		})
 	}
--- a/gateway/placement/policy.go
+++ b/gateway/placement/policy.go
@@ -23,6 +23,7 @@
 	LimitShare      float64       // share of the objective that a prediction may fill
 	BehindWait      time.Duration // an account over its share that got nothing of what is left is served while the wait is shorter; without it accounts behind the others get less than half of what the best gets
 	SparePlaces     float64       // share of a server's places that may be taken for it to get requests beyond their account's share: streams of a server that reads and decodes at its limit take several times as long. 0.04 of worth for 3 in 100 tries in time, mean of three days
+	SpareReread     int           // tokens of shared parts that an idle server may read again for such a request: some 10 ms of its reading. Without a bound a tenth more was served, and long prompts paid for short ones by parts read again
 	FarBehind       float64       // an account that got a smaller part of an even share of all that was given may have more places
 	SpareHold       float64       // share of its objective for which it is held until one runs dry: 2 to 5 in 100 more tries in time, mean of six days on three sites
 	LastMoment      time.Duration // what waited is sent when so much of its caller's patience is left after the first event
@@ -56,6 +57,7 @@
 		LimitShare:      0.95,
 		BehindWait:      400 * time.Millisecond,
 		SparePlaces:     0.5,
+		SpareReread:     500,
 		FarBehind:       0.5,
 		SpareHold:       0.125,
 		LastMoment:      200 * time.Millisecond,
