--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -436,3 +436,6 @@
 	}
 	return packed
 }
+
+// Address returns the node's own IP and port.
+func (n *Node) Address() string { return n.conn.LocalAddr().String() }
--- a/gateway/wait_test.go
+++ b/gateway/wait_test.go
@@ -15,7 +15,7 @@
 )
 
 // modelDesk is a desk before model servers, whose duty does not run.
-func modelDesk(t *testing.T, now time.Time, servers int) *desk {
+func modelDesk(t testing.TB, now time.Time, servers int) *desk {
 	t.Helper()
 	g, err := New(Options{
 		Peer: peer.Options{Address: "127.0.0.1:0"}, Log: zerolog.Nop(),
