peer: a relay is passed over after 0.45 s, so that none is lost with both

Cause: with 0.6 s, a heartbeat and a beacon's way, news of a whole hall could be a second old when both its relays end at once, which is when a gateway counts as gone.

--- a/gateway/peer/relay.go
+++ b/gateway/peer/relay.go
@@ -31,9 +31,11 @@
 	longestBundleDelay = 15 * time.Millisecond
 	// Beacons in one datagram, in bytes; more go into a further one.
 	longestBundle = 8 << 10
-	// A relay that is relied on is passed over when nothing was heard of it for two
-	// heartbeats and some: its bundles hold its own beacons.
-	relayPatience = 600 * time.Millisecond
+	// A relay that is relied on is passed over when nothing was heard of it for so long: a
+	// heartbeat, since its bundles hold its own beacons, and 200 ms. With another heartbeat
+	// it is well below the time after which gateways that are not heard count as gone, so
+	// none does when both relays of a hall end at once.
+	relayPatience = 450 * time.Millisecond
 	// It is tried again after this time.
 	shunFor = 2 * time.Second
 	// Relays are ranked anew at most this often: with 100 gateways it takes 20 µs.
--- a/gateway/peer/relay_test.go
+++ b/gateway/peer/relay_test.go
@@ -143,3 +143,35 @@
 		}
 	}
 }
+
+// TestBothRelaysEnd at once, without a word: no other gateway counts as gone for it.
+func TestBothRelaysEnd(t *testing.T) {
+	members := halls(t, 2, 4)
+	for _, m := range members[4:] { // those with most weight
+		m.node.Silence()
+	}
+	lost := time.After(3 * time.Second)
+	for {
+		select {
+		case <-lost:
+			for i, m := range members[:4] {
+				require.Equal(t, 3, m.living(), "node %d hears the other three", i+1)
+			}
+			return
+		case <-time.After(20 * time.Millisecond):
+			for i, m := range members[:4] {
+				for n := range members[:4] {
+					from := fmt.Sprintf("127.0.0.%d", n+1)
+					require.True(t, i == n || m.counts(from), "node %d has lost node %d", i+1, n+1)
+				}
+			}
+		}
+	}
+}
+
+// counts tells whether a node counts as alive.
+func (m *member) counts(from string) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.alive[from]
+}
