gateway: a short host passes requests on kept connections on as well

Ruled out: connections turned away at the listener (213 in the same time, whose callers come back and are passed on).

Change: such a request's connection is taken from the HTTP server and passed on with the request, from its start. A connection's fate is decided anew if it was long in coming; who is turned away takes no room of those that are served.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -145,7 +145,8 @@
 // it is there, since one that is turned away is taken from the kernel in a cheaper way.
 func (a *admission) Accept() (net.Conn, error) {
 	for {
-		f := a.fate(time.Now())
+		began := time.Now()
+		f := a.fate(began)
 		if f == turnAway {
 			if s, ok := a.acceptSocket(); ok {
 				a.turn(s)
@@ -156,19 +157,22 @@
 		if err != nil {
 			return nil, err
 		}
+		if now := time.Now(); now.Sub(began) > latenessEvery {
+			f = a.fate(now) // it was long in coming
+		}
+		caller := &callerConn{Conn: c, admission: a}
 		if f == turnAway {
-			f = a.fate(time.Now()) // it may have been long in coming
+			a.turn(caller) // it takes no room of those that are served
+			continue
 		}
 		a.open.Add(1)
-		counted := &callerConn{Conn: c, admission: a}
-		if f != turnAway {
-			a.starting.add(counted, time.Now())
-		}
+		caller.counts = true
+		a.starting.add(caller, time.Now())
 		if f == serve {
-			return counted, nil
+			return caller, nil
 		}
-		if f != passOn || !a.pass(counted) {
-			a.turn(counted)
+		if !a.pass(caller) {
+			a.turn(caller)
 		}
 	}
 }
@@ -245,6 +249,7 @@
 type callerConn struct {
 	net.Conn
 	admission *admission
+	counts    bool // it takes room until it is closed
 	once      sync.Once
 	heard     bool // something was read; of whoever reads
 }
@@ -252,8 +257,10 @@
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
 	c.once.Do(func() {
-		c.admission.open.Add(-1)
-		c.admission.starting.remove(c)
+		if c.counts {
+			c.admission.open.Add(-1)
+			c.admission.starting.remove(c)
+		}
 	})
 	return c.Conn.Close()
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -87,6 +87,8 @@
 	active    atomic.Int64 // requests being served
 	room      room
 	helpers   *helpers
+	passer    *passer         // set by serve
+	duties    context.Context // of what runs beside requests; set by serve
 	overload  overload
 }
 
--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -49,7 +49,9 @@
 	}
 	defer g.active.Add(-1)
 	if !g.overload.admits() {
-		g.turnAway(w, r)
+		if !g.passRequest(w, r) {
+			g.turnAway(w, r)
+		}
 		return
 	}
 	if g.stopping.Load() || passedOn(r.Context()) {
--- a/gateway/pass.go
+++ b/gateway/pass.go
@@ -1,10 +1,13 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -99,8 +102,14 @@
 	}, nil
 }
 
+// passable is a connection that can be passed on, or turned away if that fails.
+type passable interface {
+	net.Conn
+	turnable
+}
+
 // pass passes a connection on, beside; false: there is nobody to pass it to.
-func (p *passer) pass(ctx context.Context, c *callerConn) bool {
+func (p *passer) pass(ctx context.Context, c passable) bool {
 	to := p.helpers.choose()
 	if to == "" {
 		return false
@@ -115,7 +124,7 @@
 }
 
 // carry passes a connection on until it ends.
-func (p *passer) carry(ctx context.Context, to string, c *callerConn) {
+func (p *passer) carry(ctx context.Context, to string, c passable) {
 	for range passTries {
 		if p.carrier.Carry(ctx, net.JoinHostPort(to, p.port), c) == nil {
 			return
@@ -186,6 +195,77 @@
 	}
 }
 
+// replayed is a caller's connection of which a request has been read, which is passed on
+// from its start.
+type replayed struct {
+	*callerConn
+	read []byte
+}
+
+// Read implements net.Conn.
+func (r *replayed) Read(b []byte) (int, error) {
+	if len(r.read) > 0 {
+		n := copy(b, r.read)
+		r.read = r.read[n:]
+		return n, nil
+	}
+	return r.callerConn.Read(b)
+}
+
+// ReadNow implements turnable.
+func (r *replayed) ReadNow(b []byte) (int, error) {
+	if len(r.read) > 0 {
+		return r.Read(b)
+	}
+	return r.callerConn.ReadNow(b)
+}
+
+// passRequest passes a request on whose connection this gateway serves: the connection
+// goes along. Callers that keep their connections were refused here by the hundred, and an
+// account within its share got less than half of what it asked. False: nothing was done.
+func (g *Gateway) passRequest(w http.ResponseWriter, r *http.Request) bool {
+	now := time.Now()
+	if g.passer == nil || passedOn(r.Context()) || r.Header.Get("Expect") != "" {
+		return false
+	}
+	if !g.helpers.any() || !g.overload.passes() || g.overload.lags(now, latenessPass) {
+		return false
+	}
+	conn, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return false
+	}
+	c, ok := conn.(*callerConn)
+	if !ok {
+		conn.Close() // no listener of ours hands out others
+		return true
+	}
+	// A Peek of what is buffered does not fail.
+	rest, _ := buffered.Reader.Peek(buffered.Reader.Buffered())
+	whole := &replayed{callerConn: c, read: append(headOf(r), rest...)}
+	if !g.passer.pass(g.duties, whole) {
+		g.passer.failed(whole)
+	}
+	return true
+}
+
+// headOf writes a request's head as its caller has sent it, but for the order and case of
+// its headers.
+func headOf(r *http.Request) []byte {
+	var b bytes.Buffer
+	b.WriteString(r.Method + " " + r.RequestURI + " " + r.Proto + "\r\nHost: " + r.Host + "\r\n")
+	// The errors of a bytes.Buffer are always nil.
+	_ = r.Header.Write(&b)
+	switch {
+	case len(r.TransferEncoding) > 0:
+		b.WriteString("Transfer-Encoding: " + strings.Join(r.TransferEncoding, ", ") + "\r\n")
+	case r.ContentLength > 0 && r.Header.Get("Content-Length") == "":
+		b.WriteString("Content-Length: " + strconv.FormatInt(r.ContentLength, 10) + "\r\n")
+	}
+	b.WriteString("\r\n")
+	return b.Bytes()
+}
+
 // passedOn tells whether a request came on a connection that another gateway passes on.
 func passedOn(ctx context.Context) bool {
 	_, ok := ctx.Value(connKey{}).(*handoff.Conn)
--- a/gateway/pass_path_test.go
+++ b/gateway/pass_path_test.go
@@ -21,6 +21,7 @@
 // shortGateway is a gateway that has no processor for its callers, beside another one that
 // serves what is passed on to it.
 type shortGateway struct {
+	gateway   *Gateway
 	admission *admission
 	passer    *passer
 	address   string
@@ -56,7 +57,12 @@
 	p, err := newPasser(g, a.turn)
 	require.NoError(t, err)
 	a.pass = func(c *callerConn) bool { return p.pass(ctx, c) }
-	own := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusTeapot) })}
+	g.passer, g.duties = p, ctx
+	own := &http.Server{ConnContext: withConn, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/own" || !g.passRequest(w, r) {
+			w.WriteHeader(http.StatusTeapot)
+		}
+	})}
 	run(func() error { return own.Serve(a) })
 	passed, turned := make(chan struct{}), make(chan struct{})
 	turning, stopTurning := context.WithCancel(context.Background())
@@ -80,7 +86,7 @@
 		stopTurning()
 		<-turned
 	})
-	return &shortGateway{admission: a, passer: p, address: front.Addr().String(), helper: helper}
+	return &shortGateway{gateway: g, admission: a, passer: p, address: front.Addr().String(), helper: helper}
 }
 
 // idCodec names requests in the header Id.
@@ -145,3 +151,57 @@
 		require.Equal(t, http.StatusServiceUnavailable, status)
 	}
 }
+
+// TestKeptConnectionsArePassedOn: a request on a connection that the gateway serves is
+// passed on with it, whole, once the gateway is short.
+func TestKeptConnectionsArePassedOn(t *testing.T) {
+	s := startShort(t, func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		w.Header().Set("Connection", "close")
+		w.Header().Set("Got", r.Method+" "+r.RequestURI+" "+r.Host+" "+r.Header.Get("X-Caller"))
+		_, _ = w.Write(body)
+	})
+	tests := []struct {
+		name   string
+		length int64 // -1: in chunks
+		body   string
+	}{
+		{"no body", 0, ""},
+		{"a body", 30000, strings.Repeat("x", 30000)},
+		{"in chunks", -1, strings.Repeat("y", 30000)},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s.gateway.overload.turnedAway.Store(0)
+			time.Sleep(2 * latenessEvery) // the next connection's fate is decided anew
+			c, err := net.Dial("tcp4", s.address)
+			require.NoError(t, err)
+			defer c.Close()
+			require.NoError(t, c.SetDeadline(time.Now().Add(5*time.Second)))
+			reader := bufio.NewReader(c)
+			_, err = io.WriteString(c, "GET /own HTTP/1.1\r\nHost: h\r\n\r\n")
+			require.NoError(t, err)
+			response, err := http.ReadResponse(reader, nil)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusTeapot, response.StatusCode)
+
+			s.gateway.overload.turnedAway.Store(partsOfShare)
+			r, err := http.NewRequest(http.MethodPut, "http://h/a%2Fb?q=1", strings.NewReader(test.body))
+			require.NoError(t, err)
+			r.ContentLength = test.length
+			r.Header.Set("X-Caller", "me")
+			require.NoError(t, r.Write(c))
+			response, err = http.ReadResponse(reader, r)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, response.StatusCode)
+			require.Equal(t, "PUT /a%2Fb?q=1 h me", response.Header.Get("Got"))
+			body, err := io.ReadAll(response.Body)
+			require.NoError(t, err)
+			require.Equal(t, test.body, string(body))
+			require.True(t, response.Close)
+		})
+	}
+}
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -40,6 +40,7 @@
 		return err
 	}
 	callers.pass = func(c *callerConn) bool { return passer.pass(duties, c) }
+	g.passer, g.duties = passer, duties
 	passing, stopPassing := context.WithCancel(context.WithoutCancel(duties))
 	passed := make(chan struct{})
 	go func() {
