gateway: a gateway that starts asks 64 servers for their caches at most

Change: its hall's servers first, then others in an order of its own, 64 in all. A part that none of them holds goes to one of the two servers that read it.

--- a/gateway/caches.go
+++ b/gateway/caches.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"opalbridge.dev/gateway/catalog"
@@ -27,6 +29,10 @@
 	cachesTimeout = time.Second
 	// Servers asked at the same time.
 	cachesAtOnce = 8
+	// Servers asked in all. A part that none of them holds goes to one of the two servers
+	// that read it, which mostly hold it. Asking 3,000 servers, each of 300 gateways that
+	// had all been killed took 8.5 s until it served.
+	mostAsked = 64
 )
 
 // askCaches asks the servers that are there when the gateway starts what they hold: a
@@ -36,7 +42,7 @@
 	if g.options.Caches == nil {
 		return
 	}
-	servers := g.firstEngines(ctx)
+	servers := asked(g.firstEngines(ctx), g.options.Desk.Hall, g.options.Peer.Address)
 	places := make(chan struct{}, cachesAtOnce)
 	for _, s := range servers {
 		places <- struct{}{}
@@ -50,6 +56,24 @@
 	}
 }
 
+// asked returns the servers that a gateway asks: those of its hall first, then others in
+// an order of its own, so that gateways that start together ask different ones.
+func asked(servers []catalog.Server, hall, gateway string) []catalog.Server {
+	if len(servers) <= mostAsked {
+		return servers
+	}
+	other := func(s catalog.Server) int {
+		if s.Hall == hall {
+			return 0
+		}
+		return 1
+	}
+	slices.SortFunc(servers, func(x, y catalog.Server) int {
+		return cmp.Or(cmp.Compare(other(x), other(y)), cmp.Compare(hash(gateway+x.ID), hash(gateway+y.ID)))
+	})
+	return servers[:mostAsked]
+}
+
 // firstEngines waits for the first view with servers and returns its model servers.
 func (g *Gateway) firstEngines(ctx context.Context) []catalog.Server {
 	tick := time.NewTicker(viewPoll)
--- /dev/null
+++ b/gateway/caches_test.go
@@ -0,0 +1,37 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"opalbridge.dev/gateway/catalog"
+)
+
+// TestAsked: a gateway that starts asks a bounded number of servers, its hall's first, and
+// gateways ask different ones of the others.
+func TestAsked(t *testing.T) {
+	list := func(n int) []catalog.Server {
+		var servers []catalog.Server
+		for i := range n {
+			servers = append(servers, catalog.Server{ID: fmt.Sprintf("i-%04d", i), Hall: fmt.Sprintf("hall-%d", i%10)})
+		}
+		return servers
+	}
+	require.Equal(t, list(mostAsked), asked(list(mostAsked), "hall-3", "g1"), "a small fleet's all")
+	first, second := asked(list(300), "hall-3", "g1"), asked(list(300), "hall-3", "g2")
+	require.Len(t, first, mostAsked)
+	for _, s := range first[:30] {
+		require.Equal(t, "hall-3", s.Hall)
+	}
+	alike := 0
+	for _, s := range first[30:] {
+		for _, other := range second[30:] {
+			if s.ID == other.ID {
+				alike++
+			}
+		}
+	}
+	require.Less(t, alike, 15, "of 34 each, out of 270")
+}
