placement: idle servers beyond the share go to who got no more than an even part

Ruled out: a short host (none of the account's requests was turned away).

Change: no idle server but its request's own for an account that got more than an even part of all that was given.

--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -205,7 +205,7 @@
 func (b *Board) placeEngine(now time.Time, a *Ask, open []*server) Decision {
 	best := b.best(now, a, open)
 	r := b.reason(a, best)
-	if r == OverShare {
+	if r == OverShare && a.Ahead <= b.policy.IdleAhead {
 		if o, ok := b.idle(now, a, open); ok {
 			best, r = o, InTime
 		}
--- a/gateway/placement/policy.go
+++ b/gateway/placement/policy.go
@@ -24,6 +24,7 @@
 	BehindWait      time.Duration // an account over its share that got nothing of what is left is served while the wait is shorter; without it accounts behind the others get less than half of what the best gets
 	SparePlaces     float64       // share of a server's places that may be taken for it to get requests beyond their account's share: streams of a server that reads and decodes at its limit take several times as long. 0.04 of worth for 3 in 100 tries in time, mean of three days
 	SpareReread     int           // tokens of shared parts that an idle server may read again for such a request: some 10 ms of its reading. Without a bound a tenth more was served, and long prompts paid for short ones by parts read again
+	IdleAhead       float64       // an account that got more than this part of an even share of all that was given gets no idle server but its request's own: without it an account with short requests got four times what one with long ones got, which had its share cut to less than half
 	FarBehind       float64       // an account that got a smaller part of an even share of all that was given may have more places
 	SpareHold       float64       // share of its objective for which it is held until one runs dry: 2 to 5 in 100 more tries in time, mean of six days on three sites
 	LastMoment      time.Duration // what waited is sent when so much of its caller's patience is left after the first event
@@ -58,6 +59,7 @@
 		BehindWait:      400 * time.Millisecond,
 		SparePlaces:     0.5,
 		SpareReread:     500,
+		IdleAhead:       1,
 		FarBehind:       0.5,
 		SpareHold:       0.125,
 		LastMoment:      200 * time.Millisecond,
