--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -9,8 +9,9 @@
 //	g, err := gateway.New(gateway.Options{Front: l, Source: source, Codec: codec, …})
 //	err = g.Run(ctx) // until ctx ends and the requests in flight are answered
 //
-// A request goes through these steps, each in a file of its own: overload.go turns it away
-// if the process has no time for it, ingress.go reads and checks it, call.go brings it to a
+// A request goes through these steps, each in a file of its own: admission.go decides by
+// what overload.go measures whether its connection is served here, is passed on to another
+// gateway (pass.go) or is turned away (turn.go), ingress.go reads and checks it, call.go brings it to a
 // server and decides what to do when that fails, wait.go keeps what no server should get
 // now, relay.go passes the answer on. desk.go owns the decisions of package placement,
 // view.go follows the source, handover.go asks other gateways, callers.go looks after
--- a/gateway/overload.go
+++ b/gateway/overload.go
@@ -12,8 +12,9 @@
 
 // This file keeps a gateway that has too little processor for its callers from being
 // late with everything: the balancer deals callers out unevenly, and a small host may get
-// most of a hall's. What is turned away at once is served by another gateway; what waits
-// for the processor is lost, and so is the news that a server leaves.
+// most of a hall's. What is passed on is served by another gateway, and who is turned away at
+// once can come back; what waits for the processor is lost, and so is the news that a server
+// leaves.
 
 const (
 	// The process's own lateness is measured this often: how much later than asked for a
