--- a/cmd/opalbridge/gateway.go
+++ b/cmd/opalbridge/gateway.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -18,6 +19,7 @@
 	"opalbridge.dev/gateway/budget"
 	"opalbridge.dev/gateway/peer"
 	"opalbridge.dev/gateway/placement"
+	"opalbridge.dev/gateway/warmup"
 	"opalbridge.dev/platform"
 	"opalbridge.dev/settings"
 	"opalbridge.dev/telemetry"
@@ -148,10 +150,12 @@
 		Peer:      peer.Options{Address: s.PeerAddress, Seeds: s.Seeds},
 		Source:    &platform.Feed{Store: store, Unreadable: unreadable},
 		Caches:    &platform.Caches{},
+		Claims:    &platform.Claims{Store: store, Holder: s.Name + "/" + strconv.FormatInt(time.Now().UnixNano(), 36)},
 		Codec:     platform.Codec{},
 		Desk: gateway.DeskSettings{
 			Repeats: budget.Limits{Ratio: s.RepeatRatio, Extra: s.RepeatExtra, Window: s.RepeatWindow},
 			Shares:  s.ShareWindow, Policy: placement.DefaultPolicy(), Hall: s.Hall,
+			Cold: warmup.Limits{Factor: s.ColdFactor, Extra: s.ColdExtra}, Regions: s.Regions,
 		},
 		Processor: int(s.Processor * 1000), Memory: int64(s.MemoryMB) << 20, Files: descriptors(s), StopGrace: s.StopTimeout, Log: log, Metrics: calls{metrics},
 	})
--- a/gateway/caches.go
+++ b/gateway/caches.go
@@ -89,7 +89,8 @@
 	v := g.view.Load()
 	for _, s := range v.Servers {
 		service, ok := v.Configuration.Service(s.Service)
-		if ok && service.Engine != nil && !s.Leaving {
+		cold := time.Now().Before(v.Cold[s.ID].until()) // and so its cache is empty
+		if ok && service.Engine != nil && !s.Leaving && !s.Evacuated && !cold {
 			list = append(list, s)
 		}
 	}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -26,6 +26,7 @@
 	engine   bool    // the service is a model engine
 	tokens   float64 // what it counts in its account's share
 	ask      placement.Ask
+	regions  catalog.Regions // where it may be served
 	arrived  time.Time
 	spent    time.Duration // since the caller's first try, before it arrived
 	deadline time.Time
@@ -153,7 +154,7 @@
 	})
 	return &upstream.Request{
 		ID: c.told.ID, Method: c.request.Method, Target: target(c.request), Host: c.request.Host,
-		Header: h, Body: c.body, MayRepeat: c.route.MayRepeat(),
+		Header: h, Body: c.body, MayRepeat: c.route.MayRepeat(), Before: d.Before,
 	}
 }
 
@@ -164,6 +165,9 @@
 		if ctx.Err() != nil {
 			return placement.Abandoned, c.ended(ctx)
 		}
+		if errors.Is(r.Err, upstream.ErrTooLate) {
+			return placement.Abandoned, again{r.Err}
+		}
 		return placement.Unreachable, again{r.Err}
 	case upstream.NotRun:
 		c.arrivals++
--- a/gateway/catalog/catalog.go
+++ b/gateway/catalog/catalog.go
@@ -44,6 +44,7 @@
 	MaxAttempts int           // most servers that one request may go to
 	Public      bool          // needs no key
 	Resumable   bool          // a stream that may go on at another server after an event
+	Regions     Regions       // where its requests may go
 }
 
 // Target is a service that takes a share of a route's requests.
@@ -78,6 +79,10 @@
 	Name           string
 	MaxConnections int     // connections one server takes from all callers together; 0: unknown
 	Engine         *Engine // nil: a plain service
+	// A server that has started under load is cold for ColdFor and bears ColdPerSecond
+	// requests a second meanwhile; 0: servers are never cold.
+	ColdFor       time.Duration
+	ColdPerSecond float64
 }
 
 // Engine describes the model servers of a service.
@@ -97,6 +102,27 @@
 type Account struct {
 	Name     string
 	Priority int
+	Regions  Regions // where its requests may go
+}
+
+// Regions are those in which requests may be read and served; nil: all.
+type Regions []string
+
+// Allow tells whether requests may go to a region.
+func (r Regions) Allow(region string) bool { return r == nil || slices.Contains(r, region) }
+
+// And returns the regions that both allow.
+func (r Regions) And(other Regions) Regions {
+	if r == nil {
+		return other
+	}
+	both := Regions{}
+	for _, region := range r {
+		if other.Allow(region) {
+			both = append(both, region)
+		}
+	}
+	return both
 }
 
 // Limits bound what a caller may send.
@@ -123,6 +149,7 @@
 	Document
 	hosts    map[string][]*Route // longest prefix first
 	services map[string]*Service
+	homes    []Regions // of the routes and accounts that are bound to some
 }
 
 // NewConfiguration checks a document and makes its look-ups.
@@ -136,15 +163,32 @@
 		if len(r.Targets) == 0 {
 			return nil, errors.Newf("catalog: route %q of version %d goes to no service", r.Name, d.Version)
 		}
+		c.bind(r.Regions)
 		host := strings.ToLower(r.Host)
 		c.hosts[host] = append(c.hosts[host], r)
 	}
 	for _, list := range c.hosts {
 		slices.SortStableFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
+	for _, a := range c.Accounts {
+		c.bind(a.Regions)
+	}
 	return c, nil
 }
 
+// bind notes regions to which something is bound.
+func (c *Configuration) bind(r Regions) {
+	known := func(x Regions) bool { return slices.Equal(x, r) }
+	if r != nil && !slices.ContainsFunc(c.homes, known) {
+		c.homes = append(c.homes, r)
+	}
+}
+
+// Free tells whether every request may be read and served in a region.
+func (c *Configuration) Free(region string) bool {
+	return !slices.ContainsFunc(c.homes, func(r Regions) bool { return !r.Allow(region) })
+}
+
 // Route returns the route with the longest prefix that begins the path; a port in
 // host is ignored.
 func (c *Configuration) Route(host, path string) (*Route, bool) {
@@ -181,4 +225,6 @@
 	Hall     string
 	Capacity int  // requests it works on at once
 	Leaving  bool // it takes no new work
+	// Its hall is evacuated: it takes no new work until the operators take that back.
+	Evacuated bool
 }
--- /dev/null
+++ b/gateway/catalog/catalog_test.go
@@ -0,0 +1,36 @@
+package catalog_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"opalbridge.dev/gateway/catalog"
+)
+
+func TestRegions(t *testing.T) {
+	tests := []struct {
+		name      string
+		route     catalog.Regions
+		account   catalog.Regions
+		allowed   []string
+		forbidden []string
+	}{
+		{"neither is bound", nil, nil, []string{"north", ""}, nil},
+		{"the route is", catalog.Regions{"north"}, nil, []string{"north"}, []string{"south", ""}},
+		{"the account is", nil, catalog.Regions{"north"}, []string{"north"}, []string{"south", ""}},
+		{"both bind", catalog.Regions{"north", "south"}, catalog.Regions{"south", "west"}, []string{"south"}, []string{"north", "west"}},
+		{"both bind and nothing is left", catalog.Regions{"north"}, catalog.Regions{"south"}, nil, []string{"north", "south", ""}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			both := test.route.And(test.account)
+			for _, region := range test.allowed {
+				require.True(t, both.Allow(region), region)
+			}
+			for _, region := range test.forbidden {
+				require.False(t, both.Allow(region), region)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/gateway/cold_world_test.go
@@ -0,0 +1,385 @@
+package gateway
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"opalbridge.dev/gateway/catalog"
+	"opalbridge.dev/gateway/peer"
+	"opalbridge.dev/gateway/placement"
+	"opalbridge.dev/gateway/warmup"
+)
+
+// This file plays small worlds of gateways that hear late, restart and know different
+// things, with servers that become cold at any time, and checks after each step how many
+// requests a cold server got.
+
+const (
+	worldGateways = 3
+	worldServers  = 2
+	worldStep     = 250 * time.Millisecond
+	worldColdFor  = 3 * time.Second
+	// Each server that has started writes its entry once in so many steps.
+	worldBeat = 5
+	// Each gateway has more requests in a step than a cold server may get.
+	worldRequests = 12
+)
+
+var worldLimits = warmup.Limits{PerSecond: 7, Factor: 1.5, Extra: 5}
+
+// coldSpan is a time in which a server is cold.
+type coldSpan struct {
+	server      int
+	from, until time.Time
+	told        uint64 // revision of the store at which gateways are told; 0: not yet
+	written     bool   // the server's entry says so
+}
+
+// worldSend is a request that went to a server.
+type worldSend struct {
+	server, gateway int
+	at              time.Time
+	knew            map[int]bool // cold spans that its gateway had heard of
+}
+
+// world is the store, the servers and the gateways.
+type world struct {
+	t         *testing.T
+	node      *peer.Node
+	now       time.Time
+	revision  uint64
+	history   []Change // by revision, from 1
+	servers   [worldServers]catalog.Server
+	written   [worldServers]time.Duration // coldness in the entries
+	present   [worldServers]bool          // there is an entry
+	evacuated map[string]uint64
+	claims    map[warmup.Claim]string
+	spans     []coldSpan
+	gateways  [worldGateways]*worldGateway
+	sends     []worldSend
+	starts    int
+}
+
+// worldGateway is a gateway of the real parts, without network and goroutines.
+type worldGateway struct {
+	*Gateway
+	name  string
+	knows map[int]bool // cold spans
+}
+
+func newWorld(t *testing.T, node *peer.Node) *world {
+	w := &world{t: t, node: node, now: time.Now(), evacuated: map[string]uint64{}, claims: map[warmup.Claim]string{}}
+	c, err := catalog.NewConfiguration(catalog.Document{Version: 1, Services: []catalog.Service{{Name: "s", ColdFor: worldColdFor, ColdPerSecond: worldLimits.PerSecond}}})
+	require.NoError(t, err)
+	w.write(ConfigurationChanged{Configuration: c})
+	for i := range w.gateways {
+		w.gateways[i] = w.newGateway()
+		w.hear(i)
+	}
+	for i := range w.servers {
+		w.servers[i] = catalog.Server{ID: fmt.Sprintf("i-%d", i), Service: "s", Hall: fmt.Sprintf("h%d", i), Capacity: 1000}
+	}
+	w.beat(0) // the first one is warm, the other one has not started yet
+	return w
+}
+
+func (w *world) newGateway() *worldGateway {
+	w.starts++
+	g := &Gateway{log: zerolog.Nop(), peers: w.node, claims: make(chan warmup.Claim, claimQueue), started: w.now}
+	g.view.Store(&View{})
+	g.desk = newDesk(zerolog.Nop(), DeskSettings{Shares: time.Second, Policy: placement.DefaultPolicy(), Cold: worldLimits, Address: fmt.Sprint(w.starts)}, w.now)
+	g.desk.peers, g.desk.claims = w.node, g.claims
+	g.follower = newFollower(g)
+	return &worldGateway{Gateway: g, name: fmt.Sprint(w.starts), knows: map[int]bool{}}
+}
+
+func (w *world) write(c Change) uint64 {
+	w.revision++
+	w.history = append(w.history, c)
+	return w.revision
+}
+
+// cool makes a server cold.
+func (w *world) cool(i int) {
+	w.spans = append(w.spans, coldSpan{server: i, from: w.now, until: w.now.Add(worldColdFor), told: w.evacuated[w.servers[i].Hall]})
+}
+
+// beat lets a server write how long it is still cold.
+func (w *world) beat(i int) {
+	left := time.Duration(0)
+	for n := range w.spans {
+		s := &w.spans[n]
+		if s.server != i || !w.now.Before(s.until) {
+			continue
+		}
+		left = max(left, s.until.Sub(w.now))
+		s.written = true
+		if s.told == 0 {
+			s.told = w.revision + 1
+		}
+	}
+	w.written[i], w.present[i] = left, true
+	w.write(ServerChanged{Server: w.servers[i], Cold: left})
+}
+
+// evacuate evacuates a server's hall; a cold server's gateways hear of it so, too.
+func (w *world) evacuate(i int) {
+	hall := w.servers[i].Hall
+	w.evacuated[hall] = w.write(HallEvacuated{Hall: hall, Revision: w.revision + 1})
+}
+
+// comeBack takes an evacuation back; the server has become cold a moment before.
+func (w *world) comeBack(i int) {
+	hall := w.servers[i].Hall
+	if w.evacuated[hall] == 0 {
+		return
+	}
+	w.cool(i)
+	delete(w.evacuated, hall)
+	w.write(HallReturned{Hall: hall})
+}
+
+// learn notes which cold spans a gateway has heard of by the changes after a revision: it
+// was told in them, or knew that the server's hall was evacuated.
+func (w *world) learn(g *worldGateway, since uint64, halls map[string]evacuation) {
+	for n, s := range w.spans {
+		heard := s.told > since && s.told <= g.view.Load().Revision
+		if heard || s.told != 0 && s.told == halls[w.servers[s.server].Hall].Revision {
+			g.knows[n] = true
+		}
+	}
+}
+
+// drain lets the desk take what the follower has told it.
+func (g *worldGateway) drain(now time.Time) {
+	for {
+		select {
+		case m := <-g.desk.asks:
+			g.desk.handle(now, m)
+		default:
+			return
+		}
+	}
+}
+
+// hear lets a gateway hear all that has changed in the store.
+func (w *world) hear(i int) {
+	g := w.gateways[i]
+	before := g.view.Load()
+	since := before.Revision
+	g.follower.take(w.now, answer{since: since, revision: w.revision, changes: w.history[since:]})
+	g.drain(w.now)
+	w.learn(g, since, before.Evacuated)
+}
+
+// list lets a gateway list the store. A list tells of what is, so a gateway learns of a
+// cold span only if its server says so now, or its hall is evacuated.
+func (w *world) list(i int) {
+	g := w.gateways[i]
+	s := Snapshot{Configuration: w.history[0].(ConfigurationChanged).Configuration, Revision: w.revision, Evacuated: map[string]uint64{}, Cold: map[string]time.Duration{}}
+	for hall, revision := range w.evacuated {
+		s.Evacuated[hall] = revision
+	}
+	for n, server := range w.servers {
+		if !w.present[n] {
+			continue
+		}
+		s.Servers = append(s.Servers, server)
+		if w.written[n] > 0 {
+			s.Cold[server.ID] = w.written[n]
+		}
+	}
+	g.follower.take(w.now, answer{listed: true, snapshot: s})
+	g.drain(w.now)
+	for n, span := range w.spans {
+		if span.written || w.evacuated[w.servers[span.server].Hall] > 0 {
+			g.knows[n] = true
+		}
+	}
+}
+
+// hand gives one gateway the view of another, as it goes over the wire.
+func (w *world) hand(from, to int) {
+	f, g := w.gateways[from], w.gateways[to]
+	raw, err := json.Marshal(f.view.Load().document(w.now))
+	require.NoError(w.t, err)
+	var d viewDocument
+	require.NoError(w.t, json.Unmarshal(raw, &d))
+	if d.Revision <= g.view.Load().Revision {
+		return
+	}
+	h := handover{from: f.name, snapshot: d.snapshot(w.now)}
+	h.halls, h.cold = d.warmth(w.now)
+	h.snapshot.Configuration = f.view.Load().Configuration
+	g.follower.takeHandover(w.now, h)
+	g.drain(w.now)
+	for n := range w.spans {
+		if f.knows[n] {
+			g.knows[n] = true
+		}
+	}
+}
+
+// serve lets each gateway claim what it would, and send all that it may.
+func (w *world) serve() {
+	for i, g := range w.gateways {
+		g.desk.handle(w.now, arrivedMessage{service: "s"})
+		for range 2 { // the second time for those whose first claim was lost
+			g.desk.claim(w.now)
+			w.settle(g)
+		}
+		for s := range w.servers {
+			w.send(i, s)
+		}
+	}
+}
+
+// settle writes the claims of a gateway. The answers of some are lost.
+func (w *world) settle(g *worldGateway) {
+	for {
+		select {
+		case c := <-g.claims:
+			holder, taken := w.claims[c]
+			if !taken {
+				w.claims[c] = g.name
+				holder = g.name
+				w.write(ServerClaimed{Claim: c})
+			}
+			outcome := warmup.Lost
+			if holder == g.name {
+				outcome = warmup.Won
+			}
+			g.desk.handle(w.now, claimMessage{claim: c, outcome: outcome})
+		default:
+			return
+		}
+	}
+}
+
+// send lets a gateway send as many requests to a server as it would.
+func (w *world) send(gateway, server int) {
+	g := w.gateways[gateway]
+	a := placement.Ask{Service: "s"}
+	for n, s := range w.servers {
+		if n != server {
+			a.Exclude = append(a.Exclude, s.ID)
+		}
+	}
+	for range worldRequests {
+		if _, ok := g.desk.decide(w.now, placeMessage{ask: &a}).(placement.Assign); !ok {
+			return
+		}
+		knew := map[int]bool{}
+		for n := range g.knows {
+			knew[n] = true
+		}
+		w.sends = append(w.sends, worldSend{server: server, gateway: gateway, at: w.now, knew: knew})
+	}
+}
+
+// check counts what cold servers got in any second from gateways that had heard of it.
+func (w *world) check(trace []string) {
+	for n, span := range w.spans {
+		for _, first := range w.sends {
+			if first.server != span.server || first.at.Before(span.from) {
+				continue
+			}
+			count := 0
+			for _, s := range w.sends {
+				if s.server == span.server && s.knew[n] && s.at.Before(span.until) && !s.at.Before(first.at) && s.at.Sub(first.at) < time.Second {
+					count++
+				}
+			}
+			require.LessOrEqual(w.t, count, worldLimits.Allowance(), "span %d of server %d after %v", n, span.server, trace)
+		}
+	}
+}
+
+// worldAction is something that may happen.
+type worldAction struct {
+	name string
+	do   func(w *world)
+}
+
+func worldActions() []worldAction {
+	list := []worldAction{{"nothing", func(*world) {}}}
+	for i := range worldGateways {
+		list = append(list,
+			worldAction{fmt.Sprintf("gateway %d hears", i), func(w *world) { w.hear(i) }},
+			worldAction{fmt.Sprintf("gateway %d is handed the next one's view", i), func(w *world) { w.hand((i+1)%worldGateways, i) }},
+			worldAction{fmt.Sprintf("gateway %d starts again", i), func(w *world) { w.gateways[i] = w.newGateway(); w.list(i) }},
+			worldAction{fmt.Sprintf("gateway %d lists", i), func(w *world) { w.list(i) }},
+		)
+	}
+	for i := range worldServers {
+		list = append(list,
+			worldAction{fmt.Sprintf("server %d becomes cold", i), func(w *world) { w.cool(i); w.beat(i) }},
+			worldAction{fmt.Sprintf("hall %d is evacuated", i), func(w *world) { w.evacuate(i) }},
+			worldAction{fmt.Sprintf("hall %d comes back", i), func(w *world) { w.comeBack(i) }},
+		)
+	}
+	return list
+}
+
+func (w *world) play(actions []worldAction) {
+	var trace []string
+	for n, a := range actions {
+		a.do(w)
+		if server := n % worldBeat; server < worldServers && w.present[server] {
+			w.beat(server)
+		}
+		trace = append(trace, a.name)
+		w.serve()
+		w.now = w.now.Add(worldStep)
+	}
+	w.check(trace)
+}
+
+func worldNode(t *testing.T) *peer.Node {
+	t.Helper()
+	n, err := peer.Listen(peer.Options{Address: "127.0.0.1:0", State: func() peer.State { return peer.State{} }})
+	require.NoError(t, err)
+	return n
+}
+
+// TestAllShortWorlds plays all worlds of three steps.
+func TestAllShortWorlds(t *testing.T) {
+	node, actions := worldNode(t), worldActions()
+	for _, a := range actions {
+		for _, b := range actions {
+			for _, c := range actions {
+				newWorld(t, node).play([]worldAction{a, b, c})
+			}
+		}
+	}
+}
+
+// TestLongWorlds plays worlds of some seconds, drawn by fixed seeds.
+func TestLongWorlds(t *testing.T) {
+	const worlds, steps = 3000, 30
+	node, actions := worldNode(t), worldActions()
+	cold, used := 0, 0
+	for seed := range uint64(worlds) {
+		r := rand.New(rand.NewPCG(seed, 0))
+		list := make([]worldAction, steps)
+		for n := range list {
+			list[n] = actions[r.IntN(len(actions))]
+		}
+		w := newWorld(t, node)
+		w.play(list)
+		cold += len(w.spans)
+		for _, s := range w.sends {
+			if len(s.knew) > 0 {
+				used++
+			}
+		}
+	}
+	require.Greater(t, cold, worlds, "servers were cold")
+	require.Greater(t, used, worlds, "and got requests")
+}
--- a/gateway/desk.go
+++ b/gateway/desk.go
@@ -14,6 +14,7 @@
 	"opalbridge.dev/gateway/peer/peerpb"
 	"opalbridge.dev/gateway/placement"
 	"opalbridge.dev/gateway/share"
+	"opalbridge.dev/gateway/warmup"
 )
 
 // Times and sizes of the desk.
@@ -46,6 +47,7 @@
 	telling  atomic.Pointer[peer.State]
 	settings DeskSettings
 	late     func(since, now time.Time) time.Duration // how late this process was at worst
+	claims   chan<- warmup.Claim                      // to be written; one that finds it full is tried again
 
 	peersAlive atomic.Int64 // live gateways besides this one
 
@@ -58,6 +60,9 @@
 	board       *placement.Board
 	book        *share.Book
 	budget      *budget.Budget
+	guard       *warmup.Guard
+	wanted      map[string]time.Time // when a request last came, by service
+	halls       map[string]string    // of live gateways, by address
 	view        *View
 	waits       waitQueue
 	published   time.Time                   // when the state that beacons tell was made
@@ -74,6 +79,9 @@
 	Shares  time.Duration // window of accounts' fair shares
 	Policy  placement.Policy
 	Hall    string
+	Regions map[string]string // by hall
+	Cold    warmup.Limits     // of a cold server, but for what it bears
+	Address string            // IP address of this gateway
 }
 
 // awaited is a request whose server has not made its first event yet.
@@ -117,6 +125,10 @@
 		server string
 		parts  []uint64 // that its cache holds
 	}
+	claimMessage struct {
+		claim   warmup.Claim
+		outcome warmup.Outcome
+	}
 	viewMessage   struct{ view *View }
 	updateMessage struct{ updates []peer.Update }
 )
@@ -128,7 +140,9 @@
 		pending: map[uint64]*awaited{}, heard: map[string]time.Time{}, speeds: map[string]placement.Speed{},
 		view: &View{}, running: map[string]int{}, ids: map[uint64]string{},
 		gateways: map[string]map[uint64]int{}, demands: map[string][]*peerpb.Demand{},
+		guard: warmup.NewGuard(), wanted: map[string]time.Time{}, halls: map[string]string{},
 	}
+	d.board.SetRegions(s.Regions)
 	d.telling.Store(&peer.State{})
 	return d
 }
@@ -192,6 +206,7 @@
 			d.look(now)
 		case now := <-late.C:
 			d.findLate(now)
+			d.claim(now)
 			if d.unpublished {
 				d.publish()
 			}
@@ -205,6 +220,7 @@
 		d.place(now, m)
 	case arrivedMessage:
 		d.budget.Request(now, m.service)
+		d.wanted[m.service] = now
 		if m.account != "" {
 			d.book.Ask(now, m.account, m.tokens)
 		}
@@ -214,6 +230,8 @@
 		d.end(now, m)
 	case cacheMessage:
 		d.board.Holds(now, m.server, m.parts)
+	case claimMessage:
+		d.settleClaim(now, m)
 	case viewMessage:
 		d.setView(now, m.view)
 	case updateMessage:
@@ -249,6 +267,10 @@
 		sent: now, waiting: assign.Waiting, reading: assign.Reading,
 	}
 	d.running[assign.Server.ID]++
+	if d.guard.Cold(now, assign.Server.ID) {
+		assign.Before = now.Add(warmup.SendWithin)
+		d.sentCold(now, assign.Server.ID)
+	}
 	d.changed(now)
 	if assign.Load.Work > 0 {
 		d.peers.Tell(peer.Load{Server: hash(assign.Server.ID), Work: assign.Load.Work, Parts: assign.Load.Parts, Tokens: assign.Load.Tokens})
@@ -328,6 +350,7 @@
 		}
 		d.board.SetOthers(s.ID, sum) // a server that is new here may have been told of before
 	}
+	d.setCold(now, v)
 	d.publish()
 }
 
--- /dev/null
+++ b/gateway/desk_cold.go
@@ -0,0 +1,153 @@
+package gateway
+
+import (
+	"context"
+	"math"
+	"time"
+
+	"opalbridge.dev/gateway/warmup"
+)
+
+// This file is the desk's part in sparing cold servers (package warmup), and the duty
+// that writes claims.
+
+// Claims writes who holds a cold server where each gateway finds it alike. A key is
+// written once.
+type Claims interface {
+	// Claim returns whether this process holds the server in that episode. After an error
+	// nobody knows.
+	Claim(ctx context.Context, c warmup.Claim) (won bool, err error)
+}
+
+const (
+	// Who had no request for a service in this time does not claim its servers: another
+	// gateway can make more of them.
+	wantedFor = time.Second
+	// Claims that wait to be written; the store answers within milliseconds.
+	claimQueue = 64
+	// A claim is given up after this time, a third of the shortest coldness seen.
+	claimTimeout = time.Second
+)
+
+// setCold takes over which servers are cold.
+func (d *desk) setCold(now time.Time, v *View) {
+	var list []warmup.Server
+	for _, s := range v.Servers {
+		c, known := v.Cold[s.ID]
+		if known && now.Before(c.until()) {
+			if limits := d.coldLimits(v, s.Service); limits.PerSecond > 0 {
+				list = append(list, warmup.Server{
+					Claim: warmup.Claim{Server: s.ID, Episode: c.Episode}, Hall: s.Hall, Limits: limits,
+					Until: c.until(), Clear: c.Clear, Witnessed: c.Witnessed, Claimed: c.Claimed,
+				})
+			}
+		}
+		d.board.Close(s.ID, time.Time{})
+	}
+	d.guard.Set(now, list)
+	for _, s := range list {
+		d.board.Close(s.Server, d.guard.OpenAt(now, s.Server))
+	}
+	d.claim(now)
+}
+
+// coldLimits returns what a service's servers bear while they are cold.
+func (d *desk) coldLimits(v *View, service string) warmup.Limits {
+	l := d.settings.Cold
+	if v.Configuration != nil {
+		if s, ok := v.Configuration.Service(service); ok {
+			l.PerSecond = s.ColdPerSecond
+		}
+	}
+	return l
+}
+
+// sentCold notes a request to a cold server.
+func (d *desk) sentCold(now time.Time, server string) {
+	d.guard.Sent(now, server)
+	d.board.Close(server, d.guard.OpenAt(now, server))
+}
+
+// claim asks for cold servers to be claimed.
+func (d *desk) claim(now time.Time) {
+	wanted := func(server string) bool {
+		return now.Sub(d.wanted[d.board.Service(server)]) < wantedFor
+	}
+	for _, c := range d.guard.Due(now, wanted, d.rank) {
+		select {
+		case d.claims <- c:
+		default:
+			d.guard.Settle(now, c, warmup.Unknown)
+		}
+	}
+}
+
+// settleClaim takes over how a claim ended.
+func (d *desk) settleClaim(now time.Time, m claimMessage) {
+	d.guard.Settle(now, m.claim, m.outcome)
+	if m.outcome == warmup.Won {
+		d.board.Close(m.claim.Server, d.guard.OpenAt(now, m.claim.Server))
+	}
+}
+
+// rank returns how many live gateways come before this one for a server, in an order that
+// most find alike (rendezvous hashing, by the requests in hand). Who has more requests
+// holds more servers: only the holder's own requests go there, and by an even hash most
+// cold servers got fewer than two of the ten requests a second that they might.
+func (d *desk) rank(s warmup.Server) int {
+	own := score(d.settings.Address, s.Server, sum(d.running))
+	first := 0
+	for address, running := range d.gateways {
+		if score(address, s.Server, sum(running)) > own {
+			first++
+		}
+	}
+	return first
+}
+
+// score orders gateways for a server: each comes first as often as its weight, one more
+// than its requests in hand, is of all weights.
+func score(gateway, server string, requests int) float64 {
+	return -float64(requests+1) / math.Log(draw(gateway+"/"+server))
+}
+
+func sum[K comparable](counts map[K]int) int {
+	n := 0
+	for _, count := range counts {
+		n += count
+	}
+	return n
+}
+
+// writeClaims writes claims one after the other until ctx ends.
+func (g *Gateway) writeClaims(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case c := <-g.claims:
+			g.desk.tell(claimMessage{claim: c, outcome: g.writeClaim(ctx, c)})
+		}
+	}
+}
+
+func (g *Gateway) writeClaim(ctx context.Context, c warmup.Claim) warmup.Outcome {
+	if g.options.Claims == nil || g.stopping.Load() {
+		return warmup.Lost
+	}
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	won, err := g.options.Claims.Claim(ctx, c)
+	event := g.log.Info().Str("event", "server.claimed").Str("server", c.Server).Uint64("episode", uint64(c.Episode))
+	switch {
+	case err != nil:
+		event.Err(err).Msg("nobody knows who holds it")
+		return warmup.Unknown
+	case won:
+		event.Bool("own", true).Msg("this gateway sends it what it bears while it is cold")
+		return warmup.Won
+	default:
+		event.Bool("own", false).Msg("another gateway holds it")
+		return warmup.Lost
+	}
+}
--- a/gateway/desk_news.go
+++ b/gateway/desk_news.go
@@ -154,6 +154,7 @@
 		}
 		d.addOthers(d.gateways[u.From], nil)
 		delete(d.gateways, u.From)
+		delete(d.halls, u.From)
 		d.peersAlive.Store(int64(len(d.gateways)))
 		d.book.SetOthers(u.From, nil)
 		return
@@ -161,6 +162,9 @@
 	if _, known := d.gateways[u.From]; !known {
 		d.log.Info().Str("event", "peer.regained").Str("peer", u.From).Int("gateways", len(d.gateways)+2).Msg("heard")
 	}
+	if u.Hall != "" {
+		d.halls[u.From] = u.Hall
+	}
 	d.takeSpeeds(u.Speeds)
 	for _, l := range u.Loads {
 		d.board.Sent(now, placement.Load{Server: d.ids[l.Server], Work: l.Work, Parts: l.Parts, Tokens: l.Tokens}, false)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -30,6 +30,7 @@
 	"opalbridge.dev/gateway/peer"
 	"opalbridge.dev/gateway/protocol"
 	"opalbridge.dev/gateway/upstream"
+	"opalbridge.dev/gateway/warmup"
 )
 
 // Options set up a Gateway.
@@ -41,6 +42,7 @@
 	Peer      peer.Options // State and Failed are set by New
 	Source    Source
 	Caches    Caches // nil: servers don't tell what their caches hold
+	Claims    Claims // nil: cold servers get nothing
 	Codec     protocol.Codec
 	Desk      DeskSettings
 	Processor int           // thousandths of a core that the process may use
@@ -85,6 +87,7 @@
 	pool       *upstream.Pool
 	peers      *peer.Node
 	follower   *follower
+	claims     chan warmup.Claim // to be written
 	starts     starts
 	stopping   atomic.Bool
 	active     atomic.Int64 // requests being served
@@ -97,11 +100,16 @@
 
 // New returns a gateway that does not run yet.
 func New(o Options) (*Gateway, error) {
+	if host, _, err := net.SplitHostPort(o.Peer.Address); err == nil {
+		o.Desk.Address = host // peer.Listen says what is wrong with another one
+	}
 	g := &Gateway{options: o, log: o.Log, started: time.Now(), pool: upstream.NewPool(o.Codec)}
 	g.view.Store(&View{})
 	g.room = roomFor(o.Memory, o.Files)
 	g.helpers = &helpers{hall: o.Desk.Hall, list: map[string]int{}}
+	g.claims = make(chan warmup.Claim, claimQueue)
 	g.desk = newDesk(o.Log, o.Desk, time.Now())
+	g.desk.claims = g.claims
 	g.desk.late = g.overload.worst
 	o.Peer.Hall = o.Desk.Hall
 	o.Peer.State = g.tell
@@ -156,6 +164,7 @@
 	group.Go(duties, "news", g.hear)
 	group.Go(duties, "idle", g.closeIdle)
 	group.Go(duties, "caches", g.askCaches)
+	group.Go(duties, "claims", g.writeClaims)
 	group.Go(duties, "overload", func(ctx context.Context) { g.overload.run(ctx, g) })
 	g.log.Info().Str("event", "start").Str("front", g.options.Front.Addr().String()).Msg("gateway")
 	err := g.serve(ctx, duties)
--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -34,6 +34,9 @@
 	// Missing tells for how much longer servers are kept whose entry has gone, in
 	// milliseconds.
 	Missing map[string]int64 `json:"missing,omitempty"`
+	// Evacuated are the halls that are evacuated.
+	Evacuated map[string]evacuatedDocument `json:"evacuated,omitempty"`
+	Cold      map[string]coldDocument      `json:"cold,omitempty"` // by server
 }
 
 // document is the view as it goes to another gateway.
@@ -45,6 +48,7 @@
 		}
 		d.Missing[id] = max(until.Sub(now).Milliseconds(), 0)
 	}
+	d.addWarmth(now, v)
 	return d
 }
 
@@ -179,49 +183,52 @@
 
 // askView fetches the view of another gateway and hands it to the follower.
 func (g *Gateway) askView(ctx context.Context, u peer.Update) {
-	s, err := g.fetchView(ctx, u.From)
+	h, err := g.fetchView(ctx, u.From)
 	if err != nil {
 		g.log.Warn().Str("event", "view.not_handed_over").Str("peer", u.From).Err(err).Msg("go on with what is known")
 		return
 	}
+	h.confirmed = u.Confirmed
 	select {
-	case g.follower.handed <- handover{from: u.From, snapshot: s, confirmed: u.Confirmed}:
+	case g.follower.handed <- h:
 	case <-ctx.Done():
 	}
 }
 
-func (g *Gateway) fetchView(ctx context.Context, from string) (Snapshot, error) {
+func (g *Gateway) fetchView(ctx context.Context, from string) (handover, error) {
 	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
 	_, port, err := net.SplitHostPort(g.options.Peer.Address)
 	if err != nil {
-		return Snapshot{}, errors.Wrap(err, "gateway: own peer address")
+		return handover{}, errors.Wrap(err, "gateway: own peer address")
 	}
 	if n, err := strconv.Atoi(port); err != nil || n <= 0 {
-		return Snapshot{}, errors.Newf("gateway: own peer port %q", port)
+		return handover{}, errors.Newf("gateway: own peer port %q", port)
 	}
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+net.JoinHostPort(from, port)+viewPath, nil)
 	if err != nil {
-		return Snapshot{}, errors.Wrap(err, "gateway: ask for a view")
+		return handover{}, errors.Wrap(err, "gateway: ask for a view")
 	}
 	request.Close = true
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
-		return Snapshot{}, errors.Wrapf(err, "gateway: ask %s for its view", from)
+		return handover{}, errors.Wrapf(err, "gateway: ask %s for its view", from)
 	}
 	defer response.Body.Close()
 	raw, err := io.ReadAll(io.LimitReader(response.Body, longestView))
 	if err != nil {
-		return Snapshot{}, errors.Wrapf(err, "gateway: view of %s", from)
+		return handover{}, errors.Wrapf(err, "gateway: view of %s", from)
 	}
 	var d viewDocument
 	if err := json.Unmarshal(raw, &d); err != nil {
-		return Snapshot{}, errors.Wrapf(err, "gateway: view of %s", from)
+		return handover{}, errors.Wrapf(err, "gateway: view of %s", from)
 	}
-	s := d.snapshot(time.Now())
+	now := time.Now()
+	h := handover{from: from, snapshot: d.snapshot(now)}
+	h.halls, h.cold = d.warmth(now)
 	if len(d.Configuration) == 0 {
-		return s, nil
+		return h, nil
 	}
-	s.Configuration, err = g.options.Source.Decode(d.Configuration)
-	return s, err
+	h.snapshot.Configuration, err = g.options.Source.Decode(d.Configuration)
+	return h, err
 }
--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -90,7 +90,7 @@
 	}
 	c := &call{
 		gateway: g, w: w, request: r, told: told, route: route, account: account.Name,
-		arrived: arrived, deadline: arrived.Add(holdTime(route, told)),
+		arrived: arrived, deadline: arrived.Add(holdTime(route, told)), regions: route.Regions.And(account.Regions),
 	}
 	if d := c.readBody(v.Configuration.Limits); d.status != 0 {
 		return nil, d
@@ -197,7 +197,7 @@
 	c.spent = c.gateway.starts.spent(c.route.Name, c.told)
 	c.ask = placement.Ask{
 		Service: c.service, Account: c.account, Parts: parts, Prompt: prompt, Output: output,
-		Hall: c.gateway.options.Desk.Hall, Draw: hash(c.told.ID),
+		Hall: c.gateway.options.Desk.Hall, Draw: hash(c.told.ID), Regions: c.regions,
 	}
 	if s, ok := v.Configuration.Service(c.service); ok {
 		c.engine = s.Engine != nil
--- a/gateway/overload.go
+++ b/gateway/overload.go
@@ -161,7 +161,7 @@
 		runtime.Gosched()
 		now := time.Now()
 		t.least = admitLeast
-		if g.helpers.any() {
+		if g.mayPass() {
 			t.least = 0
 		}
 		before := t.share
--- a/gateway/pass.go
+++ b/gateway/pass.go
@@ -73,6 +73,15 @@
 	return ""
 }
 
+// mayPass tells whether connections may be passed on. What is passed on is not read here,
+// so none is while some requests must not be read in this region: the balancer may have
+// brought their callers here from another one.
+func (g *Gateway) mayPass() bool {
+	c := g.view.Load().Configuration
+	region := g.options.Desk.Regions[g.options.Desk.Hall]
+	return g.helpers.any() && (c == nil || c.Free(region))
+}
+
 // passer passes connections on.
 type passer struct {
 	log     zerolog.Logger
@@ -228,7 +237,7 @@
 	if g.passer == nil || passedOn(r.Context()) || r.Header.Get("Expect") != "" {
 		return false
 	}
-	if !g.helpers.any() || !g.overload.passes() || g.overload.lags(now, latenessPass) {
+	if !g.mayPass() || !g.overload.passes() || g.overload.lags(now, latenessPass) {
 		return false
 	}
 	conn, buffered, err := http.NewResponseController(w).Hijack()
--- a/gateway/pass_path_test.go
+++ b/gateway/pass_path_test.go
@@ -50,6 +50,7 @@
 	run(func() error { return server.Serve(taken) })
 
 	g := &Gateway{log: zerolog.Nop(), room: roomFor(0, 0), helpers: &helpers{hall: "h", list: map[string]int{}}}
+	g.view.Store(&View{})
 	g.options = Options{Front: front, Codec: idCodec{}, Metrics: &counted{}, Peer: peer.Options{Address: peers.Addr().String()}}
 	g.overload.turnedAway.Store(partsOfShare)
 	g.helpers.update(peer.Update{From: "127.0.0.2", Hall: "h", Alive: true, Whole: true, Weight: 800})
--- a/gateway/placement/engine.go
+++ b/gateway/placement/engine.go
@@ -111,6 +111,14 @@
 	}
 }
 
+// Service returns the service of a server; empty: it is not known.
+func (b *Board) Service(server string) string {
+	if s := b.servers[server]; s != nil {
+		return s.Server.Service
+	}
+	return ""
+}
+
 // Servers returns how many servers a service has.
 func (b *Board) Servers(service string) int { return len(b.services[service]) }
 
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -39,19 +39,20 @@
 type Ask struct {
 	Service   string
 	Account   string
-	Parts     []Part        // of the prompt, in order; the last one is the caller's own
-	Prompt    int           // tokens of the whole prompt
-	Output    int           // tokens the answer is expected to have
-	Objective time.Duration // what is left, since the caller's first try, of the time in which the first event is in time; below 0: it is late; 0: none
-	Patience  time.Duration // what is left of the time in which the caller waits for the first event
-	Remaining time.Duration // what is left of the time in which an answer is of use at all
-	Held      Reason        // why it was held so far
-	Waited    time.Duration // for how long
-	OverShare bool          // the account has got its share of the fleet
-	Ahead     float64       // what it got over an even share of all that was given; 0: unknown
-	Exclude   []string      // servers that have been tried
-	Hall      string        // of the gateway
-	Draw      uint64        // random, to choose among servers that are as good
+	Parts     []Part          // of the prompt, in order; the last one is the caller's own
+	Prompt    int             // tokens of the whole prompt
+	Output    int             // tokens the answer is expected to have
+	Objective time.Duration   // what is left, since the caller's first try, of the time in which the first event is in time; below 0: it is late; 0: none
+	Patience  time.Duration   // what is left of the time in which the caller waits for the first event
+	Remaining time.Duration   // what is left of the time in which an answer is of use at all
+	Held      Reason          // why it was held so far
+	Waited    time.Duration   // for how long
+	OverShare bool            // the account has got its share of the fleet
+	Ahead     float64         // what it got over an even share of all that was given; 0: unknown
+	Exclude   []string        // servers that have been tried
+	Regions   catalog.Regions // in which it may be served
+	Hall      string          // of the gateway
+	Draw      uint64          // random, to choose among servers that are as good
 }
 
 // Decision is what [Board.Place] decides.
@@ -67,6 +68,7 @@
 	Reread    int           // tokens of shared parts that its cache does not hold
 	CopyFrom  string        // address of a server whose cache holds more of the prompt; empty: none
 	Ticket    uint64        // names the request to whoever keeps the board
+	Before    time.Time     // the request must not leave later than this; zero: whenever it can
 }
 
 // Refuse means that no server can serve the request in time.
@@ -106,6 +108,7 @@
 	servers  map[string]*server
 	services map[string][]*server // sorted by ID
 	speeds   map[string]*speed    // by service
+	regions  map[string]string    // by hall
 }
 
 // NewBoard returns a board without servers.
@@ -131,6 +134,7 @@
 	successes float64       // weight of recent successes, which fades
 	faded     time.Time
 	resting   time.Time // no work before then: it can't be reached
+	closed    time.Time // no work before then: it is cold
 	rest      time.Duration
 }
 
@@ -158,7 +162,10 @@
 // Place decides where a request goes. It changes nothing; tell [Board.Sent] when the
 // request goes out.
 func (b *Board) Place(now time.Time, a *Ask) Decision {
-	open := b.open(now, a)
+	open, opens := b.open(now, a)
+	if len(open) == 0 && !opens.IsZero() {
+		return Refuse{RetryAfter: max(opens.Sub(now), b.policy.LeastRetryAfter), Reason: Cold}
+	}
 	if len(open) == 0 {
 		return None{}
 	}
@@ -169,11 +176,18 @@
 }
 
 // open returns the servers of the service that take work; those that rest are left
-// out unless all do.
-func (b *Board) open(now time.Time, a *Ask) []*server {
+// out unless all do. If cold ones are all there are, opens tells when the first of them
+// takes work.
+func (b *Board) open(now time.Time, a *Ask) (open []*server, opens time.Time) {
 	var awake, resting []*server
 	for _, s := range b.services[a.Service] {
-		if s.Leaving || slices.Contains(a.Exclude, s.ID) {
+		if !b.may(a, s) {
+			continue
+		}
+		if now.Before(s.closed) {
+			if opens.IsZero() || s.closed.Before(opens) {
+				opens = s.closed
+			}
 			continue
 		}
 		if now.Before(s.resting) {
@@ -183,9 +197,30 @@
 		awake = append(awake, s)
 	}
 	if len(awake) > 0 {
-		return awake
+		return awake, opens
+	}
+	return resting, opens
+}
+
+// may tells whether a request may go to a server, now or later.
+func (b *Board) may(a *Ask, s *server) bool {
+	return !s.Leaving && !s.Evacuated && b.allowed(a, s) && !slices.Contains(a.Exclude, s.ID)
+}
+
+// allowed tells whether a request may be served where a server is.
+func (b *Board) allowed(a *Ask, s *server) bool {
+	return a.Regions == nil || a.Regions.Allow(b.regions[s.Hall])
+}
+
+// SetRegions tells in which region each hall is.
+func (b *Board) SetRegions(byHall map[string]string) { b.regions = byHall }
+
+// Close keeps work from a server until a time. It replaces what was said before; a time
+// that has passed opens it.
+func (b *Board) Close(server string, until time.Time) {
+	if s := b.servers[server]; s != nil {
+		s.closed = until
 	}
-	return resting
 }
 
 // placePlain takes the server with the most room, the own hall first.
@@ -232,6 +267,7 @@
 	InTime    Reason = "" // it should be sent
 	OverShare Reason = "account over its share"
 	TooLate   Reason = "no server in time"
+	Cold      Reason = "all servers are cold"
 )
 
 // reason tells whether and why a request should not be sent to its best server.
--- a/gateway/placement/placement_test.go
+++ b/gateway/placement/placement_test.go
@@ -288,6 +288,101 @@
 	require.Equal(t, placement.None{}, b.Place(start, &placement.Ask{Service: "other"}))
 }
 
+// TestEvacuatedAndColdServers get nothing, and who meets only such ones is told so.
+func TestEvacuatedAndColdServers(t *testing.T) {
+	soon := start.Add(700 * time.Millisecond)
+	tests := []struct {
+		name   string
+		change func(list []catalog.Server)
+		closed map[string]time.Time
+		want   []string // servers that get requests
+		refuse time.Duration
+	}{
+		{"all take work", nil, nil, []string{"i-00", "i-01", "i-02"}, 0},
+		{"one is evacuated", func(l []catalog.Server) { l[0].Evacuated = true }, nil, []string{"i-01", "i-02"}, 0},
+		{"one is cold", nil, map[string]time.Time{"i-01": soon}, []string{"i-00", "i-02"}, 0},
+		{"one was cold", nil, map[string]time.Time{"i-01": start}, []string{"i-00", "i-01", "i-02"}, 0},
+		{"the others are evacuated", func(l []catalog.Server) { l[0].Evacuated, l[2].Evacuated = true, true }, map[string]time.Time{"i-01": soon}, nil, soon.Sub(start)},
+		{"all are cold", nil, map[string]time.Time{"i-00": soon.Add(time.Second), "i-01": soon, "i-02": soon.Add(time.Second)}, nil, soon.Sub(start)},
+	}
+	for _, test := range tests {
+		for name, engine := range map[string]func(string) *catalog.Engine{"plain": plain, "engines": engine} {
+			t.Run(test.name+", "+name, func(t *testing.T) {
+				b := placement.NewBoard(placement.DefaultPolicy())
+				list := servers(3)
+				if test.change != nil {
+					test.change(list)
+				}
+				b.SetServers(start, list, engine)
+				for id, until := range test.closed {
+					b.Close(id, until)
+				}
+				got := map[string]bool{}
+				for range 30 {
+					switch d := b.Place(start, &placement.Ask{Service: "s", Prompt: 100, Draw: uint64(len(got))}).(type) {
+					case placement.Assign:
+						got[d.Server.ID] = true
+						b.Sent(start, d.Load, true)
+					case placement.Refuse:
+						require.Equal(t, placement.Cold, d.Reason)
+						require.Equal(t, test.refuse, d.RetryAfter)
+					}
+				}
+				require.Len(t, got, len(test.want))
+				for _, id := range test.want {
+					require.True(t, got[id], id)
+				}
+			})
+		}
+	}
+}
+
+// TestHomes: a request that is bound to regions goes nowhere else, not for a copy of a
+// cached part either.
+func TestHomes(t *testing.T) {
+	tests := []struct {
+		name    string
+		regions catalog.Regions
+		want    []string
+	}{
+		{"bound to none", nil, []string{"i-00", "i-01", "i-02"}},
+		{"one region", catalog.Regions{"north"}, []string{"i-00"}},
+		{"two regions", catalog.Regions{"north", "south"}, []string{"i-00", "i-01"}},
+		{"nowhere", catalog.Regions{}, nil},
+	}
+	copying := func(string) *catalog.Engine {
+		return &catalog.Engine{Slots: 64, KVTokens: 500000, TokenBytes: 160000, LinkMbps: 500000}
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			b := placement.NewBoard(placement.DefaultPolicy())
+			b.SetRegions(map[string]string{"n": "north", "s": "south"})
+			list := servers(3)
+			list[0].Hall, list[1].Hall, list[2].Hall = "n", "s", "unknown"
+			b.SetServers(start, list, copying)
+			b.Holds(start, "i-02", []uint64{1})
+			got := map[string]bool{}
+			for n := range 30 {
+				a := &placement.Ask{Service: "s", Prompt: 5100, Parts: []placement.Part{{Hash: 1, Tokens: 5000}, {Hash: uint64(n + 2), Tokens: 100}}, Regions: test.regions, Draw: uint64(n)}
+				d, ok := b.Place(start, a).(placement.Assign)
+				if !ok {
+					continue
+				}
+				got[d.Server.ID] = true
+				b.Sent(start, d.Load, true)
+				if test.regions != nil {
+					require.Empty(t, d.CopyFrom)
+				}
+			}
+			require.LessOrEqual(t, len(got), len(test.want))
+			require.Equal(t, len(test.want) > 0, len(got) > 0)
+			for id := range got {
+				require.Contains(t, test.want, id)
+			}
+		})
+	}
+}
+
 // TestCollapseEnds: after a burst far beyond what the servers can read, requests are
 // in time again within seconds and shared parts are still where they were.
 func TestCollapseEnds(t *testing.T) {
--- a/gateway/source.go
+++ b/gateway/source.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"opalbridge.dev/gateway/catalog"
+	"opalbridge.dev/gateway/warmup"
 )
 
 // ErrHistoryGone is what [Source.Watch] returns when changes after a revision can no
@@ -20,6 +21,9 @@
 	Servers       []catalog.Server
 	Missing       map[string]time.Time // servers that are kept until then although their entry has gone
 	Revision      uint64               // changes up to it are included
+	Evacuated     map[string]uint64    // halls that are evacuated, with the revision at which the operators said so
+	// Cold tells for how much longer servers are cold, as they say themselves.
+	Cold map[string]time.Duration
 }
 
 // Change is one change of what the source holds.
@@ -32,11 +36,29 @@
 }
 
 // ServerChanged brings a new or changed server.
-type ServerChanged struct{ Server catalog.Server }
+type ServerChanged struct {
+	Server catalog.Server
+	Cold   time.Duration // for how much longer it is cold, as it says itself
+}
 
 // ServerGone says that a server's entry has gone.
 type ServerGone struct{ ID string }
 
+// HallEvacuated says that the servers of a hall shall get no new work.
+type HallEvacuated struct {
+	Hall     string
+	Revision uint64 // of the store, which names the evacuation
+}
+
+// HallReturned says that an evacuation is taken back.
+type HallReturned struct{ Hall string }
+
+// ServerClaimed says that a gateway has claimed a cold server.
+type ServerClaimed struct{ Claim warmup.Claim }
+
+func (HallEvacuated) change()        {}
+func (HallReturned) change()         {}
+func (ServerClaimed) change()        {}
 func (ConfigurationChanged) change() {}
 func (ServerChanged) change()        {}
 func (ServerGone) change()           {}
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -39,7 +39,7 @@
 	if err != nil {
 		return err
 	}
-	callers.pass = func(c *callerConn) bool { return passer.pass(duties, c) }
+	callers.pass = func(c *callerConn) bool { return g.mayPass() && passer.pass(duties, c) }
 	g.passer, g.duties = passer, duties
 	passing, stopPassing := context.WithCancel(context.WithoutCancel(duties))
 	passed := make(chan struct{})
--- a/gateway/upstream/upstream.go
+++ b/gateway/upstream/upstream.go
@@ -43,9 +43,13 @@
 	Host      string
 	Header    http.Header
 	Body      []byte
-	MayRepeat bool // false: only connections that are surely alive are used again
+	MayRepeat bool      // false: only connections that are surely alive are used again
+	Before    time.Time // it must not be sent later than this; zero: whenever that is
 }
 
+// ErrTooLate is why a request was not sent: its time to leave had passed.
+var ErrTooLate = errors.New("upstream: too late to be sent")
+
 // Result is what is known of a request after it was sent.
 type Result interface{ result() }
 
@@ -140,6 +144,10 @@
 	if err != nil {
 		return Unsent{Err: err}
 	}
+	if !r.Before.IsZero() && time.Now().After(r.Before) {
+		p.put(s.ID, c)
+		return Unsent{Err: ErrTooLate}
+	}
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	written := c.send(r)
 	response, err := c.head(r)
--- a/gateway/upstream/upstream_test.go
+++ b/gateway/upstream/upstream_test.go
@@ -273,3 +273,23 @@
 	require.IsType(t, upstream.Answered{}, r)
 	return r.(upstream.Answered).Answer
 }
+
+// TestTooLateToBeSent: a request whose time to leave has passed reaches no server, and the
+// connection serves the next one.
+func TestTooLateToBeSent(t *testing.T) {
+	server, s := serve(t, func(c net.Conn, _ int, _ *http.Request) bool {
+		_, err := io.WriteString(c, whole)
+		return err == nil
+	})
+	pool := upstream.NewPool(codec{})
+	late := request()
+	late.Before = time.Now().Add(-time.Millisecond)
+	unsent, ok := pool.Send(t.Context(), s, late).(upstream.Unsent)
+	require.True(t, ok)
+	require.ErrorIs(t, unsent.Err, upstream.ErrTooLate)
+	require.Empty(t, server.requests)
+	intime := request()
+	intime.Before = time.Now().Add(time.Minute)
+	require.Equal(t, "200 body", read(t.Context(), pool, s, intime))
+	require.Equal(t, int64(1), pool.Dials())
+}
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -55,17 +55,21 @@
 	Configuration *catalog.Configuration // nil: none is known
 	Raw           []byte                 // the configuration as it was announced
 	Servers       []catalog.Server
-	Missing       map[string]time.Time // those of the servers that are kept until then although their entry has gone
-	Revision      uint64               // of the store; complete up to it
+	Missing       map[string]time.Time  // those of the servers that are kept until then although their entry has gone
+	Revision      uint64                // of the store; complete up to it
+	Evacuated     map[string]evacuation // by hall
+	Cold          map[string]coldness   // by server; of the others nothing is known
 }
 
 // follower is the duty that keeps the view.
 type follower struct {
 	gateway *Gateway
 	servers map[string]catalog.Server
-	missing map[string]time.Time // servers kept until then although their entry has gone
-	failed  time.Time            // last failure of the source
-	called  time.Time            // when the latest call began
+	missing map[string]time.Time  // servers kept until then although their entry has gone
+	halls   map[string]evacuation // that are evacuated
+	cold    map[string]coldness   // by server
+	failed  time.Time             // last failure of the source
+	called  time.Time             // when the latest call began
 	away    bool
 	handed  chan handover
 }
@@ -74,11 +78,13 @@
 type handover struct {
 	from      string
 	snapshot  Snapshot
-	confirmed time.Time // when it was the store's latest
+	halls     map[string]evacuation // that are evacuated
+	cold      map[string]coldness   // by server
+	confirmed time.Time             // when it was the store's latest
 }
 
 func newFollower(g *Gateway) *follower {
-	return &follower{gateway: g, servers: map[string]catalog.Server{}, missing: map[string]time.Time{}, handed: make(chan handover, 1)}
+	return &follower{gateway: g, servers: map[string]catalog.Server{}, missing: map[string]time.Time{}, halls: map[string]evacuation{}, cold: map[string]coldness{}, handed: make(chan handover, 1)}
 }
 
 // answer is the end of one call to the source.
@@ -130,7 +136,7 @@
 				soon.Reset(gatherChanges)
 			}
 		case h := <-f.handed:
-			f.takeHandover(h)
+			f.takeHandover(time.Now(), h)
 			if !called {
 				list = false // what was handed over can be watched on from
 			}
@@ -199,6 +205,7 @@
 		return false, false // its changes are older than what is known: watch on from there
 	}
 	if a.listed {
+		f.listed(now, a.snapshot)
 		f.takeSnapshot(a.snapshot, func(id string) { f.remove(now, id) })
 		return a.snapshot.Configuration == nil, a.snapshot.Configuration == nil
 	}
@@ -237,6 +244,7 @@
 	for _, server := range s.Servers {
 		present[server.ID] = true
 		if _, missing := s.Missing[server.ID]; missing {
+			server.Evacuated = false
 			f.servers[server.ID] = server
 			continue
 		}
@@ -258,16 +266,23 @@
 		case ConfigurationChanged:
 			configuration, raw = c.Configuration, c.Raw
 		case ServerChanged:
+			f.warm(now, c)
 			f.set(c.Server)
 		case ServerGone:
 			f.remove(now, c.ID)
+		case HallEvacuated:
+			f.evacuate(now, c)
+		case HallReturned:
+			f.takeBack(now, c.Hall)
+		case ServerClaimed:
+			f.claimed(c.Claim)
 		}
 	}
 	f.publish(configuration, raw, revision)
 }
 
 // takeHandover takes over the view of another gateway if it is newer than the own one.
-func (f *follower) takeHandover(h handover) {
+func (f *follower) takeHandover(now time.Time, h handover) {
 	v := f.gateway.view.Load()
 	if h.snapshot.Revision <= v.Revision {
 		return
@@ -278,12 +293,14 @@
 	for id, until := range h.snapshot.Missing {
 		f.missing[id] = until
 	}
+	f.takeWarmth(now, h)
 	f.takeSnapshot(h.snapshot, f.drop)
 	f.gateway.confirm(h.confirmed)
 }
 
 func (f *follower) set(s catalog.Server) {
 	delete(f.missing, s.ID)
+	s.Evacuated = false // publish fills it in
 	if old, known := f.servers[s.ID]; !known || old != s {
 		f.gateway.log.Info().Str("event", "server.changed").Str("server", s.ID).Str("service", s.Service).
 			Str("address", s.Address).Str("hall", s.Hall).Bool("leaving", s.Leaving).Bool("new", !known).Msg("server entry")
@@ -310,6 +327,7 @@
 func (f *follower) drop(id string) {
 	delete(f.servers, id)
 	delete(f.missing, id)
+	delete(f.cold, id)
 	f.gateway.log.Info().Str("event", "server.gone").Str("server", id).Msg("no new work")
 }
 
@@ -338,12 +356,16 @@
 		f.gateway.log.Info().Str("event", "configuration.in_force").Uint64("version", c.Version).
 			Uint64("revision", revision).Int("routes", len(c.Routes)).Int("accounts", len(c.Accounts)).Msg("apply")
 	}
-	v := &View{Configuration: c, Raw: raw, Revision: max(revision, old.Revision), Missing: maps.Clone(f.missing)}
+	v := &View{
+		Configuration: c, Raw: raw, Revision: max(revision, old.Revision), Missing: maps.Clone(f.missing),
+		Evacuated: maps.Clone(f.halls), Cold: maps.Clone(f.cold),
+	}
 	for _, s := range f.servers {
+		_, s.Evacuated = f.halls[s.Hall]
 		v.Servers = append(v.Servers, s)
 	}
 	slices.SortFunc(v.Servers, func(a, b catalog.Server) int { return strings.Compare(a.ID, b.ID) })
-	changed := c != old.Configuration || !slices.Equal(v.Servers, old.Servers)
+	changed := c != old.Configuration || !slices.Equal(v.Servers, old.Servers) || !maps.Equal(v.Cold, old.Cold)
 	f.gateway.view.Store(v)
 	if changed {
 		f.gateway.desk.viewChanged(v)
--- a/gateway/view_test.go
+++ b/gateway/view_test.go
@@ -46,16 +46,17 @@
 		name string
 		late answer
 	}{
-		{"watch", answer{since: 3, revision: 5, changes: []Change{ServerChanged{ready("i-1")}, ServerGone{"i-2"}}}},
+		{"watch", answer{since: 3, revision: 5, changes: []Change{ServerChanged{Server: ready("i-1")}, ServerGone{"i-2"}}}},
 		{"list", answer{listed: true, snapshot: Snapshot{Configuration: version(1), Servers: []catalog.Server{ready("i-1")}, Revision: 5}}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			g := quiet(t)
 			f := g.follower
-			f.take(time.Now(), answer{listed: true, snapshot: Snapshot{Configuration: version(1), Servers: []catalog.Server{ready("i-1")}, Revision: 3}})
-			f.takeHandover(handover{snapshot: Snapshot{Configuration: version(2), Servers: []catalog.Server{leaving("i-1"), ready("i-2")}, Revision: 9}})
-			f.take(time.Now(), test.late)
+			now := time.Now()
+			f.take(now, answer{listed: true, snapshot: Snapshot{Configuration: version(1), Servers: []catalog.Server{ready("i-1")}, Revision: 3}})
+			f.takeHandover(now, handover{snapshot: Snapshot{Configuration: version(2), Servers: []catalog.Server{leaving("i-1"), ready("i-2")}, Revision: 9}})
+			f.take(now, test.late)
 			require.Equal(t, []string{"i-1"}, g.leavingServers(), "a leaving server must not seem ready again")
 			require.Len(t, g.view.Load().Servers, 2)
 			require.Equal(t, uint64(9), g.view.Load().Revision)
@@ -102,7 +103,7 @@
 	f.take(now, answer{listed: true, snapshot: Snapshot{Configuration: version(1), Servers: []catalog.Server{ready("i-1")}, Revision: 3}})
 	f.failed = now
 	f.take(now, answer{since: 3, revision: 4, changes: []Change{ServerGone{"i-1"}}})
-	f.take(now, answer{since: 4, revision: 5, changes: []Change{ServerChanged{ready("i-1")}}})
+	f.take(now, answer{since: 4, revision: 5, changes: []Change{ServerChanged{Server: ready("i-1")}}})
 	f.dropMissing(now.Add(time.Minute))
 	require.Len(t, g.view.Load().Servers, 1)
 }
@@ -118,7 +119,7 @@
 	f.take(now, answer{since: 3, revision: 4, changes: []Change{ServerGone{"i-1"}}})
 	s := from.view.Load().document(now).snapshot(now)
 	s.Configuration = version(1)
-	to.follower.takeHandover(handover{snapshot: s})
+	to.follower.takeHandover(now, handover{snapshot: s})
 	require.Len(t, to.view.Load().Servers, 2)
 	later := now.Add(returnGrace + time.Millisecond)
 	to.follower.dropMissing(later)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -73,6 +73,9 @@
 	RepeatExtra  float64
 	RepeatWindow time.Duration
 	ShareWindow  time.Duration
+	ColdFactor   float64
+	ColdExtra    float64
+	Regions      map[string]string
 }
 
 // Fault is one thing wrong with a settings file.
@@ -189,6 +192,12 @@
 		func(s *Settings, t string) error { return duration(&s.RepeatWindow, t, time.Second, time.Hour) }},
 	{"share_window", gateway, false, "4s", "Window in which accounts' shares are kept (a duration such as 4s).",
 		func(s *Settings, t string) error { return duration(&s.ShareWindow, t, time.Second, time.Hour) }},
+	{"cold_factor", gateway, false, "1", "The fleet may send a cold server, in any second, as many requests as the configuration says that it bears in one, times this, plus cold_extra.",
+		func(s *Settings, t string) error { return number(&s.ColdFactor, t, 0, 100) }},
+	{"cold_extra", gateway, false, "0", "See cold_factor. It is left for gateways that have not heard yet that the server is cold.",
+		func(s *Settings, t string) error { return number(&s.ColdExtra, t, 0, 1e6) }},
+	{"regions", gateway, false, "", "Region of each hall, as HALL=REGION by commas, for accounts and routes that are bound to regions.",
+		func(s *Settings, t string) error { return regions(&s.Regions, t) }},
 }
 
 // Parse reads the settings of a role. The error is Faults when the content is
@@ -401,6 +410,24 @@
 	return nil
 }
 
+func regions(to *map[string]string, t string) error {
+	*to = map[string]string{}
+	for _, pair := range strings.Split(t, ",") {
+		if pair = strings.TrimSpace(pair); pair == "" {
+			continue
+		}
+		hall, region, ok := strings.Cut(pair, "=")
+		if !ok || hall == "" || region == "" {
+			return errors.Newf("%q is not HALL=REGION", pair)
+		}
+		if _, twice := (*to)[hall]; twice {
+			return errors.Newf("hall %q stands twice", hall)
+		}
+		(*to)[hall] = region
+	}
+	return nil
+}
+
 func duration(to *time.Duration, t string, least, most time.Duration) error {
 	v, err := time.ParseDuration(t)
 	if err != nil {
