gateway, retry: who comes back is known by what was refused, not guessed by the longest deadline

Cause: the longest time budget seen on a route was taken as that of all first tries; whoever had 50 ms less counted as having come back, its objective as used up.

Ruled out: a quantile of the budgets in place of the longest: with a spread of 15 in 100 those who come back after half a second lie in the middle of first tries; no quantile tells them apart.

Package retry decides; peer carries it. Requests without a prompt are first tries always.

--- a/gateway/again.go
+++ b/gateway/again.go
@@ -1,47 +1,78 @@
 package gateway
 
 import (
+	"strconv"
 	"sync"
 	"time"
 
-	"opalbridge.dev/gateway/protocol"
+	"opalbridge.dev/gateway/peer"
+	"opalbridge.dev/gateway/retry"
 )
 
-const (
-	// A caller whose deadline is so much shorter than the longest one of its route
-	// has spent time on it before: it was refused and has come back.
-	spentBefore = 50 * time.Millisecond
-	// Routes remembered; a configuration holds some hundred.
-	mostStarts = 4096
-)
+// returned remembers whom this gateway and others have turned away, so that those who come
+// back are known. It is safe for use by several goroutines. Its zero value is ready.
+type returned struct {
+	mutex  sync.Mutex
+	memory *retry.Memory
+}
 
-// starts remembers with how long a deadline callers of each route begin, which tells
-// how long ago those that come back tried first. It is safe for use by several
-// goroutines. Its zero value is ready.
-type starts struct {
-	mutex   sync.Mutex
-	longest map[string]time.Duration // by route
+func (r *returned) locked(use func(m *retry.Memory)) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.memory == nil {
+		r.memory = retry.NewMemory()
+	}
+	use(r.memory)
 }
 
-// spent returns how long ago a caller tried first, if its request looks like one that has
-// come back; 0: it is the first try.
-func (s *starts) spent(route string, told protocol.Request) time.Duration {
-	if !told.HasDeadline {
+// spent returns how long ago the caller of a request tried first; 0: this is its first try,
+// or nobody has told of another one.
+func (r *returned) spent(c *call) time.Duration {
+	key, ok := c.retryKey()
+	if !ok {
 		return 0
 	}
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if s.longest == nil || len(s.longest) > mostStarts {
-		s.longest = map[string]time.Duration{}
+	spent := time.Duration(0)
+	r.locked(func(m *retry.Memory) {
+		if first, back := m.First(c.arrived, key, c.arrived.Add(c.told.Deadline)); back {
+			spent = max(c.arrived.Sub(first), time.Millisecond)
+		}
+	})
+	return spent
+}
+
+// refused notes that a request was turned away, and tells the other gateways.
+func (r *returned) refused(c *call) {
+	key, ok := c.retryKey()
+	if !ok {
+		return
 	}
-	longest := s.longest[route]
-	if told.Deadline > longest {
-		s.longest[route] = told.Deadline
-		return 0
+	f := retry.Refusal{Key: key, Ends: c.arrived.Add(c.told.Deadline), First: c.arrived.Add(-c.spent)}
+	r.locked(func(m *retry.Memory) { m.Add(time.Now(), f) })
+	c.gateway.peers.TellRefusal(peer.Refusal{Key: uint64(key), Ends: f.Ends, First: f.First})
+}
+
+// told takes over whom another gateway has turned away.
+func (r *returned) told(now time.Time, list []peer.Refusal) {
+	if len(list) == 0 {
+		return
 	}
-	spent := longest - told.Deadline
-	if spent <= spentBefore {
-		return 0
+	r.locked(func(m *retry.Memory) {
+		for _, f := range list {
+			m.Add(now, retry.Refusal{Key: retry.Key(f.Key), Ends: f.Ends, First: f.First})
+		}
+	})
+}
+
+// retryKey names what the request asks; ok is false if that does not tell it from others:
+// it has no prompt of its own, or no deadline.
+func (c *call) retryKey() (key retry.Key, ok bool) {
+	if !c.told.HasDeadline || len(c.told.Parts) == 0 {
+		return 0, false
 	}
-	return spent
+	text := c.account + " " + c.route.Name + " " + target(c.request) + " " + c.told.Model + " " + strconv.Itoa(c.told.PromptTokens) + "," + strconv.Itoa(c.told.MostOutput)
+	for _, p := range c.told.Parts {
+		text += " " + p.ID
+	}
+	return retry.Key(hash(text)), true
 }
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -240,7 +240,10 @@
 	}
 }
 
-func (c *call) write(d denial) { writeDenial(c.w, d) }
+func (c *call) write(d denial) {
+	writeDenial(c.w, d)
+	c.gateway.returned.refused(c)
+}
 
 // report writes the request's last log line and counts it.
 func (c *call) report() {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -88,7 +88,7 @@
 	peers      *peer.Node
 	follower   *follower
 	claims     chan warmup.Claim // to be written
-	starts     starts
+	returned   returned
 	stopping   atomic.Bool
 	active     atomic.Int64 // requests being served
 	room       room
--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -87,6 +87,7 @@
 			g.desk.tell(updateMessage{list})
 			for _, u := range list {
 				g.helpers.update(u)
+				g.returned.told(time.Now(), u.Refusals)
 				h.take(ctx, time.Now(), u)
 			}
 		}
--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -194,7 +194,7 @@
 	}
 	prompt = max(prompt, sum)
 	c.tokens = float64(prompt + outputWeight*output)
-	c.spent = c.gateway.starts.spent(c.route.Name, c.told)
+	c.spent = c.gateway.returned.spent(c)
 	c.ask = placement.Ask{
 		Service: c.service, Account: c.account, Parts: parts, Prompt: prompt, Output: output,
 		Hall: c.gateway.options.Desk.Hall, Draw: hash(c.told.ID), Regions: c.regions,
--- a/gateway/peer/beacon.go
+++ b/gateway/peer/beacon.go
@@ -60,6 +60,24 @@
 	n.pending = kept
 }
 
+// addRefusals adds the refusals that are still to be told.
+func (n *Node) addRefusals(now time.Time, b *peerpb.Beacon) {
+	kept := n.refused[:0]
+	for _, r := range n.refused {
+		b.Refusals = append(b.Refusals, &peerpb.Refusal{Key: r.Key, LeftMs: milliseconds(r.Ends.Sub(now)), SpentMs: milliseconds(now.Sub(r.First))})
+		r.times++
+		if r.times < repeatLoads {
+			kept = append(kept, r)
+		}
+	}
+	n.refused = kept
+}
+
+// milliseconds encodes a time, cut to what the field holds.
+func milliseconds(d time.Duration) uint32 {
+	return uint32(min(max(d.Milliseconds(), 0), int64(^uint32(0))))
+}
+
 // microseconds encodes a time, cut to what the field holds.
 func microseconds(d time.Duration) uint32 {
 	return uint32(min(max(d.Microseconds(), 0), int64(^uint32(0))))
@@ -144,6 +162,12 @@
 	for _, l := range b.Backlogs {
 		u.Backlogs = append(u.Backlogs, Backlog{Server: l.Server, Left: time.Duration(l.LeftUs) * time.Microsecond})
 	}
+	made := now.Add(-age)
+	for _, f := range b.Refusals {
+		u.Refusals = append(u.Refusals, Refusal{
+			Key: f.Key, Ends: made.Add(time.Duration(f.LeftMs) * time.Millisecond), First: made.Add(-time.Duration(f.SpentMs) * time.Millisecond),
+		})
+	}
 	if latest {
 		hall := r.hall
 		r.sequence = b.Sequence
--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -58,6 +58,8 @@
 	repeatLoads = 2
 	// Loads in one beacon at most; with more, the oldest are left out.
 	mostLoads = 64
+	// Refusals in one beacon at most; with more, the oldest are left out.
+	mostRefusals = 64
 	// Addresses in one beacon at most.
 	mostAddresses = 128
 	// Queues between duties. Loads and updates that find them full are dropped: they
@@ -85,6 +87,13 @@
 	Left   time.Duration
 }
 
+// Refusal is a request that was turned away and whose caller may come back.
+type Refusal struct {
+	Key   uint64    // of what it asks
+	Ends  time.Time // when its caller gives up
+	First time.Time // when its caller tried first
+}
+
 // Speed is how fast a service's engines are believed to be.
 type Speed struct {
 	Service   uint64        // hash of its name
@@ -112,6 +121,7 @@
 	// What follows is set only when Alive.
 	Loads    []Load // not told before
 	Backlogs []Backlog
+	Refusals []Refusal
 	Running  map[uint64]int // if Whole, of all servers; else of those where it has changed
 	Whole    bool
 	Speeds   []Speed // only if Whole
@@ -143,6 +153,7 @@
 	incarnation uint64
 	loads       chan Load
 	backlogs    chan Backlog
+	refusals    chan Refusal
 	hurry       chan struct{}
 	packets     chan packet
 	updates     chan []Update
@@ -153,6 +164,7 @@
 	peers    map[netip.Addr]*remote
 	pending  []numbered               // loads that are still being told
 	seen     map[uint64]time.Duration // backlogs not told yet, by server
+	refused  []told                   // refusals that are still being told
 	newest   uint64
 	told     map[uint64]int // running requests as the last beacon told them
 	beats    int
@@ -167,6 +179,12 @@
 	told int
 }
 
+// told is a refusal with how often it was told.
+type told struct {
+	Refusal
+	times int
+}
+
 // remote is what is known of another gateway.
 type remote struct {
 	seed        bool
@@ -204,7 +222,7 @@
 	n := &Node{
 		options: o, self: at.Addr(), port: at.Port(), conn: conn,
 		incarnation: uint64(now.UnixNano()),
-		loads:       make(chan Load, queue), backlogs: make(chan Backlog, queue), seen: map[uint64]time.Duration{}, hurry: make(chan struct{}, 1), packets: make(chan packet, queue), updates: make(chan []Update, queue),
+		loads:       make(chan Load, queue), backlogs: make(chan Backlog, queue), refusals: make(chan Refusal, queue), seen: map[uint64]time.Duration{}, hurry: make(chan struct{}, 1), packets: make(chan packet, queue), updates: make(chan []Update, queue),
 		peers: map[netip.Addr]*remote{}, relays: newRelays(),
 	}
 	for _, s := range o.Seeds {
@@ -243,6 +261,15 @@
 	}
 }
 
+// TellRefusal passes on that a request was turned away, with the next beacon; it never
+// blocks.
+func (n *Node) TellRefusal(r Refusal) {
+	select {
+	case n.refusals <- r:
+	default: // accuracy only
+	}
+}
+
 // TellNow lets the next beacon go out soon; it never blocks.
 func (n *Node) TellNow() {
 	select {
@@ -329,6 +356,8 @@
 			}
 		case l := <-n.backlogs:
 			n.seen[l.Server] = l.Left
+		case r := <-n.refusals:
+			n.refuse(r)
 		case <-n.hurry:
 			if !waiting {
 				soon.Reset(loadDelay)
@@ -372,6 +401,14 @@
 	}
 }
 
+// refuse keeps a refusal until it was told.
+func (n *Node) refuse(r Refusal) {
+	n.refused = append(n.refused, told{Refusal: r})
+	if len(n.refused) > mostRefusals {
+		n.refused = slices.Delete(n.refused, 0, len(n.refused)-mostRefusals)
+	}
+}
+
 // delay is how soon loads are told.
 func (n *Node) delay() time.Duration {
 	return min(loadDelay+time.Duration(n.relays.alive)*peerDelay, longestDelay)
@@ -408,6 +445,7 @@
 	}
 	b, state := n.beacon(whole, rare)
 	n.addLoads(b)
+	n.addRefusals(now, b)
 	n.told = state.Running
 	n.route(now)
 	if rare || n.leaving {
--- a/gateway/peer/peer_test.go
+++ b/gateway/peer/peer_test.go
@@ -18,14 +18,15 @@
 
 // member is a running node that remembers what it has heard.
 type member struct {
-	node  *peer.Node
-	stop  context.CancelFunc
-	mutex sync.Mutex
-	alive map[string]bool
-	loads map[string][]peer.Load
-	seen  map[string][]peer.Backlog
-	last  map[string]peer.Update
-	ended chan struct{}
+	node   *peer.Node
+	stop   context.CancelFunc
+	mutex  sync.Mutex
+	alive  map[string]bool
+	loads  map[string][]peer.Load
+	seen   map[string][]peer.Backlog
+	turned []peer.Refusal
+	last   map[string]peer.Update
+	ended  chan struct{}
 }
 
 func freePort(t *testing.T) int {
@@ -76,6 +77,7 @@
 	m.alive[u.From] = u.Alive
 	m.loads[u.From] = append(m.loads[u.From], u.Loads...)
 	m.seen[u.From] = append(m.seen[u.From], u.Backlogs...)
+	m.turned = append(m.turned, u.Refusals...)
 	if u.Alive {
 		m.last[u.From] = u
 	}
@@ -182,6 +184,30 @@
 	require.Len(t, told(), many, "they are not told again")
 }
 
+// TestRefusalsAreTold in two beacons each, with times that hold on another clock.
+func TestRefusalsAreTold(t *testing.T) {
+	port := freePort(t)
+	a := join(t, port, 1, peer.State{})
+	b := join(t, port, 2, peer.State{}, "127.0.0.1")
+	eventually(t, "they meet", func() bool { return a.living() == 1 && b.living() == 1 })
+	now := time.Now()
+	f := peer.Refusal{Key: 7, Ends: now.Add(9 * time.Second), First: now.Add(-time.Second)}
+	a.node.TellRefusal(f)
+	told := func() []peer.Refusal {
+		b.mutex.Lock()
+		defer b.mutex.Unlock()
+		return append([]peer.Refusal(nil), b.turned...)
+	}
+	eventually(t, "it is told twice", func() bool { return len(told()) == 2 })
+	time.Sleep(600 * time.Millisecond) // two heartbeats
+	require.Len(t, told(), 2)
+	for _, x := range told() {
+		require.Equal(t, f.Key, x.Key)
+		require.InDelta(t, f.Ends.Sub(now), x.Ends.Sub(now), float64(100*time.Millisecond))
+		require.InDelta(t, f.First.Sub(now), x.First.Sub(now), float64(100*time.Millisecond))
+	}
+}
+
 // TestOldProcessIsNotHeard: datagrams of a process that has ended come late.
 func TestOldProcessIsNotHeard(t *testing.T) {
 	port := freePort(t)
--- a/gateway/peer/size_test.go
+++ b/gateway/peer/size_test.go
@@ -13,7 +13,7 @@
 
 // TestBeaconBytes measures what beacons weigh, for docs/CAPACITY.md.
 func TestBeaconBytes(t *testing.T) {
-	size := func(loads, servers, accounts, backlogs int, whole bool) int {
+	size := func(loads, servers, accounts, backlogs, refusals int, whole bool) int {
 		s := State{Running: map[uint64]int{}, StoreRevision: 1000, ConfigurationVersion: 500, Confirmed: time.Now()}
 		for i := range servers {
 			s.Running[uint64(i)<<40] = 5
@@ -28,17 +28,23 @@
 		for i := range backlogs {
 			n.seen[uint64(i)<<40] = 80 * time.Millisecond
 		}
+		now := time.Now()
+		for range refusals {
+			n.refuse(Refusal{Key: 1 << 60, Ends: now.Add(10 * time.Second), First: now.Add(-time.Second)})
+		}
 		b, _ := n.beacon(whole, false)
 		n.addLoads(b)
+		n.addRefusals(now, b)
 		packed, err := proto.Marshal(&peerpb.Datagram{Beacon: b})
 		require.NoError(t, err)
 		return len(packed)
 	}
-	bare := size(0, 0, 0, 0, false)
+	bare := size(0, 0, 0, 0, 0, false)
 	fmt.Printf("figure beacon-bare %d B\n", bare)
-	fmt.Printf("figure beacon-load %d B\n", (size(20, 0, 0, 0, false)-bare)/20)
-	fmt.Printf("figure beacon-server %d B\n", (size(0, 20, 0, 0, false)-bare)/20)
-	fmt.Printf("figure beacon-backlog %d B\n", (size(0, 0, 0, 20, false)-bare)/20)
-	fmt.Printf("figure beacon-account %d B\n", (size(0, 0, 20, 0, true)-size(0, 0, 0, 0, true))/20)
-	require.Less(t, size(mostLoads, 100, 48, 100, true), longestPacket, "a beacon must fit into one datagram")
+	fmt.Printf("figure beacon-load %d B\n", (size(20, 0, 0, 0, 0, false)-bare)/20)
+	fmt.Printf("figure beacon-server %d B\n", (size(0, 20, 0, 0, 0, false)-bare)/20)
+	fmt.Printf("figure beacon-backlog %d B\n", (size(0, 0, 0, 20, 0, false)-bare)/20)
+	fmt.Printf("figure beacon-refusal %d B\n", (size(0, 0, 0, 0, 20, false)-bare)/20)
+	fmt.Printf("figure beacon-account %d B\n", (size(0, 0, 20, 0, 0, true)-size(0, 0, 0, 0, 0, true))/20)
+	require.Less(t, size(mostLoads, 100, 48, 100, mostRefusals, true), longestPacket, "a beacon must fit into one datagram")
 }
