gateway: gateways hand over what has changed of the view, not all of it

Cause: whenever the store had changed, each gateway that doesn't watch took the whole view from one that does: 339 KB at 3,000 servers.

Change: a gateway logs which servers have changed at which revision (8,192 entries) and tells one that knows a revision only these, and the configuration only if it is a later one. Who asks for what the log does not hold gets the whole view, encoded once for all that ask within 0.1 s. Servers that only the asking gateway takes for missing stay missing there.

--- /dev/null
+++ b/gateway/changelog.go
@@ -0,0 +1,45 @@
+package gateway
+
+// changeLog holds which servers have changed lately, by the store's revision, so that other
+// gateways are told that instead of the whole view: at 3,000 servers the view has half a
+// megabyte, and each of 300 gateways took it at each change. Its zero value is empty. What
+// was added is not changed, so a View may hold a copy of the log.
+type changeLog struct {
+	from    uint64 // complete for revisions after this one
+	entries []logEntry
+}
+
+// logEntry is a server that has changed, appeared or gone.
+type logEntry struct {
+	revision uint64
+	server   string
+}
+
+// Entries kept at most. A release of a third of 3,000 servers makes some thousand.
+const mostLogged = 8192
+
+// add notes a change. Revisions do not fall.
+func (l *changeLog) add(revision uint64, server string) {
+	if len(l.entries) >= mostLogged {
+		half := len(l.entries) / 2
+		l.from = l.entries[half-1].revision
+		l.entries = append([]logEntry(nil), l.entries[half:]...)
+	}
+	l.entries = append(l.entries, logEntry{revision, server})
+}
+
+// restart empties the log: what was before a revision is not known.
+func (l *changeLog) restart(revision uint64) { *l = changeLog{from: revision} }
+
+// since returns the servers that have changed after a revision; ok is false if the log does
+// not tell.
+func (l *changeLog) since(revision uint64) (servers map[string]bool, ok bool) {
+	if revision < l.from {
+		return nil, false
+	}
+	servers = map[string]bool{}
+	for i := len(l.entries) - 1; i >= 0 && l.entries[i].revision > revision; i-- {
+		servers[l.entries[i].server] = true
+	}
+	return servers, true
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -87,6 +87,7 @@
 	pool       *upstream.Pool
 	peers      *peer.Node
 	follower   *follower
+	whole      wholeView
 	claims     chan warmup.Claim // to be written
 	returned   returned
 	stopping   atomic.Bool
--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -6,7 +6,11 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
+	"slices"
 	"strconv"
+	"strings"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -37,19 +41,51 @@
 	// Evacuated are the halls that are evacuated.
 	Evacuated map[string]evacuatedDocument `json:"evacuated,omitempty"`
 	Cold      map[string]coldDocument      `json:"cold,omitempty"` // by server
+	// Partial is true if Servers, Gone and Cold hold only what has changed since the
+	// revision that was asked for, and Configuration only a later version.
+	Partial bool     `json:"partial,omitempty"`
+	Gone    []string `json:"gone,omitempty"` // servers that are no more
 }
 
-// document is the view as it goes to another gateway.
+// changes is what of the view has changed since a revision, for a gateway that knows it and
+// a version of the configuration; ok is false if that is not known any more.
+func (v *View) changes(now time.Time, revision, version uint64) (d viewDocument, ok bool) {
+	ids, ok := v.log.since(revision)
+	if !ok || revision > v.Revision {
+		return d, false
+	}
+	d = viewDocument{Revision: v.Revision, Partial: true}
+	if v.Configuration != nil && v.Configuration.Version > version {
+		d.Configuration = v.Raw
+	}
+	for id := range ids {
+		at, known := slices.BinarySearchFunc(v.Servers, id, func(s catalog.Server, id string) int { return strings.Compare(s.ID, id) })
+		if known {
+			d.Servers = append(d.Servers, v.Servers[at])
+		} else {
+			d.Gone = append(d.Gone, id)
+		}
+	}
+	d.addMissing(now, v)
+	d.addWarmth(now, v, func(server string) bool { return ids[server] })
+	return d, true
+}
+
+// document is the whole view as it goes to another gateway.
 func (v *View) document(now time.Time) viewDocument {
 	d := viewDocument{Configuration: v.Raw, Servers: v.Servers, Revision: v.Revision}
+	d.addMissing(now, v)
+	d.addWarmth(now, v, func(string) bool { return true })
+	return d
+}
+
+func (d *viewDocument) addMissing(now time.Time, v *View) {
 	for id, until := range v.Missing {
 		if d.Missing == nil {
 			d.Missing = map[string]int64{}
 		}
 		d.Missing[id] = max(until.Sub(now).Milliseconds(), 0)
 	}
-	d.addWarmth(now, v)
-	return d
 }
 
 // snapshot is what a view that has arrived tells, but for the configuration.
@@ -62,14 +98,65 @@
 }
 
 // serveView answers another gateway that asks for the view.
-func (g *Gateway) serveView(w http.ResponseWriter, _ *http.Request) {
+func (g *Gateway) serveView(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
-	err := json.NewEncoder(w).Encode(g.view.Load().document(time.Now()))
+	packed, err := g.packedView(time.Now(), r.URL.Query())
+	if err == nil {
+		_, err = w.Write(packed)
+	}
 	if err != nil {
 		g.log.Debug().Str("event", "view.not_told").Err(err).Msg("the asking gateway has gone")
 	}
 }
 
+// The keys of a question for a view: what the asking gateway knows.
+const (
+	sinceKey   = "since"
+	versionKey = "version"
+)
+
+// packedView returns what a gateway is told that asks for the view: what has changed since
+// the revision that it knows, or all.
+func (g *Gateway) packedView(now time.Time, known url.Values) ([]byte, error) {
+	v := g.view.Load()
+	since, err := strconv.ParseUint(known.Get(sinceKey), 10, 64)
+	version, versionErr := strconv.ParseUint(known.Get(versionKey), 10, 64)
+	if err == nil && versionErr == nil {
+		if d, ok := v.changes(now, since, version); ok {
+			return json.Marshal(d)
+		}
+	}
+	return g.whole.get(now, v)
+}
+
+// wholeView is the whole view of a moment ago, encoded. Gateways that start together ask
+// for it together, and at 3,000 servers it takes milliseconds to encode. It is safe for use
+// by several goroutines.
+type wholeView struct {
+	mutex  sync.Mutex
+	of     *View
+	at     time.Time
+	packed []byte
+}
+
+// Times that a view tells count from when it is sent, so it may be this old: cold servers
+// then seem cold for so much longer.
+const wholeViewAge = 100 * time.Millisecond
+
+func (w *wholeView) get(now time.Time, v *View) ([]byte, error) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.of == v && now.Sub(w.at) < wholeViewAge {
+		return w.packed, nil
+	}
+	packed, err := json.Marshal(v.document(now))
+	if err != nil {
+		return nil, errors.Wrap(err, "gateway: encode the view")
+	}
+	w.of, w.at, w.packed = v, now, packed
+	return packed, nil
+}
+
 // hear takes up what other gateways tell, until their channel is closed.
 func (g *Gateway) hear(ctx context.Context) {
 	h := hearing{gateway: g, halls: map[string]string{}, away: map[string]bool{}, ended: make(chan struct{}, 1)}
@@ -196,6 +283,18 @@
 	}
 }
 
+// knownOfView is what another gateway that is asked for its view needs to know.
+func (g *Gateway) knownOfView() url.Values {
+	v := g.view.Load()
+	if v.Configuration == nil {
+		return url.Values{} // all is needed
+	}
+	return url.Values{
+		sinceKey:   {strconv.FormatUint(v.Revision, 10)},
+		versionKey: {strconv.FormatUint(v.Configuration.Version, 10)},
+	}
+}
+
 func (g *Gateway) fetchView(ctx context.Context, from string) (handover, error) {
 	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
@@ -206,7 +305,7 @@
 	if n, err := strconv.Atoi(port); err != nil || n <= 0 {
 		return handover{}, errors.Newf("gateway: own peer port %q", port)
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+net.JoinHostPort(from, port)+viewPath, nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+net.JoinHostPort(from, port)+viewPath+"?"+g.knownOfView().Encode(), nil)
 	if err != nil {
 		return handover{}, errors.Wrap(err, "gateway: ask for a view")
 	}
@@ -225,7 +324,7 @@
 		return handover{}, errors.Wrapf(err, "gateway: view of %s", from)
 	}
 	now := time.Now()
-	h := handover{from: from, snapshot: d.snapshot(now)}
+	h := handover{from: from, snapshot: d.snapshot(now), partial: d.Partial, gone: d.Gone}
 	h.halls, h.cold = d.warmth(now)
 	if len(d.Configuration) == 0 {
 		return h, nil
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -59,6 +59,7 @@
 	Revision      uint64                // of the store; complete up to it
 	Evacuated     map[string]evacuation // by hall
 	Cold          map[string]coldness   // by server; of the others nothing is known
+	log           changeLog
 }
 
 // follower is the duty that keeps the view.
@@ -68,8 +69,10 @@
 	missing map[string]time.Time  // servers kept until then although their entry has gone
 	halls   map[string]evacuation // that are evacuated
 	cold    map[string]coldness   // by server
-	failed  time.Time             // last failure of the source
-	called  time.Time             // when the latest call began
+	log     changeLog
+	mark    uint64    // revision under which changes are logged
+	failed  time.Time // last failure of the source
+	called  time.Time // when the latest call began
 	away    bool
 	handed  chan handover
 }
@@ -80,6 +83,8 @@
 	snapshot  Snapshot
 	halls     map[string]evacuation // that are evacuated
 	cold      map[string]coldness   // by server
+	partial   bool                  // only what has changed since a revision that this gateway has passed
+	gone      []string              // servers that are no more; only if partial
 	confirmed time.Time             // when it was the store's latest
 }
 
@@ -205,7 +210,9 @@
 		return false, false // its changes are older than what is known: watch on from there
 	}
 	if a.listed {
+		f.mark = a.snapshot.Revision
 		f.listed(now, a.snapshot)
+		f.log.restart(a.snapshot.Revision) // what was between is not known
 		f.takeSnapshot(a.snapshot, func(id string) { f.remove(now, id) })
 		return a.snapshot.Configuration == nil, a.snapshot.Configuration == nil
 	}
@@ -261,6 +268,7 @@
 func (f *follower) takeChanges(now time.Time, changes []Change, revision uint64) {
 	v := f.gateway.view.Load()
 	configuration, raw := v.Configuration, v.Raw
+	f.mark = revision
 	for _, c := range changes {
 		switch c := c.(type) {
 		case ConfigurationChanged:
@@ -289,18 +297,47 @@
 	}
 	f.gateway.log.Info().Str("event", "view.handed_over").Str("peer", h.from).
 		Uint64("revision", h.snapshot.Revision).Uint64("before", v.Revision).Msg("a gateway knows more than the store tells")
+	f.mark = h.snapshot.Revision
+	f.takeWarmth(now, h)
+	if h.partial {
+		f.takePart(h)
+	} else {
+		f.takeWhole(h)
+	}
+	f.gateway.confirm(h.confirmed)
+}
+
+// takeWhole takes over the whole view of another gateway.
+func (f *follower) takeWhole(h handover) {
+	f.log.restart(h.snapshot.Revision)
 	clear(f.missing)
 	for id, until := range h.snapshot.Missing {
 		f.missing[id] = until
 	}
-	f.takeWarmth(now, h)
 	f.takeSnapshot(h.snapshot, f.drop)
-	f.gateway.confirm(h.confirmed)
+}
+
+// takePart takes over what has changed at another gateway. Servers that are missing here
+// only stay so: the other one may have dropped them before.
+func (f *follower) takePart(h handover) {
+	for _, server := range h.snapshot.Servers {
+		f.set(server)
+	}
+	for _, id := range h.gone {
+		f.drop(id)
+	}
+	for id, until := range h.snapshot.Missing {
+		if _, known := f.servers[id]; known {
+			f.missing[id] = until
+		}
+	}
+	f.publish(h.snapshot.Configuration, h.snapshot.Raw, h.snapshot.Revision)
 }
 
 func (f *follower) set(s catalog.Server) {
 	delete(f.missing, s.ID)
 	s.Evacuated = false // publish fills it in
+	f.log.add(f.mark, s.ID)
 	if old, known := f.servers[s.ID]; !known || old != s {
 		f.gateway.log.Info().Str("event", "server.changed").Str("server", s.ID).Str("service", s.Service).
 			Str("address", s.Address).Str("hall", s.Hall).Bool("leaving", s.Leaving).Bool("new", !known).Msg("server entry")
@@ -325,6 +362,7 @@
 
 // drop forgets a server.
 func (f *follower) drop(id string) {
+	f.log.add(f.mark, id)
 	delete(f.servers, id)
 	delete(f.missing, id)
 	delete(f.cold, id)
@@ -334,6 +372,7 @@
 // dropMissing removes servers whose entry has not come back.
 func (f *follower) dropMissing(now time.Time) {
 	dropped := false
+	f.mark = f.gateway.view.Load().Revision + 1 // no change of the store says so
 	for id, until := range f.missing {
 		if now.After(until) {
 			f.drop(id)
@@ -358,7 +397,7 @@
 	}
 	v := &View{
 		Configuration: c, Raw: raw, Revision: max(revision, old.Revision), Missing: maps.Clone(f.missing),
-		Evacuated: maps.Clone(f.halls), Cold: maps.Clone(f.cold),
+		Evacuated: maps.Clone(f.halls), Cold: maps.Clone(f.cold), log: f.log,
 	}
 	for _, s := range f.servers {
 		_, s.Evacuated = f.halls[s.Hall]
--- a/gateway/warmth.go
+++ b/gateway/warmth.go
@@ -80,6 +80,7 @@
 		c := f.cold[id]
 		c.Episode, c.Clear, c.Witnessed, c.Claimed = warmup.Episode(e.Revision), since, true, false
 		f.cold[id] = c
+		f.log.add(f.mark, id)
 	}
 	f.gateway.log.Info().Str("event", "hall.evacuated").Str("hall", e.Hall).Uint64("revision", e.Revision).Msg("no new work for its servers")
 }
@@ -100,6 +101,7 @@
 		c := f.cold[id]
 		c.Assumed = latest(c.Assumed, now.Add(f.coldFor(s.Service)))
 		f.cold[id] = c
+		f.log.add(f.mark, id)
 	}
 	f.gateway.log.Info().Str("event", "hall.returned").Str("hall", hall).Dur("after", now.Sub(e.Since)).Msg("its servers get work as their warmth allows")
 }
@@ -121,6 +123,7 @@
 	if c, known := f.cold[claim.Server]; known && c.Episode == claim.Episode {
 		c.Claimed = true
 		f.cold[claim.Server] = c
+		f.log.add(f.mark, claim.Server)
 	}
 }
 
@@ -157,8 +160,12 @@
 // takeWarmth takes over what another gateway knows. It is of a later revision, so it
 // replaces what was known here; only a longer coldness stays.
 func (f *follower) takeWarmth(now time.Time, h handover) {
+	told := map[string]bool{}
+	for _, s := range h.snapshot.Servers {
+		told[s.ID] = true
+	}
 	for id, c := range f.cold {
-		if _, told := h.cold[id]; !told {
+		if _, cold := h.cold[id]; !cold && (told[id] || !h.partial) {
 			c.Witnessed = false
 			f.cold[id] = c
 		}
@@ -199,7 +206,7 @@
 
 // addWarmth adds what a view tells of halls and of servers that are cold, or whose episode
 // others can't know.
-func (d *viewDocument) addWarmth(now time.Time, v *View) {
+func (d *viewDocument) addWarmth(now time.Time, v *View, told func(server string) bool) {
 	for hall, e := range v.Evacuated {
 		if d.Evacuated == nil {
 			d.Evacuated = map[string]evacuatedDocument{}
@@ -207,7 +214,7 @@
 		d.Evacuated[hall] = evacuatedDocument{Revision: e.Revision, AgeMS: now.Sub(e.Since).Milliseconds()}
 	}
 	for id, c := range v.Cold {
-		if !now.Before(c.until()) && c.Episode == 0 {
+		if !told(id) || !now.Before(c.until()) && c.Episode == 0 {
 			continue
 		}
 		if d.Cold == nil {
