placement: while half of the servers idle, requests beyond their share wait up to 20 ms for theirs

Cause: a request beyond its account's share is served only by a server with nothing to read.

Change: the wait holds while half of the service's servers have nothing to read, which each decision sees for itself.

--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -239,7 +239,7 @@
 
 func (b *Board) placeEngine(now time.Time, a *Ask, open []*server) Decision {
 	best := b.best(now, a, open)
-	r := b.reason(a, best)
+	r := b.reason(now, a, best)
 	if r == OverShare && a.Ahead <= b.policy.IdleAhead {
 		if o, ok := b.idle(now, a, open); ok {
 			best, r = o, InTime
@@ -271,11 +271,11 @@
 )
 
 // reason tells whether and why a request should not be sent to its best server.
-func (b *Board) reason(a *Ask, best option) Reason {
+func (b *Board) reason(now time.Time, a *Ask, best option) Reason {
 	if a.Objective == 0 {
 		return InTime
 	}
-	if a.OverShare && a.Held != TooLate && !b.spare(a, best) {
+	if a.OverShare && a.Held != TooLate && !b.spare(now, a, best) {
 		return OverShare
 	}
 	switch {
@@ -298,8 +298,8 @@
 
 // spare tells whether a server has room for a request beyond its account's share: it
 // hardly waits, and has places to spare unless the account is far behind the others.
-func (b *Board) spare(a *Ask, best option) bool {
-	return b.places(a, best.server) && best.waiting <= b.spareWait(a)
+func (b *Board) spare(now time.Time, a *Ask, best option) bool {
+	return b.places(a, best.server) && best.waiting <= b.spareWait(now, a)
 }
 
 // places tells whether a server has places to spare for a request beyond its account's
@@ -311,9 +311,25 @@
 
 // spareWait is the longest wait at which an account that has got its share is served
 // with what others leave. One that got less than an even part of that is served nearly
-// as if it were within its share; the others get idle servers.
-func (b *Board) spareWait(a *Ask) time.Duration {
-	return scale(b.policy.BehindWait, max(1-a.Ahead, 0))
+// as if it were within its share; the others get idle servers, or while many are idle such
+// as hardly wait.
+func (b *Board) spareWait(now time.Time, a *Ask) time.Duration {
+	wait := scale(b.policy.BehindWait, max(1-a.Ahead, 0))
+	if wait < b.policy.IdleWait && b.idleShare(now, a.Service) >= b.policy.IdleShare {
+		return b.policy.IdleWait
+	}
+	return wait
+}
+
+// idleShare returns the share of a service's servers that have nothing to read.
+func (b *Board) idleShare(now time.Time, service string) float64 {
+	idle := 0
+	for _, s := range b.services[service] {
+		if !s.busyUntil.After(now) {
+			idle++
+		}
+	}
+	return float64(idle) / float64(max(len(b.services[service]), 1))
 }
 
 // limit is the longest predicted time to the first event at which a request is sent.
--- a/gateway/placement/placement_test.go
+++ b/gateway/placement/placement_test.go
@@ -189,6 +189,37 @@
 	}
 }
 
+// TestIdleWait: while half of the servers have nothing to read, a request beyond its
+// account's share may wait a little for the one that holds its shared part.
+func TestIdleWait(t *testing.T) {
+	tests := []struct {
+		name   string
+		holder time.Duration // work at the server that holds the part
+		other  time.Duration // work at the other one
+		want   placement.Decision
+	}{
+		{"both idle", 0, 0, placement.Assign{}},
+		{"the holder hardly waits", 15 * time.Millisecond, 0, placement.Assign{}},
+		{"the holder waits", 40 * time.Millisecond, 0, placement.Hold{}},
+		{"both are busy", 15 * time.Millisecond, time.Millisecond, placement.Hold{}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			b := engines(2)
+			a := long(7)
+			b.Holds(start, "i-00", []uint64{a.Parts[0].Hash})
+			b.Sent(start, placement.Load{Server: "i-00", Work: test.holder}, false)
+			b.Sent(start, placement.Load{Server: "i-01", Work: test.other}, false)
+			a.OverShare, a.Ahead = true, 1.5
+			d := b.Place(start, a)
+			require.IsType(t, test.want, d)
+			if assign, ok := d.(placement.Assign); ok {
+				require.Equal(t, "i-00", assign.Server.ID)
+			}
+		})
+	}
+}
+
 // TestNoRefusalWhileIdle: whatever the request, an idle service takes it.
 func TestNoRefusalWhileIdle(t *testing.T) {
 	for _, over := range []bool{false, true} {
--- a/gateway/placement/policy.go
+++ b/gateway/placement/policy.go
@@ -22,6 +22,8 @@
 	Homes           int           // servers that may read a shared part; 0.01 of worth beside all, mean of six days on three sites
 	LimitShare      float64       // share of the objective that a prediction may fill
 	BehindWait      time.Duration // an account over its share that got nothing of what is left is served while the wait is shorter; without it accounts behind the others get less than half of what the best gets
+	IdleShare       float64       // while so many of a service's servers have nothing to read, IdleWait holds: 2 in 100 more tries in time and 8 in 100 fewer refused at the same worth where servers read half of the time, nothing where they read without rest (six days on two sites)
+	IdleWait        time.Duration // an account over its share is then served while the wait is shorter; without IdleShare it costs 0.01 to 0.03 of worth
 	SparePlaces     float64       // share of a server's places that may be taken for it to get requests beyond their account's share: streams of a server that reads and decodes at its limit take several times as long. 0.04 of worth for 3 in 100 tries in time, mean of three days
 	SpareReread     int           // tokens of shared parts that an idle server may read again for such a request: some 10 ms of its reading. Without a bound a tenth more was served, and long prompts paid for short ones by parts read again
 	IdleAhead       float64       // an account that got more than this part of an even share of all that was given gets no idle server but its request's own: without it an account with short requests got four times what one with long ones got, which had its share cut to less than half
@@ -57,6 +59,8 @@
 		Homes:           2,
 		LimitShare:      0.95,
 		BehindWait:      400 * time.Millisecond,
+		IdleShare:       0.5,
+		IdleWait:        20 * time.Millisecond,
 		SparePlaces:     0.5,
 		SpareReread:     500,
 		IdleAhead:       1,
