--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,9 +13,11 @@
 // what overload.go measures whether its connection is served here, is passed on to another
 // gateway (pass.go) or is turned away (turn.go), ingress.go reads and checks it, call.go brings it to a
 // server and decides what to do when that fails, wait.go keeps what no server should get
-// now, relay.go passes the answer on. desk.go owns the decisions of package placement,
-// view.go follows the source, handover.go asks other gateways, callers.go looks after
-// callers' connections, stop.go ends it all.
+// now, relay.go passes the answer on, returned.go knows who has come back. desk.go owns the
+// decisions of package placement, desk_cold.go its part in sparing cold servers. view.go
+// follows the source, warmth.go what it tells of cold servers and evacuated halls;
+// handover.go asks other gateways for their view, of which changelog.go tells what has
+// changed. callers.go looks after callers' connections, stop.go ends it all.
 package gateway
 
 import (
