--- /dev/null
+++ b/gateway/changelog_test.go
@@ -0,0 +1,114 @@
+package gateway
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/url"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"opalbridge.dev/gateway/catalog"
+)
+
+// TestPartsTellAll: a gateway that is handed only what has changed knows what the one knows
+// that follows the store.
+func TestPartsTellAll(t *testing.T) {
+	isOfStore := func(a worldAction) bool {
+		return strings.HasPrefix(a.name, "server") || strings.HasPrefix(a.name, "hall")
+	}
+	node := worldNode(t)
+	var actions []worldAction
+	for _, a := range worldActions() {
+		if isOfStore(a) {
+			actions = append(actions, a)
+		}
+	}
+	for seed := range uint64(200) {
+		r := rand.New(rand.NewPCG(seed, 1))
+		w := newWorld(t, node)
+		for range 40 {
+			actions[r.IntN(len(actions))].do(w)
+			if r.IntN(3) == 0 {
+				id := r.IntN(worldServers)
+				w.present[id] = false
+				w.write(ServerGone{ID: w.servers[id].ID})
+			}
+			if r.IntN(2) == 0 {
+				w.hear(0)
+				w.hand(0, 1)
+				require.True(t, w.gateways[1].view.Load().Revision >= w.gateways[0].view.Load().Revision)
+			}
+			w.now = w.now.Add(worldStep)
+		}
+		w.hear(0)
+		w.hand(0, 1)
+		of, to := w.gateways[0].view.Load(), w.gateways[1].view.Load()
+		require.Equal(t, of.Servers, to.Servers, "seed %d", seed)
+		for hall := range of.Evacuated {
+			require.Contains(t, to.Evacuated, hall)
+		}
+		require.Len(t, to.Evacuated, len(of.Evacuated))
+		for _, s := range of.Servers {
+			if left := of.Cold[s.ID].until().Sub(w.now); left > 0 {
+				require.GreaterOrEqual(t, to.Cold[s.ID].until().Sub(w.now), left-time.Millisecond, "seed %d", seed)
+			}
+			require.Equal(t, of.Cold[s.ID].Episode, to.Cold[s.ID].Episode, "seed %d", seed)
+		}
+	}
+}
+
+// TestHandoversGrowWithChanges: what a gateway is told of one change among many servers.
+func TestHandoversGrowWithChanges(t *testing.T) {
+	const servers = 3000
+	w := newWorld(t, worldNode(t))
+	w.hear(0)
+	list := make([]Change, servers)
+	for i := range list {
+		list[i] = ServerChanged{Server: catalog.Server{ID: fmt.Sprintf("i-%04d", i), Service: "s", Hall: "h0", Address: "10.0.0.1:80"}}
+	}
+	g := w.gateways[0]
+	known := g.view.Load().Revision
+	g.follower.takeChanges(w.now, list, known+servers)
+	asking := url.Values{sinceKey: {fmt.Sprint(known + servers)}, versionKey: {"1"}}
+	g.follower.takeChanges(w.now, list[:1], known+servers+1)
+	whole, err := g.packedView(w.now, url.Values{})
+	require.NoError(t, err)
+	part, err := g.packedView(w.now, asking)
+	require.NoError(t, err)
+	fmt.Printf("figure handover-one-change-of-3000 %d bytes (whole view %d)\n", len(part), len(whole))
+	require.Less(t, len(part), 1000)
+}
+
+// TestChangeLog: which revisions the log tells of.
+func TestChangeLog(t *testing.T) {
+	l := changeLog{}
+	l.restart(10)
+	l.add(11, "a")
+	l.add(12, "b")
+	l.add(12, "a")
+	tests := []struct {
+		since uint64
+		want  []string
+		ok    bool
+	}{{9, nil, false}, {10, []string{"a", "b"}, true}, {11, []string{"a", "b"}, true}, {12, nil, true}}
+	for _, test := range tests {
+		servers, ok := l.since(test.since)
+		require.Equal(t, test.ok, ok, test.since)
+		require.Equal(t, test.want, slices.Sorted(maps.Keys(servers)), test.since)
+	}
+	kept := l // a view's copy
+	for n := range uint64(2 * mostLogged) {
+		l.add(13+n, "c")
+	}
+	_, ok := l.since(12)
+	require.False(t, ok, "what was dropped is not told of")
+	_, ok = l.since(12 + 2*mostLogged - 1)
+	require.True(t, ok)
+	servers, _ := kept.since(10)
+	require.Len(t, servers, 2, "a copy stays as it was")
+}
