--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -167,7 +167,7 @@
 	switch {
 	case a.open.Load() >= a.room.connections:
 		return turnAway
-	case a.overload.short() && a.starting.full(now):
+	case a.overload.short(now) && a.starting.full(now):
 		return turnAway
 	case a.overload.admits() && !a.overload.lags(now, latenessHigh):
 		return serve
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -132,7 +132,7 @@
 	s := *g.desk.telling.Load()
 	v := g.view.Load()
 	s.StoreRevision, s.Confirmed, s.StoreAway = v.Revision, g.confirmedAt(), g.storeAway.Load()
-	if !g.overload.short() && !g.stopping.Load() {
+	if !g.overload.short(time.Now()) && !g.stopping.Load() {
 		s.Weight = g.options.Processor
 	}
 	if v.Configuration != nil {
--- a/gateway/overload.go
+++ b/gateway/overload.go
@@ -165,11 +165,7 @@
 			t.least = 0
 		}
 		before := t.share
-		t.measure(now.Sub(due))
-		o.lateness.Store(int64(now.Sub(due)))
-		o.history.note(now, now.Sub(due), now.Add(latenessEvery))
-		o.turnedAway.Store(uint64((1 - t.share) * partsOfShare))
-		o.notPassed.Store(uint64((1 - t.passed) * partsOfShare))
+		o.measured(&t, due, now)
 		if before == 1 && t.share < 1 || before < 1 && t.share == 1 {
 			g.log.Warn().Str("event", "gateway.overload").Bool("overloaded", t.share < 1).Dur("late", now.Sub(due)).
 				Int64("requests", g.active.Load()).Msg("short of processor")
@@ -179,6 +175,16 @@
 	}
 }
 
+// measured takes over a measurement that was due a while ago.
+func (o *overload) measured(t *throttle, due, now time.Time) {
+	late := now.Sub(due)
+	t.measure(late)
+	o.lateness.Store(int64(late))
+	o.history.note(now, late, now.Add(latenessEvery))
+	o.turnedAway.Store(uint64((1 - t.share) * partsOfShare))
+	o.notPassed.Store(uint64((1 - t.passed) * partsOfShare))
+}
+
 // admits draws whether a request is admitted.
 func (o *overload) admits() bool {
 	away := o.turnedAway.Load()
@@ -200,8 +206,8 @@
 
 // short tells whether the process has too little processor now: what it sees of others
 // is late then, and what it passes on is.
-func (o *overload) short() bool {
-	return o.turnedAway.Load() > 0 || time.Duration(o.lateness.Load()) > latenessHigh || o.lags(time.Now(), latenessHigh)
+func (o *overload) short(now time.Time) bool {
+	return o.turnedAway.Load() > 0 || time.Duration(o.lateness.Load()) > latenessHigh || o.lags(now, latenessHigh)
 }
 
 // turnAway answers a request that this gateway has no processor for.
