gateway, platform: servers that start again are lifetimes of their own; entries of other writers name no server

Cause: a server may start again under the name that it had and tells its start (born); all that a gateway kept was by name, so a server that had started again was taken for the one before, its cold allowance included. An entry of another writer was taken for a server (no address, no capacity, any state), and one that became unreadable stayed believed; one value that is no base64 spoiled the whole answer of the store.

Change: the ID of a server is its name and start, on the wire its name alone; what is kept by ID begins anew. The later lifetime is the one told by the store's later revision; starts are compared for being equal only. A server that starts again while its lifetime before is believed in waits as one that was warm, so that the bound for cold servers holds over both. Caches told by another lifetime are dropped. Entries are checked; those that no server would write are dropped at once, counted, and ten a minute are told.

Ruled out: an event that each keeper handles (fifteen keepers, and news under way name both alike), the revision at which an entry was made (entries run out while their server lives): docs/design/lifetimes.md.

Tests whose entries lacked a zone or capacity have whole ones now, since such entries name no server any more.

The stand-in and the soak do not start servers again under their name yet.

--- a/cmd/opalbridge/gateway.go
+++ b/cmd/opalbridge/gateway.go
@@ -87,11 +87,12 @@
 	if err != nil {
 		return err
 	}
-	g, err := openGateway(s, t, log)
+	entries := &unreadable{log: log}
+	g, err := openGateway(s, t, log, entries)
 	if err != nil {
 		return err
 	}
-	if err := observe(t, g, lines); err != nil {
+	if err := observe(t, g, lines, entries); err != nil {
 		return err
 	}
 	stopReload := watchReload(file, log)
@@ -105,7 +106,7 @@
 }
 
 // observe registers the gauges of what the gateway believes.
-func observe(t *telemetry.Telemetry, g *gateway.Gateway, lines *telemetry.Lines) error {
+func observe(t *telemetry.Telemetry, g *gateway.Gateway, lines *telemetry.Lines, entries *unreadable) error {
 	return telemetry.Observe(t.Meter("gateway"), []telemetry.Gauge{
 		{Name: "opalbridge.gateway.view_age", Unit: "s", Description: "since the view was last known to be the store's latest", Read: func() float64 { return g.Status().ViewAge.Seconds() }},
 		{Name: "opalbridge.gateway.configuration_version", Description: "version in force; 0: none", Read: func() float64 { return float64(g.Status().ConfigurationVersion) }},
@@ -115,11 +116,12 @@
 		{Name: "opalbridge.gateway.lateness", Unit: "s", Description: "of the process's own timers, as of the latest measurement", Read: func() float64 { return g.Status().Lateness.Seconds() }},
 		{Name: "opalbridge.gateway.admitted", Description: "share of requests that the process has time for", Read: func() float64 { return g.Status().Admitted }},
 		{Name: "opalbridge.gateway.log_lines_dropped", Description: "log lines that were not written", Read: func() float64 { return float64(lines.Dropped()) }},
+		{Name: "opalbridge.gateway.unreadable_entries", Description: "entries in the platform's store that could not be read, each time that they were met", Read: func() float64 { return float64(entries.total()) }},
 	})
 }
 
 // openGateway opens the gateway's sockets and puts its parts together.
-func openGateway(s *settings.Settings, t *telemetry.Telemetry, log zerolog.Logger) (*gateway.Gateway, error) {
+func openGateway(s *settings.Settings, t *telemetry.Telemetry, log zerolog.Logger, entries *unreadable) (*gateway.Gateway, error) {
 	metrics, err := telemetry.NewCalls(t.Meter("gateway"))
 	if err != nil {
 		return nil, err
@@ -141,14 +143,11 @@
 		MaxIdleConns: storeConnections, MaxIdleConnsPerHost: storeConnections,
 		DisableCompression: true,
 	}}}
-	unreadable := func(err error) {
-		log.Error().Str("event", "store.unreadable").Err(err).Msg("passed over")
-	}
 	return gateway.New(gateway.Options{
 		Front: front, Ready: ready, Peers: peers,
 		ReadyPath: platform.ReadyPath,
 		Peer:      peer.Options{Address: s.PeerAddress, Seeds: s.Seeds},
-		Source:    &platform.Feed{Store: store, Unreadable: unreadable},
+		Source:    &platform.Feed{Store: store, Halls: s.Regions, Unreadable: entries.hear},
 		Caches:    &platform.Caches{},
 		Claims:    &platform.Claims{Store: store, Holder: s.Name + "/" + strconv.FormatInt(time.Now().UnixNano(), 36)},
 		Codec:     platform.Codec{},
--- /dev/null
+++ b/cmd/opalbridge/unreadable_test.go
@@ -0,0 +1,30 @@
+package main
+
+import (
+	"bytes"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+)
+
+// TestUnreadable: thousands of entries that can't be read cost ten lines a minute, and all
+// are counted.
+func TestUnreadable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var lines bytes.Buffer
+		u := &unreadable{log: zerolog.New(&lines)}
+		for range 5000 {
+			u.hear(errors.New("x"))
+		}
+		require.Equal(t, unreadableLines, bytes.Count(lines.Bytes(), []byte("\n")))
+		time.Sleep(unreadableEvery)
+		u.hear(errors.New("x"))
+		require.Equal(t, unreadableLines+1, bytes.Count(lines.Bytes(), []byte("\n")))
+		require.Contains(t, lines.String(), `"count":5001`)
+		require.EqualValues(t, 5001, u.total())
+	})
+}
--- a/gateway/caches.go
+++ b/gateway/caches.go
@@ -19,7 +19,18 @@
 // Caches tells what servers hold in their caches. What it tells may be incomplete: it
 // saves reading, and no promise rests on it.
 type Caches interface {
-	Held(ctx context.Context, address string) ([]CachedPart, error)
+	Held(ctx context.Context, address string) (CacheContent, error)
+}
+
+// CacheContent is what a server says that its cache holds.
+type CacheContent struct {
+	Born  int64 // when the server started that answered, see [catalog.Server]; 0: not told
+	Parts []CachedPart
+}
+
+// of tells whether the answer may be of that lifetime of a server.
+func (c CacheContent) of(s catalog.Server) bool {
+	return c.Born == 0 || s.Born == 0 || c.Born == s.Born
 }
 
 // Times and sizes of asking servers for their caches.
@@ -109,8 +120,12 @@
 		g.log.Info().Str("event", "cache.unknown").Str("server", s.ID).Err(err).Msg("its cache counts as empty")
 		return
 	}
-	parts := make([]uint64, len(held))
-	for i, p := range held {
+	if !held.of(s) {
+		g.log.Info().Str("event", "cache.unknown").Str("server", s.ID).Int64("born", held.Born).Msg("the server has started again")
+		return
+	}
+	parts := make([]uint64, len(held.Parts))
+	for i, p := range held.Parts {
 		parts[i] = partHash(p.Model, p.ID)
 	}
 	g.log.Info().Str("event", "cache.known").Str("server", s.ID).Int("parts", len(parts)).Dur("took", time.Since(asked)).Msg("asked at the start")
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -149,7 +149,7 @@
 	upstream.RemoveHopHeaders(h)
 	h.Del("Expect") // the whole body is here
 	c.gateway.options.Codec.Forward(h, protocol.Forward{
-		Caller: c.request.Header, Server: d.Server.ID, Account: c.account, Deadline: c.deadline.Sub(now), LastEvent: c.lastEvent,
+		Caller: c.request.Header, Server: d.Server.Name(), Account: c.account, Deadline: c.deadline.Sub(now), LastEvent: c.lastEvent,
 		CopyFrom: d.CopyFrom,
 	})
 	return &upstream.Request{
--- a/gateway/catalog/catalog.go
+++ b/gateway/catalog/catalog.go
@@ -13,6 +13,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -216,10 +217,11 @@
 	return s, ok
 }
 
-// Server is one incarnation of a backend server: a server that starts again has
-// another ID.
+// Server is one lifetime of a backend server, from a start to its end. One that starts again
+// may keep its name; what was learned of the lifetime before tells nothing of the new one.
 type Server struct {
-	ID       string
+	ID       string // names the lifetime, see [LifetimeID]
+	Born     int64  // when it started, in milliseconds since 1970 by its host's clock; 0: not told
 	Service  string
 	Address  string // IP and port
 	Hall     string
@@ -228,3 +230,25 @@
 	// Its hall is evacuated: it takes no new work until the operators take that back.
 	Evacuated bool
 }
+
+// bornMark stands between a server's name and its start in the ID of a lifetime. Names do
+// not hold it.
+const bornMark = "@"
+
+// LifetimeID returns the ID of a lifetime of the server of that name. If its start was not
+// told, all of them have the same.
+func LifetimeID(name string, born int64) string {
+	if born == 0 {
+		return name
+	}
+	return name + bornMark + strconv.FormatInt(born, 10)
+}
+
+// ServerName returns the name of the server that has a lifetime of that ID.
+func ServerName(id string) string {
+	name, _, _ := strings.Cut(id, bornMark)
+	return name
+}
+
+// Name is what the server calls itself.
+func (s Server) Name() string { return ServerName(s.ID) }
--- a/gateway/changelog_test.go
+++ b/gateway/changelog_test.go
@@ -36,7 +36,7 @@
 			if r.IntN(3) == 0 {
 				id := r.IntN(worldServers)
 				w.present[id] = false
-				w.write(ServerGone{ID: w.servers[id].ID})
+				w.write(ServerGone{Name: w.servers[id].ID})
 			}
 			if r.IntN(2) == 0 {
 				w.hear(0)
--- a/gateway/cold_world_test.go
+++ b/gateway/cold_world_test.go
@@ -61,6 +61,7 @@
 	evacuated map[string]uint64
 	claims    map[warmup.Claim]string
 	spans     []coldSpan
+	born      [worldServers]int64
 	gateways  [worldGateways]*worldGateway
 	sends     []worldSend
 	starts    int
@@ -111,6 +112,16 @@
 	w.spans = append(w.spans, coldSpan{server: i, from: w.now, until: w.now.Add(worldColdFor), told: w.evacuated[w.servers[i].Hall]})
 }
 
+// startAgain lets a server start again under its name, while its entry of before is there or
+// not. Its start may have a lower figure than the one before. What the lifetime before got
+// counts beside what the later one gets.
+func (w *world) startAgain(i int) {
+	w.born[i] = 1 + (w.born[i]+7)%10
+	w.servers[i].ID, w.servers[i].Born = catalog.LifetimeID(w.servers[i].Name(), w.born[i]), w.born[i]
+	w.cool(i)
+	w.beat(i)
+}
+
 // beat lets a server write how long it is still cold.
 func (w *world) beat(i int) {
 	left := time.Duration(0)
@@ -268,8 +279,8 @@
 func (w *world) send(gateway, server int) {
 	g := w.gateways[gateway]
 	a := placement.Ask{Service: "s"}
-	for n, s := range w.servers {
-		if n != server {
+	for _, s := range g.view.Load().Servers {
+		if s.Name() != w.servers[server].Name() {
 			a.Exclude = append(a.Exclude, s.ID)
 		}
 	}
@@ -322,6 +333,7 @@
 	for i := range worldServers {
 		list = append(list,
 			worldAction{fmt.Sprintf("server %d becomes cold", i), func(w *world) { w.cool(i); w.beat(i) }},
+			worldAction{fmt.Sprintf("server %d starts again", i), func(w *world) { w.startAgain(i) }},
 			worldAction{fmt.Sprintf("hall %d is evacuated", i), func(w *world) { w.evacuate(i) }},
 			worldAction{fmt.Sprintf("hall %d comes back", i), func(w *world) { w.comeBack(i) }},
 		)
--- a/gateway/source.go
+++ b/gateway/source.go
@@ -19,6 +19,7 @@
 	Configuration *catalog.Configuration // nil: none yet
 	Raw           []byte                 // the configuration as it was announced
 	Servers       []catalog.Server
+	Unreadable    []string             // names whose entries tell of no server that can be used
 	Missing       map[string]time.Time // servers that are kept until then although their entry has gone
 	Revision      uint64               // changes up to it are included
 	Evacuated     map[string]uint64    // halls that are evacuated, with the revision at which the operators said so
@@ -41,8 +42,12 @@
 	Cold   time.Duration // for how much longer it is cold, as it says itself
 }
 
-// ServerGone says that a server's entry has gone.
-type ServerGone struct{ ID string }
+// ServerGone says that the entry of the server of that name has gone.
+type ServerGone struct{ Name string }
+
+// ServerUnreadable says that the entry under that name tells of no server that can be used,
+// whatever it told before.
+type ServerUnreadable struct{ Name string }
 
 // HallEvacuated says that the servers of a hall shall get no new work.
 type HallEvacuated struct {
@@ -62,6 +67,7 @@
 func (ConfigurationChanged) change() {}
 func (ServerChanged) change()        {}
 func (ServerGone) change()           {}
+func (ServerUnreadable) change()     {}
 
 // Source tells the operators' configuration and the backend servers. It may be slow,
 // away, or answer for some gateways only.
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -65,6 +65,7 @@
 type follower struct {
 	gateway *Gateway
 	servers map[string]catalog.Server
+	current map[string]string     // the lifetime that is in servers, by the server's name
 	missing map[string]time.Time  // servers kept until then although their entry has gone
 	halls   map[string]evacuation // that are evacuated
 	cold    map[string]coldness   // by server
@@ -89,7 +90,7 @@
 }
 
 func newFollower(g *Gateway) *follower {
-	return &follower{gateway: g, servers: map[string]catalog.Server{}, missing: map[string]time.Time{}, halls: map[string]evacuation{}, cold: map[string]coldness{}, handed: make(chan handover, 1)}
+	return &follower{gateway: g, servers: map[string]catalog.Server{}, current: map[string]string{}, missing: map[string]time.Time{}, halls: map[string]evacuation{}, cold: map[string]coldness{}, handed: make(chan handover, 1)}
 }
 
 // answer is the end of one call to the source.
@@ -247,6 +248,9 @@
 
 // takeSnapshot takes over all there is; lacking hears of the servers that are no more.
 func (f *follower) takeSnapshot(s Snapshot, lacking func(id string)) {
+	for _, name := range s.Unreadable {
+		f.dropNamed(name)
+	}
 	present := map[string]bool{}
 	for _, server := range s.Servers {
 		present[server.ID] = true
@@ -277,7 +281,9 @@
 			f.warm(now, c)
 			f.set(c.Server)
 		case ServerGone:
-			f.remove(now, c.ID)
+			f.remove(now, f.current[c.Name])
+		case ServerUnreadable:
+			f.dropNamed(c.Name)
 		case HallEvacuated:
 			f.evacuate(now, c)
 		case HallReturned:
@@ -337,6 +343,7 @@
 func (f *follower) set(s catalog.Server) {
 	delete(f.missing, s.ID)
 	s.Evacuated = false // publish fills it in
+	f.endBefore(s)
 	f.log.add(f.mark, s.ID)
 	if old, known := f.servers[s.ID]; !known || old != s {
 		f.gateway.log.Info().Str("event", "server.changed").Str("server", s.ID).Str("service", s.Service).
@@ -350,6 +357,28 @@
 		f.order = nil
 	}
 	f.servers[s.ID] = s
+	f.current[s.Name()] = s.ID
+}
+
+// endBefore drops the lifetime that a server had before it started again. News come in the
+// order of the store's revisions, so what is told now is the later one, whatever the clock of
+// the server's host said at the two starts.
+func (f *follower) endBefore(s catalog.Server) {
+	before, known := f.current[s.Name()]
+	if !known || before == s.ID {
+		return
+	}
+	f.gateway.log.Info().Str("event", "server.started_again").Str("server", s.Name()).
+		Int64("born", s.Born).Int64("before", f.servers[before].Born).Uint64("revision", f.mark).
+		Msg("nothing that was learned of it holds")
+	f.drop(before)
+}
+
+// dropNamed drops the server of that name at once.
+func (f *follower) dropNamed(name string) {
+	if id, known := f.current[name]; known {
+		f.drop(id)
+	}
 }
 
 func (f *follower) remove(now time.Time, id string) {
@@ -371,6 +400,9 @@
 func (f *follower) drop(id string) {
 	f.log.add(f.mark, id)
 	delete(f.servers, id)
+	if name := catalog.ServerName(id); f.current[name] == id {
+		delete(f.current, name)
+	}
 	f.order = nil
 	delete(f.missing, id)
 	delete(f.cold, id)
--- a/gateway/warmth.go
+++ b/gateway/warmth.go
@@ -47,6 +47,9 @@
 		if evacuated {
 			c.Episode = warmup.Episode(hall.Revision)
 		}
+		if _, again := f.current[s.Server.Name()]; again && !evacuated {
+			c.Clear = now // the lifetime before got work until now, and the bound holds over both
+		}
 	}
 	if s.Cold <= 0 {
 		c.Told = time.Time{}
