soak, platformtest: servers start again under their ID, and others write entries

Cause: neither the stand-in nor the soak knew servers that start again. Six kinds of trouble more, in a list of their own, so that seeds without them play what they always did; clocks are set back by up to an hour.

--- a/soak/soak.go
+++ b/soak/soak.go
@@ -18,6 +18,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -34,6 +35,7 @@
 	Gateways int    // 0: 3
 	Servers  int    // 0: 4
 	Callers  int    // 0: 12
+	Restarts bool   // servers start again under their ID as well, and others write entries
 }
 
 // Times of a run.
@@ -152,6 +154,10 @@
 
 // Play troubles the fleet for so long, then lets it rest and returns what was broken.
 func (r *Run) Play(d time.Duration) []string {
+	kinds := troubles
+	if r.options.Restarts {
+		kinds = slices.Concat(troubles, restarts)
+	}
 	defer r.close()
 	time.Sleep(calmBefore)
 	var under sync.WaitGroup
@@ -161,7 +167,7 @@
 			r.plannedStop()
 			continue
 		}
-		t := troubles[r.random.IntN(len(troubles))]
+		t := kinds[r.random.IntN(len(kinds))]
 		lasts := shortest + time.Duration(r.random.Int64N(int64(longest-shortest)))
 		undo := t.strike(r, r.random)
 		under.Add(1)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -15,11 +15,12 @@
 )
 
 var (
-	seeds = flag.Int("seeds", 1, "seeds to play")
-	first = flag.Uint64("first", 1, "first seed")
-	plays = flag.Duration("plays", 6*time.Second, "trouble of each seed")
-	fresh = flag.Bool("fresh", false, "seeds begin at the time of day")
-	logs  = flag.String("logs", "", "folder that keeps the gateways' logs")
+	seeds    = flag.Int("seeds", 1, "seeds to play")
+	first    = flag.Uint64("first", 1, "first seed")
+	plays    = flag.Duration("plays", 6*time.Second, "trouble of each seed")
+	fresh    = flag.Bool("fresh", false, "seeds begin at the time of day")
+	restarts = flag.Bool("restarts", false, "servers start again under their ID, and others write entries")
+	logs     = flag.String("logs", "", "folder that keeps the gateways' logs")
 )
 
 // failed are the seeds that ever failed, each with its cause.
@@ -39,13 +40,13 @@
 	return binary
 }
 
-func play(t *testing.T, binary string, seed uint64) {
+func play(t *testing.T, binary string, seed uint64, restarts bool) {
 	dir := t.TempDir()
 	if *logs != "" {
 		dir = filepath.Join(*logs, fmt.Sprint(seed))
 		require.NoError(t, os.MkdirAll(dir, 0o700))
 	}
-	r, err := soak.Start(soak.Options{Seed: seed, Binary: binary, Dir: dir})
+	r, err := soak.Start(soak.Options{Seed: seed, Binary: binary, Dir: dir, Restarts: restarts})
 	require.NoError(t, err)
 	require.Empty(t, r.Play(*plays), "seed %d", seed)
 }
@@ -57,7 +58,7 @@
 		from = uint64(time.Now().Unix())
 	}
 	for n := range uint64(*seeds) {
-		t.Run(fmt.Sprintf("seed=%d", from+n), func(t *testing.T) { play(t, binary, from+n) })
+		t.Run(fmt.Sprintf("seed=%d", from+n), func(t *testing.T) { play(t, binary, from+n, *restarts) })
 	}
 }
 
@@ -67,7 +68,12 @@
 	for _, f := range failed {
 		t.Run(fmt.Sprintf("seed=%d", f.seed), func(t *testing.T) {
 			t.Log(f.cause)
-			play(t, binary, f.seed)
+			play(t, binary, f.seed, false)
 		})
 	}
 }
+
+// TestSoakRestarts plays a seed with servers that start again under their ID.
+func TestSoakRestarts(t *testing.T) {
+	play(t, build(t), 4000, true)
+}
--- a/soak/trouble.go
+++ b/soak/trouble.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"syscall"
 	"time"
@@ -131,3 +132,59 @@
 		r.book.breaks("gateway %s does not start again: %v", p.name, err)
 	}
 }
+
+// restarts are the troubles of servers that start again and of entries of other writers. They
+// stand apart, so that a seed without them plays what it always did.
+var restarts = []trouble{
+	{"server starts again at once", func(r *Run, random *rand.Rand) func() {
+		r.startAgain(r.aServer(random), random)
+		return func() {}
+	}},
+	{"server starts again twice", func(r *Run, random *rand.Rand) func() {
+		s := r.aServer(random)
+		r.startAgain(s, random)
+		return func() { r.startAgain(s, random) }
+	}},
+	{"server starts again after its entry lapsed", func(r *Run, random *rand.Rand) func() {
+		s := r.aServer(random)
+		s.proxy.Reset()
+		r.store.Remove("servers/" + s.ID)
+		return func() { r.startAgain(s, random) }
+	}},
+	{"server starts again while the store is down", func(r *Run, random *rand.Rand) func() {
+		r.store.SetFaults(platformtest.Faults{Down: true})
+		r.startAgain(r.aServer(random), random)
+		return func() { r.store.SetFaults(platformtest.Faults{}) }
+	}},
+	{"server's entry is spoilt", func(r *Run, random *rand.Rand) func() {
+		s := r.aServer(random)
+		r.store.Put("servers/"+s.ID, spoilt[random.IntN(len(spoilt))])
+		return func() { r.announce(s, "ready") }
+	}},
+	{"others write entries", func(r *Run, random *rand.Rand) func() {
+		for i := range spoilt {
+			r.store.Put(fmt.Sprintf("servers/other-%d", i), spoilt[i])
+		}
+		return func() { r.store.Remove(fmt.Sprintf("servers/other-%d", random.IntN(len(spoilt)))) }
+	}},
+}
+
+// spoilt are entries that no server writes.
+var spoilt = [][]byte{
+	nil,
+	[]byte("\xff\x00"),
+	[]byte(`{"service":"s","zone":"z","capacity":64,"state":"ready"}`),
+	[]byte(`{"service":"s","addr":"nowhere","zone":"z","capacity":64,"state":"ready"}`),
+	[]byte(`{"service":"s","addr":"127.0.0.1:9","zone":"z","capacity":-1,"state":"ready"}`),
+	[]byte(`{"service":["s"],"addr":7,"zone":null,"capacity":"64","state":{},"born":"x"}`),
+	[]byte(`{"service":"s","addr":"127.0.0.1:9","zone":"z","capacity":64,"state":"asleep"}`),
+}
+
+// startAgain lets a server crash and start again under its ID. Its host's clock may have been
+// set back meanwhile.
+func (r *Run) startAgain(s *backend, random *rand.Rand) {
+	const anHour = 3_600_000
+	s.proxy.Reset()
+	s.StartAgain(time.Now().UnixMilli() - random.Int64N(anHour))
+	r.announce(s, "ready")
+}
