gateway: a short host with nobody to pass connections on to does not stop serving for them

Cause: found by reading the change before: own service gave way to connections that could be passed on also where there is no gateway to pass them on to.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -226,8 +226,11 @@
 
 // turnOrLeave decides on a connection that can neither be served nor passed on now.
 func (a *admission) turnOrLeave(now time.Time) fate {
+	if a.overload.alone.Load() {
+		return turnAway
+	}
 	a.overload.pressed.Store(true)
-	if a.overload.alone.Load() || a.turned.take(now) {
+	if a.turned.take(now) {
 		return turnAway
 	}
 	a.overload.left.Add(1)
--- a/gateway/hot_account_test.go
+++ b/gateway/hot_account_test.go
@@ -128,10 +128,13 @@
 		case serve:
 			h.start(costOfServe)
 		case passOn:
+			if h.throttle.least > 0 {
+				h.turnAway() // there is nobody to pass it on to
+				break
+			}
 			h.start(costOfPass)
 		case turnAway:
-			h.backlog += costOfAnswer
-			h.comeBack(h.queue[0], callerWay+h.wait().Truncate(playStep)+overloadRetryAfter)
+			h.turnAway()
 		default:
 			return
 		}
@@ -139,6 +142,12 @@
 	}
 }
 
+// turnAway answers the next connection's request as not run.
+func (h *shortHost) turnAway() {
+	h.backlog += costOfAnswer
+	h.comeBack(h.queue[0], callerWay+h.wait().Truncate(playStep)+overloadRetryAfter)
+}
+
 // start lets a connection be served or passed on.
 func (h *shortHost) start(cost time.Duration) {
 	h.helped++
@@ -166,3 +175,30 @@
 		})
 	}
 }
+
+// TestShortHostAlone: a host that has nobody to pass connections on to serves what it can
+// beside turning away.
+func TestShortHostAlone(t *testing.T) {
+	most := float64(time.Second*hostCores/1000) / float64(costOfServe) // in a second
+	tests := []struct {
+		callers int // a second
+		least   float64
+	}{
+		{200, 0.9},
+		{500, 0.75}, // 0.70 when own service gives way to passing on with nobody there
+		{1000, 0.45},
+	}
+	for _, test := range tests {
+		t.Run(fmt.Sprintf("%d callers a second", test.callers), func(t *testing.T) {
+			h := newShortHost()
+			h.throttle.least = admitLeast
+			h.admission.overload.alone.Store(true)
+			h.play(test.callers, 2*time.Second)
+			h.helped = 0
+			const seconds = 6
+			h.play(test.callers, seconds*time.Second)
+			possible := min(most, float64(test.callers)) * seconds
+			require.Greater(t, float64(h.helped), test.least*possible, "of %.0f that could be served", possible)
+		})
+	}
+}
