--- a/soak/trouble.go
+++ b/soak/trouble.go
@@ -137,23 +137,23 @@
 // stand apart, so that a seed without them plays what it always did.
 var restarts = []trouble{
 	{"server starts again at once", func(r *Run, random *rand.Rand) func() {
-		r.startAgain(r.aServer(random), random)
+		r.startAgain(r.aServer(random), drawBorn(random))
 		return func() {}
 	}},
 	{"server starts again twice", func(r *Run, random *rand.Rand) func() {
-		s := r.aServer(random)
-		r.startAgain(s, random)
-		return func() { r.startAgain(s, random) }
+		s, second := r.aServer(random), drawBorn(random)
+		r.startAgain(s, drawBorn(random))
+		return func() { r.startAgain(s, second) }
 	}},
 	{"server starts again after its entry lapsed", func(r *Run, random *rand.Rand) func() {
-		s := r.aServer(random)
+		s, born := r.aServer(random), drawBorn(random)
 		s.proxy.Reset()
 		r.store.Remove("servers/" + s.ID)
-		return func() { r.startAgain(s, random) }
+		return func() { r.startAgain(s, born) }
 	}},
 	{"server starts again while the store is down", func(r *Run, random *rand.Rand) func() {
 		r.store.SetFaults(platformtest.Faults{Down: true})
-		r.startAgain(r.aServer(random), random)
+		r.startAgain(r.aServer(random), drawBorn(random))
 		return func() { r.store.SetFaults(platformtest.Faults{}) }
 	}},
 	{"server's entry is spoilt", func(r *Run, random *rand.Rand) func() {
@@ -165,7 +165,8 @@
 		for i := range spoilt {
 			r.store.Put(fmt.Sprintf("servers/other-%d", i), spoilt[i])
 		}
-		return func() { r.store.Remove(fmt.Sprintf("servers/other-%d", random.IntN(len(spoilt)))) }
+		gone := fmt.Sprintf("servers/other-%d", random.IntN(len(spoilt)))
+		return func() { r.store.Remove(gone) }
 	}},
 }
 
@@ -180,11 +181,16 @@
 	[]byte(`{"service":"s","addr":"127.0.0.1:9","zone":"z","capacity":64,"state":"asleep"}`),
 }
 
-// startAgain lets a server crash and start again under its ID. Its host's clock may have been
-// set back meanwhile.
-func (r *Run) startAgain(s *backend, random *rand.Rand) {
+// drawBorn draws when a server starts, in milliseconds: its host's clock may have been set
+// back by up to an hour.
+func drawBorn(random *rand.Rand) int64 {
 	const anHour = 3_600_000
+	return time.Now().UnixMilli() - random.Int64N(anHour)
+}
+
+// startAgain lets a server crash and start again under its ID.
+func (r *Run) startAgain(s *backend, born int64) {
 	s.proxy.Reset()
-	s.StartAgain(time.Now().UnixMilli() - random.Int64N(anHour))
+	s.StartAgain(born)
 	r.announce(s, "ready")
 }
