cmd: the test of explain waits for the outcome, which is recorded after the answer has left

The router records the outcome when the whole answer has been passed on (router/serve.go), and the test asked as soon as it had read it. Change: it asks until the events are the same five in the same order, for 5 s at most; the product is as it was.

--- a/cmd/opalbridge/main_test.go
+++ b/cmd/opalbridge/main_test.go
@@ -16,6 +16,7 @@
 	"github.com/openai/openai-go/v3"
 	"github.com/openai/openai-go/v3/option"
 	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"opalbridge.dev/config"
@@ -249,13 +250,18 @@
 	answer, _ := f.ask(t, "POST", "/services/booking/bays/4", `{"bay":4}`, map[string]string{"Opalbridge-Not-Repeatable": "true"})
 	require.Equal(t, http.StatusOK, answer.StatusCode)
 	id := answer.Header.Get("Opalbridge-Request-Id")
-	events, unreached := f.routers[1].router.Explain(context.Background(), id, "")
-	require.Empty(t, unreached)
-	var kinds []string
-	for _, e := range events {
-		kinds = append(kinds, e.Node+" "+string(e.Kind))
-	}
-	require.Equal(t, []string{"router-1 arrive", "router-1 choose", "booking-1 admit", "booking-1 outcome", "router-1 outcome"}, kinds)
+	// The outcome is recorded when the whole answer has left, so a caller that asks at once may
+	// be early.
+	want := []string{"router-1 arrive", "router-1 choose", "booking-1 admit", "booking-1 outcome", "router-1 outcome"}
+	require.EventuallyWithT(t, func(c *assert.CollectT) {
+		events, unreached := f.routers[1].router.Explain(context.Background(), id, "")
+		require.Empty(c, unreached)
+		var kinds []string
+		for _, e := range events {
+			kinds = append(kinds, e.Node+" "+string(e.Kind))
+		}
+		require.Equal(c, want, kinds)
+	}, 5*time.Second, 10*time.Millisecond)
 	spans, err := http.Get(f.admin + "/traces/" + id)
 	require.NoError(t, err)
 	defer spans.Body.Close()
