--- a/gateway/desk_cold.go
+++ b/gateway/desk_cold.go
@@ -76,7 +76,7 @@
 	wanted := func(server string) bool {
 		return now.Sub(d.wanted[d.board.Service(server)]) < wantedFor
 	}
-	for _, c := range d.guard.Due(now, wanted, d.rank) {
+	for _, c := range d.guard.Due(now, wanted, d.ranking()) {
 		select {
 		case d.claims <- c:
 		default:
@@ -93,25 +93,32 @@
 	}
 }
 
-// rank returns how many live gateways come before this one for a server, in an order that
-// most find alike (rendezvous hashing, by the requests in hand). Who has more requests
-// holds more servers: only the holder's own requests go there, and by an even hash most
-// cold servers got fewer than two of the ten requests a second that they might.
-func (d *desk) rank(s warmup.Server) int {
-	own := score(d.settings.Address, s.Server, sum(d.running))
-	first := 0
+// ranking returns how to tell how many live gateways come before this one for a server, in an
+// order that most find alike (rendezvous hashing, by the requests in hand). Who has more
+// requests holds more servers: only the holder's own requests go there, and by an even hash
+// most cold servers got fewer than two of the ten requests a second that they might.
+func (d *desk) ranking() func(s warmup.Server) int {
+	weights := map[string]float64{}
 	for address, running := range d.gateways {
-		if score(address, s.Server, sum(running)) > own {
-			first++
+		weights[address] = float64(sum(running) + 1)
+	}
+	weight := float64(sum(d.running) + 1)
+	return func(s warmup.Server) int {
+		own := score(d.settings.Address, s.Server, weight)
+		first := 0
+		for address, weight := range weights {
+			if score(address, s.Server, weight) > own {
+				first++
+			}
 		}
+		return first
 	}
-	return first
 }
 
-// score orders gateways for a server: each comes first as often as its weight, one more
-// than its requests in hand, is of all weights.
-func score(gateway, server string, requests int) float64 {
-	return -float64(requests+1) / math.Log(draw(gateway+"/"+server))
+// score orders gateways for a server: each comes first as often as its weight is of all
+// weights.
+func score(gateway, server string, weight float64) float64 {
+	return -weight / math.Log(draw(gateway+"/"+server))
 }
 
 func sum[K comparable](counts map[K]int) int {
