gateway: a request that was lost before it began counts as got by its account no more

Ruled out: work booked at servers (that is taken back); what is told of others' sums being late (the victim's own gateway refused it). Change: a request without a first event that ended by its server or never reached one is taken back from the window in which it was counted; what its caller left still counts. A second attempt counts again, as it runs again.

--- a/gateway/desk.go
+++ b/gateway/desk.go
@@ -94,6 +94,8 @@
 	sent     time.Time
 	waiting  time.Duration // predicted, until the server comes to it
 	reading  time.Duration // predicted, of its own prompt
+	account  string
+	tokens   float64 // that count as got by the account
 }
 
 // Messages to the desk.
@@ -169,13 +171,13 @@
 	case <-d.done:
 		return nil, false
 	case <-ctx.Done():
-		go d.takeBack(reply)
+		go d.undo(reply)
 		return nil, false
 	}
 }
 
-// takeBack undoes a decision that nobody waits for any more.
-func (d *desk) takeBack(reply <-chan placement.Decision) {
+// undo takes back a decision that nobody waits for any more.
+func (d *desk) undo(reply <-chan placement.Decision) {
 	select {
 	case decision := <-reply:
 		if a, ok := decision.(placement.Assign); ok {
@@ -256,7 +258,8 @@
 	}
 	if m.repeat {
 		d.budget.Take(now, m.ask.Service, d.fleetSize())
-	} else if m.ask.Account != "" {
+	}
+	if m.ask.Account != "" {
 		d.book.Admit(now, m.ask.Account, m.tokens)
 	}
 	position := d.board.Sent(now, assign.Load, true)
@@ -264,7 +267,7 @@
 	assign.Ticket = d.tickets
 	d.pending[assign.Ticket] = &awaited{
 		server: assign.Server.ID, due: now.Add(assign.Predicted), position: position, copies: assign.CopyFrom != "",
-		sent: now, waiting: assign.Waiting, reading: assign.Reading,
+		sent: now, waiting: assign.Waiting, reading: assign.Reading, account: m.ask.Account, tokens: m.tokens,
 	}
 	d.running[assign.Server.ID]++
 	if d.guard.Cold(now, assign.Server.ID) {
@@ -288,6 +291,7 @@
 }
 
 func (d *desk) end(now time.Time, m endedMessage) {
+	d.takeBack(now, m)
 	delete(d.pending, m.ticket)
 	if m.end == placement.Served || m.end == placement.Full {
 		d.heard[m.server] = now
@@ -303,6 +307,20 @@
 	d.changed(now)
 }
 
+// takeBack lets a request count as got by its account no more if it did not begin to run, for
+// no doing of its caller: a server took 0.27 million tokens in the second in which it ended,
+// and accounts that had got nothing of it were held to be beyond their share for four seconds.
+func (d *desk) takeBack(now time.Time, m endedMessage) {
+	p := d.pending[m.ticket]
+	if p == nil || p.account == "" {
+		return
+	}
+	switch m.end {
+	case placement.Failed, placement.Unreachable, placement.Full:
+		d.book.TakeBack(now, p.sent, p.account, p.tokens)
+	}
+}
+
 // The state that beacons tell is made at most this often: it takes some microseconds for
 // each server.
 const publishEvery = 5 * time.Millisecond
--- a/gateway/share/share.go
+++ b/gateway/share/share.go
@@ -91,6 +91,19 @@
 	b.totals[account] = t
 }
 
+// TakeBack counts no more what was admitted at a time, since nothing of it began to run.
+func (b *Book) TakeBack(now, admitted time.Time, account string, tokens float64) {
+	c := b.counter(now, account)
+	bucket := int64(admitted.Sub(b.epoch) / (b.window / buckets))
+	if c.bucket-bucket >= buckets {
+		return // it has left the window
+	}
+	c.admitted[bucket%buckets] -= tokens
+	t := b.totals[account]
+	t.Admitted = max(t.Admitted-tokens, 0)
+	b.totals[account] = t
+}
+
 // Own returns this gateway's demands, the largest first.
 func (b *Book) Own(now time.Time) []Demand {
 	var list []Demand
--- a/gateway/share/share_test.go
+++ b/gateway/share/share_test.go
@@ -141,3 +141,25 @@
 	require.Len(t, b.Own(start), 1)
 	require.Empty(t, b.Own(start.Add(time.Minute)))
 }
+
+// TestTakeBack: what did not begin to run counts no more, in the window that it was counted in.
+func TestTakeBack(t *testing.T) {
+	now := time.Now()
+	b := share.NewBook(4 * time.Second)
+	b.Ask(now, "a", 100)
+	b.Admit(now, "a", 60)
+	b.Admit(now.Add(time.Second), "a", 40)
+	admitted := func(after time.Duration) float64 {
+		list := b.Own(now.Add(after))
+		if len(list) == 0 {
+			return 0
+		}
+		return list[0].Admitted
+	}
+	require.EqualValues(t, 100, admitted(time.Second))
+	b.TakeBack(now.Add(1500*time.Millisecond), now, "a", 60)
+	require.EqualValues(t, 40, admitted(1500*time.Millisecond))
+	require.EqualValues(t, 40, admitted(4500*time.Millisecond))
+	b.TakeBack(now.Add(6*time.Second), now.Add(time.Second), "a", 40)
+	require.Zero(t, admitted(6*time.Second), "what has left the window is not taken back twice")
+}
