gateway: cold servers are held by those who are asked for much, not only by those with much in hand

Cause: a cold server gets only its holder's requests, and holders were drawn by requests in hand: a gateway whose servers had gone held none of 28 cold ones while it refused 264 requests of one account a second. Beside that, names that differ in their last signs had nearly the same draw (an FNV sum's high bits), so one gateway could hold most of them; split routes drew by the same. Change: a gateway's weight is its part of all requests in hand and of all tokens asked; the sum is mixed.

--- a/gateway/desk.go
+++ b/gateway/desk.go
@@ -65,12 +65,12 @@
 	halls       map[string]string    // of live gateways, by address
 	view        *View
 	waits       waitQueue
-	published   time.Time                   // when the state that beacons tell was made
-	unpublished bool                        // it has changed since
-	running     map[string]int              // own requests by server
-	ids         map[uint64]string           // server by hash of its ID
-	gateways    map[string]map[uint64]int   // running requests at servers, by live gateway
-	demands     map[string][]*peerpb.Demand // by live gateway
+	published   time.Time                 // when the state that beacons tell was made
+	unpublished bool                      // it has changed since
+	running     map[string]int            // own requests by server
+	ids         map[uint64]string         // server by hash of its ID
+	gateways    map[string]map[uint64]int // running requests at servers, by live gateway
+	asked       map[string]float64        // tokens in the window of fair shares, by gateway, this one included
 }
 
 // DeskSettings are the bounds that the desk keeps.
@@ -141,7 +141,7 @@
 		board: placement.NewBoard(s.Policy), book: share.NewBook(s.Shares), budget: budget.New(s.Repeats, now),
 		pending: map[uint64]*awaited{}, heard: map[string]time.Time{}, speeds: map[string]placement.Speed{},
 		view: &View{}, running: map[string]int{}, ids: map[uint64]string{},
-		gateways: map[string]map[uint64]int{}, demands: map[string][]*peerpb.Demand{},
+		gateways: map[string]map[uint64]int{}, asked: map[string]float64{},
 		guard: warmup.NewGuard(), wanted: map[string]time.Time{}, halls: map[string]string{},
 	}
 	d.board.SetRegions(s.Regions)
@@ -394,6 +394,11 @@
 	d.findSilent(now)
 	d.tellSpeeds()
 	own := d.book.Own(now)
+	asked := 0.0
+	for _, o := range own {
+		asked += o.Asked
+	}
+	d.asked[d.settings.Address] = asked
 	list := make([]*peerpb.Demand, 0, min(len(own), mostDemands))
 	for _, o := range own[:min(len(own), mostDemands)] {
 		list = append(list, &peerpb.Demand{Account: o.Account, Asked: uint32(o.Asked), Admitted: uint32(o.Admitted)})
--- a/gateway/desk_cold.go
+++ b/gateway/desk_cold.go
@@ -94,15 +94,23 @@
 }
 
 // ranking returns how to tell how many live gateways come before this one for a server, in an
-// order that most find alike (rendezvous hashing, by the requests in hand). Who has more
-// requests holds more servers: only the holder's own requests go there, and by an even hash
-// most cold servers got fewer than two of the ten requests a second that they might.
+// order that most find alike (rendezvous hashing). Only the holder's own requests go to a cold
+// server, so who is asked for more holds more of them: by an even hash most cold servers got
+// fewer than two of the ten requests a second that they might. What is asked counts beside the
+// requests in hand, since a gateway whose servers have gone has little in hand.
 func (d *desk) ranking() func(s warmup.Server) int {
+	inHand, asked := float64(sum(d.running)+1), d.asked[d.settings.Address]
+	hands, demand := inHand, asked
+	for address, running := range d.gateways {
+		hands += float64(sum(running) + 1)
+		demand += d.asked[address]
+	}
+	weightOf := func(inHand, asked float64) float64 { return inHand/hands + asked/max(demand, 1) }
+	weight := weightOf(inHand, asked)
 	weights := map[string]float64{}
 	for address, running := range d.gateways {
-		weights[address] = float64(sum(running) + 1)
+		weights[address] = weightOf(float64(sum(running)+1), d.asked[address])
 	}
-	weight := float64(sum(d.running) + 1)
 	return func(s warmup.Server) int {
 		own := score(d.settings.Address, s.Server, weight)
 		first := 0
--- a/gateway/desk_news.go
+++ b/gateway/desk_news.go
@@ -155,6 +155,7 @@
 		d.addOthers(d.gateways[u.From], nil)
 		delete(d.gateways, u.From)
 		delete(d.halls, u.From)
+		delete(d.asked, u.From)
 		d.peersAlive.Store(int64(len(d.gateways)))
 		d.book.SetOthers(u.From, nil)
 		return
@@ -173,9 +174,11 @@
 		d.board.Backlog(now, d.ids[l.Server], l.Left)
 	}
 	if u.DemandsTold {
+		d.asked[u.From] = 0
 		list := make([]share.Demand, len(u.Demands))
 		for i, p := range u.Demands {
 			list[i] = share.Demand{Account: p.Account, Asked: float64(p.Asked), Admitted: float64(p.Admitted)}
+			d.asked[u.From] += list[i].Asked
 		}
 		d.book.SetOthers(u.From, list)
 	}
--- a/gateway/holder_test.go
+++ b/gateway/holder_test.go
@@ -20,6 +20,19 @@
 // or full: it had little in hand, held 0 of the 28, and refused 264 requests a second, while
 // others served theirs on the cold ones.
 //
+// TestDrawIsEven: names that differ in their last signs are drawn apart. Without mixing the
+// sum, a tenth of the range got 10 of these 1,000.
+func TestDrawIsEven(t *testing.T) {
+	const names, parts = 1000, 10
+	var found [parts]int
+	for n := range names {
+		found[int(parts*draw(fmt.Sprint("10.0.0.1/i-", n)))]++
+	}
+	for part, n := range found {
+		require.InDelta(t, names/parts, n, names/parts/2, "part %d", part)
+	}
+}
+
 // TestHoldersHaveTheDemand: a gateway that is asked for much and can send little holds cold
 // servers as its demand is of all demand.
 func TestHoldersHaveTheDemand(t *testing.T) {
--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -212,10 +212,15 @@
 const outputWeight = 2
 
 // draw maps an ID to [0, 1), so that a request keeps its service when a caller's
-// connection breaks and it comes again.
+// connection breaks and it comes again. IDs that differ in their last signs only have nearly
+// the same high bits in an FNV sum, so it is mixed (the finalizer of MurmurHash3).
 func draw(id string) float64 {
 	const bits = 53 // of a float64's mantissa
-	return float64(hash(id)>>(64-bits)) / (1 << bits)
+	h := hash(id)
+	h = (h ^ h>>33) * 0xff51afd7ed558ccd
+	h = (h ^ h>>33) * 0xc4ceb9fe1a85ec53
+	h ^= h >> 33
+	return float64(h>>(64-bits)) / (1 << bits)
 }
 
 // deny answers a request that goes to no server.
