gateway: a request that was answered a moment ago is not blamed for a server's end

Cause: of a question that many callers ask at once, copies are under way at many servers. When several of these end at the same moment it was at three ends before any answer could clear it, was barred, and so was never answered again. Ruled out: a trial after a time (a true cause would end a fourth server, and the question would be refused until then); counting ends at the same moment as one (four causes at once end servers so). Change: gateways remember which requests they answered whole in the last ten seconds, 8,192 at most; such a request is not blamed, and who hears it blamed says so.

--- a/gateway/barred.go
+++ b/gateway/barred.go
@@ -61,8 +61,7 @@
 // Of what a request asks, the log tells so much.
 const longestAsks = 200
 
-// key names what the request asks. It is made when it is first needed: on most days no server
-// ends, and then a request costs none.
+// key names what the request asks. It is made when it is first needed.
 func (c *call) key() quarantine.Key {
 	if !c.keyed {
 		c.identity, c.keyed = c.makeKey(), true
@@ -92,9 +91,7 @@
 
 // answered tells that the request was answered whole.
 func (c *call) answered() {
-	if c.gateway.suspects.known.Load() > 0 {
-		c.gateway.suspects.answered(c.key())
-	}
+	c.gateway.suspects.answered(time.Now(), c.key())
 }
 
 // lost tells that the request was lost at a server.
--- a/gateway/quarantine/quarantine.go
+++ b/gateway/quarantine/quarantine.go
@@ -5,7 +5,9 @@
 // cause. But a cause comes again: the same question of the same account is there when the
 // next server ends, and it is never answered. So the package counts, for each request that
 // was at a server when that server ended, how many have. With [MostEnds] it is barred. What
-// is answered whole was not the cause, and starts anew.
+// is answered whole was not the cause, and starts anew; and what was answered lately
+// ([Answers]) is not blamed at all, since many copies of a question that is asked often are
+// under way when several servers end at once.
 //
 // All that a [Book] holds are sets that only grow: pairs of a request and a server that has
 // ended, and pairs that no longer count. So news that come twice, late or in another order
--- a/gateway/quarantine/quarantine_test.go
+++ b/gateway/quarantine/quarantine_test.go
@@ -169,6 +169,27 @@
 	require.True(t, b.Barred(key(-1)), "those that are not barred go first")
 }
 
+// TestAnswers: what was answered lately is known, in bounded memory.
+func TestAnswers(t *testing.T) {
+	var a Answers
+	now := time.Unix(100, 0)
+	require.False(t, a.Lately(now, key(1)))
+	a.Add(now, key(1))
+	a.Add(now, key(2))
+	require.True(t, a.Lately(now.Add(answeredFor-1), key(1)))
+	require.False(t, a.Lately(now.Add(answeredFor), key(1)))
+	a.Add(now.Add(answeredFor), key(1))
+	require.True(t, a.Lately(now.Add(answeredFor), key(1)))
+	require.False(t, a.Lately(now.Add(answeredFor), key(2)))
+	for n := range 2 * mostAnswers {
+		a.Add(now, key(1000+n))
+	}
+	require.Len(t, a.at, mostAnswers)
+	require.Len(t, a.ring, mostAnswers)
+	require.False(t, a.Lately(now, key(1)))
+	require.True(t, a.Lately(now, key(1000+mostAnswers)))
+}
+
 // TestKeys: tries of the same question have the same key, others have another one.
 func TestKeys(t *testing.T) {
 	first := Request{Account: "a", Method: "POST", Host: "h", Target: "/x", Body: []byte("b")}
@@ -367,8 +388,8 @@
 	}
 }
 
-// BenchmarkKey is what a request costs more once a server has ended under any: before, it
-// cost nothing; 1.1 µs for a body of 1 KB.
+// BenchmarkKey is what an answered request costs more: before, it cost nothing; 1.1 µs for a
+// body of 1 KB.
 func BenchmarkKey(b *testing.B) {
 	r := Request{Account: "quito", Method: "POST", Host: "h.example", Target: "/v1/chat/completions", Body: make([]byte, 1024)}
 	for b.Loop() {
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -64,6 +64,8 @@
 
 	mutex  sync.Mutex
 	book   *quarantine.Book
+	lately quarantine.Answers        // of this gateway
+	own    map[quarantine.Key]bool   // kept in the store by this gateway
 	asks   map[quarantine.Key]string // what those ask that were at two ends or more, as far as this gateway has seen them
 	dirty  map[quarantine.Key]bool   // to be written
 	second time.Time                 // in which told counts
@@ -73,7 +75,7 @@
 func newSuspects(log zerolog.Logger, fleet func() int) *suspects {
 	return &suspects{
 		log: log, fleet: fleet, wake: make(chan struct{}, 1), bars: make(chan struct{}, 1), book: quarantine.NewBook(),
-		asks: map[quarantine.Key]string{}, dirty: map[quarantine.Key]bool{},
+		own: map[quarantine.Key]bool{}, asks: map[quarantine.Key]string{}, dirty: map[quarantine.Key]bool{},
 	}
 }
 
@@ -98,12 +100,14 @@
 		}
 		return 1
 	})
-	keys := make([]quarantine.Key, len(there))
-	for i, t := range there {
-		keys[i] = t.key
-	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	keys := make([]quarantine.Key, 0, len(there))
+	for _, t := range there {
+		if !s.lately.Lately(now, t.key) {
+			keys = append(keys, t.key)
+		}
+	}
 	changed := s.book.Ended(now, server, keys)
 	for _, t := range there {
 		if slices.Contains(changed, t.key) {
@@ -165,17 +169,35 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for _, e := range ends {
-		keys := make([]quarantine.Key, len(e.Suspects))
-		for i, k := range e.Suspects {
-			keys[i] = quarantine.Key(k)
+		keys := make([]quarantine.Key, 0, len(e.Suspects))
+		for _, k := range e.Suspects {
+			if s.lately.Lately(now, quarantine.Key(k)) {
+				s.peers.TellAnswered(peer.Answered{Key: k, Servers: []string{e.Server}})
+				continue
+			}
+			keys = append(keys, quarantine.Key(k))
 		}
 		s.note(s.book.Ended(now, e.Server, keys), e.Server)
 	}
 	for _, a := range answered {
-		s.book.Clear(quarantine.Key(a.Key), a.Servers)
+		k := quarantine.Key(a.Key)
+		s.book.Clear(k, a.Servers)
+		s.dropIfCleared(k)
 	}
 }
 
+// dropIfCleared lets the store keep a request no more that this gateway had it keep, if it is
+// no suspect any more.
+func (s *suspects) dropIfCleared(k quarantine.Key) {
+	if _, repeated := s.book.Record(k); repeated || !s.own[k] {
+		return
+	}
+	s.log.Info().Str("event", "request.cleared").Str("key", k.String()).Msg("it was answered")
+	delete(s.asks, k)
+	s.dirty[k] = true
+	s.wakeWriter()
+}
+
 // ends returns how many servers have ended under a request, and whether it is barred.
 func (s *suspects) ends(key quarantine.Key) (n int, barred bool) {
 	s.mutex.Lock()
@@ -184,22 +206,16 @@
 }
 
 // answered takes over that a request was answered whole.
-func (s *suspects) answered(key quarantine.Key) {
+func (s *suspects) answered(now time.Time, key quarantine.Key) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	_, repeated := s.book.Record(key)
+	s.lately.Add(now, key)
 	cleared := s.book.Answered(key)
 	if len(cleared) == 0 {
 		return
 	}
 	s.peers.TellAnswered(peer.Answered{Key: peer.Key(key), Servers: cleared})
-	if !repeated {
-		return
-	}
-	s.log.Info().Str("event", "request.cleared").Str("key", key.String()).Strs("servers", cleared).Msg("it was answered")
-	delete(s.asks, key)
-	s.dirty[key] = true
-	s.wakeWriter()
+	s.dropIfCleared(key)
 }
 
 // kept takes over what the store keeps: old is what it kept before.
@@ -215,6 +231,7 @@
 		if _, still := kept[k]; !still {
 			s.book.Lift(k)
 			delete(s.asks, k)
+			delete(s.own, k)
 			s.log.Info().Str("event", "request.lifted").Str("key", k.String()).Msg("the store keeps it no more")
 		}
 	}
@@ -289,6 +306,10 @@
 	s.mutex.Lock()
 	r, repeated := s.book.Record(k)
 	asks := s.asks[k]
+	s.own[k] = repeated
+	if !repeated {
+		delete(s.own, k)
+	}
 	s.mutex.Unlock()
 	if !repeated {
 		return store.Drop(ctx, k)
