soak, gateway: requests that end servers are soaked; one that was barred by ends at the same moment is tried once

Beside that, a record that was written while it was cleared stayed in the store. Ruled out: news that were lost (all gateways had cleared or barred it alike). Change: if all ends that bar a request came within a second, the gateway that comes first for it (rendezvous hashing) sends it once after three seconds: answered, it is cleared everywhere; another end, and it stays barred. The bound of three more sends has room for that. Whoever watches the store for a hall drops records of what was answered. The soak plays four such requests, one on each kind of route, beside all its troubles, with servers that start again at another address: after the third end and three seconds at most three arrivals each, nothing else barred. Ways: a trial for each that is barred would end a fourth server under each cause.

--- a/gateway/barred.go
+++ b/gateway/barred.go
@@ -44,7 +44,7 @@
 	u.mutex.Lock()
 	defer u.mutex.Unlock()
 	for c, cancel := range u.calls {
-		if !c.begun.Load() && barred(c.makeKey()) {
+		if !c.trial && !c.begun.Load() && barred(c.makeKey()) {
 			cancel(errBarred)
 		}
 	}
@@ -84,9 +84,14 @@
 	return c.gateway.suspects.ends(c.key())
 }
 
+// barred tells whether the request may reach no server.
 func (c *call) barred() bool {
 	_, barred := c.endsSeen()
-	return barred
+	if !barred || c.trial {
+		return false
+	}
+	c.trial = c.gateway.suspects.mayTry(time.Now(), c.key())
+	return !c.trial
 }
 
 // answered tells that the request was answered whole.
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -48,6 +48,7 @@
 	identity  quarantine.Key // see key
 	keyed     bool           // identity is set
 	begun     atomic.Bool    // the caller has got a part of an answer
+	trial     bool           // it is barred and sent all the same, once
 }
 
 // step is what to do after an attempt.
--- a/gateway/cold_world_test.go
+++ b/gateway/cold_world_test.go
@@ -97,7 +97,7 @@
 	g.view.Store(&View{})
 	g.desk = newDesk(zerolog.Nop(), DeskSettings{Shares: time.Second, Policy: placement.DefaultPolicy(), Cold: worldLimits, Address: fmt.Sprint(w.starts)}, w.now)
 	g.desk.peers, g.desk.claims = w.node, g.claims
-	g.suspects = newSuspects(zerolog.Nop(), func() int { return worldGateways })
+	g.suspects = newSuspects(zerolog.Nop(), g.desk.settings.Address, func() int { return worldGateways })
 	g.suspects.peers = w.node
 	g.ends = newEnds(zerolog.Nop(), g.suspects.ended)
 	g.follower = newFollower(g)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -119,7 +119,7 @@
 	g.desk = newDesk(o.Log, o.Desk, time.Now())
 	g.desk.claims = g.claims
 	g.desk.late = g.overload.worst
-	g.suspects = newSuspects(o.Log, func() int { return int(g.desk.peersAlive.Load()) + 1 })
+	g.suspects = newSuspects(o.Log, o.Desk.Address, func() int { return int(g.desk.peersAlive.Load()) + 1 })
 	g.ends = newEnds(o.Log, g.suspects.ended)
 	g.underWay = newUnderWay()
 	o.Peer.Hall = o.Desk.Hall
--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -214,6 +214,7 @@
 			for _, u := range list {
 				g.helpers.update(u)
 				g.returned.told(time.Now(), u.Refusals)
+				g.suspects.live(u.From, u.Alive)
 				g.suspects.hear(time.Now(), u.Ends, u.Answered)
 				h.take(ctx, time.Now(), u)
 			}
--- a/gateway/quarantine/quarantine.go
+++ b/gateway/quarantine/quarantine.go
@@ -47,6 +47,12 @@
 	mostRepeated = 4096
 	// Ends that are remembered of one request; more do not change what is done with it.
 	mostOfOne = 8
+	// Ends within this time of the first one may have a cause that is none of the requests:
+	// many servers end at once, and copies of a question are at several of them.
+	atOnce = time.Second
+	// A request that is barred by such ends alone is tried once after this time, in which all
+	// gateways have heard of them.
+	trialAfter = 3 * time.Second
 )
 
 // Book holds which requests were at servers that have ended. Its zero value is not ready;
@@ -70,6 +76,8 @@
 	ended   []string  // servers that count, in the order of the news
 	cleared []string  // servers that don't: something else was the cause
 	barred  time.Time // since when it is kept from servers; zero: it is not
+	first   time.Time // news of an end that counts; zero: not from a gateway that saw it
+	last    time.Time
 }
 
 // Record is what is known of a request that was at two ends or more.
@@ -91,6 +99,10 @@
 		if !b.add(now, server, k) {
 			continue
 		}
+		if s := b.suspects[k]; s.first.IsZero() && len(s.ended) == 1 {
+			s.first = now
+		}
+		b.suspects[k].last = now
 		news = append(news, k)
 		if b.repeats[k] {
 			changed = append(changed, k)
@@ -166,6 +178,9 @@
 		}
 	}
 	s.cleared = s.cleared[max(0, len(s.cleared)-mostOfOne):]
+	if len(s.ended) == 0 {
+		s.first = time.Time{}
+	}
 	if len(s.ended) < repeated {
 		delete(b.repeats, k)
 	}
@@ -188,6 +203,16 @@
 	return s != nil && !s.barred.IsZero()
 }
 
+// Doubtful tells whether a request that is barred may be tried once: all ends that count came
+// at once, and a while ago. A try under which another server ends leaves no doubt.
+func (b *Book) Doubtful(now time.Time, k Key) bool {
+	s := b.suspects[k]
+	if s == nil || s.barred.IsZero() || s.first.IsZero() {
+		return false
+	}
+	return s.last.Sub(s.first) <= atOnce && now.Sub(s.last) >= trialAfter
+}
+
 // Record returns what is known of a request; ok is false if it has seen less than two ends.
 func (b *Book) Record(k Key) (r Record, ok bool) {
 	if !b.repeats[k] {
--- a/gateway/quarantine/quarantine_test.go
+++ b/gateway/quarantine/quarantine_test.go
@@ -169,6 +169,38 @@
 	require.True(t, b.Barred(key(-1)), "those that are not barred go first")
 }
 
+// TestDoubtful: who is barred by ends at the same moment may be tried, others not.
+func TestDoubtful(t *testing.T) {
+	start := time.Unix(100, 0)
+	at := func(b *Book, after time.Duration, server string) { b.Ended(start.Add(after), server, keys(1)) }
+	tests := []struct {
+		name string
+		play func(b *Book)
+		want bool
+	}{
+		{"at once", func(b *Book) { at(b, 0, "1"); at(b, 1, "2"); at(b, 20, "3"); at(b, 30, "4") }, true},
+		{"one after the other", func(b *Book) { at(b, 0, "1"); at(b, time.Second, "2"); at(b, 2*time.Second, "3") }, false},
+		{"not barred", func(b *Book) { at(b, 0, "1"); at(b, 1, "2") }, false},
+		{"a moment ago", func(b *Book) { at(b, 8*time.Second, "1"); at(b, 8*time.Second, "2"); at(b, 8*time.Second, "3") }, false},
+		{"tried, and another one ended", func(b *Book) { at(b, 0, "1"); at(b, 1, "2"); at(b, 20, "3"); at(b, 4*time.Second, "4") }, false},
+		{"known by a record only", func(b *Book) { b.Merge(start, key(1), []string{"1", "2", "3"}) }, false},
+		{"answered between", func(b *Book) {
+			at(b, 0, "1")
+			b.Answered(key(1))
+			at(b, 2*time.Second, "2")
+			at(b, 2*time.Second, "3")
+			at(b, 2*time.Second, "4")
+		}, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			b := NewBook()
+			test.play(b)
+			require.Equal(t, test.want, b.Doubtful(start.Add(10*time.Second), key(1)))
+		})
+	}
+}
+
 // TestAnswers: what was answered lately is known, in bounded memory.
 func TestAnswers(t *testing.T) {
 	var a Answers
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -55,27 +55,30 @@
 // suspects is what this gateway believes of requests that were at ends of servers. It is safe
 // for use by several goroutines.
 type suspects struct {
-	log   zerolog.Logger
-	peers *peer.Node
-	fleet func() int    // live gateways
-	wake  chan struct{} // there is something to write
-	bars  chan struct{} // a request has been barred
-	known atomic.Int64  // requests in the book; with none there is nothing to look for
+	log     zerolog.Logger
+	peers   *peer.Node
+	address string        // IP address of this gateway
+	fleet   func() int    // live gateways
+	wake    chan struct{} // there is something to write
+	bars    chan struct{} // a request has been barred
+	known   atomic.Int64  // requests in the book; with none there is nothing to look for
 
 	mutex  sync.Mutex
 	book   *quarantine.Book
 	lately quarantine.Answers        // of this gateway
 	own    map[quarantine.Key]bool   // kept in the store by this gateway
+	tried  map[quarantine.Key]bool   // although they are barred
+	others map[string]bool           // live gateways, by address
 	asks   map[quarantine.Key]string // what those ask that were at two ends or more, as far as this gateway has seen them
 	dirty  map[quarantine.Key]bool   // to be written
 	second time.Time                 // in which told counts
 	told   int
 }
 
-func newSuspects(log zerolog.Logger, fleet func() int) *suspects {
+func newSuspects(log zerolog.Logger, address string, fleet func() int) *suspects {
 	return &suspects{
-		log: log, fleet: fleet, wake: make(chan struct{}, 1), bars: make(chan struct{}, 1), book: quarantine.NewBook(),
-		own: map[quarantine.Key]bool{}, asks: map[quarantine.Key]string{}, dirty: map[quarantine.Key]bool{},
+		log: log, address: address, fleet: fleet, wake: make(chan struct{}, 1), bars: make(chan struct{}, 1), book: quarantine.NewBook(),
+		own: map[quarantine.Key]bool{}, tried: map[quarantine.Key]bool{}, others: map[string]bool{}, asks: map[quarantine.Key]string{}, dirty: map[quarantine.Key]bool{},
 	}
 }
 
@@ -182,20 +185,10 @@
 	for _, a := range answered {
 		k := quarantine.Key(a.Key)
 		s.book.Clear(k, a.Servers)
-		s.dropIfCleared(k)
-	}
-}
-
-// dropIfCleared lets the store keep a request no more that this gateway had it keep, if it is
-// no suspect any more.
-func (s *suspects) dropIfCleared(k quarantine.Key) {
-	if _, repeated := s.book.Record(k); repeated || !s.own[k] {
-		return
+		if _, repeated := s.book.Record(k); !repeated && s.own[k] {
+			s.drop(k) // it may have been written after who answered it has dropped it
+		}
 	}
-	s.log.Info().Str("event", "request.cleared").Str("key", k.String()).Msg("it was answered")
-	delete(s.asks, k)
-	s.dirty[k] = true
-	s.wakeWriter()
 }
 
 // ends returns how many servers have ended under a request, and whether it is barred.
@@ -210,33 +203,90 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.lately.Add(now, key)
+	s.clear(key)
+}
+
+// clear lets nothing count any more that a request has seen, here and at the other gateways.
+func (s *suspects) clear(key quarantine.Key) {
+	_, repeated := s.book.Record(key)
 	cleared := s.book.Answered(key)
 	if len(cleared) == 0 {
 		return
 	}
 	s.peers.TellAnswered(peer.Answered{Key: peer.Key(key), Servers: cleared})
-	s.dropIfCleared(key)
+	if repeated {
+		s.drop(key)
+	}
+}
+
+// drop lets the store keep a request no more.
+func (s *suspects) drop(k quarantine.Key) {
+	s.log.Info().Str("event", "request.cleared").Str("key", k.String()).Msg("it was answered")
+	delete(s.asks, k)
+	s.dirty[k] = true
+	s.wakeWriter()
 }
 
-// kept takes over what the store keeps: old is what it kept before.
-func (s *suspects) kept(now time.Time, old, kept map[quarantine.Key][]string) {
+// kept takes over what the store keeps: old is what it kept before. What this gateway knows
+// to have been answered since is dropped by one gateway of each hall, the one that watches.
+func (s *suspects) kept(now time.Time, old, kept map[quarantine.Key][]string, watches bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for k, servers := range kept {
-		if s.book.Merge(now, k, servers) {
+		news := s.book.Merge(now, k, servers)
+		if s.lately.Lately(now, k) {
+			s.clear(k)
+			continue
+		}
+		if news {
 			s.note([]quarantine.Key{k}, "")
 		}
+		if _, repeated := s.book.Record(k); !repeated && watches && !slices.Equal(old[k], servers) {
+			s.drop(k)
+		}
 	}
 	for k := range old {
 		if _, still := kept[k]; !still {
 			s.book.Lift(k)
 			delete(s.asks, k)
 			delete(s.own, k)
+			delete(s.tried, k)
 			s.log.Info().Str("event", "request.lifted").Str("key", k.String()).Msg("the store keeps it no more")
 		}
 	}
 }
 
+// live takes over whether another gateway lives.
+func (s *suspects) live(address string, alive bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if alive {
+		s.others[address] = true
+		return
+	}
+	delete(s.others, address)
+}
+
+// mayTry tells whether a request that is barred may be sent once all the same. The bound of
+// three more sends has room for it: one gateway tries, the first for the request in an order
+// that most find alike (rendezvous hashing), and no gateway twice.
+func (s *suspects) mayTry(now time.Time, key quarantine.Key) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.tried[key] || !s.book.Doubtful(now, key) {
+		return false
+	}
+	own := draw(s.address + "/" + key.String())
+	for address := range s.others {
+		if draw(address+"/"+key.String()) > own {
+			return false
+		}
+	}
+	s.tried[key] = true
+	s.log.Warn().Str("event", "request.tried").Str("key", key.String()).Str("asks", s.asks[key]).Msg("all ends under it came at once, so it may not be their cause")
+	return true
+}
+
 // isBarred tells whether a request is barred.
 func (s *suspects) isBarred(key quarantine.Key) bool {
 	_, barred := s.ends(key)
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -492,7 +492,7 @@
 	f.gateway.ends.viewChanged(now, old.Servers, v.Servers)
 	if f.suspectsChanged {
 		f.suspectsChanged = false
-		f.gateway.suspects.kept(now, old.Suspects, v.Suspects)
+		f.gateway.suspects.kept(now, old.Suspects, v.Suspects, f.gateway.watches.Load())
 	}
 	if changed {
 		f.gateway.desk.viewChanged(v)
--- a/soak/book.go
+++ b/soak/book.go
@@ -23,6 +23,7 @@
 	highest  map[string]seen   // newest key accepted, by gateway and incarnation
 	faults   []string
 	served   int
+	fatal    map[string]*fatalities // by body
 }
 
 // seen is when a gateway was first seen to accept a version's key.
@@ -32,7 +33,7 @@
 }
 
 func newBook() *book {
-	return &book{sent: map[string]string{}, refused: map[string]bool{}, stopping: map[string]bool{}, highest: map[string]seen{}}
+	return &book{sent: map[string]string{}, refused: map[string]bool{}, stopping: map[string]bool{}, highest: map[string]seen{}, fatal: map[string]*fatalities{}}
 }
 
 func (b *book) breaks(format string, a ...any) {
@@ -155,7 +156,7 @@
 	r.book.sent[id] = kind
 	planned := r.book.stopping[p.front]
 	r.book.mutex.Unlock()
-	status, body, err := send(client, p.front, "/"+kind+"/", id, "steady")
+	status, body, err := send(client, p.front, "/"+kind+"/", id, "steady", usualBody)
 	if status == 0 {
 		return // no answer: nothing is promised
 	}
@@ -172,7 +173,7 @@
 	version := r.book.newest() - random.IntN(3) + 1
 	r.book.mutex.Unlock()
 	gateway, sent := fmt.Sprintf("%s/%d", p.name, p.lifetime()), time.Now()
-	status, _, err := send(client, p.front, "/many/", id, fmt.Sprintf("key-%d", version))
+	status, _, err := send(client, p.front, "/many/", id, fmt.Sprintf("key-%d", version), usualBody)
 	if err == nil && status == http.StatusOK && gateway == fmt.Sprintf("%s/%d", p.name, p.lifetime()) {
 		r.book.accepted(gateway, version, sent)
 	}
@@ -197,14 +198,17 @@
 	r.book.sent[id] = "many"
 	r.book.mutex.Unlock()
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 3 * time.Second}
-	status, _, _ := send(client, p.front, "/many/", id, key)
+	status, _, _ := send(client, p.front, "/many/", id, key, usualBody)
 	return status
 }
 
+// usualBody is what callers ask.
+const usualBody = "hello"
+
 // send sends one request; status 0: no answer came, an error beside a status: it broke
 // off.
-func send(client *http.Client, front, path, id, key string) (status int, body string, err error) {
-	request, err := http.NewRequest(http.MethodPost, "http://"+front+path, strings.NewReader("hello"))
+func send(client *http.Client, front, path, id, key, question string) (status int, body string, err error) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+front+path, strings.NewReader(question))
 	if err != nil {
 		return 0, "", err
 	}
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -20,8 +20,8 @@
 // Proxy is a loopback proxy that misbehaves on demand.
 type Proxy struct {
 	target   string
-	listener net.Listener
 	mutex    sync.Mutex
+	listener net.Listener
 	link     Link
 	conns    map[net.Conn]bool
 	open     map[*passage]bool
@@ -38,12 +38,40 @@
 		return nil, err
 	}
 	p := &Proxy{target: target, listener: l, conns: map[net.Conn]bool{}, open: map[*passage]bool{}}
-	go p.accept()
+	go p.accept(l)
 	return p, nil
 }
 
 // Address is where the proxy listens.
-func (p *Proxy) Address() string { return p.listener.Addr().String() }
+func (p *Proxy) Address() string {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.listener.Addr().String()
+}
+
+// Refuse breaks all connections and lets the proxy take no more.
+func (p *Proxy) Refuse() {
+	p.mutex.Lock()
+	p.listener.Close()
+	p.mutex.Unlock()
+	p.Reset()
+}
+
+// Reopen lets the proxy take connections again, at another address.
+func (p *Proxy) Reopen() error {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.closed {
+		return nil
+	}
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	p.listener = l
+	go p.accept(l)
+	return nil
+}
 
 // Set replaces the treatment of bytes.
 func (p *Proxy) Set(l Link) {
@@ -77,16 +105,15 @@
 
 // Close ends the proxy and its connections.
 func (p *Proxy) Close() {
-	p.listener.Close()
 	p.mutex.Lock()
 	p.closed = true
 	p.mutex.Unlock()
-	p.Reset()
+	p.Refuse()
 }
 
-func (p *Proxy) accept() {
+func (p *Proxy) accept(l net.Listener) {
 	for {
-		in, err := p.listener.Accept()
+		in, err := l.Accept()
 		if err != nil {
 			return // closed
 		}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -36,6 +36,7 @@
 	Servers  int    // 0: 4
 	Callers  int    // 0: 12
 	Restarts bool   // servers start again under their ID as well, and others write entries
+	Fatal    int    // requests that end each server which runs them and come again and again; at most as many as there are kinds of routes
 }
 
 // Times of a run.
@@ -51,27 +52,31 @@
 
 // Run is one soak of one seed.
 type Run struct {
-	options  Options
-	random   *rand.Rand // of the troubles; owned by Play
-	store    *platformtest.Store
-	servers  []*backend
-	gateways []*process
-	book     *book
-	callers  sync.WaitGroup
-	stop     context.CancelFunc
-	version  int
-	closers  []func()
+	options      Options
+	random       *rand.Rand // of the troubles; owned by Play
+	store        *platformtest.Store
+	storeAddress string
+	servers      []*backend
+	gateways     []*process
+	book         *book
+	callers      sync.WaitGroup
+	stop         context.CancelFunc
+	version      int
+	closers      []func()
 }
 
 // backend is a stand-in server behind its proxy.
 type backend struct {
 	*platformtest.Server
 	proxy *Proxy
+	mutex sync.Mutex
+	ended bool // it takes no connections until it starts again
 }
 
 // calm is how a sound server behaves.
 var calm = platformtest.Behaviour{
 	Work: 5 * time.Millisecond, Echo: true, Events: streamEvents, Pause: 10 * time.Millisecond, Streams: []string{"/stream/", "/resume/"},
+	Fatal: fatalBodies,
 }
 
 // streamEvents is how many events a stream has.
@@ -83,6 +88,7 @@
 	r := &Run{options: o, random: rand.New(rand.NewPCG(o.Seed, 1)), store: &platformtest.Store{}, book: newBook()}
 	store := httptest.NewServer(r.store)
 	r.closers = append(r.closers, store.Close)
+	r.storeAddress = strings.TrimPrefix(store.URL, "http://")
 	r.configure()
 	for i := range o.Servers {
 		if err := r.addServer(i); err != nil {
@@ -94,7 +100,7 @@
 		return r, err
 	}
 	for i := range o.Gateways {
-		p, err := newProcess(o, i, port, strings.TrimPrefix(store.URL, "http://"))
+		p, err := newProcess(o, i, port, r.storeAddress)
 		if err != nil {
 			return r, err
 		}
@@ -109,6 +115,10 @@
 		r.callers.Add(1)
 		go r.call(ctx, i)
 	}
+	for i := range o.Fatal {
+		r.callers.Add(1)
+		go r.callFatal(ctx, i)
+	}
 	return r, nil
 }
 
@@ -122,7 +132,7 @@
 func (r *Run) addServer(i int) error {
 	s := &platformtest.Server{ID: fmt.Sprintf("i-%d", i), Service: "s", Hall: "hall"}
 	s.Set(calm)
-	h := httptest.NewServer(s)
+	h := httptest.NewServer(r.book.watched(s))
 	r.closers = append(r.closers, h.Close)
 	p, err := NewProxy(strings.TrimPrefix(h.URL, "http://"))
 	if err != nil {
@@ -130,6 +140,7 @@
 	}
 	r.closers = append(r.closers, p.Close)
 	b := &backend{Server: s, proxy: p}
+	s.End = func(body string) { r.endUnder(b, body) }
 	r.servers = append(r.servers, b)
 	r.announce(b, "ready")
 	return nil
@@ -184,6 +195,7 @@
 	r.stop()
 	r.callers.Wait()
 	r.book.checkRuns(r.servers)
+	r.checkFatal()
 	return r.book.broken()
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -19,6 +19,7 @@
 	first    = flag.Uint64("first", 1, "first seed")
 	plays    = flag.Duration("plays", 6*time.Second, "trouble of each seed")
 	fresh    = flag.Bool("fresh", false, "seeds begin at the time of day")
+	fatal    = flag.Int("fatal", 0, "requests that end servers, up to 4")
 	restarts = flag.Bool("restarts", false, "servers start again under their ID, and others write entries")
 	logs     = flag.String("logs", "", "folder that keeps the gateways' logs")
 )
@@ -40,13 +41,13 @@
 	return binary
 }
 
-func play(t *testing.T, binary string, seed uint64, restarts bool) {
+func play(t *testing.T, binary string, seed uint64, restarts bool, fatal int) {
 	dir := t.TempDir()
 	if *logs != "" {
 		dir = filepath.Join(*logs, fmt.Sprint(seed))
 		require.NoError(t, os.MkdirAll(dir, 0o700))
 	}
-	r, err := soak.Start(soak.Options{Seed: seed, Binary: binary, Dir: dir, Restarts: restarts})
+	r, err := soak.Start(soak.Options{Seed: seed, Binary: binary, Dir: dir, Restarts: restarts, Fatal: fatal})
 	require.NoError(t, err)
 	require.Empty(t, r.Play(*plays), "seed %d", seed)
 }
@@ -58,7 +59,7 @@
 		from = uint64(time.Now().Unix())
 	}
 	for n := range uint64(*seeds) {
-		t.Run(fmt.Sprintf("seed=%d", from+n), func(t *testing.T) { play(t, binary, from+n, *restarts) })
+		t.Run(fmt.Sprintf("seed=%d", from+n), func(t *testing.T) { play(t, binary, from+n, *restarts, *fatal) })
 	}
 }
 
@@ -68,12 +69,17 @@
 	for _, f := range failed {
 		t.Run(fmt.Sprintf("seed=%d", f.seed), func(t *testing.T) {
 			t.Log(f.cause)
-			play(t, binary, f.seed, false)
+			play(t, binary, f.seed, false, 0)
 		})
 	}
 }
 
 // TestSoakRestarts plays a seed with servers that start again under their ID.
 func TestSoakRestarts(t *testing.T) {
-	play(t, build(t), 4000, true)
+	play(t, build(t), 4000, true, 0)
+}
+
+// TestSoakFatal plays a seed with requests that end servers.
+func TestSoakFatal(t *testing.T) {
+	play(t, build(t), 6000, true, 4)
 }
