gateway: suspects by their memory and handovers: what a newcomer's reading found

Cause, by reading the change: a gateway that had forgotten a request for want of memory would have had the store drop it; a whole view of a gateway of an older version would have lifted all; an end that is remembered no more took a later one with it; ends beyond the eighth did not count against a trial.

--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -42,6 +42,9 @@
 	Cold      map[string]coldDocument      `json:"cold,omitempty"` // by server
 	// Suspects are the servers that ended under a request, by its key's text.
 	Suspects map[string][]string `json:"suspects,omitempty"`
+	// SuspectsTold is true in a whole view, but for a gateway of a version that knows of no
+	// suspects.
+	SuspectsTold bool `json:"suspects_told,omitempty"`
 	// Partial is true if Servers, Gone, Cold, Suspects and Cleared hold only what has changed
 	// since the revision that was asked for, and Configuration only a later version.
 	Partial bool     `json:"partial,omitempty"`
@@ -85,6 +88,7 @@
 	d.addMissing(now, v)
 	d.addWarmth(now, v, func(string) bool { return true })
 	d.addSuspects(v, func(string) bool { return true })
+	d.SuspectsTold = true
 	return d
 }
 
@@ -367,6 +371,7 @@
 	now := time.Now()
 	h := handover{from: from, snapshot: d.snapshot(now), partial: d.Partial, gone: d.Gone}
 	h.halls, h.cold = d.warmth(now)
+	h.suspectsTold = d.SuspectsTold
 	h.snapshot.Suspects, h.cleared = d.suspects()
 	if len(d.Configuration) == 0 {
 		return h, nil
--- a/gateway/quarantine/quarantine.go
+++ b/gateway/quarantine/quarantine.go
@@ -130,7 +130,11 @@
 		s = &suspect{}
 		b.suspects[k] = s
 	}
-	if slices.Contains(s.ended, server) || slices.Contains(s.cleared, server) || len(s.ended) >= mostOfOne {
+	if slices.Contains(s.ended, server) || slices.Contains(s.cleared, server) {
+		return false
+	}
+	if len(s.ended) >= mostOfOne {
+		s.last = now
 		return false
 	}
 	s.ended = append(s.ended, server)
@@ -189,6 +193,12 @@
 	}
 }
 
+// Cleared tells whether none of these servers' ends counts for a request any more.
+func (b *Book) Cleared(k Key, servers []string) bool {
+	s := b.suspects[k]
+	return s != nil && !slices.ContainsFunc(servers, func(server string) bool { return !slices.Contains(s.cleared, server) })
+}
+
 // Ends returns how many servers have ended under a request, as far as they count.
 func (b *Book) Ends(k Key) int {
 	if s := b.suspects[k]; s != nil {
@@ -258,7 +268,8 @@
 func (b *Book) forget(e ending) {
 	b.pairs -= len(e.keys)
 	for _, k := range e.keys {
-		if !b.repeats[k] {
+		s := b.suspects[k]
+		if s != nil && (len(s.ended) == 0 || len(s.ended) < repeated && s.ended[0] == e.server) {
 			delete(b.suspects, k)
 		}
 	}
--- a/gateway/quarantine/quarantine_test.go
+++ b/gateway/quarantine/quarantine_test.go
@@ -137,7 +137,9 @@
 	r, ok = later.Record(key(1))
 	require.True(t, ok)
 	require.Equal(t, Record{Servers: []string{"1", "2", "3"}, Barred: time.Unix(4, 0)}, r)
+	require.False(t, later.Cleared(key(1), r.Servers))
 	later.Lift(key(1))
+	require.True(t, later.Cleared(key(1), r.Servers))
 	require.False(t, later.Barred(key(1)))
 	later.Merge(time.Unix(5, 0), key(1), r.Servers)
 	require.False(t, later.Barred(key(1)), "what was lifted does not come back with late news")
@@ -183,6 +185,12 @@
 		{"not barred", func(b *Book) { at(b, 0, "1"); at(b, 1, "2") }, false},
 		{"a moment ago", func(b *Book) { at(b, 8*time.Second, "1"); at(b, 8*time.Second, "2"); at(b, 8*time.Second, "3") }, false},
 		{"tried, and another one ended", func(b *Book) { at(b, 0, "1"); at(b, 1, "2"); at(b, 20, "3"); at(b, 4*time.Second, "4") }, false},
+		{"tried after as many as are remembered", func(b *Book) {
+			for n := range mostOfOne {
+				at(b, 0, fmt.Sprint(n))
+			}
+			at(b, 4*time.Second, "x")
+		}, false},
 		{"known by a record only", func(b *Book) { b.Merge(start, key(1), []string{"1", "2", "3"}) }, false},
 		{"answered between", func(b *Book) {
 			at(b, 0, "1")
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -241,7 +241,7 @@
 		if news {
 			s.note([]quarantine.Key{k}, "")
 		}
-		if _, repeated := s.book.Record(k); !repeated && watches && !slices.Equal(old[k], servers) {
+		if watches && s.book.Cleared(k, servers) && !slices.Equal(old[k], servers) {
 			s.drop(k)
 		}
 	}
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -87,14 +87,16 @@
 
 // handover is a view that another gateway has told.
 type handover struct {
-	from      string
-	snapshot  Snapshot
-	halls     map[string]evacuation // that are evacuated
-	cold      map[string]coldness   // by server
-	partial   bool                  // only what has changed since a revision that this gateway has passed
-	gone      []string              // servers that are no more; only if partial
-	cleared   []quarantine.Key      // requests that are no suspects any more; only if partial
-	confirmed time.Time             // when it was the store's latest
+	from     string
+	snapshot Snapshot
+	halls    map[string]evacuation // that are evacuated
+	cold     map[string]coldness   // by server
+	partial  bool                  // only what has changed since a revision that this gateway has passed
+	gone     []string              // servers that are no more; only if partial
+	cleared  []quarantine.Key      // requests that are no suspects any more; only if partial
+	// Without it a whole view leaves what is known of suspects.
+	suspectsTold bool
+	confirmed    time.Time // when it was the store's latest
 }
 
 func newFollower(g *Gateway) *follower {
@@ -331,6 +333,9 @@
 func (f *follower) takeWhole(h handover) {
 	f.log.restart(h.snapshot.Revision)
 	f.suspectLog.restart(h.snapshot.Revision)
+	if !h.suspectsTold {
+		h.snapshot.Suspects = f.suspects
+	}
 	clear(f.missing)
 	for id, until := range h.snapshot.Missing {
 		f.missing[id] = until
