--- a/soak/fatal.go
+++ b/soak/fatal.go
@@ -68,6 +68,10 @@
 	random := rand.New(rand.NewPCG(r.options.Seed, uint64(i)+500))
 	client := &http.Client{Transport: &http.Transport{DisableCompression: true, DisableKeepAlives: true}, Timeout: 5 * time.Second}
 	for n := 0; ctx.Err() == nil; n++ {
+		time.Sleep(fatalEvery + time.Duration(random.Int64N(int64(fatalEvery))))
+		if r.quiet.Load() {
+			continue // what ends with a server is not cut by a planned stop
+		}
 		id := fmt.Sprintf("f%d-%d", i, n)
 		r.book.mutex.Lock()
 		r.book.sent[id] = kinds[i]
@@ -79,7 +83,6 @@
 			r.book.refused[id] = true
 			r.book.mutex.Unlock()
 		}
-		time.Sleep(fatalEvery + time.Duration(random.Int64N(int64(fatalEvery))))
 	}
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -21,6 +21,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"opalbridge.dev/platform"
@@ -37,6 +38,7 @@
 	Callers  int    // 0: 12
 	Restarts bool   // servers start again under their ID as well, and others write entries
 	Fatal    int    // requests that end each server which runs them and come again and again; at most as many as there are kinds of routes
+	Early    bool   // these begin with the gateways, not after the calm
 }
 
 // Times of a run.
@@ -63,6 +65,7 @@
 	stop         context.CancelFunc
 	version      int
 	closers      []func()
+	quiet        atomic.Bool // fatal requests wait
 }
 
 // backend is a stand-in server behind its proxy.
@@ -115,6 +118,7 @@
 		r.callers.Add(1)
 		go r.call(ctx, i)
 	}
+	r.quiet.Store(!o.Early)
 	for i := range o.Fatal {
 		r.callers.Add(1)
 		go r.callFatal(ctx, i)
@@ -171,6 +175,7 @@
 	}
 	defer r.close()
 	time.Sleep(calmBefore)
+	r.quiet.Store(false)
 	var under sync.WaitGroup
 	for end := time.Now().Add(d); time.Now().Before(end); {
 		if r.random.IntN(8) == 0 {
@@ -201,6 +206,8 @@
 
 // plannedStop stops a gateway with nothing else going on: no request may be cut.
 func (r *Run) plannedStop() {
+	r.quiet.Store(true)
+	defer r.quiet.Store(false)
 	time.Sleep(calmAfter) // what earlier troubles broke has ended
 	p := r.gateways[r.random.IntN(len(r.gateways))]
 	r.book.planned(p.front, true)
