gateway, platform: what servers say of themselves in answers is read and logged

Ruled out: nothing yet. Change: Server-Leaving and Retry-After of a refusal are read where the answer is surely that server's own (to this request, sealed if a success, no refusal as another server), and server.says_leaving and server.asks_rest are logged. Nothing acts on it.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -122,6 +122,7 @@
 	g.suspects = newSuspects(o.Log, o.Desk.Address, func() int { return int(g.desk.peersAlive.Load()) + 1 })
 	g.ends = newEnds(o.Log, g.suspects.ended)
 	g.underWay = newUnderWay()
+	g.pool.Heard = g.says
 	o.Peer.Hall = o.Desk.Hall
 	o.Peer.State = g.tell
 	g.watches.Store(true) // until others are known
--- a/gateway/protocol/protocol.go
+++ b/gateway/protocol/protocol.go
@@ -47,10 +47,12 @@
 
 // Answer is what a server's headers say.
 type Answer struct {
-	RequestID string // the request it answers
-	Sealed    bool   // the server vouches for the answer
-	NotRun    bool   // the server states that it has not run the request
-	Server    string // incarnation that answered, where it is told
+	RequestID string        // the request it answers
+	Sealed    bool          // the server vouches for the answer
+	NotRun    bool          // the server states that it has not run the request
+	Leaving   bool          // the server takes no new work
+	Rest      time.Duration // the server turned the request away and wants nothing from this gateway for so long; 0: it did not say so
+	Server    string        // incarnation that answered, where it is told
 }
 
 // Codec reads and writes the headers of a deployment.
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -40,6 +40,10 @@
 // Pool keeps connections to servers for use again. It is safe for use by several
 // goroutines.
 type Pool struct {
+	// Heard hears what answers say of their servers, as soon as their heads are read, whoever
+	// still waits for the answer. It must not block; nil: nobody does.
+	Heard func(s catalog.Server, w Word)
+
 	codec protocol.Codec
 	mutex sync.Mutex
 	idle  map[string][]*conn // by server incarnation, the latest used last
--- a/gateway/upstream/upstream.go
+++ b/gateway/upstream/upstream.go
@@ -32,6 +32,7 @@
 	"github.com/cockroachdb/errors"
 
 	"opalbridge.dev/gateway/catalog"
+	"opalbridge.dev/gateway/protocol"
 )
 
 // Request is a request for a server. Header is sent as it stands and must not hold
@@ -172,6 +173,29 @@
 	return errors.Is(ctx.Err(), context.DeadlineExceeded) || errors.Is(err, syscall.ETIMEDOUT)
 }
 
+// Word is what an answer says of its server, beside the request.
+type Word struct {
+	Status  int
+	Leaving bool          // the server takes no new work
+	Rest    time.Duration // it wants nothing from this gateway for so long; 0: it did not say so
+}
+
+// word returns what an answer says of a server. ok is false if it says nothing, or is not
+// surely that server's: its request was for that server only, so whoever answers it, but for
+// a refusal as another one, is that one. An answer that could not be handed out says nothing
+// of its server either.
+func word(s catalog.Server, r *Request, status int, told protocol.Answer) (w Word, ok bool) {
+	switch {
+	case told.RequestID == "" || told.RequestID != r.ID, status == http.StatusMisdirectedRequest:
+		return w, false
+	case told.Server != "" && told.Server != s.Name():
+		return w, false
+	case status < http.StatusMultipleChoices && !told.Sealed:
+		return w, false
+	}
+	return Word{Status: status, Leaving: told.Leaving, Rest: told.Rest}, told.Leaving || told.Rest > 0
+}
+
 // judge turns the head of an answer into a result.
 func (p *Pool) judge(c *conn, s catalog.Server, r *Request, response *http.Response, written <-chan error, stop func() bool) Result {
 	a := &Answer{
@@ -183,6 +207,9 @@
 	c.lifetime = keepAlive(response.Header)
 	told := p.codec.Answer(response.StatusCode, response.Header)
 	RemoveHopHeaders(a.Header)
+	if w, ok := word(s, r, response.StatusCode, told); ok && p.Heard != nil {
+		p.Heard(s, w)
+	}
 	switch {
 	case told.RequestID != "" && told.RequestID != r.ID:
 		a.Close()
--- a/gateway/upstream/upstream_test.go
+++ b/gateway/upstream/upstream_test.go
@@ -23,7 +23,14 @@
 type codec struct{ protocol.Codec }
 
 func (codec) Answer(status int, h http.Header) protocol.Answer {
-	return protocol.Answer{RequestID: h.Get("Id"), Sealed: h.Get("Seal") != "", NotRun: h.Get("Not-Run") != ""}
+	a := protocol.Answer{
+		RequestID: h.Get("Id"), Sealed: h.Get("Seal") != "", NotRun: h.Get("Not-Run") != "",
+		Server: h.Get("Server"), Leaving: h.Get("Leaving") != "",
+	}
+	if h.Get("Rest") != "" {
+		a.Rest = time.Second
+	}
+	return a
 }
 
 // scripted is a server that answers each request of each connection by a script.
@@ -98,6 +105,45 @@
 	}
 }
 
+// TestHeard: what an answer says of its server counts only if it surely is that server's.
+func TestHeard(t *testing.T) {
+	leaving, resting := upstream.Word{Status: 200, Leaving: true}, upstream.Word{Status: 503, Rest: time.Second}
+	tests := []struct {
+		name string
+		head string
+		want []upstream.Word
+	}{
+		{"an answer", "200 OK\r\nId: a\r\nSeal: s\r\nLeaving: 1", []upstream.Word{leaving}},
+		{"that names its server", "200 OK\r\nId: a\r\nSeal: s\r\nLeaving: 1\r\nServer: i-1", []upstream.Word{leaving}},
+		{"of another server", "200 OK\r\nId: a\r\nSeal: s\r\nLeaving: 1\r\nServer: i-2", nil},
+		{"to another request", "200 OK\r\nId: b\r\nSeal: s\r\nLeaving: 1", nil},
+		{"to no request", "200 OK\r\nSeal: s\r\nLeaving: 1", nil},
+		{"without a seal", "200 OK\r\nId: a\r\nLeaving: 1", nil},
+		{"a failure", "500 Oh\r\nId: a\r\nLeaving: 1", []upstream.Word{{Status: 500, Leaving: true}}},
+		{"of whoever has the address now", "421 Other\r\nId: a\r\nLeaving: 1\r\nRest: 1", nil},
+		{"a refusal", "503 Full\r\nId: a\r\nNot-Run: 1\r\nRest: 1", []upstream.Word{resting}},
+		{"a refusal of another request", "503 Full\r\nId: b\r\nNot-Run: 1\r\nRest: 1", nil},
+		{"nothing to say", "200 OK\r\nId: a\r\nSeal: s", nil},
+		{"interim", "103 Hints\r\nId: a\r\nLeaving: 1\r\n\r\nHTTP/1.1 200 OK\r\nId: a\r\nSeal: s", nil},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			_, s := serve(t, func(c net.Conn, _ int, _ *http.Request) bool {
+				fmt.Fprintf(c, "HTTP/1.1 %s\r\nContent-Length: 4\r\n\r\nbody", test.head)
+				return true
+			})
+			var heard []upstream.Word
+			p := upstream.NewPool(codec{})
+			p.Heard = func(of catalog.Server, w upstream.Word) {
+				require.Equal(t, s.ID, of.ID)
+				heard = append(heard, w)
+			}
+			read(t.Context(), p, s, request())
+			require.Equal(t, test.want, heard)
+		})
+	}
+}
+
 func TestSend(t *testing.T) {
 	tests := []struct {
 		name   string
