--- a/soak/book.go
+++ b/soak/book.go
@@ -24,6 +24,7 @@
 	faults   []string
 	served   int
 	fatal    map[string]*fatalities // by body
+	words    words
 }
 
 // seen is when a gateway was first seen to accept a version's key.
@@ -33,7 +34,7 @@
 }
 
 func newBook() *book {
-	return &book{sent: map[string]string{}, refused: map[string]bool{}, stopping: map[string]bool{}, highest: map[string]seen{}, fatal: map[string]*fatalities{}}
+	return &book{sent: map[string]string{}, refused: map[string]bool{}, stopping: map[string]bool{}, highest: map[string]seen{}, fatal: map[string]*fatalities{}, words: words{leaving: map[sender]time.Time{}}}
 }
 
 func (b *book) breaks(format string, a ...any) {
@@ -45,6 +46,7 @@
 func (b *book) broken() []string {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	b.faults = append(b.faults, b.words.check()...)
 	if b.served == 0 {
 		return append(b.faults, "nothing was served")
 	}
@@ -156,7 +158,7 @@
 	r.book.sent[id] = kind
 	planned := r.book.stopping[p.front]
 	r.book.mutex.Unlock()
-	status, body, err := send(client, p.front, "/"+kind+"/", id, "steady", usualBody)
+	status, body, err := r.send(client, p, "/"+kind+"/", id, "steady", usualBody)
 	if status == 0 {
 		return // no answer: nothing is promised
 	}
@@ -173,7 +175,7 @@
 	version := r.book.newest() - random.IntN(3) + 1
 	r.book.mutex.Unlock()
 	gateway, sent := fmt.Sprintf("%s/%d", p.name, p.lifetime()), time.Now()
-	status, _, err := send(client, p.front, "/many/", id, fmt.Sprintf("key-%d", version), usualBody)
+	status, _, err := r.send(client, p, "/many/", id, fmt.Sprintf("key-%d", version), usualBody)
 	if err == nil && status == http.StatusOK && gateway == fmt.Sprintf("%s/%d", p.name, p.lifetime()) {
 		r.book.accepted(gateway, version, sent)
 	}
@@ -198,7 +200,7 @@
 	r.book.sent[id] = "many"
 	r.book.mutex.Unlock()
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 3 * time.Second}
-	status, _, _ := send(client, p.front, "/many/", id, key, usualBody)
+	status, _, _ := r.send(client, p, "/many/", id, key, usualBody)
 	return status
 }
 
@@ -207,19 +209,27 @@
 
 // send sends one request; status 0: no answer came, an error beside a status: it broke
 // off.
-func send(client *http.Client, front, path, id, key, question string) (status int, body string, err error) {
-	request, err := http.NewRequest(http.MethodPost, "http://"+front+path, strings.NewReader(question))
+func (r *Run) send(client *http.Client, p *process, path, id, key, question string) (status int, body string, err error) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+p.front+path, strings.NewReader(question))
 	if err != nil {
 		return 0, "", err
 	}
 	request.GetBody = nil // it must not be sent again by itself
 	request.Host = "h"
 	platform.SetCaller(request.Header, id, key, callerDeadline)
+	from := p.mark()
+	request.Header.Set(gatewayMark, from)
+	request.Header.Set(sentMark, time.Now().Format(time.RFC3339Nano))
 	response, err := client.Do(request)
 	if err != nil {
 		return 0, "", err
 	}
 	defer response.Body.Close()
+	if response.Header.Get("Server-Leaving") != "" && from == p.mark() {
+		r.book.mutex.Lock()
+		r.book.words.passedOn(sender{from, response.Header.Get(lifetimeMark)})
+		r.book.mutex.Unlock()
+	}
 	raw, err := io.ReadAll(response.Body)
 	return response.StatusCode, string(raw), err
 }
--- a/soak/fatal.go
+++ b/soak/fatal.go
@@ -12,6 +12,7 @@
 
 	"opalbridge.dev/gateway/quarantine"
 	"opalbridge.dev/platform"
+	"opalbridge.dev/platform/platformtest"
 )
 
 // This file plays requests that end each server which runs them. They come again and again,
@@ -44,9 +45,15 @@
 	return f
 }
 
-// watched takes down when fatal requests arrive at a server.
-func (b *book) watched(server http.Handler) http.Handler {
+// watched takes down which requests arrive at a server, and when it asks for rest.
+func (b *book) watched(server *platformtest.Server) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s := sender{r.Header.Get(gatewayMark), lifetimeOf(server.ID, server.Born())}
+		w.Header().Set(lifetimeMark, s.lifetime)
+		b.mutex.Lock()
+		b.words.arrived(s, r)
+		b.mutex.Unlock()
+		w = &restWatcher{ResponseWriter: w, book: b, sender: s}
 		body, err := io.ReadAll(r.Body)
 		if err != nil {
 			return
@@ -62,6 +69,26 @@
 	})
 }
 
+// restWatcher takes down the refusals that ask for rest.
+type restWatcher struct {
+	http.ResponseWriter
+	book   *book
+	sender sender
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *restWatcher) WriteHeader(status int) {
+	if after := w.Header().Get("Retry-After"); after != "" {
+		w.book.mutex.Lock()
+		w.book.words.turnedAway(w.sender, status, after)
+		w.book.mutex.Unlock()
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Flush implements http.Flusher.
+func (w *restWatcher) Flush() { w.ResponseWriter.(http.Flusher).Flush() }
+
 // callFatal sends one of the fatal requests until ctx ends.
 func (r *Run) callFatal(ctx context.Context, i int) {
 	defer r.callers.Done()
@@ -77,7 +104,7 @@
 		r.book.sent[id] = kinds[i]
 		r.book.mutex.Unlock()
 		p := r.gateways[random.IntN(len(r.gateways))]
-		status, _, err := send(client, p.front, "/"+kinds[i]+"/", id, "steady", fatalBodies[i])
+		status, _, err := r.send(client, p, "/"+kinds[i]+"/", id, "steady", fatalBodies[i])
 		if err == nil && status == http.StatusServiceUnavailable {
 			r.book.mutex.Lock()
 			r.book.refused[id] = true
--- a/soak/process.go
+++ b/soak/process.go
@@ -28,6 +28,7 @@
 	command     *exec.Cmd
 	ended       chan struct{} // closed when the command has ended
 	incarnation int
+	pauses      int // of the present process
 }
 
 func newProcess(o Options, i, port int, store string) (*process, error) {
@@ -72,6 +73,7 @@
 	}()
 	p.command, p.ended = c, ended
 	p.incarnation++
+	p.pauses = 0
 	return nil
 }
 
@@ -94,9 +96,19 @@
 	return p.incarnation
 }
 
+// mark names the process as it is since its latest pause.
+func (p *process) mark() string {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return fmt.Sprintf("%s/%d/%d", p.name, p.incarnation, p.pauses)
+}
+
 func (p *process) signal(s syscall.Signal) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	if s == syscall.SIGSTOP {
+		p.pauses++
+	}
 	if p.running() {
 		_ = p.command.Process.Signal(s) // it may have ended just now
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -39,6 +39,7 @@
 	Restarts bool   // servers start again under their ID as well, and others write entries
 	Fatal    int    // requests that end each server which runs them and come again and again; at most as many as there are kinds of routes
 	Early    bool   // these begin with the gateways, not after the calm
+	Words    bool   // servers say in answers that they leave, and ask for rest, as well
 }
 
 // Times of a run.
@@ -173,6 +174,9 @@
 	if r.options.Restarts {
 		kinds = slices.Concat(troubles, restarts)
 	}
+	if r.options.Words {
+		kinds = slices.Concat(kinds, speaking, speaking, speaking, speaking)
+	}
 	defer r.close()
 	time.Sleep(calmBefore)
 	r.quiet.Store(false)
--- a/soak/trouble.go
+++ b/soak/trouble.go
@@ -33,12 +33,18 @@
 // gateways and a server.
 func linked(l Link, store bool) func(*Run, *rand.Rand) func() {
 	return func(r *Run, random *rand.Rand) func() {
-		p := r.aServer(random).proxy
 		if store {
-			p = r.aGateway(random).proxy
+			p := r.aGateway(random).proxy
+			p.Set(l)
+			return func() { p.Set(Link{}) }
+		}
+		s := r.aServer(random)
+		ends := r.book.linkTroubled(s.ID)
+		s.proxy.Set(l)
+		return func() {
+			s.proxy.Set(Link{})
+			ends()
 		}
-		p.Set(l)
-		return func() { p.Set(Link{}) }
 	}
 }
 
@@ -90,7 +96,7 @@
 		return func() { r.announce(s, "ready") }
 	}},
 	{"server's connections are reset", func(r *Run, random *rand.Rand) func() {
-		r.aServer(random).proxy.Reset()
+		r.resetServer(r.aServer(random))
 		return func() {}
 	}},
 	{"store's connections are reset", func(r *Run, random *rand.Rand) func() {
@@ -98,12 +104,10 @@
 		return func() {}
 	}},
 	{"server's open connections go silent", func(r *Run, random *rand.Rand) func() {
-		r.aServer(random).proxy.Silence(true, true)
-		return func() {}
+		return r.silence(r.aServer(random), true, true)
 	}},
 	{"server's open connections go silent one way", func(r *Run, random *rand.Rand) func() {
-		r.aServer(random).proxy.Silence(false, true)
-		return func() {}
+		return r.silence(r.aServer(random), false, true)
 	}},
 	{"store's open connections go silent", func(r *Run, random *rand.Rand) func() {
 		r.aGateway(random).proxy.Silence(true, true)
@@ -127,6 +131,21 @@
 	{"server is slow", behaving(func(b *platformtest.Behaviour) { b.Work = 400 * time.Millisecond })},
 }
 
+// resetServer breaks the connections to a server.
+func (r *Run) resetServer(s *backend) {
+	r.book.linkTroubled(s.ID)()
+	s.proxy.Reset()
+}
+
+// silence lets the open connections to a server go silent for good; answers on them are lost
+// until the last of their requests is given up.
+func (r *Run) silence(s *backend, to, from bool) (undo func()) {
+	ends := r.book.linkTroubled(s.ID)
+	time.AfterFunc(callerDeadline, ends)
+	s.proxy.Silence(to, from)
+	return func() {}
+}
+
 func (r *Run) restart(p *process) {
 	if err := p.start(); err != nil {
 		r.book.breaks("gateway %s does not start again: %v", p.name, err)
