gateway, platform: what a server says of leaving in the answer about its cache counts too

Cause: answers to the question about caches were read for their content alone. Ruled out: status checks; the gateway makes none (it looks whether connections are taken). Change: the header counts if the answer names the server, since the question does not. Figure: TestCachesTellOfLeaving: one request reached the server before, none after. Conclusion: each answer of a server is read.

--- a/gateway/caches.go
+++ b/gateway/caches.go
@@ -3,10 +3,12 @@
 import (
 	"cmp"
 	"context"
+	"net/http"
 	"slices"
 	"time"
 
 	"opalbridge.dev/gateway/catalog"
+	"opalbridge.dev/gateway/upstream"
 )
 
 // CachedPart is a part of a prompt that a server holds in its cache.
@@ -24,8 +26,10 @@
 
 // CacheContent is what a server says that its cache holds.
 type CacheContent struct {
-	Born  int64 // when the server started that answered, see [catalog.Server]; 0: not told
-	Parts []CachedPart
+	Born    int64  // when the server started that answered, see [catalog.Server]; 0: not told
+	Server  string // name of the server that answered; empty: not told
+	Leaving bool   // it has said that it leaves
+	Parts   []CachedPart
 }
 
 // of tells whether the answer may be of that lifetime of a server.
@@ -124,6 +128,10 @@
 		g.log.Info().Str("event", "cache.unknown").Str("server", s.ID).Int64("born", held.Born).Msg("the server has started again")
 		return
 	}
+	// The question names no server, so only an answer that does speaks for this one.
+	if held.Leaving && held.Server == s.Name() {
+		g.says(s, upstream.Word{Status: http.StatusOK, Leaving: true})
+	}
 	parts := make([]uint64, len(held.Parts))
 	for i, p := range held.Parts {
 		parts[i] = partHash(p.Model, p.ID)
