gateway: a rest outlasts a lapse of the server's entry

Cause, found by reading: the board forgets a server whose entry goes, and with it its rest, while the look before sending still knows it. So a request was placed there and taken back again and again, without a pause, until the rest was over. Ruled out: the same for a server that leaves; each new view says that of it. Change: the desk keeps the ends of rests and tells the board of them with each view. Figure: TestRestOutlastsAnEntry: assigned before, refused after. Conclusion: board and look agree whatever the store does.

--- a/gateway/desk.go
+++ b/gateway/desk.go
@@ -69,6 +69,7 @@
 	unpublished bool                      // it has changed since
 	running     map[string]int            // own requests by server
 	ids         map[uint64]string         // server by hash of its ID
+	rests       map[string]time.Time      // ends of those that servers have asked for
 	gateways    map[string]map[uint64]int // running requests at servers, by live gateway
 	asked       map[string]float64        // tokens in the window of fair shares, by gateway, this one included
 }
@@ -145,7 +146,7 @@
 		log: log, settings: s, late: func(_, _ time.Time) time.Duration { return 0 }, asks: make(chan any, deskQueue), done: make(chan struct{}),
 		board: placement.NewBoard(s.Policy), book: share.NewBook(s.Shares), budget: budget.New(s.Repeats, now),
 		pending: map[uint64]*awaited{}, heard: map[string]time.Time{}, speeds: map[string]placement.Speed{},
-		view: &View{}, running: map[string]int{}, ids: map[uint64]string{},
+		view: &View{}, running: map[string]int{}, ids: map[uint64]string{}, rests: map[string]time.Time{},
 		gateways: map[string]map[uint64]int{}, asked: map[string]float64{},
 		guard: warmup.NewGuard(), wanted: map[string]time.Time{}, halls: map[string]string{},
 	}
@@ -242,6 +243,7 @@
 	case leavesMessage:
 		d.board.Leave(m.server)
 	case restMessage:
+		d.rests[m.server] = latest(d.rests[m.server], m.until)
 		d.board.Rest(now, m.server, m.until)
 	case viewMessage:
 		d.setView(now, m.view)
@@ -367,6 +369,7 @@
 		}
 		return s.Engine
 	})
+	d.keepRests(now)
 	others := d.runningElsewhere()
 	clear(d.ids)
 	for _, s := range v.Servers {
@@ -378,6 +381,18 @@
 	d.publish()
 }
 
+// keepRests tells the board of rests again: a server whose entry lapsed for a moment is new to
+// it. Those that are over are forgotten.
+func (d *desk) keepRests(now time.Time) {
+	for id, until := range d.rests {
+		if !now.Before(until) {
+			delete(d.rests, id)
+			continue
+		}
+		d.board.Rest(now, id, until)
+	}
+}
+
 // runningElsewhere returns the other gateways' requests by server. It goes through what runs,
 // not through all gateways for each server, which took 0.9 million look-ups at 300 gateways
 // and 3,000 servers.
--- a/gateway/words_test.go
+++ b/gateway/words_test.go
@@ -150,3 +150,21 @@
 	g.words.mark(now.Add(3*time.Second), nil)
 	require.Empty(t, g.words.rests)
 }
+
+// TestRestOutlastsAnEntry: a server whose entry lapses and comes back still rests; without that
+// its requests were placed there and taken back again and again until the rest was over.
+func TestRestOutlastsAnEntry(t *testing.T) {
+	w := newWorld(t, worldNode(t))
+	g, s, now := w.newGateway(), lifetime("i-1", 5000), time.Now()
+	g.follower.take(now, answer{listed: true, snapshot: Snapshot{Configuration: version(1), Servers: []catalog.Server{s}, Revision: 3}})
+	g.says(s, upstream.Word{Status: http.StatusServiceUnavailable, Rest: 10 * time.Second})
+	g.follower.take(now, answer{since: 3, revision: 4, changes: []Change{ServerGone{"i-1"}}})
+	g.follower.take(now, answer{since: 4, revision: 5, changes: []Change{ServerChanged{Server: s}}})
+	g.drain(now)
+	ask := &placement.Ask{Service: "s", Draw: 1}
+	require.IsType(t, placement.Refuse{}, g.desk.board.Place(now, ask))
+	later := now.Add(11 * time.Second)
+	g.desk.setView(later, g.view.Load())
+	require.IsType(t, placement.Assign{}, g.desk.board.Place(later, ask))
+	require.Empty(t, g.desk.rests)
+}
