--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -206,12 +206,15 @@
 	Admitted             float64       // share of requests that the process has time for
 	Suspects             int           // requests that were at servers when these ended
 	Barred               int           // of them, those that reach no server any more
+	SaidLeaving          int           // servers that have said in answers that they leave
+	Resting              int           // servers that have asked this gateway for rest
 }
 
 // Status returns what the gateway believes now.
 func (g *Gateway) Status() Status {
 	v := g.view.Load()
 	s := Status{ViewAge: time.Since(g.confirmedAt()), Servers: len(v.Servers), Peers: int(g.desk.peersAlive.Load()), Active: int(g.active.Load()), Lateness: time.Duration(g.overload.lateness.Load()), Admitted: g.overload.share()}
+	s.SaidLeaving, s.Resting = g.words.counts(time.Now())
 	s.Suspects, s.Barred = int(g.suspects.known.Load()), g.suspects.barred()
 	if v.Configuration != nil {
 		s.ConfigurationVersion = v.Configuration.Version
--- a/gateway/words.go
+++ b/gateway/words.go
@@ -81,6 +81,18 @@
 	return nil
 }
 
+// counts returns how many servers have said that they leave, and how many rest.
+func (w *words) counts(now time.Time) (leaving, resting int) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	for _, until := range w.rests {
+		if now.Before(until) {
+			resting++
+		}
+	}
+	return len(w.leaving), resting
+}
+
 // mark notes in a list of servers which of them have said that they leave, and forgets what is
 // over. It returns all that leave.
 func (w *words) mark(now time.Time, servers []catalog.Server) (leaving []string) {
--- a/gateway/words_test.go
+++ b/gateway/words_test.go
@@ -145,6 +145,7 @@
 	require.ErrorIs(t, g.words.bars(now.Add(1900*time.Millisecond), s.ID), errServerRests)
 	require.NoError(t, g.words.bars(now.Add(2*time.Second), s.ID))
 	require.NoError(t, g.words.bars(now, lifetime("i-1", 6000).ID), "another lifetime")
+	require.Equal(t, 1, g.Status().Resting)
 	g.says(s, upstream.Word{Status: http.StatusServiceUnavailable, Rest: time.Second})
 	require.ErrorIs(t, g.words.bars(now.Add(1900*time.Millisecond), s.ID), errServerRests, "the later end holds")
 	g.words.mark(now.Add(3*time.Second), nil)
