gateway, peer: files by job: lifetimes, what the store has of suspects, what gateways tell

Change: moved without a change of logic; the writer of suspects reads the one store that is set, which it was given a second time.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,10 +15,11 @@
 // server and decides what to do when that fails, wait.go keeps what no server should get
 // now, relay.go passes the answer on, returned.go knows who has come back. desk.go owns the
 // decisions of package placement, desk_cold.go its part in sparing cold servers. view.go
-// follows the source, warmth.go what it tells of cold servers and evacuated halls;
+// follows the source, lifetimes.go keeps which servers there are, warmth.go what the source
+// tells of cold servers and evacuated halls;
 // handover.go asks other gateways for their view, of which changelog.go tells what has
 // changed. callers.go looks after callers' connections, suspects.go keeps requests that
-// end servers from the next ones, ends.go finds out which have ended, words.go keeps to what
+// end servers from the next ones, suspects_store.go what the store has of them, ends.go finds out which have ended, words.go keeps to what
 // servers say of themselves in answers. stop.go ends it all.
 package gateway
 
@@ -181,7 +182,7 @@
 	group.Go(duties, "idle", g.closeIdle)
 	group.Go(duties, "caches", g.askCaches)
 	group.Go(duties, "claims", g.writeClaims)
-	group.Go(duties, "suspects", func(ctx context.Context) { g.suspects.write(ctx, g.options.Suspects) })
+	group.Go(duties, "suspects", g.suspects.write)
 	group.Go(duties, "barred", g.takeBackBarred)
 	for range probers {
 		group.Go(duties, "probes", g.ends.probe)
--- /dev/null
+++ b/gateway/lifetimes.go
@@ -0,0 +1,93 @@
+package gateway
+
+import (
+	"time"
+
+	"opalbridge.dev/gateway/catalog"
+)
+
+// This file keeps which servers there are, each from one start to its end.
+
+func (f *follower) set(s catalog.Server) {
+	delete(f.missing, s.ID)
+	s.Evacuated = false // publish fills it in
+	f.endBefore(s)
+	f.log.add(f.mark, s.ID)
+	if old, known := f.servers[s.ID]; !known || old != s {
+		f.gateway.log.Info().Str("event", "server.changed").Str("server", s.ID).Str("service", s.Service).
+			Str("address", s.Address).Str("hall", s.Hall).Bool("leaving", s.Leaving).Bool("new", !known).Msg("server entry")
+	}
+	f.put(s)
+}
+
+func (f *follower) put(s catalog.Server) {
+	if _, known := f.servers[s.ID]; !known {
+		f.order = nil
+	}
+	f.servers[s.ID] = s
+	f.current[s.Name()] = s.ID
+}
+
+// endBefore drops the lifetime that a server had before it started again. News come in the
+// order of the store's revisions, so what is told now is the later one, whatever the clock of
+// the server's host said at the two starts.
+func (f *follower) endBefore(s catalog.Server) {
+	before, known := f.current[s.Name()]
+	if !known || before == s.ID {
+		return
+	}
+	f.gateway.log.Info().Str("event", "server.started_again").Str("server", s.Name()).
+		Int64("born", s.Born).Int64("before", f.servers[before].Born).Uint64("revision", f.mark).
+		Msg("nothing that was learned of it holds")
+	f.drop(before)
+}
+
+// dropNamed drops the server of that name at once.
+func (f *follower) dropNamed(name string) {
+	if id, known := f.current[name]; known {
+		f.drop(id)
+	}
+}
+
+func (f *follower) remove(now time.Time, id string) {
+	s, known := f.servers[id]
+	if !known {
+		return
+	}
+	if f.grace(now) && !s.Leaving {
+		if _, already := f.missing[id]; !already {
+			f.missing[id] = f.failed.Add(returnGrace)
+			f.gateway.log.Info().Str("event", "server.missing").Str("server", id).Msg("kept for a moment: the store was away")
+		}
+		return
+	}
+	f.drop(id)
+}
+
+// drop forgets a server.
+func (f *follower) drop(id string) {
+	f.log.add(f.mark, id)
+	delete(f.servers, id)
+	if name := catalog.ServerName(id); f.current[name] == id {
+		delete(f.current, name)
+	}
+	f.order = nil
+	delete(f.missing, id)
+	delete(f.cold, id)
+	f.gateway.log.Info().Str("event", "server.gone").Str("server", id).Msg("no new work")
+}
+
+// dropMissing removes servers whose entry has not come back.
+func (f *follower) dropMissing(now time.Time) {
+	dropped := false
+	f.mark = f.gateway.view.Load().Revision + 1 // no change of the store says so
+	for id, until := range f.missing {
+		if now.After(until) {
+			f.drop(id)
+			dropped = true
+		}
+	}
+	if dropped {
+		f.publishAgain()
+	}
+}
--- /dev/null
+++ b/gateway/peer/news.go
@@ -0,0 +1,151 @@
+package peer
+
+import (
+	"time"
+
+	"opalbridge.dev/gateway/peer/peerpb"
+)
+
+// This file has what gateways tell each other, and how this one's duties hand it in.
+
+// Load is what a request put on a server.
+type Load struct {
+	Server uint64 // hash of the incarnation's id
+	Work   time.Duration
+	Parts  []uint64
+	Tokens int // that the server's cache takes up for it
+}
+
+// Backlog is what a server had still to read when a request's first event showed it.
+type Backlog struct {
+	Server uint64 // hash of the incarnation's id
+	Left   time.Duration
+}
+
+// Refusal is a request that was turned away and whose caller may come back.
+type Refusal struct {
+	Key   uint64    // of what it asks
+	Ends  time.Time // when its caller gives up
+	First time.Time // when its caller tried first
+}
+
+// Key names what a request asks, and of which account.
+type Key [16]byte
+
+// End is a server that has ended while it had requests of a gateway.
+type End struct {
+	Server   string // its lifetime
+	Suspects []Key  // those requests; of more than 64, the first ones are told
+}
+
+// Answered is a request that was at servers when they ended, and that has been answered
+// since: it was not the cause.
+type Answered struct {
+	Key     Key
+	Servers []string // lifetimes
+}
+
+// Speed is how fast a service's engines are believed to be.
+type Speed struct {
+	Service   uint64        // hash of its name
+	Reading   float64       // how much longer reading takes than the policy says
+	FirstStep time.Duration // from the end of reading to the first event
+}
+
+// State is what a gateway tells of itself.
+type State struct {
+	Running              map[uint64]int // own requests by hash of the server's id
+	Demands              []*peerpb.Demand
+	Speeds               []Speed
+	ConfigurationVersion uint64
+	StoreRevision        uint64
+	Confirmed            time.Time // when StoreRevision was last known to be the store's latest
+	StoreAway            bool      // own calls to the store fail
+	Weight               int       // thousandths of a core that it may use, 0 while it is short of them
+}
+
+// Update is news of another gateway.
+type Update struct {
+	From  string // IP address
+	Hall  string // empty: not told yet
+	Alive bool
+	// What follows is set only when Alive.
+	Loads    []Load // not told before
+	Backlogs []Backlog
+	Refusals []Refusal
+	Ends     []End
+	Answered []Answered
+	Leaves   []string       // lifetimes of servers that have said in answers that they leave
+	Running  map[uint64]int // if Whole, of all servers; else of those where it has changed
+	Whole    bool
+	Speeds   []Speed // only if Whole
+	Weight   int     // thousandths of a core that it may use, 0 while it is short of them; only if Whole
+	// Demands are set only when DemandsTold.
+	Demands              []*peerpb.Demand
+	DemandsTold          bool
+	ConfigurationVersion uint64
+	StoreRevision        uint64
+	Confirmed            time.Time // when StoreRevision was last known to be the store's latest
+	StoreAway            bool      // own calls to the store fail
+}
+
+// Tell passes a load on to the others soon; it never blocks.
+func (n *Node) Tell(l Load) {
+	select {
+	case n.loads <- l:
+	default: // accuracy only
+	}
+}
+
+// TellBacklog passes on how far a server has got, with the next beacon; it never blocks.
+func (n *Node) TellBacklog(b Backlog) {
+	select {
+	case n.backlogs <- b:
+	default: // accuracy only
+	}
+}
+
+// TellRefusal passes on that a request was turned away, with the next beacon; it never
+// blocks.
+func (n *Node) TellRefusal(r Refusal) {
+	select {
+	case n.refusals <- r:
+	default: // accuracy only
+	}
+}
+
+// TellEnd passes on that a server has ended, with the next beacons; it never blocks.
+func (n *Node) TellEnd(e End) {
+	select {
+	case n.ends <- e:
+		n.TellNow()
+	default: // who is there when more servers end counts then
+	}
+}
+
+// TellAnswered passes on that a request was the cause of no end, with the next beacons; it
+// never blocks.
+func (n *Node) TellAnswered(a Answered) {
+	select {
+	case n.answered <- a:
+	default: // whoever answers it next tells that again
+	}
+}
+
+// TellLeaves passes on that a server has said that it leaves, with the next beacons; it never
+// blocks.
+func (n *Node) TellLeaves(server string) {
+	select {
+	case n.leaves <- server:
+		n.TellNow()
+	default: // the others hear it from the server, or from its entry
+	}
+}
+
+// TellNow lets the next beacon go out soon; it never blocks.
+func (n *Node) TellNow() {
+	select {
+	case n.hurry <- struct{}{}:
+	default: // one is on its way
+	}
+}
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -249,39 +248,6 @@
 	s.wakeWriter()
 }
 
-// kept takes over what the store keeps: old is what it kept before. What this gateway knows
-// to have been answered since is dropped by one gateway of each hall, the one that watches.
-func (s *suspects) kept(now time.Time, old, kept map[quarantine.Key]quarantine.Kept, watches bool) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	for k, is := range kept {
-		news := s.book.Merge(now, k, is)
-		if known := s.tried[k]; is.Tries > known.counted {
-			known.counted, known.at = is.Tries, now
-			s.tried[k] = known
-		}
-		if s.lately.Lately(now, k) {
-			s.clear(k)
-			continue
-		}
-		if news {
-			s.note([]quarantine.Key{k}, "")
-		}
-		if watches && s.book.Cleared(k, is.Servers) && !old[k].Equal(is) {
-			s.drop(k)
-		}
-	}
-	for k := range old {
-		if _, still := kept[k]; !still {
-			s.book.Lift(k)
-			delete(s.asks, k)
-			delete(s.own, k)
-			delete(s.tried, k)
-			s.log.Info().Str("event", "request.lifted").Str("key", k.String()).Msg("the store keeps it no more")
-		}
-	}
-}
-
 // live takes over whether another gateway lives.
 func (s *suspects) live(address string, alive bool) {
 	s.mutex.Lock()
@@ -362,70 +328,3 @@
 	defer s.mutex.Unlock()
 	return s.book.CountBarred()
 }
-
-func (s *suspects) wakeWriter() {
-	select {
-	case s.wake <- struct{}{}:
-	default: // it looks at all that there is
-	}
-}
-
-// write writes to the store what is to be written, until ctx ends.
-func (s *suspects) write(ctx context.Context, store Suspects) {
-	if store == nil {
-		return
-	}
-	retry := time.NewTimer(time.Hour)
-	defer retry.Stop()
-	wait := keepRetry
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-s.wake:
-		case <-retry.C:
-		}
-		if s.writeAll(ctx, store) {
-			wait = keepRetry
-			continue
-		}
-		retry.Reset(wait)
-		wait = min(2*wait, longestKeepRetry)
-	}
-}
-
-// writeAll writes what is to be written; it returns whether all of that was.
-func (s *suspects) writeAll(ctx context.Context, store Suspects) bool {
-	s.mutex.Lock()
-	list := slices.Collect(maps.Keys(s.dirty))
-	clear(s.dirty)
-	s.mutex.Unlock()
-	whole := true
-	for _, k := range list {
-		if err := s.writeOne(ctx, store, k); err != nil {
-			s.log.Warn().Str("event", "suspect.not_kept").Str("key", k.String()).Err(err).Msg("try again")
-			s.mutex.Lock()
-			s.dirty[k] = true
-			s.mutex.Unlock()
-			whole = false
-		}
-	}
-	return whole
-}
-
-func (s *suspects) writeOne(ctx context.Context, store Suspects, k quarantine.Key) error {
-	ctx, cancel := context.WithTimeout(ctx, keepTimeout)
-	defer cancel()
-	s.mutex.Lock()
-	r, repeated := s.book.Record(k)
-	asks := s.asks[k]
-	s.own[k] = repeated
-	if !repeated {
-		delete(s.own, k)
-	}
-	s.mutex.Unlock()
-	if !repeated {
-		return store.Drop(ctx, k)
-	}
-	return store.Keep(ctx, k, Suspect{Asks: asks, Servers: r.Servers, AtOnce: r.AtOnce})
-}
--- a/gateway/suspects_test.go
+++ b/gateway/suspects_test.go
@@ -99,10 +99,11 @@
 func TestSuspectsAreKept(t *testing.T) {
 	s := quiet(t).suspects
 	store := &faultyStore{away: true, kept: map[quarantine.Key]Suspect{}}
+	s.store = store
 	ctx, stop := context.WithCancel(t.Context())
 	ended := make(chan struct{})
 	go func() {
-		s.write(ctx, store)
+		s.write(ctx)
 		close(ended)
 	}()
 	defer func() {
