placement: servers without a rest are looked at no longer than before

Cause: each decision worked out a server's places and compared two times for every server. Change: only for servers with a rest behind them.

--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -214,9 +214,11 @@
 			next.sooner(s.closed, Cold)
 			continue
 		}
-		if opens := s.pause.opens(now, s.places()); now.Before(opens) {
-			next.sooner(opens, Resting)
-			continue
+		if s.pause.allowed != 0 {
+			if opens := s.pause.opens(now, s.places()); now.Before(opens) {
+				next.sooner(opens, Resting)
+				continue
+			}
 		}
 		if now.Before(s.resting) {
 			resting = append(resting, s)
--- a/gateway/placement/rest.go
+++ b/gateway/placement/rest.go
@@ -47,10 +47,10 @@
 
 // opens returns when the server takes another request; a time that has passed: now.
 func (p *pause) opens(now time.Time, places int) time.Time {
-	if p.allowed == 0 || now.Before(p.until) {
+	if now.Before(p.until) {
 		return p.until
 	}
-	for p.allowed != 0 && !p.step.IsZero() && now.Sub(p.step) >= restStep {
+	if !p.step.IsZero() && now.Sub(p.step) >= restStep {
 		p.proceed(places)
 	}
 	if p.allowed == 0 || p.sent < p.allowed {
