gateway: tries of a request that is doubtful again start anew

Cause, found by reading: a gateway that saw a suspect dropped and kept again in one view kept its count of tries, asked the store with that, and was told each time that it was another. Ruled out: more tries than two; the store counts them under a condition. Change: the store's count is taken over, whichever way it has changed. Figure: TestTriesStartAnew: never tried before, tried now. Conclusion: the count is the store's alone.

--- a/gateway/suspects_store.go
+++ b/gateway/suspects_store.go
@@ -18,8 +18,8 @@
 	defer s.mutex.Unlock()
 	for k, is := range kept {
 		news := s.book.Merge(now, k, is)
-		if known := s.tried[k]; is.Tries > known.counted {
-			known.counted, known.at = is.Tries, now
+		if known := s.tried[k]; is.Tries != known.counted {
+			known.counted, known.at = is.Tries, now // fewer: it was dropped, and is kept again
 			s.tried[k] = known
 		}
 		if s.lately.Lately(now, k) {
--- a/gateway/suspects_test.go
+++ b/gateway/suspects_test.go
@@ -207,3 +207,26 @@
 		require.GreaterOrEqual(t, sent[1]-sent[0], tryTurn)
 	})
 }
+
+// TestTriesStartAnew: what was dropped and is doubtful again may be tried as if it had not been
+// before, also by a gateway that saw both changes in one view.
+func TestTriesStartAnew(t *testing.T) {
+	node := worldNode(t)
+	synctest.Test(t, func(t *testing.T) {
+		key := quarantine.Key{1}
+		store := &faultyStore{sent: map[quarantine.Key]int{key: 2}}
+		s := newSuspects(zerolog.Nop(), "10.0.0.1", func() int { return 1 })
+		s.store, s.peers = store, node
+		kept := func(tries int, servers ...string) map[quarantine.Key]quarantine.Kept {
+			return map[quarantine.Key]quarantine.Kept{key: {Servers: servers, AtOnce: true, Tries: tries}}
+		}
+		before, after := kept(2, "i-1", "i-2", "i-3"), kept(0, "i-4", "i-5", "i-6")
+		s.kept(time.Now(), nil, before, false)
+		time.Sleep(time.Minute)
+		require.False(t, s.try(t.Context(), key), "both are used")
+		store.sent[key] = 0
+		s.kept(time.Now(), before, after, false)
+		time.Sleep(time.Minute)
+		require.True(t, s.try(t.Context(), key))
+	})
+}
