gateway: say when a list is set aside, and whether a view came in part

What could not be seen: watchers asked 15 times a second, were answered, and their views stayed; no line told that each list was older than what was known, nor that a handed-over view held only what had changed since a number. Change: event store.list_set_aside with both revisions; field partial of view.handed_over. No logic changed.

--- a/gateway/view.go
+++ b/gateway/view.go
@@ -220,6 +220,7 @@
 	// Another gateway may have handed over a newer view while the call was under way.
 	known := f.gateway.view.Load().Revision
 	if a.listed && a.snapshot.Revision < known {
+		f.gateway.log.Warn().Str("event", "store.list_set_aside").Uint64("revision", a.snapshot.Revision).Uint64("known", known).Msg("older than what is known: list again")
 		return true, true
 	}
 	if !a.listed && a.since != known {
@@ -324,7 +325,7 @@
 		return
 	}
 	f.gateway.log.Info().Str("event", "view.handed_over").Str("peer", h.from).
-		Uint64("revision", h.snapshot.Revision).Uint64("before", v.Revision).Msg("a gateway knows more than the store tells")
+		Uint64("revision", h.snapshot.Revision).Uint64("before", v.Revision).Bool("partial", h.partial).Msg("a gateway knows more than the store tells")
 	f.mark = h.snapshot.Revision
 	f.takeWarmth(now, h)
 	if h.partial {
