platform, gateway: revisions are ordered by the store's era first

What callers saw: after the store had come back from a copy some seconds old, two confirmed configurations were in force nowhere for up to four seconds, and a server that had said it leaves got requests for 2.8 s. Cause: what comes before what was told by the store's revision alone, and the store gives revisions out again. Lists were set aside until the old number was reached (15 calls a second by each watcher); at the old number, others were told a part that lacked the changes up to it. Ruled out: lost answers and slow handovers (all calls were answered, handovers took 0.1 s). Change: catalog.Revision holds the era, which the store tells in all its answers, in front of the number; it stays an integer, so that each comparison there was (lists, watches, handed-over views whole and in part, beacons, change logs, evacuations, episodes of cold servers, versions of the key-value service of routers) holds as written. Why it holds: eras rise, so nothing of an earlier one is news and everything of a later one is; a change log begins with its era, so no part of a view spans two. Tests of before name revisions with the stand-in's era; their checks are unchanged.

--- /dev/null
+++ b/gateway/catalog/revision_test.go
@@ -0,0 +1,32 @@
+package catalog
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestRevisions: what comes before what, over the returns of a store.
+func TestRevisions(t *testing.T) {
+	tests := []struct {
+		name          string
+		before, after Revision
+	}{
+		{"within an era", NewRevision(1, 20), NewRevision(1, 21)},
+		{"the same number, given out again", NewRevision(1, 20), NewRevision(2, 20)},
+		{"a lower number of a later era", NewRevision(1, 1<<39), NewRevision(2, 1)},
+		{"two returns", NewRevision(1, 50), NewRevision(3, 2)},
+		{"a store that tells no era", NewRevision(0, 7), NewRevision(1, 3)},
+		{"nothing is known", 0, NewRevision(0, 1)},
+		{"the last era", NewRevision(MostEras-1, 9), NewRevision(MostEras, 0)},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			require.Less(t, test.before, test.after)
+		})
+	}
+	r := NewRevision(2, 117)
+	require.Equal(t, uint64(2), r.Era())
+	require.Equal(t, uint64(117), r.Number())
+	require.Equal(t, "2.117", r.String())
+}
--- a/gateway/changelog.go
+++ b/gateway/changelog.go
@@ -1,17 +1,19 @@
 package gateway
 
+import "opalbridge.dev/gateway/catalog"
+
 // changeLog holds which servers have changed lately, by the store's revision, so that other
 // gateways are told that instead of the whole view: at 3,000 servers the view has half a
 // megabyte, and each of 300 gateways took it at each change. Its zero value is empty. What
 // was added is not changed, so a View may hold a copy of the log.
 type changeLog struct {
-	from    uint64 // complete for revisions after this one
+	from    catalog.Revision // complete for revisions after this one
 	entries []logEntry
 }
 
 // logEntry is a server that has changed, appeared or gone.
 type logEntry struct {
-	revision uint64
+	revision catalog.Revision
 	server   string
 }
 
@@ -19,7 +21,7 @@
 const mostLogged = 8192
 
 // add notes a change. Revisions do not fall.
-func (l *changeLog) add(revision uint64, server string) {
+func (l *changeLog) add(revision catalog.Revision, server string) {
 	if len(l.entries) >= mostLogged {
 		half := len(l.entries) / 2
 		l.from = l.entries[half-1].revision
@@ -28,12 +30,13 @@
 	l.entries = append(l.entries, logEntry{revision, server})
 }
 
-// restart empties the log: what was before a revision is not known.
-func (l *changeLog) restart(revision uint64) { *l = changeLog{from: revision} }
+// restart empties the log: what was before a revision is not known. Each era begins with it, so
+// that nobody who knows an earlier one is told a part.
+func (l *changeLog) restart(revision catalog.Revision) { *l = changeLog{from: revision} }
 
 // since returns the servers that have changed after a revision; ok is false if the log does
 // not tell.
-func (l *changeLog) since(revision uint64) (servers map[string]bool, ok bool) {
+func (l *changeLog) since(revision catalog.Revision) (servers map[string]bool, ok bool) {
 	if revision < l.from {
 		return nil, false
 	}
--- a/gateway/changelog_test.go
+++ b/gateway/changelog_test.go
@@ -74,7 +74,7 @@
 	g := w.gateways[0]
 	known := g.view.Load().Revision
 	g.follower.takeChanges(w.now, list, known+servers)
-	asking := url.Values{sinceKey: {fmt.Sprint(known + servers)}, versionKey: {"1"}}
+	asking := url.Values{sinceKey: {fmt.Sprint(uint64(known + servers))}, versionKey: {"1"}}
 	g.follower.takeChanges(w.now, list[:1], known+servers+1)
 	whole, err := g.packedView(w.now, url.Values{})
 	require.NoError(t, err)
@@ -92,7 +92,7 @@
 	l.add(12, "b")
 	l.add(12, "a")
 	tests := []struct {
-		since uint64
+		since catalog.Revision
 		want  []string
 		ok    bool
 	}{{9, nil, false}, {10, []string{"a", "b"}, true}, {11, []string{"a", "b"}, true}, {12, nil, true}}
@@ -102,7 +102,7 @@
 		require.Equal(t, test.want, slices.Sorted(maps.Keys(servers)), test.since)
 	}
 	kept := l // a view's copy
-	for n := range uint64(2 * mostLogged) {
+	for n := range catalog.Revision(2 * mostLogged) {
 		l.add(13+n, "c")
 	}
 	_, ok := l.since(12)
--- a/gateway/cold_world_test.go
+++ b/gateway/cold_world_test.go
@@ -37,8 +37,8 @@
 type coldSpan struct {
 	server      int
 	from, until time.Time
-	told        uint64 // revision of the store at which gateways are told; 0: not yet
-	written     bool   // the server's entry says so
+	told        catalog.Revision // revision of the store at which gateways are told; 0: not yet
+	written     bool             // the server's entry says so
 }
 
 // worldSend is a request that went to a server.
@@ -53,12 +53,12 @@
 	t         *testing.T
 	node      *peer.Node
 	now       time.Time
-	revision  uint64
+	revision  catalog.Revision
 	history   []Change // by revision, from 1
 	servers   [worldServers]catalog.Server
 	written   [worldServers]time.Duration // coldness in the entries
 	present   [worldServers]bool          // there is an entry
-	evacuated map[string]uint64
+	evacuated map[string]catalog.Revision
 	claims    map[warmup.Claim]string
 	spans     []coldSpan
 	born      [worldServers]int64
@@ -76,7 +76,7 @@
 }
 
 func newWorld(t *testing.T, node *peer.Node) *world {
-	w := &world{t: t, node: node, now: time.Now(), evacuated: map[string]uint64{}, claims: map[warmup.Claim]string{}}
+	w := &world{t: t, node: node, now: time.Now(), evacuated: map[string]catalog.Revision{}, claims: map[warmup.Claim]string{}}
 	c, err := catalog.NewConfiguration(catalog.Document{Version: 1, Services: []catalog.Service{{Name: "s", ColdFor: worldColdFor, ColdPerSecond: worldLimits.PerSecond}}})
 	require.NoError(t, err)
 	w.write(ConfigurationChanged{Configuration: c})
@@ -105,7 +105,7 @@
 	return &worldGateway{Gateway: g, name: fmt.Sprint(w.starts), knows: map[int]bool{}}
 }
 
-func (w *world) write(c Change) uint64 {
+func (w *world) write(c Change) catalog.Revision {
 	w.revision++
 	w.history = append(w.history, c)
 	return w.revision
@@ -163,7 +163,7 @@
 
 // learn notes which cold spans a gateway has heard of by the changes after a revision: it
 // was told in them, or knew that the server's hall was evacuated.
-func (w *world) learn(g *worldGateway, since uint64, halls map[string]evacuation) {
+func (w *world) learn(g *worldGateway, since catalog.Revision, halls map[string]evacuation) {
 	for n, s := range w.spans {
 		heard := s.told > since && s.told <= g.view.Load().Revision
 		if heard || s.told != 0 && s.told == halls[w.servers[s.server].Hall].Revision {
@@ -198,7 +198,7 @@
 // cold span only if its server says so now, or its hall is evacuated.
 func (w *world) list(i int) {
 	g := w.gateways[i]
-	s := Snapshot{Configuration: w.history[0].(ConfigurationChanged).Configuration, Revision: w.revision, Evacuated: map[string]uint64{}, Cold: map[string]time.Duration{}}
+	s := Snapshot{Configuration: w.history[0].(ConfigurationChanged).Configuration, Revision: w.revision, Evacuated: map[string]catalog.Revision{}, Cold: map[string]time.Duration{}}
 	for hall, revision := range w.evacuated {
 		s.Evacuated[hall] = revision
 	}
--- a/gateway/desk_cold.go
+++ b/gateway/desk_cold.go
@@ -14,9 +14,9 @@
 // Claims writes who holds a cold server where each gateway finds it alike. A key is
 // written once.
 type Claims interface {
-	// Claim returns whether this process holds the server in that episode. After an error
-	// nobody knows.
-	Claim(ctx context.Context, c warmup.Claim) (won bool, err error)
+	// Claim returns whether this process holds the server in that episode, and the era of the
+	// store in which that was decided. After an error nobody knows.
+	Claim(ctx context.Context, c warmup.Claim) (won bool, era uint64, err error)
 }
 
 const (
@@ -155,12 +155,15 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
-	won, err := g.options.Claims.Claim(ctx, c)
-	event := g.log.Info().Str("event", "server.claimed").Str("server", c.Server).Uint64("episode", uint64(c.Episode))
+	won, era, err := g.options.Claims.Claim(ctx, c)
+	event := g.log.Info().Str("event", "server.claimed").Str("server", c.Server).Stringer("episode", c.Episode)
 	switch {
 	case err != nil:
 		event.Err(err).Msg("nobody knows who holds it")
 		return warmup.Unknown
+	case era != c.Episode.Era():
+		event.Uint64("era", era).Msg("the store has come back from a copy since: who holds it is not known to it")
+		return warmup.Lost
 	case won:
 		event.Bool("own", true).Msg("this gateway sends it what it bears while it is cold")
 		return warmup.Won
--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -33,7 +33,7 @@
 type viewDocument struct {
 	Configuration []byte           `json:"configuration"` // as it was announced
 	Servers       []catalog.Server `json:"servers"`
-	Revision      uint64           `json:"revision"`
+	Revision      catalog.Revision `json:"revision"`
 	// Missing tells for how much longer servers are kept whose entry has gone, in
 	// milliseconds.
 	Missing map[string]int64 `json:"missing,omitempty"`
@@ -59,7 +59,7 @@
 
 // changes is what of the view has changed since a revision, for a gateway that knows it and
 // a version of the configuration; ok is false if that is not known any more.
-func (v *View) changes(now time.Time, revision, version uint64) (d viewDocument, ok bool) {
+func (v *View) changes(now time.Time, revision catalog.Revision, version uint64) (d viewDocument, ok bool) {
 	ids, ok := v.log.since(revision)
 	keys, suspectsKnown := v.suspectLog.since(revision)
 	if !ok || !suspectsKnown || revision > v.Revision {
@@ -149,6 +149,14 @@
 	return s
 }
 
+// handover is what a view that has arrived tells, but for the configuration and who told it.
+func (d viewDocument) handover(now time.Time) handover {
+	h := handover{snapshot: d.snapshot(now), partial: d.Partial, gone: d.Gone, left: d.Left, suspectsTold: d.SuspectsTold}
+	h.halls, h.cold = d.warmth(now)
+	h.snapshot.Suspects, h.cleared = d.suspects()
+	return h
+}
+
 // serveView answers another gateway that asks for the view.
 func (g *Gateway) serveView(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
@@ -174,7 +182,7 @@
 	since, err := strconv.ParseUint(known.Get(sinceKey), 10, 64)
 	version, versionErr := strconv.ParseUint(known.Get(versionKey), 10, 64)
 	if err == nil && versionErr == nil {
-		if d, ok := v.changes(now, since, version); ok {
+		if d, ok := v.changes(now, catalog.Revision(since), version); ok {
 			return json.Marshal(d)
 		}
 	}
@@ -241,7 +249,7 @@
 	gateway *Gateway
 	halls   map[string]string // of live gateways that reach the store, by address
 	away    map[string]bool   // live gateways of the own hall that don't reach it
-	ahead   uint64            // the highest revision that was told
+	ahead   catalog.Revision  // the highest revision that was told
 	behind  time.Time         // since when a gateway knows more of the store; zero: none does
 	asking  bool              // a view is being fetched
 	ended   chan struct{}     // tells that it was
@@ -258,7 +266,9 @@
 		h.behind = time.Time{}
 	}
 	if u.StoreRevision <= own {
-		g.confirm(u.Confirmed)
+		if u.StoreRevision.Era() == own.Era() {
+			g.confirm(u.Confirmed)
+		}
 		return
 	}
 	h.ahead = max(h.ahead, u.StoreRevision)
@@ -345,7 +355,7 @@
 		return url.Values{} // all is needed
 	}
 	return url.Values{
-		sinceKey:   {strconv.FormatUint(v.Revision, 10)},
+		sinceKey:   {strconv.FormatUint(uint64(v.Revision), 10)},
 		versionKey: {strconv.FormatUint(v.Configuration.Version, 10)},
 	}
 }
@@ -378,11 +388,8 @@
 	if err := json.Unmarshal(raw, &d); err != nil {
 		return handover{}, errors.Wrapf(err, "gateway: view of %s", from)
 	}
-	now := time.Now()
-	h := handover{from: from, snapshot: d.snapshot(now), partial: d.Partial, gone: d.Gone, left: d.Left}
-	h.halls, h.cold = d.warmth(now)
-	h.suspectsTold = d.SuspectsTold
-	h.snapshot.Suspects, h.cleared = d.suspects()
+	h := d.handover(time.Now())
+	h.from = from
 	if len(d.Configuration) == 0 {
 		return h, nil
 	}
--- a/gateway/lifetimes.go
+++ b/gateway/lifetimes.go
@@ -37,7 +37,7 @@
 		return
 	}
 	f.gateway.log.Info().Str("event", "server.started_again").Str("server", s.Name()).
-		Int64("born", s.Born).Int64("before", f.servers[before].Born).Uint64("revision", f.mark).
+		Int64("born", s.Born).Int64("before", f.servers[before].Born).EmbedObject(at(f.mark)).
 		Msg("nothing that was learned of it holds")
 	f.drop(before)
 }
--- a/gateway/peer/beacon.go
+++ b/gateway/peer/beacon.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"opalbridge.dev/gateway/catalog"
 	"opalbridge.dev/gateway/peer/peerpb"
 )
 
@@ -15,7 +16,7 @@
 	n.sequence++
 	b := &peerpb.Beacon{
 		Incarnation: n.incarnation, NewestLoad: n.newest - uint64(len(n.pending)), Sequence: n.sequence,
-		ConfigurationVersion: s.ConfigurationVersion, StoreRevision: s.StoreRevision, StoreAway: s.StoreAway, Leaving: n.leaving,
+		ConfigurationVersion: s.ConfigurationVersion, StoreRevision: uint64(s.StoreRevision), StoreAway: s.StoreAway, Leaving: n.leaving,
 		ConfirmedMs: uint32(min(time.Since(s.Confirmed), longestAge).Milliseconds()),
 	}
 	for server, left := range n.seen {
@@ -183,7 +184,7 @@
 	}
 	u = Update{
 		From: from.String(), Alive: true, Loads: r.news(b, first), Running: map[uint64]int{},
-		ConfigurationVersion: b.ConfigurationVersion, StoreRevision: b.StoreRevision, StoreAway: b.StoreAway,
+		ConfigurationVersion: b.ConfigurationVersion, StoreRevision: catalog.Revision(b.StoreRevision), StoreAway: b.StoreAway,
 		Confirmed: now.Add(-age - time.Duration(b.ConfirmedMs)*time.Millisecond),
 	}
 	for _, l := range b.Backlogs {
--- a/gateway/peer/news.go
+++ b/gateway/peer/news.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"opalbridge.dev/gateway/catalog"
 	"opalbridge.dev/gateway/peer/peerpb"
 )
 
@@ -58,7 +59,7 @@
 	Demands              []*peerpb.Demand
 	Speeds               []Speed
 	ConfigurationVersion uint64
-	StoreRevision        uint64
+	StoreRevision        catalog.Revision
 	Confirmed            time.Time // when StoreRevision was last known to be the store's latest
 	StoreAway            bool      // own calls to the store fail
 	Weight               int       // thousandths of a core that it may use, 0 while it is short of them
@@ -84,7 +85,7 @@
 	Demands              []*peerpb.Demand
 	DemandsTold          bool
 	ConfigurationVersion uint64
-	StoreRevision        uint64
+	StoreRevision        catalog.Revision
 	Confirmed            time.Time // when StoreRevision was last known to be the store's latest
 	StoreAway            bool      // own calls to the store fail
 }
--- a/gateway/peer/peer_test.go
+++ b/gateway/peer/peer_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
+	"opalbridge.dev/gateway/catalog"
 	"opalbridge.dev/gateway/peer"
 	"opalbridge.dev/gateway/peer/peerpb"
 )
@@ -164,7 +165,7 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	require.Equal(t, 2, b.last["127.0.0.1"].Running[7])
-	require.Equal(t, uint64(9), b.last["127.0.0.1"].StoreRevision)
+	require.Equal(t, catalog.Revision(9), b.last["127.0.0.1"].StoreRevision)
 }
 
 // TestBacklogsAreTold once each, the newest of a server, and soon when that is asked for.
--- a/gateway/peer/relay_test.go
+++ b/gateway/peer/relay_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
+	"opalbridge.dev/gateway/catalog"
 	"opalbridge.dev/gateway/peer"
 	"opalbridge.dev/gateway/peer/peerpb"
 )
@@ -20,7 +21,7 @@
 	var members []*member
 	for n := range count * each {
 		hall := fmt.Sprintf("hall-%d", n%count)
-		members = append(members, joinHall(t, port, n+1, hall, peer.State{Weight: 100 + n/count, StoreRevision: uint64(n + 1)}, "127.0.0.1"))
+		members = append(members, joinHall(t, port, n+1, hall, peer.State{Weight: 100 + n/count, StoreRevision: catalog.Revision(n + 1)}, "127.0.0.1"))
 	}
 	for i, m := range members {
 		eventually(t, fmt.Sprintf("node %d knows all", i+1), func() bool { return m.living() == len(members)-1 })
@@ -56,7 +57,7 @@
 			from := fmt.Sprintf("127.0.0.%d", n+1)
 			require.Equal(t, []peer.Load{{Server: uint64(n + 1), Work: time.Millisecond}}, m.heard(from))
 			m.mutex.Lock()
-			require.Equal(t, uint64(n+1), m.last[from].StoreRevision)
+			require.Equal(t, catalog.Revision(n+1), m.last[from].StoreRevision)
 			m.mutex.Unlock()
 		}
 	}
--- a/gateway/source.go
+++ b/gateway/source.go
@@ -20,10 +20,10 @@
 	Configuration *catalog.Configuration // nil: none yet
 	Raw           []byte                 // the configuration as it was announced
 	Servers       []catalog.Server
-	Unreadable    []string             // names whose entries tell of no server that can be used
-	Missing       map[string]time.Time // servers that are kept until then although their entry has gone
-	Revision      uint64               // changes up to it are included
-	Evacuated     map[string]uint64    // halls that are evacuated, with the revision at which the operators said so
+	Unreadable    []string                    // names whose entries tell of no server that can be used
+	Missing       map[string]time.Time        // servers that are kept until then although their entry has gone
+	Revision      catalog.Revision            // changes up to it are included
+	Evacuated     map[string]catalog.Revision // halls that are evacuated, with the revision at which the operators said so
 	// Cold tells for how much longer servers are cold, as they say themselves.
 	Cold map[string]time.Duration
 	// Suspects are the requests that were at two servers or more when these ended.
@@ -55,7 +55,7 @@
 // HallEvacuated says that the servers of a hall shall get no new work.
 type HallEvacuated struct {
 	Hall     string
-	Revision uint64 // of the store, which names the evacuation
+	Revision catalog.Revision // of the store, which names the evacuation
 }
 
 // HallReturned says that an evacuation is taken back.
@@ -90,7 +90,10 @@
 	List(ctx context.Context) (Snapshot, error)
 	// Watch waits at most wait for changes after a revision, and returns them with
 	// the revision to go on from.
-	Watch(ctx context.Context, revision uint64, wait time.Duration) ([]Change, uint64, error)
+	Watch(ctx context.Context, revision catalog.Revision, wait time.Duration) ([]Change, catalog.Revision, error)
+	// Era returns the latest era of revisions that any answer of the store has told, also one
+	// to other calls.
+	Era() uint64
 	// Decode decodes a configuration that another gateway has handed over.
 	Decode(raw []byte) (*catalog.Configuration, error)
 }
--- a/gateway/suspects_test.go
+++ b/gateway/suspects_test.go
@@ -24,22 +24,22 @@
 	var d viewDocument
 	require.NoError(t, json.Unmarshal(raw, &d))
 	change(&d)
-	h := handover{from: "x", snapshot: d.snapshot(now), partial: d.Partial, gone: d.Gone, suspectsTold: d.SuspectsTold}
-	h.halls, h.cold = d.warmth(now)
-	h.snapshot.Suspects, h.cleared = d.suspects()
-	h.snapshot.Configuration = version(1)
+	h := d.handover(now)
+	h.from = "x"
+	h.snapshot.Configuration = from.view.Load().Configuration
 	to.follower.takeHandover(now, h)
 }
 
+func asItIs(*viewDocument) {}
+
 // TestSuspectsAreHandedOver: a gateway learns of barred requests from another one's view,
 // whole or in part, and loses none to a gateway of a version that knows of none.
 func TestSuspectsAreHandedOver(t *testing.T) {
 	now := time.Now()
-	as := func(*viewDocument) {}
 	first := answer{listed: true, snapshot: Snapshot{Configuration: version(1), Revision: 3, Suspects: map[quarantine.Key]quarantine.Kept{{1}: {Servers: []string{"a", "b", "c"}}}}}
 	from, to := quiet(t), quiet(t)
 	from.follower.take(now, first)
-	handOver(t, now, from, to, as)
+	handOver(t, now, from, to, asItIs)
 	require.True(t, to.suspects.isBarred(quarantine.Key{1}), "the whole view")
 	from.follower.take(now, answer{since: 3, revision: 5, changes: []Change{
 		SuspectChanged{Key: quarantine.Key{2}, Kept: quarantine.Kept{Servers: []string{"a", "b", "d"}, AtOnce: true, Tries: 1}}, SuspectGone{Key: quarantine.Key{1}},
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
 
 	"opalbridge.dev/gateway/catalog"
 	"opalbridge.dev/gateway/quarantine"
@@ -56,7 +57,7 @@
 	Raw           []byte                 // the configuration as it was announced
 	Servers       []catalog.Server
 	Missing       map[string]time.Time  // those of the servers that are kept until then although their entry has gone
-	Revision      uint64                // of the store; complete up to it
+	Revision      catalog.Revision      // of the store; complete up to it
 	Evacuated     map[string]evacuation // by hall
 	Cold          map[string]coldness   // by server; of the others nothing is known
 	Suspects      map[quarantine.Key]quarantine.Kept
@@ -78,15 +79,24 @@
 	suspects        map[quarantine.Key]quarantine.Kept
 	suspectsChanged bool // since the latest view
 	suspectLog      changeLog
-	mark            uint64    // revision under which changes are logged
-	order           []string  // ids of the servers, sorted; nil: to be made anew
-	failed          time.Time // last failure of the source
-	called          time.Time // when the latest call began
+	mark            catalog.Revision // under which changes are logged
+	order           []string         // ids of the servers, sorted; nil: to be made anew
+	failed          time.Time        // last failure of the source
+	called          time.Time        // when the latest call began
 	away            bool
 	handed          chan handover
 	said            chan struct{} // a server has said that it leaves
 }
 
+// at writes a revision to the log: its era, and its number as the store calls it.
+type at catalog.Revision
+
+// MarshalZerologObject implements zerolog.LogObjectMarshaler.
+func (a at) MarshalZerologObject(e *zerolog.Event) {
+	r := catalog.Revision(a)
+	e.Uint64("era", r.Era()).Uint64("revision", r.Number())
+}
+
 // handover is a view that another gateway has told.
 type handover struct {
 	from     string
@@ -108,11 +118,11 @@
 
 // answer is the end of one call to the source.
 type answer struct {
-	since    uint64 // revision that a watch went on from
+	since    catalog.Revision // that a watch went on from
 	listed   bool
 	snapshot Snapshot
 	changes  []Change
-	revision uint64
+	revision catalog.Revision
 	err      error
 }
 
@@ -180,6 +190,8 @@
 		return false
 	case g.watches.Load() || now.Sub(g.confirmedAt()) > unconfirmed:
 		return true
+	case g.options.Source.Era() > g.view.Load().Revision.Era():
+		return true // an answer to another call has told that the store has come back from a copy
 	default:
 		return g.view.Load().Configuration == nil && age > startPatience
 	}
@@ -191,7 +203,7 @@
 	return min(max(away/2, 1)*sourceRetry, longestRetry)
 }
 
-func (f *follower) call(ctx context.Context, listed bool, revision uint64) answer {
+func (f *follower) call(ctx context.Context, listed bool, revision catalog.Revision) answer {
 	if listed {
 		ctx, cancel := context.WithTimeout(ctx, listTimeout)
 		defer cancel()
@@ -207,37 +219,51 @@
 // take takes an answer over. It returns whether to list next, and whether to wait
 // before.
 func (f *follower) take(now time.Time, a answer) (list, wait bool) {
+	known := f.gateway.view.Load().Revision
 	switch {
 	case errors.Is(a.err, ErrHistoryGone):
-		f.gateway.log.Warn().Str("event", "store.history_gone").Uint64("revision", f.gateway.view.Load().Revision).Msg("list again")
-		return true, false
+		f.gateway.log.Warn().Str("event", "store.history_gone").EmbedObject(at(known)).Err(a.err).Msg("list again")
+		return true, a.listed // a list that is late, or was made while the store came back
 	case a.err != nil:
 		f.fail(now, a.err)
 		return true, true // a watch may have been forgotten; a list tells what there is
 	}
 	f.recover(now)
-	f.gateway.confirm(now)
-	// Another gateway may have handed over a newer view while the call was under way.
-	known := f.gateway.view.Load().Revision
-	if a.listed && a.snapshot.Revision < known {
-		f.gateway.log.Warn().Str("event", "store.list_set_aside").Uint64("revision", a.snapshot.Revision).Uint64("known", known).Msg("older than what is known: list again")
-		return true, true
+	if a.listed {
+		return f.takeList(now, known, a.snapshot)
 	}
-	if !a.listed && a.since != known {
-		return false, false // its changes are older than what is known: watch on from there
+	if a.since.Era() == known.Era() {
+		f.gateway.confirm(now)
 	}
-	if a.listed {
-		f.mark = a.snapshot.Revision
-		f.listed(now, a.snapshot)
-		f.log.restart(a.snapshot.Revision) // what was between is not known
-		f.suspectLog.restart(a.snapshot.Revision)
-		f.takeSnapshot(a.snapshot, func(id string) { f.remove(now, id) })
-		return a.snapshot.Configuration == nil, a.snapshot.Configuration == nil
+	// Another gateway may have handed over a newer view while the call was under way.
+	if a.since != known {
+		return false, false // its changes are older than what is known: watch on from there
 	}
 	f.takeChanges(now, a.changes, a.revision)
 	return false, false
 }
 
+// takeList takes over a list, unless more is known.
+func (f *follower) takeList(now time.Time, known catalog.Revision, s Snapshot) (list, wait bool) {
+	if s.Revision.Era() == known.Era() {
+		f.gateway.confirm(now)
+	}
+	if s.Revision < known {
+		f.gateway.log.Warn().Str("event", "store.list_set_aside").EmbedObject(at(s.Revision)).Stringer("known", known).Msg("older than what is known: list again")
+		return true, true
+	}
+	if s.Revision.Era() > known.Era() {
+		f.gateway.log.Warn().Str("event", "store.returned").EmbedObject(at(s.Revision)).Stringer("before", known).Msg("it has come back from a copy")
+		f.gateway.confirm(now)
+	}
+	f.mark = s.Revision
+	f.listed(now, s)
+	f.log.restart(s.Revision) // what was between is not known
+	f.suspectLog.restart(s.Revision)
+	f.takeSnapshot(s, func(id string) { f.remove(now, id) })
+	return s.Configuration == nil, s.Configuration == nil
+}
+
 func (f *follower) fail(now time.Time, err error) {
 	f.failed = now
 	for id := range f.missing {
@@ -247,7 +273,7 @@
 		f.away = true
 		f.gateway.storeAway.Store(true)
 		f.gateway.peers.TellNow()
-		f.gateway.log.Warn().Str("event", "store.lost").Err(err).Uint64("revision", f.gateway.view.Load().Revision).Msg("go on with what is known")
+		f.gateway.log.Warn().Str("event", "store.lost").Err(err).EmbedObject(at(f.gateway.view.Load().Revision)).Msg("go on with what is known")
 	}
 }
 
@@ -287,7 +313,7 @@
 	f.publish(s.Configuration, s.Raw, s.Revision)
 }
 
-func (f *follower) takeChanges(now time.Time, changes []Change, revision uint64) {
+func (f *follower) takeChanges(now time.Time, changes []Change, revision catalog.Revision) {
 	v := f.gateway.view.Load()
 	configuration, raw := v.Configuration, v.Raw
 	f.mark = revision
@@ -325,7 +351,7 @@
 		return
 	}
 	f.gateway.log.Info().Str("event", "view.handed_over").Str("peer", h.from).
-		Uint64("revision", h.snapshot.Revision).Uint64("before", v.Revision).Bool("partial", h.partial).Msg("a gateway knows more than the store tells")
+		EmbedObject(at(h.snapshot.Revision)).Stringer("before", v.Revision).Bool("partial", h.partial).Msg("a gateway knows more than the store tells")
 	f.mark = h.snapshot.Revision
 	f.takeWarmth(now, h)
 	if h.partial {
@@ -380,14 +406,14 @@
 }
 
 // publish makes a new view known. A configuration never steps back.
-func (f *follower) publish(c *catalog.Configuration, raw []byte, revision uint64) {
+func (f *follower) publish(c *catalog.Configuration, raw []byte, revision catalog.Revision) {
 	old := f.gateway.view.Load()
 	if old.Configuration != nil && (c == nil || c.Version < old.Configuration.Version) {
 		c, raw = old.Configuration, old.Raw
 	}
 	if c != nil && (old.Configuration == nil || c.Version != old.Configuration.Version) {
 		f.gateway.log.Info().Str("event", "configuration.in_force").Uint64("version", c.Version).
-			Uint64("revision", revision).Int("routes", len(c.Routes)).Int("accounts", len(c.Accounts)).Msg("apply")
+			EmbedObject(at(revision)).Int("routes", len(c.Routes)).Int("accounts", len(c.Accounts)).Msg("apply")
 	}
 	v := &View{
 		Configuration: c, Raw: raw, Revision: max(revision, old.Revision), Missing: maps.Clone(f.missing),
--- a/gateway/view_bench_test.go
+++ b/gateway/view_bench_test.go
@@ -40,7 +40,7 @@
 	for i := range b.N {
 		one := list[1].(ServerChanged)
 		one.Server.Leaving = i%2 == 0
-		g.follower.takeChanges(now, []Change{one}, uint64(servers+1+i))
+		g.follower.takeChanges(now, []Change{one}, catalog.Revision(servers+1+i))
 		g.drain(now)
 	}
 }
--- a/gateway/view_test.go
+++ b/gateway/view_test.go
@@ -59,7 +59,7 @@
 			f.take(now, test.late)
 			require.Equal(t, []string{"i-1"}, g.leavingServers(), "a leaving server must not seem ready again")
 			require.Len(t, g.view.Load().Servers, 2)
-			require.Equal(t, uint64(9), g.view.Load().Revision)
+			require.Equal(t, catalog.Revision(9), g.view.Load().Revision)
 			require.Equal(t, uint64(2), g.view.Load().Configuration.Version)
 		})
 	}
--- a/gateway/warmth.go
+++ b/gateway/warmth.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"opalbridge.dev/gateway/catalog"
 	"opalbridge.dev/gateway/warmup"
 )
 
@@ -11,8 +12,8 @@
 
 // evacuation is a hall whose servers shall get no new work.
 type evacuation struct {
-	Revision uint64    // of the store, at which the operators said so
-	Since    time.Time // when this gateway, or the one that told it, heard of it
+	Revision catalog.Revision // of the store, at which the operators said so
+	Since    time.Time        // when this gateway, or the one that told it, heard of it
 }
 
 // coldness is what is known of a server that is cold, was, or may become so.
@@ -43,9 +44,9 @@
 	_, known := f.servers[id]
 	hall, evacuated := f.halls[s.Server.Hall]
 	if !known && !told {
-		c = coldness{Witnessed: true}
+		c = coldness{Witnessed: true, Episode: startEpisode(f.mark)}
 		if evacuated {
-			c.Episode = warmup.Episode(hall.Revision)
+			c.Episode = hall.Revision
 		}
 		if _, again := f.current[s.Server.Name()]; again && !evacuated {
 			c.Clear = now // the lifetime before got work until now, and the bound holds over both
@@ -63,12 +64,15 @@
 	}
 	if !now.Before(c.until()) {
 		f.gateway.log.Info().Str("event", "server.cold").Str("server", id).Dur("for", s.Cold).
-			Uint64("episode", uint64(c.Episode)).Bool("new", !known).Msg("it gets what it bears, from the gateway that holds it")
+			Stringer("episode", c.Episode).Bool("new", !known).Msg("it gets what it bears, from the gateway that holds it")
 	}
 	c.Told = now.Add(s.Cold)
 	f.cold[id] = c
 }
 
+// startEpisode returns the episode of a server that starts.
+func startEpisode(r catalog.Revision) warmup.Episode { return catalog.NewRevision(r.Era(), 0) }
+
 // evacuate takes over that a hall is evacuated. A new episode begins for its servers.
 func (f *follower) evacuate(now time.Time, e HallEvacuated) {
 	since := now
@@ -81,11 +85,11 @@
 			continue
 		}
 		c := f.cold[id]
-		c.Episode, c.Clear, c.Witnessed, c.Claimed = warmup.Episode(e.Revision), since, true, false
+		c.Episode, c.Clear, c.Witnessed, c.Claimed = e.Revision, since, true, false
 		f.cold[id] = c
 		f.log.add(f.mark, id)
 	}
-	f.gateway.log.Info().Str("event", "hall.evacuated").Str("hall", e.Hall).Uint64("revision", e.Revision).Msg("no new work for its servers")
+	f.gateway.log.Info().Str("event", "hall.evacuated").Str("hall", e.Hall).EmbedObject(at(e.Revision)).Msg("no new work for its servers")
 }
 
 // takeBack takes over that a hall's evacuation has ended. Its servers may have become cold
@@ -192,19 +196,19 @@
 
 // evacuatedDocument is an evacuation on its way to another gateway.
 type evacuatedDocument struct {
-	Revision uint64 `json:"revision"`
-	AgeMS    int64  `json:"age_ms"`
+	Revision catalog.Revision `json:"revision"`
+	AgeMS    int64            `json:"age_ms"`
 }
 
 // coldDocument is a server's coldness on its way to another gateway. Times are told as
 // spans, since clocks differ.
 type coldDocument struct {
-	ToldMS    int64  `json:"told_ms,omitempty"`    // from now
-	AssumedMS int64  `json:"assumed_ms,omitempty"` // from now
-	ClearMS   *int64 `json:"clear_age_ms,omitempty"`
-	Episode   uint64 `json:"episode,omitempty"`
-	Witnessed bool   `json:"witnessed,omitempty"`
-	Claimed   bool   `json:"claimed,omitempty"`
+	ToldMS    int64          `json:"told_ms,omitempty"`    // from now
+	AssumedMS int64          `json:"assumed_ms,omitempty"` // from now
+	ClearMS   *int64         `json:"clear_age_ms,omitempty"`
+	Episode   warmup.Episode `json:"episode,omitempty"`
+	Witnessed bool           `json:"witnessed,omitempty"`
+	Claimed   bool           `json:"claimed,omitempty"`
 }
 
 // addWarmth adds what a view tells of halls and of servers that are cold, or whose episode
@@ -217,7 +221,7 @@
 		d.Evacuated[hall] = evacuatedDocument{Revision: e.Revision, AgeMS: now.Sub(e.Since).Milliseconds()}
 	}
 	for id, c := range v.Cold {
-		if !told(id) || !now.Before(c.until()) && c.Episode == 0 {
+		if !told(id) || !now.Before(c.until()) && c.Episode.Number() == 0 {
 			continue
 		}
 		if d.Cold == nil {
@@ -225,7 +229,7 @@
 		}
 		d.Cold[id] = coldDocument{
 			ToldMS: ahead(now, c.Told), AssumedMS: ahead(now, c.Assumed), ClearMS: age(now, c.Clear),
-			Episode: uint64(c.Episode), Witnessed: c.Witnessed, Claimed: c.Claimed,
+			Episode: c.Episode, Witnessed: c.Witnessed, Claimed: c.Claimed,
 		}
 	}
 }
@@ -237,7 +241,7 @@
 		halls[hall] = evacuation{Revision: e.Revision, Since: before(now, e.AgeMS)}
 	}
 	for id, c := range d.Cold {
-		k := coldness{Episode: warmup.Episode(c.Episode), Witnessed: c.Witnessed, Claimed: c.Claimed}
+		k := coldness{Episode: c.Episode, Witnessed: c.Witnessed, Claimed: c.Claimed}
 		if c.ToldMS > 0 {
 			k.Told = now.Add(time.Duration(c.ToldMS) * time.Millisecond)
 		}
--- a/gateway/warmup/warmup.go
+++ b/gateway/warmup/warmup.go
@@ -34,6 +34,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"opalbridge.dev/gateway/catalog"
 )
 
 const (
@@ -70,9 +72,11 @@
 	return min(int(l.PerSecond*l.Factor+l.Extra), 1)
 }
 
-// Episode is a span in which a server is cold, the same for all gateways: 0 from its
-// start, then the revision of the store at which its hall was evacuated last.
-type Episode uint64
+// Episode is a span in which a server is cold, the same for all gateways: the revision of the
+// store at which its hall was evacuated last, or that of number 0 in the era in which it started.
+// So a claim of it is made in that era only: what a store that has come back from a copy says of
+// earlier episodes doesn't count, since it may have lost who holds the server.
+type Episode = catalog.Revision
 
 // Claim names what a gateway claims.
 type Claim struct {
