gateway: a store's older copy turns no gateway back

What callers saw: a server that had said that it leaves got new requests again after the store had come back from a copy that lacked that (169 of them late at three gateways in our world). Cause: a view of the store was taken for all there is; after a return it is older than what is known, until operators and servers have written again (about two seconds). Ruled out: the order of revisions, mended before: the test failed with it too. One that starts hands over a copy as what may lack something. Lines: store.returned, store.settled, server.revived, server.missing, configuration.handed_over. Why it holds: what is kept is only what would otherwise be believed away, each with an end; a change by the watch is newer than the copy and ends it at once.

--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -53,6 +53,10 @@
 	Partial bool     `json:"partial,omitempty"`
 	Gone    []string `json:"gone,omitempty"`    // servers that are no more
 	Cleared []string `json:"cleared,omitempty"` // keys of requests that are no suspects any more
+	// Revived are entries of a copy that had gone before; not if Partial.
+	Revived []catalog.Server `json:"revived,omitempty"`
+	// SettleMS tells for how much longer the store may lack what it had, in milliseconds.
+	SettleMS int64 `json:"settle_ms,omitempty"`
 	// Left are all lifetimes of servers that have said that they leave, also if Partial.
 	Left []string `json:"left,omitempty"`
 }
@@ -60,15 +64,18 @@
 // changes is what of the view has changed since a revision, for a gateway that knows it and
 // a version of the configuration; ok is false if that is not known any more.
 func (v *View) changes(now time.Time, revision catalog.Revision, version uint64) (d viewDocument, ok bool) {
+	d = viewDocument{Revision: v.Revision, Partial: true, Left: v.Left, SettleMS: ahead(now, v.Settled)}
+	if v.Configuration != nil && v.Configuration.Version > version {
+		d.Configuration = v.Raw
+	}
+	if revision > v.Revision {
+		return d, true // who asks knows more of the store
+	}
 	ids, ok := v.log.since(revision)
 	keys, suspectsKnown := v.suspectLog.since(revision)
-	if !ok || !suspectsKnown || revision > v.Revision {
+	if !ok || !suspectsKnown {
 		return d, false
 	}
-	d = viewDocument{Revision: v.Revision, Partial: true, Left: v.Left}
-	if v.Configuration != nil && v.Configuration.Version > version {
-		d.Configuration = v.Raw
-	}
 	for id := range ids {
 		if s, known := v.server(id); known {
 			d.Servers = append(d.Servers, s)
@@ -89,7 +96,7 @@
 
 // document is the whole view as it goes to another gateway.
 func (v *View) document(now time.Time) viewDocument {
-	d := viewDocument{Configuration: v.Raw, Servers: v.Servers, Revision: v.Revision, Left: v.Left}
+	d := viewDocument{Configuration: v.Raw, Servers: v.Servers, Revision: v.Revision, Left: v.Left, Revived: v.Revived, SettleMS: ahead(now, v.Settled)}
 	d.addMissing(now, v)
 	d.addWarmth(now, v, func(string) bool { return true })
 	d.addSuspects(v, func(string) bool { return true })
@@ -151,7 +158,8 @@
 
 // handover is what a view that has arrived tells, but for the configuration and who told it.
 func (d viewDocument) handover(now time.Time) handover {
-	h := handover{snapshot: d.snapshot(now), partial: d.Partial, gone: d.Gone, left: d.Left, suspectsTold: d.SuspectsTold}
+	h := handover{snapshot: d.snapshot(now), partial: d.Partial, gone: d.Gone, left: d.Left, revived: d.Revived, suspectsTold: d.SuspectsTold}
+	h.settled = now.Add(time.Duration(d.SettleMS) * time.Millisecond)
 	h.halls, h.cold = d.warmth(now)
 	h.snapshot.Suspects, h.cleared = d.suspects()
 	return h
@@ -261,11 +269,15 @@
 		return
 	}
 	g := h.gateway
-	own := g.view.Load().Revision
-	if own >= h.ahead {
+	v := g.view.Load()
+	own := v.Revision
+	// After the store has come back from a copy, one that has started since may know no less of
+	// it, but an older configuration.
+	later := v.Configuration != nil && u.ConfigurationVersion > v.Configuration.Version
+	if own >= h.ahead && !later {
 		h.behind = time.Time{}
 	}
-	if u.StoreRevision <= own {
+	if u.StoreRevision <= own && !later {
 		if u.StoreRevision.Era() == own.Era() {
 			g.confirm(u.Confirmed)
 		}
--- a/gateway/lifetimes.go
+++ b/gateway/lifetimes.go
@@ -10,7 +10,9 @@
 
 func (f *follower) set(s catalog.Server) {
 	delete(f.missing, s.ID)
+	delete(f.memory.gone, s.ID)
 	s.Evacuated = false // publish fills it in
+	s.Leaving = f.memory.leaves(f.now, s, f.settling(f.now))
 	f.endBefore(s)
 	f.log.add(f.mark, s.ID)
 	if old, known := f.servers[s.ID]; !known || old != s {
@@ -74,11 +76,22 @@
 	f.order = nil
 	delete(f.missing, id)
 	delete(f.cold, id)
+	note(f.memory.gone, id, f.now)
 	f.gateway.log.Info().Str("event", "server.gone").Str("server", id).Msg("no new work")
 }
 
+// endRevival forgets what a copy said of the server of that name: something was written since.
+func (f *follower) endRevival(name string) {
+	for id := range f.revived {
+		if catalog.ServerName(id) == name {
+			delete(f.revived, id)
+		}
+	}
+}
+
 // dropMissing removes servers whose entry has not come back.
 func (f *follower) dropMissing(now time.Time) {
+	f.now = now
 	dropped := false
 	f.mark = f.gateway.view.Load().Revision + 1 // no change of the store says so
 	for id, until := range f.missing {
@@ -87,7 +100,9 @@
 			dropped = true
 		}
 	}
-	if dropped {
+	settled := f.settle(now)
+	if dropped || settled {
 		f.publishAgain()
 	}
+	f.memory.forget(now, func(id string) bool { return f.servers[id].ID != "" })
 }
--- /dev/null
+++ b/gateway/settle.go
@@ -0,0 +1,152 @@
+package gateway
+
+import (
+	"time"
+
+	"opalbridge.dev/gateway/catalog"
+)
+
+// This file takes over a store that has come back from an older copy. Its revisions are of a
+// later era (see [catalog.Revision]), so a view of it replaces any view of before, and each
+// gateway that hears of the era lists anew or takes such a view from another one.
+//
+// But for a moment the copy is older than what is known: operators and servers write again what
+// it lacks. Until then (settleTime) a view of the new era is put together from both:
+//
+//   - the configuration is the one of the highest version;
+//   - a lifetime that has said that it leaves does so for good;
+//   - a server or an evacuated hall that the copy lacks is kept, and gone after that
+//     time if nobody has written it again;
+//   - a lifetime whose entry had gone gets nothing until it writes again, or until that time is
+//     over and its entry is still there.
+//
+// What the gateways themselves had written, nobody else writes again.
+// Claims of cold servers are not written again, see [warmup.Episode]: who holds one goes on, and
+// nobody else can claim it.
+
+const (
+	// Operators and servers have written again by then what a copy lacks: they take about two
+	// seconds.
+	settleTime = returnGrace
+	// Lifetimes that are gone are remembered for so long: copies are some seconds
+	// old, and an outage lasts some more.
+	goneKept = time.Minute
+	// And so many at most; a fleet of 10,000 that is replaced at once fits.
+	mostGone = 1 << 14
+)
+
+// memory is what a gateway remembers of the store's past, in case it comes back from a copy.
+type memory struct {
+	left map[string]time.Time // lifetimes whose entries have said that they leave; when they were there last
+	gone map[string]time.Time // lifetimes that have ended or whose entry has gone, and when
+}
+
+func newMemory() memory {
+	return memory{left: map[string]time.Time{}, gone: map[string]time.Time{}}
+}
+
+// leaves notes what an entry says of leaving, and returns whether the lifetime leaves.
+func (m *memory) leaves(now time.Time, s catalog.Server, settling bool) bool {
+	_, said := m.left[s.ID]
+	// Without its start, a later lifetime of the server may have the same ID.
+	said = said && (settling || s.Born != 0)
+	if s.Leaving || said {
+		m.left[s.ID] = now
+		return true
+	}
+	delete(m.left, s.ID)
+	return false
+}
+
+// forget drops what is too old to matter; present tells which lifetimes have entries.
+func (m *memory) forget(now time.Time, present func(id string) bool) {
+	for id := range m.left {
+		if present(id) {
+			m.left[id] = now
+		}
+	}
+	forget(now, m.left)
+	forget(now, m.gone)
+}
+
+func forget[K comparable](now time.Time, list map[K]time.Time) {
+	for k, at := range list {
+		if now.Sub(at) > goneKept {
+			delete(list, k)
+		}
+	}
+}
+
+// note adds to a list that is bounded.
+func note[K comparable](list map[K]time.Time, k K, now time.Time) {
+	if len(list) < mostGone {
+		list[k] = now
+	}
+}
+
+// settling tells whether the store may lack what it had: it has come back from a copy.
+func (f *follower) settling(now time.Time) bool { return now.Before(f.settled) }
+
+// enter takes over that the store is in a later era than the one that was known, whose views
+// may lack what they had until a moment.
+func (f *follower) enter(revision catalog.Revision, settled time.Time) {
+	before := f.gateway.view.Load()
+	f.settled = settled
+	if before.Configuration == nil {
+		return // nothing is known of before
+	}
+	f.gateway.log.Warn().Str("event", "store.returned").EmbedObject(at(revision)).Stringer("before", before.Revision).
+		Int("servers", len(f.servers)).Int("gone", len(f.memory.gone)).Int("left", len(f.memory.left)).
+		Int("halls", len(f.halls)).Int("suspects", len(f.suspects)).
+		Msg("it has come back from a copy: what it lacks is kept for a moment")
+}
+
+// revives tells whether a view of a new era names a server whose entry had gone before. It is not
+// believed yet.
+func (f *follower) revives(s catalog.Server) bool {
+	_, gone := f.memory.gone[s.ID]
+	if !gone || !f.settling(f.now) {
+		return false
+	}
+	if _, already := f.revived[s.ID]; !already {
+		f.gateway.log.Info().Str("event", "server.revived").Str("server", s.ID).Msg("its entry had gone, the copy has it: nothing until it writes again")
+	}
+	f.revived[s.ID] = s
+	return true
+}
+
+// lack takes over that a whole view does not name a server. One that a copy lacks is kept until
+// the view has settled.
+func (f *follower) lack(id string, drop func(id string)) {
+	if !f.settling(f.now) {
+		drop(id)
+		return
+	}
+	until, already := f.missing[id]
+	f.missing[id] = latest(until, f.settled)
+	if !already {
+		f.gateway.log.Info().Str("event", "server.missing").Str("server", id).Msg("kept for a moment: the copy may lack it")
+	}
+}
+
+// settle ends what was kept for a moment only. It returns whether that may have changed the view.
+func (f *follower) settle(now time.Time) bool {
+	if f.settled.IsZero() || f.settling(now) {
+		return false
+	}
+	f.settled = time.Time{}
+	for _, s := range f.revived {
+		if _, another := f.current[s.Name()]; !another {
+			f.set(s)
+		}
+	}
+	clear(f.revived)
+	era := f.gateway.view.Load().Revision.Era()
+	for hall, e := range f.halls {
+		if e.Revision.Era() != era {
+			f.takeBack(now, hall)
+		}
+	}
+	f.gateway.log.Info().Str("event", "store.settled").EmbedObject(at(f.gateway.view.Load().Revision)).Msg("it has what had been written before it came back")
+	return true
+}
--- /dev/null
+++ b/gateway/settle_test.go
@@ -0,0 +1,205 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"opalbridge.dev/gateway/catalog"
+	"opalbridge.dev/gateway/peer"
+)
+
+// What users saw: a server said that it leaves, the store came back from a copy that did not
+// have that, and the server got new requests again, more than two seconds after it had said so.
+//
+// The order of events: (1) the entry says that it leaves, at all gateways; (2) the copy says
+// ready, and whoever lists it believes the copy, which is older than what was known; (3) two
+// seconds later the server has written again.
+//
+// The cause: a list of the store was taken for all there is. The evidence: of two writes lost and
+// six others made before anybody asked, views went back at the first list, in our own worlds (169
+// late requests at three gateways).
+
+// staying is a lifetime that takes work, and parting the same one that has said that it leaves.
+func staying() catalog.Server { return lifetime("i-1", 5) }
+
+func parting() catalog.Server {
+	s := staying()
+	s.Leaving = true
+	return s
+}
+
+func (g *Gateway) takesWork() []string {
+	var list []string
+	for _, s := range g.view.Load().Servers {
+		if !s.Leaving {
+			list = append(list, s.ID)
+		}
+	}
+	return list
+}
+
+// TestCopyIsOlder: what a gateway believes after the store has come back from a copy, at once,
+// when something is written again, and when all has been.
+func TestCopyIsOlder(t *testing.T) {
+	before, after := catalog.NewRevision(1, 90), catalog.NewRevision(2, 80)
+	other := lifetime("i-2", 6)
+	gone := answer{since: before - 1, revision: before, changes: []Change{ServerGone{"i-1"}}}
+	again := func(c Change) []answer {
+		return []answer{{since: after, revision: after + 1, changes: []Change{c}}}
+	}
+	tests := []struct {
+		name               string
+		known              []answer // of the era before; the last one is of revision before
+		copy               answer
+		then               []answer
+		atOnce, later, end []string // that take work: after the copy, after what was written then, and when settled
+	}{
+		{"it says that a leaving server is ready", []answer{listOf(before, 1, parting(), other)}, listOf(after, 1, staying(), other),
+			nil, []string{"i-2@6"}, nil, []string{"i-2@6"}},
+		{"and another list does", []answer{listOf(before, 1, parting(), other)}, listOf(after, 1, staying(), other),
+			[]answer{listOf(after+1, 1, staying(), other)}, []string{"i-2@6"}, []string{"i-2@6"}, []string{"i-2@6"}},
+		{"it lacks a leaving server", []answer{listOf(before, 1, parting(), other)}, listOf(after, 1, other),
+			again(ServerChanged{Server: staying()}), []string{"i-2@6"}, []string{"i-2@6"}, []string{"i-2@6"}},
+		{"it lacks a server", []answer{listOf(before, 1, staying(), other)}, listOf(after, 1, other),
+			nil, []string{"i-1@5", "i-2@6"}, nil, []string{"i-2@6"}},
+		{"that writes again", []answer{listOf(before, 1, staying(), other)}, listOf(after, 1, other),
+			again(ServerChanged{Server: staying()}), []string{"i-1@5", "i-2@6"}, []string{"i-1@5", "i-2@6"}, []string{"i-1@5", "i-2@6"}},
+		{"it has a server that had gone", []answer{listOf(before-1, 1, staying(), other), gone}, listOf(after, 1, staying(), other),
+			nil, []string{"i-2@6"}, nil, []string{"i-1@5", "i-2@6"}},
+		{"whose entry goes again", []answer{listOf(before-1, 1, staying(), other), gone}, listOf(after, 1, staying(), other),
+			again(ServerGone{"i-1"}), []string{"i-2@6"}, []string{"i-2@6"}, []string{"i-2@6"}},
+		{"or which writes again", []answer{listOf(before-1, 1, staying(), other), gone}, listOf(after, 1, staying(), other),
+			again(ServerChanged{Server: staying()}), []string{"i-2@6"}, []string{"i-1@5", "i-2@6"}, []string{"i-1@5", "i-2@6"}},
+		{"it has the lifetime before", []answer{listOf(before-1, 1, staying()), {since: before - 1, revision: before, changes: []Change{ServerChanged{Server: lifetime("i-1", 3)}}}},
+			listOf(after, 1, staying()), again(ServerChanged{Server: lifetime("i-1", 3)}), []string{"i-1@3"}, []string{"i-1@3"}, []string{"i-1@3"}},
+		{"a server starts meanwhile", []answer{listOf(before, 1, staying())}, listOf(after, 1, staying()),
+			again(ServerChanged{Server: other}), []string{"i-1@5"}, []string{"i-1@5", "i-2@6"}, []string{"i-1@5", "i-2@6"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			g, now := quiet(t), time.Now()
+			believes := func(want []string) {
+				t.Helper()
+				if want != nil {
+					require.Equal(t, want, g.takesWork())
+				}
+			}
+			for _, a := range test.known {
+				g.follower.take(now, a)
+			}
+			g.follower.take(now, test.copy)
+			believes(test.atOnce)
+			now = now.Add(time.Second)
+			for _, a := range test.then {
+				g.follower.take(now, a)
+			}
+			believes(test.later)
+			now = now.Add(settleTime)
+			g.follower.dropMissing(now)
+			believes(test.end)
+			require.True(t, g.view.Load().Settled.IsZero())
+		})
+	}
+}
+
+// TestCopyTurnsNoConfigurationBack, whoever tells the older one; and a gateway that knows the
+// store as well as another one, but an older configuration, takes the later one over.
+func TestCopyTurnsNoConfigurationBack(t *testing.T) {
+	now := time.Now()
+	before, after := catalog.NewRevision(1, 90), catalog.NewRevision(2, 80)
+	lived, started := quiet(t), quiet(t)
+	lived.follower.take(now, listOf(before, 7, staying()))
+	started.follower.take(now, listOf(after+1, 5, staying()))
+	require.Equal(t, uint64(5), started.view.Load().Configuration.Version)
+	lived.follower.take(now, listOf(after, 5, staying()))
+	require.Equal(t, uint64(7), lived.view.Load().Configuration.Version)
+	handOver(t, now, started, lived, asItIs)
+	require.Equal(t, uint64(7), lived.view.Load().Configuration.Version)
+
+	h := hearing{gateway: started, halls: map[string]string{}, away: map[string]bool{}, ended: make(chan struct{}, 1)}
+	for range 4 {
+		now = now.Add(handoverAfter / 2)
+		h.take(t.Context(), now, peer.Update{From: "127.0.0.9", Hall: "other", Alive: true, StoreRevision: after, ConfigurationVersion: 7})
+	}
+	require.True(t, h.asking, "it knows a later configuration")
+	<-h.ended
+	handOver(t, now, lived, started, func(d *viewDocument) { require.True(t, d.Partial, "no more than that is told") })
+	require.Equal(t, uint64(7), started.view.Load().Configuration.Version)
+	require.Equal(t, after+1, started.view.Load().Revision)
+}
+
+// TestStartedGatewayTurnsNobodyBack: it knows the copy only, and hands it over.
+func TestStartedGatewayTurnsNobodyBack(t *testing.T) {
+	before, after := catalog.NewRevision(1, 90), catalog.NewRevision(2, 80)
+	other := lifetime("i-2", 6)
+	for _, known := range []catalog.Revision{before, after} { // of the one that it is handed to
+		now := time.Now()
+		lived, started := quiet(t), quiet(t)
+		lived.follower.take(now, listOf(before, 7, parting(), other))
+		if known == after {
+			lived.follower.take(now, listOf(after, 5, staying()))
+		}
+		started.follower.take(now, listOf(after+1, 5, staying()))
+		handOver(t, now, started, lived, asItIs)
+		require.Equal(t, after+1, lived.view.Load().Revision)
+		require.Equal(t, []string{"i-2@6"}, lived.takesWork(), "one leaves, the other one the copy lacks")
+		lived.follower.dropMissing(now.Add(settleTime + time.Millisecond))
+		require.Empty(t, lived.takesWork(), "nobody has written it again")
+	}
+}
+
+// TestSettledViewIsTheStore: a gateway that was cut off takes over the view of one for which all
+// has been written again long ago; what that one lacks is gone.
+func TestSettledViewIsTheStore(t *testing.T) {
+	now := time.Now()
+	cut, lived := quiet(t), quiet(t)
+	for _, g := range []*Gateway{cut, lived} {
+		g.follower.take(now, listOf(catalog.NewRevision(1, 90), 1, staying(), lifetime("i-2", 6)))
+	}
+	lived.follower.take(now, listOf(catalog.NewRevision(3, 9), 1, staying()))
+	now = now.Add(settleTime + time.Millisecond)
+	lived.follower.dropMissing(now)
+	handOver(t, now, lived, cut, asItIs)
+	require.Equal(t, []string{"i-1@5"}, cut.takesWork())
+}
+
+// TestHallsOverAReturn: a hall whose evacuation the copy lacks stays evacuated until operators
+// have written again, and no longer.
+func TestHallsOverAReturn(t *testing.T) {
+	before, after := catalog.NewRevision(1, 90), catalog.NewRevision(2, 80)
+	for _, written := range []bool{true, false} {
+		now := time.Now()
+		g := quiet(t)
+		first := listOf(before, 1, staying())
+		first.snapshot.Evacuated = map[string]catalog.Revision{"": before - 4}
+		g.follower.take(now, first)
+		g.follower.take(now, listOf(after, 1, staying()))
+		require.True(t, g.view.Load().Servers[0].Evacuated)
+		if written {
+			g.follower.take(now, answer{since: after, revision: after + 1, changes: []Change{HallEvacuated{Revision: after + 1}}})
+		}
+		g.follower.dropMissing(now.Add(settleTime + time.Millisecond))
+		require.Equal(t, written, g.view.Load().Servers[0].Evacuated)
+	}
+}
+
+// TestNoClaimsWhileSettling: a server that appears may have been there before, and held.
+func TestNoClaimsWhileSettling(t *testing.T) {
+	before, after := catalog.NewRevision(1, 90), catalog.NewRevision(2, 80)
+	now := time.Now()
+	g := quiet(t)
+	g.follower.take(now, listOf(before, 1))
+	g.follower.take(now, listOf(after, 1))
+	appears := func(id string, at catalog.Revision) coldness {
+		g.follower.take(now, answer{since: at - 1, revision: at, changes: []Change{ServerChanged{Server: lifetime(id, 1), Cold: time.Second}}})
+		return g.view.Load().Cold[id+"@1"]
+	}
+	require.False(t, appears("i-1", after+1).Witnessed)
+	now = now.Add(settleTime + time.Millisecond)
+	g.follower.dropMissing(now)
+	later := appears("i-2", after+2)
+	require.True(t, later.Witnessed)
+	require.Equal(t, uint64(2), later.Episode.Era())
+}
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -61,9 +61,11 @@
 	Evacuated     map[string]evacuation // by hall
 	Cold          map[string]coldness   // by server; of the others nothing is known
 	Suspects      map[quarantine.Key]quarantine.Kept
-	Left          []string  // lifetimes that have said that they leave, whatever their entries say
-	log           changeLog // of servers
-	suspectLog    changeLog // of suspects, by their keys' text
+	Left          []string         // lifetimes that have said that they leave, whatever their entries say
+	Settled       time.Time        // until then the store may lack what it had; zero: it has all
+	Revived       []catalog.Server // entries of a copy that had gone before
+	log           changeLog        // of servers
+	suspectLog    changeLog        // of suspects, by their keys' text
 }
 
 // follower is the duty that keeps the view.
@@ -79,10 +81,14 @@
 	suspects        map[quarantine.Key]quarantine.Kept
 	suspectsChanged bool // since the latest view
 	suspectLog      changeLog
-	mark            catalog.Revision // under which changes are logged
-	order           []string         // ids of the servers, sorted; nil: to be made anew
-	failed          time.Time        // last failure of the source
-	called          time.Time        // when the latest call began
+	memory          memory
+	settled         time.Time                 // until then the store may lack what it had; zero: it has all
+	revived         map[string]catalog.Server // entries of a copy that had gone before, by lifetime
+	now             time.Time                 // of what is being taken over
+	mark            catalog.Revision          // under which changes are logged
+	order           []string                  // ids of the servers, sorted; nil: to be made anew
+	failed          time.Time                 // last failure of the source
+	called          time.Time                 // when the latest call began
 	away            bool
 	handed          chan handover
 	said            chan struct{} // a server has said that it leaves
@@ -103,6 +109,8 @@
 	snapshot Snapshot
 	halls    map[string]evacuation // that are evacuated
 	cold     map[string]coldness   // by server
+	revived  []catalog.Server      // entries of a copy that had gone before
+	settled  time.Time             // until then the store may lack what it had
 	partial  bool                  // only what has changed since a revision that this gateway has passed
 	gone     []string              // servers that are no more; only if partial
 	cleared  []quarantine.Key      // requests that are no suspects any more; only if partial
@@ -113,7 +121,7 @@
 }
 
 func newFollower(g *Gateway) *follower {
-	return &follower{gateway: g, servers: map[string]catalog.Server{}, current: map[string]string{}, missing: map[string]time.Time{}, halls: map[string]evacuation{}, cold: map[string]coldness{}, handed: make(chan handover, 1), said: make(chan struct{}, 1)}
+	return &follower{gateway: g, servers: map[string]catalog.Server{}, current: map[string]string{}, missing: map[string]time.Time{}, halls: map[string]evacuation{}, cold: map[string]coldness{}, memory: newMemory(), revived: map[string]catalog.Server{}, handed: make(chan handover, 1), said: make(chan struct{}, 1)}
 }
 
 // answer is the end of one call to the source.
@@ -219,6 +227,7 @@
 // take takes an answer over. It returns whether to list next, and whether to wait
 // before.
 func (f *follower) take(now time.Time, a answer) (list, wait bool) {
+	f.now = now
 	known := f.gateway.view.Load().Revision
 	switch {
 	case errors.Is(a.err, ErrHistoryGone):
@@ -253,7 +262,7 @@
 		return true, true
 	}
 	if s.Revision.Era() > known.Era() {
-		f.gateway.log.Warn().Str("event", "store.returned").EmbedObject(at(s.Revision)).Stringer("before", known).Msg("it has come back from a copy")
+		f.enter(s.Revision, now.Add(settleTime))
 		f.gateway.confirm(now)
 	}
 	f.mark = s.Revision
@@ -297,8 +306,12 @@
 	present := map[string]bool{}
 	for _, server := range s.Servers {
 		present[server.ID] = true
+		if f.revives(server) {
+			continue
+		}
 		if _, missing := s.Missing[server.ID]; missing {
 			server.Evacuated = false
+			server.Leaving = f.memory.leaves(f.now, server, f.settling(f.now))
 			f.put(server)
 			continue
 		}
@@ -306,7 +319,7 @@
 	}
 	for id := range f.servers {
 		if !present[id] {
-			lacking(id)
+			f.lack(id, lacking)
 		}
 	}
 	f.suspects, f.suspectsChanged = s.Suspects, true
@@ -322,11 +335,14 @@
 		case ConfigurationChanged:
 			configuration, raw = c.Configuration, c.Raw
 		case ServerChanged:
+			f.endRevival(c.Server.Name())
 			f.warm(now, c)
 			f.set(c.Server)
 		case ServerGone:
+			f.endRevival(c.Name)
 			f.remove(now, f.current[c.Name])
 		case ServerUnreadable:
+			f.endRevival(c.Name)
 			f.dropNamed(c.Name)
 		case HallEvacuated:
 			f.evacuate(now, c)
@@ -345,13 +361,18 @@
 
 // takeHandover takes over the view of another gateway if it is newer than the own one.
 func (f *follower) takeHandover(now time.Time, h handover) {
+	f.now = now
 	f.gateway.hearLeaves(now, h.from, h.left)
 	v := f.gateway.view.Load()
 	if h.snapshot.Revision <= v.Revision {
+		f.takeConfiguration(v, h)
 		return
 	}
 	f.gateway.log.Info().Str("event", "view.handed_over").Str("peer", h.from).
 		EmbedObject(at(h.snapshot.Revision)).Stringer("before", v.Revision).Bool("partial", h.partial).Msg("a gateway knows more than the store tells")
+	if h.snapshot.Revision.Era() > v.Revision.Era() {
+		f.enter(h.snapshot.Revision, h.settled)
+	}
 	f.mark = h.snapshot.Revision
 	f.takeWarmth(now, h)
 	if h.partial {
@@ -362,6 +383,17 @@
 	f.gateway.confirm(h.confirmed)
 }
 
+// takeConfiguration takes over a later configuration of a gateway that knows no more of the
+// store: a copy may be older than the one that this gateway has started with.
+func (f *follower) takeConfiguration(v *View, h handover) {
+	c := h.snapshot.Configuration
+	if c == nil || v.Configuration == nil || c.Version <= v.Configuration.Version {
+		return
+	}
+	f.gateway.log.Info().Str("event", "configuration.handed_over").Str("peer", h.from).Uint64("version", c.Version).Msg("later than what the store tells")
+	f.publish(c, h.snapshot.Raw, v.Revision)
+}
+
 // takeWhole takes over the whole view of another gateway.
 func (f *follower) takeWhole(h handover) {
 	f.log.restart(h.snapshot.Revision)
@@ -369,10 +401,17 @@
 	if !h.suspectsTold {
 		h.snapshot.Suspects = f.suspects
 	}
-	clear(f.missing)
+	if !f.settling(f.now) {
+		clear(f.missing)
+	}
 	for id, until := range h.snapshot.Missing {
 		f.missing[id] = until
 	}
+	for _, s := range h.revived {
+		if _, known := f.servers[s.ID]; !known && f.settling(f.now) {
+			f.revived[s.ID] = s
+		}
+	}
 	f.takeSnapshot(h.snapshot, f.drop)
 }
 
@@ -380,9 +419,11 @@
 // only stay so: the other one may have dropped them before.
 func (f *follower) takePart(h handover) {
 	for _, server := range h.snapshot.Servers {
+		f.endRevival(server.Name())
 		f.set(server)
 	}
 	for _, id := range h.gone {
+		f.endRevival(catalog.ServerName(id))
 		f.drop(id)
 	}
 	for id, until := range h.snapshot.Missing {
@@ -419,6 +460,7 @@
 		Configuration: c, Raw: raw, Revision: max(revision, old.Revision), Missing: maps.Clone(f.missing),
 		Evacuated: maps.Clone(f.halls), Cold: maps.Clone(f.cold), log: f.log,
 		Suspects: f.suspects, suspectLog: f.suspectLog,
+		Settled: f.settled, Revived: slices.Collect(maps.Values(f.revived)),
 	}
 	if f.order == nil {
 		f.order = slices.Sorted(maps.Keys(f.servers))
--- a/gateway/warmth.go
+++ b/gateway/warmth.go
@@ -44,7 +44,8 @@
 	_, known := f.servers[id]
 	hall, evacuated := f.halls[s.Server.Hall]
 	if !known && !told {
-		c = coldness{Witnessed: true, Episode: startEpisode(f.mark)}
+		// What appears while the store settles may have been there before it came back.
+		c = coldness{Witnessed: !f.settling(now), Episode: startEpisode(f.mark)}
 		if evacuated {
 			c.Episode = hall.Revision
 		}
@@ -158,7 +159,7 @@
 		}
 	}
 	for hall := range f.halls {
-		if _, still := s.Evacuated[hall]; !still {
+		if _, still := s.Evacuated[hall]; !still && !f.settling(now) {
 			f.takeBack(now, hall)
 		}
 	}
@@ -182,7 +183,7 @@
 		f.cold[id] = c
 	}
 	for hall := range f.halls {
-		if _, still := h.halls[hall]; !still {
+		if _, still := h.halls[hall]; !still && !f.settling(now) {
 			f.takeBack(now, hall)
 		}
 	}
