gateway, platform: suspects outlast a store's return from a copy

What would be seen: a request that ends servers is let in again after the store has come back from a copy that lacks it, and the tries of a doubtful one begin anew. Cause: what a list lacked was taken as lifted by an operator. Change: while the store settles, suspects are put together from both; gateways that watch for their hall, or had written one, write again what the store lacks, each at another moment of a second, and not if it is there by then; tries are never fewer than known; what was lifted and the copy still has is dropped again. Keep merges the tries too.

--- a/gateway/quarantine/quarantine.go
+++ b/gateway/quarantine/quarantine.go
@@ -101,6 +101,20 @@
 	return k.AtOnce == other.AtOnce && k.Tries == other.Tries && slices.Equal(k.Servers, other.Servers)
 }
 
+// And returns what both say together. Only if both say so did the ends come at one moment.
+func (k Kept) And(other Kept) Kept {
+	if len(other.Servers) == 0 {
+		return k
+	}
+	both := Kept{Servers: slices.Clone(k.Servers), AtOnce: k.AtOnce && other.AtOnce, Tries: max(k.Tries, other.Tries)}
+	for _, server := range other.Servers {
+		if !slices.Contains(both.Servers, server) {
+			both.Servers = append(both.Servers, server)
+		}
+	}
+	return both
+}
+
 // NewBook returns an empty book.
 func NewBook() *Book {
 	return &Book{limit: MostEnds, suspects: map[Key]*suspect{}, repeats: map[Key]bool{}}
--- a/gateway/settle.go
+++ b/gateway/settle.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"opalbridge.dev/gateway/catalog"
+	"opalbridge.dev/gateway/quarantine"
 )
 
 // This file takes over a store that has come back from an older copy. Its revisions are of a
@@ -15,12 +16,12 @@
 //
 //   - the configuration is the one of the highest version;
 //   - a lifetime that has said that it leaves does so for good;
-//   - a server or an evacuated hall that the copy lacks is kept, and gone after that
+//   - a server, an evacuated hall or a suspect that the copy lacks is kept, and gone after that
 //     time if nobody has written it again;
 //   - a lifetime whose entry had gone gets nothing until it writes again, or until that time is
 //     over and its entry is still there.
 //
-// What the gateways themselves had written, nobody else writes again.
+// What the gateways themselves had written, nobody else writes again: see suspects.rewrite.
 // Claims of cold servers are not written again, see [warmup.Episode]: who holds one goes on, and
 // nobody else can claim it.
 
@@ -28,21 +29,22 @@
 	// Operators and servers have written again by then what a copy lacks: they take about two
 	// seconds.
 	settleTime = returnGrace
-	// Lifetimes that are gone are remembered for so long: copies are some seconds
+	// Lifetimes and suspects that are gone are remembered for so long: copies are some seconds
 	// old, and an outage lasts some more.
 	goneKept = time.Minute
-	// And so many at most; a fleet of 10,000 that is replaced at once fits.
+	// And so many of each at most; a fleet of 10,000 that is replaced at once fits.
 	mostGone = 1 << 14
 )
 
 // memory is what a gateway remembers of the store's past, in case it comes back from a copy.
 type memory struct {
-	left map[string]time.Time // lifetimes whose entries have said that they leave; when they were there last
-	gone map[string]time.Time // lifetimes that have ended or whose entry has gone, and when
+	left   map[string]time.Time         // lifetimes whose entries have said that they leave; when they were there last
+	gone   map[string]time.Time         // lifetimes that have ended or whose entry has gone, and when
+	lifted map[quarantine.Key]time.Time // suspects that are kept no more, and since when
 }
 
 func newMemory() memory {
-	return memory{left: map[string]time.Time{}, gone: map[string]time.Time{}}
+	return memory{left: map[string]time.Time{}, gone: map[string]time.Time{}, lifted: map[quarantine.Key]time.Time{}}
 }
 
 // leaves notes what an entry says of leaving, and returns whether the lifetime leaves.
@@ -67,6 +69,7 @@
 	}
 	forget(now, m.left)
 	forget(now, m.gone)
+	forget(now, m.lifted)
 }
 
 func forget[K comparable](now time.Time, list map[K]time.Time) {
@@ -150,3 +153,28 @@
 	f.gateway.log.Info().Str("event", "store.settled").EmbedObject(at(f.gateway.view.Load().Revision)).Msg("it has what had been written before it came back")
 	return true
 }
+
+// mergeSuspects returns what is kept of suspects, by what a view of a new era says and what was
+// known, and lets what the store lacks or should not have any more be written again.
+func (f *follower) mergeSuspects(told map[quarantine.Key]quarantine.Kept) map[quarantine.Key]quarantine.Kept {
+	merged := make(map[quarantine.Key]quarantine.Kept, len(told))
+	var differ []quarantine.Key
+	for k, is := range told {
+		if _, lifted := f.memory.lifted[k]; lifted {
+			differ = append(differ, k)
+			continue
+		}
+		merged[k] = is.And(f.suspects[k])
+		if !merged[k].Equal(is) {
+			differ = append(differ, k)
+		}
+	}
+	for k, was := range f.suspects {
+		if _, there := told[k]; !there {
+			merged[k] = was
+			differ = append(differ, k)
+		}
+	}
+	f.gateway.suspects.rewrite(f.now, differ, f.gateway.watches.Load())
+	return merged
+}
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -28,6 +28,7 @@
 	Asks    string   // what it asks, for operators
 	Servers []string // lifetimes that ended
 	AtOnce  bool     // they did so at one moment, but for one at most
+	Tries   int      // how often it was sent although it is barred
 }
 
 // Suspects keeps suspects where each gateway finds them alike, until they are dropped.
@@ -77,22 +78,23 @@
 	bars    chan struct{} // a request has been barred
 	known   atomic.Int64  // requests in the book; with none there is nothing to look for
 
-	mutex  sync.Mutex
-	book   *quarantine.Book
-	lately quarantine.Answers        // of this gateway
-	own    map[quarantine.Key]bool   // kept in the store by this gateway
-	tried  map[quarantine.Key]tries  // although they are barred
-	others map[string]bool           // live gateways, by address
-	asks   map[quarantine.Key]string // what those ask that were at two ends or more, as far as this gateway has seen them
-	dirty  map[quarantine.Key]bool   // to be written
-	second time.Time                 // in which told counts
-	told   int
+	mutex    sync.Mutex
+	book     *quarantine.Book
+	lately   quarantine.Answers           // of this gateway
+	own      map[quarantine.Key]bool      // kept in the store by this gateway
+	tried    map[quarantine.Key]tries     // although they are barred
+	others   map[string]bool              // live gateways, by address
+	asks     map[quarantine.Key]string    // what those ask that were at two ends or more, as far as this gateway has seen them
+	dirty    map[quarantine.Key]bool      // to be written
+	rewrites map[quarantine.Key]time.Time // to be written again from then on, unless another gateway has
+	second   time.Time                    // in which told counts
+	told     int
 }
 
 func newSuspects(log zerolog.Logger, address string, fleet func() int) *suspects {
 	return &suspects{
 		log: log, address: address, fleet: fleet, wake: make(chan struct{}, 1), bars: make(chan struct{}, 1), book: quarantine.NewBook(),
-		own: map[quarantine.Key]bool{}, tried: map[quarantine.Key]tries{}, others: map[string]bool{}, asks: map[quarantine.Key]string{}, dirty: map[quarantine.Key]bool{},
+		own: map[quarantine.Key]bool{}, tried: map[quarantine.Key]tries{}, others: map[string]bool{}, asks: map[quarantine.Key]string{}, dirty: map[quarantine.Key]bool{}, rewrites: map[quarantine.Key]time.Time{},
 	}
 }
 
--- a/gateway/suspects_store.go
+++ b/gateway/suspects_store.go
@@ -34,7 +34,7 @@
 		}
 	}
 	for k := range old {
-		if _, still := kept[k]; !still {
+		if _, still := kept[k]; !still && !s.dirty[k] && s.rewrites[k].IsZero() {
 			s.book.Lift(k)
 			delete(s.asks, k)
 			delete(s.own, k)
@@ -44,8 +44,60 @@
 	}
 }
 
+// rewriteSpread is the time in which gateways write again what the store has lost: each at
+// another moment, so that mostly the first one writes and the others hear of it.
+const rewriteSpread = time.Second
+
+// rewrite lets what is known of suspects be written to a store that has come back from a copy
+// and has lost some of it, or keeps again what was dropped. Gateways do so that watch for their
+// hall, or had written it before.
+func (s *suspects) rewrite(now time.Time, keys []quarantine.Key, watches bool) {
+	if s.store == nil {
+		return
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, k := range keys {
+		if _, already := s.rewrites[k]; already || !watches && !s.own[k] {
+			continue
+		}
+		s.rewrites[k] = now.Add(time.Duration(draw(s.address+"/"+k.String()) * float64(rewriteSpread)))
+	}
+}
+
+// writeDue hands to the writer what is to be written again by now.
+func (s *suspects) writeDue(now time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for k, at := range s.rewrites {
+		if now.Before(at) {
+			continue
+		}
+		delete(s.rewrites, k)
+		s.dirty[k] = true
+		s.wakeWriter()
+	}
+}
+
+// rewritten takes over that the store keeps so much of a suspect: if that is all that is known,
+// it need not be written again.
+func (s *suspects) rewritten(key quarantine.Key, kept quarantine.Kept) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if _, due := s.rewrites[key]; !due {
+		return
+	}
+	r, _ := s.book.Record(key)
+	known := quarantine.Kept{Servers: r.Servers, AtOnce: r.AtOnce, Tries: s.tried[key].counted}
+	if len(kept.And(known).Servers) == len(kept.Servers) && known.Tries <= kept.Tries {
+		delete(s.rewrites, key)
+	}
+}
+
 // setSuspect takes over what is kept of a suspect.
 func (f *follower) setSuspect(key quarantine.Key, kept quarantine.Kept) {
+	delete(f.memory.lifted, key)
+	f.gateway.suspects.rewritten(key, kept)
 	f.suspectLog.add(f.mark, key.String())
 	changed := make(map[quarantine.Key]quarantine.Kept, len(f.suspects)+1)
 	maps.Copy(changed, f.suspects)
@@ -55,6 +107,8 @@
 
 // dropSuspect takes over that nothing is kept of a suspect any more.
 func (f *follower) dropSuspect(key quarantine.Key) {
+	note(f.memory.lifted, key, f.now)
+	f.gateway.suspects.rewritten(key, quarantine.Kept{})
 	f.suspectLog.add(f.mark, key.String())
 	changed := maps.Clone(f.suspects)
 	delete(changed, key)
@@ -116,7 +170,7 @@
 	defer cancel()
 	s.mutex.Lock()
 	r, repeated := s.book.Record(k)
-	asks := s.asks[k]
+	asks, tries := s.asks[k], s.tried[k].counted
 	s.own[k] = repeated
 	if !repeated {
 		delete(s.own, k)
@@ -125,5 +179,5 @@
 	if !repeated {
 		return s.store.Drop(ctx, k)
 	}
-	return s.store.Keep(ctx, k, Suspect{Asks: asks, Servers: r.Servers, AtOnce: r.AtOnce})
+	return s.store.Keep(ctx, k, Suspect{Asks: asks, Servers: r.Servers, AtOnce: r.AtOnce, Tries: tries})
 }
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -183,6 +183,7 @@
 			proceed(now)
 		case now := <-sweep.C:
 			f.dropMissing(now)
+			f.gateway.suspects.writeDue(now)
 			proceed(now)
 		}
 	}
@@ -322,6 +323,14 @@
 			f.lack(id, lacking)
 		}
 	}
+	if f.settling(f.now) {
+		s.Suspects = f.mergeSuspects(s.Suspects)
+	}
+	for k := range f.suspects {
+		if _, still := s.Suspects[k]; !still {
+			note(f.memory.lifted, k, f.now)
+		}
+	}
 	f.suspects, f.suspectsChanged = s.Suspects, true
 	f.publish(s.Configuration, s.Raw, s.Revision)
 }
