gateway: what is written after a return counts, also that a server stays

Change: only what a copy says is overruled by what was known, while the view settles; a change by the watch is a write and counts. What is remembered of a lifetime that is gone holds whether it was leaving; it is not forgotten while the store is away. A store that is away again while it settles gets as much time again.

--- a/gateway/lifetimes.go
+++ b/gateway/lifetimes.go
@@ -12,7 +12,6 @@
 	delete(f.missing, s.ID)
 	delete(f.memory.gone, s.ID)
 	s.Evacuated = false // publish fills it in
-	s.Leaving = f.memory.leaves(f.now, s, f.settling(f.now))
 	f.endBefore(s)
 	f.log.add(f.mark, s.ID)
 	if old, known := f.servers[s.ID]; !known || old != s {
@@ -68,6 +67,9 @@
 
 // drop forgets a server.
 func (f *follower) drop(id string) {
+	if s, known := f.servers[id]; known {
+		f.memory.dropped(f.now, s)
+	}
 	f.log.add(f.mark, id)
 	delete(f.servers, id)
 	if name := catalog.ServerName(id); f.current[name] == id {
@@ -76,7 +78,6 @@
 	f.order = nil
 	delete(f.missing, id)
 	delete(f.cold, id)
-	note(f.memory.gone, id, f.now)
 	f.gateway.log.Info().Str("event", "server.gone").Str("server", id).Msg("no new work")
 }
 
@@ -104,5 +105,7 @@
 	if dropped || settled {
 		f.publishAgain()
 	}
-	f.memory.forget(now, func(id string) bool { return f.servers[id].ID != "" })
+	if now.Sub(f.gateway.confirmedAt()) < unconfirmed {
+		f.memory.forget(now) // while the store is away, it may come back from a copy of before
+	}
 }
--- a/gateway/settle.go
+++ b/gateway/settle.go
@@ -15,7 +15,7 @@
 // it lacks. Until then (settleTime) a view of the new era is put together from both:
 //
 //   - the configuration is the one of the highest version;
-//   - a lifetime that has said that it leaves does so for good;
+//   - a lifetime that has said that it leaves does so, until it writes something else;
 //   - a server, an evacuated hall or a suspect that the copy lacks is kept, and gone after that
 //     time if nobody has written it again;
 //   - a lifetime whose entry had gone gets nothing until it writes again, or until that time is
@@ -38,52 +38,45 @@
 
 // memory is what a gateway remembers of the store's past, in case it comes back from a copy.
 type memory struct {
-	left   map[string]time.Time         // lifetimes whose entries have said that they leave; when they were there last
-	gone   map[string]time.Time         // lifetimes that have ended or whose entry has gone, and when
+	gone   map[string]ended             // lifetimes that have ended, or whose entry has gone
 	lifted map[quarantine.Key]time.Time // suspects that are kept no more, and since when
 }
 
+// ended is the last that was known of a lifetime.
+type ended struct {
+	at      time.Time
+	leaving bool
+}
+
 func newMemory() memory {
-	return memory{left: map[string]time.Time{}, gone: map[string]time.Time{}, lifted: map[quarantine.Key]time.Time{}}
+	return memory{gone: map[string]ended{}, lifted: map[quarantine.Key]time.Time{}}
 }
 
-// leaves notes what an entry says of leaving, and returns whether the lifetime leaves.
-func (m *memory) leaves(now time.Time, s catalog.Server, settling bool) bool {
-	_, said := m.left[s.ID]
-	// Without its start, a later lifetime of the server may have the same ID.
-	said = said && (settling || s.Born != 0)
-	if s.Leaving || said {
-		m.left[s.ID] = now
-		return true
+// dropped notes that a lifetime is gone.
+func (m *memory) dropped(now time.Time, s catalog.Server) {
+	if len(m.gone) < mostGone {
+		m.gone[s.ID] = ended{at: now, leaving: s.Leaving}
 	}
-	delete(m.left, s.ID)
-	return false
 }
 
-// forget drops what is too old to matter; present tells which lifetimes have entries.
-func (m *memory) forget(now time.Time, present func(id string) bool) {
-	for id := range m.left {
-		if present(id) {
-			m.left[id] = now
-		}
+// lift notes that a suspect is kept no more.
+func (m *memory) lift(now time.Time, k quarantine.Key) {
+	if len(m.lifted) < mostGone {
+		m.lifted[k] = now
 	}
-	forget(now, m.left)
-	forget(now, m.gone)
-	forget(now, m.lifted)
 }
 
-func forget[K comparable](now time.Time, list map[K]time.Time) {
-	for k, at := range list {
-		if now.Sub(at) > goneKept {
-			delete(list, k)
+// forget drops what is too old to matter.
+func (m *memory) forget(now time.Time) {
+	for id, e := range m.gone {
+		if now.Sub(e.at) > goneKept {
+			delete(m.gone, id)
 		}
 	}
-}
-
-// note adds to a list that is bounded.
-func note[K comparable](list map[K]time.Time, k K, now time.Time) {
-	if len(list) < mostGone {
-		list[k] = now
+	for k, at := range m.lifted {
+		if now.Sub(at) > goneKept {
+			delete(m.lifted, k)
+		}
 	}
 }
 
@@ -99,7 +92,7 @@
 		return // nothing is known of before
 	}
 	f.gateway.log.Warn().Str("event", "store.returned").EmbedObject(at(revision)).Stringer("before", before.Revision).
-		Int("servers", len(f.servers)).Int("gone", len(f.memory.gone)).Int("left", len(f.memory.left)).
+		Int("servers", len(f.servers)).Int("gone", len(f.memory.gone)).
 		Int("halls", len(f.halls)).Int("suspects", len(f.suspects)).
 		Msg("it has come back from a copy: what it lacks is kept for a moment")
 }
@@ -107,10 +100,11 @@
 // revives tells whether a view of a new era names a server whose entry had gone before. It is not
 // believed yet.
 func (f *follower) revives(s catalog.Server) bool {
-	_, gone := f.memory.gone[s.ID]
+	before, gone := f.memory.gone[s.ID]
 	if !gone || !f.settling(f.now) {
 		return false
 	}
+	s.Leaving = s.Leaving || before.leaving
 	if _, already := f.revived[s.ID]; !already {
 		f.gateway.log.Info().Str("event", "server.revived").Str("server", s.ID).Msg("its entry had gone, the copy has it: nothing until it writes again")
 	}
@@ -118,6 +112,12 @@
 	return true
 }
 
+// leaves tells whether a server that a whole view names leaves: one that had said so does, also if
+// a copy does not have that.
+func (f *follower) leaves(s catalog.Server) bool {
+	return s.Leaving || f.settling(f.now) && f.servers[s.ID].Leaving
+}
+
 // lack takes over that a whole view does not name a server. One that a copy lacks is kept until
 // the view has settled.
 func (f *follower) lack(id string, drop func(id string)) {
--- a/gateway/suspects_store.go
+++ b/gateway/suspects_store.go
@@ -107,7 +107,7 @@
 
 // dropSuspect takes over that nothing is kept of a suspect any more.
 func (f *follower) dropSuspect(key quarantine.Key) {
-	note(f.memory.lifted, key, f.now)
+	f.memory.lift(f.now, key)
 	f.gateway.suspects.rewritten(key, quarantine.Kept{})
 	f.suspectLog.add(f.mark, key.String())
 	changed := maps.Clone(f.suspects)
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -276,6 +276,9 @@
 
 func (f *follower) fail(now time.Time, err error) {
 	f.failed = now
+	if f.settling(now) {
+		f.settled = now.Add(settleTime) // nobody can write again meanwhile
+	}
 	for id := range f.missing {
 		f.missing[id] = now.Add(returnGrace)
 	}
@@ -310,9 +313,9 @@
 		if f.revives(server) {
 			continue
 		}
+		server.Leaving = f.leaves(server)
 		if _, missing := s.Missing[server.ID]; missing {
 			server.Evacuated = false
-			server.Leaving = f.memory.leaves(f.now, server, f.settling(f.now))
 			f.put(server)
 			continue
 		}
@@ -328,7 +331,7 @@
 	}
 	for k := range f.suspects {
 		if _, still := s.Suspects[k]; !still {
-			note(f.memory.lifted, k, f.now)
+			f.memory.lift(f.now, k)
 		}
 	}
 	f.suspects, f.suspectsChanged = s.Suspects, true
