soak: a store that comes back from copies

Change: troubles of a store that comes back from a copy as old as the trouble lasts, once, twice, without being away, after a server said that it leaves, after a configuration, as a gateway starts; what operators and servers wrote they write again within two seconds, each key at a moment of its own.

--- a/soak/soak.go
+++ b/soak/soak.go
@@ -39,6 +39,7 @@
 	Restarts bool   // servers start again under their ID as well, and others write entries
 	Fatal    int    // requests that end each server which runs them and come again and again; at most as many as there are kinds of routes
 	Early    bool   // these begin with the gateways, not after the calm
+	Copies   bool   // the store comes back from copies as well
 	Words    bool   // servers say in answers that they leave, and ask for rest, as well
 }
 
@@ -59,6 +60,8 @@
 	random       *rand.Rand // of the troubles; owned by Play
 	store        *platformtest.Store
 	storeAddress string
+	written      sync.Mutex        // of truth, and of writes to the store by operators and servers
+	truth        map[string][]byte // what they have written, by key
 	servers      []*backend
 	gateways     []*process
 	book         *book
@@ -89,7 +92,7 @@
 // Start starts the stand-ins, the gateways and the callers.
 func Start(o Options) (*Run, error) {
 	o.Gateways, o.Servers, o.Callers = orDefault(o.Gateways, 3), orDefault(o.Servers, 4), orDefault(o.Callers, 12)
-	r := &Run{options: o, random: rand.New(rand.NewPCG(o.Seed, 1)), store: &platformtest.Store{}, book: newBook()}
+	r := &Run{options: o, random: rand.New(rand.NewPCG(o.Seed, 1)), store: &platformtest.Store{}, truth: map[string][]byte{}, book: newBook()}
 	store := httptest.NewServer(r.store)
 	r.closers = append(r.closers, store.Close)
 	r.storeAddress = strings.TrimPrefix(store.URL, "http://")
@@ -152,14 +155,14 @@
 }
 
 func (r *Run) announce(b *backend, state string) {
-	r.store.Put(platform.ServersPrefix+b.ID, b.Entry(b.proxy.Address(), state))
+	r.put(platform.ServersPrefix+b.ID, b.Entry(b.proxy.Address(), state))
 }
 
 // configure puts the next configuration: the key "steady" is in all of them, another
 // one only in this version.
 func (r *Run) configure() {
 	r.version++
-	r.store.Put(platform.ConfigurationKey, fmt.Appendf(nil, `{"version":%d,"routes":[
+	r.put(platform.ConfigurationKey, fmt.Appendf(nil, `{"version":%d,"routes":[
  {"name":"stream","host":"h","prefix":"/stream/","kind":"streaming","timeout_ms":4000,"goal_ms":800,"service":"s","max_attempts":1},
  {"name":"resume","host":"h","prefix":"/resume/","kind":"streaming","timeout_ms":4000,"goal_ms":800,"service":"s","max_attempts":2,"resumable":true},
  {"name":"once","host":"h","prefix":"/once/","kind":"non_idempotent","timeout_ms":1500,"goal_ms":300,"service":"s","max_attempts":1},
@@ -174,6 +177,9 @@
 	if r.options.Restarts {
 		kinds = slices.Concat(troubles, restarts)
 	}
+	if r.options.Copies {
+		kinds = slices.Concat(kinds, returning, returning, returning)
+	}
 	if r.options.Words {
 		kinds = slices.Concat(kinds, speaking, speaking, speaking, speaking)
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -22,6 +22,7 @@
 	fatal    = flag.Int("fatal", 0, "requests that end servers, up to 4")
 	early    = flag.Bool("early", false, "requests that end servers begin with the gateways")
 	restarts = flag.Bool("restarts", false, "servers start again under their ID, and others write entries")
+	copies   = flag.Bool("copies", false, "the store comes back from copies")
 	words    = flag.Bool("words", false, "servers say in answers that they leave, and ask for rest")
 	logs     = flag.String("logs", "", "folder that keeps the gateways' logs")
 )
@@ -63,7 +64,7 @@
 	}
 	for n := range uint64(*seeds) {
 		t.Run(fmt.Sprintf("seed=%d", from+n), func(t *testing.T) {
-			play(t, binary, soak.Options{Seed: from + n, Restarts: *restarts, Fatal: *fatal, Early: *early, Words: *words})
+			play(t, binary, soak.Options{Seed: from + n, Restarts: *restarts, Fatal: *fatal, Early: *early, Words: *words, Copies: *copies})
 		})
 	}
 }
@@ -94,6 +95,11 @@
 	play(t, build(t), soak.Options{Seed: 7000, Restarts: true, Words: true})
 }
 
+// TestSoakCopies plays a seed with a store that comes back from copies.
+func TestSoakCopies(t *testing.T) {
+	play(t, build(t), soak.Options{Seed: 8000, Restarts: true, Copies: true})
+}
+
 // TestSoakFatalEarly plays the seeds that failed when such requests began with the gateways:
 // all servers end before anything was answered, so a question that all callers ask is barred,
 // and what should set it free fails: the servers of its tries end by chance, or the gateways
--- a/soak/trouble.go
+++ b/soak/trouble.go
@@ -92,7 +92,7 @@
 	}},
 	{"server's entry lapses", func(r *Run, random *rand.Rand) func() {
 		s := r.aServer(random)
-		r.store.Remove("servers/" + s.ID)
+		r.remove("servers/" + s.ID)
 		return func() { r.announce(s, "ready") }
 	}},
 	{"server's connections are reset", func(r *Run, random *rand.Rand) func() {
@@ -167,7 +167,7 @@
 	{"server starts again after its entry lapsed", func(r *Run, random *rand.Rand) func() {
 		s, born := r.aServer(random), drawBorn(random)
 		s.proxy.Reset()
-		r.store.Remove("servers/" + s.ID)
+		r.remove("servers/" + s.ID)
 		return func() { r.startAgain(s, born) }
 	}},
 	{"server starts again while the store is down", func(r *Run, random *rand.Rand) func() {
@@ -177,15 +177,15 @@
 	}},
 	{"server's entry is spoilt", func(r *Run, random *rand.Rand) func() {
 		s := r.aServer(random)
-		r.store.Put("servers/"+s.ID, spoilt[random.IntN(len(spoilt))])
+		r.put("servers/"+s.ID, spoilt[random.IntN(len(spoilt))])
 		return func() { r.announce(s, "ready") }
 	}},
 	{"others write entries", func(r *Run, random *rand.Rand) func() {
 		for i := range spoilt {
-			r.store.Put(fmt.Sprintf("servers/other-%d", i), spoilt[i])
+			r.put(fmt.Sprintf("servers/other-%d", i), spoilt[i])
 		}
 		gone := fmt.Sprintf("servers/other-%d", random.IntN(len(spoilt)))
-		return func() { r.store.Remove(gone) }
+		return func() { r.remove(gone) }
 	}},
 }
 
