gateway: a copy does not shorten how long a server is cold

What would be seen: more requests at a cold server than it bears, after the store came back from a copy in which the server was cold for less long than it has said since. Cause: a list's coldness replaced the known one, whichever was older. Change: while the store settles, the later end counts, from a list and from another gateway's view. Ruled out: two holders (no server had one in the failing world).

--- a/gateway/warmth.go
+++ b/gateway/warmth.go
@@ -149,7 +149,11 @@
 			if known := !c.until().IsZero(); !known || !now.Before(c.until()) {
 				c.Clear = now
 			}
-			c.Told = now.Add(cold)
+			told := now.Add(cold)
+			if f.settling(now) {
+				told = latest(told, c.Told) // it may have become cold again since the copy
+			}
+			c.Told = told
 			f.cold[id] = c
 		}
 	}
@@ -180,6 +184,9 @@
 	}
 	for id, c := range h.cold {
 		c.Assumed = latest(c.Assumed, f.cold[id].Assumed)
+		if f.settling(now) {
+			c.Told = latest(c.Told, f.cold[id].Told)
+		}
 		f.cold[id] = c
 	}
 	for hall := range f.halls {
