gateway: of two lifetimes of a server neither gets work while a copy names the other one

What would be seen: a server that had started again, and was cold, got 48 requests in a second (10 allowed) after the store had come back from a copy with its lifetime of before. Cause: what a list names was taken for the later lifetime; a copy may name the earlier one. Which one is later a gateway can't tell: its own view may lack the start too (keeping to the known lifetime was tried: 12 requests in a world where the copy was right). Change: while the store settles, such a server is kept back, with the lifetime that is known of it, until it writes again or that time is over; so is one whose entry had gone, whichever lifetime. Handed-over views tell who is kept back; their coldness is kept.

--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -53,7 +53,7 @@
 	Partial bool     `json:"partial,omitempty"`
 	Gone    []string `json:"gone,omitempty"`    // servers that are no more
 	Cleared []string `json:"cleared,omitempty"` // keys of requests that are no suspects any more
-	// Revived are entries of a copy that had gone before; not if Partial.
+	// Revived are servers that a copy names and that are kept back; not if Partial.
 	Revived []catalog.Server `json:"revived,omitempty"`
 	// SettleMS tells for how much longer the store may lack what it had, in milliseconds.
 	SettleMS int64 `json:"settle_ms,omitempty"`
--- a/gateway/lifetimes.go
+++ b/gateway/lifetimes.go
@@ -10,9 +10,9 @@
 
 func (f *follower) set(s catalog.Server) {
 	delete(f.missing, s.ID)
-	delete(f.memory.gone, s.ID)
 	s.Evacuated = false // publish fills it in
 	f.endBefore(s)
+	delete(f.memory.gone, s.Name())
 	f.log.add(f.mark, s.ID)
 	if old, known := f.servers[s.ID]; !known || old != s {
 		f.gateway.log.Info().Str("event", "server.changed").Str("server", s.ID).Str("service", s.Service).
@@ -81,15 +81,6 @@
 	f.gateway.log.Info().Str("event", "server.gone").Str("server", id).Msg("no new work")
 }
 
-// endRevival forgets what a copy said of the server of that name: something was written since.
-func (f *follower) endRevival(name string) {
-	for id := range f.revived {
-		if catalog.ServerName(id) == name {
-			delete(f.revived, id)
-		}
-	}
-}
-
 // dropMissing removes servers whose entry has not come back.
 func (f *follower) dropMissing(now time.Time) {
 	f.now = now
--- a/gateway/settle.go
+++ b/gateway/settle.go
@@ -18,8 +18,8 @@
 //   - a lifetime that has said that it leaves does so, until it writes something else;
 //   - a server, an evacuated hall or a suspect that the copy lacks is kept, and gone after that
 //     time if nobody has written it again;
-//   - a lifetime whose entry had gone gets nothing until it writes again, or until that time is
-//     over and its entry is still there.
+//   - a server of which another lifetime is known, or whose entry had gone, gets nothing until it
+//     writes again, or until that time is over and its entry is still there.
 //
 // What the gateways themselves had written, nobody else writes again: see suspects.rewrite.
 // Claims of cold servers are not written again, see [warmup.Episode]: who holds one goes on, and
@@ -29,7 +29,7 @@
 	// Operators and servers have written again by then what a copy lacks: they take about two
 	// seconds.
 	settleTime = returnGrace
-	// Lifetimes and suspects that are gone are remembered for so long: copies are some seconds
+	// Servers and suspects that are gone are remembered for so long: copies are some seconds
 	// old, and an outage lasts some more.
 	goneKept = time.Minute
 	// And so many of each at most; a fleet of 10,000 that is replaced at once fits.
@@ -38,24 +38,25 @@
 
 // memory is what a gateway remembers of the store's past, in case it comes back from a copy.
 type memory struct {
-	gone   map[string]ended             // lifetimes that have ended, or whose entry has gone
+	gone   map[string]ended             // servers whose entry has gone, by name
 	lifted map[quarantine.Key]time.Time // suspects that are kept no more, and since when
 }
 
-// ended is the last that was known of a lifetime.
+// ended is the last that was known of a server.
 type ended struct {
-	at      time.Time
-	leaving bool
+	at       time.Time
+	lifetime string
+	leaving  bool
 }
 
 func newMemory() memory {
 	return memory{gone: map[string]ended{}, lifted: map[quarantine.Key]time.Time{}}
 }
 
-// dropped notes that a lifetime is gone.
+// dropped notes that a server is gone.
 func (m *memory) dropped(now time.Time, s catalog.Server) {
 	if len(m.gone) < mostGone {
-		m.gone[s.ID] = ended{at: now, leaving: s.Leaving}
+		m.gone[s.Name()] = ended{at: now, lifetime: s.ID, leaving: s.Leaving}
 	}
 }
 
@@ -68,9 +69,9 @@
 
 // forget drops what is too old to matter.
 func (m *memory) forget(now time.Time) {
-	for id, e := range m.gone {
+	for name, e := range m.gone {
 		if now.Sub(e.at) > goneKept {
-			delete(m.gone, id)
+			delete(m.gone, name)
 		}
 	}
 	for k, at := range m.lifted {
@@ -97,21 +98,36 @@
 		Msg("it has come back from a copy: what it lacks is kept for a moment")
 }
 
-// revives tells whether a view of a new era names a server whose entry had gone before. It is not
-// believed yet.
+// revives tells whether a view of a new era names a server whose entry had gone before, or another
+// lifetime than is known of it. Which of two is the later one nobody knows until the
+// server writes again, so neither gets anything: the copy may lack a start that the other
+// gateways know of, or this one may have missed it.
 func (f *follower) revives(s catalog.Server) bool {
-	before, gone := f.memory.gone[s.ID]
-	if !gone || !f.settling(f.now) {
+	before, gone := f.memory.gone[s.Name()]
+	current, known := f.current[s.Name()]
+	_, held := f.revived[s.Name()]
+	if !f.settling(f.now) || !gone && !held && (!known || current == s.ID) {
 		return false
 	}
-	s.Leaving = s.Leaving || before.leaving
-	if _, already := f.revived[s.ID]; !already {
-		f.gateway.log.Info().Str("event", "server.revived").Str("server", s.ID).Msg("its entry had gone, the copy has it: nothing until it writes again")
-	}
-	f.revived[s.ID] = s
+	s.Leaving = s.Leaving || before.leaving && before.lifetime == s.ID
+	f.hold(s)
 	return true
 }
 
+// hold keeps back a server that a copy has revived, and the lifetime that is known of it.
+func (f *follower) hold(s catalog.Server) {
+	current, known := f.current[s.Name()]
+	f.gateway.log.Info().Str("event", "server.revived").Str("server", s.ID).Str("known", current).Msg("more is known of it than the copy says: nothing until it writes again")
+	f.revived[s.Name()] = s
+	c, cold := f.cold[s.ID]
+	if known {
+		f.drop(current)
+	}
+	if cold {
+		f.cold[s.ID] = c // it may still be when it is believed
+	}
+}
+
 // leaves tells whether a server that a whole view names leaves: one that had said so does, also if
 // a copy does not have that.
 func (f *follower) leaves(s catalog.Server) bool {
@@ -144,6 +160,11 @@
 		}
 	}
 	clear(f.revived)
+	for id := range f.cold {
+		if _, known := f.servers[id]; !known {
+			delete(f.cold, id)
+		}
+	}
 	era := f.gateway.view.Load().Revision.Era()
 	for hall, e := range f.halls {
 		if e.Revision.Era() != era {
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -63,7 +63,7 @@
 	Suspects      map[quarantine.Key]quarantine.Kept
 	Left          []string         // lifetimes that have said that they leave, whatever their entries say
 	Settled       time.Time        // until then the store may lack what it had; zero: it has all
-	Revived       []catalog.Server // entries of a copy that had gone before
+	Revived       []catalog.Server // that a copy names and that are kept back
 	log           changeLog        // of servers
 	suspectLog    changeLog        // of suspects, by their keys' text
 }
@@ -83,7 +83,7 @@
 	suspectLog      changeLog
 	memory          memory
 	settled         time.Time                 // until then the store may lack what it had; zero: it has all
-	revived         map[string]catalog.Server // entries of a copy that had gone before, by lifetime
+	revived         map[string]catalog.Server // that a copy names and that are kept back, by name
 	now             time.Time                 // of what is being taken over
 	mark            catalog.Revision          // under which changes are logged
 	order           []string                  // ids of the servers, sorted; nil: to be made anew
@@ -109,7 +109,7 @@
 	snapshot Snapshot
 	halls    map[string]evacuation // that are evacuated
 	cold     map[string]coldness   // by server
-	revived  []catalog.Server      // entries of a copy that had gone before
+	revived  []catalog.Server      // that a copy names and that are kept back
 	settled  time.Time             // until then the store may lack what it had
 	partial  bool                  // only what has changed since a revision that this gateway has passed
 	gone     []string              // servers that are no more; only if partial
@@ -347,14 +347,14 @@
 		case ConfigurationChanged:
 			configuration, raw = c.Configuration, c.Raw
 		case ServerChanged:
-			f.endRevival(c.Server.Name())
+			delete(f.revived, c.Server.Name())
 			f.warm(now, c)
 			f.set(c.Server)
 		case ServerGone:
-			f.endRevival(c.Name)
+			delete(f.revived, c.Name)
 			f.remove(now, f.current[c.Name])
 		case ServerUnreadable:
-			f.endRevival(c.Name)
+			delete(f.revived, c.Name)
 			f.dropNamed(c.Name)
 		case HallEvacuated:
 			f.evacuate(now, c)
@@ -420,8 +420,8 @@
 		f.missing[id] = until
 	}
 	for _, s := range h.revived {
-		if _, known := f.servers[s.ID]; !known && f.settling(f.now) {
-			f.revived[s.ID] = s
+		if f.settling(f.now) {
+			f.hold(s)
 		}
 	}
 	f.takeSnapshot(h.snapshot, f.drop)
@@ -431,11 +431,11 @@
 // only stay so: the other one may have dropped them before.
 func (f *follower) takePart(h handover) {
 	for _, server := range h.snapshot.Servers {
-		f.endRevival(server.Name())
+		delete(f.revived, server.Name())
 		f.set(server)
 	}
 	for _, id := range h.gone {
-		f.endRevival(catalog.ServerName(id))
+		delete(f.revived, catalog.ServerName(id))
 		f.drop(id)
 	}
 	for id, until := range h.snapshot.Missing {
