config, router: an accepted change outlasts a service that comes back from a copy

A fleet of routers kept the revision in force, but the service held the one before; the next accepted change got the same number, and no router took it: accepted, in force nowhere. Cause: routers order documents by a number that the service's copy lets be given out again. Change: who proposes, and who watches the service, writes the document in force again where the service holds an earlier one, before anything else (by its version, so that one of them does). Versions of the platform's service hold the era since the mend of revisions, so a condition of before does not hold by chance.

--- a/cmd/opalbridge/run.go
+++ b/cmd/opalbridge/run.go
@@ -154,7 +154,7 @@
 	if err != nil {
 		return nil, err
 	}
-	service := &operator.Service{Store: &config.Store{KV: client}, Fleet: r, TokenHash: s.OperatorTokenHash}
+	service := &operator.Service{Store: &config.Store{KV: client, Known: r.Configuration}, Fleet: r, TokenHash: s.OperatorTokenHash}
 	mux := http.NewServeMux()
 	path, calls := service.Handler()
 	mux.Handle(path, calls)
--- a/config/store.go
+++ b/config/store.go
@@ -50,6 +50,9 @@
 // Store reads and changes the document in the platform's service.
 type Store struct {
 	KV kv.KV
+	// Known returns the document in force here; nil: none is known. The service may come back
+	// from a copy that lacks it.
+	Known func() *Document
 }
 
 // Load returns the accepted document and the version the service gives it; an
@@ -102,6 +105,13 @@
 		if slices.Contains(current.Recent, id) {
 			return Accepted{Document: current}
 		}
+		if restored, err := s.Restore(ctx, current, version); restored || err != nil {
+			last = err
+			if !rest(ctx, &pause) {
+				break
+			}
+			continue
+		}
 		if expect != 0 && current.Revision != expect {
 			return Conflict{Current: current.Revision}
 		}
@@ -132,6 +142,28 @@
 	return Undecided{Change: id, Reason: last}
 }
 
+// Restore writes the document in force here to a service that holds an earlier one, under that
+// version: it has come back from a copy, and what was accepted since stays in force. It returns
+// whether the service held an earlier one; whoever goes on reads it anew. Another node may have
+// restored it meanwhile.
+func (s *Store) Restore(ctx context.Context, current *Document, version uint64) (earlier bool, err error) {
+	if s.Known == nil {
+		return false, nil
+	}
+	known := s.Known()
+	if known.Revision <= current.Revision {
+		return false, nil
+	}
+	b, err := known.Encode()
+	if err != nil {
+		return true, errors.Wrapf(err, "config: restore revision %d", known.Revision)
+	}
+	if _, err = s.KV.CompareAndSwap(ctx, DocumentKey, version, b); errors.Is(err, kv.ErrConflict) {
+		return true, nil
+	}
+	return true, errors.Wrapf(err, "config: restore revision %d", known.Revision)
+}
+
 func apply(current *Document, id string, change func(*Document) error) (*Document, error) {
 	next := current.Clone()
 	if err := change(next); err != nil {
--- a/fleettest/config_test.go
+++ b/fleettest/config_test.go
@@ -110,6 +110,37 @@
 	})
 }
 
+// TestServiceComesBackOlder: an accepted change that a copy of the service lacks stays in force, is
+// written again, and the next change comes after it.
+func TestServiceComesBackOlder(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
+		f := matrixFleet(t)
+		stop := watchRevisions(t, f)
+		defer stop()
+		share := func(n uint32) uint64 {
+			o, ok := f.Propose(func(d *config.Document) error {
+				d.Accounts[0].Share = n
+				return nil
+			}).(config.Accepted)
+			require.True(t, ok)
+			return o.Document.Revision
+		}
+		share(2)
+		older := f.Platform.Copy()
+		lost := share(3)
+		requireInForce(t, f, lost)
+		f.Platform.Return(older)
+		time.Sleep(inForce)
+		store := config.Store{KV: f.Platform}
+		d, _, err := store.Load(t.Context())
+		require.NoError(t, err)
+		require.Equal(t, lost, d.Revision, "the service has it again")
+		next := share(4)
+		require.Equal(t, lost+1, next)
+		requireInForce(t, f, next)
+	})
+}
+
 // TestServiceLoadIsBounded counts the calls of routers that wait, and of routers
 // that come back from an outage together.
 func TestServiceLoadIsBounded(t *testing.T) {
--- a/kv/kvtest/kvtest.go
+++ b/kv/kvtest/kvtest.go
@@ -12,6 +12,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -41,9 +42,39 @@
 	hosts   []kv.Host
 	faults  Faults
 	calls   Calls
+	returns uint64 // how often it has come back from a copy
 	changed chan struct{}
 }
 
+// Copy is what the service held at one moment.
+type Copy map[string]kv.Entry
+
+// returnedBits are those of a version that the service gives within one of its returns.
+const returnedBits = 40
+
+// Copy returns what the service holds.
+func (s *Service) Copy() Copy {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return maps.Clone(s.entries)
+}
+
+// Return lets the service come back from a copy: what was written since is gone, and all
+// entries have versions that they never had before.
+func (s *Service) Return(c Copy) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.returns++
+	s.entries = map[string]kv.Entry{}
+	for key, e := range c {
+		e.Version = s.returns<<returnedBits | e.Version&(1<<returnedBits-1)
+		s.entries[key] = e
+	}
+	if s.changed != nil {
+		s.wake()
+	}
+}
+
 // ErrLost stands for an answer that did not arrive.
 var ErrLost = errors.New("kvtest: answer lost")
 
--- a/router/configuration.go
+++ b/router/configuration.go
@@ -37,6 +37,9 @@
 			continue
 		}
 		d, now, err := r.readConfiguration(ctx, first, version)
+		if err == nil {
+			err = r.restore(ctx, d, now)
+		}
 		if err != nil {
 			r.outage(err)
 			// The pause is spread so that the routers do not come back together.
@@ -67,6 +70,18 @@
 	return r.store.Await(ctx, version)
 }
 
+// restore writes the revision in force again to a service that holds an earlier one.
+func (r *Router) restore(ctx context.Context, d *config.Document, version uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+	earlier, err := r.store.Restore(ctx, d, version)
+	if earlier {
+		r.record(explain.Event{Kind: explain.Repair, Text: fmt.Sprintf("the platform's service has come back with revision %d", d.Revision)})
+		r.options.Log.Warn().Uint64("revision", r.holder.Revision()).Uint64("service", d.Revision).Err(err).Msg("platform's service is older than what is in force: written again")
+	}
+	return err
+}
+
 // offer puts a document in force if it is newer, and tells the neighbours.
 func (r *Router) offer(d *config.Document, from string) bool {
 	if !r.holder.Offer(d) {
--- a/router/router.go
+++ b/router/router.go
@@ -139,6 +139,7 @@
 		drained:     make(chan struct{}),
 		begun:       time.Now(),
 	}
+	r.store.Known = r.holder.Current
 	r.dispatcher = newDispatcher(r)
 	r.members = &members{router: r}
 	r.agents = &agents{router: r, links: map[string]*link{}}
@@ -200,6 +201,9 @@
 // Revision returns the configuration revision in force here.
 func (r *Router) Revision() uint64 { return r.holder.Revision() }
 
+// Configuration returns the document in force; it has revision 0 when there is none.
+func (r *Router) Configuration() *config.Document { return r.holder.Current() }
+
 // record adds a decision to the router's record.
 func (r *Router) record(e explain.Event) {
 	e.Revision = r.holder.Revision()
