--- a/cmd/opalbridge/gateway.go
+++ b/cmd/opalbridge/gateway.go
@@ -110,6 +110,7 @@
 	return telemetry.Observe(t.Meter("gateway"), []telemetry.Gauge{
 		{Name: "opalbridge.gateway.view_age", Unit: "s", Description: "since the view was last known to be the store's latest", Read: func() float64 { return g.Status().ViewAge.Seconds() }},
 		{Name: "opalbridge.gateway.configuration_version", Description: "version in force; 0: none", Read: func() float64 { return float64(g.Status().ConfigurationVersion) }},
+		{Name: "opalbridge.gateway.store_era", Description: "how often the platform's store has come back from a copy, as it counts itself", Read: func() float64 { return float64(g.Status().StoreEra) }},
 		{Name: "opalbridge.gateway.servers", Description: "servers believed to exist", Read: func() float64 { return float64(g.Status().Servers) }},
 		{Name: "opalbridge.gateway.peers", Description: "other gateways believed to live", Read: func() float64 { return float64(g.Status().Peers) }},
 		{Name: "opalbridge.gateway.active_requests", Description: "requests in hand", Read: func() float64 { return float64(g.Status().Active) }},
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -200,6 +200,7 @@
 type Status struct {
 	ViewAge              time.Duration // since the view was last known to be the store's latest
 	ConfigurationVersion uint64        // 0: none
+	StoreEra             uint64        // how often the store has come back from a copy, as it counts itself
 	Servers              int
 	Peers                int
 	Active               int           // requests in hand
@@ -214,7 +215,7 @@
 // Status returns what the gateway believes now.
 func (g *Gateway) Status() Status {
 	v := g.view.Load()
-	s := Status{ViewAge: time.Since(g.confirmedAt()), Servers: len(v.Servers), Peers: int(g.desk.peersAlive.Load()), Active: int(g.active.Load()), Lateness: time.Duration(g.overload.lateness.Load()), Admitted: g.overload.share()}
+	s := Status{StoreEra: v.Revision.Era(), ViewAge: time.Since(g.confirmedAt()), Servers: len(v.Servers), Peers: int(g.desk.peersAlive.Load()), Active: int(g.active.Load()), Lateness: time.Duration(g.overload.lateness.Load()), Admitted: g.overload.share()}
 	s.SaidLeaving, s.Resting = g.words.counts(time.Now())
 	s.Suspects, s.Barred = int(g.suspects.known.Load()), g.suspects.barred()
 	if v.Configuration != nil {
