--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -13,30 +13,22 @@
 )
 
 // This file decides which connections of callers are served, which are passed on to
-// another gateway (pass.go) and which are turned away (turn.go). Nothing bounded them
-// before: a host of a seventh of a core that got a thousand callers a second ran out of
-// descriptors, then of memory, and was ended.
+// another gateway (pass.go) and which are turned away (turn.go), so that a small host runs out
+// of neither descriptors nor memory, however many callers come to it.
 
 const (
 	// Connections of which nothing has been heard yet, while the process is short of
-	// processor: with more, the next ones are turned away. On a host of a seventh of a core
-	// they are 25 ms of work. Without this they waited for a second and more, and requests
-	// reached their servers after their callers had left.
+	// processor: with more, the next ones are turned away, before their callers leave.
 	mostStarting = 24
 	// A connection that says nothing for this long waits for its caller, not for us.
 	startingFor = 250 * time.Millisecond
 	// Connections that a process which is short of processor turns away in this time, while
-	// there are gateways to pass others on to: a third of the processor of a small host (36 µs
-	// each). Without a bound turning away came first: 185 connections were passed on in a second
-	// beside 3,650 turned away, of 2,000 new callers a second; with it 994 beside 1,010. With 8,
-	// 24, 32, 40 and 72, 14.4, 16.6, 17.8, 17.7 and 16.5 thousand streams of that day were in
-	// time (16.3 before), 14.2, 11.5, 10.0, 9.7 and 7.2 thousand late (2.9 before): who is left in
-	// the queue is served late.
+	// there are gateways to pass others on to: a third of the processor of a small host, so
+	// that turning away leaves time for passing on.
 	turnWindow = 25 * time.Millisecond
 	mostTurned = 32
 	// What is neither served, passed on nor turned away is left in the kernel's queue, which
-	// costs the process nothing; the queue is looked at again after this time, in which a
-	// small host passes seven on.
+	// costs the process nothing; the queue is looked at again after this time.
 	leaveFor = 5 * time.Millisecond
 )
 
--- a/gateway/barred.go
+++ b/gateway/barred.go
@@ -17,9 +17,8 @@
 // This file is what a call does about servers that end under its request.
 
 // underWay holds the calls of this gateway that are at servers, so that those are taken back
-// whose request is barred meanwhile: what waits in a server's queue has not ended it yet. With
-// requests that wait for 0.4 s and come every 60 ms, three servers end under one in place of
-// six (platform: TestFatalWorlds). It is safe for use by several goroutines.
+// whose request is barred meanwhile: what waits in a server's queue has not ended it yet. It is
+// safe for use by several goroutines.
 type underWay struct {
 	mutex sync.Mutex
 	calls map[*call]context.CancelCauseFunc
--- a/gateway/caches.go
+++ b/gateway/caches.go
@@ -45,8 +45,8 @@
 	// Servers asked at the same time.
 	cachesAtOnce = 8
 	// Servers asked in all. A part that none of them holds goes to one of the two servers
-	// that read it, which mostly hold it. Asking 3,000 servers, each of 300 gateways that
-	// had all been killed took 8.5 s until it served.
+	// that read it, which mostly hold it. Asking thousands would keep a gateway that starts
+	// from serving for seconds.
 	mostAsked = 64
 )
 
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -131,8 +131,7 @@
 
 // send sends the request to a server and passes the answer on.
 func (c *call) send(ctx context.Context, d placement.Assign) step {
-	// A process short of processor notices late that a caller has left: without this a
-	// request reached its server 0.87 s after it had come, and half a second after that.
+	// A process short of processor notices late that a caller has left.
 	if c.gateway.overload.short(time.Now()) && callerGone(ctx) {
 		c.gateway.desk.tell(endedMessage{ticket: d.Ticket, server: d.Server.ID, end: placement.Abandoned})
 		c.left = true
--- a/gateway/changelog.go
+++ b/gateway/changelog.go
@@ -3,8 +3,7 @@
 import "opalbridge.dev/gateway/catalog"
 
 // changeLog holds which servers have changed lately, by the store's revision, so that other
-// gateways are told that instead of the whole view: at 3,000 servers the view has half a
-// megabyte, and each of 300 gateways took it at each change. Its zero value is empty. What
+// gateways are told that instead of the whole view, which grows with the fleet. Its zero value is empty. What
 // was added is not changed, so a View may hold a copy of the log.
 type changeLog struct {
 	from    catalog.Revision // complete for revisions after this one
--- a/gateway/desk.go
+++ b/gateway/desk.go
@@ -394,8 +394,7 @@
 }
 
 // runningElsewhere returns the other gateways' requests by server. It goes through what runs,
-// not through all gateways for each server, which took 0.9 million look-ups at 300 gateways
-// and 3,000 servers.
+// not through all gateways for each server, which grows with both.
 func (d *desk) runningElsewhere() map[uint64]int {
 	sums := map[uint64]int{}
 	for _, running := range d.gateways {
--- a/gateway/desk_news.go
+++ b/gateway/desk_news.go
@@ -12,9 +12,8 @@
 // other gateways.
 
 // A process that was later than this says nothing of servers: what it sees of them, it
-// sees late. Without this a gateway that was short of processor took servers to read three
-// to five times as slowly as they do, called 369 of 180 silent, and told the others. It is
-// a tenth of what a prompt of usual length takes.
+// sees late, and servers would seem slow or silent. It is a tenth of what a prompt of usual
+// length takes.
 const trustedLateness = 15 * time.Millisecond
 
 // Connections to servers are given up after this time.
@@ -70,8 +69,7 @@
 }
 
 // A server that is this late with a first event, and gave no sign of life since it was
-// due, counts as failing: 95 of 100 predictions miss by less than half of it
-// (docs/SCORES.md).
+// due, counts as failing: nearly all predictions miss by less than half of it.
 const overdue = 500 * time.Millisecond
 
 // findSilent marks servers that owe a first event and are silent.
--- a/gateway/overload.go
+++ b/gateway/overload.go
@@ -27,9 +27,8 @@
 	// Above this one nothing is admitted until it has fallen: what the process believes of
 	// servers is old then, and it must not send to one that has said that it leaves.
 	latenessFar = 250 * time.Millisecond
-	// Above this one fewer connections are passed on to others as well. At 70 ms, and
-	// with 48 starting connections, half more of what was passed on came late. Who is turned away comes back and costs as much once more, so it is
-	// the last resort.
+	// Above this one fewer connections are passed on to others as well. Who is turned away
+	// comes back and costs as much once more, so it is the last resort.
 	latenessPass = 40 * time.Millisecond
 	// Below this one more is admitted.
 	latenessLow = 15 * time.Millisecond
@@ -38,8 +37,7 @@
 	admitLess = 0.85
 	admitMore = 0.02
 	// Otherwise so much is always admitted by a gateway that can't pass connections on, so
-	// that it still serves. One that can serves none by itself: at 2,000 callers a second
-	// this share alone is a quarter of a small host's processor.
+	// that it still serves. One that can serves none by itself.
 	admitLeast = 0.05
 	// When to come back: a balancer may bring the caller back to this gateway, which needs
 	// a moment; most objectives leave time for it.
--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -45,9 +45,8 @@
 	heartbeat = 250 * time.Millisecond
 	// Addresses are passed on, and silent gateways tried, once in so many heartbeats.
 	rareEvery = 4
-	// A gateway that has just started tries silent ones more often, for so long. Before, of
-	// gateways that started within 0.4 s of each other the first ones were alone for a
-	// second: with all servers' queues filled twice, 200 requests came a second late.
+	// A gateway that has just started tries silent ones more often, for so long: gateways that
+	// start together must not fill servers' queues without knowing of each other.
 	searchEvery = 100 * time.Millisecond
 	searchFor   = 3 * time.Second
 	// A gateway that was not heard for this long counts as gone: four heartbeats.
--- a/gateway/placement/engine.go
+++ b/gateway/placement/engine.go
@@ -16,8 +16,7 @@
 	speedEvery = 50 * time.Millisecond
 	// A first event that comes later than predicted moves the belief up by half of this
 	// share of it, an earlier one down, so that half of them are late. The share falls with
-	// the requests seen: from a fifth of the true figure it takes some 60 of them to get
-	// there, less than two seconds of a gateway's traffic.
+	// the requests seen.
 	firstMove = 0.2
 	leastMove = 0.03
 	halfMove  = 10 // requests after which a move is half of the first one
--- a/gateway/placement/policy.go
+++ b/gateway/placement/policy.go
@@ -6,37 +6,36 @@
 	"opalbridge.dev/gateway/catalog"
 )
 
-// Policy holds the weights and limits of placement. The figures were chosen by trials
-// over several seeds of three deployments; what each is worth stands in
+// Policy holds the weights and limits of placement; what each is worth stands in
 // docs/design/ablation.md.
 type Policy struct {
 	TokensPerMS     float64       // prompt tokens a server reads in a millisecond, decoding beside it, until that is learned
 	PairsPerMS      float64       // pairs of tokens that attention handles in a millisecond; learned only as a part of the reading
 	FirstStep       time.Duration // from the end of reading to the first event, until that is learned
 	CacheShare      float64       // of a server's memory that holds parts of prompts which are not in use
-	RereadCost      float64       // weight of reading a shared part once more, in times of the reading; with LeastCopy 0.02 of worth beside 4 and 1,024, mean of six days
+	RereadCost      float64       // weight of reading a shared part once more, in times of the reading
 	CopyCost        float64       // weight of copying a cached part from another server, in times of the copying
 	CopySetup       time.Duration // for each copy, whatever its length
 	LeastCopy       int           // tokens for which a copy is worth its setup
 	FreeTokens      int           // requests with a shorter shared beginning may go to any server
-	Homes           int           // servers that may read a shared part; 0.01 of worth beside all, mean of six days on three sites
+	Homes           int           // servers that may read a shared part
 	LimitShare      float64       // share of the objective that a prediction may fill
-	BehindWait      time.Duration // an account over its share that got nothing of what is left is served while the wait is shorter; without it accounts behind the others get less than half of what the best gets
-	IdleShare       float64       // while so many of a service's servers have nothing to read, IdleWait holds: 2 in 100 more tries in time and 8 in 100 fewer refused at the same worth where servers read half of the time, nothing where they read without rest (six days on two sites)
-	IdleWait        time.Duration // an account over its share is then served while the wait is shorter; without IdleShare it costs 0.01 to 0.03 of worth
-	SparePlaces     float64       // share of a server's places that may be taken for it to get requests beyond their account's share: streams of a server that reads and decodes at its limit take several times as long. 0.04 of worth for 3 in 100 tries in time, mean of three days
-	SpareReread     int           // tokens of shared parts that an idle server may read again for such a request: some 10 ms of its reading. Without a bound a tenth more was served, and long prompts paid for short ones by parts read again
-	IdleAhead       float64       // an account that got more than this part of an even share of all that was given gets no idle server but its request's own: without it an account with short requests got four times what one with long ones got, which had its share cut to less than half
+	BehindWait      time.Duration // an account over its share that got nothing of what is left is served while the wait is shorter, so that it does not fall far behind the others
+	IdleShare       float64       // while so many of a service's servers have nothing to read, IdleWait holds
+	IdleWait        time.Duration // an account over its share is then served while the wait is shorter
+	SparePlaces     float64       // share of a server's places that may be taken for it to get requests beyond their account's share: streams of a server that reads and decodes at its limit take several times as long
+	SpareReread     int           // tokens of shared parts that an idle server may read again for such a request, so that long prompts do not pay for short ones
+	IdleAhead       float64       // an account that got more than this part of an even share of all that was given gets no idle server but its request's own: idle servers suit short requests, and accounts with long ones would fall behind
 	FarBehind       float64       // an account that got a smaller part of an even share of all that was given may have more places
-	SpareHold       float64       // share of its objective for which it is held until one runs dry: 2 to 5 in 100 more tries in time, mean of six days on three sites
+	SpareHold       float64       // share of its objective for which it is held until one runs dry
 	LastMoment      time.Duration // what waited is sent when so much of its caller's patience is left after the first event
-	LateWait        time.Duration // what can't be in time is served while the wait is shorter; at 100 ms worth is 0.013 lower, mean of six days
+	LateWait        time.Duration // what can't be in time is served while the wait is shorter
 	ShareRetryAfter time.Duration // a caller whose account is over its share is told to wait at least so long
 	LeastRetryAfter time.Duration // shortest time a refused caller is told to wait
 	SpareSlots      int           // a server within so many slots of its batch counts as full
 	SlotCost        time.Duration // delay expected for each request beyond that
-	FailureCost     time.Duration // cost of a server that fails every request: about an objective, which is what a caller loses; at 2 s 3 in 100 fewer tries are in time
-	EarlyWeight     float64       // weight of a delay far below the objective, so that reuse goes first while there is time; at the objective it is 1. Worth 0.003 to 0.013 before 40 servers, nothing before 9
+	FailureCost     time.Duration // cost of a server that fails every request: about an objective, which is what a caller loses
+	EarlyWeight     float64       // weight of a delay far below the objective, so that reuse goes first while there is time; at the objective it is 1
 	Spread          time.Duration // servers whose costs differ by less are chosen at random, since gateways decide at the same time; above 0
 	OtherHallDelay  time.Duration // cost of an answer that crosses between halls
 
--- a/gateway/placement/rest.go
+++ b/gateway/placement/rest.go
@@ -5,9 +5,8 @@
 )
 
 // This file keeps work from servers that have turned it away. One that asked for rest gets
-// none until its end; without this a server that turns everything away at once looked idle and
-// came first: 230 to 320 requests reached it from one gateway in two seconds of rest, none
-// with it (platform: TestServersAskForRest).
+// none until its end: a server that turns everything away at once looks idle, and would come
+// first (platform: TestServersAskForRest).
 
 const (
 	// MostRest is the longest rest that a server is given, whatever it asked for. Who wants
--- a/gateway/quarantine/quarantine.go
+++ b/gateway/quarantine/quarantine.go
@@ -30,10 +30,8 @@
 )
 
 const (
-	// MostEnds is how many servers may end under a request before it is barred. Played with
-	// ten causes on ten servers, 2 spares one server in three, but bars 0.28 in 100 of the
-	// innocent requests that come, and 3 none; in a storm of servers that end by themselves,
-	// each within ten seconds, they bar 0.94 and 0.06 (TestThresholds).
+	// MostEnds is how many servers may end under a request before it is barred. One fewer would
+	// spare servers and bar innocent requests (TestThresholds).
 	MostEnds = 3
 	// Suspects are worth a record from this count on: what was at one end only is one of
 	// some fifty that were there.
--- a/gateway/share/share.go
+++ b/gateway/share/share.go
@@ -179,10 +179,7 @@
 // An account gets nothing beyond its share once it has this many times as much as another one
 // that presses, so that what both get stays within a factor of two whatever servers run dry.
 // What is told of other gateways' sums is up to half a second old, an eighth of the window,
-// which is what lies between. Without the bound an account got 2.9 million tokens in six
-// seconds while another one that pressed got 0.9 (three of six plays of one load broke the
-// factor of two, none of three with it); it costs 2 to 4 in 100 tries in time and no worth
-// (six days on each of two sites).
+// which is what lies between.
 const mostGap = 1.5
 
 // pressing is the share of what it asks below which an account counts as behind.
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -14,9 +14,8 @@
 )
 
 // This file keeps requests that end servers from the next ones, over the fleet. Such a
-// request comes as a sound first try each time, to whatever gateway; without this 67 servers
-// ended in four seconds under one that came every 60 ms to one of three gateways, three with
-// it (platform: TestRequestThatEndsServers). ends.go finds out which servers have ended, and
+// request comes as a sound first try each time, to whatever gateway, and would end server after
+// server (platform: TestRequestThatEndsServers). ends.go finds out which servers have ended, and
 // package quarantine decides.
 //
 // Two ways bring what one gateway has seen to the others, so that either may fail: beacons,
--- a/gateway/turn.go
+++ b/gateway/turn.go
@@ -11,10 +11,9 @@
 	"golang.org/x/sys/unix"
 )
 
-// This file turns connections away before they cost much. One that the HTTP server
-// handles costs a small host 0.15 ms of processor even if its request is refused, so that
-// a seventh of a core refused 950 a second and did nothing else. Here one goroutine
-// answers them all, without parsing, a goroutine or a buffer of their own: 2,300 a second.
+// This file turns connections away before they cost much: one goroutine answers them all,
+// without parsing, a goroutine or a buffer of their own. One that the HTTP server handles
+// costs a small host several times as much, even if its request is refused.
 
 const (
 	// Connections that wait to be turned away; with more, no more are accepted until some
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -26,10 +26,8 @@
 	// Tries after a failure are this far apart.
 	sourceRetry = 200 * time.Millisecond
 	// While others of the hall have lost the store as well, tries are further apart, so that
-	// two of the hall try in that time together: whoever reaches it first tells all. 103
-	// gateways that tried five times a second each made an outage of 8 s the dearest part
-	// of a day. Up to this, which is half of the time in which a configuration is in force
-	// among as many.
+	// two of the hall try in that time together: whoever reaches it first tells all. Up to
+	// this time, so that a configuration is in force soon after the store's return.
 	longestRetry = 2 * time.Second
 	// After changes the next watch waits so long, so that changes that come together
 	// cost one call.
@@ -41,8 +39,7 @@
 	// whether another one of its hall does.
 	electFirst = 150 * time.Millisecond
 	// If another one does, it asks the store after this time at the latest: by then that
-	// one has handed over its view. A list takes a call for each fifty servers, and of 103
-	// gateways that start at once 98 need none: half of a day's calls.
+	// one has handed over its view. A list takes a call for each fifty servers.
 	startPatience = time.Second
 	// A server whose entry has gone while the store was away is kept for this long
 	// after its return: servers that live write their entry again within about two
--- a/gateway/words.go
+++ b/gateway/words.go
@@ -14,8 +14,7 @@
 
 // This file takes over what servers say of themselves in their answers: that they leave, and
 // that they want rest. Their entries tell the first one too, but not while the store takes
-// nothing: 130 to 260 requests then reached a server in two seconds after three gateways had
-// passed on that it leaves, none with this (platform: TestServerSaysItLeaves).
+// nothing (platform: TestServerSaysItLeaves).
 //
 // Two places act on it. The desk places nothing at such a server any more; and whoever was
 // placed there before looks once more when its connection is there, just before it is sent.
