--- a/gateway/barred.go
+++ b/gateway/barred.go
@@ -109,7 +109,7 @@
 		heard = c.latest
 	}
 	planned := !c.gateway.view.Load().takesWork(d.Server.ID)
-	c.gateway.ends.lose(time.Now(), d.Server, planned, heard, lost{how: how, suspect: suspect{key: c.key(), asks: c.asks(), begun: heard != sent}})
+	c.gateway.crashes.lose(time.Now(), d.Server, planned, heard, lost{how: how, suspect: suspect{key: c.key(), asks: c.asks(), begun: heard != sent}})
 }
 
 // asks is what the request asks, for operators.
--- a/gateway/caches.go
+++ b/gateway/caches.go
@@ -130,7 +130,7 @@
 	}
 	// The question names no server, so only an answer that does speaks for this one.
 	if held.Leaving && held.Server == s.Name() {
-		g.says(s, upstream.Word{Status: http.StatusOK, Leaving: true})
+		g.heed(s, upstream.Signal{Status: http.StatusOK, Leaving: true})
 	}
 	parts := make([]uint64, len(held.Parts))
 	for i, p := range held.Parts {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -142,7 +142,7 @@
 		return fail{err: errBarred}
 	}
 	sent := time.Now()
-	if err := c.gateway.words.bars(sent, d.Server.ID); err != nil {
+	if err := c.gateway.signals.bars(sent, d.Server.ID); err != nil {
 		c.gateway.desk.tell(endedMessage{ticket: d.Ticket, server: d.Server.ID, end: placement.NotSent})
 		return again{err}
 	}
@@ -174,7 +174,7 @@
 	return &upstream.Request{
 		ID: c.told.ID, Method: c.request.Method, Target: target(c.request), Host: c.request.Host,
 		Header: h, Body: c.body, MayRepeat: c.route.MayRepeat(), Before: d.Before,
-		Allowed: func() error { return c.gateway.words.bars(time.Now(), d.Server.ID) },
+		Allowed: func() error { return c.gateway.signals.bars(time.Now(), d.Server.ID) },
 	}
 }
 
@@ -193,7 +193,7 @@
 			return placement.NotSent, again{r.Err}
 		}
 		if errors.Is(r.Err, syscall.ECONNREFUSED) {
-			c.gateway.ends.refused(time.Now(), d.Server.ID)
+			c.gateway.crashes.refused(time.Now(), d.Server.ID)
 		}
 		return placement.Unreachable, again{r.Err}
 	case upstream.NotRun:
--- a/gateway/cold_world_test.go
+++ b/gateway/cold_world_test.go
@@ -171,8 +171,8 @@
 	g.desk.peers, g.desk.claims = w.node, g.claims
 	g.suspects = newSuspects(zerolog.Nop(), g.desk.settings.Address, func() int { return worldGateways })
 	g.suspects.peers = w.node
-	g.words = newWords()
-	g.ends = newEnds(zerolog.Nop(), g.suspects.ended)
+	g.signals = newSignals()
+	g.crashes = newCrashes(zerolog.Nop(), g.suspects.ended)
 	g.follower = newFollower(g)
 	return &worldGateway{Gateway: g, name: fmt.Sprint(w.starts), knows: map[int]bool{}}
 }
--- a/gateway/ends.go
+++ b/gateway/crashes.go
@@ -39,9 +39,9 @@
 	mostThere = 256
 )
 
-// ends is what this gateway has seen of servers that may have ended. It is safe for use by
+// crashes is what this gateway has seen of servers that may have ended. It is safe for use by
 // several goroutines.
-type ends struct {
+type crashes struct {
 	log     zerolog.Logger
 	verdict func(now time.Time, server string, there []suspect)
 	probes  chan catalog.Server
@@ -75,8 +75,8 @@
 	lostByCaller                  // its caller left
 )
 
-func newEnds(log zerolog.Logger, verdict func(now time.Time, server string, there []suspect)) *ends {
-	return &ends{
+func newCrashes(log zerolog.Logger, verdict func(now time.Time, server string, there []suspect)) *crashes {
+	return &crashes{
 		log: log, verdict: verdict, probes: make(chan catalog.Server, probeQueue),
 		broken: map[string]*breakage{}, gone: map[string]time.Time{},
 	}
@@ -84,27 +84,27 @@
 
 // lose takes over that a request was lost at a server. It was sent, or last heard of, at a
 // time; planned tells that the server takes no new work, or has no entry.
-func (e *ends) lose(now time.Time, s catalog.Server, planned bool, heard time.Time, l lost) {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
+func (c *crashes) lose(now time.Time, s catalog.Server, planned bool, heard time.Time, l lost) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
 	l.at = now
-	gone, hasGone := e.gone[s.ID]
+	gone, hasGone := c.gone[s.ID]
 	if hasGone && l.how == lostBySilence && heard.Before(gone) {
-		e.ended(now, s.ID, "its entry has gone", []lost{l})
+		c.ended(now, s.ID, "its entry has gone", []lost{l})
 		return
 	}
 	if planned {
 		return
 	}
-	b := e.broken[s.ID]
+	b := c.broken[s.ID]
 	if b == nil {
-		e.sweep(now)
+		c.sweep(now)
 		b = &breakage{since: now}
-		e.broken[s.ID] = b
+		c.broken[s.ID] = b
 	}
 	if !b.ended.IsZero() {
 		if heard.Before(b.ended) && l.how != lostByCaller {
-			e.ended(now, s.ID, "", []lost{l})
+			c.ended(now, s.ID, "", []lost{l})
 		}
 		return
 	}
@@ -113,22 +113,22 @@
 	if l.how == lostByBreak && now.Sub(b.probed) >= probeAgain {
 		b.probed = now
 		select {
-		case e.probes <- s:
+		case c.probes <- s:
 		default: // its entry tells
 		}
 	}
 }
 
 // refused takes over that a server takes no connections.
-func (e *ends) refused(now time.Time, server string) {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	e.decide(now, server, "it refuses connections")
+func (c *crashes) refused(now time.Time, server string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.decide(now, server, "it refuses connections")
 }
 
 // decide takes a server for ended if something broke there.
-func (e *ends) decide(now time.Time, server, why string) {
-	b := e.broken[server]
+func (c *crashes) decide(now time.Time, server, why string) {
+	b := c.broken[server]
 	broke := func(l lost) bool { return l.how != lostByCaller }
 	if b == nil || !b.ended.IsZero() || !slices.ContainsFunc(b.there, broke) {
 		return
@@ -136,33 +136,33 @@
 	b.ended = now
 	there := slices.DeleteFunc(b.there, func(l lost) bool { return l.how == lostByCaller && now.Sub(l.at) > leftFor })
 	b.there = nil
-	e.ended(now, server, why, there)
+	c.ended(now, server, why, there)
 }
 
-func (e *ends) ended(now time.Time, server, why string, there []lost) {
+func (c *crashes) ended(now time.Time, server, why string, there []lost) {
 	if why != "" {
-		e.log.Warn().Str("event", "server.ended").Str("server", server).Str("by", why).Int("requests", len(there)).Msg("unplanned; each of its requests may be the cause")
+		c.log.Warn().Str("event", "server.ended").Str("server", server).Str("by", why).Int("requests", len(there)).Msg("unplanned; each of its requests may be the cause")
 	}
 	list := make([]suspect, len(there))
 	for i, l := range there {
 		list[i] = l.suspect
 	}
-	e.verdict(now, server, list)
+	c.verdict(now, server, list)
 }
 
 // viewChanged takes over which servers there are.
-func (e *ends) viewChanged(now time.Time, before, after []catalog.Server) {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
+func (c *crashes) viewChanged(now time.Time, before, after []catalog.Server) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
 	for _, s := range missing(before, after) {
 		if s.Leaving || s.Evacuated {
-			delete(e.broken, s.ID)
+			delete(c.broken, s.ID)
 			continue
 		}
-		e.gone[s.ID] = now
-		e.decide(now, s.ID, "its entry has gone")
+		c.gone[s.ID] = now
+		c.decide(now, s.ID, "its entry has gone")
 	}
-	e.sweep(now)
+	c.sweep(now)
 }
 
 // missing returns the servers that are in the first of two lists only. Both are in the order
@@ -181,34 +181,34 @@
 }
 
 // sweep forgets what is over.
-func (e *ends) sweep(now time.Time) {
-	for id, b := range e.broken {
+func (c *crashes) sweep(now time.Time) {
+	for id, b := range c.broken {
 		if now.Sub(b.since) > brokenFor {
-			delete(e.broken, id)
+			delete(c.broken, id)
 		}
 	}
-	for id, at := range e.gone {
+	for id, at := range c.gone {
 		if now.Sub(at) > brokenFor {
-			delete(e.gone, id)
+			delete(c.gone, id)
 		}
 	}
 }
 
 // probe asks servers whether they take connections, until ctx ends.
-func (e *ends) probe(ctx context.Context) {
+func (c *crashes) probe(ctx context.Context) {
 	dialer := net.Dialer{Timeout: probeTimeout}
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case s := <-e.probes:
-			c, err := dialer.DialContext(ctx, "tcp4", s.Address)
+		case s := <-c.probes:
+			connection, err := dialer.DialContext(ctx, "tcp4", s.Address)
 			if err == nil {
-				c.Close()
+				connection.Close()
 				continue
 			}
 			if errors.Is(err, syscall.ECONNREFUSED) {
-				e.refused(time.Now(), s.ID)
+				c.refused(time.Now(), s.ID)
 			}
 		}
 	}
--- a/gateway/ends_test.go
+++ b/gateway/crashes_test.go
@@ -26,16 +26,16 @@
 	others := []catalog.Server{ready("i-0"), ready("i-2")}
 	all := []catalog.Server{others[0], server, others[1]}
 	draining := []catalog.Server{others[0], leaving("i-1@5"), others[1]}
-	lose := func(l lostAt) func(e *ends, now time.Time) {
-		return func(e *ends, now time.Time) {
+	lose := func(l lostAt) func(e *crashes, now time.Time) {
+		return func(e *crashes, now time.Time) {
 			e.lose(now, server, l.planned, now.Add(-l.ago), lost{how: l.how, suspect: suspect{key: quarantine.Key{l.n}}})
 		}
 	}
-	refuse := func(e *ends, now time.Time) { e.refused(now, server.ID) }
-	view := func(before, after []catalog.Server) func(e *ends, now time.Time) {
-		return func(e *ends, now time.Time) { e.viewChanged(now, before, after) }
+	refuse := func(e *crashes, now time.Time) { e.refused(now, server.ID) }
+	view := func(before, after []catalog.Server) func(e *crashes, now time.Time) {
+		return func(e *crashes, now time.Time) { e.viewChanged(now, before, after) }
 	}
-	type does func(e *ends, now time.Time)
+	type does func(e *crashes, now time.Time)
 	tests := []struct {
 		name  string
 		steps []does // a tenth of a second apart
@@ -62,7 +62,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			var blamed []byte
-			e := newEnds(zerolog.Nop(), func(_ time.Time, server string, there []suspect) {
+			e := newCrashes(zerolog.Nop(), func(_ time.Time, server string, there []suspect) {
 				require.Equal(t, "i-1@5", server)
 				for _, s := range there {
 					blamed = append(blamed, s.key[0])
@@ -81,7 +81,7 @@
 // TestEndsForget: what broke long ago is not blamed, and memory is bounded.
 func TestEndsForget(t *testing.T) {
 	blamed := 0
-	e := newEnds(zerolog.Nop(), func(_ time.Time, _ string, there []suspect) { blamed += len(there) })
+	e := newCrashes(zerolog.Nop(), func(_ time.Time, _ string, there []suspect) { blamed += len(there) })
 	now := time.Now()
 	for n := range 2 * mostThere {
 		e.lose(now, ready("i-1"), false, now, lost{suspect: suspect{key: quarantine.Key{byte(n)}}})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,7 +19,7 @@
 // tells of cold servers and evacuated halls;
 // handover.go asks other gateways for their view, of which changelog.go tells what has
 // changed. callers.go looks after callers' connections, suspects.go keeps requests that
-// end servers from the next ones, suspects_store.go what the store has of them, ends.go finds out which have ended, words.go keeps to what
+// end servers from the next ones, suspects_store.go what the store has of them, crashes.go finds out which have ended, signals.go keeps to what
 // servers say of themselves in answers. stop.go ends it all.
 package gateway
 
@@ -95,10 +95,10 @@
 	follower   *follower
 	whole      wholeView
 	claims     chan warmup.Claim // to be written
-	ends       *ends
+	crashes    *crashes
 	suspects   *suspects
 	underWay   *underWay
-	words      *words
+	signals    *signals
 	returned   returned
 	stopping   atomic.Bool
 	active     atomic.Int64 // requests being served
@@ -124,10 +124,10 @@
 	g.desk.late = g.overload.worst
 	g.suspects = newSuspects(o.Log, o.Desk.Address, func() int { return int(g.desk.peersAlive.Load()) + 1 })
 	g.suspects.store = o.Suspects
-	g.ends = newEnds(o.Log, g.suspects.ended)
+	g.crashes = newCrashes(o.Log, g.suspects.ended)
 	g.underWay = newUnderWay()
-	g.words = newWords()
-	g.pool.Heard = g.says
+	g.signals = newSignals()
+	g.pool.Heard = g.heed
 	o.Peer.Hall = o.Desk.Hall
 	o.Peer.State = g.tell
 	g.watches.Store(true) // until others are known
@@ -185,7 +185,7 @@
 	group.Go(duties, "suspects", g.suspects.write)
 	group.Go(duties, "barred", g.takeBackBarred)
 	for range probers {
-		group.Go(duties, "probes", g.ends.probe)
+		group.Go(duties, "probes", g.crashes.probe)
 	}
 	group.Go(duties, "overload", func(ctx context.Context) { g.overload.run(ctx, g) })
 	g.log.Info().Str("event", "start").Str("front", g.options.Front.Addr().String()).Msg("gateway")
@@ -216,7 +216,7 @@
 func (g *Gateway) Status() Status {
 	v := g.view.Load()
 	s := Status{StoreEra: v.Revision.Era(), ViewAge: time.Since(g.confirmedAt()), Servers: len(v.Servers), Peers: int(g.desk.peersAlive.Load()), Active: int(g.active.Load()), Lateness: time.Duration(g.overload.lateness.Load()), Admitted: g.overload.share()}
-	s.SaidLeaving, s.Resting = g.words.counts(time.Now())
+	s.SaidLeaving, s.Resting = g.signals.counts(time.Now())
 	s.Suspects, s.Barred = int(g.suspects.known.Load()), g.suspects.barred()
 	if v.Configuration != nil {
 		s.ConfigurationVersion = v.Configuration.Version
--- a/gateway/quarantine/quarantine.go
+++ b/gateway/quarantine/quarantine.go
@@ -9,17 +9,17 @@
 // ([Answers]) is not blamed at all, since many copies of a question that is asked often are
 // under way when several servers end at once.
 //
-// All that a [Book] holds are sets that only grow: pairs of a request and a server that has
+// All that a [Registry] holds are sets that only grow: pairs of a request and a server that has
 // ended, and pairs that no longer count. So news that come twice, late or in another order
 // make no difference, and gateways that have heard the same news bar the same requests.
 //
 // # Usage
 //
-//	b := quarantine.NewBook()
+//	r := quarantine.NewRegistry()
 //	key := quarantine.KeyOf(quarantine.Request{Account: "quito", Method: "POST", …})
-//	changed := b.Ended(now, "i-7f3a@1760000000000", keys) // a server has ended under these
-//	if b.Barred(key) { … }                                // it reaches no server
-//	cleared := b.Answered(key)                            // it was not the cause
+//	changed := r.Ended(now, "i-7f3a@1760000000000", keys) // a server has ended under these
+//	if r.Barred(key) { … }                                // it reaches no server
+//	cleared := r.Answered(key)                            // it was not the cause
 //
 // The package takes no lock, does no input or output and reads no clock.
 package quarantine
@@ -53,9 +53,9 @@
 	certain = 2
 )
 
-// Book holds which requests were at servers that have ended. Its zero value is not ready;
-// see [NewBook].
-type Book struct {
+// Registry holds which requests were at servers that have ended. Its zero value is not ready;
+// see [NewRegistry].
+type Registry struct {
 	limit    int
 	suspects map[Key]*suspect
 	repeats  map[Key]bool // suspects that have seen two ends or more
@@ -113,53 +113,53 @@
 	return both
 }
 
-// NewBook returns an empty book.
-func NewBook() *Book {
-	return &Book{limit: MostEnds, suspects: map[Key]*suspect{}, repeats: map[Key]bool{}}
+// NewRegistry returns an empty registry.
+func NewRegistry() *Registry {
+	return &Registry{limit: MostEnds, suspects: map[Key]*suspect{}, repeats: map[Key]bool{}}
 }
 
 // Ended notes that a server has ended while it had these requests. It returns those of which
-// [Book.Record] tells something else than before.
-func (b *Book) Ended(now time.Time, server string, keys []Key) (changed []Key) {
+// [Registry.Record] tells something else than before.
+func (r *Registry) Ended(now time.Time, server string, keys []Key) (changed []Key) {
 	var news []Key
 	for _, k := range keys {
-		if !b.add(now, server, k) {
+		if !r.add(now, server, k) {
 			continue
 		}
 		news = append(news, k)
-		if b.repeats[k] {
+		if r.repeats[k] {
 			changed = append(changed, k)
 		}
 	}
-	b.remember(ending{server, news})
+	r.remember(ending{server, news})
 	return changed
 }
 
 // Merge takes over what is kept of a request. It returns whether that was news.
-func (b *Book) Merge(now time.Time, k Key, kept Kept) (news bool) {
+func (r *Registry) Merge(now time.Time, k Key, kept Kept) (news bool) {
 	for _, server := range kept.Servers {
 		late := 0
-		if s := b.suspects[k]; s != nil {
+		if s := r.suspects[k]; s != nil {
 			late = s.late
 		}
-		if !b.add(now, server, k) {
+		if !r.add(now, server, k) {
 			continue
 		}
-		s := b.suspects[k]
+		s := r.suspects[k]
 		s.late = late // when it came is not known
 		s.merged = s.merged || !kept.AtOnce
-		b.remember(ending{server, []Key{k}})
+		r.remember(ending{server, []Key{k}})
 		news = true
 	}
 	return news
 }
 
 // add notes one pair; it returns whether that is news.
-func (b *Book) add(now time.Time, server string, k Key) bool {
-	s := b.suspects[k]
+func (r *Registry) add(now time.Time, server string, k Key) bool {
+	s := r.suspects[k]
 	if s == nil {
 		s = &suspect{}
-		b.suspects[k] = s
+		r.suspects[k] = s
 	}
 	if slices.Contains(s.ended, server) || slices.Contains(s.cleared, server) {
 		return false
@@ -176,9 +176,9 @@
 	}
 	s.ended = append(s.ended, server)
 	if len(s.ended) >= repeated {
-		b.repeats[k] = true
+		r.repeats[k] = true
 	}
-	if len(s.ended) >= b.limit && s.barred.IsZero() {
+	if len(s.ended) >= r.limit && s.barred.IsZero() {
 		s.barred = now
 	}
 	return true
@@ -186,27 +186,27 @@
 
 // Answered notes that a request was answered whole: it was the cause of no end so far. It
 // returns the servers whose ends it has seen.
-func (b *Book) Answered(k Key) (cleared []string) {
-	s := b.suspects[k]
+func (r *Registry) Answered(k Key) (cleared []string) {
+	s := r.suspects[k]
 	if s == nil || len(s.ended) == 0 {
 		return nil
 	}
 	cleared = slices.Clone(s.ended)
-	b.Clear(k, cleared)
+	r.Clear(k, cleared)
 	return cleared
 }
 
 // Lift lets nothing count any more that a request has seen.
-func (b *Book) Lift(k Key) {
-	if s := b.suspects[k]; s != nil {
-		b.Clear(k, slices.Clone(s.ended))
+func (r *Registry) Lift(k Key) {
+	if s := r.suspects[k]; s != nil {
+		r.Clear(k, slices.Clone(s.ended))
 	}
 }
 
 // Clear lets the ends of these servers count no more for a request, as another gateway has
 // found. News of them that come later do not count either.
-func (b *Book) Clear(k Key, servers []string) {
-	s := b.suspects[k]
+func (r *Registry) Clear(k Key, servers []string) {
+	s := r.suspects[k]
 	if s == nil {
 		return // who was at no end that is known is not worth the memory
 	}
@@ -223,57 +223,57 @@
 		s.first, s.late, s.merged = time.Time{}, 0, false
 	}
 	if len(s.ended) < repeated {
-		delete(b.repeats, k)
+		delete(r.repeats, k)
 	}
-	if len(s.ended) < b.limit {
+	if len(s.ended) < r.limit {
 		s.barred = time.Time{}
 	}
 }
 
 // Cleared tells whether none of these servers' ends counts for a request any more.
-func (b *Book) Cleared(k Key, servers []string) bool {
-	s := b.suspects[k]
+func (r *Registry) Cleared(k Key, servers []string) bool {
+	s := r.suspects[k]
 	return s != nil && !slices.ContainsFunc(servers, func(server string) bool { return !slices.Contains(s.cleared, server) })
 }
 
 // Ends returns how many servers have ended under a request, as far as they count.
-func (b *Book) Ends(k Key) int {
-	if s := b.suspects[k]; s != nil {
+func (r *Registry) Ends(k Key) int {
+	if s := r.suspects[k]; s != nil {
 		return len(s.ended)
 	}
 	return 0
 }
 
 // Barred tells whether a request is kept from servers.
-func (b *Book) Barred(k Key) bool {
-	s := b.suspects[k]
+func (r *Registry) Barred(k Key) bool {
+	s := r.suspects[k]
 	return s != nil && !s.barred.IsZero()
 }
 
 // Doubtful tells whether a request is barred by ends that all came at once, but for one at
 // most, and if so for how long no other has come.
-func (b *Book) Doubtful(now time.Time, k Key) (quiet time.Duration, ok bool) {
-	s := b.suspects[k]
-	if s == nil || s.merged || len(s.ended)-s.late < b.limit || s.late >= certain {
+func (r *Registry) Doubtful(now time.Time, k Key) (quiet time.Duration, ok bool) {
+	s := r.suspects[k]
+	if s == nil || s.merged || len(s.ended)-s.late < r.limit || s.late >= certain {
 		return 0, false
 	}
 	return now.Sub(s.last), true
 }
 
 // Record returns what is known of a request; ok is false if it has seen less than two ends.
-func (b *Book) Record(k Key) (r Record, ok bool) {
-	if !b.repeats[k] {
+func (r *Registry) Record(k Key) (known Record, ok bool) {
+	if !r.repeats[k] {
 		return Record{}, false
 	}
-	s := b.suspects[k]
+	s := r.suspects[k]
 	return Record{Servers: slices.Clone(s.ended), Barred: s.barred, AtOnce: !s.merged && s.late < certain}, true
 }
 
 // CountBarred returns how many requests are barred.
-func (b *Book) CountBarred() int {
+func (r *Registry) CountBarred() int {
 	n := 0
-	for k := range b.repeats {
-		if b.Barred(k) {
+	for k := range r.repeats {
+		if r.Barred(k) {
 			n++
 		}
 	}
@@ -281,42 +281,42 @@
 }
 
 // Len returns how many requests are known.
-func (b *Book) Len() int { return len(b.suspects) }
+func (r *Registry) Len() int { return len(r.suspects) }
 
 // remember keeps an end, and drops what is then beyond the bounds.
-func (b *Book) remember(e ending) {
+func (r *Registry) remember(e ending) {
 	if len(e.keys) == 0 {
 		return
 	}
-	b.ends = append(b.ends, e)
-	b.pairs += len(e.keys)
-	for b.pairs > mostPairs {
-		b.forget(b.ends[0])
-		b.ends = b.ends[1:]
+	r.ends = append(r.ends, e)
+	r.pairs += len(e.keys)
+	for r.pairs > mostPairs {
+		r.forget(r.ends[0])
+		r.ends = r.ends[1:]
 	}
-	for len(b.repeats) > mostRepeated {
-		k := b.leastNeeded()
-		delete(b.repeats, k)
-		delete(b.suspects, k)
+	for len(r.repeats) > mostRepeated {
+		k := r.leastNeeded()
+		delete(r.repeats, k)
+		delete(r.suspects, k)
 	}
 }
 
 // forget drops those that were at this end and at no other one.
-func (b *Book) forget(e ending) {
-	b.pairs -= len(e.keys)
+func (r *Registry) forget(e ending) {
+	r.pairs -= len(e.keys)
 	for _, k := range e.keys {
-		s := b.suspects[k]
+		s := r.suspects[k]
 		if s != nil && (len(s.ended) == 0 || len(s.ended) < repeated && s.ended[0] == e.server) {
-			delete(b.suspects, k)
+			delete(r.suspects, k)
 		}
 	}
 }
 
 // leastNeeded returns one that is not barred, or else the one that was barred first.
-func (b *Book) leastNeeded() (least Key) {
+func (r *Registry) leastNeeded() (least Key) {
 	first := true
-	for k := range b.repeats {
-		if first || b.suspects[k].barred.Before(b.suspects[least].barred) {
+	for k := range r.repeats {
+		if first || r.suspects[k].barred.Before(r.suspects[least].barred) {
 			least, first = k, false
 		}
 	}
--- a/gateway/quarantine/quarantine_test.go
+++ b/gateway/quarantine/quarantine_test.go
@@ -51,7 +51,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			b := NewBook()
+			b := NewRegistry()
 			for i, e := range test.ends {
 				b.Ended(time.Unix(int64(i+1), 0), e.server, keys(e.there...))
 				if i == 1 {
@@ -71,8 +71,8 @@
 	}
 }
 
-// check tells whether the counts of a book are what it holds.
-func (b *Book) check(t *testing.T) {
+// check tells whether the counts of a registry are what it holds.
+func (b *Registry) check(t *testing.T) {
 	t.Helper()
 	pairs := 0
 	for _, e := range b.ends {
@@ -105,9 +105,9 @@
 		for s := 0; s < len(news); s += 3 {
 			news[s].there = append(news[s].there, 100)
 		}
-		var first *Book
+		var first *Registry
 		for range 3 {
-			b := NewBook()
+			b := NewRegistry()
 			for _, i := range append(random.Perm(len(news)), random.Perm(len(news))...) {
 				b.Ended(time.Unix(1, 0), news[i].server, keys(news[i].there...))
 			}
@@ -125,7 +125,7 @@
 
 // TestRecords: a record that was written is taken over by a gateway that knows nothing.
 func TestRecords(t *testing.T) {
-	b, later := NewBook(), NewBook()
+	b, later := NewRegistry(), NewRegistry()
 	require.Empty(t, b.Ended(time.Unix(1, 0), "1", keys(1, 2)), "one end is worth no record")
 	require.Equal(t, keys(1), b.Ended(time.Unix(2, 0), "2", keys(1)))
 	r, ok := b.Record(key(1))
@@ -149,7 +149,7 @@
 
 // TestMemoryIsBounded: whatever comes, and those that are barred are kept.
 func TestMemoryIsBounded(t *testing.T) {
-	b := NewBook()
+	b := NewRegistry()
 	for s := range 3 {
 		b.Ended(time.Unix(1, 0), fmt.Sprint("first", s), keys(-1))
 	}
@@ -175,49 +175,49 @@
 // server has ended since; others not.
 func TestDoubtful(t *testing.T) {
 	start := time.Unix(100, 0)
-	at := func(b *Book, after time.Duration, server string) { b.Ended(start.Add(after), server, keys(1)) }
+	at := func(b *Registry, after time.Duration, server string) { b.Ended(start.Add(after), server, keys(1)) }
 	tests := []struct {
 		name string
-		play func(b *Book)
+		play func(b *Registry)
 		want bool
 	}{
-		{"at once", func(b *Book) { at(b, 0, "1"); at(b, 1, "2"); at(b, 20, "3"); at(b, 30, "4") }, true},
-		{"one after the other", func(b *Book) { at(b, 0, "1"); at(b, time.Second, "2"); at(b, 2*time.Second, "3") }, false},
-		{"not barred", func(b *Book) { at(b, 0, "1"); at(b, 1, "2") }, false},
-		{"tried, and another one ended", func(b *Book) { at(b, 0, "1"); at(b, 1, "2"); at(b, 20, "3"); at(b, 4*time.Second, "4") }, true},
-		{"and another one", func(b *Book) {
+		{"at once", func(b *Registry) { at(b, 0, "1"); at(b, 1, "2"); at(b, 20, "3"); at(b, 30, "4") }, true},
+		{"one after the other", func(b *Registry) { at(b, 0, "1"); at(b, time.Second, "2"); at(b, 2*time.Second, "3") }, false},
+		{"not barred", func(b *Registry) { at(b, 0, "1"); at(b, 1, "2") }, false},
+		{"tried, and another one ended", func(b *Registry) { at(b, 0, "1"); at(b, 1, "2"); at(b, 20, "3"); at(b, 4*time.Second, "4") }, true},
+		{"and another one", func(b *Registry) {
 			at(b, 0, "1")
 			at(b, 1, "2")
 			at(b, 20, "3")
 			at(b, 4*time.Second, "4")
 			at(b, 7*time.Second, "5")
 		}, false},
-		{"two at once, one later", func(b *Book) { at(b, 0, "1"); at(b, 1, "2"); at(b, 2*time.Second, "3") }, false},
-		{"tried after as many as are remembered", func(b *Book) {
+		{"two at once, one later", func(b *Registry) { at(b, 0, "1"); at(b, 1, "2"); at(b, 2*time.Second, "3") }, false},
+		{"tried after as many as are remembered", func(b *Registry) {
 			for n := range mostOfOne {
 				at(b, 0, fmt.Sprint(n))
 			}
 			at(b, 4*time.Second, "x")
 			at(b, 5*time.Second, "y")
 		}, false},
-		{"known by a record only", func(b *Book) { b.Merge(start, key(1), Kept{Servers: []string{"1", "2", "3"}}) }, false},
-		{"that says at once", func(b *Book) { b.Merge(start, key(1), Kept{Servers: []string{"1", "2", "3"}, AtOnce: true}) }, true},
-		{"and two later ends", func(b *Book) {
+		{"known by a record only", func(b *Registry) { b.Merge(start, key(1), Kept{Servers: []string{"1", "2", "3"}}) }, false},
+		{"that says at once", func(b *Registry) { b.Merge(start, key(1), Kept{Servers: []string{"1", "2", "3"}, AtOnce: true}) }, true},
+		{"and two later ends", func(b *Registry) {
 			b.Merge(start, key(1), Kept{Servers: []string{"1", "2", "3"}, AtOnce: true})
 			at(b, 4*time.Second, "4")
 			at(b, 7*time.Second, "5")
 		}, false},
-		{"at once, and more by a record", func(b *Book) {
+		{"at once, and more by a record", func(b *Registry) {
 			at(b, 0, "1")
 			b.Merge(start.Add(5*time.Second), key(1), Kept{Servers: []string{"1", "2", "3"}, AtOnce: true})
 		}, true},
-		{"at once, and one by a record that does not say so", func(b *Book) {
+		{"at once, and one by a record that does not say so", func(b *Registry) {
 			at(b, 0, "1")
 			at(b, 1, "2")
 			at(b, 2, "3")
 			b.Merge(start, key(1), Kept{Servers: []string{"1", "4"}})
 		}, false},
-		{"answered between", func(b *Book) {
+		{"answered between", func(b *Registry) {
 			at(b, 0, "1")
 			b.Answered(key(1))
 			at(b, 2*time.Second, "2")
@@ -227,7 +227,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			b := NewBook()
+			b := NewRegistry()
 			test.play(b)
 			_, doubtful := b.Doubtful(start.Add(10*time.Second), key(1))
 			require.Equal(t, test.want, doubtful)
@@ -308,7 +308,7 @@
 }
 
 // reserved tells whether a request may not go to a server with these.
-func (s storm) reserved(b *Book, id int, there []int) bool {
+func (s storm) reserved(b *Registry, id int, there []int) bool {
 	if !s.apart {
 		return false
 	}
@@ -326,7 +326,7 @@
 		again, tries        = 5, 5
 	)
 	random := rand.New(rand.NewPCG(seed, 7))
-	b := NewBook()
+	b := NewRegistry()
 	b.limit = s.limit
 	at := make([][]run, servers)
 	down := make([]int, servers)
@@ -463,13 +463,13 @@
 	}
 }
 
-// BenchmarkBarred is the look into a full book: 34 ns.
+// BenchmarkBarred is the look into a full registry: 34 ns.
 func BenchmarkBarred(b *testing.B) {
-	book := NewBook()
+	registry := NewRegistry()
 	for n := range mostPairs {
-		book.Ended(time.Unix(1, 0), fmt.Sprint(n/64), []Key{key(n)})
+		registry.Ended(time.Unix(1, 0), fmt.Sprint(n/64), []Key{key(n)})
 	}
 	for b.Loop() {
-		book.Barred(key(5))
+		registry.Barred(key(5))
 	}
 }
--- a/gateway/words.go
+++ b/gateway/signals.go
@@ -38,82 +38,82 @@
 	errServerRests  = errors.New("gateway: the server has asked for rest")
 )
 
-// words is what servers have said of themselves. It is safe for use by several goroutines.
-type words struct {
+// signals is what servers have said of themselves. It is safe for use by several goroutines.
+type signals struct {
 	mutex   sync.Mutex
 	leaving map[string]time.Time // when the entry was there last, by lifetime
 	rests   map[string]time.Time // ends, by lifetime
 }
 
-func newWords() *words {
-	return &words{leaving: map[string]time.Time{}, rests: map[string]time.Time{}}
+func newSignals() *signals {
+	return &signals{leaving: map[string]time.Time{}, rests: map[string]time.Time{}}
 }
 
 // leaves takes over that a server leaves. It returns whether that is news.
-func (w *words) leaves(now time.Time, server string) bool {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	if _, known := w.leaving[server]; known || len(w.leaving) >= mostLeaving {
+func (s *signals) leaves(now time.Time, server string) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if _, known := s.leaving[server]; known || len(s.leaving) >= mostLeaving {
 		return false
 	}
-	w.leaving[server] = now
+	s.leaving[server] = now
 	return true
 }
 
 // rest takes over that a server wants rest. Of several rests the latest end holds.
-func (w *words) rest(server string, until time.Time) {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	w.rests[server] = latest(w.rests[server], until)
+func (s *signals) rest(server string, until time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.rests[server] = latest(s.rests[server], until)
 }
 
 // bars returns why a server gets no request now; nil: it may get one.
-func (w *words) bars(now time.Time, server string) error {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	if _, leaving := w.leaving[server]; leaving {
+func (s *signals) bars(now time.Time, server string) error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if _, leaving := s.leaving[server]; leaving {
 		return errServerLeaves
 	}
-	if now.Before(w.rests[server]) {
+	if now.Before(s.rests[server]) {
 		return errServerRests
 	}
 	return nil
 }
 
 // counts returns how many servers have said that they leave, and how many rest.
-func (w *words) counts(now time.Time) (leaving, resting int) {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	for _, until := range w.rests {
+func (s *signals) counts(now time.Time) (leaving, resting int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, until := range s.rests {
 		if now.Before(until) {
 			resting++
 		}
 	}
-	return len(w.leaving), resting
+	return len(s.leaving), resting
 }
 
 // mark notes in a list of servers which of them have said that they leave, and forgets what is
 // over. It returns all that leave.
-func (w *words) mark(now time.Time, servers []catalog.Server) (leaving []string) {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	for id, until := range w.rests {
+func (s *signals) mark(now time.Time, servers []catalog.Server) (leaving []string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for id, until := range s.rests {
 		if !now.Before(until) {
-			delete(w.rests, id)
+			delete(s.rests, id)
 		}
 	}
-	if len(w.leaving) == 0 {
+	if len(s.leaving) == 0 {
 		return nil
 	}
 	for i := range servers {
-		if _, said := w.leaving[servers[i].ID]; said {
-			w.leaving[servers[i].ID] = now
+		if _, said := s.leaving[servers[i].ID]; said {
+			s.leaving[servers[i].ID] = now
 			servers[i].Leaving = true
 		}
 	}
-	for id, seen := range w.leaving {
+	for id, seen := range s.leaving {
 		if now.Sub(seen) > leavingKept {
-			delete(w.leaving, id)
+			delete(s.leaving, id)
 			continue
 		}
 		leaving = append(leaving, id)
@@ -121,26 +121,26 @@
 	return leaving
 }
 
-// says takes over what an answer says of its server. It is called by any goroutine.
-func (g *Gateway) says(s catalog.Server, w upstream.Word) {
+// heed takes over what an answer says of its server. It is called by any goroutine.
+func (g *Gateway) heed(server catalog.Server, s upstream.Signal) {
 	now := time.Now()
-	if w.Leaving && g.words.leaves(now, s.ID) {
-		g.log.Info().Str("event", "server.says_leaving").Str("server", s.ID).Int("status", w.Status).Msg("no new work")
-		g.peers.TellLeaves(s.ID)
-		g.leaves(s.ID)
+	if s.Leaving && g.signals.leaves(now, server.ID) {
+		g.log.Info().Str("event", "server.says_leaving").Str("server", server.ID).Int("status", s.Status).Msg("no new work")
+		g.peers.TellLeaves(server.ID)
+		g.leaves(server.ID)
 	}
-	if w.Rest > 0 && w.Status == http.StatusServiceUnavailable {
-		until := now.Add(min(w.Rest, placement.MostRest))
-		g.log.Info().Str("event", "server.asks_rest").Str("server", s.ID).Int("status", w.Status).Dur("rest", w.Rest).Msg("no work until then")
-		g.words.rest(s.ID, until)
-		g.desk.tell(restMessage{server: s.ID, until: until})
+	if s.Rest > 0 && s.Status == http.StatusServiceUnavailable {
+		until := now.Add(min(s.Rest, placement.MostRest))
+		g.log.Info().Str("event", "server.asks_rest").Str("server", server.ID).Int("status", s.Status).Dur("rest", s.Rest).Msg("no work until then")
+		g.signals.rest(server.ID, until)
+		g.desk.tell(restMessage{server: server.ID, until: until})
 	}
 }
 
 // hearLeaves takes over which servers have told other gateways that they leave.
 func (g *Gateway) hearLeaves(now time.Time, from string, servers []string) {
 	for _, id := range servers {
-		if g.words.leaves(now, id) {
+		if g.signals.leaves(now, id) {
 			g.log.Info().Str("event", "server.told_leaving").Str("server", id).Str("peer", from).Msg("no new work")
 			g.leaves(id)
 		}
--- a/gateway/words_test.go
+++ b/gateway/signals_test.go
@@ -70,13 +70,13 @@
 			w := newWorld(t, worldNode(t))
 			g, now := w.newGateway(), time.Now()
 			g.follower.take(now, answer{listed: true, snapshot: Snapshot{Configuration: version(1), Servers: []catalog.Server{one, two}, Revision: 3}})
-			g.says(one, upstream.Word{Status: 200, Leaving: true})
+			g.heed(one, upstream.Signal{Status: 200, Leaving: true})
 			g.drain(now)
 			place := func() placement.Decision {
 				return g.desk.board.Place(now, &placement.Ask{Service: "s", Exclude: []string{two.ID}, Draw: 1})
 			}
 			require.Equal(t, placement.None{}, place(), "at once")
-			require.ErrorIs(t, g.words.bars(now, one.ID), errServerLeaves)
+			require.ErrorIs(t, g.signals.bars(now, one.ID), errServerLeaves)
 			require.Len(t, g.follower.said, 1)
 			g.follower.publishAgain()
 			require.Equal(t, []string{one.ID}, g.leavingIDs())
@@ -92,7 +92,7 @@
 
 // TestSaidLeavingIsForgotten: only after its entry has gone for good.
 func TestSaidLeavingIsForgotten(t *testing.T) {
-	w, now := newWords(), time.Now()
+	w, now := newSignals(), time.Now()
 	s := lifetime("i-1", 0)
 	require.True(t, w.leaves(now, s.ID))
 	require.False(t, w.leaves(now, s.ID), "no news")
@@ -116,7 +116,7 @@
 		w := newWorld(t, worldNode(t))
 		from, to, now := w.newGateway(), w.newGateway(), time.Now()
 		from.follower.take(now, answer{listed: true, snapshot: Snapshot{Configuration: version(1), Servers: []catalog.Server{one}, Revision: 3}})
-		from.says(one, upstream.Word{Leaving: true})
+		from.heed(one, upstream.Signal{Leaving: true})
 		from.follower.publishAgain()
 		d := from.view.Load().document(now)
 		if partial {
@@ -139,17 +139,17 @@
 func TestRestBars(t *testing.T) {
 	w := newWorld(t, worldNode(t))
 	g, s := w.newGateway(), lifetime("i-1", 5000)
-	g.says(s, upstream.Word{Status: http.StatusServiceUnavailable, Rest: 2 * time.Second})
+	g.heed(s, upstream.Signal{Status: http.StatusServiceUnavailable, Rest: 2 * time.Second})
 	now := time.Now()
-	require.ErrorIs(t, g.words.bars(now, s.ID), errServerRests)
-	require.ErrorIs(t, g.words.bars(now.Add(1900*time.Millisecond), s.ID), errServerRests)
-	require.NoError(t, g.words.bars(now.Add(2*time.Second), s.ID))
-	require.NoError(t, g.words.bars(now, lifetime("i-1", 6000).ID), "another lifetime")
+	require.ErrorIs(t, g.signals.bars(now, s.ID), errServerRests)
+	require.ErrorIs(t, g.signals.bars(now.Add(1900*time.Millisecond), s.ID), errServerRests)
+	require.NoError(t, g.signals.bars(now.Add(2*time.Second), s.ID))
+	require.NoError(t, g.signals.bars(now, lifetime("i-1", 6000).ID), "another lifetime")
 	require.Equal(t, 1, g.Status().Resting)
-	g.says(s, upstream.Word{Status: http.StatusServiceUnavailable, Rest: time.Second})
-	require.ErrorIs(t, g.words.bars(now.Add(1900*time.Millisecond), s.ID), errServerRests, "the later end holds")
-	g.words.mark(now.Add(3*time.Second), nil)
-	require.Empty(t, g.words.rests)
+	g.heed(s, upstream.Signal{Status: http.StatusServiceUnavailable, Rest: time.Second})
+	require.ErrorIs(t, g.signals.bars(now.Add(1900*time.Millisecond), s.ID), errServerRests, "the later end holds")
+	g.signals.mark(now.Add(3*time.Second), nil)
+	require.Empty(t, g.signals.rests)
 }
 
 // TestRestOutlastsAnEntry: a server whose entry lapses and comes back still rests; without that
@@ -158,7 +158,7 @@
 	w := newWorld(t, worldNode(t))
 	g, s, now := w.newGateway(), lifetime("i-1", 5000), time.Now()
 	g.follower.take(now, answer{listed: true, snapshot: Snapshot{Configuration: version(1), Servers: []catalog.Server{s}, Revision: 3}})
-	g.says(s, upstream.Word{Status: http.StatusServiceUnavailable, Rest: 10 * time.Second})
+	g.heed(s, upstream.Signal{Status: http.StatusServiceUnavailable, Rest: 10 * time.Second})
 	g.follower.take(now, answer{since: 3, revision: 4, changes: []Change{ServerGone{"i-1"}}})
 	g.follower.take(now, answer{since: 4, revision: 5, changes: []Change{ServerChanged{Server: s}}})
 	g.drain(now)
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -15,7 +15,7 @@
 
 // This file keeps requests that end servers from the next ones, over the fleet. Such a
 // request comes as a sound first try each time, to whatever gateway, and would end server after
-// server (platform: TestRequestThatEndsServers). ends.go finds out which servers have ended, and
+// server (platform: TestRequestThatEndsServers). crashes.go finds out which servers have ended, and
 // package quarantine decides.
 //
 // Two ways bring what one gateway has seen to the others, so that either may fail: beacons,
@@ -75,10 +75,10 @@
 	fleet   func() int    // live gateways
 	wake    chan struct{} // there is something to write
 	bars    chan struct{} // a request has been barred
-	known   atomic.Int64  // requests in the book; with none there is nothing to look for
+	known   atomic.Int64  // requests in the registry; with none there is nothing to look for
 
 	mutex    sync.Mutex
-	book     *quarantine.Book
+	registry *quarantine.Registry
 	lately   quarantine.Answers           // of this gateway
 	own      map[quarantine.Key]bool      // kept in the store by this gateway
 	tried    map[quarantine.Key]tries     // although they are barred
@@ -92,7 +92,7 @@
 
 func newSuspects(log zerolog.Logger, address string, fleet func() int) *suspects {
 	return &suspects{
-		log: log, address: address, fleet: fleet, wake: make(chan struct{}, 1), bars: make(chan struct{}, 1), book: quarantine.NewBook(),
+		log: log, address: address, fleet: fleet, wake: make(chan struct{}, 1), bars: make(chan struct{}, 1), registry: quarantine.NewRegistry(),
 		own: map[quarantine.Key]bool{}, tried: map[quarantine.Key]tries{}, others: map[string]bool{}, asks: map[quarantine.Key]string{}, dirty: map[quarantine.Key]bool{}, rewrites: map[quarantine.Key]time.Time{},
 	}
 }
@@ -133,7 +133,7 @@
 			keys = append(keys, t.key)
 		}
 	}
-	changed := s.book.Ended(now, server, keys)
+	changed := s.registry.Ended(now, server, keys)
 	for _, t := range there {
 		if slices.Contains(changed, t.key) {
 			s.asks[t.key] = t.asks
@@ -171,7 +171,7 @@
 // note writes to the log what is now believed of requests. The mutex is held.
 func (s *suspects) note(changed []quarantine.Key, server string) {
 	for _, k := range changed {
-		r, _ := s.book.Record(k)
+		r, _ := s.registry.Record(k)
 		event := s.log.Warn().Str("key", k.String()).Str("asks", s.asks[k]).Strs("servers", r.Servers).Str("latest", server)
 		if r.Barred.IsZero() {
 			event.Str("event", "request.suspected").Msg("servers have ended under it; one more and it is barred")
@@ -183,7 +183,7 @@
 		default: // whoever reads it looks at all
 		}
 	}
-	s.known.Store(int64(s.book.Len()))
+	s.known.Store(int64(s.registry.Len()))
 }
 
 // hear takes over what another gateway tells.
@@ -202,12 +202,12 @@
 			}
 			keys = append(keys, quarantine.Key(k))
 		}
-		s.note(s.book.Ended(now, e.Server, keys), e.Server)
+		s.note(s.registry.Ended(now, e.Server, keys), e.Server)
 	}
 	for _, a := range answered {
 		k := quarantine.Key(a.Key)
-		s.book.Clear(k, a.Servers)
-		if _, repeated := s.book.Record(k); !repeated && s.own[k] {
+		s.registry.Clear(k, a.Servers)
+		if _, repeated := s.registry.Record(k); !repeated && s.own[k] {
 			s.drop(k) // it may have been written after who answered it has dropped it
 		}
 	}
@@ -217,7 +217,7 @@
 func (s *suspects) ends(key quarantine.Key) (n int, barred bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.book.Ends(key), s.book.Barred(key)
+	return s.registry.Ends(key), s.registry.Barred(key)
 }
 
 // answered takes over that a request was answered whole.
@@ -230,8 +230,8 @@
 
 // clear lets nothing count any more that a request has seen, here and at the other gateways.
 func (s *suspects) clear(key quarantine.Key) {
-	_, repeated := s.book.Record(key)
-	cleared := s.book.Answered(key)
+	_, repeated := s.registry.Record(key)
+	cleared := s.registry.Answered(key)
 	if len(cleared) == 0 {
 		return
 	}
@@ -272,7 +272,7 @@
 
 // due is mayTry with the mutex held.
 func (s *suspects) due(now time.Time, key quarantine.Key) bool {
-	quiet, doubtful := s.book.Doubtful(now, key)
+	quiet, doubtful := s.registry.Doubtful(now, key)
 	known := s.tried[key]
 	if !doubtful || s.store == nil || known.asking || known.counted >= mostTries {
 		return false
@@ -327,5 +327,5 @@
 func (s *suspects) barred() int {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.book.CountBarred()
+	return s.registry.CountBarred()
 }
--- a/gateway/suspects_store.go
+++ b/gateway/suspects_store.go
@@ -17,7 +17,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for k, is := range kept {
-		news := s.book.Merge(now, k, is)
+		news := s.registry.Merge(now, k, is)
 		if known := s.tried[k]; is.Tries != known.counted {
 			known.counted, known.at = is.Tries, now // fewer: it was dropped, and is kept again
 			s.tried[k] = known
@@ -29,13 +29,13 @@
 		if news {
 			s.note([]quarantine.Key{k}, "")
 		}
-		if watches && s.book.Cleared(k, is.Servers) && !old[k].Equal(is) {
+		if watches && s.registry.Cleared(k, is.Servers) && !old[k].Equal(is) {
 			s.drop(k)
 		}
 	}
 	for k := range old {
 		if _, still := kept[k]; !still && !s.dirty[k] && s.rewrites[k].IsZero() {
-			s.book.Lift(k)
+			s.registry.Lift(k)
 			delete(s.asks, k)
 			delete(s.own, k)
 			delete(s.tried, k)
@@ -87,7 +87,7 @@
 	if _, due := s.rewrites[key]; !due {
 		return
 	}
-	r, _ := s.book.Record(key)
+	r, _ := s.registry.Record(key)
 	known := quarantine.Kept{Servers: r.Servers, AtOnce: r.AtOnce, Tries: s.tried[key].counted}
 	if len(kept.And(known).Servers) == len(kept.Servers) && known.Tries <= kept.Tries {
 		delete(s.rewrites, key)
@@ -169,7 +169,7 @@
 	ctx, cancel := context.WithTimeout(ctx, keepTimeout)
 	defer cancel()
 	s.mutex.Lock()
-	r, repeated := s.book.Record(k)
+	r, repeated := s.registry.Record(k)
 	asks, tries := s.asks[k], s.tried[k].counted
 	s.own[k] = repeated
 	if !repeated {
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -42,7 +42,7 @@
 type Pool struct {
 	// Heard hears what answers say of their servers, as soon as their heads are read, whoever
 	// still waits for the answer. It must not block; nil: nobody does.
-	Heard func(s catalog.Server, w Word)
+	Heard func(s catalog.Server, w Signal)
 
 	codec protocol.Codec
 	mutex sync.Mutex
--- a/gateway/upstream/upstream.go
+++ b/gateway/upstream/upstream.go
@@ -182,27 +182,27 @@
 	return errors.Is(ctx.Err(), context.DeadlineExceeded) || errors.Is(err, syscall.ETIMEDOUT)
 }
 
-// Word is what an answer says of its server, beside the request.
-type Word struct {
+// Signal is what an answer says of its server, beside the request.
+type Signal struct {
 	Status  int
 	Leaving bool          // the server takes no new work
 	Rest    time.Duration // it wants nothing from this gateway for so long; 0: it did not say so
 }
 
-// word returns what an answer says of a server. ok is false if it says nothing, or is not
+// signalOf returns what an answer says of a server. ok is false if it says nothing, or is not
 // surely that server's: its request was for that server only, so whoever answers it, but for
 // a refusal as another one, is that one. An answer that could not be handed out says nothing
 // of its server either.
-func word(s catalog.Server, r *Request, status int, told protocol.Answer) (w Word, ok bool) {
+func signalOf(s catalog.Server, r *Request, status int, told protocol.Answer) (g Signal, ok bool) {
 	switch {
 	case told.RequestID == "" || told.RequestID != r.ID, status == http.StatusMisdirectedRequest:
-		return w, false
+		return g, false
 	case told.Server != "" && told.Server != s.Name():
-		return w, false
+		return g, false
 	case status < http.StatusMultipleChoices && !told.Sealed:
-		return w, false
+		return g, false
 	}
-	return Word{Status: status, Leaving: told.Leaving, Rest: told.Rest}, told.Leaving || told.Rest > 0
+	return Signal{Status: status, Leaving: told.Leaving, Rest: told.Rest}, told.Leaving || told.Rest > 0
 }
 
 // judge turns the head of an answer into a result.
@@ -216,7 +216,7 @@
 	c.lifetime = keepAlive(response.Header)
 	told := p.codec.Answer(response.StatusCode, response.Header)
 	RemoveHopHeaders(a.Header)
-	if w, ok := word(s, r, response.StatusCode, told); ok && p.Heard != nil {
+	if w, ok := signalOf(s, r, response.StatusCode, told); ok && p.Heard != nil {
 		p.Heard(s, w)
 	}
 	switch {
--- a/gateway/upstream/upstream_test.go
+++ b/gateway/upstream/upstream_test.go
@@ -130,21 +130,21 @@
 
 // TestHeard: what an answer says of its server counts only if it surely is that server's.
 func TestHeard(t *testing.T) {
-	leaving, resting := upstream.Word{Status: 200, Leaving: true}, upstream.Word{Status: 503, Rest: time.Second}
+	leaving, resting := upstream.Signal{Status: 200, Leaving: true}, upstream.Signal{Status: 503, Rest: time.Second}
 	tests := []struct {
 		name string
 		head string
-		want []upstream.Word
+		want []upstream.Signal
 	}{
-		{"an answer", "200 OK\r\nId: a\r\nSeal: s\r\nLeaving: 1", []upstream.Word{leaving}},
-		{"that names its server", "200 OK\r\nId: a\r\nSeal: s\r\nLeaving: 1\r\nServer: i-1", []upstream.Word{leaving}},
+		{"an answer", "200 OK\r\nId: a\r\nSeal: s\r\nLeaving: 1", []upstream.Signal{leaving}},
+		{"that names its server", "200 OK\r\nId: a\r\nSeal: s\r\nLeaving: 1\r\nServer: i-1", []upstream.Signal{leaving}},
 		{"of another server", "200 OK\r\nId: a\r\nSeal: s\r\nLeaving: 1\r\nServer: i-2", nil},
 		{"to another request", "200 OK\r\nId: b\r\nSeal: s\r\nLeaving: 1", nil},
 		{"to no request", "200 OK\r\nSeal: s\r\nLeaving: 1", nil},
 		{"without a seal", "200 OK\r\nId: a\r\nLeaving: 1", nil},
-		{"a failure", "500 Oh\r\nId: a\r\nLeaving: 1", []upstream.Word{{Status: 500, Leaving: true}}},
+		{"a failure", "500 Oh\r\nId: a\r\nLeaving: 1", []upstream.Signal{{Status: 500, Leaving: true}}},
 		{"of whoever has the address now", "421 Other\r\nId: a\r\nLeaving: 1\r\nRest: 1", nil},
-		{"a refusal", "503 Full\r\nId: a\r\nNot-Run: 1\r\nRest: 1", []upstream.Word{resting}},
+		{"a refusal", "503 Full\r\nId: a\r\nNot-Run: 1\r\nRest: 1", []upstream.Signal{resting}},
 		{"a refusal of another request", "503 Full\r\nId: b\r\nNot-Run: 1\r\nRest: 1", nil},
 		{"nothing to say", "200 OK\r\nId: a\r\nSeal: s", nil},
 		{"interim", "103 Hints\r\nId: a\r\nLeaving: 1\r\n\r\nHTTP/1.1 200 OK\r\nId: a\r\nSeal: s", nil},
@@ -155,9 +155,9 @@
 				fmt.Fprintf(c, "HTTP/1.1 %s\r\nContent-Length: 4\r\n\r\nbody", test.head)
 				return true
 			})
-			var heard []upstream.Word
+			var heard []upstream.Signal
 			p := upstream.NewPool(codec{})
-			p.Heard = func(of catalog.Server, w upstream.Word) {
+			p.Heard = func(of catalog.Server, w upstream.Signal) {
 				require.Equal(t, s.ID, of.ID)
 				heard = append(heard, w)
 			}
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -480,10 +480,10 @@
 		_, v.Servers[i].Evacuated = f.halls[v.Servers[i].Hall]
 	}
 	now := time.Now()
-	v.Left = f.gateway.words.mark(now, v.Servers)
+	v.Left = f.gateway.signals.mark(now, v.Servers)
 	changed := c != old.Configuration || !slices.Equal(v.Servers, old.Servers) || !maps.Equal(v.Cold, old.Cold)
 	f.gateway.view.Store(v)
-	f.gateway.ends.viewChanged(now, old.Servers, v.Servers)
+	f.gateway.crashes.viewChanged(now, old.Servers, v.Servers)
 	if f.suspectsChanged {
 		f.suspectsChanged = false
 		f.gateway.suspects.kept(now, old.Suspects, v.Suspects, f.gateway.watches.Load())
