gateway: a lost evacuation that is told late ends as well; what takes views over in a file of its own

What would be seen: a hall's servers got no work after a return, at gateways for which the view had settled, told by one for which it had not, until the store's next change. Cause: such evacuations ended once, when the own view settled. Measured: gateway: TestLostEvacuationIsToldLate, which fails with the look at settling only.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -297,7 +297,7 @@
 	c.gateway.options.Metrics.Ended(o)
 	c.gateway.log.Info().Str("event", "request.ended").Str("request", c.told.ID).Str("route", c.route.Name).
 		Str("kind", kindName(c.route)).Dur("spent", c.spent).Str("account", c.account).Str("result", o.Result).Str("reason", c.reason).Int("attempts", c.attempts).
-		Dur("first", o.First).Dur("pause", c.pause).Dur("whole", o.Whole).EmbedObject(at(c.gateway.view.Load().Revision)).Msg("request")
+		Dur("first", o.First).Dur("pause", c.pause).Dur("whole", o.Whole).EmbedObject(atRevision(c.gateway.view.Load().Revision)).Msg("request")
 }
 
 // late tells whether an answer came later than its route's operator wants: the first event
--- /dev/null
+++ b/gateway/handed_view.go
@@ -0,0 +1,108 @@
+package gateway
+
+import (
+	"time"
+
+	"opalbridge.dev/gateway/catalog"
+	"opalbridge.dev/gateway/quarantine"
+)
+
+// This file takes over what other gateways tell of their views.
+
+// handover is a view that another gateway has told.
+type handover struct {
+	from     string
+	snapshot Snapshot
+	halls    map[string]evacuation // that are evacuated
+	cold     map[string]coldness   // by server
+	revived  []catalog.Server      // that a copy names and that are kept back
+	settled  time.Time             // until then the store may lack what it had
+	partial  bool                  // only what has changed since a revision that this gateway has passed
+	gone     []string              // servers that are no more; only if partial
+	cleared  []quarantine.Key      // requests that are no suspects any more; only if partial
+	left     []string              // servers that have said that they leave
+	// Without it a whole view leaves what is known of suspects.
+	suspectsTold bool
+	confirmed    time.Time // when it was the store's latest
+}
+
+// takeHandover takes over the view of another gateway if it is newer than the own one.
+func (f *follower) takeHandover(now time.Time, h handover) {
+	f.now = now
+	f.gateway.hearLeaves(now, h.from, h.left)
+	v := f.gateway.view.Load()
+	if h.snapshot.Revision <= v.Revision {
+		f.takeConfiguration(v, h)
+		return
+	}
+	f.gateway.log.Info().Str("event", "view.handed_over").Str("peer", h.from).
+		EmbedObject(atRevision(h.snapshot.Revision)).Stringer("before", v.Revision).Bool("partial", h.partial).Msg("a gateway knows more than the store tells")
+	if h.snapshot.Revision.Era() > v.Revision.Era() {
+		f.enter(h.snapshot.Revision, h.settled)
+	}
+	f.mark = h.snapshot.Revision
+	f.takeWarmth(now, h)
+	if h.partial {
+		f.takePart(h)
+	} else {
+		f.takeWhole(h)
+	}
+	f.gateway.confirm(h.confirmed)
+}
+
+// takeConfiguration takes over a later configuration of a gateway that knows no more of the
+// store: a copy may be older than the one that this gateway has started with.
+func (f *follower) takeConfiguration(v *View, h handover) {
+	c := h.snapshot.Configuration
+	if c == nil || v.Configuration == nil || c.Version <= v.Configuration.Version {
+		return
+	}
+	f.gateway.log.Info().Str("event", "configuration.handed_over").Str("peer", h.from).Uint64("version", c.Version).Msg("later than what the store tells")
+	f.publish(c, h.snapshot.Raw, v.Revision)
+}
+
+// takeWhole takes over the whole view of another gateway.
+func (f *follower) takeWhole(h handover) {
+	f.log.restart(h.snapshot.Revision)
+	f.suspectLog.restart(h.snapshot.Revision)
+	if !h.suspectsTold {
+		h.snapshot.Suspects = f.suspects
+	}
+	if !f.settling(f.now) {
+		clear(f.missing)
+	}
+	for id, until := range h.snapshot.Missing {
+		f.missing[id] = until
+	}
+	for _, s := range h.revived {
+		if f.settling(f.now) {
+			f.hold(s)
+		}
+	}
+	f.takeSnapshot(h.snapshot, f.drop)
+}
+
+// takePart takes over what has changed at another gateway. Servers that are missing here
+// only stay so: the other one may have dropped them before.
+func (f *follower) takePart(h handover) {
+	for _, server := range h.snapshot.Servers {
+		delete(f.revived, server.Name())
+		f.set(server)
+	}
+	for _, id := range h.gone {
+		delete(f.revived, catalog.ServerName(id))
+		f.drop(id)
+	}
+	for id, until := range h.snapshot.Missing {
+		if _, known := f.servers[id]; known {
+			f.missing[id] = until
+		}
+	}
+	for key, kept := range h.snapshot.Suspects {
+		f.setSuspect(key, kept)
+	}
+	for _, key := range h.cleared {
+		f.dropSuspect(key)
+	}
+	f.publish(h.snapshot.Configuration, h.snapshot.Raw, h.snapshot.Revision)
+}
--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -228,7 +228,7 @@
 	writeDenial(w, d)
 	g.log.Info().Str("event", "request.denied").Str("host", r.Host).Str("path", r.URL.Path).
 		Int("status", d.status).Str("reason", d.reason).Dur("retry_after", d.retryAfter).
-		EmbedObject(at(g.view.Load().Revision)).Dur("view_age", time.Since(g.confirmedAt())).Msg("answered")
+		EmbedObject(atRevision(g.view.Load().Revision)).Dur("view_age", time.Since(g.confirmedAt())).Msg("answered")
 	g.options.Metrics.Ended(Outcome{Result: "denied"})
 }
 
--- a/gateway/lifetimes.go
+++ b/gateway/lifetimes.go
@@ -38,7 +38,7 @@
 		return
 	}
 	f.gateway.log.Info().Str("event", "server.started_again").Str("server", s.Name()).
-		Int64("born", s.Born).Int64("before", f.servers[before].Born).EmbedObject(at(f.mark)).
+		Int64("born", s.Born).Int64("before", f.servers[before].Born).EmbedObject(atRevision(f.mark)).
 		Msg("nothing that was learned of it holds")
 	f.drop(before)
 }
@@ -92,8 +92,8 @@
 			dropped = true
 		}
 	}
-	settled := f.settle(now)
-	if dropped || settled {
+	settled, takenBack := f.settle(now), f.takeBackLost(now)
+	if dropped || settled || takenBack {
 		f.publishAgain()
 	}
 	if now.Sub(f.gateway.confirmedAt()) < unconfirmed {
--- a/gateway/settle.go
+++ b/gateway/settle.go
@@ -92,7 +92,7 @@
 	if before.Configuration == nil {
 		return // nothing is known of before
 	}
-	f.gateway.log.Warn().Str("event", "store.returned").EmbedObject(at(revision)).Stringer("before", before.Revision).
+	f.gateway.log.Warn().Str("event", "store.returned").EmbedObject(atRevision(revision)).Stringer("before", before.Revision).
 		Int("servers", len(f.servers)).Int("gone", len(f.memory.gone)).
 		Int("halls", len(f.halls)).Int("suspects", len(f.suspects)).
 		Msg("it has come back from a copy: what it lacks is kept for a moment")
@@ -165,14 +165,25 @@
 			delete(f.cold, id)
 		}
 	}
+	f.gateway.log.Info().Str("event", "store.settled").EmbedObject(atRevision(f.gateway.view.Load().Revision)).Msg("it has what had been written before it came back")
+	return true
+}
+
+// takeBackLost takes evacuations back of which the store has told nothing since it came back from
+// a copy, also one that a gateway for which the view had not settled has told later. It returns
+// whether there was one.
+func (f *follower) takeBackLost(now time.Time) (found bool) {
+	if f.settling(now) {
+		return false
+	}
 	era := f.gateway.view.Load().Revision.Era()
 	for hall, e := range f.halls {
 		if e.Revision.Era() != era {
 			f.takeBack(now, hall)
+			found = true
 		}
 	}
-	f.gateway.log.Info().Str("event", "store.settled").EmbedObject(at(f.gateway.view.Load().Revision)).Msg("it has what had been written before it came back")
-	return true
+	return found
 }
 
 // mergeSuspects returns what is kept of suspects, by what a view of a new era says and what was
--- a/gateway/settle_test.go
+++ b/gateway/settle_test.go
@@ -193,6 +193,26 @@
 	}
 }
 
+// TestLostEvacuationIsToldLate: a gateway for which the view has settled hears of an evacuation of
+// the era before from one for which it has not, and takes it back as well.
+func TestLostEvacuationIsToldLate(t *testing.T) {
+	before, after := catalog.NewRevision(1, 90), catalog.NewRevision(2, 80)
+	now := time.Now()
+	early, late := quiet(t), quiet(t)
+	early.follower.take(now, listOf(before, 1, staying()))
+	early.follower.take(now, listOf(after, 1, staying()))
+	first := listOf(before, 1, staying())
+	first.snapshot.Evacuated = map[string]catalog.Revision{"": before - 4}
+	late.follower.take(now, first)
+	now = now.Add(settleTime + time.Millisecond)
+	early.follower.dropMissing(now)
+	late.follower.take(now, listOf(after, 1, staying()))
+	late.follower.take(now, answer{since: after, revision: after + 1, changes: []Change{ServerChanged{Server: staying()}}})
+	handOver(t, now, late, early, asItIs)
+	early.follower.dropMissing(now)
+	require.False(t, early.view.Load().Servers[0].Evacuated)
+}
+
 // TestNoClaimsWhileSettling: a server that appears may have been there before, and held.
 func TestNoClaimsWhileSettling(t *testing.T) {
 	before, after := catalog.NewRevision(1, 90), catalog.NewRevision(2, 80)
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -91,32 +91,15 @@
 	said            chan struct{} // a server has said that it leaves
 }
 
-// at writes a revision to the log: its era, and its number as the store calls it.
-type at catalog.Revision
+// atRevision writes a revision to the log: its era, and its number as the store calls it.
+type atRevision catalog.Revision
 
 // MarshalZerologObject implements zerolog.LogObjectMarshaler.
-func (a at) MarshalZerologObject(e *zerolog.Event) {
+func (a atRevision) MarshalZerologObject(e *zerolog.Event) {
 	r := catalog.Revision(a)
 	e.Uint64("era", r.Era()).Uint64("revision", r.Number())
 }
 
-// handover is a view that another gateway has told.
-type handover struct {
-	from     string
-	snapshot Snapshot
-	halls    map[string]evacuation // that are evacuated
-	cold     map[string]coldness   // by server
-	revived  []catalog.Server      // that a copy names and that are kept back
-	settled  time.Time             // until then the store may lack what it had
-	partial  bool                  // only what has changed since a revision that this gateway has passed
-	gone     []string              // servers that are no more; only if partial
-	cleared  []quarantine.Key      // requests that are no suspects any more; only if partial
-	left     []string              // servers that have said that they leave
-	// Without it a whole view leaves what is known of suspects.
-	suspectsTold bool
-	confirmed    time.Time // when it was the store's latest
-}
-
 func newFollower(g *Gateway) *follower {
 	return &follower{gateway: g, servers: map[string]catalog.Server{}, current: map[string]string{}, missing: map[string]time.Time{}, halls: map[string]evacuation{}, cold: map[string]coldness{}, memory: newMemory(), revived: map[string]catalog.Server{}, handed: make(chan handover, 1), said: make(chan struct{}, 1)}
 }
@@ -229,7 +212,7 @@
 	known := f.gateway.view.Load().Revision
 	switch {
 	case errors.Is(a.err, ErrHistoryGone):
-		f.gateway.log.Warn().Str("event", "store.history_gone").EmbedObject(at(known)).Err(a.err).Msg("list again")
+		f.gateway.log.Warn().Str("event", "store.history_gone").EmbedObject(atRevision(known)).Err(a.err).Msg("list again")
 		return true, a.listed // a list that is late, or was made while the store came back
 	case a.err != nil:
 		f.fail(now, a.err)
@@ -256,7 +239,7 @@
 		f.gateway.confirm(now)
 	}
 	if s.Revision < known {
-		f.gateway.log.Warn().Str("event", "store.list_set_aside").EmbedObject(at(s.Revision)).Stringer("known", known).Msg("older than what is known: list again")
+		f.gateway.log.Warn().Str("event", "store.list_set_aside").EmbedObject(atRevision(s.Revision)).Stringer("known", known).Msg("older than what is known: list again")
 		return true, true
 	}
 	if s.Revision.Era() > known.Era() {
@@ -283,7 +266,7 @@
 		f.away = true
 		f.gateway.storeAway.Store(true)
 		f.gateway.peers.TellNow()
-		f.gateway.log.Warn().Str("event", "store.lost").Err(err).EmbedObject(at(f.gateway.view.Load().Revision)).Msg("go on with what is known")
+		f.gateway.log.Warn().Str("event", "store.lost").Err(err).EmbedObject(atRevision(f.gateway.view.Load().Revision)).Msg("go on with what is known")
 	}
 }
 
@@ -368,87 +351,6 @@
 	f.publish(configuration, raw, revision)
 }
 
-// takeHandover takes over the view of another gateway if it is newer than the own one.
-func (f *follower) takeHandover(now time.Time, h handover) {
-	f.now = now
-	f.gateway.hearLeaves(now, h.from, h.left)
-	v := f.gateway.view.Load()
-	if h.snapshot.Revision <= v.Revision {
-		f.takeConfiguration(v, h)
-		return
-	}
-	f.gateway.log.Info().Str("event", "view.handed_over").Str("peer", h.from).
-		EmbedObject(at(h.snapshot.Revision)).Stringer("before", v.Revision).Bool("partial", h.partial).Msg("a gateway knows more than the store tells")
-	if h.snapshot.Revision.Era() > v.Revision.Era() {
-		f.enter(h.snapshot.Revision, h.settled)
-	}
-	f.mark = h.snapshot.Revision
-	f.takeWarmth(now, h)
-	if h.partial {
-		f.takePart(h)
-	} else {
-		f.takeWhole(h)
-	}
-	f.gateway.confirm(h.confirmed)
-}
-
-// takeConfiguration takes over a later configuration of a gateway that knows no more of the
-// store: a copy may be older than the one that this gateway has started with.
-func (f *follower) takeConfiguration(v *View, h handover) {
-	c := h.snapshot.Configuration
-	if c == nil || v.Configuration == nil || c.Version <= v.Configuration.Version {
-		return
-	}
-	f.gateway.log.Info().Str("event", "configuration.handed_over").Str("peer", h.from).Uint64("version", c.Version).Msg("later than what the store tells")
-	f.publish(c, h.snapshot.Raw, v.Revision)
-}
-
-// takeWhole takes over the whole view of another gateway.
-func (f *follower) takeWhole(h handover) {
-	f.log.restart(h.snapshot.Revision)
-	f.suspectLog.restart(h.snapshot.Revision)
-	if !h.suspectsTold {
-		h.snapshot.Suspects = f.suspects
-	}
-	if !f.settling(f.now) {
-		clear(f.missing)
-	}
-	for id, until := range h.snapshot.Missing {
-		f.missing[id] = until
-	}
-	for _, s := range h.revived {
-		if f.settling(f.now) {
-			f.hold(s)
-		}
-	}
-	f.takeSnapshot(h.snapshot, f.drop)
-}
-
-// takePart takes over what has changed at another gateway. Servers that are missing here
-// only stay so: the other one may have dropped them before.
-func (f *follower) takePart(h handover) {
-	for _, server := range h.snapshot.Servers {
-		delete(f.revived, server.Name())
-		f.set(server)
-	}
-	for _, id := range h.gone {
-		delete(f.revived, catalog.ServerName(id))
-		f.drop(id)
-	}
-	for id, until := range h.snapshot.Missing {
-		if _, known := f.servers[id]; known {
-			f.missing[id] = until
-		}
-	}
-	for key, kept := range h.snapshot.Suspects {
-		f.setSuspect(key, kept)
-	}
-	for _, key := range h.cleared {
-		f.dropSuspect(key)
-	}
-	f.publish(h.snapshot.Configuration, h.snapshot.Raw, h.snapshot.Revision)
-}
-
 // publishAgain makes a new view of what is known besides the store.
 func (f *follower) publishAgain() {
 	v := f.gateway.view.Load()
@@ -463,7 +365,7 @@
 	}
 	if c != nil && (old.Configuration == nil || c.Version != old.Configuration.Version) {
 		f.gateway.log.Info().Str("event", "configuration.in_force").Uint64("version", c.Version).
-			EmbedObject(at(revision)).Int("routes", len(c.Routes)).Int("accounts", len(c.Accounts)).Msg("apply")
+			EmbedObject(atRevision(revision)).Int("routes", len(c.Routes)).Int("accounts", len(c.Accounts)).Msg("apply")
 	}
 	v := &View{
 		Configuration: c, Raw: raw, Revision: max(revision, old.Revision), Missing: maps.Clone(f.missing),
--- a/gateway/warmth.go
+++ b/gateway/warmth.go
@@ -90,7 +90,7 @@
 		f.cold[id] = c
 		f.log.add(f.mark, id)
 	}
-	f.gateway.log.Info().Str("event", "hall.evacuated").Str("hall", e.Hall).EmbedObject(at(e.Revision)).Msg("no new work for its servers")
+	f.gateway.log.Info().Str("event", "hall.evacuated").Str("hall", e.Hall).EmbedObject(atRevision(e.Revision)).Msg("no new work for its servers")
 }
 
 // takeBack takes over that a hall's evacuation has ended. Its servers may have become cold
