--- a/gateway/quarantine/quarantine_test.go
+++ b/gateway/quarantine/quarantine_test.go
@@ -72,20 +72,20 @@
 }
 
 // check tells whether the counts of a registry are what it holds.
-func (b *Registry) check(t *testing.T) {
+func (r *Registry) check(t *testing.T) {
 	t.Helper()
 	pairs := 0
-	for _, e := range b.ends {
+	for _, e := range r.ends {
 		pairs += len(e.keys)
 	}
-	for k, s := range b.suspects {
-		require.Equal(t, len(s.ended) >= repeated, b.repeats[k])
-		require.Equal(t, len(s.ended) >= b.limit, b.Barred(k))
+	for k, s := range r.suspects {
+		require.Equal(t, len(s.ended) >= repeated, r.repeats[k])
+		require.Equal(t, len(s.ended) >= r.limit, r.Barred(k))
 	}
-	require.Equal(t, pairs, b.pairs)
+	require.Equal(t, pairs, r.pairs)
 	require.LessOrEqual(t, pairs, mostPairs)
-	require.LessOrEqual(t, len(b.repeats), mostRepeated)
-	require.LessOrEqual(t, len(b.suspects), mostPairs+mostRepeated)
+	require.LessOrEqual(t, len(r.repeats), mostRepeated)
+	require.LessOrEqual(t, len(r.suspects), mostPairs+mostRepeated)
 }
 
 // TestNewsInAnyOrder: gateways that hear the same news in different orders, some of them
