gateway, platform: services move to a new version, or are taken back

Callers of a service whose operators bring in a bad version got half of their requests served by it as soon as its servers were there, for as long as it lasted; operators who ordered a roll-out were told nothing.

Cause: nothing read the orders nor the servers' version.

Change: gateway/rollout decides (stages, counts, verdicts); each gateway sends the target a part of its own requests, so the fleet's exposure is bounded by nothing but arithmetic; counts are told as totals; the first verdict holds for all; old servers are empty on all gateways before the operators read "complete".

--- a/cmd/opalbridge/gateway.go
+++ b/cmd/opalbridge/gateway.go
@@ -155,6 +155,7 @@
 		Source:    &platform.Feed{Store: store, Halls: s.Regions, Unreadable: entries.hear},
 		Caches:    &platform.Caches{},
 		Claims:    &platform.Claims{Store: store, Holder: s.Name + "/" + strconv.FormatInt(time.Now().UnixNano(), 36)},
+		Rollouts:  &platform.Rollouts{Store: store},
 		Suspects:  &platform.Suspects{Store: store},
 		Codec:     platform.Codec{},
 		Desk: gateway.DeskSettings{
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -43,6 +43,9 @@
 	first     time.Time     // when the caller was sent the first byte; zero: not yet
 	latest    time.Time     // when it was sent the latest event; zero: none
 	pause     time.Duration // longest between two events
+	status    int           // of the latest server's answer; 0: none, or not all of it
+	events    int           // of that
+	began     time.Time     // when it was sent the first of them
 	result    string        // for logs and metrics
 	reason    string
 	identity  quarantine.Key // see key
@@ -156,9 +159,10 @@
 	defer cancel(nil) // stops the server's work if the answer was not read to its end
 	c.gateway.underWay.add(c, cancel)
 	defer c.gateway.underWay.remove(c)
+	c.status, c.events = 0, 0
 	result := c.gateway.pool.Send(ctx, d.Server, c.forServer(d, sent))
 	end, next := c.judge(ctx, d, sent, result)
-	c.gateway.desk.tell(endedMessage{ticket: d.Ticket, server: d.Server.ID, end: end})
+	c.gateway.desk.tell(endedMessage{ticket: d.Ticket, server: d.Server.ID, end: end, route: c.route.Name, status: c.status, pause: c.meanPause()})
 	return next
 }
 
@@ -213,6 +217,9 @@
 		c.arrivals++
 		c.mayRun = true
 		end, next := c.pass(ctx, d, sent, r.Answer)
+		if end == placement.Served || r.Answer.Status >= failedStatus {
+			c.status = r.Answer.Status
+		}
 		r.Answer.Close()
 		return end, next
 	default:
--- a/gateway/catalog/catalog.go
+++ b/gateway/catalog/catalog.go
@@ -223,6 +223,7 @@
 	ID       string // names the lifetime, see [LifetimeID]
 	Born     int64  // when it started, in milliseconds since 1970 by its host's clock; 0: not told
 	Service  string
+	Version  string // of its software; empty: not told
 	Address  string // IP and port
 	Hall     string
 	Capacity int  // requests it works on at once
--- a/gateway/desk.go
+++ b/gateway/desk.go
@@ -48,6 +48,9 @@
 	settings DeskSettings
 	late     func(since, now time.Time) time.Duration // how late this process was at worst
 	claims   chan<- warmup.Claim                      // to be written; one that finds it full is tried again
+	// To be told to the operators; one that finds it full is tried again.
+	statements chan<- statement
+	fresh      func(now time.Time) bool // the view is known to be the store's latest
 
 	peersAlive atomic.Int64 // live gateways besides this one
 
@@ -61,8 +64,9 @@
 	book        *share.Book
 	budget      *budget.Budget
 	guard       *warmup.Guard
-	wanted      map[string]time.Time // when a request last came, by service
-	halls       map[string]string    // of live gateways, by address
+	rollouts    map[string]*serviceRollout // by service
+	wanted      map[string]time.Time       // when a request last came, by service
+	halls       map[string]string          // of live gateways, by address
 	view        *View
 	waits       waitQueue
 	published   time.Time                 // when the state that beacons tell was made
@@ -123,6 +127,9 @@
 		ticket uint64
 		server string
 		end    placement.End
+		route  string
+		status int           // of the server's answer; 0: there was none, or not all of it
+		pause  time.Duration // mean between a stream's events; 0: not known
 	}
 	cacheMessage struct {
 		server string
@@ -148,6 +155,7 @@
 		pending: map[uint64]*awaited{}, heard: map[string]time.Time{}, speeds: map[string]placement.Speed{},
 		view: &View{}, running: map[string]int{}, ids: map[uint64]string{}, rests: map[string]time.Time{},
 		gateways: map[string]map[uint64]int{}, asked: map[string]float64{},
+		rollouts: map[string]*serviceRollout{}, fresh: func(time.Time) bool { return true },
 		guard: warmup.NewGuard(), wanted: map[string]time.Time{}, halls: map[string]string{},
 	}
 	d.board.SetRegions(s.Regions)
@@ -215,6 +223,7 @@
 		case now := <-late.C:
 			d.findLate(now)
 			d.claim(now)
+			d.lookRollouts(now)
 			if d.unpublished {
 				d.publish()
 			}
@@ -238,6 +247,8 @@
 		d.end(now, m)
 	case cacheMessage:
 		d.board.Holds(now, m.server, m.parts)
+	case statedMessage:
+		d.stated(now, m)
 	case claimMessage:
 		d.settleClaim(now, m)
 	case leavesMessage:
@@ -262,7 +273,13 @@
 		return placement.Refuse{RetryAfter: d.settings.Policy.LeastRetryAfter, Reason: repeatsSpent}
 	}
 	d.stand(m.ask)
-	decision := d.board.Place(now, m.ask)
+	var decision placement.Decision
+	moving := d.rollouts[m.ask.Service]
+	if moving == nil {
+		decision = d.board.Place(now, m.ask)
+	} else {
+		decision = d.placeVersion(now, moving, m.ask)
+	}
 	assign, ok := decision.(placement.Assign)
 	if !ok {
 		return decision
@@ -281,6 +298,9 @@
 		sent: now, waiting: assign.Waiting, reading: assign.Reading, account: m.ask.Account, tokens: m.tokens,
 	}
 	d.running[assign.Server.ID]++
+	if moving != nil {
+		d.sentVersion(now, moving, assign)
+	}
 	if d.guard.Cold(now, assign.Server.ID) {
 		assign.Before = now.Add(warmup.SendWithin)
 		d.sentCold(now, assign.Server.ID)
@@ -303,6 +323,7 @@
 
 func (d *desk) end(now time.Time, m endedMessage) {
 	d.takeBack(now, m)
+	d.answered(now, m)
 	delete(d.pending, m.ticket)
 	if m.end == placement.Served || m.end == placement.Full {
 		d.heard[m.server] = now
@@ -378,6 +399,7 @@
 		d.board.SetOthers(s.ID, others[h]) // a server that is new here may have been told of before
 	}
 	d.setCold(now, v)
+	d.setRollouts(now, v)
 	d.publish()
 }
 
@@ -427,7 +449,7 @@
 		list = append(list, &peerpb.Demand{Account: o.Account, Asked: uint32(o.Asked), Admitted: uint32(o.Admitted)})
 	}
 	s := *d.telling.Load()
-	s.Demands, s.Speeds = list, d.learned()
+	s.Demands, s.Speeds, s.Rollouts = list, d.learned(), d.rolloutNews(now)
 	d.telling.Store(&s)
 }
 
--- a/gateway/desk_news.go
+++ b/gateway/desk_news.go
@@ -30,6 +30,7 @@
 	delete(d.pending, m.ticket)
 	d.heard[m.server] = now
 	d.board.Works(now, m.server)
+	d.startedVersion(now, m.ticket)
 	if p == nil || p.copies {
 		return // while it was copying, others may have overtaken it
 	}
@@ -166,6 +167,7 @@
 		d.halls[u.From] = u.Hall
 	}
 	d.takeSpeeds(u.Speeds)
+	d.hearRollouts(now, u.From, u.Rollouts)
 	for _, l := range u.Loads {
 		d.board.Sent(now, placement.Load{Server: d.ids[l.Server], Work: l.Work, Parts: l.Parts, Tokens: l.Tokens}, false)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,7 +14,8 @@
 // gateway (pass.go) or is turned away (turn.go), ingress.go reads and checks it, call.go brings it to a
 // server and decides what to do when that fails, wait.go keeps what no server should get
 // now, relay.go passes the answer on, returned.go knows who has come back. desk.go owns the
-// decisions of package placement, desk_cold.go its part in sparing cold servers. view.go
+// decisions of package placement, desk_cold.go its part in sparing cold servers, desk_rollout.go its part in
+// moving a service to a new version. view.go
 // follows the source, lifetimes.go keeps which servers there are, warmth.go what the source
 // tells of cold servers and evacuated halls;
 // handover.go asks other gateways for their view, of which changelog.go tells what has
@@ -48,6 +49,7 @@
 	Source    Source
 	Caches    Caches   // nil: servers don't tell what their caches hold
 	Claims    Claims   // nil: cold servers get nothing
+	Rollouts  Rollouts // nil: operators are not told how far roll-outs are
 	Suspects  Suspects // nil: what requests have done to servers is forgotten with the gateways
 	Codec     protocol.Codec
 	Desk      DeskSettings
@@ -95,6 +97,7 @@
 	follower   *follower
 	whole      wholeView
 	claims     chan warmup.Claim // to be written
+	statements chan statement    // to be told to the operators
 	crashes    *crashes
 	suspects   *suspects
 	underWay   *underWay
@@ -121,6 +124,9 @@
 	g.claims = make(chan warmup.Claim, claimQueue)
 	g.desk = newDesk(o.Log, o.Desk, time.Now())
 	g.desk.claims = g.claims
+	g.statements = make(chan statement, stateQueue)
+	g.desk.statements = g.statements
+	g.desk.fresh = func(now time.Time) bool { return now.Sub(g.confirmedAt()) <= unconfirmed }
 	g.desk.late = g.overload.worst
 	g.suspects = newSuspects(o.Log, o.Desk.Address, func() int { return int(g.desk.peersAlive.Load()) + 1 })
 	g.suspects.store = o.Suspects
@@ -182,6 +188,7 @@
 	group.Go(duties, "idle", g.closeIdle)
 	group.Go(duties, "caches", g.askCaches)
 	group.Go(duties, "claims", g.writeClaims)
+	group.Go(duties, "statements", g.writeStatements)
 	group.Go(duties, "suspects", g.suspects.write)
 	group.Go(duties, "barred", g.takeBackBarred)
 	for range probers {
--- a/gateway/handed_view.go
+++ b/gateway/handed_view.go
@@ -15,6 +15,7 @@
 	snapshot Snapshot
 	halls    map[string]evacuation // that are evacuated
 	cold     map[string]coldness   // by server
+	rollouts map[string]ordered    // by service; all of them
 	revived  []catalog.Server      // that a copy names and that are kept back
 	settled  time.Time             // until then the store may lack what it had
 	partial  bool                  // only what has changed since a revision that this gateway has passed
@@ -42,6 +43,7 @@
 	}
 	f.mark = h.snapshot.Revision
 	f.takeWarmth(now, h)
+	f.takeRollouts(now, h.rollouts)
 	if h.partial {
 		f.takePart(h)
 	} else {
--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -39,7 +39,8 @@
 	Missing map[string]int64 `json:"missing,omitempty"`
 	// Evacuated are the halls that are evacuated.
 	Evacuated map[string]evacuatedDocument `json:"evacuated,omitempty"`
-	Cold      map[string]coldDocument      `json:"cold,omitempty"` // by server
+	Cold      map[string]coldDocument      `json:"cold,omitempty"`     // by server
+	Rollouts  map[string]rolloutDocument   `json:"rollouts,omitempty"` // by service
 	// Suspects are the servers that ended under a request, by its key's text.
 	Suspects map[string][]string `json:"suspects,omitempty"`
 	// Doubts tell of those whose servers ended at one moment how often they were tried. They
@@ -84,6 +85,7 @@
 		}
 	}
 	d.addMissing(now, v)
+	d.addRollouts(now, v)
 	d.addWarmth(now, v, func(server string) bool { return ids[server] })
 	d.addSuspects(v, func(key string) bool { return keys[key] })
 	for key := range keys {
@@ -98,6 +100,7 @@
 func (v *View) document(now time.Time) viewDocument {
 	d := viewDocument{Configuration: v.Raw, Servers: v.Servers, Revision: v.Revision, Left: v.Left, Revived: v.Revived, SettleMS: ahead(now, v.Settled)}
 	d.addMissing(now, v)
+	d.addRollouts(now, v)
 	d.addWarmth(now, v, func(string) bool { return true })
 	d.addSuspects(v, func(string) bool { return true })
 	d.SuspectsTold = true
@@ -161,6 +164,7 @@
 	h := handover{snapshot: d.snapshot(now), partial: d.Partial, gone: d.Gone, left: d.Left, revived: d.Revived, suspectsTold: d.SuspectsTold}
 	h.settled = now.Add(time.Duration(d.SettleMS) * time.Millisecond)
 	h.halls, h.cold = d.warmth(now)
+	h.rollouts = d.rollouts(now)
 	h.snapshot.Suspects, h.cleared = d.suspects()
 	return h
 }
--- a/gateway/peer/beacon.go
+++ b/gateway/peer/beacon.go
@@ -36,6 +36,7 @@
 		}
 	}
 	if whole {
+		b.Rollouts = s.Rollouts
 		b.Demands, b.DemandsTold, b.Hall, b.Weight = s.Demands, true, n.options.Hall, uint32(max(s.Weight, 0))
 		for _, v := range s.Speeds {
 			b.Speeds = append(b.Speeds, &peerpb.Speed{Service: v.Service, Reading: float32(v.Reading), FirstStepUs: microseconds(v.FirstStep)})
@@ -219,6 +220,7 @@
 		r.hall = b.Hall
 	}
 	u.Whole, u.Demands, u.DemandsTold = b.DemandsTold, b.Demands, b.DemandsTold
+	u.Rollouts = b.Rollouts
 	for _, v := range b.Speeds {
 		u.Speeds = append(u.Speeds, Speed{Service: v.Service, Reading: float64(v.Reading), FirstStep: time.Duration(v.FirstStepUs) * time.Microsecond})
 	}
--- a/gateway/peer/news.go
+++ b/gateway/peer/news.go
@@ -63,6 +63,7 @@
 	Confirmed            time.Time // when StoreRevision was last known to be the store's latest
 	StoreAway            bool      // own calls to the store fail
 	Weight               int       // thousandths of a core that it may use, 0 while it is short of them
+	Rollouts             []*peerpb.Rollout
 }
 
 // Update is news of another gateway.
@@ -79,8 +80,9 @@
 	Leaves   []string       // lifetimes of servers that have said in answers that they leave
 	Running  map[uint64]int // if Whole, of all servers; else of those where it has changed
 	Whole    bool
-	Speeds   []Speed // only if Whole
-	Weight   int     // thousandths of a core that it may use, 0 while it is short of them; only if Whole
+	Speeds   []Speed           // only if Whole
+	Weight   int               // thousandths of a core that it may use, 0 while it is short of them; only if Whole
+	Rollouts []*peerpb.Rollout // only if Whole, and only those of which something has changed
 	// Demands are set only when DemandsTold.
 	Demands              []*peerpb.Demand
 	DemandsTold          bool
--- a/gateway/placement/option.go
+++ b/gateway/placement/option.go
@@ -180,6 +180,13 @@
 	return hash, tokens
 }
 
+// Ranked returns servers in an order for a key that all find alike.
+func Ranked(key uint64, ids []string) []string {
+	ranked := slices.Clone(ids)
+	slices.SortFunc(ranked, func(x, y string) int { return cmp.Compare(rank(key, hashID(y)), rank(key, hashID(x))) })
+	return ranked
+}
+
 func hashes(parts []Part) []uint64 {
 	list := make([]uint64, len(parts))
 	for i, p := range parts {
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -51,6 +51,7 @@
 	Stop      bool            // it got so much more than others that press that it gets no more
 	Ahead     float64         // what it got over an even share of all that was given; 0: unknown
 	Exclude   []string        // servers that have been tried
+	Withheld  map[string]bool // servers that get none of its kind now; shared, not changed
 	Regions   catalog.Regions // in which it may be served
 	Hall      string          // of the gateway
 	Draw      uint64          // random, to choose among servers that are as good
@@ -66,6 +67,7 @@
 	Predicted time.Duration // until the first event
 	Waiting   time.Duration // of that, until the server comes to it
 	Reading   time.Duration // of that, to read what its cache does not hold
+	Usual     time.Duration // from when the server comes to it until the first event, at a server of the usual pace
 	Reread    int           // tokens of shared parts that its cache does not hold
 	CopyFrom  string        // address of a server whose cache holds more of the prompt; empty: none
 	Ticket    uint64        // names the request to whoever keeps the board
@@ -242,7 +244,7 @@
 
 // may tells whether a request may go to a server, now or later.
 func (b *Board) may(a *Ask, s *server) bool {
-	return !s.Leaving && !s.left && !s.Evacuated && b.allowed(a, s) && !slices.Contains(a.Exclude, s.ID)
+	return !s.Leaving && !s.left && !s.Evacuated && !a.Withheld[s.ID] && b.allowed(a, s) && !slices.Contains(a.Exclude, s.ID)
 }
 
 // allowed tells whether a request may be served where a server is.
@@ -291,12 +293,22 @@
 	}
 	load := Load{Server: best.server.ID, Work: best.work, Parts: hashes(a.Parts), Tokens: best.added + a.Output}
 	assign := Assign{Server: best.server.Server, Load: load, Predicted: best.predicted, Waiting: best.waiting, Reading: best.reading, Reread: best.reread}
+	assign.Usual = best.work + best.server.speed.first()
 	if best.from != nil {
 		assign.CopyFrom = best.from.Address
 	}
 	return assign
 }
 
+// InHand returns how many requests of all gateways a server has.
+func (b *Board) InHand(server string) int {
+	s := b.servers[server]
+	if s == nil {
+		return 0
+	}
+	return s.running + s.others
+}
+
 // Reason tells why a request should not be sent to its best server now.
 type Reason string
 
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -170,6 +170,9 @@
 		c.pause = max(c.pause, now.Sub(c.latest))
 	}
 	c.latest = now
+	if c.events++; c.events == 1 {
+		c.began = now
+	}
 	if id := eventID(event); id != "" {
 		c.lastEvent = id
 	}
@@ -179,6 +182,15 @@
 	return control.Flush()
 }
 
+// meanPause returns the mean time between the events of the latest answer; 0: it had too few.
+func (c *call) meanPause() time.Duration {
+	const least = 3
+	if c.events < least {
+		return 0
+	}
+	return c.latest.Sub(c.began) / time.Duration(c.events-1)
+}
+
 // repeated tells whether an event has been passed on before the stream was resumed.
 func (c *call) repeated(event []byte) bool {
 	last, err := strconv.ParseInt(c.lastEvent, 10, 64)
--- a/gateway/source.go
+++ b/gateway/source.go
@@ -8,6 +8,7 @@
 
 	"opalbridge.dev/gateway/catalog"
 	"opalbridge.dev/gateway/quarantine"
+	"opalbridge.dev/gateway/rollout"
 	"opalbridge.dev/gateway/warmup"
 )
 
@@ -25,7 +26,9 @@
 	Revision      catalog.Revision            // changes up to it are included
 	Evacuated     map[string]catalog.Revision // halls that are evacuated, with the revision at which the operators said so
 	// Cold tells for how much longer servers are cold, as they say themselves.
-	Cold map[string]time.Duration
+	Cold     map[string]time.Duration
+	Orders   map[string]rollout.Order  // by service
+	Statuses map[string]rollout.Status // of roll-outs, by service
 	// Suspects are the requests that were at two servers or more when these ended.
 	Suspects map[quarantine.Key]quarantine.Kept
 }
@@ -64,6 +67,18 @@
 // ServerClaimed says that a gateway has claimed a cold server.
 type ServerClaimed struct{ Claim warmup.Claim }
 
+// RolloutOrdered says that the traffic of a service shall move to a new version.
+type RolloutOrdered struct{ Order rollout.Order }
+
+// RolloutWithdrawn says that there is no such order any more.
+type RolloutWithdrawn struct{ Service string }
+
+// RolloutStated tells how far a service's roll-out is.
+type RolloutStated struct {
+	Service string
+	Status  rollout.Status // zero: nothing is said of it any more
+}
+
 // SuspectChanged tells what is kept of a request that was at servers when these ended.
 type SuspectChanged struct {
 	Key  quarantine.Key
@@ -73,6 +88,9 @@
 // SuspectGone says that nothing is kept of a request any more.
 type SuspectGone struct{ Key quarantine.Key }
 
+func (RolloutOrdered) change()       {}
+func (RolloutWithdrawn) change()     {}
+func (RolloutStated) change()        {}
 func (SuspectChanged) change()       {}
 func (SuspectGone) change()          {}
 func (HallEvacuated) change()        {}
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -57,6 +57,7 @@
 	Revision      catalog.Revision      // of the store; complete up to it
 	Evacuated     map[string]evacuation // by hall
 	Cold          map[string]coldness   // by server; of the others nothing is known
+	Rollouts      map[string]ordered    // by service
 	Suspects      map[quarantine.Key]quarantine.Kept
 	Left          []string         // lifetimes that have said that they leave, whatever their entries say
 	Settled       time.Time        // until then the store may lack what it had; zero: it has all
@@ -74,6 +75,8 @@
 	halls   map[string]evacuation // that are evacuated
 	cold    map[string]coldness   // by server
 	log     changeLog
+	// What is known of roll-outs, by service; replaced, not changed, since views share it.
+	rollouts map[string]ordered
 	// What the store keeps of suspects; replaced, not changed, since views share it.
 	suspects        map[quarantine.Key]quarantine.Kept
 	suspectsChanged bool // since the latest view
@@ -248,6 +251,7 @@
 	}
 	f.mark = s.Revision
 	f.listed(now, s)
+	f.listedRollouts(now, s)
 	f.log.restart(s.Revision) // what was between is not known
 	f.suspectLog.restart(s.Revision)
 	f.takeSnapshot(s, func(id string) { f.remove(now, id) })
@@ -340,6 +344,12 @@
 			f.evacuate(now, c)
 		case HallReturned:
 			f.takeBack(now, c.Hall)
+		case RolloutOrdered:
+			f.takeOrder(now, c.Order)
+		case RolloutWithdrawn:
+			f.withdraw(c.Service)
+		case RolloutStated:
+			f.stated(c.Service, c.Status)
 		case ServerClaimed:
 			f.claimed(c.Claim)
 		case SuspectChanged:
@@ -370,7 +380,7 @@
 	v := &View{
 		Configuration: c, Raw: raw, Revision: max(revision, old.Revision), Missing: maps.Clone(f.missing),
 		Evacuated: maps.Clone(f.halls), Cold: maps.Clone(f.cold), log: f.log,
-		Suspects: f.suspects, suspectLog: f.suspectLog,
+		Rollouts: f.rollouts, Suspects: f.suspects, suspectLog: f.suspectLog,
 		Settled: f.settled, Revived: slices.Collect(maps.Values(f.revived)),
 	}
 	if f.order == nil {
@@ -383,7 +393,7 @@
 	}
 	now := time.Now()
 	v.Left = f.gateway.signals.mark(now, v.Servers)
-	changed := c != old.Configuration || !slices.Equal(v.Servers, old.Servers) || !maps.Equal(v.Cold, old.Cold)
+	changed := c != old.Configuration || !slices.Equal(v.Servers, old.Servers) || !maps.Equal(v.Cold, old.Cold) || !maps.Equal(v.Rollouts, old.Rollouts)
 	f.gateway.view.Store(v)
 	f.gateway.crashes.viewChanged(now, old.Servers, v.Servers)
 	if f.suspectsChanged {
