gateway: what is known of roll-outs, and which version gets which requests, tested

An order that a copy of the store has lost was kept for ever if operators did not write it again: a service would have stayed at its canary's twentieth. Found by TestRolloutsAreKnown (from one that lacks it, and operators have not written it again), which failed before. Cause: takeBackLost knew of evacuations only. Change: an order of an earlier era is withdrawn once the store has settled, as an evacuation is.

The other tests hold from the start: handed over with age, withheld when rolled back also without an order, nothing without fresh news, a twentieth as a canary, complete only when no other gateway has anything at the old servers. go test ./gateway.

--- a/gateway/settle.go
+++ b/gateway/settle.go
@@ -5,6 +5,7 @@
 
 	"opalbridge.dev/gateway/catalog"
 	"opalbridge.dev/gateway/quarantine"
+	"opalbridge.dev/gateway/rollout"
 )
 
 // This file takes over a store that has come back from an older copy. Its revisions are of a
@@ -169,7 +170,7 @@
 	return true
 }
 
-// takeBackLost takes evacuations back of which the store has told nothing since it came back from
+// takeBackLost takes evacuations and orders of roll-outs back of which the store has told nothing since it came back from
 // a copy, also one that a gateway for which the view had not settled has told later. It returns
 // whether there was one.
 func (f *follower) takeBackLost(now time.Time) (found bool) {
@@ -183,6 +184,12 @@
 			found = true
 		}
 	}
+	for service, o := range f.rollouts {
+		if o.Order != (rollout.Order{}) && o.Order.Revision.Era() != era {
+			f.withdraw(service)
+			found = true
+		}
+	}
 	return found
 }
 
