gateway: say what the retry budget was spent on

New: the line retries.spent, once a second and service at most; the counter opalbridge.gateway.retries (granted, refused) and the histogram opalbridge.gateway.retry_landed, from the decision to the server's first sign of life. No decision changes.

--- a/cmd/opalbridge/gateway.go
+++ b/cmd/opalbridge/gateway.go
@@ -67,6 +67,16 @@
 	c.RecordRequest(o.Service, o.Kind, o.Result, o.Attempts, o.FirstByte, o.Total)
 }
 
+// RetryDecided implements gateway.Metrics.
+func (c requestMetrics) RetryDecided(service string, granted bool) {
+	c.RecordRetry(service, granted)
+}
+
+// RetryLanded implements gateway.Metrics.
+func (c requestMetrics) RetryLanded(service string, delay time.Duration) {
+	c.RecordRetryDelay(service, delay)
+}
+
 func runGateway(ctx context.Context, s *settings.Settings, file string) error {
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(heapLimitRatio * float64(s.MemoryMB) * (1 << 20)))
--- a/gateway/admission_test.go
+++ b/gateway/admission_test.go
@@ -44,6 +44,9 @@
 	}
 }
 
+func (c *deniedCounter) RetryDecided(string, bool)         {}
+func (c *deniedCounter) RetryLanded(string, time.Duration) {}
+
 // startAdmission starts an admission listener with a capacity, in front of a server that
 // responds with 200.
 func startAdmission(t *testing.T, r capacity, o *overload) (address string, m *deniedCounter) {
--- a/gateway/budget/budget.go
+++ b/gateway/budget/budget.go
@@ -94,6 +94,19 @@
 	return b.maxRetries(now, h, gateways) - float64(len(h.retries))
 }
 
+// Usage is what a gateway has counted of a service in the last window.
+type Usage struct {
+	Requests int
+	Retries  int
+	Allowed  float64 // retries that may be taken, including those taken
+}
+
+// Usage returns what has been counted of a service.
+func (b *Budget) Usage(now time.Time, service string, gateways int) Usage {
+	h := b.history(now, service)
+	return Usage{Requests: len(h.requests), Retries: len(h.retries), Allowed: b.maxRetries(now, h, gateways)}
+}
+
 func (b *Budget) maxRetries(now time.Time, h *history, gateways int) float64 {
 	earned := ratioFraction * b.limits.Ratio * float64(len(h.requests))
 	fixed := fixedFraction * b.limits.FixedRetries / float64(max(gateways, 1))
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -57,6 +57,8 @@
 	viewFresh    func(now time.Time) bool // whether the view is known to match the store
 
 	livePeers atomic.Int64 // live gateways other than this one
+	metrics   Metrics
+	started   time.Time
 
 	// The fields below are owned by run.
 	lastAttemptID   uint64                     // last attempt ID issued
@@ -67,6 +69,7 @@
 	balancer        *placement.Balancer
 	shares          *share.Tracker
 	retryBudget     *budget.Budget
+	budgetLoggedAt  map[string]time.Time // when the use of the retry budget was last logged, by service
 	coldLimiter     *warmup.Limiter
 	rollouts        map[string]*serviceRollout // by service
 	lastRequested   map[string]time.Time       // time of the last request, by service
@@ -105,6 +108,8 @@
 	prefillTime    time.Duration // predicted time to read its prompt
 	account        string
 	tokens         float64 // charged to the account
+	service        string
+	retry          bool // the request had reached another server before
 }
 
 // Messages to the dispatcher.
@@ -170,6 +175,7 @@
 		view: &View{}, running: map[string]int{}, serverIDs: map[uint64]string{}, backoffUntil: map[string]time.Time{},
 		peerRunning: map[string]map[uint64]int{}, demandByGateway: map[string]float64{},
 		rollouts: map[string]*serviceRollout{}, viewFresh: func(time.Time) bool { return true },
+		metrics: discardMetrics{}, started: now, budgetLoggedAt: map[string]time.Time{},
 		coldLimiter: warmup.NewLimiter(), lastRequested: map[string]time.Time{}, halls: map[string]string{},
 	}
 	d.balancer.SetRegions(s.Regions)
@@ -283,12 +289,9 @@
 	}
 }
 
-// retryBudgetSpent is the reason of a refusal when the fleet's retry budget is used up.
-const retryBudgetSpent placement.Reason = "budget of repeats spent"
-
 // decide places a request and records it as sent if the decision is to send it.
 func (d *dispatcher) decide(now time.Time, m placementRequest) placement.Decision {
-	if m.retry && d.retryBudget.Remaining(now, m.request.Service, d.fleetSize()) < 1 {
+	if m.retry && !d.mayRetry(now, m.request.Service) {
 		return placement.Refuse{RetryAfter: d.settings.Policy.MinRetryAfter, Reason: retryBudgetSpent}
 	}
 	d.setShareStatus(m.request)
@@ -304,7 +307,7 @@
 		return decision
 	}
 	if m.retry {
-		d.retryBudget.Take(now, m.request.Service, d.fleetSize())
+		d.takeRetry(now, m.request.Service)
 	}
 	if m.request.Account != "" {
 		d.shares.RecordAdmitted(now, m.request.Account, m.tokens)
@@ -315,6 +318,7 @@
 	d.pending[assign.ID] = &pendingAttempt{
 		server: assign.Server.ID, due: now.Add(assign.Predicted), position: position, copiesCache: assign.CopyFrom != "",
 		sentAt: now, queueTime: assign.QueueTime, prefillTime: assign.PrefillTime, account: m.request.Account, tokens: m.tokens,
+		service: m.request.Service, retry: m.retry,
 	}
 	d.running[assign.Server.ID]++
 	if ro != nil {
@@ -344,6 +348,7 @@
 func (d *dispatcher) recordEnd(now time.Time, m attemptEnded) {
 	d.refundTokens(now, m)
 	d.recordRolloutAnswer(now, m)
+	d.recordRetryLanded(now, d.pending[m.attemptID])
 	delete(d.pending, m.attemptID)
 	if m.end == placement.Served || m.end == placement.Rejected {
 		d.lastHeard[m.server] = now
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -69,6 +69,11 @@
 type Metrics interface {
 	// RequestEnded records the end of a request.
 	RequestEnded(o Outcome)
+	// RetryDecided records whether the retry budget had a retry left for a request.
+	RetryDecided(service string, granted bool)
+	// RetryLanded records how long after its decision a retry got a sign of life from its
+	// server, or ended without one.
+	RetryLanded(service string, delay time.Duration)
 }
 
 // Outcome describes a finished request.
@@ -127,6 +132,9 @@
 	g.offloadTargets = &offloadTargets{hall: o.Dispatcher.Hall, weights: map[string]int{}}
 	g.claims = make(chan warmup.Claim, claimQueueSize)
 	g.dispatcher = newDispatcher(o.Log, o.Dispatcher, time.Now())
+	if o.Metrics != nil {
+		g.dispatcher.metrics = o.Metrics
+	}
 	g.dispatcher.claims = g.claims
 	g.statusWrites = make(chan rolloutStatusWrite, statusQueueSize)
 	g.dispatcher.statusWrites = g.statusWrites
--- a/telemetry/gateway.go
+++ b/telemetry/gateway.go
@@ -15,16 +15,20 @@
 	attempts metric.Int64Counter
 	first    metric.Float64Histogram
 	whole    metric.Float64Histogram
+	retries  metric.Int64Counter
+	landed   metric.Float64Histogram
 }
 
 // NewGatewayMetrics creates the instruments of a gateway.
 func NewGatewayMetrics(m metric.Meter) (*GatewayMetrics, error) {
 	var c GatewayMetrics
-	var errs [4]error
+	var errs [6]error
 	c.requests, errs[0] = m.Int64Counter("opalbridge.gateway.requests", metric.WithDescription("requests that ended, by service, kind and result"))
 	c.attempts, errs[1] = m.Int64Counter("opalbridge.gateway.attempts", metric.WithDescription("sends to servers, by service; over opalbridge.gateway.requests"))
 	c.first, errs[2] = m.Float64Histogram("opalbridge.gateway.first", metric.WithUnit("s"), metric.WithDescription("time from arrival to the first byte passed on"))
 	c.whole, errs[3] = m.Float64Histogram("opalbridge.gateway.whole", metric.WithUnit("s"), metric.WithDescription("time from arrival to the end"))
+	c.retries, errs[4] = m.Int64Counter("opalbridge.gateway.retries", metric.WithDescription("retries that the budget granted or refused, by service and decision"))
+	c.landed, errs[5] = m.Float64Histogram("opalbridge.gateway.retry_landed", metric.WithUnit("s"), metric.WithDescription("time from the decision on a retry to its server's first sign of life, or to its end"))
 	return &c, errors.Wrap(errors.Join(errs[:]...), "telemetry: gateway")
 }
 
@@ -41,3 +45,18 @@
 	}
 	c.whole.Record(ctx, whole.Seconds(), metric.WithAttributes(byService))
 }
+
+// RecordRetry records whether the retry budget granted a retry.
+func (c *GatewayMetrics) RecordRetry(service string, granted bool) {
+	decision := "refused"
+	if granted {
+		decision = "granted"
+	}
+	c.retries.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("decision", decision)))
+}
+
+// RecordRetryDelay records the time from the decision on a retry to its server's first sign of
+// life.
+func (c *GatewayMetrics) RecordRetryDelay(service string, delay time.Duration) {
+	c.landed.Record(context.Background(), delay.Seconds(), metric.WithAttributes(attribute.String("service", service)))
+}
