--- a/gateway/dispatcher_retries.go
+++ b/gateway/dispatcher_retries.go
@@ -47,7 +47,7 @@
 	d.budgetLoggedAt[service] = now
 	u := d.retryBudget.Usage(now, service, d.fleetSize())
 	d.log.Warn().Str("event", "retries.spent").Str("service", service).Int("requests", u.Requests).Int("retries", u.Retries).
-		Float64("allowed", u.Allowed).Int("gateways", d.fleetSize()).Dur("age", now.Sub(d.started)).
+		Float64("remaining", u.Remaining).Int("gateways", d.fleetSize()).Dur("age", now.Sub(d.started)).
 		Dur("late", d.lateness(now.Add(-retryLogInterval), now)).Msg("no retries left for this service")
 }
 
