gateway/budget: the fixed retries do not grow when gateways do not know of each other

Cause: the fixed number was divided by the gateways that one gateway knew at that moment, and a gateway is dropped after a second of silence.

Change: what a gateway takes of the fixed number is bounded by what it knows for certain: three in a window, and 0.05 of the ratio for each request that it has read. Gateways that it knows, or has known at one time, only make it less. So all parts together are at most three for each gateway and a hundredth of the requests, whoever knows whom. A fleet whose size is fixed can say so (setting gateways): then each takes its even part.

Weighed and not built: the number of gateways kept in the platform's store (exact, but a key and a lease for each gateway, and watched by all); the largest number known in a process's life alone (fails when gateways start again while cut off).

Fewer than on the first code are left to services of few requests in fleets of a few gateways that do not set gateways: one of six with no requests has three in a window, ten before; TestTake holds those numbers for fleets that set it. A bucket holds a quarter of its fixed part now instead of a third.

--- a/cmd/opalbridge/gateway.go
+++ b/cmd/opalbridge/gateway.go
@@ -170,7 +170,7 @@
 		Suspects:  &platform.SuspectStore{Store: store},
 		Codec:     platform.Codec{},
 		Dispatcher: gateway.DispatcherOptions{
-			Retries:     budget.Limits{Ratio: s.RetryRatio, FixedRetries: s.RetryExtra, Window: s.RetryWindow},
+			Retries:     budget.Limits{Ratio: s.RetryRatio, FixedRetries: s.RetryExtra, Window: s.RetryWindow, Gateways: s.Gateways},
 			ShareWindow: s.ShareWindow, Policy: placement.DefaultPolicy(), Hall: s.Hall,
 			ColdLimits: warmup.Limits{Factor: s.ColdFactor, Extra: s.ColdExtra}, Regions: s.Regions,
 		},
--- a/gateway/budget/budget.go
+++ b/gateway/budget/budget.go
@@ -1,7 +1,7 @@
 // Package budget limits how often the fleet retries requests. In any window a service may
 // have retries for a fraction of its requests, plus a fixed number, over all gateways
-// together. Each gateway spends only what its own requests earn and an even part of the
-// fixed number, so that no coordination is needed.
+// together. Each gateway spends only what its own requests earn and a part of the fixed
+// number, so that no coordination is needed.
 //
 // # Usage
 //
@@ -21,6 +21,12 @@
 // at its end, and the one that reads the next window's requests, or the next process on the
 // same host, another one.
 //
+// A gateway's part of the fixed number must not grow when it does not hear the others: they
+// may be cut off, frozen or starved, and take theirs all the same. So the part is bounded by
+// what the gateway knows for certain: a small number of its own, and a little for each request
+// that it has read. The gateways that it knows of can only make it smaller. The bound holds if
+// FixedRetries is three times the number of gateways, or if the gateways know of each other.
+//
 // The package does no locking and does not read the clock; a Budget must be used by one
 // goroutine only.
 package budget
@@ -32,24 +38,34 @@
 	Ratio        float64       // retries per request in the window
 	FixedRetries float64       // additional retries per window
 	Window       time.Duration // any time span of this length; 0: a second
+	Gateways     int           // in the fleet, if that is certain; 0: unknown
 }
 
 // Fractions of Limits.Ratio. The rest keeps the fleet below its limits although requests are
 // counted when they are read, which is later than they were sent.
 const (
-	earnedFraction = 0.8 // that a request adds to the bucket
-	heldFraction   = 0.1 // that the bucket holds for each request of the last window
+	earnedFraction = 0.8   // that a request adds to the bucket
+	heldFraction   = 0.075 // that the bucket holds for each request of the last window
+	fixedFraction  = 0.05  // by which each request of the last window raises the gateway's part of the fixed retries
 )
 
-// heldFixedFraction is the part of a gateway's fixed retries that its bucket holds. It gets
-// the rest in the course of a window.
-const heldFixedFraction = 1.0 / 3
+const (
+	// ownFixedRetries is a gateway's part of the fixed retries in a window, without requests.
+	ownFixedRetries = 3
+	// heldFixedFraction is the part of its fixed retries that a gateway's bucket holds. It
+	// gets the rest in the course of a window.
+	heldFixedFraction = 0.25
+	// minHeldRetries is what the bucket holds at least, so that a service with few requests
+	// has a retry.
+	minHeldRetries = 1
+)
 
 // Budget counts requests and retries by service.
 type Budget struct {
-	limits  Limits
-	started time.Time
-	buckets map[string]*bucket
+	limits       Limits
+	started      time.Time
+	buckets      map[string]*bucket
+	mostGateways int // that were known at the same time
 }
 
 // New returns the budget of a process that started at the given time.
@@ -79,19 +95,22 @@
 
 // fill adds what time earns and drops what the bucket does not hold.
 func (b *Budget) fill(now time.Time, k *bucket, gateways int) {
-	held, earned := b.fixedRetries(gateways)
-	k.tokens += earned * now.Sub(k.filled).Seconds() / b.limits.Window.Seconds()
+	b.mostGateways = max(b.mostGateways, gateways, 1)
+	perRequest := b.limits.Ratio * float64(k.requests.count(now))
+	part := b.fixedPart(perRequest)
+	held := max(heldFixedFraction*part, min(part/2, minHeldRetries))
+	k.tokens += (part - held) * now.Sub(k.filled).Seconds() / b.limits.Window.Seconds()
 	k.filled = now
-	k.tokens = min(k.tokens, held+heldFraction*b.limits.Ratio*float64(k.requests.count(now)))
+	k.tokens = min(k.tokens, held+heldFraction*perRequest)
 }
 
-// fixedRetries returns a gateway's part of the fixed retries: what its bucket holds, and what
-// it earns in a window. A bucket holds a whole retry if the part is that large, so that a
-// service with few requests has one.
-func (b *Budget) fixedRetries(gateways int) (held, earned float64) {
-	part := b.limits.FixedRetries / float64(max(gateways, 1))
-	held = max(heldFixedFraction*part, min(part, 1))
-	return held, part - held
+// fixedPart returns the gateway's part of the fixed retries in a window. perRequest is what the
+// ratio allows for its requests of the last window.
+func (b *Budget) fixedPart(perRequest float64) float64 {
+	if b.limits.Gateways > 0 {
+		return b.limits.FixedRetries / float64(b.limits.Gateways)
+	}
+	return min(b.limits.FixedRetries/float64(b.mostGateways), ownFixedRetries+fixedFraction*perRequest)
 }
 
 // RecordRequest counts a caller's request for a service.
@@ -102,7 +121,7 @@
 }
 
 // Take takes one retry from the budget and reports whether one was left. gateways is the
-// number of gateways that share the budget, including this one.
+// number of gateways known to share the budget, including this one.
 func (b *Budget) Take(now time.Time, service string, gateways int) bool {
 	k := b.bucket(service)
 	b.fill(now, k, gateways)
--- a/gateway/budget/budget_test.go
+++ b/gateway/budget/budget_test.go
@@ -29,20 +29,28 @@
 		name     string
 		age      time.Duration // of the process
 		requests int           // in a window
-		gateways int
+		gateways int           // known
+		certain  bool          // the fleet has just these
 		atOnce   bounds // without requests in the window before
 		inWindow bounds // while the requests come evenly
 	}{
-		{"just started", 0, 0, 1, bounds{0, 0}, bounds{20, 60}},
-		{"just started, with requests", 0, 100, 1, bounds{0, 0}, bounds{35, 80}},
-		{"old, single gateway", time.Minute, 0, 1, bounds{20, 60}, bounds{40, 60}},
-		{"old, one of six", time.Minute, 0, 6, bounds{3, 10}, bounds{9, 10}},
-		{"old, one of six, with requests", time.Minute, 100, 6, bounds{3, 10}, bounds{18, 30}},
+		{"just started", 0, 0, 1, true, bounds{0, 0}, bounds{20, 60}},
+		{"just started, with requests", 0, 100, 1, true, bounds{0, 0}, bounds{35, 80}},
+		{"old, single gateway", time.Minute, 0, 1, true, bounds{15, 60}, bounds{40, 60}},
+		{"old, one of six", time.Minute, 0, 6, true, bounds{2, 10}, bounds{9, 10}},
+		{"old, one of six, with requests", time.Minute, 100, 6, true, bounds{2, 10}, bounds{18, 30}},
+		{"old, knows no other", time.Minute, 0, 1, false, bounds{1, 3}, bounds{2, 3}},
+		{"old, knows no other, with requests", time.Minute, 100, 1, false, bounds{1, 3}, bounds{16, 23}},
+		{"old, knows a hundred", time.Minute, 0, 100, false, bounds{0, 0}, bounds{0, 1}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			const steps = 100
-			b := budget.New(limits, start)
+			l := limits
+			if test.certain {
+				l.Gateways = test.gateways
+			}
+			b := budget.New(l, start)
 			now := start.Add(test.age)
 			atOnce := spend(b, now, test.gateways)
 			require.GreaterOrEqual(t, atOnce, test.atOnce.least)
@@ -58,7 +66,9 @@
 			}
 			require.GreaterOrEqual(t, inWindow, test.inWindow.least)
 			require.LessOrEqual(t, inWindow, test.inWindow.most)
-			require.Positive(t, spend(b, now.Add(limits.Window+time.Second), test.gateways), "outside the window")
+			if test.inWindow.least > 0 {
+				require.Positive(t, spend(b, now.Add(limits.Window+time.Second), test.gateways), "outside the window")
+			}
 		})
 	}
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -73,6 +73,7 @@
 	RetryRatio   float64
 	RetryExtra   float64
 	RetryWindow  time.Duration
+	Gateways     int
 	ShareWindow  time.Duration
 	ColdFactor   float64
 	ColdExtra    float64
@@ -189,6 +190,8 @@
 		func(s *Settings, t string) error { return setFloat(&s.RetryRatio, t, 0, 10) }},
 	{"repeat_extra", gateway, false, "20", "Requests that the fleet may send again in a window besides.",
 		func(s *Settings, t string) error { return setFloat(&s.RetryExtra, t, 0, 1e6) }},
+	{"gateways", gateway, false, "0", "Gateways of the fleet, if their number is fixed; 0: not known. Each then takes its part of repeat_extra, and else three at most, and a little for its requests: repeat_extra should be three for each gateway or more.",
+		func(s *Settings, t string) error { return setInt(&s.Gateways, t, 0, 1e5) }},
 	{"repeat_window", gateway, false, "10s", "Window of repeat_ratio and repeat_extra (a duration such as 10s).",
 		func(s *Settings, t string) error { return setDuration(&s.RetryWindow, t, time.Second, time.Hour) }},
 	{"share_window", gateway, false, "4s", "Window in which accounts' shares are kept (a duration such as 4s).",
