--- a/cmd/opalbridge/gateway.go
+++ b/cmd/opalbridge/gateway.go
@@ -72,9 +72,9 @@
 	c.RecordRetry(service, granted)
 }
 
-// RetryLanded implements gateway.Metrics.
-func (c requestMetrics) RetryLanded(service string, delay time.Duration) {
-	c.RecordRetryDelay(service, delay)
+// RetryAcknowledged implements gateway.Metrics.
+func (c requestMetrics) RetryAcknowledged(service string, delay time.Duration) {
+	c.RecordRetryAcknowledged(service, delay)
 }
 
 func runGateway(ctx context.Context, s *settings.Settings, file string) error {
--- a/gateway/admission_test.go
+++ b/gateway/admission_test.go
@@ -44,8 +44,8 @@
 	}
 }
 
-func (c *deniedCounter) RetryDecided(string, bool)         {}
-func (c *deniedCounter) RetryLanded(string, time.Duration) {}
+func (c *deniedCounter) RetryDecided(string, bool)               {}
+func (c *deniedCounter) RetryAcknowledged(string, time.Duration) {}
 
 // startAdmission starts an admission listener with a capacity, in front of a server that
 // responds with 200.
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -348,7 +348,7 @@
 func (d *dispatcher) recordEnd(now time.Time, m attemptEnded) {
 	d.refundTokens(now, m)
 	d.recordRolloutAnswer(now, m)
-	d.recordRetryLanded(now, d.pending[m.attemptID])
+	d.acknowledgeRetry(now, d.pending[m.attemptID])
 	delete(d.pending, m.attemptID)
 	if m.end == placement.Served || m.end == placement.Rejected {
 		d.lastHeard[m.server] = now
--- a/gateway/dispatcher_retries.go
+++ b/gateway/dispatcher_retries.go
@@ -30,11 +30,11 @@
 	d.metrics.RetryDecided(service, true)
 }
 
-// recordRetryLanded records that a server has shown a sign of life after a retry was sent to
+// acknowledgeRetry records that a server has shown a sign of life after a retry was sent to
 // it, or that the retry has ended without one.
-func (d *dispatcher) recordRetryLanded(now time.Time, p *pendingAttempt) {
+func (d *dispatcher) acknowledgeRetry(now time.Time, p *pendingAttempt) {
 	if p != nil && p.retry {
-		d.metrics.RetryLanded(p.service, now.Sub(p.sentAt))
+		d.metrics.RetryAcknowledged(p.service, now.Sub(p.sentAt))
 	}
 }
 
@@ -54,6 +54,6 @@
 // discardMetrics implements Metrics.
 type discardMetrics struct{}
 
-func (discardMetrics) RequestEnded(Outcome)              {}
-func (discardMetrics) RetryDecided(string, bool)         {}
-func (discardMetrics) RetryLanded(string, time.Duration) {}
+func (discardMetrics) RequestEnded(Outcome)                    {}
+func (discardMetrics) RetryDecided(string, bool)               {}
+func (discardMetrics) RetryAcknowledged(string, time.Duration) {}
--- a/gateway/dispatcher_updates.go
+++ b/gateway/dispatcher_updates.go
@@ -29,7 +29,7 @@
 // got.
 func (d *dispatcher) recordFirstEvent(now time.Time, m firstEventReceived) {
 	p := d.pending[m.attemptID]
-	d.recordRetryLanded(now, p)
+	d.acknowledgeRetry(now, p)
 	delete(d.pending, m.attemptID)
 	d.lastHeard[m.server] = now
 	d.balancer.RecordAccepting(now, m.server)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -71,9 +71,9 @@
 	RequestEnded(o Outcome)
 	// RetryDecided records whether the retry budget had a retry left for a request.
 	RetryDecided(service string, granted bool)
-	// RetryLanded records how long after its decision a retry got a sign of life from its
+	// RetryAcknowledged records how long after its decision a retry got a sign of life from its
 	// server, or ended without one.
-	RetryLanded(service string, delay time.Duration)
+	RetryAcknowledged(service string, delay time.Duration)
 }
 
 // Outcome describes a finished request.
--- a/telemetry/gateway.go
+++ b/telemetry/gateway.go
@@ -11,12 +11,12 @@
 
 // GatewayMetrics holds the request metrics of a gateway.
 type GatewayMetrics struct {
-	requests metric.Int64Counter
-	attempts metric.Int64Counter
-	first    metric.Float64Histogram
-	whole    metric.Float64Histogram
-	retries  metric.Int64Counter
-	landed   metric.Float64Histogram
+	requests     metric.Int64Counter
+	attempts     metric.Int64Counter
+	first        metric.Float64Histogram
+	whole        metric.Float64Histogram
+	retries      metric.Int64Counter
+	acknowledged metric.Float64Histogram
 }
 
 // NewGatewayMetrics creates the instruments of a gateway.
@@ -28,7 +28,7 @@
 	c.first, errs[2] = m.Float64Histogram("opalbridge.gateway.first", metric.WithUnit("s"), metric.WithDescription("time from arrival to the first byte passed on"))
 	c.whole, errs[3] = m.Float64Histogram("opalbridge.gateway.whole", metric.WithUnit("s"), metric.WithDescription("time from arrival to the end"))
 	c.retries, errs[4] = m.Int64Counter("opalbridge.gateway.retries", metric.WithDescription("retries that the budget granted or refused, by service and decision"))
-	c.landed, errs[5] = m.Float64Histogram("opalbridge.gateway.retry_landed", metric.WithUnit("s"), metric.WithDescription("time from the decision on a retry to its server's first sign of life, or to its end"))
+	c.acknowledged, errs[5] = m.Float64Histogram("opalbridge.gateway.retry_acknowledged", metric.WithUnit("s"), metric.WithDescription("time from the decision on a retry to its server's first sign of life, or to its end"))
 	return &c, errors.Wrap(errors.Join(errs[:]...), "telemetry: gateway")
 }
 
@@ -55,8 +55,8 @@
 	c.retries.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("decision", decision)))
 }
 
-// RecordRetryDelay records the time from the decision on a retry to its server's first sign of
+// RecordRetryAcknowledged records the time from the decision on a retry to its server's first sign of
 // life.
-func (c *GatewayMetrics) RecordRetryDelay(service string, delay time.Duration) {
-	c.landed.Record(context.Background(), delay.Seconds(), metric.WithAttributes(attribute.String("service", service)))
+func (c *GatewayMetrics) RecordRetryAcknowledged(service string, delay time.Duration) {
+	c.acknowledged.Record(context.Background(), delay.Seconds(), metric.WithAttributes(attribute.String("service", service)))
 }
