gateway/budget: retries on their way count against what the bucket holds

Cause: a retry counted when it was decided, while the rule counts when its server gets it.

Change: a retry that was taken and not acknowledged makes the bucket hold one less, so what is on its way and what may be taken together never exceed what the bucket holds; the bound of the package's page then holds for arrivals, however late they come, also those of a process that has ended. The dispatcher acknowledges a retry at the first sign of its server. One that is given up without a sign (its caller has left, its connection broke) may still arrive until the kernel gives its bytes up, after 1.5 s: it is acknowledged two seconds later.

Why it holds: arrivals in a window are at most what was on its way or held at its beginning, a part of the requests of the window before, and what was earned in it.

--- a/gateway/budget/budget.go
+++ b/gateway/budget/budget.go
@@ -7,7 +7,10 @@
 //
 //	b := budget.New(budget.Limits{Ratio: 0.2, FixedRetries: 58, Window: 10 * time.Second}, time.Now())
 //	b.RecordRequest(now, service)
-//	if b.Take(now, service, gateways) { … retry … }
+//	if b.Take(now, service, gateways) {
+//		… retry …
+//		b.Acknowledge(service) // when the server has shown that it has the request
+//	}
 //
 // # The bound
 //
@@ -21,6 +24,10 @@
 // at its end, and the one that reads the next window's requests, or the next process on the
 // same host, another one.
 //
+// What counts is when servers get the retries, which may be seconds after their decision: a
+// link may be cut, or the process frozen. So a bucket holds less by what is on its way, and
+// what was held back arrives in place of what could have been taken since.
+//
 // A gateway's part of the fixed number must not grow when it does not hear the others: they
 // may be cut off, frozen or starved, and take theirs all the same. So the part is bounded by
 // what the gateway knows for certain: a small number of its own, and a little for each request
@@ -80,6 +87,7 @@
 type bucket struct {
 	tokens   float64 // retries that may be taken
 	filled   time.Time
+	inFlight int // retries that were taken and not acknowledged
 	requests counter
 	retries  counter
 }
@@ -101,7 +109,7 @@
 	held := max(heldFixedFraction*part, min(part/2, minHeldRetries))
 	k.tokens += (part - held) * now.Sub(k.filled).Seconds() / b.limits.Window.Seconds()
 	k.filled = now
-	k.tokens = min(k.tokens, held+heldFraction*perRequest)
+	k.tokens = min(k.tokens, max(held+heldFraction*perRequest-float64(k.inFlight), 0))
 }
 
 // fixedPart returns the gateway's part of the fixed retries in a window. perRequest is what the
@@ -129,10 +137,17 @@
 		return false
 	}
 	k.tokens--
+	k.inFlight++
 	k.retries.add(now)
 	return true
 }
 
+// Acknowledge records that a retry has reached its server or will not reach it any more. It is
+// called once for each retry that was taken.
+func (b *Budget) Acknowledge(service string) {
+	b.bucket(service).inFlight--
+}
+
 // Remaining returns the number of retries left for a service.
 func (b *Budget) Remaining(now time.Time, service string, gateways int) float64 {
 	k := b.bucket(service)
@@ -144,6 +159,7 @@
 type Usage struct {
 	Requests  int
 	Retries   int
+	InFlight  int     // retries that were not acknowledged
 	Remaining float64 // retries that may be taken
 }
 
@@ -151,5 +167,5 @@
 func (b *Budget) Usage(now time.Time, service string, gateways int) Usage {
 	k := b.bucket(service)
 	b.fill(now, k, gateways)
-	return Usage{Requests: k.requests.count(now), Retries: k.retries.count(now), Remaining: k.tokens}
+	return Usage{Requests: k.requests.count(now), Retries: k.retries.count(now), InFlight: k.inFlight, Remaining: k.tokens}
 }
--- a/gateway/budget/budget_test.go
+++ b/gateway/budget/budget_test.go
@@ -18,6 +18,7 @@
 func spend(b *budget.Budget, now time.Time, gateways int) int {
 	n := 0
 	for b.Take(now, "s", gateways) {
+		b.Acknowledge("s")
 		n++
 	}
 	return n
@@ -81,6 +82,9 @@
 	got := b.Usage(now, "s", 6)
 	require.Equal(t, 1, got.Requests)
 	require.Equal(t, 1, got.Retries)
+	require.Equal(t, 1, got.InFlight)
+	b.Acknowledge("s")
+	require.Zero(t, b.Usage(now, "s", 6).InFlight)
 	require.InDelta(t, b.Remaining(now, "s", 6), got.Remaining, 1e-9)
 	later := b.Usage(now.Add(limits.Window), "s", 6)
 	require.Zero(t, later.Requests)
@@ -108,6 +112,7 @@
 				known = 1 // the other gateways are not known yet
 			}
 			for fleet[i].Take(now, "s", known) {
+				fleet[i].Acknowledge("s")
 				spent = append(spent, now)
 			}
 		}
--- a/gateway/budget/fleet_test.go
+++ b/gateway/budget/fleet_test.go
@@ -43,6 +43,7 @@
 	unread      []time.Time   // when requests were sent that it has not read
 	cut         bool          // what it sends to servers is held back
 	heldBack    int           // retries that have not reached their servers
+	orphaned    int           // such retries of processes that have ended
 }
 
 func newFleet(gateways int, rate float64, l budget.Limits) *fleet {
@@ -83,12 +84,13 @@
 
 // step lets a gateway read its requests and retry as often as it may.
 func (f *fleet) step(m *member) {
-	if m.down || m.frozen {
-		return
-	}
 	if !m.cut {
 		f.arrive(m, m.heldBack)
-		m.heldBack = 0
+		f.arrived = append(f.arrived, slices.Repeat([]time.Time{f.now}, m.orphaned)...)
+		m.heldBack, m.orphaned = 0, 0
+	}
+	if m.down || m.frozen {
+		return
 	}
 	for len(m.unread) > 0 && f.now.Sub(m.unread[0]) >= m.readsLateBy {
 		m.budget.RecordRequest(f.now, "s")
@@ -115,9 +117,10 @@
 }
 
 // arrive has retries of a gateway reach their servers, which answer at once.
-func (f *fleet) arrive(_ *member, n int) {
+func (f *fleet) arrive(m *member, n int) {
 	for range n {
 		f.arrived = append(f.arrived, f.now)
+		m.budget.Acknowledge("s")
 	}
 }
 
@@ -133,6 +136,7 @@
 // kill ends a gateway's process. What it held back is delivered later; it remembers nothing.
 func (f *fleet) kill(m *member) {
 	m.down, m.unread = true, nil
+	m.heldBack, m.orphaned = 0, m.orphaned+m.heldBack
 }
 
 // start starts a gateway's process again.
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -61,28 +61,29 @@
 	started   time.Time
 
 	// The fields below are owned by run.
-	lastAttemptID   uint64                     // last attempt ID issued
-	shareUpdates    int                        // number of times shares were recomputed
-	pending         map[uint64]*pendingAttempt // own requests without a first event, by attempt ID
-	lastHeard       map[string]time.Time       // last sign of life, by server
-	loggedSpeeds    map[string]placement.Speed // as last logged, by service
-	balancer        *placement.Balancer
-	shares          *share.Tracker
-	retryBudget     *budget.Budget
-	budgetLoggedAt  map[string]time.Time // when the use of the retry budget was last logged, by service
-	coldLimiter     *warmup.Limiter
-	rollouts        map[string]*serviceRollout // by service
-	lastRequested   map[string]time.Time       // time of the last request, by service
-	halls           map[string]string          // of live gateways, by address
-	view            *View
-	queue           waitQueue
-	publishedAt     time.Time                 // when peerState was last built
-	publishPending  bool                      // state has changed since then
-	running         map[string]int            // own requests, by server
-	serverIDs       map[uint64]string         // by hash of the ID
-	backoffUntil    map[string]time.Time      // end of the backoff that a server has asked for, by server
-	peerRunning     map[string]map[uint64]int // running requests by server hash, by live gateway
-	demandByGateway map[string]float64        // tokens asked for in the share window, by gateway, including this one
+	lastAttemptID        uint64                     // last attempt ID issued
+	shareUpdates         int                        // number of times shares were recomputed
+	pending              map[uint64]*pendingAttempt // own requests without a first event, by attempt ID
+	lastHeard            map[string]time.Time       // last sign of life, by server
+	loggedSpeeds         map[string]placement.Speed // as last logged, by service
+	balancer             *placement.Balancer
+	shares               *share.Tracker
+	retryBudget          *budget.Budget
+	lateAcknowledgements []lateAcknowledgement // by due time
+	budgetLoggedAt       map[string]time.Time  // when the use of the retry budget was last logged, by service
+	coldLimiter          *warmup.Limiter
+	rollouts             map[string]*serviceRollout // by service
+	lastRequested        map[string]time.Time       // time of the last request, by service
+	halls                map[string]string          // of live gateways, by address
+	view                 *View
+	queue                waitQueue
+	publishedAt          time.Time                 // when peerState was last built
+	publishPending       bool                      // state has changed since then
+	running              map[string]int            // own requests, by server
+	serverIDs            map[uint64]string         // by hash of the ID
+	backoffUntil         map[string]time.Time      // end of the backoff that a server has asked for, by server
+	peerRunning          map[string]map[uint64]int // running requests by server hash, by live gateway
+	demandByGateway      map[string]float64        // tokens asked for in the share window, by gateway, including this one
 }
 
 // DispatcherOptions configures placement, shares and retries.
@@ -245,6 +246,7 @@
 			d.scanWaiting(now)
 		case now := <-overdueTicker.C:
 			d.detectOverdue(now)
+			d.acknowledgeLate(now)
 			d.queueClaims(now)
 			d.advanceRollouts(now)
 			if d.publishPending {
@@ -348,7 +350,7 @@
 func (d *dispatcher) recordEnd(now time.Time, m attemptEnded) {
 	d.refundTokens(now, m)
 	d.recordRolloutAnswer(now, m)
-	d.acknowledgeRetry(now, d.pending[m.attemptID])
+	d.endRetry(now, d.pending[m.attemptID], m)
 	delete(d.pending, m.attemptID)
 	if m.end == placement.Served || m.end == placement.Rejected {
 		d.lastHeard[m.server] = now
--- a/gateway/dispatcher_retries.go
+++ b/gateway/dispatcher_retries.go
@@ -30,14 +30,55 @@
 	d.metrics.RetryDecided(service, true)
 }
 
-// acknowledgeRetry records that a server has shown a sign of life after a retry was sent to
-// it, or that the retry has ended without one.
+// arrivalTimeout is how long a request without any sign of its server may still be on its way
+// after the gateway has given it up: the kernel gives up unacknowledged bytes after 1.5 s.
+const arrivalTimeout = 2 * time.Second
+
+// lateAcknowledgement is a retry that was given up and may still reach its server.
+type lateAcknowledgement struct {
+	service string
+	due     time.Time
+}
+
+// acknowledgeRetry records that a server has shown a sign of life after a retry was sent to it.
 func (d *dispatcher) acknowledgeRetry(now time.Time, p *pendingAttempt) {
 	if p != nil && p.retry {
+		d.retryBudget.Acknowledge(p.service)
 		d.metrics.RetryAcknowledged(p.service, now.Sub(p.sentAt))
 	}
 }
 
+// endRetry records that a retry has ended, after which it may still reach its server if that
+// has given no sign of it.
+func (d *dispatcher) endRetry(now time.Time, p *pendingAttempt, m attemptEnded) {
+	if p == nil || !p.retry {
+		return
+	}
+	if reachedOrUnsent(m) {
+		d.acknowledgeRetry(now, p)
+		return
+	}
+	d.lateAcknowledgements = append(d.lateAcknowledgements, lateAcknowledgement{service: p.service, due: now.Add(arrivalTimeout)})
+}
+
+// reachedOrUnsent reports whether an attempt that has ended will not reach its server later.
+func reachedOrUnsent(m attemptEnded) bool {
+	switch m.end {
+	case placement.Served, placement.Rejected, placement.Unreachable, placement.NotSent:
+		return true
+	default:
+		return m.status != 0
+	}
+}
+
+// acknowledgeLate acknowledges retries that cannot reach their servers any more.
+func (d *dispatcher) acknowledgeLate(now time.Time) {
+	for len(d.lateAcknowledgements) > 0 && !now.Before(d.lateAcknowledgements[0].due) {
+		d.retryBudget.Acknowledge(d.lateAcknowledgements[0].service)
+		d.lateAcknowledgements = d.lateAcknowledgements[1:]
+	}
+}
+
 // logBudgetSpent logs what a service's budget has been spent on, at most once in
 // retryLogInterval.
 func (d *dispatcher) logBudgetSpent(now time.Time, service string) {
@@ -46,7 +87,7 @@
 	}
 	d.budgetLoggedAt[service] = now
 	u := d.retryBudget.Usage(now, service, d.fleetSize())
-	d.log.Warn().Str("event", "retries.spent").Str("service", service).Int("requests", u.Requests).Int("retries", u.Retries).
+	d.log.Warn().Str("event", "retries.spent").Str("service", service).Int("requests", u.Requests).Int("retries", u.Retries).Int("in_flight", u.InFlight).
 		Float64("remaining", u.Remaining).Int("gateways", d.fleetSize()).Dur("age", now.Sub(d.started)).
 		Dur("late", d.lateness(now.Add(-retryLogInterval), now)).Msg("no retries left for this service")
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -72,7 +72,7 @@
 	// RetryDecided records whether the retry budget had a retry left for a request.
 	RetryDecided(service string, granted bool)
 	// RetryAcknowledged records how long after its decision a retry got a sign of life from its
-	// server, or ended without one.
+	// server.
 	RetryAcknowledged(service string, delay time.Duration)
 }
 
--- a/telemetry/gateway.go
+++ b/telemetry/gateway.go
@@ -28,7 +28,7 @@
 	c.first, errs[2] = m.Float64Histogram("opalbridge.gateway.first", metric.WithUnit("s"), metric.WithDescription("time from arrival to the first byte passed on"))
 	c.whole, errs[3] = m.Float64Histogram("opalbridge.gateway.whole", metric.WithUnit("s"), metric.WithDescription("time from arrival to the end"))
 	c.retries, errs[4] = m.Int64Counter("opalbridge.gateway.retries", metric.WithDescription("retries that the budget granted or refused, by service and decision"))
-	c.acknowledged, errs[5] = m.Float64Histogram("opalbridge.gateway.retry_acknowledged", metric.WithUnit("s"), metric.WithDescription("time from the decision on a retry to its server's first sign of life, or to its end"))
+	c.acknowledged, errs[5] = m.Float64Histogram("opalbridge.gateway.retry_acknowledged", metric.WithUnit("s"), metric.WithDescription("time from the decision on a retry to its server's first sign of life"))
 	return &c, errors.Wrap(errors.Join(errs[:]...), "telemetry: gateway")
 }
 
