gateway/budget: requests that a late process reads earn no retries

Cause: a request earned when it was read, while the rule counts it when its caller sent it.

Change: a request counts only if the process has not run late by more than 250 ms in the last second, by its own measure of its scheduling delay, at which it admits nothing new anyway. What is late on its way, and what is late by less, the fractions of the ratio make up for: a second for all requests of the fleet at once holds (world "a second late on the way").

--- a/gateway/budget/budget.go
+++ b/gateway/budget/budget.go
@@ -6,7 +6,7 @@
 // # Usage
 //
 //	b := budget.New(budget.Limits{Ratio: 0.2, FixedRetries: 58, Window: 10 * time.Second}, time.Now())
-//	b.RecordRequest(now, service)
+//	b.RecordRequest(now, service, late)
 //	if b.Take(now, service, gateways) {
 //		… retry …
 //		b.Acknowledge(service) // when the server has shown that it has the request
@@ -67,6 +67,10 @@
 	minHeldRetries = 1
 )
 
+// maxLateness is how late a process may run for the requests that it reads to count. What the
+// fractions leave makes up for requests that are late by four times as much.
+const maxLateness = 250 * time.Millisecond
+
 // Budget counts requests and retries by service.
 type Budget struct {
 	limits       Limits
@@ -121,8 +125,13 @@
 	return min(b.limits.FixedRetries/float64(b.mostGateways), ownFixedRetries+fixedFraction*perRequest)
 }
 
-// RecordRequest counts a caller's request for a service.
-func (b *Budget) RecordRequest(now time.Time, service string) {
+// RecordRequest counts a caller's request for a service. late is how late the process has run in
+// the last moments. A request that is read by a process that ran late may have been sent long
+// ago, in a window whose retries others have spent, and is not counted.
+func (b *Budget) RecordRequest(now time.Time, service string, late time.Duration) {
+	if late > maxLateness {
+		return
+	}
 	k := b.bucket(service)
 	k.requests.add(now)
 	k.tokens += earnedFraction * b.limits.Ratio
--- a/gateway/budget/budget_test.go
+++ b/gateway/budget/budget_test.go
@@ -32,8 +32,8 @@
 		requests int           // in a window
 		gateways int           // known
 		certain  bool          // the fleet has just these
-		atOnce   bounds // without requests in the window before
-		inWindow bounds // while the requests come evenly
+		atOnce   bounds        // without requests in the window before
+		inWindow bounds        // while the requests come evenly
 	}{
 		{"just started", 0, 0, 1, true, bounds{0, 0}, bounds{20, 60}},
 		{"just started, with requests", 0, 100, 1, true, bounds{0, 0}, bounds{35, 80}},
@@ -61,7 +61,7 @@
 			for range steps {
 				now = now.Add(limits.Window / steps)
 				for range test.requests / steps {
-					b.RecordRequest(now, "s")
+					b.RecordRequest(now, "s", 0)
 				}
 				inWindow += spend(b, now, test.gateways)
 			}
@@ -77,7 +77,7 @@
 func TestUsage(t *testing.T) {
 	b := budget.New(limits, start)
 	now := start.Add(time.Minute)
-	b.RecordRequest(now, "s")
+	b.RecordRequest(now, "s", 0)
 	require.True(t, b.Take(now, "s", 6))
 	got := b.Usage(now, "s", 6)
 	require.Equal(t, 1, got.Requests)
--- a/gateway/budget/fleet_test.go
+++ b/gateway/budget/fleet_test.go
@@ -40,10 +40,13 @@
 	noCallers   bool
 	knows       int           // gateways, including itself; 0: all
 	readsLateBy time.Duration // requests are read so long after they were sent
-	unread      []time.Time   // when requests were sent that it has not read
-	cut         bool          // what it sends to servers is held back
-	heldBack    int           // retries that have not reached their servers
-	orphaned    int           // such retries of processes that have ended
+	onTheWay    bool          // they are late on their way, so the process does not know
+	late        time.Duration // how late it last ran when it was late
+	lateAt      time.Time
+	unread      []time.Time // when requests were sent that it has not read
+	cut         bool        // what it sends to servers is held back
+	heldBack    int         // retries that have not reached their servers
+	orphaned    int         // such retries of processes that have ended
 }
 
 func newFleet(gateways int, rate float64, l budget.Limits) *fleet {
@@ -93,7 +96,7 @@
 		return
 	}
 	for len(m.unread) > 0 && f.now.Sub(m.unread[0]) >= m.readsLateBy {
-		m.budget.RecordRequest(f.now, "s")
+		m.budget.RecordRequest(f.now, "s", f.lateness(m))
 		m.unread = m.unread[1:]
 	}
 	if !f.shedding {
@@ -108,6 +111,17 @@
 	}
 }
 
+// lateness returns how late the process has run in the last second.
+func (f *fleet) lateness(m *member) time.Duration {
+	if late := f.now.Sub(m.unread[0]); !m.onTheWay && late > tick {
+		m.late, m.lateAt = late, f.now
+	}
+	if f.now.Sub(m.lateAt) > time.Second {
+		return 0
+	}
+	return m.late
+}
+
 // known returns how many gateways a gateway knows.
 func (f *fleet) known(m *member) int {
 	if m.knows == 0 {
@@ -369,7 +383,7 @@
 			f.run(15 * time.Second)
 		}},
 		{"a second late on the way", func(f *fleet) {
-			f.all(late(time.Second))
+			f.all(func(m *member) { m.readsLateBy, m.onTheWay = time.Second, true })
 			f.run(5 * time.Second)
 			f.shedding = true
 			f.all(late(0))
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -262,7 +262,7 @@
 	case placementRequest:
 		d.place(now, m)
 	case requestArrived:
-		d.retryBudget.RecordRequest(now, m.service)
+		d.earnRetries(now, m.service)
 		d.lastRequested[m.service] = now
 		if m.account != "" {
 			d.shares.RecordAsked(now, m.account, m.tokens)
--- a/gateway/dispatcher_retries.go
+++ b/gateway/dispatcher_retries.go
@@ -14,6 +14,15 @@
 // retryLogInterval is the minimum time between two log lines about a service's retry budget.
 const retryLogInterval = time.Second
 
+// lateRequestWindow is how long after it ran late a process may still read requests that were
+// sent meanwhile.
+const lateRequestWindow = time.Second
+
+// earnRetries counts a request, which earns a part of a retry.
+func (d *dispatcher) earnRetries(now time.Time, service string) {
+	d.retryBudget.RecordRequest(now, service, d.lateness(now.Add(-lateRequestWindow), now))
+}
+
 // mayRetry reports whether the retry budget has a retry left for a service.
 func (d *dispatcher) mayRetry(now time.Time, service string) bool {
 	if d.retryBudget.Remaining(now, service, d.fleetSize()) >= 1 {
