--- a/gateway/budget/fleet_test.go
+++ b/gateway/budget/fleet_test.go
@@ -1,6 +1,8 @@
 package budget_test
 
 import (
+	"flag"
+	"math/rand/v2"
 	"slices"
 	"sort"
 	"testing"
@@ -414,3 +416,77 @@
 	require.Equal(t, 3, countBetween(times, start, start.Add(3)))
 	require.Equal(t, 2, countBetween(times, start.Add(1), start.Add(3)))
 }
+
+// change is something that happens to some gateways of a random world.
+type change struct {
+	name string
+	do   func(f *fleet, m *member, r *rand.Rand)
+}
+
+var changes = []change{
+	{"killed", func(f *fleet, m *member, _ *rand.Rand) {
+		if !m.down {
+			f.kill(m)
+		}
+	}},
+	{"started", func(f *fleet, m *member, _ *rand.Rand) {
+		if m.down {
+			f.start(m)
+		}
+	}},
+	{"killed and started", func(f *fleet, m *member, _ *rand.Rand) {
+		f.kill(m)
+		f.start(m)
+	}},
+	{"frozen", func(_ *fleet, m *member, _ *rand.Rand) { m.frozen = true }},
+	{"thawed", func(_ *fleet, m *member, _ *rand.Rand) { m.frozen = false }},
+	{"cut", func(_ *fleet, m *member, _ *rand.Rand) { m.cut = true }},
+	{"cut ends", func(_ *fleet, m *member, _ *rand.Rand) { m.cut = false }},
+	{"knows few", func(f *fleet, m *member, r *rand.Rand) { m.knows = 1 + r.IntN(len(f.gateways)) }},
+	{"knows none", func(_ *fleet, m *member, _ *rand.Rand) { m.knows = 1 }},
+	{"knows all", func(_ *fleet, m *member, _ *rand.Rand) { m.knows = 0 }},
+	{"starved", func(_ *fleet, m *member, r *rand.Rand) {
+		m.readsLateBy = time.Duration(r.IntN(4000)) * time.Millisecond
+	}},
+	{"catches up", func(_ *fleet, m *member, _ *rand.Rand) { m.readsLateBy = 0 }},
+	{"callers come or go", func(_ *fleet, m *member, _ *rand.Rand) { m.noCallers = !m.noCallers }},
+}
+
+// randomWorld plays thirty seconds of random changes.
+func randomWorld(f *fleet, r *rand.Rand) {
+	usual := f.rate
+	for range 40 {
+		f.shedding = r.IntN(5) > 0
+		f.rate = usual * (0.2 + 1.6*r.Float64())
+		c := changes[r.IntN(len(changes))]
+		share := r.Float64()
+		if r.IntN(3) == 0 {
+			share = 1
+		}
+		for _, m := range f.gateways {
+			if r.Float64() <= share {
+				c.do(f, m, r)
+			}
+		}
+		f.run(time.Duration(r.IntN(1500)) * time.Millisecond)
+	}
+}
+
+// TestRetryBoundInRandomWorlds plays whatever may happen to gateways, in any order.
+func TestRetryBoundInRandomWorlds(t *testing.T) {
+	for _, size := range fleetSizes {
+		t.Run(size.name, func(t *testing.T) {
+			highest := 0.0
+			for seed := range uint64(*worlds) {
+				f := newFleet(size.gateways, size.rate, size.limits)
+				f.run(15 * time.Second)
+				randomWorld(f, rand.New(rand.NewPCG(seed, 0)))
+				highest = max(highest, f.worst())
+				require.LessOrEqual(t, f.worst(), 1.0, "seed %d: retries in a window, by what is allowed", seed)
+			}
+			t.Logf("%d worlds: %.2f of what is allowed in the worst window", *worlds, highest)
+		})
+	}
+}
+
+var worlds = flag.Int("worlds", 20, "random worlds that TestRetryBoundInRandomWorlds plays for each fleet")
