--- a/mutants/main.go
+++ b/mutants/main.go
@@ -48,6 +48,10 @@
 	{"pick the account ahead", "fair/fair.go", "if best < 0 || k < minKey ||", "if best < 0 || k > minKey ||", "./fair", "TestPickOrder|TestFleetGap"},
 	{"forget what a dead incarnation served", "ledger/ledger.go", "	h.clearPending(s)\n	s.pastIncarnations = append", "	h.clearPending(s)\n	for _, t := range s.totals {\n		h.replaceTotal(s, fair.Total{Account: t.Account})\n	}\n	s.pastIncarnations = append", "./ledger", "TestAgentRestart"},
 	{"lend the credit at every server", "fair/fair.go", "max(tr.options.Slots, s.slots, tr.maxSlots)", "tr.options.Slots", "./fair", "TestUrgentCredit"},
+	{"hold a whole window of retries", "gateway/budget/budget.go", "heldFraction   = 0.075", "heldFraction   = 0.8", "./gateway/budget", "TestRestartForgetsSpentRetries"},
+	{"take all fixed retries when alone", "gateway/budget/budget.go", "ownFixedRetries = 3", "ownFixedRetries = 100", "./gateway/budget", "TestUnknownPeersMultiplyFixedRetries"},
+	{"forget retries on their way", "gateway/budget/budget.go", "-float64(k.inFlight), 0)", ", 0)", "./gateway/budget", "TestHeldBackRetriesArriveTogether"},
+	{"let late requests earn retries", "gateway/budget/budget.go", "if late > maxLateness {", "if false {", "./gateway/budget", "TestLateRequestsEarnRetries"},
 }
 
 const pageHead = `# Deliberate breaks, and what catches them
