gateway: the dispatcher's messages and what it tells others in files of their own

What recognises callers' own retries is called so (callerRetryTracker, caller_retries.go): with the fleet's retries beside it, retries.go said neither. No behaviour changes.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -289,7 +289,7 @@
 
 func (c *call) deny(d denial) {
 	writeDenial(c.w, d)
-	c.gateway.retries.addRefused(c)
+	c.gateway.callerRetries.addRefused(c)
 }
 
 // report logs the end of the request and records it in the metrics.
--- a/gateway/retries.go
+++ b/gateway/caller_retries.go
@@ -9,14 +9,14 @@
 	"opalbridge.dev/gateway/retry"
 )
 
-// retryTracker remembers the requests that this gateway and others have refused, so that their
+// callerRetryTracker remembers the requests that this gateway and others have refused, so that their
 // retries are recognized. It is safe for concurrent use. Its zero value is ready to use.
-type retryTracker struct {
+type callerRetryTracker struct {
 	mutex   sync.Mutex
 	history *retry.History
 }
 
-func (t *retryTracker) withHistory(fn func(h *retry.History)) {
+func (t *callerRetryTracker) withHistory(fn func(h *retry.History)) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if t.history == nil {
@@ -27,7 +27,7 @@
 
 // sinceFirstAttempt returns how long ago the caller of a request first tried; 0 if this is its
 // first attempt as far as is known.
-func (t *retryTracker) sinceFirstAttempt(c *call) time.Duration {
+func (t *callerRetryTracker) sinceFirstAttempt(c *call) time.Duration {
 	key, ok := c.retryKey()
 	if !ok {
 		return 0
@@ -42,7 +42,7 @@
 }
 
 // addRefused records that a request was refused, and tells the other gateways.
-func (t *retryTracker) addRefused(c *call) {
+func (t *callerRetryTracker) addRefused(c *call) {
 	key, ok := c.retryKey()
 	if !ok {
 		return
@@ -53,7 +53,7 @@
 }
 
 // addRemote records requests that another gateway has refused.
-func (t *retryTracker) addRemote(now time.Time, list []peer.Refusal) {
+func (t *callerRetryTracker) addRemote(now time.Time, list []peer.Refusal) {
 	if len(list) == 0 {
 		return
 	}
--- a/gateway/retries_test.go
+++ b/gateway/caller_retries_test.go
@@ -30,13 +30,13 @@
 	now := time.Now()
 	here, there := newIdleGateway(t), newIdleGateway(t)
 	refused := newTestCall(here, now, 10*time.Second, "shared", "own")
-	require.Zero(t, here.retries.sinceFirstAttempt(refused))
+	require.Zero(t, here.callerRetries.sinceFirstAttempt(refused))
 	refused.deny(denial{status: 503, reason: "later"})
 	refusal := peer.Refusal{Key: 0, Deadline: now.Add(10 * time.Second), FirstAttempt: now}
 	key, ok := refused.retryKey()
 	require.True(t, ok)
 	refusal.Key = uint64(key)
-	there.retries.addRemote(now, []peer.Refusal{refusal})
+	there.callerRetries.addRemote(now, []peer.Refusal{refusal})
 	tests := []struct {
 		name      string
 		remaining time.Duration // a second after the first attempt
@@ -51,7 +51,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			for _, g := range []*Gateway{here, there} {
-				require.Equal(t, test.elapsed, g.retries.sinceFirstAttempt(newTestCall(g, now.Add(time.Second), test.remaining, test.parts...)))
+				require.Equal(t, test.elapsed, g.callerRetries.sinceFirstAttempt(newTestCall(g, now.Add(time.Second), test.remaining, test.parts...)))
 			}
 		})
 	}
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -11,7 +11,6 @@
 	"opalbridge.dev/gateway/budget"
 	"opalbridge.dev/gateway/catalog"
 	"opalbridge.dev/gateway/peer"
-	"opalbridge.dev/gateway/peer/peerpb"
 	"opalbridge.dev/gateway/placement"
 	"opalbridge.dev/gateway/share"
 	"opalbridge.dev/gateway/warmup"
@@ -113,60 +112,6 @@
 	retry          bool // the request had reached another server before
 }
 
-// Messages to the dispatcher.
-type (
-	// placementRequest asks for a decision. If the decision is to send, the request is
-	// recorded as sent.
-	placementRequest struct {
-		request *placement.Request
-		retry   bool            // the request has already reached a server
-		done    <-chan struct{} // closed when the caller no longer waits for a decision
-		tokens  float64
-		reply   chan<- placement.Decision
-	}
-	// requestArrived reports a new request from a caller.
-	requestArrived struct {
-		service string
-		account string
-		tokens  float64
-	}
-	// firstEventReceived reports the first event of an attempt.
-	firstEventReceived struct {
-		attemptID uint64
-		server    string
-	}
-	// attemptEnded reports the end of an attempt.
-	attemptEnded struct {
-		attemptID     uint64
-		server        string
-		end           placement.Outcome
-		route         string
-		status        int           // of the server's answer; 0: none, or an incomplete answer
-		eventInterval time.Duration // mean time between events of a stream; 0: unknown
-	}
-	// cacheReported reports the contents of a server's cache.
-	cacheReported struct {
-		server string
-		parts  []uint64 // held in its cache
-	}
-	// claimWritten reports the outcome of a claim on a cold server.
-	claimWritten struct {
-		claim   warmup.Claim
-		outcome warmup.Outcome
-	}
-	// leavingAnnounced reports that a server has announced that it is leaving.
-	leavingAnnounced struct{ server string }
-	// backoffRequested reports that a server has asked for backoff.
-	backoffRequested struct {
-		server string
-		until  time.Time // it wants no requests before then
-	}
-	// viewReplaced passes on a new view.
-	viewReplaced struct{ view *View }
-	// peersUpdated passes on updates from other gateways.
-	peersUpdated struct{ updates []peer.Update }
-)
-
 // newDispatcher returns a dispatcher that does not run yet.
 func newDispatcher(log zerolog.Logger, s DispatcherOptions, now time.Time) *dispatcher {
 	d := &dispatcher{
@@ -381,32 +326,6 @@
 	}
 }
 
-// publishInterval is the minimum time between two builds of the state for beacons, which
-// takes some microseconds per server.
-const publishInterval = 5 * time.Millisecond
-
-// schedulePublish rebuilds the state for beacons now, or at the next overdue check if it
-// was built a moment ago.
-func (d *dispatcher) schedulePublish(now time.Time) {
-	if now.Sub(d.publishedAt) < publishInterval {
-		d.publishPending = true
-		return
-	}
-	d.publishedAt = now
-	d.publish()
-}
-
-// publish builds the state that the next beacon carries.
-func (d *dispatcher) publish() {
-	d.publishPending = false
-	old := d.peerState.Load()
-	s := &peer.State{Running: make(map[uint64]int, len(d.running)), Demands: old.Demands, Speeds: old.Speeds}
-	for id, n := range d.running {
-		s.Running[hashString(id)] = n
-	}
-	d.peerState.Store(s)
-}
-
 // setView takes over the configuration and the servers of a new view.
 func (d *dispatcher) setView(now time.Time, v *View) {
 	d.view = v
@@ -458,8 +377,8 @@
 	return sums
 }
 
-// updateShares recomputes the account shares and updates what beacons report about this
-// gateway. It also runs the periodic checks that need no shorter interval.
+// updateShares recomputes the account shares and runs the periodic checks that need no shorter
+// interval.
 func (d *dispatcher) updateShares(now time.Time) {
 	rate := 0.0
 	if d.view.Configuration != nil {
@@ -471,19 +390,7 @@
 	}
 	d.detectSilent(now)
 	d.logSpeeds()
-	own := d.shares.LocalDemands(now)
-	demand := 0.0
-	for _, o := range own {
-		demand += o.Asked
-	}
-	d.demandByGateway[d.settings.Address] = demand
-	list := make([]*peerpb.Demand, 0, min(len(own), maxDemands))
-	for _, o := range own[:min(len(own), maxDemands)] {
-		list = append(list, &peerpb.Demand{Account: o.Account, Asked: uint32(o.Asked), Admitted: uint32(o.Admitted)})
-	}
-	s := *d.peerState.Load()
-	s.Demands, s.Speeds, s.Rollouts = list, d.learnedSpeeds(), d.rolloutReports(now)
-	d.peerState.Store(&s)
+	d.publishDemands(now)
 }
 
 // fleetSize returns the number of live gateways, including this one.
--- /dev/null
+++ b/gateway/dispatcher_messages.go
@@ -0,0 +1,63 @@
+package gateway
+
+import (
+	"time"
+
+	"opalbridge.dev/gateway/peer"
+	"opalbridge.dev/gateway/placement"
+	"opalbridge.dev/gateway/warmup"
+)
+
+// Messages to the dispatcher.
+type (
+	// placementRequest asks for a decision. If the decision is to send, the request is
+	// recorded as sent.
+	placementRequest struct {
+		request *placement.Request
+		retry   bool            // the request has already reached a server
+		done    <-chan struct{} // closed when the caller no longer waits for a decision
+		tokens  float64
+		reply   chan<- placement.Decision
+	}
+	// requestArrived reports a new request from a caller.
+	requestArrived struct {
+		service string
+		account string
+		tokens  float64
+	}
+	// firstEventReceived reports the first event of an attempt.
+	firstEventReceived struct {
+		attemptID uint64
+		server    string
+	}
+	// attemptEnded reports the end of an attempt.
+	attemptEnded struct {
+		attemptID     uint64
+		server        string
+		end           placement.Outcome
+		route         string
+		status        int           // of the server's answer; 0: none, or an incomplete answer
+		eventInterval time.Duration // mean time between events of a stream; 0: unknown
+	}
+	// cacheReported reports the contents of a server's cache.
+	cacheReported struct {
+		server string
+		parts  []uint64 // held in its cache
+	}
+	// claimWritten reports the outcome of a claim on a cold server.
+	claimWritten struct {
+		claim   warmup.Claim
+		outcome warmup.Outcome
+	}
+	// leavingAnnounced reports that a server has announced that it is leaving.
+	leavingAnnounced struct{ server string }
+	// backoffRequested reports that a server has asked for backoff.
+	backoffRequested struct {
+		server string
+		until  time.Time // it wants no requests before then
+	}
+	// viewReplaced passes on a new view.
+	viewReplaced struct{ view *View }
+	// peersUpdated passes on updates from other gateways.
+	peersUpdated struct{ updates []peer.Update }
+)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -111,7 +111,7 @@
 	suspects              *suspectTracker
 	activeCalls           *activeCalls
 	signals               *serverSignals
-	retries               retryTracker
+	callerRetries         callerRetryTracker
 	stopping              atomic.Bool
 	active                atomic.Int64 // requests being served
 	capacity              capacity
--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -248,7 +248,7 @@
 			g.dispatcher.send(peersUpdated{list})
 			for _, u := range list {
 				g.offloadTargets.update(u)
-				g.retries.addRemote(time.Now(), u.Refusals)
+				g.callerRetries.addRemote(time.Now(), u.Refusals)
 				g.suspects.setPeerLive(u.From, u.Alive)
 				g.suspects.applyPeerReports(time.Now(), u.Crashes, u.Cleared)
 				g.applyPeerLeaving(time.Now(), u.From, u.LeavingServers)
--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -194,7 +194,7 @@
 	}
 	prompt = max(prompt, sum)
 	c.cost = float64(prompt + outputTokenWeight*output)
-	c.sinceFirstAttempt = c.gateway.retries.sinceFirstAttempt(c)
+	c.sinceFirstAttempt = c.gateway.callerRetries.sinceFirstAttempt(c)
 	c.placeReq = placement.Request{
 		Service: c.service, Account: c.account, Parts: parts, PromptTokens: prompt, OutputTokens: output,
 		Hall: c.gateway.options.Dispatcher.Hall, TieBreak: hashString(c.meta.ID), Regions: c.regions,
