--- a/gateway/budget/budget.go
+++ b/gateway/budget/budget.go
@@ -108,21 +108,21 @@
 // fill adds what time earns and drops what the bucket does not hold.
 func (b *Budget) fill(now time.Time, k *bucket, gateways int) {
 	b.mostGateways = max(b.mostGateways, gateways, 1)
-	perRequest := b.limits.Ratio * float64(k.requests.count(now))
-	part := b.fixedPart(perRequest)
+	allowed := b.limits.Ratio * float64(k.requests.count(now))
+	part := b.fixedPart(allowed)
 	held := max(heldFixedFraction*part, min(part/2, minHeldRetries))
 	k.tokens += (part - held) * now.Sub(k.filled).Seconds() / b.limits.Window.Seconds()
 	k.filled = now
-	k.tokens = min(k.tokens, max(held+heldFraction*perRequest-float64(k.inFlight), 0))
+	k.tokens = min(k.tokens, max(held+heldFraction*allowed-float64(k.inFlight), 0))
 }
 
-// fixedPart returns the gateway's part of the fixed retries in a window. perRequest is what the
+// fixedPart returns the gateway's part of the fixed retries in a window. allowed is what the
 // ratio allows for its requests of the last window.
-func (b *Budget) fixedPart(perRequest float64) float64 {
+func (b *Budget) fixedPart(allowed float64) float64 {
 	if b.limits.Gateways > 0 {
 		return b.limits.FixedRetries / float64(b.limits.Gateways)
 	}
-	return min(b.limits.FixedRetries/float64(b.mostGateways), ownFixedRetries+fixedFraction*perRequest)
+	return min(b.limits.FixedRetries/float64(b.mostGateways), ownFixedRetries+fixedFraction*allowed)
 }
 
 // RecordRequest counts a caller's request for a service. late is how late the process has run in
