--- a/gateway/dispatcher_retries.go
+++ b/gateway/dispatcher_retries.go
@@ -57,26 +57,17 @@
 	}
 }
 
-// endRetry records that a retry has ended, after which it may still reach its server if that
-// has given no sign of it.
+// endRetry records that a retry has ended. Its server may still get it if it has given no sign of
+// it.
 func (d *dispatcher) endRetry(now time.Time, p *pendingAttempt, m attemptEnded) {
-	if p == nil || !p.retry {
-		return
-	}
-	if reachedOrUnsent(m) {
+	switch {
+	case p == nil || !p.retry:
+	case m.end == placement.Unreachable || m.end == placement.NotSent:
+		d.retryBudget.Acknowledge(p.service)
+	case m.end == placement.Served || m.end == placement.Rejected || m.status != 0:
 		d.acknowledgeRetry(now, p)
-		return
-	}
-	d.lateAcknowledgements = append(d.lateAcknowledgements, lateAcknowledgement{service: p.service, due: now.Add(arrivalTimeout)})
-}
-
-// reachedOrUnsent reports whether an attempt that has ended will not reach its server later.
-func reachedOrUnsent(m attemptEnded) bool {
-	switch m.end {
-	case placement.Served, placement.Rejected, placement.Unreachable, placement.NotSent:
-		return true
 	default:
-		return m.status != 0
+		d.lateAcknowledgements = append(d.lateAcknowledgements, lateAcknowledgement{service: p.service, due: now.Add(arrivalTimeout)})
 	}
 }
 
