--- a/gateway/call.go
+++ b/gateway/call.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"sync/atomic"
@@ -153,7 +154,7 @@
 	c.attempts++
 	c.placeReq.Exclude = append(c.placeReq.Exclude, d.Server.ID)
 	c.gateway.log.Info().Str("event", "attempt.sent").Str("request", c.meta.ID).Int("attempt", c.attempts).
-		Str("server", d.Server.ID).Dur("predicted", d.Predicted).Dur("work", d.Load.Work).Dur("reading", d.PrefillTime).Float64("tokens", c.cost).
+		Str("server", d.Server.ID).Str("version", d.Server.Version).Str("resumes", c.meta.Resumes).Str("after_event", cmp.Or(c.lastEventID, c.meta.LastEventID)).Dur("predicted", d.Predicted).Dur("work", d.Load.Work).Dur("reading", d.PrefillTime).Float64("tokens", c.cost).
 		Dur("left", c.deadline.Sub(sent)).Str("account", c.account).Bool("over_share", c.placeReq.OverShare).
 		Int("prompt", c.placeReq.PromptTokens).Dur("waiting", d.QueueTime).Int("reread", d.SharedMissTokens).Dur("spent", c.sinceFirstAttempt).Float64("ahead", c.placeReq.ShareRatio).Bool("again", c.sinceFirstAttempt > 0).Str("copy_from", d.CopyFrom).Msg("request sent to server")
 	ctx, cancel := context.WithCancelCause(ctx)
--- a/gateway/protocol/protocol.go
+++ b/gateway/protocol/protocol.go
@@ -33,6 +33,9 @@
 	MaxOutputTokens      int    // maximum tokens of the answer; 0: unknown
 	ExpectedOutputTokens int    // the caller's estimate of the answer's tokens; 0: unknown
 	LastEventID          string // resume after this event; empty: from the start
+	// Resumes is the ID of the caller's attempt that brought the first event of the stream that
+	// this request resumes; empty: not given, or not a single ID.
+	Resumes string
 }
 
 // Forward holds the headers that the gateway sets on a request to a server.
