gateway, placement: a gateway goes on with a broken stream only at the version that began it

Callers got one answer with events of two software versions of a service: when a server broke a resumable stream off, the gateway went on at any other server, and the servers' versions were read by roll-outs alone.

A request is now pinned to the version of the server whose first event is relayed, and placement passes servers of other versions over. A server of unknown version continues nothing. In a roll-out such a stream goes on at its version, whatever the share of new requests there; a version that was taken back or replaced continues none.

Ruled out: a wrong belief about the versions; in the test the entries tell them rightly. It holds because every second attempt within an answer is placed by the same request.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -115,10 +115,18 @@
 		c.refuse(d)
 		return doneStep{}
 	default:
-		return failStep{err: errors.Newf("gateway: no server of service %s takes work", c.service)}
+		return failStep{err: c.noServerError()}
 	}
 }
 
+// noServerError returns the error of a request that no server can get.
+func (c *call) noServerError() error {
+	if c.placeReq.Pinned {
+		return errors.Newf("gateway: no server of service %s, version %q, takes the stream", c.service, c.placeReq.Version)
+	}
+	return errors.Newf("gateway: no server of service %s takes work", c.service)
+}
+
 // remainingObjective returns what is left of an objective. It is never 0, which means that
 // there is no objective.
 func remainingObjective(objective, elapsed time.Duration) time.Duration {
--- a/gateway/dispatcher_rollout.go
+++ b/gateway/dispatcher_rollout.go
@@ -281,6 +281,10 @@
 // placeByVersion decides on a request of a service with a rollout.
 func (d *dispatcher) placeByVersion(now time.Time, s *serviceRollout, a *placement.Request) placement.Decision {
 	defer func() { a.Withheld = nil }()
+	if a.Pinned {
+		a.Withheld = s.withheldFromPinned(now, a.Version)
+		return d.balancer.Place(now, a)
+	}
 	switch {
 	case s.state == rollout.Complete:
 		if now.Sub(s.completedAt) < completedHold && len(s.target) > 0 {
@@ -307,6 +311,27 @@
 	return d.balancer.Place(now, a)
 }
 
+// withheldFromPinned returns the servers withheld from a stream that only servers of a version
+// may continue. While the rollout is in progress it goes on at its version, whatever the share of
+// new requests there. A version that was rolled back, or replaced, continues none.
+func (s *serviceRollout) withheldFromPinned(now time.Time, version string) map[string]bool {
+	switch {
+	case s.state == rollout.Complete:
+		if now.Sub(s.completedAt) < completedHold && len(s.target) > 0 {
+			return s.withheldFromTarget
+		}
+		return nil
+	case s.state == rollout.RolledBack || s.rollout != nil && s.rollout.Stage() == rollout.Reverted:
+		return s.withheldFromOthers
+	case s.rollout == nil || len(s.target) == 0:
+		return nil
+	case version == s.targetVersion():
+		return s.withheldFromTarget
+	default:
+		return s.withheldFromOthers
+	}
+}
+
 // targetAccepts reports whether a decision made for the target version is used. While the
 // target gets only a part of the requests, one that it cannot serve at once goes to the
 // others. When all requests go to the target, one goes to the others only if none of its
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -54,6 +54,8 @@
 	Exclude       []string        // servers already tried
 	Withheld      map[string]bool // servers withheld from requests of this kind; shared, must not be modified
 	Regions       catalog.Regions // regions in which it may be served
+	Pinned        bool            // it continues a stream, so only servers of Version may run it
+	Version       string          // software version that began the stream, if Pinned; empty: unknown, so no server may run it
 	Hall          string          // hall of the gateway
 	TieBreak      uint64          // random; chooses among servers of similar cost
 }
@@ -245,7 +247,13 @@
 
 // eligible reports whether a request may go to a server, now or later.
 func (b *Balancer) eligible(req *Request, s *server) bool {
-	return !s.Leaving && !s.announcedLeaving && !s.Evacuated && !req.Withheld[s.ID] && b.inAllowedRegion(req, s) && !slices.Contains(req.Exclude, s.ID)
+	return !s.Leaving && !s.announcedLeaving && !s.Evacuated && !req.Withheld[s.ID] && req.allowsVersion(s) && b.inAllowedRegion(req, s) && !slices.Contains(req.Exclude, s.ID)
+}
+
+// allowsVersion reports whether a server's software version may run the request. Events of
+// different versions must not be joined in one stream, and servers do not check that.
+func (req *Request) allowsVersion(s *server) bool {
+	return !req.Pinned || req.Version != "" && s.Version == req.Version
 }
 
 // inAllowedRegion reports whether a request may be served in a server's region.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -125,6 +125,7 @@
 			c.gateway.dispatcher.send(firstEventReceived{attemptID: d.ID, server: d.Server.ID})
 		}
 		if len(event) > 0 && !c.alreadyRelayed(event) {
+			c.pinVersion(d.Server)
 			if werr := c.relayEvent(r, control, event, events.Buffered() > 0); werr != nil {
 				c.result, c.reason = "left", werr.Error()
 				return placement.Abandoned, doneStep{}
@@ -139,6 +140,14 @@
 	}
 }
 
+// pinVersion restricts further attempts to the software version of the server whose event is
+// about to be relayed.
+func (c *call) pinVersion(s catalog.Server) {
+	if !c.placeReq.Pinned {
+		c.placeReq.Pinned, c.placeReq.Version = true, s.Version
+	}
+}
+
 // sendHeader sends the header of the response unless that has been done.
 func (c *call) sendHeader(r *upstream.Response) {
 	if c.headerSent {
