gateway, gateway/origin: a stream that its caller takes up goes on only at the version that began it

Callers who took a stream up, at the gateway that began it or at another one, got events of another software version: nothing read Resumes, and what began a stream was known to one gateway and forgotten with its answer.

The gateway that relays a stream's first event now remembers the version, and reports it to three others, by rendezvous hashing of the attempt over the live gateways, in one datagram each; the event waits for nothing. A gateway that gets the caller's next attempt looks at what it knows, then asks the six that rank first, up to a quarter of a second, and pins the request to the service and version. What nobody knows, what two reports contradict, and a version without servers are refused at once, unsent, with 503 and Opalbridge-Begin-Anew. A caller that names no attempt goes on only where the route's one service has had one version since before such a stream can have begun. At most 65,536 attempts are remembered, each until its caller has given up and five seconds more.

Why it holds: an attempt's version is a fact that never changes, so reports may be lost, late or repeated; a gateway goes on by a positive report alone.

--- a/cmd/opalbridge/gateway.go
+++ b/cmd/opalbridge/gateway.go
@@ -77,6 +77,11 @@
 	c.RecordRetryAcknowledged(service, delay)
 }
 
+// StreamResumed implements gateway.Metrics.
+func (c requestMetrics) StreamResumed(service string, outcome gateway.ResumeOutcome) {
+	c.RecordStreamResumed(service, string(outcome))
+}
+
 func runGateway(ctx context.Context, s *settings.Settings, file string) error {
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(heapLimitRatio * float64(s.MemoryMB) * (1 << 20)))
@@ -131,6 +136,7 @@
 		{Name: "opalbridge.gateway.said_leaving", Description: "servers that have said in answers that they leave", Read: func() float64 { return float64(g.Status().AnnouncedLeaving) }},
 		{Name: "opalbridge.gateway.resting", Description: "servers that have asked this gateway for rest", Read: func() float64 { return float64(g.Status().BackingOff) }},
 		{Name: "opalbridge.gateway.barred", Description: "requests that reach no server any more, since servers ended under them", Read: func() float64 { return float64(g.Status().Quarantined) }},
+		{Name: "opalbridge.gateway.origins", Description: "attempts of callers whose streams' versions this gateway remembers, for itself and others", Read: func() float64 { return float64(g.Status().Origins) }},
 		{Name: "opalbridge.gateway.log_lines_dropped", Description: "log lines that were not written", Read: func() float64 { return float64(logWriter.Dropped()) }},
 		{Name: "opalbridge.gateway.unreadable_entries", Description: "entries in the platform's store that could not be read, each time that they were met", Read: func() float64 { return float64(entries.total()) }},
 	})
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -53,6 +53,7 @@
 	hasCachedKey    bool           // cachedKey is set
 	responseStarted atomic.Bool    // the caller has received part of a response
 	trial           bool           // it is quarantined but is sent once as a trial
+	originReported  bool           // an event was relayed, and the version of its server was reported
 }
 
 // step is the next step after an attempt.
@@ -76,8 +77,11 @@
 
 // run sends the request to servers until it has a response or has failed for good.
 func (c *call) run(ctx context.Context) {
-	c.gateway.dispatcher.send(requestArrived{service: c.service, account: c.account, tokens: c.cost})
 	defer c.report()
+	if !c.pinResumed(ctx) {
+		return
+	}
+	c.gateway.dispatcher.send(requestArrived{service: c.service, account: c.account, tokens: c.cost})
 	for {
 		switch s := c.attempt(ctx).(type) {
 		case doneStep:
@@ -122,7 +126,7 @@
 // noServerError returns the error of a request that no server can get.
 func (c *call) noServerError() error {
 	if c.placeReq.Pinned {
-		return errors.Newf("gateway: no server of service %s, version %q, takes the stream", c.service, c.placeReq.Version)
+		return errors.Wrapf(errStreamStranded, "gateway: service %s, version %q", c.service, c.placeReq.Version)
 	}
 	return errors.Newf("gateway: no server of service %s takes work", c.service)
 }
@@ -265,7 +269,7 @@
 		c.fail(context.Background(), failStep{err: errors.New(string(d.Reason))})
 		return
 	}
-	c.deny(denial{http.StatusServiceUnavailable, string(d.Reason), d.RetryAfter})
+	c.deny(denial{status: http.StatusServiceUnavailable, reason: string(d.Reason), retryAfter: d.RetryAfter})
 	c.gateway.log.Info().Str("event", "request.refused").Str("request", c.meta.ID).Str("account", c.account).
 		Str("reason", string(d.Reason)).Dur("objective", c.route.Objective).Int("prompt", c.placeReq.PromptTokens).Dur("spent", c.sinceFirstAttempt).Dur("predicted", d.Predicted).Dur("retry_after", d.RetryAfter).
 		Bool("over_share", c.placeReq.OverShare).Bool("stop", c.placeReq.Capped).Float64("ahead", c.placeReq.ShareRatio).Bool("again", c.sinceFirstAttempt > 0).Msg("request refused")
@@ -284,9 +288,12 @@
 	case errors.Is(f.err, errQuarantined):
 		c.result = "barred"
 		c.deny(denial{status: http.StatusBadGateway, reason: c.reason})
+	case errors.Is(f.err, errStreamStranded) && !c.mayHaveRun:
+		c.recordResume(ResumeStranded, catalog.Server{Service: c.service, Version: c.placeReq.Version}, 0)
+		c.refuseResume(f.err)
 	case !c.mayHaveRun:
 		c.result = "refused"
-		c.deny(denial{http.StatusServiceUnavailable, "not run: " + c.reason, unknownRetryAfter})
+		c.deny(denial{status: http.StatusServiceUnavailable, reason: "not run: " + c.reason, retryAfter: unknownRetryAfter})
 	case f.deadlinePassed:
 		c.result = "failed"
 		c.deny(denial{status: http.StatusGatewayTimeout, reason: c.reason})
--- a/gateway/catalog/catalog.go
+++ b/gateway/catalog/catalog.go
@@ -59,6 +59,11 @@
 	return r.Kind == Repeatable || (r.Kind == Stream && r.Resumable)
 }
 
+// HasTarget reports whether a service is among the targets of the route.
+func (r *Route) HasTarget(service string) bool {
+	return slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == service })
+}
+
 // PickService selects the service of a request by weight; draw is uniform in [0, 1).
 func (r *Route) PickService(draw float64) string {
 	total := 0
--- a/gateway/cold_simulation_test.go
+++ b/gateway/cold_simulation_test.go
@@ -167,7 +167,7 @@
 
 func (w *simWorld) newGateway() *simGateway {
 	w.starts++
-	g := &Gateway{log: zerolog.Nop(), peers: w.node, claims: make(chan warmup.Claim, claimQueueSize), started: w.now}
+	g := &Gateway{log: zerolog.Nop(), peers: w.node, claims: make(chan warmup.Claim, claimQueueSize), started: w.now, origins: newOriginTracker(w.now)}
 	g.view.Store(&View{})
 	g.dispatcher = newDispatcher(zerolog.Nop(), DispatcherOptions{ShareWindow: time.Second, Policy: placement.DefaultPolicy(), ColdLimits: simLimits, Address: fmt.Sprint(w.starts)}, w.now)
 	g.dispatcher.peers, g.dispatcher.claims = w.node, g.claims
--- a/gateway/dispatcher_retries.go
+++ b/gateway/dispatcher_retries.go
@@ -98,3 +98,4 @@
 func (discardMetrics) RequestEnded(Outcome)                    {}
 func (discardMetrics) RetryDecided(string, bool)               {}
 func (discardMetrics) RetryAcknowledged(string, time.Duration) {}
+func (discardMetrics) StreamResumed(string, ResumeOutcome)     {}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -25,7 +25,8 @@
 // Protection: callers.go manages callers' connections, suspects.go keeps requests that crash
 // servers away from other servers, call_quarantine.go applies that to a request in progress,
 // suspects_store.go persists suspects, crashes.go detects crashed servers, and signals.go
-// applies what servers announce in responses. stop.go shuts the gateway down.
+// applies what servers announce in responses. origins.go and call_resume.go keep a stream at the
+// software version that began it. stop.go shuts the gateway down.
 package gateway
 
 import (
@@ -49,7 +50,7 @@
 	ReadyListener  net.Listener // health checks of the load balancer
 	ReadyPath      string
 	PeerListener   net.Listener // requests of other gateways, on the address of Peer
-	Peer           peer.Options // Hall, State and OnError are set by New
+	Peer           peer.Options // Hall, State, Origins and OnError are set by New
 	Source         Source
 	Caches         Caches       // nil: servers do not report the contents of their caches
 	Claims         ClaimStore   // nil: cold servers get no requests
@@ -74,6 +75,8 @@
 	// RetryAcknowledged records how long after its decision a retry got a sign of life from its
 	// server.
 	RetryAcknowledged(service string, delay time.Duration)
+	// StreamResumed records what became of a caller's attempt to take up a stream.
+	StreamResumed(service string, outcome ResumeOutcome)
 }
 
 // Outcome describes a finished request.
@@ -111,6 +114,7 @@
 	suspects              *suspectTracker
 	activeCalls           *activeCalls
 	signals               *serverSignals
+	origins               *originTracker
 	callerRetries         callerRetryTracker
 	stopping              atomic.Bool
 	active                atomic.Int64 // requests being served
@@ -145,7 +149,9 @@
 	g.crashes = newCrashDetector(o.Log, g.suspects.serverCrashed)
 	g.activeCalls = newActiveCalls()
 	g.signals = newServerSignals()
+	g.origins = newOriginTracker(g.started)
 	g.pool.OnSignal = g.handleSignal
+	o.Peer.Origins = g.origins
 	o.Peer.Hall = o.Dispatcher.Hall
 	o.Peer.State = g.peerState
 	g.watchesStore.Store(true) // until other gateways are known
@@ -154,7 +160,7 @@
 	if err != nil {
 		return nil, err
 	}
-	g.peers, g.dispatcher.peers, g.suspects.peers = peers, peers, peers
+	g.peers, g.dispatcher.peers, g.suspects.peers, g.origins.peers = peers, peers, peers, peers
 	g.storeWatcher = newStoreWatcher(g)
 	return g, nil
 }
@@ -203,6 +209,7 @@
 	group.Go(background, "statements", g.writeRolloutStatuses)
 	group.Go(background, "suspects", g.suspects.runWriter)
 	group.Go(background, "barred", g.cancelQuarantinedCalls)
+	group.Go(background, "versions", g.recordVersions)
 	for range probeWorkers {
 		group.Go(background, "probes", g.crashes.runProbes)
 	}
@@ -229,6 +236,7 @@
 	Quarantined          int           // of them, those that are sent to no server
 	AnnouncedLeaving     int           // servers that have announced in responses that they are leaving
 	BackingOff           int           // servers that have asked this gateway to back off
+	Origins              int           // attempts of callers whose streams' versions are remembered
 }
 
 // Status returns the gateway's current state.
@@ -236,6 +244,7 @@
 	v := g.view.Load()
 	s := Status{StoreEra: v.Revision.Era(), ViewAge: time.Since(g.confirmedAt()), Servers: len(v.Servers), Peers: int(g.dispatcher.livePeers.Load()), Active: int(g.active.Load()), SchedulingDelay: time.Duration(g.overload.delay.Load()), AdmittedShare: g.overload.admittedShare()}
 	s.AnnouncedLeaving, s.BackingOff = g.signals.count(time.Now())
+	s.Origins = g.origins.count()
 	s.Suspects, s.Quarantined = int(g.suspects.suspectCount.Load()), g.suspects.quarantinedCount()
 	if v.Configuration != nil {
 		s.ConfigurationVersion = v.Configuration.Version
--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -32,11 +32,16 @@
 	fullRetryAfter = 300 * time.Millisecond
 )
 
+// beginAnewHeader tells a caller that takes up a stream that it can't go on, here or elsewhere, and
+// has to be sent as a new request.
+const beginAnewHeader = "Opalbridge-Begin-Anew"
+
 // denial is a response of the gateway itself to a request that goes to no server.
 type denial struct {
 	status     int
 	reason     string
 	retryAfter time.Duration // 0: not sent
+	beginAnew  bool          // a stream can't go on; the caller may begin it anew at once
 }
 
 // handle serves one request.
@@ -44,7 +49,7 @@
 	arrived := time.Now()
 	if g.active.Add(1) > g.capacity.requests {
 		g.active.Add(-1)
-		g.deny(w, r, denial{http.StatusServiceUnavailable, "too many requests at this gateway", fullRetryAfter})
+		g.deny(w, r, denial{status: http.StatusServiceUnavailable, reason: "too many requests at this gateway", retryAfter: fullRetryAfter})
 		return
 	}
 	defer g.active.Add(-1)
@@ -74,7 +79,7 @@
 func (g *Gateway) newCall(w http.ResponseWriter, r *http.Request, arrived time.Time) (*call, denial) {
 	v := g.view.Load()
 	if v.Configuration == nil {
-		return nil, denial{http.StatusServiceUnavailable, "no configuration known", unknownRetryAfter}
+		return nil, denial{status: http.StatusServiceUnavailable, reason: "no configuration known", retryAfter: unknownRetryAfter}
 	}
 	route, ok := v.Configuration.Route(r.Host, rawPath(r))
 	if !ok {
@@ -103,7 +108,7 @@
 // newer one may allow it, so the caller is told to retry.
 func (g *Gateway) denyUnconfigured(now time.Time, status int, reason string) denial {
 	if now.Sub(g.confirmedAt()) > freshViewAge {
-		return denial{http.StatusServiceUnavailable, reason + " in a configuration that may be old", unknownRetryAfter}
+		return denial{status: http.StatusServiceUnavailable, reason: reason + " in a configuration that may be old", retryAfter: unknownRetryAfter}
 	}
 	return denial{status: status, reason: reason}
 }
@@ -161,7 +166,7 @@
 	}
 	control := http.NewResponseController(c.w)
 	if err := control.SetReadDeadline(c.deadline); err != nil {
-		return denial{http.StatusServiceUnavailable, "connection is closing", fullRetryAfter}
+		return denial{status: http.StatusServiceUnavailable, reason: "connection is closing", retryAfter: fullRetryAfter}
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.request.Body, limit))
 	var tooLarge *http.MaxBytesError
@@ -172,7 +177,7 @@
 		return denial{status: http.StatusBadRequest, reason: "body was not received: " + err.Error()}
 	}
 	if err := control.SetReadDeadline(time.Time{}); err != nil {
-		return denial{http.StatusServiceUnavailable, "connection is closing", fullRetryAfter}
+		return denial{status: http.StatusServiceUnavailable, reason: "connection is closing", retryAfter: fullRetryAfter}
 	}
 	c.body = body
 	return denial{}
@@ -199,9 +204,19 @@
 		Service: c.service, Account: c.account, Parts: parts, PromptTokens: prompt, OutputTokens: output,
 		Hall: c.gateway.options.Dispatcher.Hall, TieBreak: hashString(c.meta.ID), Regions: c.regions,
 	}
-	if s, ok := v.Configuration.Service(c.service); ok {
-		c.engine = s.Engine != nil
-	}
+	c.setEngine(v)
+}
+
+// setService moves the request to another service of its route.
+func (c *call) setService(service string) {
+	c.service, c.placeReq.Service = service, service
+	c.setEngine(c.gateway.view.Load())
+}
+
+// setEngine records whether the request's service is a model engine.
+func (c *call) setEngine(v *View) {
+	s, ok := v.Configuration.Service(c.service)
+	c.engine = ok && s.Engine != nil
 }
 
 // partHash returns a compact identifier for a part of a model's prompt.
@@ -236,6 +251,9 @@
 // many are refused, idle connections would use up the host's file descriptors.
 func writeDenial(w http.ResponseWriter, d denial) {
 	w.Header().Set("Connection", "close")
+	if d.beginAnew {
+		w.Header().Set(beginAnewHeader, "true")
+	}
 	if d.retryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(d.retryAfter.Seconds(), 'f', 3, 64))
 	}
--- a/gateway/overload.go
+++ b/gateway/overload.go
@@ -224,5 +224,5 @@
 
 // rejectOverloaded responds to a request for which this gateway lacks processor time.
 func (g *Gateway) rejectOverloaded(w http.ResponseWriter, r *http.Request) {
-	g.deny(w, r, denial{http.StatusServiceUnavailable, "gateway short of processor", overloadRetryAfter})
+	g.deny(w, r, denial{status: http.StatusServiceUnavailable, reason: "gateway short of processor", retryAfter: overloadRetryAfter})
 }
--- a/gateway/peer/beacon.go
+++ b/gateway/peer/beacon.go
@@ -153,6 +153,9 @@
 	if b := p.datagram.Bundle; b != nil {
 		n.handleBundle(now, b)
 	}
+	if o := p.datagram.Origins; o != nil {
+		n.handleOrigins(now, p.from, o)
+	}
 }
 
 // applyBeacon takes over a beacon that a peer created the given time ago. ok is false if it
--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -29,6 +29,7 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
+	"opalbridge.dev/gateway/origin"
 	"opalbridge.dev/gateway/peer/peerpb"
 )
 
@@ -89,6 +90,7 @@
 	Hall    string   // of this gateway
 	Seeds   []string // IP addresses (a port is ignored) where other gateways may be
 	State   func() State
+	Origins OriginStore // where streams have begun; nil: nothing is remembered for other gateways
 	OnError func(error) // called for datagrams that could not be sent or read; must not block
 }
 
@@ -105,6 +107,8 @@
 	crashes        chan Crash
 	cleared        chan Cleared
 	leavingServers chan string
+	origins        chan origin.Origin
+	originQueries  chan originQuery
 	sendSoon       chan struct{}
 	packets        chan packet
 	updates        chan []Update
@@ -171,6 +175,7 @@
 		options: o, self: at.Addr(), port: at.Port(), conn: conn,
 		incarnation: uint64(now.UnixNano()),
 		loads:       make(chan Load, queueSize), backlogs: make(chan Backlog, queueSize), refusals: make(chan Refusal, queueSize), crashes: make(chan Crash, queueSize), cleared: make(chan Cleared, queueSize), leavingServers: make(chan string, queueSize),
+		origins: make(chan origin.Origin, queueSize), originQueries: make(chan originQuery, queueSize),
 		pendingBacklogs: map[uint64]time.Duration{}, sendSoon: make(chan struct{}, 1), packets: make(chan packet, queueSize), updates: make(chan []Update, queueSize),
 		peers: map[netip.Addr]*remote{}, relays: newRelayState(),
 	}
@@ -281,6 +286,10 @@
 			n.pendingCleared.add(a, maxPendingCleared)
 		case s := <-n.leavingServers:
 			n.pendingLeaving.add(s, maxPendingLeaving)
+		case o := <-n.origins:
+			n.sendOrigins(time.Now(), o)
+		case q := <-n.originQueries:
+			n.askOrigins(q)
 		case <-n.sendSoon:
 			if !scheduled {
 				sendTimer.Reset(baseLoadDelay)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -140,14 +140,6 @@
 	}
 }
 
-// pinVersion restricts further attempts to the software version of the server whose event is
-// about to be relayed.
-func (c *call) pinVersion(s catalog.Server) {
-	if !c.placeReq.Pinned {
-		c.placeReq.Pinned, c.placeReq.Version = true, s.Version
-	}
-}
-
 // sendHeader sends the header of the response unless that has been done.
 func (c *call) sendHeader(r *upstream.Response) {
 	if c.headerSent {
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -402,6 +402,9 @@
 	v.ReportedLeaving = w.gateway.signals.applyTo(now, v.Servers)
 	changed := c != old.Configuration || !slices.Equal(v.Servers, old.Servers) || !maps.Equal(v.Cold, old.Cold) || !maps.Equal(v.Rollouts, old.Rollouts)
 	w.gateway.view.Store(v)
+	if !slices.Equal(v.Servers, old.Servers) {
+		w.gateway.origins.observe(now, slices.Concat(old.Servers, v.Servers), now.Sub(w.gateway.confirmedAt()) <= freshViewAge)
+	}
 	w.gateway.crashes.viewChanged(now, old.Servers, v.Servers)
 	if w.suspectsChanged {
 		w.suspectsChanged = false
--- a/telemetry/gateway.go
+++ b/telemetry/gateway.go
@@ -17,18 +17,20 @@
 	whole        metric.Float64Histogram
 	retries      metric.Int64Counter
 	acknowledged metric.Float64Histogram
+	resumed      metric.Int64Counter
 }
 
 // NewGatewayMetrics creates the instruments of a gateway.
 func NewGatewayMetrics(m metric.Meter) (*GatewayMetrics, error) {
 	var c GatewayMetrics
-	var errs [6]error
+	var errs [7]error
 	c.requests, errs[0] = m.Int64Counter("opalbridge.gateway.requests", metric.WithDescription("requests that ended, by service, kind and result"))
 	c.attempts, errs[1] = m.Int64Counter("opalbridge.gateway.attempts", metric.WithDescription("sends to servers, by service; over opalbridge.gateway.requests"))
 	c.first, errs[2] = m.Float64Histogram("opalbridge.gateway.first", metric.WithUnit("s"), metric.WithDescription("time from arrival to the first byte passed on"))
 	c.whole, errs[3] = m.Float64Histogram("opalbridge.gateway.whole", metric.WithUnit("s"), metric.WithDescription("time from arrival to the end"))
 	c.retries, errs[4] = m.Int64Counter("opalbridge.gateway.retries", metric.WithDescription("retries that the budget granted or refused, by service and decision"))
 	c.acknowledged, errs[5] = m.Float64Histogram("opalbridge.gateway.retry_acknowledged", metric.WithUnit("s"), metric.WithDescription("time from the decision on a retry to its server's first sign of life"))
+	c.resumed, errs[6] = m.Int64Counter("opalbridge.gateway.streams_resumed", metric.WithDescription("streams that callers took up, by service and outcome"))
 	return &c, errors.Wrap(errors.Join(errs[:]...), "telemetry: gateway")
 }
 
@@ -55,6 +57,11 @@
 	c.retries.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("decision", decision)))
 }
 
+// RecordStreamResumed records what became of a caller's attempt to take up a stream.
+func (c *GatewayMetrics) RecordStreamResumed(service, outcome string) {
+	c.resumed.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("outcome", outcome)))
+}
+
 // RecordRetryAcknowledged records the time from the decision on a retry to its server's first sign of
 // life.
 func (c *GatewayMetrics) RecordRetryAcknowledged(service string, delay time.Duration) {
