soak, platformtest: servers of several versions, callers that take streams up

The soak's callers never took a stream up and its servers had one version, so neither rule could break there. With -versions servers are of two versions, are replaced by others of three, with and without a word of leaving, gateways are killed at once, and six callers break their streams off and take them up at any gateway, naming the attempt that brought the first event. No stream may hold events of two versions; after the faults 18 of 20 streams that are taken up at another gateway go on.

--- a/soak/soak.go
+++ b/soak/soak.go
@@ -41,6 +41,7 @@
 	Early    bool   // fatal requests start with the gateways, not after settleBefore
 	Restores bool   // also restore the store from copies
 	Signals  bool   // servers also announce in answers that they are leaving, and ask for backoff
+	Versions bool   // also replace servers by servers of another software version, and have callers take up streams
 }
 
 // Times of a run.
@@ -63,6 +64,7 @@
 	writeMutex   sync.Mutex        // guards written, and writes to the store by operators and servers
 	written      map[string][]byte // what operators and servers have written, by key
 	servers      []*backend
+	retired      []*backend // servers that were replaced
 	gateways     []*process
 	recorder     *recorder
 	callers      sync.WaitGroup
@@ -82,7 +84,7 @@
 
 // healthy is the behaviour of a server without faults.
 var healthy = platformtest.Behaviour{
-	ServiceTime: 5 * time.Millisecond, EchoID: true, Events: streamEvents, EventInterval: 10 * time.Millisecond, StreamPaths: []string{"/stream/", "/resume/"},
+	ServiceTime: 5 * time.Millisecond, EchoID: true, Events: streamEvents, EventInterval: 10 * time.Millisecond, StreamPaths: []string{"/stream/", "/resume/", versionsPath}, VersionPaths: []string{versionsPath},
 	FatalBodies: fatalBodies,
 }
 
@@ -98,9 +100,11 @@
 	r.storeAddress = strings.TrimPrefix(store.URL, "http://")
 	r.configure()
 	for i := range o.Servers {
-		if err := r.addServer(i); err != nil {
+		b, err := r.addServer(i, versionOf(i, o.Versions))
+		if err != nil {
 			return r, err
 		}
+		r.servers = append(r.servers, b)
 	}
 	port, err := platformtest.FreePort()
 	if err != nil {
@@ -122,6 +126,12 @@
 		r.callers.Add(1)
 		go r.runCaller(ctx, i)
 	}
+	if o.Versions {
+		for i := range resumingCallers {
+			r.callers.Add(1)
+			go r.runResumingCaller(ctx, i)
+		}
+	}
 	r.fatalPaused.Store(!o.Early)
 	for i := range o.Fatal {
 		r.callers.Add(1)
@@ -137,21 +147,22 @@
 	return n
 }
 
-func (r *Run) addServer(i int) error {
+// addServer starts a server of a software version.
+func (r *Run) addServer(i int, version string) (*backend, error) {
 	s := &platformtest.Server{ID: fmt.Sprintf("i-%d", i), Service: "s", Hall: "hall"}
 	s.Set(healthy)
+	s.SetVersion(version)
 	h := httptest.NewServer(r.recorder.recordRequests(s))
 	r.closers = append(r.closers, h.Close)
 	p, err := NewProxy(strings.TrimPrefix(h.URL, "http://"))
 	if err != nil {
-		return err
+		return nil, err
 	}
 	r.closers = append(r.closers, p.Close)
 	b := &backend{Server: s, proxy: p}
 	s.OnCrash = func(body string) { r.crashServer(b, body) }
-	r.servers = append(r.servers, b)
 	r.announce(b, "ready")
-	return nil
+	return b, nil
 }
 
 func (r *Run) announce(b *backend, state string) {
@@ -165,6 +176,7 @@
 	r.put(platform.ConfigurationKey, fmt.Appendf(nil, `{"version":%d,"routes":[
  {"name":"stream","host":"h","prefix":"/stream/","kind":"streaming","timeout_ms":4000,"goal_ms":800,"service":"s","max_attempts":1},
  {"name":"resume","host":"h","prefix":"/resume/","kind":"streaming","timeout_ms":4000,"goal_ms":800,"service":"s","max_attempts":2,"resumable":true},
+ {"name":"versions","host":"h","prefix":"/versions/","kind":"streaming","timeout_ms":4000,"goal_ms":800,"service":"s","max_attempts":2,"resumable":true},
  {"name":"once","host":"h","prefix":"/once/","kind":"non_idempotent","timeout_ms":1500,"goal_ms":300,"service":"s","max_attempts":1},
  {"name":"many","host":"h","prefix":"/many/","kind":"idempotent","timeout_ms":1500,"goal_ms":300,"service":"s","max_attempts":2}],
  "services":[{"name":"s","max_conns":500,"runtime":{"capacity":64,"kv_tokens":500000,"token_kv_bytes":163840,"link_mbps":550000}}],"limits":{"idle_timeout_ms":15000},
@@ -183,6 +195,9 @@
 	if r.options.Signals {
 		faults = slices.Concat(faults, signalFaults, signalFaults, signalFaults, signalFaults)
 	}
+	if r.options.Versions {
+		faults = slices.Concat(faults, versionFaults, versionFaults, versionFaults, versionFaults)
+	}
 	defer r.close()
 	time.Sleep(settleBefore)
 	r.fatalPaused.Store(false)
@@ -209,7 +224,7 @@
 	r.checkRecovery()
 	r.stop()
 	r.callers.Wait()
-	r.recorder.checkRuns(r.servers)
+	r.recorder.checkRuns(slices.Concat(r.servers, r.retired))
 	r.checkFatal()
 	return r.recorder.report()
 }
@@ -239,6 +254,9 @@
 			r.recorder.violationf("gateway %s is not ready after the faults", p.name)
 		}
 	}
+	if r.options.Versions {
+		r.checkResumption()
+	}
 	r.configure()
 	key := fmt.Sprintf("key-%d", r.version)
 	time.Sleep(configPropagation)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -24,6 +24,7 @@
 	restarts = flag.Bool("restarts", false, "also restart servers with the same ID and write entries of other writers")
 	copies   = flag.Bool("copies", false, "also restore the store from copies")
 	words    = flag.Bool("words", false, "servers also announce in answers that they are leaving, and ask for backoff")
+	versions = flag.Bool("versions", false, "also replace servers by servers of another software version, and have callers take up streams")
 	logs     = flag.String("logs", "", "directory that keeps the gateways' logs")
 )
 
@@ -64,7 +65,7 @@
 	}
 	for n := range uint64(*seeds) {
 		t.Run(fmt.Sprintf("seed=%d", from+n), func(t *testing.T) {
-			play(t, binary, soak.Options{Seed: from + n, Restarts: *restarts, Fatal: *fatal, Early: *early, Signals: *words, Restores: *copies})
+			play(t, binary, soak.Options{Seed: from + n, Restarts: *restarts, Fatal: *fatal, Early: *early, Signals: *words, Restores: *copies, Versions: *versions})
 		})
 	}
 }
@@ -100,6 +101,12 @@
 	play(t, build(t), soak.Options{Seed: 8000, Restarts: true, Restores: true})
 }
 
+// TestSoakVersions runs a seed with servers of several software versions and callers that take up
+// streams.
+func TestSoakVersions(t *testing.T) {
+	play(t, build(t), soak.Options{Seed: 9000, Versions: true})
+}
+
 // TestSoakFatalEarly runs seeds that failed when requests that crash servers start together with
 // the gateways. All servers crash before anything is answered, so a request that all callers send
 // is quarantined. The probes that should release it then fail: their servers crash by chance, or
