gateway, upstream, platform: a stream's version is certain only of a known lifetime of its server

A server may start again under its ID at another software version, and its entry tells so up to seconds later, with a store that is away far later.

Before a stream goes on at a server that tells its start, the server is asked for it over a connection of its own, once the connection for the stream is open: if it is in the believed lifetime then, the connection leads there. Likewise at a stream's first event, beside it; the event does not wait, the report of the origin does. A connection is asked about once. Servers that tell no start have another ID after each and are protected by that.

--- a/cmd/opalbridge/gateway.go
+++ b/cmd/opalbridge/gateway.go
@@ -171,6 +171,7 @@
 		Peer:      peer.Options{Address: s.PeerAddress, Seeds: s.Seeds},
 		Source:    &platform.Feed{Store: store, Halls: s.Regions, OnDecodeError: entries.record},
 		Caches:    &platform.Caches{},
+		Lifetimes: &platform.Reports{},
 		Claims:    &platform.ClaimStore{Store: store, Holder: s.Name + "/" + strconv.FormatInt(time.Now().UnixNano(), 36)},
 		Rollouts:  &platform.RolloutStore{Store: store},
 		Suspects:  &platform.SuspectStore{Store: store},
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -53,7 +53,8 @@
 	hasCachedKey    bool           // cachedKey is set
 	responseStarted atomic.Bool    // the caller has received part of a response
 	trial           bool           // it is quarantined but is sent once as a trial
-	originReported  bool           // an event was relayed, and the version of its server was reported
+	originReported  bool           // an event was relayed, and the version of its server was or will be reported
+	origin          chan string    // gets the version that began the stream once it is certain, empty if it is not; nil: it is in placeReq
 }
 
 // step is the next step after an attempt.
@@ -101,6 +102,7 @@
 	if c.quarantined(false) {
 		return failStep{err: errQuarantined}
 	}
+	c.awaitOrigin()
 	now := time.Now()
 	c.placeReq.Remaining = c.deadline.Sub(now)
 	c.placeReq.Objective = 0
@@ -192,7 +194,7 @@
 	return &upstream.Request{
 		ID: c.meta.ID, Method: c.request.Method, Target: requestTarget(c.request), Host: c.request.Host,
 		Header: h, Body: c.body, Idempotent: c.route.MayRepeat(), SendBefore: d.SendBefore,
-		BeforeSend: func() error { return c.gateway.signals.checkAvailable(time.Now(), d.Server.ID) },
+		BeforeSend: func() error { return c.gateway.signals.checkAvailable(time.Now(), d.Server.ID) }, ConfirmLifetime: c.lifetimeCheck(d.Server),
 	}
 }
 
--- a/gateway/call_resume.go
+++ b/gateway/call_resume.go
@@ -9,6 +9,7 @@
 
 	"opalbridge.dev/gateway/catalog"
 	"opalbridge.dev/gateway/origin"
+	"opalbridge.dev/gateway/upstream"
 )
 
 // This file is a call's part in keeping a stream at the software version that began it.
@@ -122,13 +123,55 @@
 }
 
 // pinVersion restricts further attempts to the software version of the server whose event is
-// about to be relayed, and reports where the stream began.
-func (c *call) pinVersion(s catalog.Server) {
+// about to be relayed, and reports where the stream began. The event does not wait for that.
+func (c *call) pinVersion(ctx context.Context, s catalog.Server, r *upstream.Response) {
 	if c.originReported {
 		return
 	}
 	c.originReported = true
 	c.placeReq.Pinned, c.placeReq.Version = true, s.Version
+	if !c.gateway.lifetimeInDoubt(s) || r.LifetimeConfirmed() {
+		c.reportOrigin(s)
+		return
+	}
+	c.placeReq.Version = ""
+	c.origin = make(chan string, 1)
+	go c.confirmOrigin(context.WithoutCancel(ctx), s, r, c.origin)
+}
+
+// confirmOrigin reports where the stream began once it is certain which lifetime of the server
+// answers. It reports its end on a channel that has room.
+func (c *call) confirmOrigin(ctx context.Context, s catalog.Server, r *upstream.Response, done chan<- string) {
+	if err := c.gateway.confirmLifetime(ctx, s); err != nil {
+		c.gateway.log.Info().Str("event", "stream.origin_unknown").Str("request", c.meta.ID).Str("server", s.ID).Err(err).Msg("stream can't go on elsewhere: its server may have started again")
+		done <- ""
+		return
+	}
+	r.ConfirmLifetime()
+	c.reportOrigin(s)
+	done <- s.Version
+}
+
+// awaitOrigin waits, before another attempt, until the version that began the stream is certain.
+func (c *call) awaitOrigin() {
+	if c.origin == nil {
+		return
+	}
+	c.placeReq.Version = <-c.origin // takes lifetimeQueryTimeout at most
+	c.origin = nil
+}
+
+// lifetimeCheck returns the check of a server's lifetime that a stream needs to go on there; nil if
+// none.
+func (c *call) lifetimeCheck(s catalog.Server) func(ctx context.Context) error {
+	if !c.placeReq.Pinned || !c.gateway.lifetimeInDoubt(s) {
+		return nil
+	}
+	return func(ctx context.Context) error { return c.gateway.confirmLifetime(ctx, s) }
+}
+
+// reportOrigin reports that the stream of this attempt began at the version of a server.
+func (c *call) reportOrigin(s catalog.Server) {
 	if !c.route.Resumable || s.Version == "" {
 		return
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -26,7 +26,7 @@
 // servers away from other servers, call_quarantine.go applies that to a request in progress,
 // suspects_store.go persists suspects, crashes.go detects crashed servers, and signals.go
 // applies what servers announce in responses. origins.go and call_resume.go keep a stream at the
-// software version that began it. stop.go shuts the gateway down.
+// software version that began it; server_lifetime.go tells a server's lifetimes apart. stop.go shuts the gateway down.
 package gateway
 
 import (
@@ -53,6 +53,7 @@
 	Peer           peer.Options // Hall, State, Origins and OnError are set by New
 	Source         Source
 	Caches         Caches       // nil: servers do not report the contents of their caches
+	Lifetimes      Lifetimes    // nil: servers are in the lifetimes that their entries tell
 	Claims         ClaimStore   // nil: cold servers get no requests
 	Rollouts       RolloutStore // nil: the progress of rollouts is not reported to operators
 	Suspects       SuspectStore // nil: requests that crashed servers are not remembered once all gateways have restarted
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -125,7 +125,7 @@
 			c.gateway.dispatcher.send(firstEventReceived{attemptID: d.ID, server: d.Server.ID})
 		}
 		if len(event) > 0 && !c.alreadyRelayed(event) {
-			c.pinVersion(d.Server)
+			c.pinVersion(ctx, d.Server, r)
 			if werr := c.relayEvent(r, control, event, events.Buffered() > 0); werr != nil {
 				c.result, c.reason = "left", werr.Error()
 				return placement.Abandoned, doneStep{}
--- a/gateway/upstream/upstream.go
+++ b/gateway/upstream/upstream.go
@@ -26,6 +26,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -49,6 +50,10 @@
 	// BeforeSend, if not nil, is called once a connection is available, which may take a second.
 	// If it returns an error, the request is not sent.
 	BeforeSend func() error
+	// ConfirmLifetime, if not nil, is called before the request is sent over a connection of which
+	// it is not known whether it leads to the lifetime of the server that it was opened for. If it
+	// returns an error, the request is not sent.
+	ConfirmLifetime func(ctx context.Context) error
 }
 
 // ErrTooLate reports that a request was not sent because its SendBefore time had passed.
@@ -111,6 +116,13 @@
 	r.pool.put(r.server, r.conn)
 }
 
+// LifetimeConfirmed reports whether the connection is known to lead to the lifetime of the server
+// that it was opened for.
+func (r *Response) LifetimeConfirmed() bool { return r.conn.confirmed.Load() }
+
+// ConfirmLifetime records that it does.
+func (r *Response) ConfirmLifetime() { r.conn.confirmed.Store(true) }
+
 // requestWritten reports whether the whole request was written.
 func (r *Response) requestWritten() bool {
 	select {
@@ -161,6 +173,10 @@
 			return Unsent{Err: err}
 		}
 	}
+	if err := c.confirm(ctx, r); err != nil {
+		c.Close()
+		return Unsent{Err: err}
+	}
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	written := c.writeRequest(r)
 	response, err := c.readResponseHead(r)
@@ -175,6 +191,18 @@
 	return p.classify(c, s, r, response, written, stop)
 }
 
+// confirm confirms where the connection leads, if the request asks for that.
+func (c *conn) confirm(ctx context.Context, r *Request) error {
+	if r.ConfirmLifetime == nil || c.confirmed.Load() {
+		return nil
+	}
+	if err := r.ConfirmLifetime(ctx); err != nil {
+		return err
+	}
+	c.confirmed.Store(true)
+	return nil
+}
+
 // timedOut reports whether a connection showed no sign of life until it was given up. Other
 // connections that were open at the same time may be dead too, which would only show on use.
 func timedOut(ctx context.Context, err error) bool {
@@ -336,4 +364,5 @@
 	reader      *bufio.Reader
 	idleTimeout time.Duration // announced by the server; 0: not stated
 	idleSince   time.Time     // when the connection became idle
+	confirmed   atomic.Bool   // it leads to the lifetime that it was opened for
 }
--- a/soak/resume.go
+++ b/soak/resume.go
@@ -163,6 +163,13 @@
 		r.remove(platform.ServersPrefix + r.servers[i].ID)
 		return r.replaceServer(i, fmt.Sprintf("v%d", 1+random.IntN(3)))
 	}},
+	{"server starts again at another version before its entry tells", func(r *Run, random *rand.Rand) func() {
+		s, born, version := r.randomServer(random), randomStartTime(random), fmt.Sprintf("v%d", 1+random.IntN(3))
+		s.proxy.Reset()
+		s.RestartAs(born, version)
+		s.proxy.Reset() // also what the lifetime before has accepted since
+		return func() { r.announce(s, "ready") }
+	}},
 	{"gateways are killed at once", func(r *Run, random *rand.Rand) func() {
 		killed := slices.Clone(r.gateways)
 		if random.IntN(2) == 0 {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -152,6 +152,9 @@
 	s := &platformtest.Server{ID: fmt.Sprintf("i-%d", i), Service: "s", Hall: "hall"}
 	s.Set(healthy)
 	s.SetVersion(version)
+	if r.options.Versions {
+		s.Restart(time.Now().UnixMilli()) // servers that start again under their ID tell when
+	}
 	h := httptest.NewServer(r.recorder.recordRequests(s))
 	r.closers = append(r.closers, h.Close)
 	p, err := NewProxy(strings.TrimPrefix(h.URL, "http://"))
