placement: cached prompts are copied only between servers of one software version

What a server has read into its cache was copied to servers of any version (Kv-Fetch). Nothing says that versions understand each other's caches, and what two versions write does not fit together. A server now copies from the best holder of its own version.

TestCopiesStayWithinVersion failed before for another version.

--- a/gateway/placement/candidate.go
+++ b/gateway/placement/candidate.go
@@ -19,8 +19,8 @@
 	cost             time.Duration // orders candidates
 }
 
-// evaluate returns the candidate for a server; from is the server that caches most of the
-// prompt.
+// evaluate returns the candidate for a server; from is the server of its version that caches most
+// of the prompt.
 func (b *Balancer) evaluate(now time.Time, req *Request, s *server, from cacheHolder) candidate {
 	cached, missing := s.cache.match(req)
 	c := candidate{server: s, uncachedTokens: req.PromptTokens - cached}
@@ -68,14 +68,14 @@
 // shared prefix, or among all servers once one of them caches most of it, since copies are
 // cheap.
 func (b *Balancer) cheapest(now time.Time, req *Request, servers []*server) candidate {
-	from := b.bestCacheHolder(now, req)
+	holders := b.cacheHolders(now, req)
 	targets := b.affinityServers(now, req, servers)
-	if _, shared := sharedPrefix(req); from.server != nil && float64(from.tokens) >= b.policy.MinCachedFraction*float64(shared) {
+	if _, shared := sharedPrefix(req); float64(holders.mostTokens()) >= b.policy.MinCachedFraction*float64(shared) && len(holders) > 0 {
 		targets = servers
 	}
 	candidates := make([]candidate, 0, len(targets))
 	for _, s := range targets {
-		candidates = append(candidates, b.evaluate(now, req, s, from))
+		candidates = append(candidates, b.evaluate(now, req, s, holders[s.Version]))
 	}
 	return slices.MinFunc(candidates, func(x, y candidate) int { return cmp.Compare(x.cost, y.cost) })
 }
@@ -108,18 +108,35 @@
 	tokens int
 }
 
-// bestCacheHolder returns the server that caches most of a prompt, if other servers can copy
-// from it. A leaving server qualifies; one that has already been tried does not.
-func (b *Balancer) bestCacheHolder(now time.Time, req *Request) cacheHolder {
-	var best cacheHolder
+// cacheHolders are the servers that cache most of a prompt, by software version: versions need not
+// understand each other's caches.
+type cacheHolders map[string]cacheHolder
+
+// mostTokens returns how much of the prompt the best of them caches.
+func (h cacheHolders) mostTokens() int {
+	most := 0
+	for _, c := range h {
+		most = max(most, c.tokens)
+	}
+	return most
+}
+
+// cacheHolders returns the servers that cache most of a prompt, of those that other servers can
+// copy from. A leaving server qualifies; one that has already been tried does not.
+func (b *Balancer) cacheHolders(now time.Time, req *Request) cacheHolders {
+	var best cacheHolders
 	for _, s := range b.services[req.Service] {
 		if !s.engine.SupportsCacheCopy() || now.Before(s.ejectedUntil) || now.Before(s.backoff.until) || !b.inAllowedRegion(req, s) || slices.Contains(req.Exclude, s.ID) {
 			continue
 		}
 		cached := s.cache.readyTokens(now, req)
-		if cached >= b.policy.MinCopyTokens && cached > best.tokens {
-			best = cacheHolder{server: s, tokens: cached}
+		if cached < b.policy.MinCopyTokens || cached <= best[s.Version].tokens {
+			continue
+		}
+		if best == nil {
+			best = cacheHolders{}
 		}
+		best[s.Version] = cacheHolder{server: s, tokens: cached}
 	}
 	return best
 }
--- a/gateway/placement/version_test.go
+++ b/gateway/placement/version_test.go
@@ -61,3 +61,37 @@
 		}
 	}
 }
+
+// TestCopiesStayWithinVersion has servers of two versions and one that caches the whole prompt.
+func TestCopiesStayWithinVersion(t *testing.T) {
+	tests := []struct {
+		name    string
+		version string // of the other server
+		want    bool   // it copies
+	}{
+		{"same version", "v1", true},
+		{"another version", "v2", false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			b := placement.NewBalancer(placement.DefaultPolicy())
+			list := servers(2)
+			list[0].Version, list[1].Version = "v1", "v1"
+			b.SetServers(start, list, copyEngine)
+			req := longRequest(7)
+			first := place(b, start, req).(placement.Assign)
+			later := start.Add(5 * time.Second)
+			for i := range list {
+				if list[i].ID != first.Server.ID {
+					list[i].Version = test.version
+				}
+			}
+			b.SetServers(later, list, copyEngine)
+			req.Exclude = nil
+			req.Withheld = map[string]bool{first.Server.ID: true}
+			second := b.Place(later, req).(placement.Assign)
+			require.NotEqual(t, first.Server.ID, second.Server.ID)
+			require.Equal(t, test.want, second.CopyFrom != "")
+		})
+	}
+}
