gateway: one that has started learns from another which versions have served

Views now carry which versions have served and for how long that is known; a gateway that listed the store itself asks another one for it, twice at most.

When all gateways were killed at once, nothing is known, as before.

--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"opalbridge.dev/gateway/catalog"
+	"opalbridge.dev/gateway/origin"
 	"opalbridge.dev/gateway/peer"
 	"opalbridge.dev/gateway/quarantine"
 )
@@ -60,6 +61,8 @@
 	// ReconcileMS is the remaining time, in milliseconds, for which the store may lack entries
 	// that it had.
 	ReconcileMS int64 `json:"settle_ms,omitempty"`
+	// Versions holds which software versions have served, also if Partial.
+	Versions origin.Record `json:"versions,omitzero"`
 	// Leaving holds all lifetimes of servers that have announced that they are leaving, also
 	// if Partial.
 	Leaving []string `json:"left,omitempty"`
@@ -169,6 +172,7 @@
 	p.evacuations, p.cold = d.decodeCold(now)
 	p.rollouts = d.decodeRollouts(now)
 	p.snapshot.Suspects, p.removedSuspects = d.decodeSuspects()
+	p.versions = d.Versions
 	return p
 }
 
@@ -198,10 +202,11 @@
 	version, versionErr := strconv.ParseUint(known.Get(versionKey), 10, 64)
 	if err == nil && versionErr == nil {
 		if d, ok := v.changes(now, catalog.Revision(since), version); ok {
+			d.Versions = g.origins.versionRecord(now)
 			return json.Marshal(d)
 		}
 	}
-	return g.viewCache.get(now, v)
+	return g.viewCache.get(now, v, g.origins.versionRecord(now))
 }
 
 // viewCache caches the encoded full view for a moment. Gateways that start together ask for it
@@ -217,13 +222,15 @@
 // servers appear cold for up to this much longer.
 const viewCacheMaxAge = 100 * time.Millisecond
 
-func (c *viewCache) get(now time.Time, v *View) ([]byte, error) {
+func (c *viewCache) get(now time.Time, v *View, versions origin.Record) ([]byte, error) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.view == v && now.Sub(c.at) < viewCacheMaxAge {
 		return c.encoded, nil
 	}
-	encoded, err := json.Marshal(v.document(now))
+	d := v.document(now)
+	d.Versions = versions
+	encoded, err := json.Marshal(d)
 	if err != nil {
 		return nil, errors.Wrap(err, "gateway: encode view")
 	}
@@ -267,6 +274,8 @@
 	behindSince     time.Time         // since when another gateway has a later revision of the store; zero: none has
 	fetching        bool              // a view is being fetched
 	fetched         chan struct{}     // signals that the fetch has ended
+	versionAsks     int               // times that another gateway was asked which versions have served
+	versionsAskedAt time.Time         // when that was last done
 }
 
 func (r *updateReceiver) handle(ctx context.Context, now time.Time, u peer.Update) {
@@ -284,8 +293,14 @@
 		r.behindSince = time.Time{}
 	}
 	if u.StoreRevision <= revision && !later {
-		if u.StoreRevision.Era() == revision.Era() {
-			g.confirm(u.ConfirmedAt)
+		if u.StoreRevision.Era() != revision.Era() {
+			return
+		}
+		g.confirm(u.ConfirmedAt)
+		if r.needsVersions(now) {
+			r.versionAsks++
+			r.versionsAskedAt = now
+			r.pull(ctx, u)
 		}
 		return
 	}
@@ -300,13 +315,36 @@
 		delay = 0
 	}
 	if !r.fetching && now.Sub(r.behindSince) >= delay {
-		r.fetching = true
 		r.behindSince = time.Time{}
-		go func() {
-			g.pullView(ctx, u)
-			r.fetched <- struct{}{}
-		}()
+		r.pull(ctx, u)
+	}
+}
+
+// pull fetches the view of another gateway in a goroutine of its own.
+func (r *updateReceiver) pull(ctx context.Context, u peer.Update) {
+	r.fetching = true
+	go func() {
+		r.gateway.pullView(ctx, u)
+		r.fetched <- struct{}{}
+	}()
+}
+
+const (
+	// versionAskInterval is the time between two questions of a gateway that has started for the
+	// versions that have served before. The other one may have started as well.
+	versionAskInterval = 2 * time.Second
+	maxVersionAsks     = 2
+)
+
+// needsVersions reports whether to ask another gateway which versions have served: this one has
+// started a short time ago and got its view from the store.
+func (r *updateReceiver) needsVersions(now time.Time) bool {
+	g := r.gateway
+	age := now.Sub(g.started)
+	if r.fetching || r.versionAsks >= maxVersionAsks || now.Sub(r.versionsAskedAt) < versionAskInterval {
+		return false
 	}
+	return age < (maxVersionAsks+1)*versionAskInterval && g.view.Load().Configuration != nil && g.origins.versionSpan(now) <= age
 }
 
 // trackStoreAccess updates the lists of gateways that can and cannot reach the store.
--- a/gateway/handover_test.go
+++ b/gateway/handover_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"opalbridge.dev/gateway/catalog"
+	"opalbridge.dev/gateway/origin"
 	"opalbridge.dev/gateway/peer"
 )
 
@@ -90,3 +92,27 @@
 		})
 	}
 }
+
+// TestStartedGatewayAsksForVersions: a gateway that listed the store itself asks another one which
+// versions have served before, twice at most.
+func TestStartedGatewayAsksForVersions(t *testing.T) {
+	g := newIdleGateway(t)
+	g.storeWatcher.publish(configurationVersion(1), nil, catalog.NewRevision(1, 20))
+	r := updateReceiver{gateway: g, halls: map[string]string{}, withoutStore: map[string]bool{}, fetched: make(chan struct{}, 1)}
+	asked := 0
+	for now := time.Now(); now.Before(g.started.Add(time.Minute)); now = now.Add(100 * time.Millisecond) {
+		r.handle(t.Context(), now, peer.Update{From: "127.0.0.2", Hall: "h", Alive: true, StoreRevision: catalog.NewRevision(1, 20), ConfirmedAt: now})
+		if r.fetching {
+			<-r.fetched
+			r.fetching = false
+			asked++
+		}
+	}
+	require.Equal(t, maxVersionAsks, asked)
+	now := time.Now()
+	g.storeWatcher.applyPeerView(now, peerView{versions: origin.Record{CompleteMS: 60_000, Versions: []origin.ServingVersion{{Service: "s", Version: "v1", AgoMS: 30_000}}}})
+	require.GreaterOrEqual(t, g.origins.versionSpan(now), time.Minute)
+	version, ok := g.origins.onlyVersion(now, "s", 50*time.Second)
+	require.True(t, ok)
+	require.Equal(t, "v1", version)
+}
--- a/gateway/origin/origin_test.go
+++ b/gateway/origin/origin_test.go
@@ -143,6 +143,35 @@
 	}
 }
 
+// TestHistoryHandedOver checks what a gateway that has started knows from another one.
+func TestHistoryHandedOver(t *testing.T) {
+	at := func(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
+	v1, v2 := origin.Serving{Service: "s", Version: "v1"}, origin.Serving{Service: "s", Version: "v2"}
+	tests := []struct {
+		name   string
+		before []origin.Serving // that the other gateway saw before
+		known  bool             // the other gateway knows all of it
+		want   string
+	}{
+		{"one version", []origin.Serving{v1}, true, "v1"},
+		{"another one before", []origin.Serving{v1, v2}, true, ""},
+		{"the other one may have missed some", []origin.Serving{v1}, false, ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var old, young origin.History
+			old.Observe(at(0), test.before, true)
+			old.Observe(at(14), []origin.Serving{v1}, test.known)
+			young.Observe(at(15), []origin.Serving{v1}, true)
+			young.Merge(at(15), old.Record(at(15)))
+			young.Observe(at(16), []origin.Serving{v1}, true)
+			version, ok := young.Only(at(16), "s", 16*time.Second)
+			require.Equal(t, test.want, version)
+			require.Equal(t, test.want != "", ok)
+		})
+	}
+}
+
 func BenchmarkAttemptOf(b *testing.B) {
 	for b.Loop() {
 		origin.AttemptOf("account", "7ae675e9acf8fa65")
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -197,6 +197,25 @@
 	t.history.Observe(now, list, complete)
 }
 
+// versionRecord returns which versions have served, for another gateway.
+func (t *originTracker) versionRecord(now time.Time) origin.Record {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.history.Record(now)
+}
+
+// versionSpan returns for how long it is known which versions have served.
+func (t *originTracker) versionSpan(now time.Time) time.Duration {
+	return time.Duration(t.versionRecord(now).CompleteMS) * time.Millisecond
+}
+
+// mergeVersions takes over which versions have served, from another gateway.
+func (t *originTracker) mergeVersions(now time.Time, r origin.Record) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.history.Merge(now, r)
+}
+
 // onlyVersion returns the version of a service that has been the only one for the given time.
 func (t *originTracker) onlyVersion(now time.Time, service string, span time.Duration) (version string, ok bool) {
 	t.mutex.Lock()
--- a/gateway/peer_view.go
+++ b/gateway/peer_view.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"opalbridge.dev/gateway/catalog"
+	"opalbridge.dev/gateway/origin"
 	"opalbridge.dev/gateway/quarantine"
 )
 
@@ -22,6 +23,7 @@
 	removedServers  []string                 // only if partial
 	removedSuspects []quarantine.Key         // only if partial
 	leaving         []string                 // servers that have reported that they are leaving
+	versions        origin.Record            // which software versions have served
 	// Whether the peer's version knows of suspects; if not, a full view leaves the known
 	// suspects as they are.
 	hasSuspects bool
@@ -31,6 +33,7 @@
 // applyPeerView applies a peer's view if it is newer than this gateway's own.
 func (w *storeWatcher) applyPeerView(now time.Time, p peerView) {
 	w.applyTime = now
+	defer w.gateway.origins.mergeVersions(now, p.versions)
 	w.gateway.applyPeerLeaving(now, p.from, p.leaving)
 	v := w.gateway.view.Load()
 	if p.snapshot.Revision <= v.Revision {
