gateway: streams go on in a roll-out as its state allows

A gateway without fresh news might have gone on with a stream at a version that others had found bad and taken back. It goes on at the target only while it may send there at all. TestStreamsGoOnDuringRollout: canary, no fresh view, all moved, complete, rolled back, reverted, no order.

--- a/gateway/dispatcher_rollout.go
+++ b/gateway/dispatcher_rollout.go
@@ -313,7 +313,8 @@
 
 // withheldFromPinned returns the servers withheld from a stream that only servers of a version
 // may continue. While the rollout is in progress it goes on at its version, whatever the share of
-// new requests there. A version that was rolled back, or replaced, continues none.
+// new requests there. A version that was rolled back, or replaced, continues none; nor does the
+// target as long as this gateway may not have heard that it was rolled back.
 func (s *serviceRollout) withheldFromPinned(now time.Time, version string) map[string]bool {
 	switch {
 	case s.state == rollout.Complete:
@@ -325,7 +326,7 @@
 		return s.withheldFromOthers
 	case s.rollout == nil || len(s.target) == 0:
 		return nil
-	case version == s.targetVersion():
+	case version == s.targetVersion() && s.rollout.TargetShare() > 0:
 		return s.withheldFromTarget
 	default:
 		return s.withheldFromOthers
--- a/gateway/rollout_test.go
+++ b/gateway/rollout_test.go
@@ -172,6 +172,57 @@
 	}
 }
 
+// TestStreamsGoOnDuringRollout checks at which version a stream may go on in each state of a
+// rollout.
+func TestStreamsGoOnDuringRollout(t *testing.T) {
+	now := time.Now()
+	status := func(s rollout.State) rollout.Status {
+		return rollout.Status{State: s, Target: "v2", Revision: 8}
+	}
+	inProgress := rolloutRecord{Order: testOrder(7), Since: now, Status: status(rollout.InProgress)}
+	tests := []struct {
+		name             string
+		known            rolloutRecord
+		change           func(d *dispatcher)
+		baseline, target bool // a stream of that version goes on
+	}{
+		{"canary", inProgress, nil, true, true},
+		{"view is not fresh", inProgress, func(d *dispatcher) { d.viewFresh = func(time.Time) bool { return false } }, true, false},
+		{"all requests go to the target", inProgress, func(d *dispatcher) {
+			for at := now; at.Before(now.Add(9 * time.Second)); at = at.Add(50 * time.Millisecond) {
+				d.countVersions(at, 20)
+				d.advanceRollouts(at)
+			}
+			require.Equal(t, rollout.Full, d.rollouts["s"].rollout.Stage())
+		}, true, true},
+		{"complete", inProgress, func(d *dispatcher) {
+			d.applyStatusWritten(now, rolloutStatusWritten{service: "s", status: rollout.Status{State: rollout.Complete, Target: "v2", Revision: 9}})
+		}, false, true},
+		{"rolled back", rolloutRecord{Order: testOrder(7), Since: now, Status: status(rollout.RolledBack)}, nil, true, false},
+		{"reverted by this gateway", inProgress, func(d *dispatcher) { d.rollouts["s"].rollout.Revert() }, true, false},
+		{"no order", rolloutRecord{}, nil, true, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			d := newRolloutDispatcher(t, now, test.known)
+			if test.change != nil {
+				test.change(d)
+			}
+			d.advanceRollouts(now)
+			for _, version := range []string{"v1", "v2"} {
+				reply, _ := d.placeRequest(now, "", func(a *placement.Request) {
+					a.PromptTokens, a.Objective, a.Pinned, a.Version = 10, 0, true, version
+				})
+				assign, ok := (<-reply).(placement.Assign)
+				require.Equal(t, map[string]bool{"v1": test.baseline, "v2": test.target}[version], ok, version)
+				if ok {
+					require.Equal(t, version, assign.Server.Version)
+				}
+			}
+		})
+	}
+}
+
 // TestCompleteWaitsForOtherGateways checks that a rollout is not reported as complete while
 // another gateway has a request at a server of the old version: the operators would stop
 // that server.
