gateway: views' encoding, updates of others and roll-outs in files of their own; messages sealed

handover.go held the encoding of views, the fetching of them, and what decides on that (455 lines); dispatcher_rollout.go the placing, the counting and the reporting (477). Each is a file now, by moving alone. The dispatcher's messages are a sealed interface in place of any, and goroutines are named for what they run (desk, follower, news and statements before).

Measured: the gateway's tests pass; no decision is touched.

--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -45,7 +45,7 @@
 type dispatcher struct {
 	log       zerolog.Logger
 	peers     *peer.Node
-	messages  chan any // one of the message types below
+	messages  chan dispatcherMessage
 	done      chan struct{}
 	peerState atomic.Pointer[peer.State]
 	settings  DispatcherOptions
@@ -115,7 +115,7 @@
 // newDispatcher returns a dispatcher that does not run yet.
 func newDispatcher(log zerolog.Logger, s DispatcherOptions, now time.Time) *dispatcher {
 	d := &dispatcher{
-		log: log, settings: s, lateness: func(_, _ time.Time) time.Duration { return 0 }, messages: make(chan any, messageQueueSize), done: make(chan struct{}),
+		log: log, settings: s, lateness: func(_, _ time.Time) time.Duration { return 0 }, messages: make(chan dispatcherMessage, messageQueueSize), done: make(chan struct{}),
 		balancer: placement.NewBalancer(s.Policy), shares: share.NewTracker(s.ShareWindow), retryBudget: budget.New(s.Retries, now),
 		pending: map[uint64]*pendingAttempt{}, lastHeard: map[string]time.Time{}, loggedSpeeds: map[string]placement.Speed{},
 		view: &View{}, running: map[string]int{}, serverIDs: map[uint64]string{}, backoffUntil: map[string]time.Time{},
@@ -131,7 +131,7 @@
 
 // send passes a message to the dispatcher. Once the dispatcher has stopped, messages are
 // dropped.
-func (d *dispatcher) send(m any) {
+func (d *dispatcher) send(m dispatcherMessage) {
 	select {
 	case d.messages <- m:
 	case <-d.done:
@@ -202,7 +202,7 @@
 }
 
 // handle handles a message.
-func (d *dispatcher) handle(now time.Time, m any) {
+func (d *dispatcher) handle(now time.Time, m dispatcherMessage) {
 	switch m := m.(type) {
 	case placementRequest:
 		d.place(now, m)
--- a/gateway/dispatcher_messages.go
+++ b/gateway/dispatcher_messages.go
@@ -8,6 +8,9 @@
 	"opalbridge.dev/gateway/warmup"
 )
 
+// dispatcherMessage is a message to the dispatcher.
+type dispatcherMessage interface{ dispatcherMessage() }
+
 // Messages to the dispatcher.
 type (
 	// placementRequest asks for a decision. If the decision is to send, the request is
@@ -61,3 +64,15 @@
 	// peersUpdated passes on updates from other gateways.
 	peersUpdated struct{ updates []peer.Update }
 )
+
+func (placementRequest) dispatcherMessage()     {}
+func (requestArrived) dispatcherMessage()       {}
+func (firstEventReceived) dispatcherMessage()   {}
+func (attemptEnded) dispatcherMessage()         {}
+func (cacheReported) dispatcherMessage()        {}
+func (claimWritten) dispatcherMessage()         {}
+func (leavingAnnounced) dispatcherMessage()     {}
+func (backoffRequested) dispatcherMessage()     {}
+func (viewReplaced) dispatcherMessage()         {}
+func (peersUpdated) dispatcherMessage()         {}
+func (rolloutStatusWritten) dispatcherMessage() {}
--- a/gateway/dispatcher_rollout.go
+++ b/gateway/dispatcher_rollout.go
@@ -1,24 +1,13 @@
 package gateway
 
 import (
-	"context"
 	"time"
 
-	"opalbridge.dev/gateway/peer/peerpb"
 	"opalbridge.dev/gateway/placement"
 	"opalbridge.dev/gateway/rollout"
 )
 
-// This file is the dispatcher's part in rollouts (see package rollout) and writes their
-// status for the operators.
-
-// RolloutStore holds the statuses of rollouts for the operators.
-type RolloutStore interface {
-	// UpdateStatus replaces a service's status if the stored one still has revision
-	// s.Revision (0: there is none). It returns the status that is stored then. After an
-	// error the outcome is unknown.
-	UpdateStatus(ctx context.Context, service string, s rollout.Status) (rollout.Status, error)
-}
+// This file is the dispatcher's part in rollouts (see package rollout).
 
 const (
 	// statusRankDelay staggers the gateways that write a status: the gateway that ranks
@@ -63,28 +52,6 @@
 	pending                                map[uint64]*pendingAnswer // requests in flight, by attempt ID
 }
 
-// pendingAnswer is a request in flight whose answer will be evaluated.
-type pendingAnswer struct {
-	server     string
-	sentAt     time.Time
-	nominal    time.Duration // time to the first event at a server of usual speed, without waiting; 0: unknown
-	queueTime  time.Duration // predicted time until the server starts on it
-	firstEvent time.Duration // time to the first event; 0: none yet
-}
-
-// rolloutStatusWritten reports the result of a status write.
-type rolloutStatusWritten struct {
-	service string
-	status  rollout.Status
-	err     error
-}
-
-// rolloutStatusWrite is a status to write.
-type rolloutStatusWrite struct {
-	service string
-	status  rollout.Status
-}
-
 // setRollouts takes over the rollouts of a view.
 func (d *dispatcher) setRollouts(now time.Time, v *View) {
 	for service := range d.rollouts {
@@ -212,72 +179,6 @@
 	e.Msg("rollout stage changed")
 }
 
-// updateIdleSince tracks since when no gateway has requests at servers of the earlier
-// version.
-func (d *dispatcher) updateIdleSince(now time.Time, s *serviceRollout) {
-	if s.rollout.FullSince().IsZero() {
-		s.idleSince = time.Time{}
-		return
-	}
-	for _, id := range s.baseline {
-		if d.balancer.InFlight(id) > 0 {
-			s.idleSince = time.Time{}
-			return
-		}
-	}
-	if s.idleSince.IsZero() {
-		s.idleSince = now
-	}
-}
-
-// queueStatus queues a write of the rollout's status if it has changed.
-func (d *dispatcher) queueStatus(now time.Time, service string, s *serviceRollout) {
-	want := rollout.InProgress
-	switch {
-	case s.rollout.Stage() == rollout.Reverted:
-		want = rollout.RolledBack
-	case !s.idleSince.IsZero() && now.Sub(s.idleSince) >= minBaselineIdle && now.Sub(s.rollout.FullSince()) >= minBaselineIdle:
-		want = rollout.Complete
-	}
-	if want == s.state || s.state == rollout.RolledBack {
-		return
-	}
-	if want != s.wantedState || s.statusDue.IsZero() {
-		s.wantedState = want
-		s.statusDue = now.Add(time.Duration(d.rolloutRank(service)) * statusRankDelay)
-	}
-	if now.Before(s.statusDue) {
-		return
-	}
-	s.statusDue = now.Add(statusRetryInterval)
-	select {
-	case d.statusWrites <- rolloutStatusWrite{service, rollout.Status{State: want, Target: s.rollout.Target, Revision: s.record.Status.Revision}}:
-	default: // tried again later
-	}
-}
-
-// rolloutRank returns how many live gateways rank before this one for a service.
-func (d *dispatcher) rolloutRank(service string) (before int) {
-	own := unitHash(d.settings.Address + "/" + service)
-	for address := range d.peerRunning {
-		if unitHash(address+"/"+service) < own {
-			before++
-		}
-	}
-	return before
-}
-
-// applyStatusWritten takes over the result of a status write.
-func (d *dispatcher) applyStatusWritten(now time.Time, m rolloutStatusWritten) {
-	s := d.rollouts[m.service]
-	if s == nil || m.err != nil || m.status.Revision < s.record.Status.Revision {
-		return
-	}
-	s.record.Status = m.status
-	s.applyStatus(now, true)
-	s.updateWithheld()
-}
-
 // placeByVersion decides on a request of a service with a rollout.
 func (d *dispatcher) placeByVersion(now time.Time, s *serviceRollout, a *placement.Request) placement.Decision {
 	defer func() { a.Withheld = nil }()
@@ -349,129 +250,3 @@
 		return false
 	}
 }
-
-// recordRolloutSend records a request that was sent.
-func (d *dispatcher) recordRolloutSend(now time.Time, s *serviceRollout, a placement.Assign) {
-	if s.rollout == nil || s.state == rollout.Complete {
-		return
-	}
-	s.rollout.RecordSent(s.withheldFromOthers[a.Server.ID])
-	s.pending[a.ID] = &pendingAnswer{server: a.Server.ID, sentAt: now, nominal: a.NominalLatency, queueTime: a.QueueTime}
-}
-
-// recordRolloutAnswer records the end of a request.
-func (d *dispatcher) recordRolloutAnswer(now time.Time, m attemptEnded) {
-	for _, s := range d.rollouts {
-		if p := s.pending[m.attemptID]; p != nil {
-			delete(s.pending, m.attemptID)
-			s.recordAnswer(now, p, m)
-		}
-	}
-}
-
-// recordAnswer evaluates the answer to a request.
-func (s *serviceRollout) recordAnswer(now time.Time, p *pendingAnswer, m attemptEnded) {
-	if m.status == 0 || s.rollout == nil {
-		return
-	}
-	a := rollout.Answer{Failed: m.status >= minFailureStatus, EventInterval: m.eventInterval, RelativeLatency: now.Sub(p.sentAt).Seconds()}
-	if p.nominal > 0 {
-		a.RelativeLatency = 0
-		if p.firstEvent > 0 {
-			a.RelativeLatency = max(p.firstEvent-p.queueTime, 0).Seconds() / p.nominal.Seconds()
-		}
-	}
-	s.rollout.RecordAnswer(uint32(hashString(m.route)), uint32(hashString(p.server)), s.withheldFromOthers[p.server], a)
-}
-
-// minFailureStatus is the lowest status by which a server reports a failure of its own.
-const minFailureStatus = 500
-
-// recordRolloutFirstEvent records the first event of a request.
-func (d *dispatcher) recordRolloutFirstEvent(now time.Time, attemptID uint64) {
-	for _, s := range d.rollouts {
-		if p := s.pending[attemptID]; p != nil {
-			p.firstEvent = now.Sub(p.sentAt)
-		}
-	}
-}
-
-// rolloutReports returns the reports that the next beacons carry.
-func (d *dispatcher) rolloutReports(now time.Time) []*peerpb.Rollout {
-	var list []*peerpb.Rollout
-	for _, s := range d.rollouts {
-		if s.rollout == nil || s.state == rollout.Complete || s.state == rollout.RolledBack {
-			continue
-		}
-		r, bad := encodeReport(now, s.rollout)
-		if bad == s.reportedBad && s.rollout.Stage() == s.reportedStage && d.shareUpdates%reportTicks != 0 {
-			continue
-		}
-		s.reportedBad, s.reportedStage = bad, s.rollout.Stage()
-		list = append(list, r)
-	}
-	return list
-}
-
-// encodeReport encodes what this gateway has seen of a rollout; bad is the number of bad
-// answers of the target version.
-func encodeReport(now time.Time, ro *rollout.Rollout) (r *peerpb.Rollout, bad uint32) {
-	r = &peerpb.Rollout{Order: uint64(ro.Revision), Stage: uint32(ro.Stage()), AgeMs: uint32(max(now.Sub(ro.OrderedAt), 0).Milliseconds())}
-	for key, n := range ro.Report() {
-		r.Answers = append(r.Answers, &peerpb.Answers{
-			Route: key.Route, Server: key.Server, Target: key.Target, Answers: n.Answers, Failed: n.Failed, Slow: n.Slow,
-		})
-		if key.Target {
-			bad += n.Failed + n.Slow
-		}
-	}
-	return r, bad
-}
-
-// applyRolloutReports takes over what another gateway has seen of rollouts.
-func (d *dispatcher) applyRolloutReports(now time.Time, from string, list []*peerpb.Rollout) {
-	for _, r := range list {
-		for _, s := range d.rollouts {
-			if s.rollout == nil || uint64(s.rollout.Revision) != r.Order {
-				continue
-			}
-			report := make(rollout.Report, len(r.Answers))
-			for _, a := range r.Answers {
-				report[rollout.CountKey{Target: a.Target, Route: a.Route, Server: a.Server}] = rollout.Count{Answers: a.Answers, Failed: a.Failed, Slow: a.Slow}
-			}
-			s.rollout.MergeReport(from, report, min(rollout.Stage(r.Stage), rollout.Reverted), timeAgo(now, int64(r.AgeMs)))
-		}
-	}
-}
-
-// writeRolloutStatuses writes queued statuses until ctx ends.
-func (g *Gateway) writeRolloutStatuses(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case s := <-g.statusWrites:
-			if g.options.Rollouts == nil || g.stopping.Load() {
-				continue
-			}
-			g.dispatcher.send(g.writeRolloutStatus(ctx, s))
-		}
-	}
-}
-
-// writeRolloutStatus writes a status and returns the result.
-func (g *Gateway) writeRolloutStatus(ctx context.Context, s rolloutStatusWrite) rolloutStatusWritten {
-	ctx, cancel := context.WithTimeout(ctx, statusWriteTimeout)
-	defer cancel()
-	now, err := g.options.Rollouts.UpdateStatus(ctx, s.service, s.status)
-	e := g.log.Info().Str("event", "rollout.stated").Str("service", s.service).Str("target", s.status.Target).Stringer("state", s.status.State)
-	switch {
-	case err != nil:
-		e.Err(err).Msg("rollout status may not have been written: trying again")
-	case now.State != s.status.State || now.Target != s.status.Target:
-		e.Stringer("stands", now.State).Str("stands_target", now.Target).Msg("another gateway wrote the status first")
-	default:
-		e.Msg("rollout status written")
-	}
-	return rolloutStatusWritten{service: s.service, status: now, err: err}
-}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,11 +16,14 @@
 // relay.go relays the response; retries.go recognizes callers that retry.
 //
 // Placement: dispatcher.go makes all decisions with package placement, dispatcher_cold.go
-// limits the load of cold servers, dispatcher_rollout.go moves a service to a new version.
+// limits the load of cold servers, dispatcher_rollout.go moves a service to a new version:
+// dispatcher_rollout_answers.go counts the answers and dispatcher_rollout_status.go reports the
+// progress.
 //
 // State: view.go follows the source, lifetimes.go keeps the list of servers, cold_servers.go
 // keeps the state of cold servers and evacuated halls, handover.go fetches the views of other
-// gateways, and changelog.go keeps what has changed for incremental views.
+// gateways, and changelog.go keeps what has changed for incremental views, view_document.go
+// encodes them, and update_receiver.go decides when to fetch them.
 //
 // Protection: callers.go manages callers' connections, suspects.go keeps requests that crash
 // servers away from other servers, call_quarantine.go applies that to a request in progress,
@@ -85,7 +88,7 @@
 	Service   string
 	Account   string
 	Kind      string // "stream", "repeatable", "one-shot"
-	Result    string // "served", "late", "refused", "barred", "failed", "left", "cut", "denied"
+	Result    string // "served", "late", "refused", "quarantine", "failed", "left", "cut", "denied"
 	FirstByte time.Duration
 	Total     time.Duration
 	Attempts  int
@@ -201,15 +204,15 @@
 	defer cancel()
 	group := duty.NewGroup()
 	group.Go(background, "peers", g.peers.Run)
-	group.Go(background, "desk", g.dispatcher.run)
-	group.Go(background, "follower", g.storeWatcher.run)
-	group.Go(background, "news", g.receiveUpdates)
-	group.Go(background, "idle", g.closeIdle)
+	group.Go(background, "dispatcher", g.dispatcher.run)
+	group.Go(background, "store watcher", g.storeWatcher.run)
+	group.Go(background, "update receiver", g.receiveUpdates)
+	group.Go(background, "idle connections", g.closeIdle)
 	group.Go(background, "caches", g.queryCaches)
 	group.Go(background, "claims", g.writeClaims)
-	group.Go(background, "statements", g.writeRolloutStatuses)
+	group.Go(background, "rollout statuses", g.writeRolloutStatuses)
 	group.Go(background, "suspects", g.suspects.runWriter)
-	group.Go(background, "barred", g.cancelQuarantinedCalls)
+	group.Go(background, "quarantine", g.cancelQuarantinedCalls)
 	group.Go(background, "versions", g.recordVersions)
 	for range probeWorkers {
 		group.Go(background, "probes", g.crashes.runProbes)
