--- a/gateway/call.go
+++ b/gateway/call.go
@@ -167,10 +167,7 @@
 	}
 	c.attempts++
 	c.placeReq.Exclude = append(c.placeReq.Exclude, d.Server.ID)
-	c.gateway.log.Info().Str("event", "attempt.sent").Str("request", c.meta.ID).Int("attempt", c.attempts).
-		Str("server", d.Server.ID).Str("version", d.Server.Version).Str("resumes", c.meta.Resumes).Str("after_event", cmp.Or(c.lastEventID, c.meta.LastEventID)).Dur("predicted", d.Predicted).Dur("work", d.Load.Work).Dur("reading", d.PrefillTime).Float64("tokens", c.cost).
-		Dur("left", c.deadline.Sub(sent)).Str("account", c.account).Bool("over_share", c.placeReq.OverShare).
-		Int("prompt", c.placeReq.PromptTokens).Dur("waiting", d.QueueTime).Int("reread", d.SharedMissTokens).Dur("spent", c.sinceFirstAttempt).Float64("ahead", c.placeReq.ShareRatio).Bool("again", c.sinceFirstAttempt > 0).Str("copy_from", d.CopyFrom).Msg("request sent to server")
+	c.logSent(sent, d)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil) // cancels the server's work if the response was not read to its end
 	c.gateway.activeCalls.add(c, cancel)
@@ -182,6 +179,18 @@
 	return next
 }
 
+// logSent logs an attempt with what decided it.
+func (c *call) logSent(sent time.Time, d placement.Assign) {
+	c.gateway.log.Info().Str("event", "attempt.sent").Str("request", c.meta.ID).Int("attempt", c.attempts).
+		Str("server", d.Server.ID).Str("version", d.Server.Version).
+		Str("resumes", c.meta.Resumes).Str("after_event", cmp.Or(c.lastEventID, c.meta.LastEventID)).
+		Dur("predicted", d.Predicted).Dur("waiting", d.QueueTime).Dur("work", d.Load.Work).Dur("reading", d.PrefillTime).
+		Int("prompt", c.placeReq.PromptTokens).Int("reread", d.SharedMissTokens).Float64("tokens", c.cost).
+		Dur("left", c.deadline.Sub(sent)).Dur("spent", c.sinceFirstAttempt).Bool("again", c.sinceFirstAttempt > 0).
+		Str("account", c.account).Bool("over_share", c.placeReq.OverShare).Float64("ahead", c.placeReq.ShareRatio).
+		Str("copy_from", d.CopyFrom).Msg("request sent to server")
+}
+
 // upstreamRequest builds the request to a server.
 func (c *call) upstreamRequest(d placement.Assign, now time.Time) *upstream.Request {
 	h := c.request.Header.Clone()
@@ -273,8 +282,11 @@
 	}
 	c.deny(denial{status: http.StatusServiceUnavailable, reason: string(d.Reason), retryAfter: d.RetryAfter})
 	c.gateway.log.Info().Str("event", "request.refused").Str("request", c.meta.ID).Str("account", c.account).
-		Str("reason", string(d.Reason)).Dur("objective", c.route.Objective).Int("prompt", c.placeReq.PromptTokens).Dur("spent", c.sinceFirstAttempt).Dur("predicted", d.Predicted).Dur("retry_after", d.RetryAfter).
-		Bool("over_share", c.placeReq.OverShare).Bool("stop", c.placeReq.Capped).Float64("ahead", c.placeReq.ShareRatio).Bool("again", c.sinceFirstAttempt > 0).Msg("request refused")
+		Str("reason", string(d.Reason)).Dur("objective", c.route.Objective).Int("prompt", c.placeReq.PromptTokens).
+		Dur("predicted", d.Predicted).Dur("retry_after", d.RetryAfter).
+		Dur("spent", c.sinceFirstAttempt).Bool("again", c.sinceFirstAttempt > 0).
+		Bool("over_share", c.placeReq.OverShare).Bool("stop", c.placeReq.Capped).Float64("ahead", c.placeReq.ShareRatio).
+		Msg("request refused")
 }
 
 // fail sends the final response to a request that no server has answered.
--- a/gateway/dispatcher_rollout.go
+++ b/gateway/dispatcher_rollout.go
@@ -9,28 +9,10 @@
 
 // This file is the dispatcher's part in rollouts (see package rollout).
 
-const (
-	// statusRankDelay staggers the gateways that write a status: the gateway that ranks
-	// first writes at once, the next one after this time, and so on, which is long enough
-	// to hear of an earlier write.
-	statusRankDelay = 300 * time.Millisecond
-	// statusRetryInterval is the time until a status that was not written is tried again.
-	statusRetryInterval = 500 * time.Millisecond
-	statusWriteTimeout  = time.Second
-	// statusQueueSize limits the statuses that wait to be written, one per service.
-	statusQueueSize = 16
-	// minBaselineIdle is how long no gateway must have requests at the servers of the
-	// earlier version before the rollout is reported as complete. Gateways announce their
-	// requests four times a second.
-	minBaselineIdle = time.Second
-	// reportTicks is the number of share intervals between two reports of answers. A change
-	// of the stage or of the number of bad answers is reported at once.
-	reportTicks = 4
-	// completedHold is how long servers of the earlier version get no requests after the
-	// rollout is complete. After that they are treated like all others: another rollout
-	// would say which version is wanted.
-	completedHold = 30 * time.Second
-)
+// completedHold is how long servers of the earlier version get no requests after the
+// rollout is complete. After that they are treated like all others: another rollout
+// would say which version is wanted.
+const completedHold = 30 * time.Second
 
 // serviceRollout is the dispatcher's state of a service's rollout.
 type serviceRollout struct {
--- a/gateway/dispatcher_rollout_answers.go
+++ b/gateway/dispatcher_rollout_answers.go
@@ -11,6 +11,10 @@
 // This file counts the answers of both versions of a rollout and exchanges the counts with other
 // gateways.
 
+// reportTicks is the number of share intervals between two reports of answers. A change
+// of the stage or of the number of bad answers is reported at once.
+const reportTicks = 4
+
 // pendingAnswer is a request in flight whose answer will be evaluated.
 type pendingAnswer struct {
 	server     string
--- a/gateway/dispatcher_rollout_status.go
+++ b/gateway/dispatcher_rollout_status.go
@@ -9,6 +9,22 @@
 
 // This file reports the progress of rollouts to the operators.
 
+const (
+	// statusRankDelay staggers the gateways that write a status: the gateway that ranks
+	// first writes at once, the next one after this time, and so on, which is long enough
+	// to hear of an earlier write.
+	statusRankDelay = 300 * time.Millisecond
+	// statusRetryInterval is the time until a status that was not written is tried again.
+	statusRetryInterval = 500 * time.Millisecond
+	statusWriteTimeout  = time.Second
+	// statusQueueSize limits the statuses that wait to be written, one per service.
+	statusQueueSize = 16
+	// minBaselineIdle is how long no gateway must have requests at the servers of the
+	// earlier version before the rollout is reported as complete. Gateways announce their
+	// requests four times a second.
+	minBaselineIdle = time.Second
+)
+
 // RolloutStore holds the statuses of rollouts for the operators.
 type RolloutStore interface {
 	// UpdateStatus replaces a service's status if the stored one still has revision
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -246,7 +246,15 @@
 // Status returns the gateway's current state.
 func (g *Gateway) Status() Status {
 	v := g.view.Load()
-	s := Status{StoreEra: v.Revision.Era(), ViewAge: time.Since(g.confirmedAt()), Servers: len(v.Servers), Peers: int(g.dispatcher.livePeers.Load()), Active: int(g.active.Load()), SchedulingDelay: time.Duration(g.overload.delay.Load()), AdmittedShare: g.overload.admittedShare()}
+	s := Status{
+		StoreEra:        v.Revision.Era(),
+		ViewAge:         time.Since(g.confirmedAt()),
+		Servers:         len(v.Servers),
+		Peers:           int(g.dispatcher.livePeers.Load()),
+		Active:          int(g.active.Load()),
+		SchedulingDelay: time.Duration(g.overload.delay.Load()),
+		AdmittedShare:   g.overload.admittedShare(),
+	}
 	s.AnnouncedLeaving, s.BackingOff = g.signals.count(time.Now())
 	s.Origins = g.origins.count()
 	s.Suspects, s.Quarantined = int(g.suspects.suspectCount.Load()), g.suspects.quarantinedCount()
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -92,8 +92,16 @@
 
 func newSuspectTracker(log zerolog.Logger, address string, fleetSize func() int) *suspectTracker {
 	return &suspectTracker{
-		log: log, address: address, fleetSize: fleetSize, writerWake: make(chan struct{}, 1), newlyQuarantined: make(chan struct{}, 1), registry: quarantine.NewRegistry(),
-		ownWrites: map[quarantine.Key]bool{}, trials: map[quarantine.Key]trialState{}, livePeers: map[string]bool{}, summaries: map[quarantine.Key]string{}, pendingWrites: map[quarantine.Key]bool{}, rewriteAt: map[quarantine.Key]time.Time{},
+		log: log, address: address, fleetSize: fleetSize,
+		writerWake:       make(chan struct{}, 1),
+		newlyQuarantined: make(chan struct{}, 1),
+		registry:         quarantine.NewRegistry(),
+		ownWrites:        map[quarantine.Key]bool{},
+		trials:           map[quarantine.Key]trialState{},
+		livePeers:        map[string]bool{},
+		summaries:        map[quarantine.Key]string{},
+		pendingWrites:    map[quarantine.Key]bool{},
+		rewriteAt:        map[quarantine.Key]time.Time{},
 	}
 }
 
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -108,7 +108,18 @@
 }
 
 func newStoreWatcher(g *Gateway) *storeWatcher {
-	return &storeWatcher{gateway: g, servers: map[string]catalog.Server{}, currentIDs: map[string]string{}, missingUntil: map[string]time.Time{}, evacuations: map[string]evacuation{}, cold: map[string]coldState{}, tombstones: newTombstones(), unverified: map[string]catalog.Server{}, peerViews: make(chan peerView, 1), leavingSignal: make(chan struct{}, 1)}
+	return &storeWatcher{
+		gateway:       g,
+		servers:       map[string]catalog.Server{},
+		currentIDs:    map[string]string{},
+		missingUntil:  map[string]time.Time{},
+		evacuations:   map[string]evacuation{},
+		cold:          map[string]coldState{},
+		tombstones:    newTombstones(),
+		unverified:    map[string]catalog.Server{},
+		peerViews:     make(chan peerView, 1),
+		leavingSignal: make(chan struct{}, 1),
+	}
 }
 
 // sourceResult is the result of one call to the source.
