--- a/gateway/peer/origins.go
+++ b/gateway/peer/origins.go
@@ -54,16 +54,16 @@
 
 // sendOrigins reports an origin, and others that wait, to the gateways that remember them.
 func (n *Node) sendOrigins(now time.Time, first origin.Origin) {
+	pending := []origin.Origin{first}
+	for len(n.origins) > 0 && len(pending) < maxOriginsPerDatagram {
+		pending = append(pending, <-n.origins)
+	}
 	live := n.livePeers()
 	byReplica := map[uint32][]*peerpb.Origin{}
-	for o, sent := first, 0; ; sent++ {
+	for _, o := range pending {
 		for _, a := range origin.Replicas(o.Attempt, live, origin.ReplicaCount) {
 			byReplica[a] = append(byReplica[a], encodeOrigin(now, o))
 		}
-		if sent == maxOriginsPerDatagram || len(n.origins) == 0 {
-			break
-		}
-		o = <-n.origins
 	}
 	for a, list := range byReplica {
 		n.write(unpackAddr(a), marshal(&peerpb.Datagram{Origins: &peerpb.Origins{Begun: list}}))
