gateway, explain: a server's version is logged as server_version

Found by telling the story of a stream that was taken up. The field is server_version now, in request.refused too; explain tells of streams that are taken up, and of the version.

--- a/explain/story.go
+++ b/explain/story.go
@@ -17,39 +17,43 @@
 // Line holds the fields of a process's log line that this package uses. Fields that a
 // line lacks are zero.
 type Line struct {
-	Time        time.Time `json:"time"`
-	Node        string    `json:"node"`
-	Event       string    `json:"event"`
-	Request     string    `json:"request"`
-	Requests    []string  `json:"requests"` // set instead of Request if the line is about several
-	Server      string    `json:"server"`
-	Account     string    `json:"account"`
-	Reason      string    `json:"reason"`
-	Error       string    `json:"error"`
-	Result      string    `json:"result"`
-	Attempt     int       `json:"attempt"`
-	Attempts    int       `json:"attempts"`
-	Status      int       `json:"status"`
-	Version     uint64    `json:"version"`
-	Revision    uint64    `json:"revision"`
-	Predicted   float64   `json:"predicted"` // milliseconds, as all durations below
-	Work        float64   `json:"work"`
-	TimeLeft    float64   `json:"left"`
-	FirstByte   float64   `json:"first"`
-	Total       float64   `json:"whole"`
-	RetryAfter  float64   `json:"retry_after"`
-	PrefillTime float64   `json:"reading"`
-	Objective   float64   `json:"objective"`
-	Elapsed     float64   `json:"spent"` // since the caller's first request
-	Tokens      float64   `json:"tokens"`
-	Hall        string    `json:"hall"`
-	Route       string    `json:"route"`
-	Kind        string    `json:"kind"`
-	ShareRatio  float64   `json:"ahead"`
-	OverShare   bool      `json:"over_share"`
-	Retried     bool      `json:"again"`
-	Leaving     bool      `json:"leaving"`
-	MayHaveRun  bool      `json:"may_have_run"`
+	Time          time.Time `json:"time"`
+	Node          string    `json:"node"`
+	Event         string    `json:"event"`
+	Request       string    `json:"request"`
+	Requests      []string  `json:"requests"` // set instead of Request if the line is about several
+	Server        string    `json:"server"`
+	Account       string    `json:"account"`
+	Reason        string    `json:"reason"`
+	Error         string    `json:"error"`
+	Result        string    `json:"result"`
+	Attempt       int       `json:"attempt"`
+	Attempts      int       `json:"attempts"`
+	Status        int       `json:"status"`
+	Version       uint64    `json:"version"`        // of the configuration
+	ServerVersion string    `json:"server_version"` // of a server's software
+	Resumes       string    `json:"resumes"`        // the attempt whose stream is taken up
+	AfterEvent    string    `json:"after_event"`
+	Outcome       string    `json:"outcome"`
+	Revision      uint64    `json:"revision"`
+	Predicted     float64   `json:"predicted"` // milliseconds, as all durations below
+	Work          float64   `json:"work"`
+	TimeLeft      float64   `json:"left"`
+	FirstByte     float64   `json:"first"`
+	Total         float64   `json:"whole"`
+	RetryAfter    float64   `json:"retry_after"`
+	PrefillTime   float64   `json:"reading"`
+	Objective     float64   `json:"objective"`
+	Elapsed       float64   `json:"spent"` // since the caller's first request
+	Tokens        float64   `json:"tokens"`
+	Hall          string    `json:"hall"`
+	Route         string    `json:"route"`
+	Kind          string    `json:"kind"`
+	ShareRatio    float64   `json:"ahead"`
+	OverShare     bool      `json:"over_share"`
+	Retried       bool      `json:"again"`
+	Leaving       bool      `json:"leaving"`
+	MayHaveRun    bool      `json:"may_have_run"`
 
 	order int // position among the lines of its log
 }
@@ -155,8 +159,17 @@
 		if l.OverShare {
 			share = fmt.Sprintf("over its share (%.2f of an even part)", l.ShareRatio)
 		}
+		server := l.Server
+		if l.ServerVersion != "" {
+			server += " of version " + l.ServerVersion
+		}
+		if l.AfterEvent != "" {
+			server += " to go on after event " + l.AfterEvent
+		}
 		return fmt.Sprintf("attempt %d sent to server %s: first event predicted in %.0f ms, %.0f ms of it reading; %.0f ms left; account %s %s",
-			l.Attempt, l.Server, l.Predicted, l.Work, l.TimeLeft, l.Account, share)
+			l.Attempt, server, l.Predicted, l.Work, l.TimeLeft, l.Account, share)
+	case "stream.resumed":
+		return fmt.Sprintf("takes up the stream of attempt %q after event %s: %s, version %q", l.Resumes, l.AfterEvent, l.Outcome, l.ServerVersion)
 	case "attempt.failed":
 		return fmt.Sprintf("attempt %d failed (may have run: %t): %s", l.Attempt, l.MayHaveRun, l.Error)
 	case "request.refused":
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -182,7 +182,7 @@
 // logSent logs an attempt with what decided it.
 func (c *call) logSent(sent time.Time, d placement.Assign) {
 	c.gateway.log.Info().Str("event", "attempt.sent").Str("request", c.meta.ID).Int("attempt", c.attempts).
-		Str("server", d.Server.ID).Str("version", d.Server.Version).
+		Str("server", d.Server.ID).Str("server_version", d.Server.Version).
 		Str("resumes", c.meta.Resumes).Str("after_event", cmp.Or(c.lastEventID, c.meta.LastEventID)).
 		Dur("predicted", d.Predicted).Dur("waiting", d.QueueTime).Dur("work", d.Load.Work).Dur("reading", d.PrefillTime).
 		Int("prompt", c.placeReq.PromptTokens).Int("reread", d.SharedMissTokens).Float64("tokens", c.cost).
@@ -284,7 +284,7 @@
 	c.gateway.log.Info().Str("event", "request.refused").Str("request", c.meta.ID).Str("account", c.account).
 		Str("reason", string(d.Reason)).Dur("objective", c.route.Objective).Int("prompt", c.placeReq.PromptTokens).
 		Dur("predicted", d.Predicted).Dur("retry_after", d.RetryAfter).
-		Dur("spent", c.sinceFirstAttempt).Bool("again", c.sinceFirstAttempt > 0).
+		Dur("spent", c.sinceFirstAttempt).Bool("again", c.sinceFirstAttempt > 0).Str("server_version", c.placeReq.Version).
 		Bool("over_share", c.placeReq.OverShare).Bool("stop", c.placeReq.Capped).Float64("ahead", c.placeReq.ShareRatio).
 		Msg("request refused")
 }
--- a/gateway/call_resume.go
+++ b/gateway/call_resume.go
@@ -194,7 +194,7 @@
 // recordResume logs and counts an attempt to take up a stream.
 func (c *call) recordResume(outcome ResumeOutcome, s catalog.Server, took time.Duration) {
 	c.gateway.log.Info().Str("event", "stream.resumed").Str("request", c.meta.ID).Str("resumes", c.meta.Resumes).Str("after_event", c.meta.LastEventID).
-		Str("outcome", string(outcome)).Str("service", s.Service).Str("version", s.Version).Dur("lookup", took).Str("account", c.account).Msg("caller takes up a stream")
+		Str("outcome", string(outcome)).Str("service", s.Service).Str("server_version", s.Version).Dur("lookup", took).Str("account", c.account).Msg("caller takes up a stream")
 	if c.gateway.options.Metrics != nil {
 		c.gateway.options.Metrics.StreamResumed(c.service, outcome)
 	}
