gateway: an attempt that a caller names again is remembered anew

A stream that is taken up several times is named by its first attempt each time, and the gateways that knew that one may have ended between the tries: it then did not go on, although the gateway that served it last had known it. The gateway that relays the first event of a try now reports the attempt that it resumes as well, and origins are kept thirty seconds beyond the caller's wait, five before.

--- a/explain/story_test.go
+++ b/explain/story_test.go
@@ -16,7 +16,7 @@
 {"level":"warn","node":"g1","event":"server.silent","server":"i-1","time":"2026-12-02T14:00:05Z"}
 {"level":"warn","node":"g1","event":"server.silent","server":"i-9","time":"2026-12-02T14:00:05Z"}
 {"level":"info","node":"g1","event":"attempt.sent","request":"r1","attempt":1,"server":"i-1","predicted":210.4,"work":80,"left":900,"account":"t1","time":"2026-12-02T14:00:06Z"}
-{"level":"info","node":"g1","event":"stream.resumed","request":"r6","resumes":"r1","after_event":"4","outcome":"placed","service":"s","server_version":"v1.2","lookup":3.1,"time":"2026-12-02T14:00:06Z"}
+{"level":"info","node":"g1","event":"stream.resumed","request":"r6","resumes":"r1","after_event":"4","outcome":"known","service":"s","server_version":"v1.2","lookup":3.1,"time":"2026-12-02T14:00:06Z"}
 {"level":"info","node":"g1","event":"attempt.sent","request":"r6","attempt":1,"server":"i-3","server_version":"v1.2","resumes":"r1","after_event":"4","predicted":50,"time":"2026-12-02T14:00:06Z"}
 {"level":"info","node":"g1","event":"attempt.failed","request":"r1","attempt":1,"error":"reset","may_have_run":true,"time":"2026-12-02T14:00:06Z"}
 {"level":"info","node":"g1","event":"attempt.sent","request":"r2","attempt":1,"server":"i-2","time":"2026-12-02T14:00:06Z"}
@@ -39,7 +39,7 @@
 			"attempt 1 failed (may have run: true): reset", "failed after 1 attempts",
 		}, []string{"i-9", "i-2"}},
 		{"stream taken up", "r6", []string{
-			`takes up the stream of attempt "r1" after event 4: placed, version "v1.2"`, "attempt 1 sent to server i-3 of version v1.2 to go on after event 4",
+			`takes up the stream of attempt "r1" after event 4: known, version "v1.2"`, "attempt 1 sent to server i-3 of version v1.2 to go on after event 4",
 		}, []string{"i-2"}},
 		{"refused", "r3", []string{"refused as not run: no server in time", "come back after 200 ms"}, []string{"configuration 7"}},
 		{"denied with others", "r5", []string{"503", "short of processor"}, []string{"r4"}},
--- a/gateway/call_resume.go
+++ b/gateway/call_resume.go
@@ -19,12 +19,12 @@
 
 // Outcomes of attempts to take up a stream.
 const (
-	ResumePlaced    ResumeOutcome = "placed"        // its version is known and has servers
+	ResumeKnown     ResumeOutcome = "known"         // its version is known and has servers
 	ResumeUnknown   ResumeOutcome = "unknown"       // no gateway that was asked knows where it began
 	ResumeAmbiguous ResumeOutcome = "ambiguous"     // two streams began under the ID that the caller names
 	ResumeUnnamed   ResumeOutcome = "unnamed"       // the caller names no attempt, and several versions have served
 	ResumeNoVersion ResumeOutcome = "version gone"  // no server of its version is known for the route
-	ResumeStranded  ResumeOutcome = "none takes it" // no server of its version takes the stream
+	ResumeStranded  ResumeOutcome = "none takes it" // after ResumeKnown: no server of its version takes the stream
 )
 
 // Reasons why a stream does not go on. The caller can begin it anew.
@@ -36,9 +36,9 @@
 	errStreamStranded  = errors.New("the stream can't go on: no server of the version that began it takes it")
 )
 
-// originRetentionSlack is how much longer than its caller waits a stream's origin is remembered:
-// gateways may be late.
-const originRetentionSlack = 5 * time.Second
+// originRetentionSlack is how much longer than its caller waits a stream's origin is remembered: a
+// caller that takes it up may wait anew.
+const originRetentionSlack = 30 * time.Second
 
 // unnamedSpans is the number of route timeouts for which a service must have had one version only
 // for a caller to take up a stream without naming an attempt: the attempt that began the stream
@@ -79,7 +79,7 @@
 		if !ok {
 			return s, ResumeNoVersion, errVersionGone
 		}
-		return s, ResumePlaced, nil
+		return s, ResumeKnown, nil
 	case origin.Ambiguous:
 		return catalog.Server{}, ResumeAmbiguous, errOriginAmbiguous
 	default:
@@ -119,7 +119,7 @@
 	if !ok {
 		return catalog.Server{}, ResumeUnnamed, errOriginUnnamed
 	}
-	return catalog.Server{Service: service, Version: version}, ResumePlaced, nil
+	return catalog.Server{Service: service, Version: version}, ResumeKnown, nil
 }
 
 // pinVersion restricts further attempts to the software version of the server whose event is
@@ -170,7 +170,9 @@
 	return func(ctx context.Context) error { return c.gateway.confirmLifetime(ctx, s) }
 }
 
-// reportOrigin reports that the stream of this attempt began at the version of a server.
+// reportOrigin reports that the stream of this attempt began at the version of a server. It also
+// reports anew the attempt that this one resumes: the caller names that one again, and gateways
+// that knew it may have ended since.
 func (c *call) reportOrigin(s catalog.Server) {
 	if !c.route.Resumable || s.Version == "" {
 		return
@@ -179,10 +181,13 @@
 	if c.meta.HasDeadline {
 		wait = min(c.meta.Deadline, origin.MaxRetention)
 	}
-	c.gateway.origins.begun(time.Now(), origin.Origin{
-		Attempt: origin.AttemptOf(c.account, c.meta.ID), Version: origin.VersionOf(s.Service, s.Version),
-		Expires: c.arrived.Add(wait + originRetentionSlack),
-	})
+	o := origin.Origin{Version: origin.VersionOf(s.Service, s.Version), Expires: c.arrived.Add(wait + originRetentionSlack)}
+	for _, id := range []string{c.meta.ID, c.meta.Resumes} {
+		if id != "" {
+			o.Attempt = origin.AttemptOf(c.account, id)
+			c.gateway.origins.begun(time.Now(), o)
+		}
+	}
 }
 
 // refuseResume tells the caller that the stream can't go on, and that it may begin anew at once.
