--- a/gateway/peer/messages.go
+++ b/gateway/peer/messages.go
@@ -92,61 +92,46 @@
 	StoreUnreachable     bool      // own calls to the store fail
 }
 
-// PublishLoad sends a load to the other gateways soon. It never blocks.
-func (n *Node) PublishLoad(l Load) {
+// offer puts an item into a queue unless it is full, and reports whether it did.
+func offer[T any](queue chan<- T, item T) bool {
 	select {
-	case n.loads <- l:
-	default: // only costs accuracy
+	case queue <- item:
+		return true
+	default:
+		return false
 	}
 }
 
-// PublishBacklog sends a server's backlog with the next beacon. It never blocks.
-func (n *Node) PublishBacklog(b Backlog) {
-	select {
-	case n.backlogs <- b:
-	default: // only costs accuracy
-	}
-}
+// PublishLoad sends a load to the other gateways soon. It never blocks: a load that finds the
+// queue full is dropped, which only costs accuracy.
+func (n *Node) PublishLoad(l Load) { offer(n.loads, l) }
 
-// PublishRefusal sends with the next beacons that a request was refused. It never blocks.
-func (n *Node) PublishRefusal(r Refusal) {
-	select {
-	case n.refusals <- r:
-	default: // only costs accuracy
-	}
-}
+// PublishBacklog sends a server's backlog with the next beacon. It never blocks; see PublishLoad.
+func (n *Node) PublishBacklog(b Backlog) { offer(n.backlogs, b) }
 
-// PublishCrash sends with the next beacons that a server has crashed. It never blocks.
+// PublishRefusal sends with the next beacons that a request was refused. It never blocks; see
+// PublishLoad.
+func (n *Node) PublishRefusal(r Refusal) { offer(n.refusals, r) }
+
+// PublishCrash sends with the next beacons that a server has crashed. It never blocks: requests of
+// a crash that is dropped are counted at the next one.
 func (n *Node) PublishCrash(c Crash) {
-	select {
-	case n.crashes <- c:
+	if offer(n.crashes, c) {
 		n.SendSoon()
-	default: // its requests are counted at the next crash
 	}
 }
 
-// PublishCleared sends with the next beacons that a request caused no crash. It never blocks.
-func (n *Node) PublishCleared(c Cleared) {
-	select {
-	case n.cleared <- c:
-	default: // the next gateway that answers it publishes it again
-	}
-}
+// PublishCleared sends with the next beacons that a request caused no crash. It never blocks: the
+// next gateway that answers the request publishes it again.
+func (n *Node) PublishCleared(c Cleared) { offer(n.cleared, c) }
 
 // PublishLeaving sends with the next beacons that a server has announced that it is leaving. It
-// never blocks.
+// never blocks: the others then learn it from the server or from its entry.
 func (n *Node) PublishLeaving(server string) {
-	select {
-	case n.leavingServers <- server:
+	if offer(n.leavingServers, server) {
 		n.SendSoon()
-	default: // the others learn it from the server or from its entry
 	}
 }
 
-// SendSoon makes the next beacon go out soon. It never blocks.
-func (n *Node) SendSoon() {
-	select {
-	case n.sendSoon <- struct{}{}:
-	default: // one is already due
-	}
-}
+// SendSoon makes the next beacon go out soon. It never blocks: if the queue is full, one is due.
+func (n *Node) SendSoon() { offer(n.sendSoon, struct{}{}) }
--- a/gateway/peer/origins.go
+++ b/gateway/peer/origins.go
@@ -33,23 +33,14 @@
 	asked   chan<- int // gets the number of peers asked; must have room
 }
 
-// PublishOrigin reports to other gateways where a stream has begun. It never blocks.
-func (n *Node) PublishOrigin(o origin.Origin) {
-	select {
-	case n.origins <- o:
-	default: // if the caller of this stream takes it up elsewhere, it is asked to begin anew
-	}
-}
+// PublishOrigin reports to other gateways where a stream has begun. It never blocks: the caller of a
+// stream whose origin is dropped is asked to begin anew if it takes the stream up elsewhere.
+func (n *Node) PublishOrigin(o origin.Origin) { offer(n.origins, o) }
 
 // AskOrigin asks other gateways where a stream has begun. The number of peers asked is sent to
-// asked, which must have room for it. It never blocks and reports whether the question was taken.
-func (n *Node) AskOrigin(a origin.Attempt, asked chan<- int) bool {
-	select {
-	case n.originQueries <- originQuery{a, asked}:
-		return true
-	default:
-		return false
-	}
+// asked, which must have room for it; nothing is sent if the queue is full. It never blocks.
+func (n *Node) AskOrigin(a origin.Attempt, asked chan<- int) {
+	offer(n.originQueries, originQuery{a, asked})
 }
 
 // sendOrigins reports an origin, and others that wait, to the gateways that remember them.
--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -172,12 +172,25 @@
 	}
 	now := time.Now()
 	n := &Node{
-		options: o, self: at.Addr(), port: at.Port(), conn: conn,
-		incarnation: uint64(now.UnixNano()),
-		loads:       make(chan Load, queueSize), backlogs: make(chan Backlog, queueSize), refusals: make(chan Refusal, queueSize), crashes: make(chan Crash, queueSize), cleared: make(chan Cleared, queueSize), leavingServers: make(chan string, queueSize),
-		origins: make(chan origin.Origin, queueSize), originQueries: make(chan originQuery, queueSize),
-		pendingBacklogs: map[uint64]time.Duration{}, sendSoon: make(chan struct{}, 1), packets: make(chan packet, queueSize), updates: make(chan []Update, queueSize),
-		peers: map[netip.Addr]*remote{}, relays: newRelayState(),
+		options:         o,
+		self:            at.Addr(),
+		port:            at.Port(),
+		conn:            conn,
+		incarnation:     uint64(now.UnixNano()),
+		loads:           make(chan Load, queueSize),
+		backlogs:        make(chan Backlog, queueSize),
+		refusals:        make(chan Refusal, queueSize),
+		crashes:         make(chan Crash, queueSize),
+		cleared:         make(chan Cleared, queueSize),
+		leavingServers:  make(chan string, queueSize),
+		origins:         make(chan origin.Origin, queueSize),
+		originQueries:   make(chan originQuery, queueSize),
+		sendSoon:        make(chan struct{}, 1),
+		packets:         make(chan packet, queueSize),
+		updates:         make(chan []Update, queueSize),
+		pendingBacklogs: map[uint64]time.Duration{},
+		peers:           map[netip.Addr]*remote{},
+		relays:          newRelayState(),
 	}
 	for _, s := range o.Seeds {
 		a, err := seedAddr(s)
