--- a/soak/resume.go
+++ b/soak/resume.go
@@ -89,6 +89,8 @@
 	request.GetBody = nil // the transport must not retry by itself
 	request.Host = "h"
 	platform.SetCallerHeaders(request.Header, id, "steady", callerDeadline)
+	request.Header.Set(gatewayMark, p.epoch())
+	request.Header.Set(sentMark, time.Now().Format(time.RFC3339Nano))
 	if s.last > 0 {
 		platform.SetResumeHeaders(request.Header, s.id, strconv.Itoa(s.last))
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -107,6 +107,12 @@
 	play(t, build(t), soak.Options{Seed: 9000, Versions: true})
 }
 
+// TestSoakVersionsSignals runs a seed that failed while the requests of callers that take up streams
+// did not tell their gateway: what a server had asked of one gateway was asked of all.
+func TestSoakVersionsSignals(t *testing.T) {
+	play(t, build(t), soak.Options{Seed: 9205, Versions: true, Restarts: true, Signals: true})
+}
+
 // TestSoakFatalEarly runs seeds that failed when requests that crash servers start together with
 // the gateways. All servers crash before anything is answered, so a request that all callers send
 // is quarantined. The probes that should release it then fail: their servers crash by chance, or
