gateway: a rest that a server asked for before its start was known holds for it

The later lifetime now takes over a rest that was asked for in the three seconds before its start is known, for two seconds at most, since the one before may have asked for it after all: then one server idles for two seconds.

Ruled out: a lost answer (the line is there). Left: a word of leaving that comes so is dropped with the lifetime before.

--- a/gateway/lifetimes.go
+++ b/gateway/lifetimes.go
@@ -42,6 +42,7 @@
 	w.gateway.log.Info().Str("event", "server.started_again").Str("server", s.Name()).
 		Int64("born", s.Born).Int64("before", w.servers[previous].Born).EmbedObject(revisionFields(w.changeRevision)).
 		Msg("server has restarted; its former state is discarded")
+	w.gateway.inheritBackoff(time.Now(), previous, s.ID)
 	w.dropServer(previous)
 }
 
--- a/gateway/signals.go
+++ b/gateway/signals.go
@@ -32,6 +32,12 @@
 	// maxLeaving limits the remembered leaving servers. A fleet of 10,000 that is replaced
 	// at once fits.
 	maxLeaving = 1 << 14
+	// unannouncedPeriod is how long a server that has started again may serve before a gateway
+	// hears of it. What it asks for meanwhile seems to come from the lifetime before.
+	unannouncedPeriod = 3 * time.Second
+	// maxInheritedBackoff bounds the backoff that a lifetime takes over: the one before may have
+	// asked for it after all.
+	maxInheritedBackoff = 2 * time.Second
 )
 
 // Reasons not to send a request that was already placed.
@@ -43,13 +49,19 @@
 // serverSignals holds what servers have announced about themselves. It is safe for
 // concurrent use.
 type serverSignals struct {
-	mutex        sync.Mutex
-	leaving      map[string]time.Time // when the entry was last seen, by lifetime
-	backoffUntil map[string]time.Time // by lifetime
+	mutex    sync.Mutex
+	leaving  map[string]time.Time     // when the entry was last seen, by lifetime
+	backoffs map[string]serverBackoff // by lifetime
+}
+
+// serverBackoff is a backoff that a server has asked for.
+type serverBackoff struct {
+	askedAt time.Time // of the latest request for backoff
+	until   time.Time
 }
 
 func newServerSignals() *serverSignals {
-	return &serverSignals{leaving: map[string]time.Time{}, backoffUntil: map[string]time.Time{}}
+	return &serverSignals{leaving: map[string]time.Time{}, backoffs: map[string]serverBackoff{}}
 }
 
 // addLeaving records that a server is leaving. It reports whether that was not known
@@ -66,10 +78,26 @@
 
 // addBackoff records that a server has asked for backoff. Of several backoffs the latest
 // end applies.
-func (s *serverSignals) addBackoff(server string, until time.Time) {
+func (s *serverSignals) addBackoff(now time.Time, server string, until time.Time) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.backoffUntil[server] = latest(s.backoffUntil[server], until)
+	s.backoffs[server] = serverBackoff{askedAt: now, until: latest(s.backoffs[server].until, until)}
+}
+
+// inheritBackoff returns until when a lifetime backs off because of what the one before it seems
+// to have asked for, and records that; ok is false if it does not.
+func (s *serverSignals) inheritBackoff(now time.Time, previous, current string) (until time.Time, ok bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	b := s.backoffs[previous]
+	if !now.Before(b.until) || now.Sub(b.askedAt) > unannouncedPeriod {
+		return time.Time{}, false
+	}
+	if limit := now.Add(maxInheritedBackoff); b.until.After(limit) {
+		b.until = limit
+	}
+	s.backoffs[current] = b
+	return b.until, true
 }
 
 // checkAvailable returns an error if the server may not get a request now.
@@ -79,7 +107,7 @@
 	if _, leaving := s.leaving[server]; leaving {
 		return errServerLeaving
 	}
-	if now.Before(s.backoffUntil[server]) {
+	if now.Before(s.backoffs[server].until) {
 		return errServerBackoff
 	}
 	return nil
@@ -89,8 +117,8 @@
 func (s *serverSignals) count(now time.Time) (leaving, backingOff int) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	for _, until := range s.backoffUntil {
-		if now.Before(until) {
+	for _, b := range s.backoffs {
+		if now.Before(b.until) {
 			backingOff++
 		}
 	}
@@ -102,9 +130,9 @@
 func (s *serverSignals) applyTo(now time.Time, servers []catalog.Server) (leaving []string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	for id, until := range s.backoffUntil {
-		if !now.Before(until) {
-			delete(s.backoffUntil, id)
+	for id, b := range s.backoffs {
+		if !now.Before(b.until) {
+			delete(s.backoffs, id)
 		}
 	}
 	if len(s.leaving) == 0 {
@@ -138,11 +166,22 @@
 	if s.Backoff > 0 && s.Status == http.StatusServiceUnavailable {
 		until := now.Add(min(s.Backoff, placement.MaxBackoff))
 		g.log.Info().Str("event", "server.asks_rest").Str("server", server.ID).Int("status", s.Status).Dur("rest", s.Backoff).Msg("server asked for backoff: no requests until it ends")
-		g.signals.addBackoff(server.ID, until)
+		g.signals.addBackoff(now, server.ID, until)
 		g.dispatcher.send(backoffRequested{server: server.ID, until: until})
 	}
 }
 
+// inheritBackoff keeps requests from a server that has started again for as long as it has asked
+// for backoff before this gateway heard of the start.
+func (g *Gateway) inheritBackoff(now time.Time, previous, current string) {
+	until, ok := g.signals.inheritBackoff(now, previous, current)
+	if !ok {
+		return
+	}
+	g.log.Info().Str("event", "server.asks_rest").Str("server", current).Str("before", previous).Dur("rest", until.Sub(now)).Msg("server asked for backoff before its start was known")
+	g.dispatcher.send(backoffRequested{server: current, until: until})
+}
+
 // applyPeerLeaving takes over the leaving servers that another gateway has announced.
 func (g *Gateway) applyPeerLeaving(now time.Time, from string, servers []string) {
 	for _, id := range servers {
--- a/gateway/signals_test.go
+++ b/gateway/signals_test.go
@@ -151,7 +151,7 @@
 	g.handleSignal(s, upstream.Signal{Status: http.StatusServiceUnavailable, Backoff: time.Second})
 	require.ErrorIs(t, g.signals.checkAvailable(now.Add(1900*time.Millisecond), s.ID), errServerBackoff, "the latest end applies")
 	g.signals.applyTo(now.Add(3*time.Second), nil)
-	require.Empty(t, g.signals.backoffUntil)
+	require.Empty(t, g.signals.backoffs)
 }
 
 // TestBackoffSurvivesEntryLapse checks that a server's backoff still applies after its
@@ -172,3 +172,35 @@
 	require.IsType(t, placement.Assign{}, g.dispatcher.balancer.Place(later, request))
 	require.Empty(t, g.dispatcher.backoffUntil)
 }
+
+// TestBackoffAskedBeforeStartIsKnown has a server ask for backoff, and start again before or after
+// it did, as far as the gateway can tell.
+func TestBackoffAskedBeforeStartIsKnown(t *testing.T) {
+	tests := []struct {
+		name  string
+		asked time.Duration // before the gateway hears of the start
+		rest  time.Duration
+		want  time.Duration // from then on; 0: none
+	}{
+		{"a moment before", 500 * time.Millisecond, 2 * time.Second, 1500 * time.Millisecond},
+		{"for long", 500 * time.Millisecond, time.Minute, maxInheritedBackoff},
+		{"long before", 10 * time.Second, time.Minute, 0},
+		{"over", 2 * time.Second, time.Second, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			now := time.Now()
+			s := newServerSignals()
+			s.addBackoff(now.Add(-test.asked), "i-1@1", now.Add(test.rest-test.asked))
+			until, ok := s.inheritBackoff(now, "i-1@1", "i-1@2")
+			require.Equal(t, test.want > 0, ok)
+			if !ok {
+				require.NoError(t, s.checkAvailable(now, "i-1@2"))
+				return
+			}
+			require.Equal(t, now.Add(test.want), until)
+			require.ErrorIs(t, s.checkAvailable(until.Add(-1), "i-1@2"), errServerBackoff)
+			require.NoError(t, s.checkAvailable(until, "i-1@2"))
+		})
+	}
+}
