gateway: callers that name no attempt wait for fifteen seconds of one version at most

A version whose last entry went fifteen seconds ago serves no stream any more, and its callers have come back: that is enough.

TestCallerNamesNoAttempt passes.

--- a/gateway/call_resume.go
+++ b/gateway/call_resume.go
@@ -40,10 +40,14 @@
 // caller that takes it up may wait anew.
 const originRetentionSlack = 30 * time.Second
 
-// unnamedSpans is the number of route timeouts for which a service must have had one version only
-// for a caller to take up a stream without naming an attempt: the attempt that began the stream
-// and the one that resumes it.
-const unnamedSpans = 2
+// A caller may take up a stream without naming an attempt if its service has had one version only
+// for so long: for unnamedSpans timeouts of the route (the attempt that began the stream and the
+// one that resumes it), and no longer than maxUnnamedSpan. A version whose last entry went before
+// that serves no stream any more, and its callers have come back.
+const (
+	unnamedSpans   = 2
+	maxUnnamedSpan = 15 * time.Second
+)
 
 // resumes reports whether the caller takes up a stream.
 func (c *call) resumes() bool {
@@ -115,7 +119,7 @@
 		timeout = defaultDeadline
 	}
 	service := c.route.Targets[0].Service
-	version, ok := c.gateway.origins.onlyVersion(time.Now(), service, unnamedSpans*timeout)
+	version, ok := c.gateway.origins.onlyVersion(time.Now(), service, min(unnamedSpans*timeout, maxUnnamedSpan))
 	if !ok {
 		return catalog.Server{}, ResumeUnnamed, errOriginUnnamed
 	}
