--- a/gateway/call_quarantine.go
+++ b/gateway/call_quarantine.go
@@ -113,7 +113,14 @@
 		heard = c.lastEventAt
 	}
 	planned := !c.gateway.view.Load().acceptsWork(d.Server.ID)
-	c.gateway.crashes.requestLost(time.Now(), d.Server, planned, heard, lostRequest{kind: kind, suspect: suspect{key: c.quarantineKey(), summary: c.summary(), responding: heard != sent}})
+	lost := suspect{
+		key:        c.quarantineKey(),
+		id:         c.meta.ID,
+		summary:    c.summary(),
+		parts:      c.meta.Parts,
+		responding: heard != sent,
+	}
+	c.gateway.crashes.requestLost(time.Now(), d.Server, planned, heard, lostRequest{kind: kind, suspect: lost})
 }
 
 // summary describes the request for operators.
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"opalbridge.dev/gateway/catalog"
+	"opalbridge.dev/gateway/protocol"
 )
 
 // This file tells crashed servers from broken connections, and finds the requests that a
@@ -151,10 +153,26 @@
 	list := make([]suspect, len(requests))
 	for i, l := range requests {
 		list[i] = l.suspect
+		c.log.Warn().Str("event", "request.lost").Str("request", l.id).Str("server", server).Str("key", l.key.String()).
+			Str("asks", l.summary).Str("parts", joinPartIDs(l.parts)).Bool("responding", l.responding).
+			Msg("request was at a server that crashed")
 	}
 	c.onCrash(now, server, list)
 }
 
+// maxLoggedParts limits the parts of a prompt in a log line.
+const maxLoggedParts = 16
+
+// joinPartIDs returns the IDs of a prompt's parts but the last, which belongs to its request alone.
+func joinPartIDs(parts []protocol.Part) string {
+	shared := parts[:max(len(parts)-1, 0)]
+	ids := make([]string, 0, maxLoggedParts)
+	for _, p := range shared[:min(len(shared), maxLoggedParts)] {
+		ids = append(ids, p.ID)
+	}
+	return strings.Join(ids, ",")
+}
+
 // viewChanged handles a change of the server list.
 func (c *crashDetector) viewChanged(now time.Time, before, after []catalog.Server) {
 	c.mutex.Lock()
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"opalbridge.dev/gateway/peer"
+	"opalbridge.dev/gateway/protocol"
 	"opalbridge.dev/gateway/quarantine"
 )
 
@@ -115,7 +116,9 @@
 // suspect is a request that was at a server when the server crashed.
 type suspect struct {
 	key        quarantine.Key
+	id         string // of the attempt, as its caller gave it
 	summary    string
+	parts      []protocol.Part
 	responding bool // events of its answer had arrived
 }
 
