gateway, quarantine: a part of prompts that crashes servers is quarantined

Cause: what was counted at a crash was the request as a whole. Requests with the part differ in all else, so each was at one crash and three were never reached.

Change: the parts of a prompt but the last are counted beside the request, by a key of service, model and ID, in the same registry, beacons, store and trials. A part is barred by three crashes of different requests, 50 ms apart at least; by six over a second if an answer on it is known from before; never while it is answered. It is barred for the account whose requests were there, and for all from two accounts on. A part whose crashes another barred part explains may be tried.

Why it holds: a server crashes on the part whatever else the request has, so the part is at every such crash and never answered, while what sound requests share is answered all the time.

--- a/cmd/opalbridge/quarantine.go
+++ b/cmd/opalbridge/quarantine.go
@@ -78,7 +78,7 @@
 	}
 	rows := make([]quarantineRow, 0, len(kept))
 	for key, k := range maps.All(kept) {
-		rows = append(rows, quarantineRow{key.String(), len(k.Servers) >= quarantine.CrashThreshold, k})
+		rows = append(rows, quarantineRow{key.String(), k.Quarantined(), k})
 	}
 	slices.SortFunc(rows, func(x, y quarantineRow) int { return cmp.Or(x.Since.Compare(y.Since), cmp.Compare(x.Key, y.Key)) })
 	if c.Bool("json") {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -13,7 +13,6 @@
 	"opalbridge.dev/gateway/catalog"
 	"opalbridge.dev/gateway/placement"
 	"opalbridge.dev/gateway/protocol"
-	"opalbridge.dev/gateway/quarantine"
 	"opalbridge.dev/gateway/upstream"
 )
 
@@ -49,12 +48,11 @@
 	firstEventAt    time.Time     // when the first of them was sent to the caller
 	result          string        // for logs and metrics
 	reason          string
-	cachedKey       quarantine.Key // computed by quarantineKey
-	hasCachedKey    bool           // cachedKey is set
-	responseStarted atomic.Bool    // the caller has received part of a response
-	trial           bool           // it is quarantined but is sent once as a trial
-	originReported  bool           // an event was relayed, and the version of its server was or will be reported
-	origin          chan string    // gets the version that began the stream once it is certain, empty if it is not; nil: it is in placeReq
+	cachedSubjects  *subjects   // computed by subjects; nil: not yet
+	responseStarted atomic.Bool // the caller has received part of a response
+	trial           bool        // it is quarantined but is sent once as a trial
+	originReported  bool        // an event was relayed, and the version of its server was or will be reported
+	origin          chan string // gets the version that began the stream once it is certain, empty if it is not; nil: it is in placeReq
 }
 
 // step is the next step after an attempt.
@@ -99,8 +97,8 @@
 
 // attempt places the request once and sends it.
 func (c *call) attempt(ctx context.Context) step {
-	if c.quarantined(false) {
-		return failStep{err: errQuarantined}
+	if err := c.checkQuarantine(false); err != nil {
+		return failStep{err: err}
 	}
 	c.awaitOrigin()
 	now := time.Now()
@@ -156,9 +154,9 @@
 		c.callerClosed = true
 		return failStep{err: errCallerClosed}
 	}
-	if c.quarantined(true) { // other gateways may have reported crashes while it waited
+	if err := c.checkQuarantine(true); err != nil { // other gateways may have reported crashes while it waited
 		c.gateway.dispatcher.send(attemptEnded{attemptID: d.ID, server: d.Server.ID, end: placement.Abandoned})
-		return failStep{err: errQuarantined}
+		return failStep{err: err}
 	}
 	sent := time.Now()
 	if err := c.gateway.signals.checkAvailable(sent, d.Server.ID); err != nil {
--- a/gateway/call_quarantine.go
+++ b/gateway/call_quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -40,11 +41,11 @@
 
 // cancelQuarantined cancels the calls whose request is quarantined, except those that are
 // already being answered.
-func (a *activeCalls) cancelQuarantined(quarantined func(key quarantine.Key) bool) {
+func (a *activeCalls) cancelQuarantined(quarantined func(r subjects) bool) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	for c, cancel := range a.calls {
-		if !c.trial && !c.responseStarted.Load() && quarantined(c.computeQuarantineKey()) {
+		if !c.trial && !c.responseStarted.Load() && quarantined(c.computeSubjects()) {
 			cancel(errQuarantined)
 		}
 	}
@@ -62,48 +63,60 @@
 // maxSummaryLength limits the part of a request that is logged.
 const maxSummaryLength = 200
 
-// quarantineKey returns the request's quarantine quarantineKey, which is computed on first use.
-func (c *call) quarantineKey() quarantine.Key {
-	if !c.hasCachedKey {
-		c.cachedKey, c.hasCachedKey = c.computeQuarantineKey(), true
+// subjects returns what can be quarantined of the request, which is computed on first use.
+func (c *call) subjects() subjects {
+	if c.cachedSubjects == nil {
+		computed := c.computeSubjects()
+		c.cachedSubjects = &computed
 	}
-	return c.cachedKey
+	return *c.cachedSubjects
 }
 
-// computeQuarantineKey computes the request's quarantine key. It reads only fields that do not change
-// once the request was read, so other goroutines may call it.
-func (c *call) computeQuarantineKey() quarantine.Key {
-	return quarantine.KeyOf(quarantine.Request{
+// computeSubjects computes what can be quarantined of the request. It reads only fields that do not
+// change once the request is sent, so other goroutines may call it.
+func (c *call) computeSubjects() subjects {
+	key := quarantine.KeyOf(quarantine.Request{
 		Account: c.account, Method: c.request.Method, Host: c.request.Host, Target: requestTarget(c.request), Body: c.body,
 	})
+	return subjects{request: key, account: c.account, parts: promptParts(c.service, c.meta.Model, c.meta.Parts)}
 }
 
-// crashesSeen returns how many servers have crashed under the request, and whether it is
-// quarantined.
-func (c *call) crashesSeen() (n int, quarantined bool) {
+// crashesSeen returns how many servers have crashed under the request or a part of its prompt, and
+// what quarantines it; nil if it is not quarantined.
+func (c *call) crashesSeen() (n int, barring []quarantine.Key) {
 	if c.gateway.suspects.suspectCount.Load() == 0 {
-		return 0, false
+		return 0, nil
 	}
-	return c.gateway.suspects.crashCount(c.quarantineKey())
+	return c.gateway.suspects.examine(c.subjects())
 }
 
-// quarantined reports whether the request may not be sent to a server. With sending set, it
+// checkQuarantine returns an error if the request may not be sent to a server. With sending set, it
 // uses up a trial of a quarantined request if one is due.
-func (c *call) quarantined(sending bool) bool {
-	_, quarantined := c.crashesSeen()
-	if !quarantined || c.trial {
-		return false
+func (c *call) checkQuarantine(sending bool) error {
+	_, barring := c.crashesSeen()
+	if len(barring) == 0 || c.trial {
+		return nil
 	}
 	if !sending {
-		return !c.gateway.suspects.trialDue(time.Now(), c.quarantineKey())
+		if c.gateway.suspects.trialDue(time.Now(), c.subjects()) {
+			return nil
+		}
+		return c.subjects().quarantineError(barring)
+	}
+	c.trial = c.gateway.suspects.claimTrial(c.request.Context(), c.subjects())
+	if c.trial {
+		return nil
 	}
-	c.trial = c.gateway.suspects.claimTrial(c.request.Context(), c.quarantineKey())
-	return !c.trial
+	return c.subjects().quarantineError(barring)
 }
 
-// reportAnswered records that the request was answered completely.
-func (c *call) reportAnswered() {
-	c.gateway.suspects.requestAnswered(time.Now(), c.quarantineKey())
+// reportAnswered records that the request was answered completely, by a response with this status.
+func (c *call) reportAnswered(status int) {
+	now := time.Now()
+	c.gateway.suspects.requestAnswered(now, c.subjects().request)
+	if status < http.StatusMultipleChoices { // a server may reject a request without working on its prompt
+		c.gateway.suspects.partsAnswered(now, c.service, c.meta.Model, c.meta.Parts)
+	}
 }
 
 // reportLost records that the request was lost at a server.
@@ -114,10 +127,11 @@
 	}
 	planned := !c.gateway.view.Load().acceptsWork(d.Server.ID)
 	lost := suspect{
-		key:        c.quarantineKey(),
+		key:        c.subjects().request,
 		id:         c.meta.ID,
+		account:    c.account,
 		summary:    c.summary(),
-		parts:      c.meta.Parts,
+		parts:      c.subjects().parts,
 		responding: heard != sent,
 	}
 	c.gateway.crashes.requestLost(time.Now(), d.Server, planned, heard, lostRequest{kind: kind, suspect: lost})
@@ -162,7 +176,7 @@
 		case <-ctx.Done():
 			return
 		case <-g.suspects.newlyQuarantined:
-			g.activeCalls.cancelQuarantined(g.suspects.isQuarantined)
+			g.activeCalls.cancelQuarantined(g.suspects.bars)
 		}
 	}
 }
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"slices"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -13,7 +12,6 @@
 	"github.com/rs/zerolog"
 
 	"opalbridge.dev/gateway/catalog"
-	"opalbridge.dev/gateway/protocol"
 )
 
 // This file tells crashed servers from broken connections, and finds the requests that a
@@ -160,19 +158,6 @@
 	c.onCrash(now, server, list)
 }
 
-// maxLoggedParts limits the parts of a prompt in a log line.
-const maxLoggedParts = 16
-
-// joinPartIDs returns the IDs of a prompt's parts but the last, which belongs to its request alone.
-func joinPartIDs(parts []protocol.Part) string {
-	shared := parts[:max(len(parts)-1, 0)]
-	ids := make([]string, 0, maxLoggedParts)
-	for _, p := range shared[:min(len(shared), maxLoggedParts)] {
-		ids = append(ids, p.ID)
-	}
-	return strings.Join(ids, ",")
-}
-
 // viewChanged handles a change of the server list.
 func (c *crashDetector) viewChanged(now time.Time, before, after []catalog.Server) {
 	c.mutex.Lock()
--- a/gateway/peer/beacon.go
+++ b/gateway/peer/beacon.go
@@ -69,39 +69,6 @@
 	}
 }
 
-// addCrashes adds what is still to be sent about crashed servers, requests that did not cause a
-// crash, and leaving servers.
-func (n *Node) addCrashes(b *peerpb.Beacon) {
-	for _, e := range n.pendingCrashes.next(maxCrashesPerBeacon) {
-		packed := make([]byte, 0, len(e.Suspects)*len(Key{}))
-		for _, k := range e.Suspects {
-			packed = append(packed, k[:]...)
-		}
-		b.Ends = append(b.Ends, &peerpb.End{Server: e.Server, Suspects: packed})
-	}
-	for _, a := range n.pendingCleared.next(maxClearedPerBeacon) {
-		b.Answered = append(b.Answered, &peerpb.Answered{Key: a.Key[:], Servers: a.Servers})
-	}
-	b.Leaves = n.pendingLeaving.next(maxLeavingPerBeacon)
-}
-
-// decodeCrashes returns what a beacon reports about crashed servers.
-func decodeCrashes(b *peerpb.Beacon) (crashes []Crash, cleared []Cleared) {
-	for _, e := range b.Ends {
-		crash := Crash{Server: e.Server}
-		for rest := e.Suspects; len(rest) >= len(Key{}); rest = rest[len(Key{}):] {
-			crash.Suspects = append(crash.Suspects, Key(rest[:len(Key{})]))
-		}
-		crashes = append(crashes, crash)
-	}
-	for _, a := range b.Answered {
-		if len(a.Key) == len(Key{}) {
-			cleared = append(cleared, Cleared{Key: Key(a.Key), Servers: a.Servers})
-		}
-	}
-	return crashes, cleared
-}
-
 // milliseconds encodes a duration, clamped to the range of the field.
 func milliseconds(d time.Duration) uint32 {
 	return uint32(min(max(d.Milliseconds(), 0), int64(^uint32(0))))
@@ -201,6 +168,7 @@
 		})
 	}
 	u.Crashes, u.Cleared = decodeCrashes(b)
+	u.PartsAnswered = unpackKeys(b.PartsAnswered)
 	u.LeavingServers = b.Leaves
 	if newest {
 		hall := r.hall
--- a/gateway/peer/messages.go
+++ b/gateway/peer/messages.go
@@ -37,6 +37,15 @@
 type Crash struct {
 	Server   string // lifetime ID
 	Suspects []Key  // those requests; of more than 64, the first ones are sent
+	Parts    []Part // parts of their prompts; of more than 32, the first ones are sent
+}
+
+// Part is a part of the prompt of a request that was running on a server when it crashed.
+type Part struct {
+	Key            Key
+	Request        Key    // the request
+	Account        string // of the request
+	AnsweredBefore bool   // the sender knows of an answer on it before the crash
 }
 
 // Cleared is a request that was present at crashes and has been answered since, so it was not
@@ -77,6 +86,7 @@
 	Refusals       []Refusal
 	Crashes        []Crash
 	Cleared        []Cleared
+	PartsAnswered  []Key          // parts that were present at crashes and had been answered before
 	LeavingServers []string       // lifetime IDs of servers that have announced in responses that they are leaving
 	Running        map[uint64]int // if Full, of all servers; otherwise of those where it has changed
 	Full           bool
@@ -125,6 +135,14 @@
 // next gateway that answers the request publishes it again.
 func (n *Node) PublishCleared(c Cleared) { offer(n.cleared, c) }
 
+// PublishPartAnswered sends with the next beacons that a part which was present at a crash had been
+// answered before. It never blocks: the next crash under the part is another occasion.
+func (n *Node) PublishPartAnswered(k Key) {
+	if offer(n.partsAnswered, k) {
+		n.SendSoon()
+	}
+}
+
 // PublishLeaving sends with the next beacons that a server has announced that it is leaving. It
 // never blocks: the others then learn it from the server or from its entry.
 func (n *Node) PublishLeaving(server string) {
--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -61,9 +61,10 @@
 	// Refusals in one beacon; beyond it, the oldest are dropped.
 	maxRefusals = 64
 	// Crashes in one beacon, and requests in each; further ones wait for the next beacon. A
-	// beacon then holds 4 KB of them.
+	// beacon then holds 10 KB of them.
 	maxCrashesPerBeacon = 4
 	maxSuspectsPerCrash = 64
+	maxPartsPerCrash    = 32
 	maxPendingCrashes   = 64 // beyond it, the oldest are dropped
 	// Leaving servers in one beacon; further ones wait for the next. A whole hall of 2,000
 	// servers that leaves at once takes 32 beacons.
@@ -71,6 +72,9 @@
 	maxPendingLeaving   = 4096
 	maxClearedPerBeacon = 16
 	maxPendingCleared   = 64
+	// Parts in one beacon that had been answered before, of 16 bytes each.
+	maxPartsAnsweredPerBeacon = 32
+	maxPendingPartsAnswered   = 256
 	// Addresses in one beacon.
 	maxAddresses = 128
 	// Size of the queues between goroutines. Loads and updates that find a queue full are
@@ -106,6 +110,7 @@
 	refusals       chan Refusal
 	crashes        chan Crash
 	cleared        chan Cleared
+	partsAnswered  chan Key
 	leavingServers chan string
 	origins        chan origin.Origin
 	originQueries  chan originQuery
@@ -122,6 +127,7 @@
 	pendingRefusals resendQueue[Refusal]
 	pendingCrashes  resendQueue[Crash]
 	pendingCleared  resendQueue[Cleared]
+	pendingAnswered resendQueue[Key] // parts that had been answered before a crash
 	pendingLeaving  resendQueue[string]
 	newestLoad      uint64
 	lastRunning     map[uint64]int // running requests as of the last beacon
@@ -182,6 +188,7 @@
 		refusals:        make(chan Refusal, queueSize),
 		crashes:         make(chan Crash, queueSize),
 		cleared:         make(chan Cleared, queueSize),
+		partsAnswered:   make(chan Key, queueSize),
 		leavingServers:  make(chan string, queueSize),
 		origins:         make(chan origin.Origin, queueSize),
 		originQueries:   make(chan originQuery, queueSize),
@@ -294,9 +301,12 @@
 			n.pendingRefusals.add(r, maxRefusals)
 		case e := <-n.crashes:
 			e.Suspects = e.Suspects[:min(len(e.Suspects), maxSuspectsPerCrash)]
+			e.Parts = e.Parts[:min(len(e.Parts), maxPartsPerCrash)]
 			n.pendingCrashes.add(e, maxPendingCrashes)
 		case a := <-n.cleared:
 			n.pendingCleared.add(a, maxPendingCleared)
+		case k := <-n.partsAnswered:
+			n.pendingAnswered.add(k, maxPendingPartsAnswered)
 		case s := <-n.leavingServers:
 			n.pendingLeaving.add(s, maxPendingLeaving)
 		case o := <-n.origins:
--- a/gateway/quarantine/key.go
+++ b/gateway/quarantine/key.go
@@ -44,6 +44,15 @@
 // String returns the key as 32 hexadecimal digits.
 func (k Key) String() string { return hex.EncodeToString(k[:]) }
 
+// MarshalText implements encoding.TextMarshaler.
+func (k Key) MarshalText() ([]byte, error) { return []byte(k.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (k *Key) UnmarshalText(text []byte) (err error) {
+	*k, err = ParseKey(string(text))
+	return err
+}
+
 // ParseKey parses the output of [Key.String].
 func ParseKey(text string) (k Key, err error) {
 	raw, err := hex.DecodeString(text)
--- a/gateway/quarantine/quarantine.go
+++ b/gateway/quarantine/quarantine.go
@@ -10,16 +10,24 @@
 // ([RecentAnswers]) is not counted at all, because many copies of a frequent request are in
 // flight when several servers crash at once.
 //
-// A [Registry] holds only sets that grow: pairs of a request and a crashed server, and pairs
-// that no longer count. A report that arrives twice, late or out of order therefore makes no
+// The cause may also be one part of a prompt, which recurs in requests that are otherwise all
+// different. The parts of a prompt are therefore counted beside the request, each by a key of its
+// own ([KeyOfPart]). A part is quarantined only once different requests with it were at crashes,
+// and one that had been answered before ([AnsweredParts]) only after more crashes, since it is
+// shared by many requests that are not the cause. It is quarantined for the account whose requests
+// with it were at crashes, and for all accounts once those of two were.
+//
+// A [Registry] holds only sets that grow: pairs of a suspect (a request or a part of a prompt) and
+// a crashed server, and pairs that no longer count. A report that arrives twice, late or out of order therefore makes no
 // difference, and gateways that have received the same reports quarantine the same requests.
 //
 // # Usage
 //
 //	r := quarantine.NewRegistry()
 //	key := quarantine.KeyOf(quarantine.Request{Account: "quito", Method: "POST", …})
-//	changed := r.AddCrash(now, "i-7f3a@1760000000000", keys) // a server crashed while running these
-//	if r.IsQuarantined(key) { … }                            // must not be sent to a server
+//	part := quarantine.KeyOfPart(quarantine.Part{Service: "chat", Model: "m", ID: "5c1e07a2"})
+//	changed := r.AddCrash(now, "i-7f3a@1760000000000", keys, parts…) // a server crashed while running these
+//	if r.IsQuarantined(key) || r.Bars(part, account) { … }          // must not be sent to a server
 //	cleared := r.MarkAnswered(key)                           // was not the cause
 //
 // The package takes no locks, does no I/O and does not read the clock.
@@ -80,27 +88,30 @@
 	quarantinedAt  time.Time // zero: not quarantined
 	firstCrash     time.Time // when the first crash that counts became known
 	lastCrash      time.Time
-	laterCrashes   int  // number of crashes more than simultaneousWindow after the first
-	timesUnknown   bool // some crashes have an unknown time and are not known to be simultaneous
+	laterCrashes   int           // number of crashes more than simultaneousWindow after the first
+	timesUnknown   bool          // some crashes have an unknown time and are not known to be simultaneous
+	part           *PartEvidence // nil: the suspect is a request
 }
 
 // Record is what is known of a request that was present at two crashes or more.
 type Record struct {
-	Servers       []string  // that crashed, in the order in which this became known
-	QuarantinedAt time.Time // zero: not quarantined
-	Simultaneous  bool      // all crashes but at most one came at the same time
+	Servers       []string      // that crashed, in the order in which this became known
+	QuarantinedAt time.Time     // zero: not quarantined
+	Simultaneous  bool          // all crashes but at most one came at the same time
+	Part          *PartEvidence // nil: it is a request
 }
 
 // StoredRecord is the part of a record that is kept in the store shared by all gateways.
 type StoredRecord struct {
-	Servers      []string `json:"servers"`           // that crashed
-	Simultaneous bool     `json:"at_once,omitempty"` // all crashes but at most one came at the same time
-	Trials       int      `json:"tries,omitempty"`   // number of times it was sent although quarantined
+	Servers      []string      `json:"servers"`           // that crashed
+	Simultaneous bool          `json:"at_once,omitempty"` // all crashes but at most one came at the same time
+	Trials       int           `json:"tries,omitempty"`   // number of times it was sent although quarantined
+	Part         *PartEvidence `json:"part,omitempty"`    // nil: it is a request
 }
 
 // Equal reports whether both records hold the same values.
 func (r StoredRecord) Equal(o StoredRecord) bool {
-	return r.Simultaneous == o.Simultaneous && r.Trials == o.Trials && slices.Equal(r.Servers, o.Servers)
+	return r.Simultaneous == o.Simultaneous && r.Trials == o.Trials && slices.Equal(r.Servers, o.Servers) && r.Part.equal(o.Part)
 }
 
 // Merge returns the union of both records. The crashes count as simultaneous only if both
@@ -109,7 +120,12 @@
 	if len(o.Servers) == 0 {
 		return r
 	}
-	merged := StoredRecord{Servers: slices.Clone(r.Servers), Simultaneous: r.Simultaneous && o.Simultaneous, Trials: max(r.Trials, o.Trials)}
+	merged := StoredRecord{
+		Servers:      slices.Clone(r.Servers),
+		Simultaneous: r.Simultaneous && o.Simultaneous,
+		Trials:       max(r.Trials, o.Trials),
+		Part:         mergeEvidence(r.Part, o.Part),
+	}
 	for _, server := range o.Servers {
 		if !slices.Contains(merged.Servers, server) {
 			merged.Servers = append(merged.Servers, server)
@@ -123,71 +139,129 @@
 	return &Registry{threshold: CrashThreshold, suspects: map[Key]*suspect{}, repeatSuspects: map[Key]bool{}}
 }
 
-// AddCrash records that a server crashed while it was running these requests. It returns the
-// requests whose [Registry.Record] has changed.
-func (r *Registry) AddCrash(now time.Time, server string, keys []Key) (changed []Key) {
+// AddCrash records that a server crashed while it was running these requests, with these parts of
+// their prompts. It returns the keys whose [Registry.Record] has changed.
+func (r *Registry) AddCrash(now time.Time, server string, requests []Key, parts ...PartSuspect) (changed []Key) {
 	var added []Key
-	for _, k := range keys {
-		if !r.addPair(now, server, k) {
-			continue
+	add := func(k Key, evidence *PartEvidence) {
+		wasQuarantined := r.IsQuarantined(k)
+		isNew := r.addPair(now, server, k, evidence)
+		if isNew {
+			added = append(added, k)
 		}
-		added = append(added, k)
-		if r.repeatSuspects[k] {
+		if isNew && r.repeatSuspects[k] || wasQuarantined != r.IsQuarantined(k) {
 			changed = append(changed, k)
 		}
 	}
+	for _, k := range requests {
+		add(k, nil)
+	}
+	for _, p := range parts {
+		add(p.Key, &PartEvidence{Accounts: []string{p.Account}, Requests: []Key{p.Request}, AnsweredBefore: p.AnsweredBefore})
+	}
 	r.appendCrash(crash{server, added})
 	return changed
 }
 
 // Merge adds the stored record of a request. It reports whether that changed anything.
 func (r *Registry) Merge(now time.Time, k Key, stored StoredRecord) (changed bool) {
+	wasQuarantined := r.IsQuarantined(k)
 	for _, server := range stored.Servers {
-		late := 0
+		// The time of this crash is unknown, so it says nothing about when the crashes came.
+		late, span := 0, int64(0)
 		if s := r.suspects[k]; s != nil {
 			late = s.laterCrashes
+			span = s.spanMs()
 		}
-		if !r.addPair(now, server, k) {
+		if !r.addPair(now, server, k, stored.Part) {
 			continue
 		}
 		s := r.suspects[k]
-		s.laterCrashes = late // the time of this crash is unknown
+		s.laterCrashes = late
 		s.timesUnknown = s.timesUnknown || !stored.Simultaneous
+		if s.part != nil && stored.Part != nil {
+			s.part.SpanMs = max(span, stored.Part.SpanMs)
+			r.updateQuarantine(now, s)
+		}
 		r.appendCrash(crash{server, []Key{k}})
 		changed = true
 	}
-	return changed
+	return changed || wasQuarantined != r.IsQuarantined(k)
 }
 
-// addPair adds the pair of a request and a server. It reports whether the pair is new and was
-// added.
-func (r *Registry) addPair(now time.Time, server string, k Key) bool {
+// spanMs returns the time from the first crash under a part to the last one; 0 for a request.
+func (s *suspect) spanMs() int64 {
+	if s.part == nil {
+		return 0
+	}
+	return s.part.SpanMs
+}
+
+// addPair adds the pair of a suspect and a server; evidence is nil for a request. It reports whether
+// the pair is new and was added.
+func (r *Registry) addPair(now time.Time, server string, k Key, evidence *PartEvidence) bool {
 	s := r.suspects[k]
 	if s == nil {
 		s = &suspect{}
 		r.suspects[k] = s
 	}
-	if slices.Contains(s.crashedServers, server) || slices.Contains(s.clearedServers, server) {
+	if slices.Contains(s.clearedServers, server) {
+		return false
+	}
+	s.addEvidence(evidence)
+	if slices.Contains(s.crashedServers, server) {
+		r.updateQuarantine(now, s) // another gateway's requests were there too
 		return false
 	}
 	if s.firstCrash.IsZero() {
 		s.firstCrash = now
 	}
+	if s.part != nil {
+		s.part.SpanMs = max(s.part.SpanMs, now.Sub(s.firstCrash).Milliseconds())
+	}
 	if now.Sub(s.firstCrash) > simultaneousWindow {
 		s.laterCrashes++
 	}
 	s.lastCrash = now
 	if len(s.crashedServers) >= maxCrashesPerRequest {
+		r.updateQuarantine(now, s)
 		return false
 	}
 	s.crashedServers = append(s.crashedServers, server)
 	if len(s.crashedServers) >= recordThreshold {
 		r.repeatSuspects[k] = true
 	}
-	if len(s.crashedServers) >= r.threshold && s.quarantinedAt.IsZero() {
+	r.updateQuarantine(now, s)
+	return true
+}
+
+// addEvidence adds what is known of a part; evidence is nil for a request.
+func (s *suspect) addEvidence(evidence *PartEvidence) {
+	if evidence == nil {
+		return
+	}
+	if s.part == nil {
+		s.part = &PartEvidence{}
+	}
+	s.part.Merge(evidence)
+}
+
+// conclusive reports whether a suspect is to be quarantined.
+func (r *Registry) conclusive(s *suspect) bool {
+	if s.part != nil {
+		return s.part.conclusive(len(s.crashedServers), r.threshold)
+	}
+	return len(s.crashedServers) >= r.threshold
+}
+
+// updateQuarantine quarantines a suspect, or ends its quarantine.
+func (r *Registry) updateQuarantine(now time.Time, s *suspect) {
+	switch quarantined := r.conclusive(s); {
+	case !quarantined:
+		s.quarantinedAt = time.Time{}
+	case s.quarantinedAt.IsZero():
 		s.quarantinedAt = now
 	}
-	return true
 }
 
 // MarkAnswered records that a request was answered completely, so it caused none of the crashes
@@ -227,13 +301,14 @@
 	s.clearedServers = s.clearedServers[max(0, len(s.clearedServers)-maxCrashesPerRequest):]
 	if len(s.crashedServers) == 0 {
 		s.firstCrash, s.laterCrashes, s.timesUnknown = time.Time{}, 0, false
+		if s.part != nil {
+			s.part = &PartEvidence{}
+		}
 	}
 	if len(s.crashedServers) < recordThreshold {
 		delete(r.repeatSuspects, k)
 	}
-	if len(s.crashedServers) < r.threshold {
-		s.quarantinedAt = time.Time{}
-	}
+	r.updateQuarantine(s.quarantinedAt, s)
 }
 
 // IsCleared reports whether none of these servers' crashes counts for a request any more.
@@ -260,7 +335,7 @@
 // but for at most one, and if so how long ago the latest crash was.
 func (r *Registry) Ambiguous(now time.Time, k Key) (quiet time.Duration, ok bool) {
 	s := r.suspects[k]
-	if s == nil || s.timesUnknown || len(s.crashedServers)-s.laterCrashes < r.threshold || s.laterCrashes >= conclusiveLaterCrashes {
+	if s == nil || s.part != nil || s.timesUnknown || len(s.crashedServers)-s.laterCrashes < r.threshold || s.laterCrashes >= conclusiveLaterCrashes {
 		return 0, false
 	}
 	return now.Sub(s.lastCrash), true
@@ -272,7 +347,12 @@
 		return Record{}, false
 	}
 	s := r.suspects[k]
-	return Record{Servers: slices.Clone(s.crashedServers), QuarantinedAt: s.quarantinedAt, Simultaneous: !s.timesUnknown && s.laterCrashes < conclusiveLaterCrashes}, true
+	return Record{
+		Servers:       slices.Clone(s.crashedServers),
+		QuarantinedAt: s.quarantinedAt,
+		Simultaneous:  s.part == nil && !s.timesUnknown && s.laterCrashes < conclusiveLaterCrashes,
+		Part:          s.part.clone(),
+	}, true
 }
 
 // CountQuarantined returns the number of quarantined requests.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -83,7 +83,7 @@
 	if r.Status >= http.StatusInternalServerError {
 		return placement.Failed, doneStep{}
 	}
-	c.reportAnswered()
+	c.reportAnswered(r.Status)
 	return placement.Served, doneStep{}
 }
 
@@ -134,7 +134,7 @@
 		if err == io.EOF {
 			c.sendHeader(r)
 			c.result = "served"
-			c.reportAnswered()
+			c.reportAnswered(r.Status)
 			return placement.Served, doneStep{}
 		}
 	}
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -10,25 +10,26 @@
 	"github.com/rs/zerolog"
 
 	"opalbridge.dev/gateway/peer"
-	"opalbridge.dev/gateway/protocol"
 	"opalbridge.dev/gateway/quarantine"
 )
 
 // This file protects the fleet from requests that crash servers. Such a request arrives as a
 // valid first attempt each time, at any gateway, and would crash server after server (platform:
 // TestRequestThatCrashesServers). crashes.go detects which servers have crashed, and package
-// quarantine decides which requests are quarantined.
+// quarantine decides which requests, and which parts of prompts (suspects_parts.go), are
+// quarantined.
 //
 // What one gateway has seen reaches the others in two ways, so that either may fail: by beacons,
 // within milliseconds, and, for requests during which two servers or more have crashed, by the
 // store, which also outlasts all gateways.
 
-// Suspect is a request during which two servers or more have crashed.
+// Suspect is a request, or a part of prompts, during which two servers or more have crashed.
 type Suspect struct {
-	Summary      string   // description of the request, for operators
-	Servers      []string // lifetimes that crashed
-	Simultaneous bool     // they crashed at one moment, but for one at most
-	Trials       int      // times that it was sent although quarantined
+	Summary      string                   // description for operators
+	Servers      []string                 // lifetimes that crashed
+	Simultaneous bool                     // they crashed at one moment, but for one at most
+	Trials       int                      // times that it was sent although quarantined
+	Part         *quarantine.PartEvidence // nil: it is a request
 }
 
 // SuspectStore stores suspects where all gateways see the same ones, until they are deleted.
@@ -81,6 +82,7 @@
 	mutex         sync.Mutex
 	registry      *quarantine.Registry
 	recentAnswers quarantine.RecentAnswers      // answered by this gateway
+	answeredParts quarantine.AnsweredParts      // of prompts that this gateway has had answered
 	ownWrites     map[quarantine.Key]bool       // stored by this gateway
 	trials        map[quarantine.Key]trialState // of quarantined requests
 	livePeers     map[string]bool               // by address
@@ -117,8 +119,9 @@
 type suspect struct {
 	key        quarantine.Key
 	id         string // of the attempt, as its caller gave it
+	account    string
 	summary    string
-	parts      []protocol.Part
+	parts      []promptPart
 	responding bool // events of its answer had arrived
 }
 
@@ -144,36 +147,54 @@
 			keys = append(keys, t.key)
 		}
 	}
-	changed := s.registry.AddCrash(now, server, keys)
-	for _, t := range requests {
-		if slices.Contains(changed, t.key) {
-			s.summaries[t.key] = t.summary
-		}
-	}
+	parts := s.suspectParts(now, requests)
+	changed := s.registry.AddCrash(now, server, keys, parts...)
+	s.summarize(requests, changed)
 	s.reportChanged(changed, server)
 	for _, k := range changed {
 		s.pendingWrites[k] = true
 	}
 	s.wakeWriter()
-	s.reportCrash(now, server, keys, changed)
+	s.reportCrash(now, server, keys, parts, changed)
 }
 
-// reportCrash reports to the peers which requests were at a server: those with an earlier crash,
-// and of the rest as many as the limit allows.
-func (s *suspectTracker) reportCrash(now time.Time, server string, keys, repeated []quarantine.Key) {
+// summarize keeps the descriptions of suspects that have changed.
+func (s *suspectTracker) summarize(requests []suspect, changed []quarantine.Key) {
+	for _, t := range requests {
+		if slices.Contains(changed, t.key) {
+			s.summaries[t.key] = t.summary
+		}
+		for _, p := range t.parts {
+			if slices.Contains(changed, p.key) {
+				s.summaries[p.key] = p.summary()
+			}
+		}
+	}
+}
+
+// reportCrash reports to the peers which requests and parts were at a server: those with an earlier
+// crash, and of the rest as many as the limit allows.
+func (s *suspectTracker) reportCrash(now time.Time, server string, keys []quarantine.Key, parts []quarantine.PartSuspect, repeated []quarantine.Key) {
 	if now.Sub(s.windowStart) >= time.Second {
 		s.windowStart, s.reported = now, 0
 	}
-	remaining := max(maxFleetSuspectsPerSecond/max(s.fleetSize(), 1), minSuspectsPerSecond) - s.reported
-	e := peer.Crash{Server: server}
-	for _, k := range repeated {
-		e.Suspects = append(e.Suspects, peer.Key(k))
+	limit := max(maxFleetSuspectsPerSecond/max(s.fleetSize(), 1), minSuspectsPerSecond)
+	admit := func() bool {
+		if s.reported >= limit {
+			return false
+		}
+		s.reported++
+		return true
 	}
+	e := peer.Crash{Server: server, Parts: partsToReport(parts, repeated, admit)}
 	for _, k := range keys {
-		if remaining > 0 && !slices.Contains(repeated, k) {
+		if slices.Contains(repeated, k) {
+			e.Suspects = append(e.Suspects, peer.Key(k))
+		}
+	}
+	for _, k := range keys {
+		if !slices.Contains(repeated, k) && admit() {
 			e.Suspects = append(e.Suspects, peer.Key(k))
-			s.reported++
-			remaining--
 		}
 	}
 	s.peers.PublishCrash(e)
@@ -184,11 +205,14 @@
 	for _, k := range changed {
 		r, _ := s.registry.Record(k)
 		event := s.log.Warn().Str("key", k.String()).Str("asks", s.summaries[k]).Strs("servers", r.Servers).Str("latest", server)
+		if r.Part != nil {
+			event.Strs("accounts", r.Part.Accounts).Bool("answered_before", r.Part.AnsweredBefore).Int64("span_ms", r.Part.SpanMs)
+		}
 		if r.QuarantinedAt.IsZero() {
-			event.Str("event", "request.suspected").Msg("servers crashed during this request; one more crash bars it")
+			event.Str("event", s.kindOf(k)+".suspected").Msg("servers crashed during requests with this key; more crashes bar it")
 			continue
 		}
-		event.Str("event", "request.barred").Msg("request is barred from all servers")
+		event.Str("event", s.kindOf(k)+".barred").Msg("barred from all servers")
 		select {
 		case s.newlyQuarantined <- struct{}{}:
 		default: // the reader looks at all quarantined requests
@@ -213,7 +237,9 @@
 			}
 			keys = append(keys, quarantine.Key(k))
 		}
-		s.reportChanged(s.registry.AddCrash(now, e.Server, keys), e.Server)
+		parts := s.reportedParts(now, e.Parts)
+		s.reportChanged(s.registry.AddCrash(now, e.Server, keys, parts...), e.Server)
+		s.vouch(now, e.Parts)
 	}
 	for _, a := range cleared {
 		k := quarantine.Key(a.Key)
@@ -224,14 +250,6 @@
 	}
 }
 
-// crashCount returns how many servers have crashed during a request, and whether it is
-// quarantined.
-func (s *suspectTracker) crashCount(key quarantine.Key) (n int, quarantined bool) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.registry.CrashCount(key), s.registry.IsQuarantined(key)
-}
-
 // requestAnswered records that a request was answered completely.
 func (s *suspectTracker) requestAnswered(now time.Time, key quarantine.Key) {
 	s.mutex.Lock()
@@ -255,7 +273,7 @@
 
 // removeStored has a request deleted from the store.
 func (s *suspectTracker) removeStored(k quarantine.Key) {
-	s.log.Info().Str("event", "request.cleared").Str("key", k.String()).Msg("request was answered; no longer a suspect")
+	s.log.Info().Str("event", s.kindOf(k)+".cleared").Str("key", k.String()).Str("asks", s.summaries[k]).Msg("answered; no longer a suspect")
 	delete(s.summaries, k)
 	s.pendingWrites[k] = true
 	s.wakeWriter()
@@ -272,21 +290,36 @@
 	delete(s.livePeers, address)
 }
 
-// trialDue reports whether this gateway may send a quarantined request once now: all crashes
-// came at one moment, so something else may be their cause. Gateways take turns in an order by
+// trialDue reports whether this gateway may send a quarantined request once now: for all that
+// quarantines it, something else may be the cause of the crashes. Gateways take turns in an order by
 // rendezvous hashing, which is the same for nearly all of them, including those that have
 // started since and know of the crashes from the store alone.
-func (s *suspectTracker) trialDue(now time.Time, key quarantine.Key) bool {
+func (s *suspectTracker) trialDue(now time.Time, r subjects) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.trialDueLocked(now, key)
+	barring := s.barringLocked(r)
+	for _, key := range barring {
+		if !s.trialDueLocked(now, key, r) {
+			return false
+		}
+	}
+	return len(barring) > 0
 }
 
-// trialDueLocked is trialDue with the mutex held.
-func (s *suspectTracker) trialDueLocked(now time.Time, key quarantine.Key) bool {
-	quiet, ambiguous := s.registry.Ambiguous(now, key)
+// doubtful reports whether something else than what has this key may be the cause of the crashes,
+// and if so how long ago the latest crash was.
+func (s *suspectTracker) doubtful(now time.Time, key quarantine.Key, r subjects) (quiet time.Duration, ok bool) {
+	if quiet, ok := s.registry.Ambiguous(now, key); ok {
+		return quiet, true
+	}
+	return s.registry.Explained(now, key, r.partKeys())
+}
+
+// trialDueLocked is trialDue for one key, with the mutex held.
+func (s *suspectTracker) trialDueLocked(now time.Time, key quarantine.Key, r subjects) bool {
+	quiet, doubtful := s.doubtful(now, key, r)
 	known := s.trials[key]
-	if !ambiguous || s.store == nil || known.claiming || known.count >= maxTrials {
+	if !doubtful || s.store == nil || known.claiming || known.count >= maxTrials {
 		return false
 	}
 	rank := 0
@@ -299,15 +332,20 @@
 	return min(quiet, now.Sub(known.lastAt)) >= trialInterval+time.Duration(min(rank, maxTrialRank))*trialStagger
 }
 
-// claimTrial claims a trial of a quarantined request. The store counts the trials, which bounds
-// them over the fleet, whichever gateways have started since.
-func (s *suspectTracker) claimTrial(ctx context.Context, key quarantine.Key) bool {
+// claimTrial claims a trial of a quarantined request, by the first key that quarantines it. The
+// store counts the trials, which bounds them over the fleet, whichever gateways have started since.
+func (s *suspectTracker) claimTrial(ctx context.Context, r subjects) bool {
+	if !s.trialDue(time.Now(), r) {
+		return false
+	}
 	s.mutex.Lock()
-	known := s.trials[key]
-	if !s.trialDueLocked(time.Now(), key) {
+	barring := s.barringLocked(r)
+	if len(barring) == 0 || !s.trialDueLocked(time.Now(), barring[0], r) {
 		s.mutex.Unlock()
 		return false
 	}
+	key := barring[0]
+	known := s.trials[key]
 	s.trials[key] = trialState{count: known.count, lastAt: known.lastAt, claiming: true}
 	s.mutex.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, trialTimeout)
@@ -322,19 +360,13 @@
 	}
 	s.trials[key] = state
 	if err != nil || !counted {
-		s.log.Info().Str("event", "request.not_tried").Str("key", key.String()).Err(err).Msg("trial not claimed; another gateway may have sent it")
+		s.log.Info().Str("event", s.kindOf(key)+".not_tried").Str("key", key.String()).Err(err).Msg("trial not claimed; another gateway may have sent it")
 		return false
 	}
-	s.log.Warn().Str("event", "request.tried").Str("key", key.String()).Str("asks", s.summaries[key]).Int("tries", known.count+1).Msg("trial of a barred request: all crashes came at once, so it may not be their cause")
+	s.log.Warn().Str("event", s.kindOf(key)+".tried").Str("key", key.String()).Str("asks", s.summaries[key]).Int("tries", known.count+1).Msg("trial of a barred request: something else may be the cause of the crashes")
 	return true
 }
 
-// isQuarantined reports whether a request is quarantined.
-func (s *suspectTracker) isQuarantined(key quarantine.Key) bool {
-	_, quarantined := s.crashCount(key)
-	return quarantined
-}
-
 // quarantinedCount returns the number of quarantined requests.
 func (s *suspectTracker) quarantinedCount() int {
 	s.mutex.Lock()
--- a/gateway/suspects_store.go
+++ b/gateway/suspects_store.go
@@ -18,6 +18,9 @@
 	defer s.mutex.Unlock()
 	for k, record := range stored {
 		changed := s.registry.Merge(now, k, record)
+		if s.answeredParts.Contains(now, k) {
+			s.registry.MarkAnsweredBefore(k)
+		}
 		if known := s.trials[k]; record.Trials != known.count {
 			known.count, known.lastAt = record.Trials, now // fewer: it was deleted and stored again
 			s.trials[k] = known
@@ -39,7 +42,7 @@
 			delete(s.summaries, k)
 			delete(s.ownWrites, k)
 			delete(s.trials, k)
-			s.log.Info().Str("event", "request.lifted").Str("key", k.String()).Msg("suspect was deleted from the store")
+			s.log.Info().Str("event", s.kindOf(k)+".lifted").Str("key", k.String()).Msg("suspect was deleted from the store")
 		}
 	}
 }
@@ -88,7 +91,7 @@
 		return
 	}
 	r, _ := s.registry.Record(key)
-	known := quarantine.StoredRecord{Servers: r.Servers, Simultaneous: r.Simultaneous, Trials: s.trials[key].count}
+	known := quarantine.StoredRecord{Servers: r.Servers, Simultaneous: r.Simultaneous, Trials: s.trials[key].count, Part: r.Part}
 	if len(stored.Merge(known).Servers) == len(stored.Servers) && known.Trials <= stored.Trials {
 		delete(s.rewriteAt, key)
 	}
@@ -179,5 +182,5 @@
 	if !repeated {
 		return s.store.Delete(ctx, k)
 	}
-	return s.store.Save(ctx, k, Suspect{Summary: summary, Servers: r.Servers, Simultaneous: r.Simultaneous, Trials: trials})
+	return s.store.Save(ctx, k, Suspect{Summary: summary, Servers: r.Servers, Simultaneous: r.Simultaneous, Trials: trials, Part: r.Part})
 }
--- a/gateway/suspects_test.go
+++ b/gateway/suspects_test.go
@@ -32,6 +32,20 @@
 
 func unchanged(*viewDocument) {}
 
+// crashCount returns how many servers have crashed during a request, and whether it is
+// quarantined.
+func (s *suspectTracker) crashCount(key quarantine.Key) (n int, quarantined bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.registry.CrashCount(key), s.registry.IsQuarantined(key)
+}
+
+// isQuarantined reports whether a request is quarantined.
+func (s *suspectTracker) isQuarantined(key quarantine.Key) bool {
+	_, quarantined := s.crashCount(key)
+	return quarantined
+}
+
 // TestSuspectsInPeerView: a gateway learns of quarantined requests from a peer's view, full or
 // partial, and keeps them when a peer's version knows of no suspects.
 func TestSuspectsInPeerView(t *testing.T) {
@@ -156,7 +170,7 @@
 	require.True(t, s.isQuarantined(quarantine.Key{1}))
 	n, _ := s.crashCount(quarantine.Key{2})
 	require.Zero(t, n)
-	require.False(t, s.trialDue(now.Add(time.Minute), quarantine.Key{1}), "the crashes did not come at once")
+	require.False(t, s.trialDue(now.Add(time.Minute), subjects{request: quarantine.Key{1}}), "the crashes did not come at once")
 	s.applyPeerReports(now, nil, []peer.Cleared{{Key: peer.Key{1}, Servers: []string{"i-2"}}})
 	require.False(t, s.isQuarantined(quarantine.Key{1}))
 }
@@ -195,7 +209,7 @@
 				store.unreachable = false
 			}
 			for i, s := range fleet {
-				if s.trialDue(time.Now(), key) && s.claimTrial(t.Context(), key) {
+				if s.trialDue(time.Now(), subjects{request: key}) && s.claimTrial(t.Context(), subjects{request: key}) {
 					sent = append(sent, time.Since(began))
 				}
 				if step%70 == 69 {
@@ -224,10 +238,10 @@
 		before, after := kept(2, "i-1", "i-2", "i-3"), kept(0, "i-4", "i-5", "i-6")
 		s.applyStored(time.Now(), nil, before, false)
 		time.Sleep(time.Minute)
-		require.False(t, s.claimTrial(t.Context(), key), "both trials are used")
+		require.False(t, s.claimTrial(t.Context(), subjects{request: key}), "both trials are used")
 		store.trials[key] = 0
 		s.applyStored(time.Now(), before, after, false)
 		time.Sleep(time.Minute)
-		require.True(t, s.claimTrial(t.Context(), key))
+		require.True(t, s.claimTrial(t.Context(), subjects{request: key}))
 	})
 }
--- a/gateway/update_receiver.go
+++ b/gateway/update_receiver.go
@@ -32,6 +32,7 @@
 				g.callerRetries.addRemote(time.Now(), u.Refusals)
 				g.suspects.setPeerLive(u.From, u.Alive)
 				g.suspects.applyPeerReports(time.Now(), u.Crashes, u.Cleared)
+				g.suspects.applyPartsAnswered(u.PartsAnswered)
 				g.applyPeerLeaving(time.Now(), u.From, u.LeavingServers)
 				r.handle(ctx, time.Now(), u)
 			}
--- a/gateway/view_document.go
+++ b/gateway/view_document.go
@@ -27,6 +27,9 @@
 	// Trials holds the number of trials of requests whose servers crashed at the same time. It
 	// is a separate field for compatibility with gateways of a version that lacks it.
 	Trials map[string]int `json:"doubts,omitempty"`
+	// SuspectParts holds what else is known of those suspects that are parts of prompts, by the text
+	// of their keys.
+	SuspectParts map[string]*quarantine.PartEvidence `json:"suspect_parts,omitempty"`
 	// HasSuspects is true in a full view, unless the sender is of a version without Suspects.
 	HasSuspects bool `json:"suspects_told,omitempty"`
 	// Partial reports that Servers, RemovedServers, Cold, Suspects and RemovedSuspects hold
@@ -101,11 +104,15 @@
 		}
 		if d.Suspects == nil {
 			d.Suspects, d.Trials = map[string][]string{}, map[string]int{}
+			d.SuspectParts = map[string]*quarantine.PartEvidence{}
 		}
 		d.Suspects[text] = record.Servers
-		if record.Simultaneous {
+		if record.Simultaneous || record.Part != nil {
 			d.Trials[text] = record.Trials
 		}
+		if record.Part != nil {
+			d.SuspectParts[text] = record.Part
+		}
 	}
 }
 
@@ -116,7 +123,8 @@
 	for text, servers := range d.Suspects {
 		if key, err := quarantine.ParseKey(text); err == nil {
 			trials, simultaneous := d.Trials[text]
-			suspects[key] = quarantine.StoredRecord{Servers: servers, Simultaneous: simultaneous, Trials: trials}
+			part := d.SuspectParts[text]
+			suspects[key] = quarantine.StoredRecord{Servers: servers, Simultaneous: simultaneous && part == nil, Trials: trials, Part: part}
 		}
 	}
 	for _, text := range d.RemovedSuspects {
