gateway, upstream: the end of a crashed server's unframed response is no end of a response

A response may have neither a length nor chunks and end with its connection. When its server crashed between two events, callers got 200 and a stream that looked whole, and the request counted as answered, which set free what crashes servers: a part of prompts was never barred then.

Change: at the end of such a response the server is asked for a connection; one that refuses has crashed, unless it was leaving, and the request counts as lost. That costs a connection for each such response, none for others. Ruled out: to hold that no such response is ever complete, since servers may answer so always. Left: a server that ends as planned without saying so, at that moment, is taken for crashed.

--- a/gateway/call_quarantine.go
+++ b/gateway/call_quarantine.go
@@ -13,6 +13,7 @@
 	"opalbridge.dev/gateway/catalog"
 	"opalbridge.dev/gateway/placement"
 	"opalbridge.dev/gateway/quarantine"
+	"opalbridge.dev/gateway/upstream"
 )
 
 // This file is a call's part in the quarantine of requests under which servers crash.
@@ -137,6 +138,18 @@
 	c.gateway.crashes.requestLost(time.Now(), d.Server, planned, heard, lostRequest{kind: kind, suspect: lost})
 }
 
+// endedByCrash reports whether an unframed response has ended because its server crashed, and if so
+// records the loss. The end of its connection does not tell; a server that refuses new ones has
+// crashed, unless it was leaving.
+func (c *call) endedByCrash(ctx context.Context, d placement.Assign, sent time.Time, r *upstream.Response) bool {
+	if !r.Unframed || !c.gateway.view.Load().acceptsWork(d.Server.ID) || !refusesConnections(ctx, d.Server) {
+		return false
+	}
+	c.reportLost(d, sent, lossConnectionBroke)
+	c.gateway.crashes.connectionRefused(time.Now(), d.Server.ID)
+	return true
+}
+
 // summary describes the request for operators.
 func (c *call) summary() string {
 	text := c.account + " " + c.request.Method + " " + c.request.Host + requestTarget(c.request)
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -202,20 +202,24 @@
 	}
 }
 
+// refusesConnections reports whether a server refuses connections.
+func refusesConnections(ctx context.Context, s catalog.Server) bool {
+	dialer := net.Dialer{Timeout: probeTimeout}
+	connection, err := dialer.DialContext(ctx, "tcp4", s.Address)
+	if err == nil {
+		connection.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // runProbes probes whether servers accept connections, until ctx ends.
 func (c *crashDetector) runProbes(ctx context.Context) {
-	dialer := net.Dialer{Timeout: probeTimeout}
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case s := <-c.probes:
-			connection, err := dialer.DialContext(ctx, "tcp4", s.Address)
-			if err == nil {
-				connection.Close()
-				continue
-			}
-			if errors.Is(err, syscall.ECONNREFUSED) {
+			if refusesConnections(ctx, s) {
 				c.connectionRefused(time.Now(), s.ID)
 			}
 		}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -61,6 +61,9 @@
 		c.reportLost(d, sent, lossConnectionBroke)
 		return placement.Failed, c.retryOrFail(errors.Wrapf(err, "gateway: answer of server %s", d.Server.ID))
 	}
+	if len(body) < maxBufferedResponse && c.endedByCrash(ctx, d, sent, r) {
+		return placement.Failed, c.retryOrFail(errors.Newf("gateway: server %s crashed within its answer", d.Server.ID))
+	}
 	c.gateway.dispatcher.send(firstEventReceived{attemptID: d.ID, server: d.Server.ID})
 	c.copyHeader(r)
 	if r.Length < 0 && len(body) < maxBufferedResponse && c.request.Method != http.MethodHead {
@@ -120,6 +123,9 @@
 			c.reportLost(d, sent, lossConnectionBroke)
 			return placement.Failed, c.retryOrFail(errors.Newf("gateway: stream of server %s ends within an event", d.Server.ID))
 		}
+		if err == io.EOF && c.endedByCrash(ctx, d, sent, r) {
+			return placement.Failed, c.retryOrFail(errors.Newf("gateway: server %s crashed within its stream", d.Server.ID))
+		}
 		if !started {
 			started = true
 			c.gateway.dispatcher.send(firstEventReceived{attemptID: d.ID, server: d.Server.ID})
--- a/gateway/upstream/upstream.go
+++ b/gateway/upstream/upstream.go
@@ -92,6 +92,9 @@
 	Header http.Header // without hop-by-hop headers
 	Length int64       // of the body; -1: unknown
 	Body   io.Reader
+	// Unframed reports that the body has neither a length nor chunks and ends with the connection. Its
+	// end looks the same whether the server has finished or has crashed.
+	Unframed bool
 
 	conn     *conn
 	pool     *Pool
@@ -238,6 +241,7 @@
 		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength,
 		conn: c, pool: p, server: s.ID, written: written, stop: stop,
 		reusable: !response.Close && response.ProtoAtLeast(1, 1),
+		Unframed: response.ContentLength < 0 && len(response.TransferEncoding) == 0,
 	}
 	resp.Body = eofTracker{response.Body, resp}
 	c.idleTimeout = keepAliveTimeout(response.Header)
