--- a/gateway/suspects_parts.go
+++ b/gateway/suspects_parts.go
@@ -34,7 +34,7 @@
 	list := make([]promptPart, 0, len(parts))
 	seen := make(map[string]bool, len(parts))
 	for _, p := range parts[:max(len(parts)-1, 0)] {
-		if seen[p.ID] {
+		if p.ID == "" || seen[p.ID] {
 			continue
 		}
 		seen[p.ID] = true
