telemetry: warnings are not displaced by a flood of other lines

A quarter of it is left to warnings and errors now. go test ./telemetry -run TestLogWriterKeepsWarnings failed before; the rest as before.

--- a/telemetry/lines.go
+++ b/telemetry/lines.go
@@ -7,6 +7,8 @@
 	"io"
 	"sync/atomic"
 	"time"
+
+	"github.com/rs/zerolog"
 )
 
 // Limits of a LogWriter.
@@ -18,6 +20,9 @@
 	// Maximum bytes written per second, so that a flood of lines uses up neither the
 	// host's processor nor its disk. Lines beyond it are dropped and counted.
 	maxBytesPerSecond = 256 << 10
+	// Part of it that is left to warnings and errors. A crash comes with a flood of lines on the
+	// requests that it broke, which would displace the lines that name its cause.
+	warningBytesPerSecond = 64 << 10
 	// Maximum bytes per write, which is PIPE_BUF on Linux: writes to a pipe of up to
 	// this size are atomic. With longer writes, a reader got partial lines if its buffer
 	// was full or the process was killed: 500 of 27,000 lines were truncated.
@@ -27,22 +32,32 @@
 // LogWriter is an io.Writer for log lines that never blocks: Write queues a line, and Run
 // writes the queued lines. It is safe for concurrent use.
 type LogWriter struct {
-	queue   chan []byte
+	queue   chan logLine
 	dropped atomic.Int64
 	out     io.Writer
 }
 
+// logLine is a queued line.
+type logLine struct {
+	text []byte
+	info bool // neither a warning nor an error
+}
+
 // NewLogWriter returns a LogWriter that writes to out.
 func NewLogWriter(out io.Writer) *LogWriter {
-	return &LogWriter{queue: make(chan []byte, queueSize), out: out}
+	return &LogWriter{queue: make(chan logLine, queueSize), out: out}
 }
 
 // Write queues one line. It never fails: if the queue is full, the line is dropped and
 // counted.
-func (l *LogWriter) Write(line []byte) (int, error) {
+func (l *LogWriter) Write(line []byte) (int, error) { return l.WriteLevel(zerolog.NoLevel, line) }
+
+// WriteLevel implements zerolog.LevelWriter. It is Write for a line of a level.
+func (l *LogWriter) WriteLevel(level zerolog.Level, line []byte) (int, error) {
 	queued := append([]byte(nil), line...) // the caller reuses its buffer
+	info := level < zerolog.WarnLevel
 	select {
-	case l.queue <- queued:
+	case l.queue <- logLine{queued, info}:
 	default:
 		l.dropped.Add(1)
 	}
@@ -105,12 +120,16 @@
 	for {
 		select {
 		case line := <-l.queue:
-			if len(line) > *budget {
+			available := *budget
+			if line.info {
+				available -= warningBytesPerSecond
+			}
+			if len(line.text) > available {
 				l.dropped.Add(1)
 				continue
 			}
-			*budget -= len(line)
-			batch = append(batch, line...)
+			*budget -= len(line.text)
+			batch = append(batch, line.text...)
 		default:
 			return batch
 		}
--- a/telemetry/lines_test.go
+++ b/telemetry/lines_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"opalbridge.dev/telemetry"
@@ -73,6 +74,27 @@
 	})
 }
 
+// TestLogWriterKeepsWarnings guards against warnings that are dropped because of a flood of other
+// lines.
+func TestLogWriterKeepsWarnings(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out syncBuffer
+		l := telemetry.NewLogWriter(&out)
+		ctx, cancel := context.WithCancel(t.Context())
+		log := zerolog.New(l)
+		for range 1500 { // Run is not started yet
+			log.Info().Str("padding", strings.Repeat("x", 500)).Msg("")
+		}
+		log.Warn().Str("event", "part.barred").Str("padding", strings.Repeat("x", 1000)).Msg("")
+		go l.Run(ctx)
+		time.Sleep(500 * time.Millisecond)
+		require.Positive(t, l.Dropped())
+		require.Contains(t, out.text(), "part.barred")
+		cancel()
+		synctest.Wait()
+	})
+}
+
 func BenchmarkLogWriter(b *testing.B) {
 	l := telemetry.NewLogWriter(io.Discard)
 	ctx, cancel := context.WithCancel(b.Context())
