--- a/gateway/quarantine/part.go
+++ b/gateway/quarantine/part.go
@@ -11,13 +11,13 @@
 	// answeredPartThreshold is the number of servers that may crash under a part which had been
 	// answered before, without an answer on it in between. It is higher than CrashThreshold because
 	// a part that many requests share is present at nearly every crash.
-	answeredPartThreshold = 5
+	answeredPartThreshold = 6
 	// Crashes under a part must be this far apart, the last from the first, before it is
 	// quarantined: servers that crash at the same moment have another cause. The time is longer for
 	// a part that had been answered before: unless servers crash on it, it is answered again within
 	// that time.
 	partSpan         = 20 * time.Millisecond
-	answeredPartSpan = 500 * time.Millisecond
+	answeredPartSpan = 1500 * time.Millisecond
 	// maxCrashesPerPart bounds the crashes remembered per part. It is higher than that of requests,
 	// since all crashes under a part that is the cause explain those under others.
 	maxCrashesPerPart = 32
