soak, platform: a part of prompts that crashes servers

All callers send prompts; one more sends a part that crashes servers, on all kinds of routes, no two requests alike, beside kills, pauses, cuts, restarts under an ID and requests that crash servers whole.

--- a/soak/book.go
+++ b/soak/book.go
@@ -215,6 +215,11 @@
 // send sends one request. Status 0 means that no answer arrived; an error beside a nonzero
 // status means that the body was cut.
 func (r *Run) send(client *http.Client, p *process, path, id, key, payload string) (status int, body string, err error) {
+	return r.sendPrompt(client, p, path, id, key, payload, r.soundPrompt(id))
+}
+
+// sendPrompt sends a request with these parts of a prompt; nil: it has none.
+func (r *Run) sendPrompt(client *http.Client, p *process, path, id, key, payload string, prompt []string) (status int, body string, err error) {
 	request, err := http.NewRequest(http.MethodPost, "http://"+p.front+path, strings.NewReader(payload))
 	if err != nil {
 		return 0, "", err
@@ -222,6 +227,9 @@
 	request.GetBody = nil // the transport must not retry by itself
 	request.Host = "h"
 	platform.SetCallerHeaders(request.Header, id, key, callerDeadline)
+	if len(prompt) > 0 {
+		platform.SetPromptHeader(request.Header, promptPartTokens, prompt...)
+	}
 	from := p.epoch()
 	request.Header.Set(gatewayMark, from)
 	request.Header.Set(sentMark, time.Now().Format(time.RFC3339Nano))
--- a/soak/fatal.go
+++ b/soak/fatal.go
@@ -7,7 +7,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"time"
 
 	"opalbridge.dev/gateway/quarantine"
@@ -30,7 +29,7 @@
 // fatalBodies are the bodies of fatal requests, one for each kind of route.
 var fatalBodies = []string{"fatal once", "fatal many", "fatal stream", "fatal resume"}
 
-// fatalHistory records the arrivals and crashes of one fatal request.
+// fatalHistory records the arrivals and crashes of one fatal request, or of a fatal part.
 type fatalHistory struct {
 	arrived []time.Time // arrivals at servers
 	crashes []time.Time // crashes of servers
@@ -61,9 +60,9 @@
 			return
 		}
 		r.Body = io.NopCloser(bytes.NewReader(body))
-		if slices.Contains(fatalBodies, string(body)) {
+		if cause := fatalCause(r, string(body)); cause != "" {
 			b.mutex.Lock()
-			f := b.historyOf(string(body))
+			f := b.historyOf(cause)
 			f.arrived = append(f.arrived, time.Now())
 			b.mutex.Unlock()
 		}
@@ -125,7 +124,7 @@
 	b.down = true
 	b.proxy.Refuse()
 	r.recorder.mutex.Lock()
-	f := r.recorder.historyOf(body)
+	f := r.recorder.historyOf(crashCause(body))
 	f.crashes = append(f.crashes, time.Now())
 	r.recorder.mutex.Unlock()
 	time.AfterFunc(maxFaultDuration/3, func() { r.recoverServer(b) })
@@ -161,7 +160,7 @@
 		r.recorder.violationf("failed to read the stored suspects: %v", err)
 	}
 	for key, k := range records {
-		if len(k.Servers) >= quarantine.CrashThreshold && !fatal[key.String()] {
+		if k.Part == nil && k.Quarantined() && !fatal[key.String()] {
 			r.recorder.violationf("%s is quarantined but crashed no server: %s", key, k.Summary)
 		}
 	}
@@ -170,13 +169,18 @@
 // lateArrivals returns how many servers a fatal request has crashed, and how often it arrived at
 // servers later than quarantineDelay after the third crash.
 func (b *recorder) lateArrivals(body string) (crashes, late int) {
+	return b.lateArrivalsAfter(body, quarantine.CrashThreshold)
+}
+
+// lateArrivalsAfter is lateArrivals for another number of crashes.
+func (b *recorder) lateArrivalsAfter(cause string, threshold int) (crashes, late int) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	f := b.historyOf(body)
-	if len(f.crashes) < quarantine.CrashThreshold {
+	f := b.historyOf(cause)
+	if len(f.crashes) < threshold {
 		return len(f.crashes), 0
 	}
-	known := f.crashes[quarantine.CrashThreshold-1].Add(quarantineDelay)
+	known := f.crashes[threshold-1].Add(quarantineDelay)
 	for _, at := range f.arrived {
 		if at.After(known) {
 			late++
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -38,6 +38,7 @@
 	Callers  int    // 0: 12
 	Restarts bool   // also restart servers with the same ID and write entries of other writers
 	Fatal    int    // fatal requests, each of which crashes every server that executes it and is sent repeatedly; at most one for each kind of route
+	Part     bool   // all requests have prompts, and a part of some crashes every server that executes them
 	Early    bool   // fatal requests start with the gateways, not after settleBefore
 	Restores bool   // also restore the store from copies
 	Signals  bool   // servers also announce in answers that they are leaving, and ask for backoff
@@ -85,7 +86,7 @@
 // healthy is the behaviour of a server without faults.
 var healthy = platformtest.Behaviour{
 	ServiceTime: 5 * time.Millisecond, EchoID: true, Events: streamEvents, EventInterval: 10 * time.Millisecond, StreamPaths: []string{"/stream/", "/resume/", versionsPath}, VersionPaths: []string{versionsPath},
-	FatalBodies: fatalBodies,
+	FatalBodies: fatalBodies, FatalParts: []string{fatalPart},
 }
 
 // streamEvents is the number of events of a stream.
@@ -137,6 +138,10 @@
 		r.callers.Add(1)
 		go r.runFatalCaller(ctx, i)
 	}
+	if o.Part {
+		r.callers.Add(1)
+		go r.runPartCaller(ctx)
+	}
 	return r, nil
 }
 
@@ -229,6 +234,7 @@
 	r.callers.Wait()
 	r.recorder.checkRuns(slices.Concat(r.servers, r.retired))
 	r.checkFatal()
+	r.checkPart()
 	return r.recorder.report()
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -20,6 +20,7 @@
 	plays    = flag.Duration("plays", 6*time.Second, "duration of the faults of each seed")
 	fresh    = flag.Bool("fresh", false, "take the first seed from the current time")
 	fatal    = flag.Int("fatal", 0, "number of requests that crash servers, up to 4")
+	part     = flag.Bool("part", false, "a part of prompts crashes servers, in requests of which no two are alike")
 	early    = flag.Bool("early", false, "start requests that crash servers together with the gateways")
 	restarts = flag.Bool("restarts", false, "also restart servers with the same ID and write entries of other writers")
 	copies   = flag.Bool("copies", false, "also restore the store from copies")
@@ -65,7 +66,7 @@
 	}
 	for n := range uint64(*seeds) {
 		t.Run(fmt.Sprintf("seed=%d", from+n), func(t *testing.T) {
-			play(t, binary, soak.Options{Seed: from + n, Restarts: *restarts, Fatal: *fatal, Early: *early, Signals: *words, Restores: *copies, Versions: *versions})
+			play(t, binary, soak.Options{Seed: from + n, Restarts: *restarts, Fatal: *fatal, Early: *early, Signals: *words, Restores: *copies, Versions: *versions, Part: *part})
 		})
 	}
 }
@@ -113,6 +114,12 @@
 	play(t, build(t), soak.Options{Seed: 9205, Versions: true, Restarts: true, Signals: true})
 }
 
+// TestSoakPart runs a seed with a part of prompts that crashes servers, beside requests that do so as
+// a whole.
+func TestSoakPart(t *testing.T) {
+	play(t, build(t), soak.Options{Seed: 7000, Restarts: true, Fatal: 2, Part: true})
+}
+
 // TestSoakFatalEarly runs seeds that failed when requests that crash servers start together with
 // the gateways. All servers crash before anything is answered, so a request that all callers send
 // is quarantined. The probes that should release it then fail: their servers crash by chance, or
