gateway: worlds with few sound requests, and a request that crashes servers whole

With crashes of one request alone as enough, a part of a request that crashes servers whole stays barred for others, in the world that has one later: two different requests are asked for.

--- a/gateway/part_worlds_test.go
+++ b/gateway/part_worlds_test.go
@@ -54,6 +54,8 @@
 	do          func(w *partWorld, at time.Duration) // called at each step
 	answered    bool                                 // requests with the fatal parts are answered until worldStart
 	allowed     int                                  // servers that may crash under a part; 0: five
+	sound       int                                  // sound requests per second; 0: worldSound
+	wholeParts  []string                             // parts of the request that crashes servers whole; nil: those of others
 	causes      int                                  // fatal parts in different requests; 0: one
 	kills       int                                  // gateways that are killed before they could tell a crash; each may cost a server
 }
@@ -396,6 +398,9 @@
 				return strings.HasPrefix(p, "bad") || early && p == w.latecomer
 			})
 		}
+		if w.wholeParts != nil && time.Since(w.began) > worldPatience && w.random.IntN(20) == 0 {
+			account, shared = "b", w.wholeParts
+		}
 		w.send(w.gateways[w.random.IntN(len(w.gateways))], account, shared, false, false, nil)
 	}
 }
@@ -415,7 +420,11 @@
 		}
 		w.send(w.gateways[g], "a", w.fatal[*sent%len(w.fatal)], true, false, nil)
 		if w.wholeFatal && *sent%2 == 0 {
-			w.send(w.gateways[g], "b", []string{"sys", "tools"}, false, true, nil)
+			whole := w.wholeParts
+			if whole == nil {
+				whole = []string{"sys", "tools"}
+			}
+			w.send(w.gateways[g], "b", whole, false, true, nil)
 		}
 	}
 }
@@ -432,7 +441,7 @@
 	sent, soundSent := 0, 0
 	nextCrash := worldStart
 	for at := time.Duration(0); at < worldDuration; at = time.Since(w.began) {
-		due := int(at.Seconds() * worldSound)
+		due := int(at.Seconds() * float64(cmp.Or(w.sound, worldSound)))
 		w.sendSound(due - soundSent)
 		soundSent = due
 		w.sendFatal(at, &sent)
@@ -515,6 +524,11 @@
 		with("a part that only requests with the fatal one have had", func(s *partScenario) { s.fatal, s.latecomer = [][]string{{"sys", "late", "bad"}}, "late" }),
 		with("clients that repeat at once", func(s *partScenario) { s.repeat = true }),
 		with("a request that crashes servers whole", func(s *partScenario) { s.wholeFatal = true }),
+		with("a request that crashes servers whole, with a part that others have later", func(s *partScenario) {
+			s.wholeFatal, s.wholeParts = true, []string{"sys", "own conversation"}
+		}),
+		with("few sound requests", func(s *partScenario) { s.sound = 5 }),
+		with("few sound requests, forty fatal ones a second", func(s *partScenario) { s.sound, s.perSecond = 5, 40 }),
 		with("servers that crash by themselves", func(s *partScenario) { s.spontaneous = time.Second }),
 		with("servers that crash by themselves, clients that repeat", func(s *partScenario) { s.spontaneous, s.repeat = time.Second, true }),
 		with("a hall at once", func(s *partScenario) { s.hallCrash = 5 * time.Second }),
@@ -549,7 +563,7 @@
 func TestPartWorlds(t *testing.T) {
 	for _, s := range partScenarios() {
 		t.Run(s.name, func(t *testing.T) {
-			worst, late, barred, sound := 0, 0, 0, 0
+			worst, late, barred, barredEver, sound := 0, 0, 0, 0, 0
 			var costs []int
 			lateFrom, lateAllowed := time.Second, 0
 			if s.answered {
@@ -563,12 +577,13 @@
 					costs = append(costs, len(o.crashes))
 					late = max(late, o.lateArrivals(lateFrom))
 					barred += o.soundBarred
+				barredEver += o.barredEver
 					sound += o.sound
-					require.Empty(t, w.barredParts("sys", "tools", "a", "b", "c", "d", "e", "f", "late", "conversation0", "conversation7"), "sound parts, seed %d", seed)
+					require.Empty(t, w.barredParts("sys", "tools", "a", "b", "c", "d", "e", "f", "late", "own conversation", "conversation0", "conversation7"), "sound parts, seed %d", seed)
 				})
 			}
 			t.Logf("servers crashed by seed: %v", costs)
-			t.Logf("figure part-world %q: %d servers at most, %d requests late in one play, %d of %d sound ones barred", s.name, worst, late, barred, sound)
+			t.Logf("figure part-world %q: %d servers at most, %d requests late in one play, %d of %d sound ones barred, %d at any time", s.name, worst, late, barred, sound, barredEver)
 			allowed := cmp.Or(s.allowed, 5)
 			require.LessOrEqual(t, worst, allowed*max(s.causes, 1)+s.kills, "servers that crash under a part")
 			require.LessOrEqual(t, late, lateAllowed, "requests with the part that reach servers after the news has spread")
