--- a/cmd/opalbridge/quarantine.go
+++ b/cmd/opalbridge/quarantine.go
@@ -32,7 +32,7 @@
 			{
 				Name:        "list",
 				Usage:       "list requests under which two servers or more have ended",
-				Description: "Example:\n  opalbridge quarantine list --store 10.200.1.7:8781\n\nOldest first. From three servers on a request is barred at all gateways.",
+				Description: "Example:\n  opalbridge quarantine list --store 10.200.1.7:8781\n\nOldest first. From three servers on a request is barred at all gateways, and a part of prompts that had never been answered; one that had been answered before from six on. A part is barred for the account whose requests servers ended under, and for all accounts once that were two.",
 				Flags:       []cli.Flag{store, &cli.BoolFlag{Name: "json", Usage: "write JSON"}},
 				Action:      listQuarantine,
 			},
@@ -65,6 +65,19 @@
 	platform.SuspectRecord
 }
 
+// barredFor returns the accounts for which a part of prompts is barred. A request belongs to the
+// account in its description.
+func (r quarantineRow) barredFor() string {
+	switch {
+	case r.Part == nil:
+		return "itself"
+	case r.Part.ForAllAccounts():
+		return "all accounts"
+	default:
+		return strings.Join(r.Part.Accounts, " ")
+	}
+}
+
 func listQuarantine(ctx context.Context, c *cli.Command) error {
 	s, err := openSuspects(c)
 	if err != nil {
@@ -87,9 +100,9 @@
 		return e.Encode(rows)
 	}
 	w := tabwriter.NewWriter(c.Root().Writer, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "KEY\tBARRED\tSINCE\tASKS\tSERVERS THAT ENDED")
+	fmt.Fprintln(w, "KEY\tBARRED\tFOR\tSINCE\tASKS\tSERVERS THAT ENDED")
 	for _, r := range rows {
-		fmt.Fprintf(w, "%s\t%t\t%s\t%s\t%s\n", r.Key, r.Barred, r.Since.Format(time.RFC3339), r.Summary, strings.Join(r.Servers, " "))
+		fmt.Fprintf(w, "%s\t%t\t%s\t%s\t%s\t%s\n", r.Key, r.Barred, r.barredFor(), r.Since.Format(time.RFC3339), r.Summary, strings.Join(r.Servers, " "))
 	}
 	return w.Flush()
 }
--- a/cmd/opalbridge/quarantine_test.go
+++ b/cmd/opalbridge/quarantine_test.go
@@ -33,10 +33,23 @@
 	require.NoError(t, s.Save(t.Context(), barred, gateway.Suspect{Summary: "quito POST h/x", Servers: []string{"i-2", "i-3"}}))
 	require.NoError(t, s.Save(t.Context(), suspected, gateway.Suspect{Summary: "cuenca POST h/y", Servers: []string{"i-1", "i-3"}}))
 
+	part, partOfTwo := quarantine.Key{3}, quarantine.Key{4}
+	requests := []quarantine.Key{{8}, {9}}
+	require.NoError(t, s.Save(t.Context(), part, gateway.Suspect{
+		Summary: "part 5c1e", Servers: []string{"i-1", "i-2", "i-3"},
+		Part: &quarantine.PartEvidence{Accounts: []string{"quito"}, Requests: requests, SpanMs: 800},
+	}))
+	require.NoError(t, s.Save(t.Context(), partOfTwo, gateway.Suspect{
+		Summary: "part 91bd", Servers: []string{"i-1", "i-2", "i-3"},
+		Part: &quarantine.PartEvidence{Accounts: []string{"quito", "cuenca"}, Requests: requests, SpanMs: 800, AnsweredBefore: true},
+	}))
+
 	out, err := run("list", "--store", address)
 	require.NoError(t, err)
-	require.Regexp(t, barred.String()+` +true .* quito POST h/x +i-1 i-2 i-3`, out)
-	require.Regexp(t, suspected.String()+` +false .* cuenca POST h/y +i-1 i-3`, out)
+	require.Regexp(t, barred.String()+` +true +itself .* quito POST h/x +i-1 i-2 i-3`, out)
+	require.Regexp(t, suspected.String()+` +false +itself .* cuenca POST h/y +i-1 i-3`, out)
+	require.Regexp(t, part.String()+` +true +quito .* part 5c1e +i-1 i-2 i-3`, out)
+	require.Regexp(t, partOfTwo.String()+` +false +all accounts .* part 91bd +i-1 i-2 i-3`, out)
 	out, err = run("list", "--store", address, "--json")
 	require.NoError(t, err)
 	require.Contains(t, out, `"barred": true`)
@@ -46,7 +59,10 @@
 	require.Equal(t, barred.String()+": lifted\n", out)
 	kept, err := s.List(t.Context())
 	require.NoError(t, err)
-	require.Len(t, kept, 1)
+	require.Len(t, kept, 3)
+	out, err = run("lift", "--store", address, part.String())
+	require.NoError(t, err)
+	require.Equal(t, part.String()+": lifted\n", out)
 
 	for _, args := range [][]string{
 		{"lift", "--store", address, barred.String()}, {"lift", "--store", address, "x"},
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -26,7 +26,7 @@
 // encodes them, and update_receiver.go decides when to fetch them.
 //
 // Protection: callers.go manages callers' connections, suspects.go keeps requests that crash
-// servers away from other servers, call_quarantine.go applies that to a request in progress,
+// servers away from other servers, suspects_parts.go parts of prompts, call_quarantine.go applies that to a request in progress,
 // suspects_store.go persists suspects, crashes.go detects crashed servers, and signals.go
 // applies what servers announce in responses. origins.go and call_resume.go keep a stream at the
 // software version that began it; server_lifetime.go tells a server's lifetimes apart. stop.go shuts the gateway down.
@@ -236,8 +236,9 @@
 	Active               int           // requests in flight
 	SchedulingDelay      time.Duration // scheduling delay of the process, as of the latest sample
 	AdmittedShare        float64       // share of requests that the overload control admits
-	Suspects             int           // requests that were at servers when these crashed
+	Suspects             int           // requests, and parts of their prompts, that were at servers when these crashed
 	Quarantined          int           // of them, those that are sent to no server
+	QuarantinedParts     int           // of these, parts of prompts
 	AnnouncedLeaving     int           // servers that have announced in responses that they are leaving
 	BackingOff           int           // servers that have asked this gateway to back off
 	Origins              int           // attempts of callers whose streams' versions are remembered
@@ -257,7 +258,8 @@
 	}
 	s.AnnouncedLeaving, s.BackingOff = g.signals.count(time.Now())
 	s.Origins = g.origins.count()
-	s.Suspects, s.Quarantined = int(g.suspects.suspectCount.Load()), g.suspects.quarantinedCount()
+	s.Suspects = int(g.suspects.suspectCount.Load())
+	s.Quarantined, s.QuarantinedParts = g.suspects.quarantinedCount()
 	if v.Configuration != nil {
 		s.ConfigurationVersion = v.Configuration.Version
 	}
--- a/gateway/part_worlds_test.go
+++ b/gateway/part_worlds_test.go
@@ -577,7 +577,7 @@
 					costs = append(costs, len(o.crashes))
 					late = max(late, o.lateArrivals(lateFrom))
 					barred += o.soundBarred
-				barredEver += o.barredEver
+					barredEver += o.barredEver
 					sound += o.sound
 					require.Empty(t, w.barredParts("sys", "tools", "a", "b", "c", "d", "e", "f", "late", "own conversation", "conversation0", "conversation7"), "sound parts, seed %d", seed)
 				})
--- a/gateway/quarantine/part.go
+++ b/gateway/quarantine/part.go
@@ -136,9 +136,12 @@
 
 // bars reports whether the part, if it is quarantined, is quarantined for an account.
 func (e *PartEvidence) bars(account string) bool {
-	return len(e.Accounts) >= distinctAccounts || slices.Contains(e.Accounts, account)
+	return e.ForAllAccounts() || slices.Contains(e.Accounts, account)
 }
 
+// ForAllAccounts reports whether the part, if it is quarantined, is quarantined for all accounts.
+func (e *PartEvidence) ForAllAccounts() bool { return len(e.Accounts) >= distinctAccounts }
+
 // Quarantined reports whether a suspect with this record is quarantined.
 func (r StoredRecord) Quarantined() bool {
 	if r.Part != nil {
--- a/gateway/quarantine/quarantine.go
+++ b/gateway/quarantine/quarantine.go
@@ -365,15 +365,19 @@
 	}, true
 }
 
-// CountQuarantined returns the number of quarantined requests.
-func (r *Registry) CountQuarantined() int {
-	n := 0
+// CountQuarantined returns the number of quarantined suspects, and how many of them are parts of
+// prompts.
+func (r *Registry) CountQuarantined() (all, parts int) {
 	for k := range r.repeatSuspects {
-		if r.IsQuarantined(k) {
-			n++
+		if !r.IsQuarantined(k) {
+			continue
+		}
+		all++
+		if r.IsPart(k) {
+			parts++
 		}
 	}
-	return n
+	return all, parts
 }
 
 // Len returns the number of known requests.
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -389,8 +389,9 @@
 	return true
 }
 
-// quarantinedCount returns the number of quarantined requests.
-func (s *suspectTracker) quarantinedCount() int {
+// quarantinedCount returns the number of quarantined suspects, and how many of them are parts of
+// prompts.
+func (s *suspectTracker) quarantinedCount() (all, parts int) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	return s.registry.CountQuarantined()
