docs, gateway, mutants: parts of prompts in quarantine: ways weighed, bound, cost, postmortem

Two tests that two of eleven deliberate breaks asked for: what is known of a part outlives all gateways, and crashes count from their time (TestPartEvidenceOutlivesGateways, TestCrashesCountFromTheirTime).

--- a/mutants/main.go
+++ b/mutants/main.go
@@ -56,6 +56,17 @@
 	{"tell nobody where a stream began", "gateway/origins.go", "	t.peers.PublishOrigin(o)\n", "", "./platform", "TestCallerResumesAtOtherVersion"},
 	{"believe the first of two origins", "gateway/origin/origin.go", "	case e.other != 0:\n", "	case false:\n", "./gateway/origin", "TestRegistry"},
 	{"ask no server for its lifetime", "gateway/server_lifetime.go", "return s.Born != 0 && g.options.Lifetimes != nil", "return false", "./platform", "TestUnannouncedRestartJoinsVersions"},
+	{"count no parts of prompts", "gateway/suspects.go", "AddCrash(crashedAt, server, keys, parts...)", "AddCrash(crashedAt, server, keys)", "./platform", "TestPromptPartThatCrashesServers"},
+	{"bar a part for everybody", "gateway/quarantine/part.go", "return e.ForAllAccounts() || slices.Contains(e.Accounts, account)", "return true", "./gateway/quarantine", "TestPartQuarantine"},
+	{"bar a part by one request", "gateway/quarantine/part.go", "if len(e.Requests) < distinctRequests {", "if false {", "./gateway/quarantine", "TestPartQuarantine"},
+	{"bar parts by crashes at one moment", "gateway/quarantine/part.go", "return crashes >= threshold && span >= partSpan", "return crashes >= threshold", "./gateway/quarantine", "TestPartQuarantine"},
+	{"clear no part that is answered", "gateway/suspects_parts.go", "		if suspects {\n", "		if suspects && false {\n", "./gateway", "TestPartWorlds"},
+	{"count crashes from when they are noticed", "gateway/suspects.go", "crashedAt := crashTime(now, requests)", "crashedAt := now", "./gateway", "TestCrashesCountFromTheirTime"},
+	{"tell peers no parts", "gateway/suspects.go", "	e.Parts = partsToReport(parts, repeated, admit)\n", "	partsToReport(parts, repeated, admit)\n", "./gateway", "TestPartWorlds"},
+	{"keep no evidence of parts", "gateway/suspects_store.go", "Trials: trials, Part: r.Part})", "Trials: trials})", "./gateway", "TestPartEvidenceOutlivesGateways"},
+	{"try no part that others explain", "gateway/suspects.go", "return s.registry.PartInDoubt(now, key, r.partKeys())", "return 0, false", "./platform", "TestPartInMalformedHeader"},
+	{"read parts up to a malformed one", "platform/headers.go", "		id, tokens, _ := strings.Cut(strings.TrimSpace(pair), \":\")\n", "		id, tokens, ok := strings.Cut(strings.TrimSpace(pair), \":\")\n		if !ok {\n			return list\n		}\n", "./platform", "TestPartInMalformedHeader"},
+	{"believe the end of an unframed answer", "gateway/call_quarantine.go", "if !r.Unframed || ", "if true || ", "./platform", "TestUnframedResponsesOfCrashedServers"},
 	{"let late requests earn retries", "gateway/budget/budget.go", "if late > maxLateness {", "if false {", "./gateway/budget", "TestLateRequestsEarnRetries"},
 }
 
