gateway, quarantine: trials of suspects and records in files of their own

The package comment named a file that is called otherwise. No change of behaviour: moved declarations, tests as before.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,7 +13,7 @@
 // measures, whether its connection is served here, offloaded to another gateway (offload.go)
 // or rejected (reject.go); ingress.go parses and validates it; call.go sends it to a server
 // and decides on retries; wait_queue.go queues requests that no server should get yet;
-// relay.go relays the response; retries.go recognizes callers that retry.
+// relay.go relays the response; caller_retries.go recognizes callers that retry.
 //
 // Placement: dispatcher.go makes all decisions with package placement, dispatcher_cold.go
 // limits the load of cold servers, dispatcher_rollout.go moves a service to a new version:
@@ -26,10 +26,12 @@
 // encodes them, and update_receiver.go decides when to fetch them.
 //
 // Protection: callers.go manages callers' connections, suspects.go keeps requests that crash
-// servers away from other servers, suspects_parts.go parts of prompts, call_quarantine.go applies that to a request in progress,
-// suspects_store.go persists suspects, crashes.go detects crashed servers, and signals.go
-// applies what servers announce in responses. origins.go and call_resume.go keep a stream at the
-// software version that began it; server_lifetime.go tells a server's lifetimes apart. stop.go shuts the gateway down.
+// servers away from other servers, suspects_parts.go does so with parts of prompts, and
+// suspects_trials.go sends some all the same; suspects_store.go persists suspects, and
+// call_quarantine.go applies them to a request in progress. crashes.go detects crashed servers,
+// and signals.go applies what servers announce in responses. origins.go and call_resume.go keep a
+// stream at the software version that began it; server_lifetime.go tells a server's lifetimes
+// apart. stop.go shuts the gateway down.
 package gateway
 
 import (
@@ -88,7 +90,7 @@
 	Service   string
 	Account   string
 	Kind      string // "stream", "repeatable", "one-shot"
-	Result    string // "served", "late", "refused", "quarantine", "failed", "left", "cut", "denied"
+	Result    string // "served", "late", "refused", "barred", "failed", "left", "cut", "denied"
 	FirstByte time.Duration
 	Total     time.Duration
 	Attempts  int
--- a/gateway/quarantine/part.go
+++ b/gateway/quarantine/part.go
@@ -142,14 +142,6 @@
 // ForAllAccounts reports whether the part, if it is quarantined, is quarantined for all accounts.
 func (e *PartEvidence) ForAllAccounts() bool { return len(e.Accounts) >= distinctAccounts }
 
-// Quarantined reports whether a suspect with this record is quarantined.
-func (r StoredRecord) Quarantined() bool {
-	if r.Part != nil {
-		return r.Part.conclusive(len(r.Servers), CrashThreshold)
-	}
-	return len(r.Servers) >= CrashThreshold
-}
-
 // Bars reports whether requests of an account must not be sent to servers because of a request's
 // or a part's key.
 func (r *Registry) Bars(k Key, account string) bool {
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -58,22 +58,6 @@
 	maxFleetSuspectsPerSecond = 2048
 	// minSuspectsPerSecond is what each gateway of a large fleet may report at least.
 	minSuspectsPerSecond = 4
-	// trialInterval is the time without another crash or trial before an ambiguous request is tried;
-	// by then all gateways have heard of the last one. The fleet may send a quarantined request
-	// three more times, which leaves room for maxTrials.
-	trialInterval = 3 * time.Second
-	maxTrials     = 2
-	// trialStagger delays the gateways one after the other, so that mostly one of them asks the
-	// store. Those from rank maxTrialRank on come together.
-	trialStagger = 300 * time.Millisecond
-	maxTrialRank = 10
-	// trialTimeout bounds the store's answer: it takes milliseconds, and a caller waits for it.
-	trialTimeout = 500 * time.Millisecond
-	// storeWriteTimeout bounds a write to the store.
-	storeWriteTimeout = time.Second
-	// Backoff of failed writes, which doubles up to the maximum.
-	minStoreWriteBackoff = 250 * time.Millisecond
-	maxStoreWriteBackoff = 2 * time.Second
 )
 
 // suspectTracker tracks requests during which servers have crashed. It is safe for concurrent use.
@@ -116,13 +100,6 @@
 	}
 }
 
-// trialState counts, over the fleet, how often a quarantined request was sent.
-type trialState struct {
-	count    int
-	lastAt   time.Time // when this gateway heard of the last trial, or failed to claim one
-	claiming bool      // a trial is being claimed from the store
-}
-
 // suspect is a request that was at a server when the server crashed.
 type suspect struct {
 	key        quarantine.Key
@@ -301,94 +278,6 @@
 	s.wakeWriter()
 }
 
-// setPeerLive records whether a peer is alive.
-func (s *suspectTracker) setPeerLive(address string, alive bool) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if alive {
-		s.livePeers[address] = true
-		return
-	}
-	delete(s.livePeers, address)
-}
-
-// trialDue reports whether this gateway may send a quarantined request once now: for all that
-// quarantines it, something else may be the cause of the crashes. Gateways take turns in an order by
-// rendezvous hashing, which is the same for nearly all of them, including those that have
-// started since and know of the crashes from the store alone.
-func (s *suspectTracker) trialDue(now time.Time, r subjects) bool {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	barring := s.barringLocked(r)
-	for _, key := range barring {
-		if !s.trialDueLocked(now, key, r) {
-			return false
-		}
-	}
-	return len(barring) > 0
-}
-
-// doubtful reports whether something else than what has this key may be the cause of the crashes,
-// and if so how long ago the latest crash was.
-func (s *suspectTracker) doubtful(now time.Time, key quarantine.Key, r subjects) (quiet time.Duration, ok bool) {
-	if quiet, ok := s.registry.Ambiguous(now, key); ok {
-		return quiet, true
-	}
-	return s.registry.PartInDoubt(now, key, r.partKeys())
-}
-
-// trialDueLocked is trialDue for one key, with the mutex held.
-func (s *suspectTracker) trialDueLocked(now time.Time, key quarantine.Key, r subjects) bool {
-	quiet, doubtful := s.doubtful(now, key, r)
-	known := s.trials[key]
-	if !doubtful || s.store == nil || known.claiming || known.count >= maxTrials {
-		return false
-	}
-	rank := 0
-	own := unitHash(s.address + "/" + key.String())
-	for address := range s.livePeers {
-		if unitHash(address+"/"+key.String()) > own {
-			rank++
-		}
-	}
-	return min(quiet, now.Sub(known.lastAt)) >= trialInterval+time.Duration(min(rank, maxTrialRank))*trialStagger
-}
-
-// claimTrial claims a trial of a quarantined request, by the first key that quarantines it. The
-// store counts the trials, which bounds them over the fleet, whichever gateways have started since.
-func (s *suspectTracker) claimTrial(ctx context.Context, r subjects) bool {
-	if !s.trialDue(time.Now(), r) {
-		return false
-	}
-	s.mutex.Lock()
-	barring := s.barringLocked(r)
-	if len(barring) == 0 || !s.trialDueLocked(time.Now(), barring[0], r) {
-		s.mutex.Unlock()
-		return false
-	}
-	key := barring[0]
-	known := s.trials[key]
-	s.trials[key] = trialState{count: known.count, lastAt: known.lastAt, claiming: true}
-	s.mutex.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, trialTimeout)
-	defer cancel()
-	counted, err := s.store.CountTrial(ctx, key, known.count)
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	state := s.trials[key]
-	state.claiming, state.lastAt = false, time.Now()
-	if counted {
-		state.count = max(state.count, known.count+1)
-	}
-	s.trials[key] = state
-	if err != nil || !counted {
-		s.log.Info().Str("event", s.kindOf(key)+".not_tried").Str("key", key.String()).Err(err).Msg("trial not claimed; another gateway may have sent it")
-		return false
-	}
-	s.log.Warn().Str("event", s.kindOf(key)+".tried").Str("key", key.String()).Str("asks", s.summaries[key]).Int("tries", known.count+1).Msg("trial of a barred request: something else may be the cause of the crashes")
-	return true
-}
-
 // quarantinedCount returns the number of quarantined suspects, and how many of them are parts of
 // prompts.
 func (s *suspectTracker) quarantinedCount() (all, parts int) {
--- a/gateway/suspects_store.go
+++ b/gateway/suspects_store.go
@@ -11,6 +11,14 @@
 
 // This file writes suspects to the store and applies what the store holds of them.
 
+const (
+	// storeWriteTimeout bounds a write to the store.
+	storeWriteTimeout = time.Second
+	// Backoff of failed writes, which doubles up to the maximum.
+	minStoreWriteBackoff = 250 * time.Millisecond
+	maxStoreWriteBackoff = 2 * time.Second
+)
+
 // applyStored applies the stored suspects; old is their former state. Those that this gateway
 // knows to have been answered since are deleted by one gateway of each hall, the one that watches.
 func (s *suspectTracker) applyStored(now time.Time, old, stored map[quarantine.Key]quarantine.StoredRecord, watches bool) {
