--- a/mutants/main.go
+++ b/mutants/main.go
@@ -64,7 +64,7 @@
 	{"count crashes from when they are noticed", "gateway/suspects.go", "crashedAt := crashTime(now, requests)", "crashedAt := now", "./gateway", "TestCrashesCountFromTheirTime"},
 	{"tell peers no parts", "gateway/suspects.go", "	e.Parts = partsToReport(parts, repeated, admit)\n", "	partsToReport(parts, repeated, admit)\n", "./gateway", "TestPartWorlds"},
 	{"keep no evidence of parts", "gateway/suspects_store.go", "Trials: trials, Part: r.Part})", "Trials: trials})", "./gateway", "TestPartEvidenceOutlivesGateways"},
-	{"try no part that others explain", "gateway/suspects.go", "return s.registry.PartInDoubt(now, key, r.partKeys())", "return 0, false", "./platform", "TestPartInMalformedHeader"},
+	{"try no part that others explain", "gateway/suspects_trials.go", "return s.registry.PartInDoubt(now, key, r.partKeys())", "return 0, false", "./platform", "TestPartInMalformedHeader"},
 	{"read parts up to a malformed one", "platform/headers.go", "		id, tokens, _ := strings.Cut(strings.TrimSpace(pair), \":\")\n", "		id, tokens, ok := strings.Cut(strings.TrimSpace(pair), \":\")\n		if !ok {\n			return list\n		}\n", "./platform", "TestPartInMalformedHeader"},
 	{"believe the end of an unframed answer", "gateway/call_quarantine.go", "if !r.Unframed || ", "if true || ", "./platform", "TestUnframedResponsesOfCrashedServers"},
 	{"let late requests earn retries", "gateway/budget/budget.go", "if late > maxLateness {", "if false {", "./gateway/budget", "TestLateRequestsEarnRetries"},
