quarantine: parts that were answered before are worth a record from four crashes on

Cause: what many requests share was at two crashes before it was answered again, and was written to the store and removed. Such parts have a record from the fourth crash on. What was at fewer is forgotten with its crashes, which TestMemoryOfPartsIsBounded checks.

--- a/gateway/quarantine/part.go
+++ b/gateway/quarantine/part.go
@@ -12,6 +12,10 @@
 	// answered before, without an answer on it in between. It is higher than CrashThreshold because
 	// a part that many requests share is present at nearly every crash.
 	answeredPartThreshold = 6
+	// answeredRecordThreshold is the number of crashes from which on such a part is worth a record.
+	// With recordThreshold, the parts that many requests share would be written to the store, and
+	// removed from it, at nearly every second crash.
+	answeredRecordThreshold = 4
 	// Crashes under a part must be this far apart, the last from the first, before it is
 	// quarantined: servers that crash at the same moment have another cause. The time is longer for
 	// a part that had been answered before: unless servers crash on it, it is answered again within
@@ -176,6 +180,7 @@
 		return false
 	}
 	s.part.AnsweredBefore = true
+	r.updateRepeat(k, s)
 	if s.quarantinedAt.IsZero() || r.conclusive(s) {
 		return false
 	}
--- a/gateway/quarantine/part_test.go
+++ b/gateway/quarantine/part_test.go
@@ -139,6 +139,23 @@
 	require.True(t, doubtful(1, 1), "it had been answered before")
 }
 
+// TestMemoryOfPartsIsBounded checks that memory stays bounded while servers crash under ever new
+// parts, whether they were answered before or not.
+func TestMemoryOfPartsIsBounded(t *testing.T) {
+	r := NewRegistry()
+	for n := range 4000 {
+		var parts []PartSuspect
+		for p := range 16 {
+			// Each part is present at three crashes in a row.
+			parts = append(parts, PartSuspect{Key: key(n/3*16 + p), Account: "a", Request: key(-n), AnsweredBefore: p%2 == 0})
+		}
+		r.AddCrash(time.Unix(int64(n), 0), fmt.Sprint(n), nil, parts...)
+	}
+	require.LessOrEqual(t, r.pairs, maxPairs)
+	require.LessOrEqual(t, len(r.repeatSuspects), maxRepeatSuspects)
+	require.LessOrEqual(t, r.Len(), maxPairs+maxRepeatSuspects)
+}
+
 // TestAnsweredParts checks that answers on parts are remembered, in bounded memory.
 func TestAnsweredParts(t *testing.T) {
 	var a AnsweredParts
--- a/gateway/quarantine/quarantine.go
+++ b/gateway/quarantine/quarantine.go
@@ -153,7 +153,8 @@
 	}
 	s.addEvidence(evidence)
 	if slices.Contains(s.crashedServers, server) {
-		r.updateQuarantine(at, s) // another gateway's requests were there too
+		r.updateRepeat(k, s) // another gateway's requests were there too
+		r.updateQuarantine(at, s)
 		return false
 	}
 	s.addTime(at, timeKnown)
@@ -162,9 +163,7 @@
 		return false
 	}
 	s.crashedServers = append(s.crashedServers, server)
-	if len(s.crashedServers) >= recordThreshold {
-		r.repeatSuspects[k] = true
-	}
+	r.updateRepeat(k, s)
 	r.updateQuarantine(at, s)
 	return true
 }
@@ -222,6 +221,19 @@
 	return len(s.crashedServers) >= r.threshold
 }
 
+// updateRepeat records whether a suspect is worth a record.
+func (r *Registry) updateRepeat(k Key, s *suspect) {
+	threshold := recordThreshold
+	if s.part != nil && s.part.AnsweredBefore {
+		threshold = answeredRecordThreshold
+	}
+	if len(s.crashedServers) >= threshold {
+		r.repeatSuspects[k] = true
+		return
+	}
+	delete(r.repeatSuspects, k)
+}
+
 // updateQuarantine quarantines a suspect, or ends its quarantine.
 func (r *Registry) updateQuarantine(now time.Time, s *suspect) {
 	switch quarantined := r.conclusive(s); {
@@ -274,9 +286,7 @@
 			s.part = &PartEvidence{}
 		}
 	}
-	if len(s.crashedServers) < recordThreshold {
-		delete(r.repeatSuspects, k)
-	}
+	r.updateRepeat(k, s)
 	r.updateQuarantine(s.quarantinedAt, s)
 }
 
@@ -360,12 +370,19 @@
 	}
 }
 
-// evictCrash drops the requests that were present at this crash and at no other.
+// evictCrash forgets this crash, unless a suspect is worth a record, and drops the suspects that were
+// present at no other.
 func (r *Registry) evictCrash(c crash) {
 	r.pairs -= len(c.keys)
 	for _, k := range c.keys {
 		s := r.suspects[k]
-		if s != nil && (len(s.crashedServers) == 0 || len(s.crashedServers) < recordThreshold && s.crashedServers[0] == c.server) {
+		if s == nil || r.repeatSuspects[k] {
+			continue
+		}
+		if i := slices.Index(s.crashedServers, c.server); i >= 0 {
+			s.crashedServers = slices.Delete(s.crashedServers, i, i+1)
+		}
+		if len(s.crashedServers) == 0 {
 			delete(r.suspects, k)
 		}
 	}
