gateway: a part that is stored as never answered follows what is known since

Found by reading the diff: a part that many requests have and that one gateway had stored at two or three crashes, as never answered there, was not written anew when another gateway told that it had been answered, nor removed when it was answered, since it was no longer worth a record. Gateways that start read it, and barred it for its accounts until a trial. Now the gateway that stored it writes or removes it, and one that watches for its hall and has had it answered does so too. TestStoredPartFollowsAnswers, three cases, failed before.

--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -265,7 +265,7 @@
 		return
 	}
 	s.peers.PublishCleared(peer.Cleared{Key: peer.Key(key), Servers: cleared})
-	if repeated {
+	if repeated || s.ownWrites[key] {
 		s.removeStored(key)
 	}
 }
@@ -274,8 +274,7 @@
 func (s *suspectTracker) removeStored(k quarantine.Key) {
 	s.log.Info().Str("event", s.kindOf(k)+".cleared").Str("key", k.String()).Str("asks", s.summaries[k]).Msg("answered; no longer a suspect")
 	delete(s.summaries, k)
-	s.pendingWrites[k] = true
-	s.wakeWriter()
+	s.queueWrite(k)
 }
 
 // quarantinedCount returns the number of quarantined suspects, and how many of them are parts of
--- a/gateway/suspects_parts.go
+++ b/gateway/suspects_parts.go
@@ -181,7 +181,7 @@
 const vouchCrashes = 2
 
 // vouch tells the peers of reported parts that this gateway has had answered, if they may not know
-// it. The mutex must be held.
+// it; who has stored such a part stores it anew. The mutex must be held.
 func (s *suspectTracker) vouch(now time.Time, reported []peer.Part) {
 	for _, p := range reported {
 		k := quarantine.Key(p.Key)
@@ -189,8 +189,6 @@
 			continue
 		}
 		s.peers.PublishPartAnswered(p.Key)
-		s.pendingWrites[k] = true
-		s.wakeWriter()
 	}
 }
 
@@ -202,9 +200,13 @@
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	for _, k := range keys {
-		if s.registry.MarkAnsweredBefore(quarantine.Key(k)) {
-			s.log.Info().Str("event", "part.released").Str("key", quarantine.Key(k).String()).Msg("part had been answered before; more crashes are needed to bar it")
+	for _, key := range keys {
+		k := quarantine.Key(key)
+		if s.registry.MarkAnsweredBefore(k) {
+			s.log.Info().Str("event", "part.released").Str("key", k.String()).Msg("part had been answered before; more crashes are needed to bar it")
+		}
+		if s.ownWrites[k] {
+			s.queueWrite(k) // the store has it as one that was never answered
 		}
 	}
 }
--- a/gateway/suspects_parts_test.go
+++ b/gateway/suspects_parts_test.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"opalbridge.dev/gateway/peer"
 	"opalbridge.dev/gateway/protocol"
 	"opalbridge.dev/gateway/quarantine"
 )
@@ -72,6 +73,53 @@
 	require.False(t, s.bars(promptSubjects("a", "own", "shared")))
 }
 
+// TestStoredPartFollowsAnswers guards against a sound part that stays in the store as one that was
+// never answered, where gateways that start would bar it.
+func TestStoredPartFollowsAnswers(t *testing.T) {
+	crashes := func(s *suspectTracker, now time.Time) {
+		for n := range 3 {
+			r := promptSubjects("a", fmt.Sprint("own", n), "shared")
+			at := now.Add(time.Duration(n) * 10 * time.Millisecond)
+			s.serverCrashed(at, fmt.Sprint("i-", n), []suspect{suspectOf(r, at)})
+		}
+	}
+	shared := promptSubjects("a", "own", "shared").parts[0].key
+	tests := []struct {
+		name string
+		do   func(writer, watcher *suspectTracker, store *sharedSuspects)
+	}{
+		{"another gateway vouches for it", func(writer, _ *suspectTracker, _ *sharedSuspects) {
+			writer.applyPartsAnswered([]peer.Key{peer.Key(shared)})
+		}},
+		{"it is answered after another gateway vouched", func(writer, _ *suspectTracker, _ *sharedSuspects) {
+			writer.registry.MarkAnsweredBefore(shared)
+			writer.partsAnswered(time.Now(), "s", "m", []protocol.Part{{ID: "shared"}, {ID: "own"}})
+		}},
+		{"its writer has ended, and another gateway has had it answered", func(_, watcher *suspectTracker, store *sharedSuspects) {
+			watcher.partsAnswered(time.Now(), "s", "m", []protocol.Part{{ID: "shared"}, {ID: "own"}})
+			stored, _ := store.snapshot()
+			watcher.applyStored(time.Now(), nil, stored, true)
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			store := &sharedSuspects{stored: map[quarantine.Key]quarantine.StoredRecord{}}
+			writer, watcher := newTestTracker(store), newTestTracker(store)
+			crashes(writer, time.Now())
+			require.True(t, writer.flush(t.Context()))
+			stored, _ := store.snapshot()
+			require.Contains(t, stored, shared)
+			test.do(writer, watcher, store)
+			require.True(t, writer.flush(t.Context()))
+			require.True(t, watcher.flush(t.Context()))
+			stored, _ = store.snapshot()
+			started := newTestTracker(store)
+			started.applyStored(time.Now(), nil, stored, true)
+			require.False(t, started.bars(promptSubjects("a", "x", "shared")))
+		})
+	}
+}
+
 // TestPromptParts checks which parts of a prompt are counted.
 func TestPromptParts(t *testing.T) {
 	tests := []struct {
--- a/gateway/suspects_store.go
+++ b/gateway/suspects_store.go
@@ -28,6 +28,9 @@
 		changed := s.registry.Merge(now, k, record)
 		if s.answeredParts.Contains(now, k) {
 			s.registry.MarkAnsweredBefore(k)
+			if watches && record.Part != nil && !record.Part.AnsweredBefore && !old[k].Equal(record) {
+				s.queueWrite(k)
+			}
 		}
 		if known := s.trials[k]; record.Trials != known.count {
 			known.count, known.lastAt = record.Trials, now // fewer: it was deleted and stored again
@@ -85,8 +88,7 @@
 			continue
 		}
 		delete(s.rewriteAt, k)
-		s.pendingWrites[k] = true
-		s.wakeWriter()
+		s.queueWrite(k)
 	}
 }
 
@@ -126,6 +128,13 @@
 	w.suspects, w.suspectsChanged = changed, true
 }
 
+// queueWrite has a suspect written to the store, or deleted there if it is not worth a record. The
+// mutex must be held.
+func (s *suspectTracker) queueWrite(k quarantine.Key) {
+	s.pendingWrites[k] = true
+	s.wakeWriter()
+}
+
 func (s *suspectTracker) wakeWriter() {
 	select {
 	case s.writerWake <- struct{}{}:
