--- a/cmd/opalbridge/gateway.go
+++ b/cmd/opalbridge/gateway.go
@@ -181,6 +181,10 @@
 			Retries:     budget.Limits{Ratio: s.RetryRatio, FixedRetries: s.RetryExtra, Window: s.RetryWindow, Gateways: s.Gateways},
 			ShareWindow: s.ShareWindow, Policy: placement.DefaultPolicy(), Hall: s.Hall,
 			ColdLimits: warmup.Limits{Factor: s.ColdFactor, Extra: s.ColdExtra}, Regions: s.Regions,
+			Features: gateway.Features{
+				IdleSurplus: s.IdleSurplus, AvoidPauses: s.AvoidPauses, MoveStreams: s.MoveStreams,
+				BackUpStreams: s.BackUpStreams, QueuePlainWork: s.QueuePlainWork,
+			},
 		},
 		MilliCPU: int(s.CPULimit * 1000), MemoryLimit: int64(s.MemoryMB) << 20, FileLimit: openFileLimit(s), ShutdownGrace: s.StopTimeout, Log: log, Metrics: requestMetrics{metrics},
 	})
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -25,6 +25,7 @@
 	body              []byte
 	route             *catalog.Route
 	account           string
+	priority          int // 0 is the most urgent
 	service           string
 	engine            bool    // the service is a model engine
 	cost              float64 // cost charged to the account's share
--- a/gateway/catalog/catalog.go
+++ b/gateway/catalog/catalog.go
@@ -97,8 +97,11 @@
 	KVTokens       int // capacity in tokens for running requests and cached prompts
 	MaxEventTokens int // tokens in one event of a stream, for estimates; 0: unknown
 	// How servers copy cached parts of prompts from each other; 0: not supported.
-	BytesPerToken int     // cache memory of one token
-	LinkMbps      float64 // bandwidth of a server for copies
+	BytesPerToken int           // cache memory of one token
+	LinkMbps      float64       // bandwidth of a server for copies
+	Moves         bool          // a running request can be moved to another server
+	Backups       bool          // the memory of a running request can be copied to another server as it grows
+	CopyRetention time.Duration // how long a copy of a run is kept that is not used; 0: unknown
 }
 
 // SupportsCacheCopy reports whether servers copy cached parts of prompts from each other.
@@ -106,9 +109,18 @@
 
 // Account is a client account.
 type Account struct {
-	Name     string
-	Priority int
-	Regions  Regions // regions in which its requests may be served
+	Name        string
+	Priority    int     // 0 is the most urgent
+	HasPriority bool    // it has a priority of its own, which replaces that of routes
+	Regions     Regions // regions in which its requests may be served
+}
+
+// PriorityOn returns the priority of the account's requests on a route.
+func (a Account) PriorityOn(r *Route) int {
+	if a.HasPriority {
+		return a.Priority
+	}
+	return r.Priority
 }
 
 // Regions is the set of regions in which requests may be read and served; nil: all.
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -94,6 +94,17 @@
 	Regions     map[string]string // by hall
 	ColdLimits  warmup.Limits     // of a cold server; PerSecond comes from its service
 	Address     string            // IP address of this gateway
+	Features    Features
+}
+
+// Features selects optional decisions. Each takes effect only where the configuration calls for it
+// as well; the packages named here say when.
+type Features struct {
+	IdleSurplus    bool // idle servers for accounts beyond their share: package surplus
+	AvoidPauses    bool // placement regards pauses of running streams: package decode
+	MoveStreams    bool // streams move off servers that leave: package continuation
+	BackUpStreams  bool // streams are backed up: package continuation
+	QueuePlainWork bool // requests to plain servers wait for slots: package slots
 }
 
 // pendingAttempt is a request that was sent and has no first event yet.
--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -94,7 +94,7 @@
 		return nil, g.denyUnconfigured(arrived, http.StatusUnauthorized, "unknown key")
 	}
 	c := &call{
-		gateway: g, w: w, request: r, meta: meta, route: route, account: account.Name,
+		gateway: g, w: w, request: r, meta: meta, route: route, account: account.Name, priority: account.PriorityOn(route),
 		arrived: arrived, deadline: arrived.Add(requestTimeout(route, meta)), regions: route.Regions.Intersect(account.Regions),
 	}
 	if d := c.readBody(v.Configuration.Limits); d.status != 0 {
@@ -203,6 +203,7 @@
 	c.placeReq = placement.Request{
 		Service: c.service, Account: c.account, Parts: parts, PromptTokens: prompt, OutputTokens: output,
 		Hall: c.gateway.options.Dispatcher.Hall, TieBreak: hashString(c.meta.ID), Regions: c.regions,
+		Priority: c.priority, MaxEventGap: c.route.MaxEventGap,
 	}
 	c.setEngine(v)
 }
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -57,6 +57,8 @@
 	Pinned        bool            // it continues a stream, so only servers of Version may run it
 	Version       string          // software version that began the stream, if Pinned; empty: unknown, so no server may run it
 	Hall          string          // hall of the gateway
+	Priority      int             // 0 is the most urgent
+	MaxEventGap   time.Duration   // longest interval between events within the objective; 0: none
 	TieBreak      uint64          // random; chooses among servers of similar cost
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -78,6 +78,13 @@
 	ColdFactor   float64
 	ColdExtra    float64
 	Regions      map[string]string
+
+	// Optional decisions of gateways; see their keys.
+	IdleSurplus    bool
+	AvoidPauses    bool
+	MoveStreams    bool
+	BackUpStreams  bool
+	QueuePlainWork bool
 }
 
 // FieldError is an error at one key of a settings file.
@@ -202,6 +209,16 @@
 		func(s *Settings, t string) error { return setFloat(&s.ColdExtra, t, 0, 1e6) }},
 	{"regions", gateway, false, "", "Region of each hall, as HALL=REGION by commas, for accounts and routes that are bound to regions.",
 		func(s *Settings, t string) error { return setRegions(&s.Regions, t) }},
+	{"surplus", gateway, false, "share", "What accounts beyond their share get: share (mostly as they got least), or idle (idle servers, unless others wait for them).",
+		func(s *Settings, t string) error { return setChoice(&s.IdleSurplus, t, "share", "idle") }},
+	{"pauses", gateway, false, "ignore", "Whether requests avoid servers where they would delay the events of running streams beyond their route's longest pause: ignore or avoid.",
+		func(s *Settings, t string) error { return setChoice(&s.AvoidPauses, t, "ignore", "avoid") }},
+	{"stream_moves", gateway, false, "off", "Whether streams move off servers that leave, if their engines can: off or on.",
+		func(s *Settings, t string) error { return setChoice(&s.MoveStreams, t, "off", "on") }},
+	{"stream_backups", gateway, false, "off", "Whether streams are backed up to a second server where that is worth it, if their engines can: off or on.",
+		func(s *Settings, t string) error { return setChoice(&s.BackUpStreams, t, "off", "on") }},
+	{"plain_queue", gateway, false, "none", "Whether requests to plain servers wait at the gateway for a free slot: none or slots.",
+		func(s *Settings, t string) error { return setChoice(&s.QueuePlainWork, t, "none", "slots") }},
 }
 
 // Parse parses the settings of a role. If the content is valid YAML but not valid
@@ -433,6 +450,15 @@
 	return nil
 }
 
+// setChoice sets whether the second of two words was given.
+func setChoice(to *bool, t, off, on string) error {
+	if t != off && t != on {
+		return errors.Newf("%q is neither %s nor %s", t, off, on)
+	}
+	*to = t == on
+	return nil
+}
+
 func setDuration(to *time.Duration, t string, lower, upper time.Duration) error {
 	v, err := time.ParseDuration(t)
 	if err != nil {
