gateway: the dispatcher learns of a view before callers can meet it

A gateway published its view, and with the first one was ready, before it sent the view to its dispatcher. A request in between was validated against the view but placed among no servers, and was refused. The dispatcher now gets the view first; its queue keeps the order, so whatever is validated against a view is placed with it or a later one.

TestDispatcherLearnsViewFirst failed before. Ruled out by reading: a failed attempt (the time limit of a connection attempt is longer than the route's, and the server never refuses), a backoff (refused with another reason), an expired entry (kept while the store is unreachable).

--- a/gateway/view.go
+++ b/gateway/view.go
@@ -412,6 +412,11 @@
 	now := time.Now()
 	v.ReportedLeaving = w.gateway.signals.applyTo(now, v.Servers)
 	changed := c != old.Configuration || !slices.Equal(v.Servers, old.Servers) || !maps.Equal(v.Cold, old.Cold) || !maps.Equal(v.Rollouts, old.Rollouts)
+	if changed {
+		// Before the view is visible: a request that is validated against it is then placed
+		// among its servers, and the gateway is not ready before its dispatcher knows servers.
+		w.gateway.dispatcher.viewChanged(v)
+	}
 	w.gateway.view.Store(v)
 	if !slices.Equal(v.Servers, old.Servers) {
 		w.gateway.origins.observe(now, slices.Concat(old.Servers, v.Servers), now.Sub(w.gateway.confirmedAt()) <= freshViewAge)
@@ -422,7 +427,6 @@
 		w.gateway.suspects.applyStored(now, old.Suspects, v.Suspects, w.gateway.watchesStore.Load())
 	}
 	if changed {
-		w.gateway.dispatcher.viewChanged(v)
 		w.gateway.peers.SendSoon()
 	}
 }
--- a/gateway/view_test.go
+++ b/gateway/view_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -41,6 +42,28 @@
 	return list
 }
 
+// TestDispatcherLearnsViewFirst: a gateway that was ready before its dispatcher knew the servers
+// refused requests for want of a server.
+func TestDispatcherLearnsViewFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newIdleGateway(t)
+		for range messageQueueSize {
+			g.dispatcher.send(leavingAnnounced{})
+		}
+		now := time.Now()
+		go g.storeWatcher.applyResult(now, sourceResult{listed: true, snapshot: Snapshot{Configuration: configurationVersion(1), Servers: []catalog.Server{readyServer("i-1")}, Revision: 3}})
+		synctest.Wait() // until it waits for room in the dispatcher's queue
+		readyEarly := g.Ready()
+		for range messageQueueSize {
+			<-g.dispatcher.messages
+		}
+		synctest.Wait()
+		require.False(t, readyEarly)
+		require.True(t, g.Ready())
+		require.IsType(t, viewReplaced{}, <-g.dispatcher.messages)
+	})
+}
+
 // TestLateResultsKeepNewerView: the result of a call to the store arrives after a peer has handed
 // over a newer view, and must not replace it.
 func TestLateResultsKeepNewerView(t *testing.T) {
