gateway/reject: the responses to rejected connections are a package of their own

Moved from gateway/reject.go, with names as they read from outside: Rejecter, Conn, Socket, Timeout. What it took from the gateway comes in Options: the reason, the time to retry, the name of the ID header, the log, and a callback for the metrics. callerConn.ReadNow moves to admission.go, and the polling interval of a planned stop, which was borrowed from here, gets its own constant in offload.go.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -10,10 +10,12 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"opalbridge.dev/gateway/reject"
 )
 
 // This file decides which connections of callers are served, which are offloaded to another
-// gateway (offload.go) and which are rejected (reject.go), so that a small host runs out of
+// gateway (offload.go) and which are rejected (package reject), so that a small host runs out of
 // neither file descriptors nor memory, however many callers connect.
 
 const (
@@ -76,7 +78,7 @@
 	capacity  capacity
 	overload  *overload
 	offload   func(*callerConn) bool // offloads a connection; false: no gateway takes it
-	rejecter  *rejecter
+	rejecter  *reject.Rejecter
 	openConns atomic.Int64 // accepted connections that are not closed
 	unread    unreadConns
 	closed    atomic.Bool
@@ -142,6 +144,16 @@
 	}
 }
 
+// rejectReason is the reason of rejections of connections.
+const rejectReason = "gateway short of processor or connections"
+
+func newRejecter(g *Gateway) *reject.Rejecter {
+	return reject.New(reject.Options{
+		Reason: rejectReason, RetryAfter: overloadRetryAfter, IDHeader: g.options.Codec.RequestIDHeader(), Log: g.log,
+		OnRejected: func() { g.options.Metrics.RequestEnded(Outcome{Result: "denied"}) },
+	})
+}
+
 // Accept implements net.Listener. The decision on the next connection is made before it is
 // accepted, since a connection to be rejected is accepted with fewer system calls.
 func (a *admissionListener) Accept() (net.Conn, error) {
@@ -239,7 +251,7 @@
 // acceptSocket accepts a pending connection without the setup that the runtime does for each
 // connection: that saves three of the some nine system calls that a rejection takes. ok is
 // false if no connection is pending.
-func (a *admissionListener) acceptSocket() (s socket, ok bool) {
+func (a *admissionListener) acceptSocket() (s reject.Socket, ok bool) {
 	sysConn, isSysConn := a.Listener.(syscall.Conn)
 	if !isSysConn {
 		return 0, false
@@ -251,14 +263,14 @@
 	controlErr := raw.Control(func(listener uintptr) {
 		var fd int
 		fd, _, err = unix.Accept4(int(listener), unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
-		s = socket(fd)
+		s = reject.Socket(fd)
 	})
 	return s, controlErr == nil && err == nil
 }
 
 // reject passes a connection to the rejecter.
-func (a *admissionListener) reject(c rejectableConn) {
-	a.rejecter.conns <- c // the rejecter receives until the listener is closed
+func (a *admissionListener) reject(c reject.Conn) {
+	a.rejecter.Reject(c) // the rejecter receives until the listener is closed
 }
 
 // callerConn is a caller's connection. It counts against the capacity until it is closed.
@@ -291,6 +303,22 @@
 	return n, err
 }
 
+// ReadNow implements reject.Conn.
+func (c *callerConn) ReadNow(buffer []byte) (n int, err error) {
+	raw, err := rawConn(c.Conn)
+	if err != nil {
+		return 0, err
+	}
+	readErr := raw.Read(func(fd uintptr) bool {
+		n, err = unix.Read(int(fd), buffer)
+		return true
+	})
+	if readErr != nil {
+		return 0, readErr
+	}
+	return n, err
+}
+
 // CallerClosed implements handoff.CloseChecker.
 func (c *callerConn) CallerClosed() bool { return c.closedByCaller() }
 
--- a/gateway/admission_test.go
+++ b/gateway/admission_test.go
@@ -13,6 +13,8 @@
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
+
+	"opalbridge.dev/gateway/reject"
 )
 
 // TestCapacity checks that a process's capacity follows from its own limits.
@@ -55,13 +57,13 @@
 	l, err := ListenCallers("127.0.0.1:0")
 	require.NoError(t, err)
 	m = &deniedCounter{}
-	a := &admissionListener{Listener: l, capacity: r, overload: o, offload: func(*callerConn) bool { return false }, unread: unreadConns{since: map[*callerConn]time.Time{}}, rejecter: &rejecter{
-		conns: make(chan rejectableConn, maxPendingRejects), log: zerolog.Nop(), metrics: m, idHeader: "Id", buffer: make([]byte, rejectBufferSize),
-	}}
+	a := &admissionListener{Listener: l, capacity: r, overload: o, offload: func(*callerConn) bool { return false }, unread: unreadConns{since: map[*callerConn]time.Time{}}, rejecter: reject.New(reject.Options{
+		Reason: rejectReason, RetryAfter: overloadRetryAfter, IDHeader: "Id", Log: zerolog.Nop(), OnRejected: func() { m.RequestEnded(Outcome{Result: "denied"}) },
+	})}
 	ctx, stop := context.WithCancel(context.Background())
 	rejected, served := make(chan struct{}), make(chan error, 1)
 	go func() {
-		a.rejecter.run(ctx)
+		a.rejecter.Run(ctx)
 		close(rejected)
 	}()
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })}
@@ -161,7 +163,7 @@
 		defer c.Close()
 	}
 	const many = 600
-	// A caller that takes longer than rejectTimeout to send its request is closed without a
+	// A caller that takes longer than reject.Timeout to send its request is closed without a
 	// response; on a busy machine one took 1.05 s.
 	type end struct {
 		elapsed time.Duration // from the dial to the last byte written
@@ -190,7 +192,7 @@
 			answered++
 			continue
 		}
-		require.Greater(t, e.elapsed, rejectTimeout, "%v", e.err)
+		require.Greater(t, e.elapsed, reject.Timeout, "%v", e.err)
 	}
 	// A response is counted after it was written.
 	require.Eventually(t, func() bool { return m.denied.Load() >= answered }, time.Second, time.Millisecond)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -11,7 +11,7 @@
 //
 // The path of a request runs through these files: admission.go decides, from what overload.go
 // measures, whether its connection is served here, offloaded to another gateway (offload.go)
-// or rejected (reject.go); ingress.go parses and validates it; call.go sends it to a server
+// or rejected (package reject); ingress.go parses and validates it; call.go sends it to a server
 // and decides on retries; wait_queue.go queues requests that no server should get yet;
 // relay.go relays the response; caller_retries.go recognizes callers that retry.
 //
--- a/gateway/offload.go
+++ b/gateway/offload.go
@@ -17,6 +17,7 @@
 
 	"opalbridge.dev/gateway/handoff"
 	"opalbridge.dev/gateway/peer"
+	"opalbridge.dev/gateway/reject"
 )
 
 // This file offloads callers' connections to other gateways of the hall when this one lacks
@@ -90,7 +91,7 @@
 	targets   *offloadTargets
 	forwarder *handoff.Forwarder
 	overload  *overload
-	reject    func(rejectableConn) // takes a connection that could not be offloaded
+	reject    func(reject.Conn) // takes a connection that could not be offloaded
 	active    atomic.Int64
 	started   atomic.Int64 // since the last log line
 	ended     chan struct{}
@@ -99,10 +100,13 @@
 // Capacity of the channel of finished connections.
 const endedQueueSize = 64
 
+// drainPollInterval is how often a planned stop checks whether offloaded connections are left.
+const drainPollInterval = 5 * time.Millisecond
+
 // Maximum number of gateways tried per connection.
 const maxOffloadAttempts = 2
 
-func newOffloader(g *Gateway, reject func(rejectableConn)) (*offloader, error) {
+func newOffloader(g *Gateway, reject func(reject.Conn)) (*offloader, error) {
 	_, port, err := net.SplitHostPort(g.options.Peer.Address)
 	if err != nil {
 		return nil, errors.Wrap(err, "gateway: own peer address")
@@ -116,7 +120,7 @@
 // offloadableConn is a connection that can be offloaded, or rejected if that fails.
 type offloadableConn interface {
 	net.Conn
-	rejectableConn
+	reject.Conn
 }
 
 // offload offloads a connection in the background; false: there is no gateway to take it.
@@ -174,7 +178,7 @@
 
 // drain waits until no offloaded connection is left, or ctx ends.
 func (o *offloader) drain(ctx context.Context) {
-	tick := time.NewTicker(rejectPollInterval)
+	tick := time.NewTicker(drainPollInterval)
 	defer tick.Stop()
 	for o.active.Load() > 0 {
 		select {
@@ -225,7 +229,7 @@
 	return r.callerConn.Read(b)
 }
 
-// ReadNow implements rejectableConn.
+// ReadNow implements reject.Conn.
 func (r *replayConn) ReadNow(b []byte) (int, error) {
 	if len(r.read) > 0 {
 		return r.Read(b)
--- a/gateway/offload_path_test.go
+++ b/gateway/offload_path_test.go
@@ -72,7 +72,7 @@
 		close(offloadDone)
 	}()
 	go func() {
-		a.rejecter.run(rejectCtx)
+		a.rejecter.Run(rejectCtx)
 		close(rejectDone)
 	}()
 	t.Cleanup(func() {
--- a/gateway/reject.go
+++ b/gateway/reject/reject.go
@@ -1,8 +1,18 @@
-package gateway
+// Package reject rejects callers' connections at low cost: one goroutine responds to all of them,
+// without parsing and without a goroutine or a buffer per connection. A connection that the HTTP
+// server handles costs a small host several times as much, even if its request is refused.
+//
+// # Usage
+//
+//	r := reject.New(reject.Options{Reason: "short of processor", RetryAfter: 150 * time.Millisecond, IDHeader: "Id", Log: log, OnRejected: count})
+//	go r.Run(ctx)
+//	r.Reject(connection) // gets 503 once its request has arrived, and is closed
+package reject
 
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"strconv"
 	"time"
@@ -11,77 +21,83 @@
 	"golang.org/x/sys/unix"
 )
 
-// This file rejects connections at low cost: one goroutine responds to all of them, without
-// parsing and without a goroutine or a buffer per connection. A connection that the HTTP
-// server handles costs a small host several times as much, even if its request is refused.
-
 const (
 	// Maximum number of connections waiting to be rejected; at the bound, no more are
 	// accepted. The kernel's accept queue holds the next ones, and when it is full, callers
 	// try other gateways.
-	maxPendingRejects = 256
+	maxPending = 256
 	// Polling interval for requests: a caller's request arrives one round trip after its
 	// connection.
-	rejectPollInterval = 5 * time.Millisecond
-	// A connection without a whole request after this time is closed.
-	rejectTimeout = 300 * time.Millisecond
+	pollInterval = 5 * time.Millisecond
+	// Timeout is the time after which a connection without a whole request is closed.
+	Timeout = 300 * time.Millisecond
 	// Maximum size of a request header that is read.
-	maxRejectedHeaderBytes = 16 << 10
-	rejectBufferSize       = 32 << 10
+	maxHeaderBytes = 16 << 10
+	bufferSize     = 32 << 10
 	// Maximum number of rejected requests per log line.
-	maxRejectsPerLogLine = 64
+	maxIDsPerLogLine = 64
 	// Maximum delay of a log line.
-	rejectLogInterval = 250 * time.Millisecond
+	logInterval = 250 * time.Millisecond
 )
 
-// rejectResponse tells the caller that its request has not run, and when to retry.
-var rejectResponse = []byte("HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n" +
-	"Content-Type: text/plain; charset=utf-8\r\n" +
-	"Retry-After: " + strconv.FormatFloat(overloadRetryAfter.Seconds(), 'f', 3, 64) + "\r\n" +
-	"Content-Length: " + strconv.Itoa(len(rejectReason)) + "\r\n\r\n" + rejectReason)
+// Options configure a Rejecter.
+type Options struct {
+	Reason     string        // for callers and the log
+	RetryAfter time.Duration // when callers may retry
+	IDHeader   string        // name of the request ID header
+	Log        zerolog.Logger
+	OnRejected func() // called for each rejected request; must not block
+}
 
-const rejectReason = "gateway short of processor or connections\n"
+// response returns the response that tells a caller that its request has not run, and when to
+// retry.
+func (o Options) response() []byte {
+	return fmt.Appendf(nil, "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n"+
+		"Content-Type: text/plain; charset=utf-8\r\nRetry-After: %.3f\r\nContent-Length: %d\r\n\r\n%s\n",
+		o.RetryAfter.Seconds(), len(o.Reason)+1, o.Reason)
+}
 
-// rejectableConn is a connection that can be rejected.
-type rejectableConn interface {
+// Conn is a connection that can be rejected.
+type Conn interface {
 	io.WriteCloser
 	ReadNow(b []byte) (int, error) // does not block; EAGAIN: no data is available
 }
 
-// socket is a connection to be rejected, by its file descriptor.
-type socket int
+// Socket is a connection to be rejected, by its file descriptor.
+type Socket int
 
-// ReadNow implements rejectableConn.
-func (s socket) ReadNow(b []byte) (int, error) { return unix.Read(int(s), b) }
+// ReadNow implements Conn.
+func (s Socket) ReadNow(b []byte) (int, error) { return unix.Read(int(s), b) }
 
 // Write implements io.Writer.
-func (s socket) Write(b []byte) (int, error) { return unix.Write(int(s), b) }
+func (s Socket) Write(b []byte) (int, error) { return unix.Write(int(s), b) }
 
 // Close implements io.Closer.
-func (s socket) Close() error { return unix.Close(int(s)) }
+func (s Socket) Close() error { return unix.Close(int(s)) }
 
-// rejecter responds to rejected connections.
-type rejecter struct {
-	conns    chan rejectableConn
-	log      zerolog.Logger
-	metrics  Metrics
-	idHeader string // name of the request ID header
+// Rejecter responds to rejected connections.
+type Rejecter struct {
+	options  Options
+	response []byte
+	conns    chan Conn
 	buffer   []byte
 	waiting  []*rejectedConn
 	ids      []string // of the requests rejected since the last log line
 	loggedAt time.Time
 }
 
-func newRejecter(g *Gateway) *rejecter {
-	return &rejecter{
-		conns: make(chan rejectableConn, maxPendingRejects), log: g.log, metrics: g.options.Metrics,
-		idHeader: g.options.Codec.RequestIDHeader(), buffer: make([]byte, rejectBufferSize),
-	}
+// New returns a Rejecter that is not running yet.
+func New(o Options) *Rejecter {
+	return &Rejecter{options: o, response: o.response(), conns: make(chan Conn, maxPending), buffer: make([]byte, bufferSize)}
 }
 
+// Reject passes a connection to the Rejecter, which closes it. It blocks while too many are
+// waiting, and for good after Run has ended.
+func (r *Rejecter) Reject(c Conn) { r.conns <- c }
+
 // rejectedConn is a connection that is being rejected.
 type rejectedConn struct {
-	rejectableConn
+	Conn
 	since          time.Time
 	header         []byte // without the body, once complete
 	headerComplete bool
@@ -90,14 +106,14 @@
 	disconnected   bool
 }
 
-// run rejects connections until ctx ends; then it closes the rest.
-func (r *rejecter) run(ctx context.Context) {
-	tick := time.NewTicker(rejectPollInterval)
+// Run rejects connections until ctx ends; then it closes the rest.
+func (r *Rejecter) Run(ctx context.Context) {
+	tick := time.NewTicker(pollInterval)
 	tick.Stop()
 	defer tick.Stop()
 	for {
 		conns := r.conns
-		if len(r.waiting) >= maxPendingRejects {
+		if len(r.waiting) >= maxPending {
 			conns = nil
 		}
 		select {
@@ -106,9 +122,9 @@
 			return
 		case c := <-conns:
 			if len(r.waiting) == 0 {
-				tick.Reset(rejectPollInterval)
+				tick.Reset(pollInterval)
 			}
-			r.waiting = append(r.waiting, &rejectedConn{rejectableConn: c, since: time.Now()})
+			r.waiting = append(r.waiting, &rejectedConn{Conn: c, since: time.Now()})
 		case now := <-tick.C:
 			r.poll(now)
 			if len(r.waiting) == 0 {
@@ -118,7 +134,7 @@
 	}
 }
 
-func (r *rejecter) closeAll() {
+func (r *Rejecter) closeAll() {
 	for _, c := range r.waiting {
 		c.Close()
 	}
@@ -134,10 +150,10 @@
 
 // poll reads from all connections and responds to those whose request is complete or timed
 // out.
-func (r *rejecter) poll(now time.Time) {
+func (r *Rejecter) poll(now time.Time) {
 	kept := r.waiting[:0]
 	for _, c := range r.waiting {
-		timedOut := now.Sub(c.since) > rejectTimeout
+		timedOut := now.Sub(c.since) > Timeout
 		if !c.readAvailable(r.buffer) && !timedOut {
 			kept = append(kept, c)
 			continue
@@ -146,27 +162,27 @@
 	}
 	clear(r.waiting[len(kept):])
 	r.waiting = kept
-	if len(r.ids) >= maxRejectsPerLogLine || len(r.ids) > 0 && now.Sub(r.loggedAt) > rejectLogInterval {
+	if len(r.ids) >= maxIDsPerLogLine || len(r.ids) > 0 && now.Sub(r.loggedAt) > logInterval {
 		r.logRejected(now)
 	}
 }
 
 // finish ends a connection. An incomplete request gets no response.
-func (r *rejecter) finish(c *rejectedConn) {
+func (r *Rejecter) finish(c *rejectedConn) {
 	defer c.Close()
 	if c.disconnected || !c.headerComplete {
 		return
 	}
 	// The caller may be gone, so a write error is ignored.
-	_, _ = c.Write(rejectResponse)
-	r.ids = append(r.ids, string(headerValue(c.header, r.idHeader)))
-	r.metrics.RequestEnded(Outcome{Result: "denied"})
+	_, _ = c.Write(r.response)
+	r.ids = append(r.ids, string(headerValue(c.header, r.options.IDHeader)))
+	r.options.OnRejected()
 }
 
 // logRejected logs the requests that were rejected since the last log line.
-func (r *rejecter) logRejected(now time.Time) {
-	r.log.Info().Str("event", "request.denied").Strs("requests", r.ids).Int("status", 503).
-		Str("reason", "gateway short of processor or connections").Dur("retry_after", overloadRetryAfter).Msg("requests rejected")
+func (r *Rejecter) logRejected(now time.Time) {
+	r.options.Log.Info().Str("event", "request.denied").Strs("requests", r.ids).Int("status", 503).
+		Str("reason", r.options.Reason).Dur("retry_after", r.options.RetryAfter).Msg("requests rejected")
 	r.ids, r.loggedAt = r.ids[:0], now
 }
 
@@ -186,7 +202,7 @@
 		if c.headerComplete && c.bodyLeft <= 0 {
 			return true
 		}
-		if len(c.header) > maxRejectedHeaderBytes {
+		if len(c.header) > maxHeaderBytes {
 			c.headerComplete = true
 			return true
 		}
@@ -230,22 +246,6 @@
 	}
 }
 
-// ReadNow implements rejectableConn.
-func (c *callerConn) ReadNow(buffer []byte) (n int, err error) {
-	raw, err := rawConn(c.Conn)
-	if err != nil {
-		return 0, err
-	}
-	readErr := raw.Read(func(fd uintptr) bool {
-		n, err = unix.Read(int(fd), buffer)
-		return true
-	})
-	if readErr != nil {
-		return 0, readErr
-	}
-	return n, err
-}
-
 // headerValue returns the value of a header field of a request, or nil if it has none.
 func headerValue(header []byte, name string) []byte {
 	for line := range bytes.Lines(header) {
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -51,7 +51,7 @@
 	rejectCtx, stopReject := context.WithCancel(context.WithoutCancel(background))
 	rejectDone := make(chan struct{})
 	go func() {
-		listener.rejecter.run(rejectCtx)
+		listener.rejecter.Run(rejectCtx)
 		close(rejectDone)
 	}()
 	readyServer := &http.Server{Handler: g.readyHandler(), ReadHeaderTimeout: headerTimeout}
