gateway/slots: requests to plain services wait at the gateway for a slot

With plain_queue: slots, a server of a plain service gets as many requests from the fleet as it has slots and a short queue. What is beyond waits at the gateway by priority and age, or is refused at once if by the learned answer time it cannot be answered within its objective. A server that answers nothing for several times its usual answer time counts as stalled and gets probes only. Without the setting, decisions are as before.

--- a/cmd/opalbridge/gateway.go
+++ b/cmd/opalbridge/gateway.go
@@ -82,6 +82,11 @@
 	c.RecordStreamResumed(service, string(outcome))
 }
 
+// SlotDecided implements gateway.Metrics.
+func (c requestMetrics) SlotDecided(service string, decision gateway.SlotDecision) {
+	c.RecordSlotDecision(service, string(decision))
+}
+
 func runGateway(ctx context.Context, s *settings.Settings, file string) error {
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(heapLimitRatio * float64(s.MemoryMB) * (1 << 20)))
--- a/gateway/admission_test.go
+++ b/gateway/admission_test.go
@@ -47,6 +47,7 @@
 func (c *deniedCounter) RetryDecided(string, bool)               {}
 func (c *deniedCounter) RetryAcknowledged(string, time.Duration) {}
 func (c *deniedCounter) StreamResumed(string, ResumeOutcome)     {}
+func (c *deniedCounter) SlotDecided(string, SlotDecision)        {}
 
 // startAdmission starts an admission listener with a capacity, in front of a server that
 // responds with 200.
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -13,6 +13,7 @@
 	"opalbridge.dev/gateway/peer"
 	"opalbridge.dev/gateway/placement"
 	"opalbridge.dev/gateway/share"
+	"opalbridge.dev/gateway/slots"
 	"opalbridge.dev/gateway/warmup"
 )
 
@@ -83,6 +84,9 @@
 	backoffUntil         map[string]time.Time      // end of the backoff that a server has asked for, by server
 	peerRunning          map[string]map[uint64]int // running requests by server hash, by live gateway
 	demandByGateway      map[string]float64        // tokens asked for in the share window, by gateway, including this one
+	slots                *slots.Model              // of plain services; nil: their requests do not wait for slots
+	slotServers          map[string][]uint64       // hashes of plain servers that report their slots, by service
+	activeCountedAt      time.Time                 // when the gateways that have requests there were counted
 }
 
 // DispatcherOptions configures placement, shares and retries.
@@ -136,6 +140,9 @@
 		coldLimiter: warmup.NewLimiter(), lastRequested: map[string]time.Time{}, halls: map[string]string{},
 	}
 	d.balancer.SetRegions(s.Regions)
+	if s.Features.QueuePlainWork {
+		d.slots = d.balancer.QueuePlainWork()
+	}
 	d.peerState.Store(&peer.State{})
 	return d
 }
@@ -205,6 +212,7 @@
 			d.acknowledgeLate(now)
 			d.queueClaims(now)
 			d.advanceRollouts(now)
+			d.checkSlots(now)
 			if d.publishPending {
 				d.publish()
 			}
@@ -253,6 +261,7 @@
 		return placement.Refuse{RetryAfter: d.settings.Policy.MinRetryAfter, Reason: retryBudgetSpent}
 	}
 	d.setShareStatus(m.request)
+	d.setSlotStatus(now, m.request)
 	var decision placement.Decision
 	ro := d.rollouts[m.request.Service]
 	if ro == nil {
@@ -279,6 +288,7 @@
 		service: m.request.Service, retry: m.retry,
 	}
 	d.running[assign.Server.ID]++
+	d.recordSlotSend(now, m.request.Service, assign)
 	if ro != nil {
 		d.recordRolloutSend(now, ro, assign)
 	}
@@ -319,6 +329,7 @@
 	if d.running[m.server] <= 0 {
 		delete(d.running, m.server)
 	}
+	d.recordSlotEnd(now, m)
 	d.schedulePublish(now)
 }
 
@@ -358,6 +369,7 @@
 		d.serverIDs[h] = s.ID
 		d.balancer.SetRemoteRunning(s.ID, peerRunning[h]) // peers may have reported it before this gateway knew the server
 	}
+	d.setSlotServers()
 	d.setColdServers(now, v)
 	d.setRollouts(now, v)
 	d.publish()
--- a/gateway/dispatcher_retries.go
+++ b/gateway/dispatcher_retries.go
@@ -99,3 +99,4 @@
 func (discardMetrics) RetryDecided(string, bool)               {}
 func (discardMetrics) RetryAcknowledged(string, time.Duration) {}
 func (discardMetrics) StreamResumed(string, ResumeOutcome)     {}
+func (discardMetrics) SlotDecided(string, SlotDecision)        {}
--- a/gateway/dispatcher_rollout.go
+++ b/gateway/dispatcher_rollout.go
@@ -227,7 +227,7 @@
 	case placement.Hold:
 		return s.rollout.Stage() == rollout.Full
 	case placement.Refuse:
-		return s.rollout.Stage() == rollout.Full && (decision.Reason == placement.OverShare || decision.Reason == placement.TooLate)
+		return s.rollout.Stage() == rollout.Full && (decision.Reason == placement.OverShare || decision.Reason == placement.TooLate || decision.Reason == placement.NoSlot)
 	default:
 		return false
 	}
--- /dev/null
+++ b/gateway/dispatcher_slots.go
@@ -0,0 +1,247 @@
+package gateway
+
+import (
+	"slices"
+	"time"
+
+	"opalbridge.dev/gateway/placement"
+	"opalbridge.dev/gateway/slots"
+)
+
+// This file is the dispatcher's part in the queue for plain services (see package slots). A request
+// that waits has not been sent yet, so the queue repeats nothing.
+
+const (
+	// maxHeldPerScan is how many waiting requests of a service are tried in vain in a scan: more
+	// than one, since a request that was tried at the free server already must not block the rest.
+	maxHeldPerScan = 4
+	// activeInterval is the minimum time between two counts of the gateways that have requests at
+	// plain servers: with 2,400 gateways and 4 servers a count takes 0.2 ms.
+	activeInterval = 20 * time.Millisecond
+)
+
+// SlotDecision is what becomes of a request to a plain service whose slots are taken.
+type SlotDecision string
+
+// Decisions on requests to plain services.
+const (
+	SlotHeld    SlotDecision = "held"
+	SlotRefused SlotDecision = "refused"
+)
+
+// setSlotServers takes over the servers of a new view.
+func (d *dispatcher) setSlotServers() {
+	if d.slots == nil {
+		return
+	}
+	d.slots.Retain(d.balancer.WaitsForSlots)
+	d.slotServers = map[string][]uint64{}
+	for h, id := range d.serverIDs {
+		if d.balancer.WaitsForSlots(id) {
+			service := d.balancer.ServiceOf(id)
+			d.slotServers[service] = append(d.slotServers[service], h)
+		}
+	}
+	d.activeCountedAt = time.Time{}
+}
+
+// countActive counts the other gateways that have requests at the servers of each plain service.
+func (d *dispatcher) countActive(now time.Time) {
+	if now.Sub(d.activeCountedAt) < activeInterval {
+		return
+	}
+	d.activeCountedAt = now
+	d.slots.SetFleet(d.fleetSize())
+	for service, servers := range d.slotServers {
+		active := 0
+		for _, running := range d.peerRunning {
+			if slices.ContainsFunc(servers, func(h uint64) bool { return running[h] > 0 }) {
+				active++
+			}
+		}
+		d.slots.SetActive(service, active)
+	}
+}
+
+// setSlotStatus fills in what a request to a plain service has to know of others that wait.
+func (d *dispatcher) setSlotStatus(now time.Time, a *placement.Request) {
+	if d.slots == nil || len(d.slotServers[a.Service]) == 0 {
+		return
+	}
+	d.countActive(now)
+	if a.HoldReason != placement.NoSlot {
+		a.Ahead = d.queue.ahead(a)
+	}
+}
+
+// recordSlotSend records a request to a plain server.
+func (d *dispatcher) recordSlotSend(now time.Time, service string, a placement.Assign) {
+	if d.slots != nil && d.balancer.WaitsForSlots(a.Server.ID) {
+		d.slots.RecordSent(now, a.ID, service, a.Server.ID)
+	}
+}
+
+// recordSlotSign records that a plain server has begun to answer.
+func (d *dispatcher) recordSlotSign(now time.Time, attemptID uint64) {
+	if d.slots != nil {
+		d.slots.RecordSign(now, attemptID)
+	}
+}
+
+// recordSlotEnd records the end of an attempt, which may free a slot.
+func (d *dispatcher) recordSlotEnd(now time.Time, m attemptEnded) {
+	if d.slots == nil || !d.balancer.WaitsForSlots(m.server) {
+		return
+	}
+	d.slots.RecordEnd(now, m.attemptID, slotOutcome(m), !d.unreliable(now, now.Add(-catchUpTime)))
+	d.scanSlots(now, false)
+}
+
+// slotOutcome returns what the end of an attempt says about its server.
+func slotOutcome(m attemptEnded) slots.Outcome {
+	switch {
+	case m.end == placement.Served:
+		return slots.Answered
+	case m.end == placement.Rejected:
+		return slots.Rejected
+	case m.end == placement.Failed && m.status != 0:
+		return slots.Failed
+	default:
+		return slots.NoSign
+	}
+}
+
+// holdForSlot queues a request to a plain service. If the queue is full, the request that would be
+// sent last is refused.
+func (d *dispatcher) holdForSlot(w *waiter) {
+	d.metrics.SlotDecided(w.original.Service, SlotHeld)
+	if d.queue.length() >= maxWaiting {
+		last := d.queue.lastForSlots()
+		if last == nil || last.original.Priority <= w.original.Priority {
+			d.refuseSlot(w)
+			return
+		}
+		d.queue.slots = slices.DeleteFunc(d.queue.slots, func(x *waiter) bool { return x == last })
+		d.refuseSlot(last)
+	}
+	d.queue.addForSlot(w)
+}
+
+func (d *dispatcher) refuseSlot(w *waiter) {
+	d.metrics.SlotDecided(w.original.Service, SlotRefused)
+	d.refuse(w)
+}
+
+// countRefusedForSlot counts a refusal for want of a slot.
+func (d *dispatcher) countRefusedForSlot(service string, decision placement.Decision) {
+	if r, ok := decision.(placement.Refuse); ok && r.Reason == placement.NoSlot {
+		d.metrics.SlotDecided(service, SlotRefused)
+	}
+}
+
+// ahead returns how many requests to the service go before a new one.
+func (q *waitQueue) ahead(a *placement.Request) int {
+	n := 0
+	for _, w := range q.slots {
+		if w.original.Priority > a.Priority {
+			break
+		}
+		if w.original.Service == a.Service {
+			n++
+		}
+	}
+	return n
+}
+
+// length returns the number of all waiting requests.
+func (q *waitQueue) length() int { return len(q.waiters) + len(q.slots) }
+
+// lastForSlots returns the request that would get a slot last; nil if there is none.
+func (q *waitQueue) lastForSlots() *waiter {
+	if len(q.slots) == 0 {
+		return nil
+	}
+	return q.slots[len(q.slots)-1]
+}
+
+// addForSlot queues a request behind those that are as urgent.
+func (q *waitQueue) addForSlot(w *waiter) {
+	if q.length() == 0 {
+		q.timer.Reset(waitScanInterval)
+	}
+	i := len(q.slots)
+	for i > 0 && q.slots[i-1].original.Priority > w.original.Priority {
+		i--
+	}
+	q.slots = slices.Insert(q.slots, i, w)
+}
+
+// scanSlots sends waiting requests to plain servers that have free slots, in order of priority and
+// age, and refuses those that cannot start in time. Unless all is set, those far behind are refused
+// only once they are late.
+func (d *dispatcher) scanSlots(now time.Time, all bool) {
+	if len(d.queue.slots) == 0 {
+		return
+	}
+	held, ahead := map[string]int{}, map[string]int{}
+	remaining := d.queue.slots[:0]
+	for _, w := range d.queue.slots {
+		if w.cancelled() {
+			w.message.reply <- placement.NoServer{} // the reply is not read
+			continue
+		}
+		service := w.original.Service
+		w.refresh(now)
+		a := w.message.request
+		if late := w.original.Objective > 0 && a.Objective < 0 || a.Remaining <= 0; held[service] >= maxHeldPerScan && !all && !late {
+			remaining = append(remaining, w)
+			ahead[service]++
+			continue
+		}
+		a.Ahead = ahead[service]
+		decision := d.decide(now, w.message)
+		switch decision := decision.(type) {
+		case placement.Hold:
+			if decision.Reason == placement.NoSlot || decision.Reason == placement.BackingOff {
+				held[service]++
+				ahead[service]++
+				remaining = append(remaining, w)
+				continue
+			}
+		default:
+			d.countRefusedForSlot(service, decision)
+		}
+		w.message.reply <- decision
+	}
+	clear(d.queue.slots[len(remaining):])
+	d.queue.slots = remaining
+}
+
+// checkSlots finds plain servers that have stalled and waiting requests that are late.
+func (d *dispatcher) checkSlots(now time.Time) {
+	if d.slots == nil {
+		return
+	}
+	if d.unreliable(now, now.Add(-catchUpTime)) {
+		d.slots.ResetSilence(now)
+		return
+	}
+	d.slots.DetectStalls(now)
+	d.scanSlots(now, true)
+	d.logStalls()
+}
+
+// logStalls logs servers that have stalled or answer again.
+func (d *dispatcher) logStalls() {
+	if d.slots == nil {
+		return
+	}
+	for _, c := range d.slots.TakeChanges() {
+		event, text := "server.answers_again", "server answers again"
+		if c.Stalled {
+			event, text = "server.stalled", "server has stalled: no requests until it answers, but probes"
+		}
+		d.log.Info().Str("event", event).Str("server", c.Server).Dur("silent", c.Silent).Dur("usual", c.Usual).
+			Int("requests", c.Waiting).Msg(text)
+	}
+}
--- a/gateway/dispatcher_updates.go
+++ b/gateway/dispatcher_updates.go
@@ -34,6 +34,7 @@
 	d.lastHeard[m.server] = now
 	d.balancer.RecordAccepting(now, m.server)
 	d.recordRolloutFirstEvent(now, m.attemptID)
+	d.recordSlotSign(now, m.attemptID)
 	if p == nil || p.copiesCache {
 		return // while it copied, later requests may have overtaken it
 	}
@@ -87,6 +88,9 @@
 			continue
 		}
 		p.reportedSilent = true
+		if d.balancer.WaitsForSlots(p.server) {
+			continue // it counts as stalled
+		}
 		d.log.Warn().Str("event", "server.silent").Str("server", p.server).Dur("overdue", now.Sub(p.due)).
 			Dur("heard", now.Sub(d.lastHeard[p.server])).Msg("server is silent: no requests for a while")
 		d.balancer.RecordSilence(now, p.server)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,7 +16,8 @@
 // relay.go relays the response; caller_retries.go recognizes callers that retry.
 //
 // Placement: dispatcher.go makes all decisions with package placement, dispatcher_cold.go
-// limits the load of cold servers, dispatcher_rollout.go moves a service to a new version:
+// limits the load of cold servers, dispatcher_slots.go queues requests to plain services for slots,
+// dispatcher_rollout.go moves a service to a new version:
 // dispatcher_rollout_answers.go counts the answers and dispatcher_rollout_status.go reports the
 // progress.
 //
@@ -83,6 +84,8 @@
 	RetryAcknowledged(service string, delay time.Duration)
 	// StreamResumed records what became of a caller's attempt to take up a stream.
 	StreamResumed(service string, outcome ResumeOutcome)
+	// SlotDecided records that a request to a plain service was held or refused for want of a slot.
+	SlotDecided(service string, decision SlotDecision)
 }
 
 // Outcome describes a finished request.
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -28,6 +28,7 @@
 	"time"
 
 	"opalbridge.dev/gateway/catalog"
+	"opalbridge.dev/gateway/slots"
 )
 
 // Part is a segment of a prompt that requests may share, identified by a hash of its ID.
@@ -58,6 +59,7 @@
 	Version       string          // software version that began the stream, if Pinned; empty: unknown, so no server may run it
 	Hall          string          // hall of the gateway
 	Priority      int             // 0 is the most urgent
+	Ahead         int             // requests that wait for a slot of the service at this gateway and go before it
 	MaxEventGap   time.Duration   // longest interval between events within the objective; 0: none
 	TieBreak      uint64          // random; chooses among servers of similar cost
 }
@@ -117,6 +119,7 @@
 	services map[string][]*server // sorted by ID
 	speeds   map[string]*speed    // by service
 	regions  map[string]string    // by hall
+	slots    *slots.Model         // nil: requests to plain servers do not wait for slots
 }
 
 // NewBalancer returns a Balancer without servers.
@@ -277,18 +280,25 @@
 // placePlain chooses the server with the lowest relative load, preferring the gateway's
 // hall.
 func (b *Balancer) placePlain(now time.Time, req *Request, servers []*server) Decision {
-	cost := func(s *server) float64 {
-		c := float64(s.localRunning+s.remoteRunning) / float64(max(s.Capacity, 1))
-		c += b.policy.PlainFailureCost * s.failureRate(now)
-		if s.Hall != req.Hall {
-			c += b.policy.PlainCrossHallCost
+	if b.slots != nil {
+		if d, ok := b.placeInSlots(now, req, servers); ok {
+			return d
 		}
-		return c
 	}
-	best := slices.MinFunc(servers, func(x, y *server) int { return cmp.Compare(cost(x), cost(y)) })
+	best := slices.MinFunc(servers, func(x, y *server) int { return cmp.Compare(b.plainCost(now, req, x), b.plainCost(now, req, y)) })
 	return Assign{Server: best.Server, Load: Load{Server: best.ID}}
 }
 
+// plainCost returns the cost of a plain server: its load, recent failures and distance.
+func (b *Balancer) plainCost(now time.Time, req *Request, s *server) float64 {
+	c := float64(s.localRunning+s.remoteRunning) / float64(max(s.Capacity, 1))
+	c += b.policy.PlainFailureCost * s.failureRate(now)
+	if s.Hall != req.Hall {
+		c += b.policy.PlainCrossHallCost
+	}
+	return c
+}
+
 func (b *Balancer) placeEngine(now time.Time, req *Request, servers []*server) Decision {
 	best := b.cheapest(now, req, servers)
 	r := b.deferReason(now, req, best)
@@ -331,6 +341,7 @@
 	TooLate    Reason = "no server in time"
 	Cold       Reason = "all servers are cold"
 	BackingOff Reason = "all servers have asked for rest"
+	NoSlot     Reason = "no free slot in time"
 )
 
 // deferReason returns why a request should not be sent to its best server now, or InTime.
--- /dev/null
+++ b/gateway/placement/slots.go
@@ -0,0 +1,50 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"opalbridge.dev/gateway/slots"
+)
+
+// This file places requests to plain services whose servers report how many slots they have:
+// package slots.
+
+// QueuePlainWork makes requests to plain servers wait for slots. The model that is returned decides
+// on them; it has to be told what is sent to the servers and how that ends.
+func (b *Balancer) QueuePlainWork() *slots.Model {
+	b.slots = slots.NewModel()
+	return b.slots
+}
+
+// WaitsForSlots reports whether requests to a server wait for slots.
+func (b *Balancer) WaitsForSlots(server string) bool {
+	s := b.servers[server]
+	return s != nil && b.slots != nil && s.engine == nil && s.Capacity > 0
+}
+
+// placeInSlots decides on a request to a plain service by the slots of its servers. ok is false if
+// they are not known.
+func (b *Balancer) placeInSlots(now time.Time, req *Request, servers []*server) (d Decision, ok bool) {
+	list := make([]slots.Server, len(servers))
+	for i, s := range servers {
+		if s.Capacity <= 0 {
+			return nil, false
+		}
+		list[i] = slots.Server{ID: s.ID, Capacity: s.Capacity, Local: s.localRunning, Remote: s.remoteRunning, Cost: b.plainCost(now, req, s)}
+	}
+	decision := b.slots.Decide(now, slots.Request{
+		Service: req.Service, Objective: req.Objective, Remaining: req.Remaining, Ahead: req.Ahead, Held: req.HoldReason == NoSlot,
+	}, list)
+	switch d := decision.(type) {
+	case slots.Send:
+		i := slices.IndexFunc(servers, func(s *server) bool { return s.ID == d.Server })
+		return Assign{Server: servers[i].Server, Load: Load{Server: d.Server}}, true
+	case slots.Wait:
+		return Hold{Predicted: d.Start, Reason: NoSlot}, true
+	case slots.Refuse:
+		return Refuse{RetryAfter: d.RetryAfter, Predicted: d.Start, Reason: NoSlot}, true
+	default:
+		return nil, false
+	}
+}
--- a/gateway/slots/slots.go
+++ b/gateway/slots/slots.go
@@ -4,13 +4,474 @@
 // # Usage
 //
 //	m := slots.NewModel()
-//	m.RecordAnswer(now, server, took)
+//	m.RecordSent(now, attempt, service, server)
+//	m.RecordEnd(now, attempt, slots.Answered)
 //	switch d := m.Decide(now, request, servers).(type) {
 //	case slots.Send:   // send it to d.Server
 //	case slots.Wait:   // ask again soon
 //	case slots.Refuse: // tell the caller to retry after d.RetryAfter
 //	}
+//	m.TakeChanges() // servers that stalled, or answer again
+//
+// A server gets as many requests as it has slots, and a short queue that covers the time between an
+// answer and the next request. What other gateways have there is known from their reports, which
+// may be late or lost. So each gateway also limits its own requests at a server by what that
+// server's answers show (a window that grows with answers in the usual time and shrinks with slow
+// answers and rejections), and may always use its even part of the slots.
 //
 // The package does no locking and no I/O and does not read the clock. A Model must be used by one
 // goroutine only.
 package slots
+
+import (
+	"math"
+	"time"
+)
+
+// Limits of what a server gets.
+const (
+	// Part of the objective that a request may wait in a server's own queue. There it can no longer
+	// be overtaken by more urgent ones.
+	queueFraction = 0.05
+	// Length of that queue in parts of the slots. A third covers a pause between an answer and the
+	// next request of a third of the answer time; requests that need longer belong in the gateway.
+	maxQueueRatio = 1.0 / 3
+	// Window of a server that has answered nothing lately: one request, and one to follow it.
+	minInitialWindow = 2.0
+	// A window that has not been used for this long starts again: others may have the slots by now.
+	windowRetention = time.Second
+	// Factor of the window after slow answers and rejections. Gateways that fill a server together
+	// give up a third each.
+	windowDecrease = 0.7
+	// A server whose latest answers take this much longer than usual has a queue of that length.
+	slowAnswerFactor = 2.0
+	// Weight of an answer among the latest ones.
+	recentWeight = 0.25
+	// Cost, in units of full load, by which a free server may exceed a full one. A server that
+	// fails most of its requests costs more and is free because it fails them.
+	maxCostExcess = 0.5
+)
+
+// Limits of silence.
+const (
+	// Answer times without an answer after which a server counts as stalled, and the least and most
+	// such time by the slowest tenth of answers. Servers that are slow for a moment take 2.5 times
+	// as long.
+	stallFactor    = 4
+	maxStallFactor = 8
+	slowFactor     = 2
+	minStall       = 20 * time.Millisecond // shorter pauses are the network's and this process's
+	// Interval between probes of a stalled server, in answer times. It doubles with each.
+	probeFactor      = 8
+	minProbeInterval = 50 * time.Millisecond
+	maxProbeInterval = 2 * time.Second
+)
+
+// Limits of refusals.
+const (
+	// A request that waits is refused when it would be late even if the estimate of its start were
+	// this many times too long. At its arrival the estimate itself decides.
+	waitingTolerance = 2
+	minRetryAfter    = 20 * time.Millisecond
+)
+
+// Request describes a request to a plain service.
+type Request struct {
+	Service   string
+	Objective time.Duration // time left until its answer is late; negative: already late; 0: no objective
+	Remaining time.Duration // time left until an answer is of no use
+	Ahead     int           // requests that wait at this gateway and go first
+	Held      bool          // it has waited before and is next in turn
+}
+
+// Server is a server that takes work.
+type Server struct {
+	ID       string
+	Capacity int     // slots; above 0
+	Local    int     // requests of this gateway in flight there
+	Remote   int     // requests of other gateways there, as last reported
+	Cost     float64 // orders servers with a free slot, in units of full load
+}
+
+// Decision is the result of [Model.Decide].
+type Decision interface{ decision() }
+
+// Send sends the request to a server.
+type Send struct {
+	Server string
+	Probe  bool // the server is stalled
+}
+
+// Wait holds the request at the gateway.
+type Wait struct {
+	Start time.Duration // predicted time until it is sent
+}
+
+// Refuse means that the request cannot start in time.
+type Refuse struct {
+	Start      time.Duration // predicted time until it would be sent
+	RetryAfter time.Duration
+}
+
+func (Send) decision()   {}
+func (Wait) decision()   {}
+func (Refuse) decision() {}
+
+// Outcome says how an attempt ended.
+type Outcome int
+
+// Outcomes of attempts.
+const (
+	Answered Outcome = iota // with an answer that shows how long answers take
+	Failed                  // with an answer that does not
+	Rejected                // the server has not run it
+	NoSign                  // without a sign of the server
+)
+
+// Change reports that a server stalled or answers again.
+type Change struct {
+	Server  string
+	Stalled bool
+	Silent  time.Duration // time without a sign of the server
+	Usual   time.Duration // its usual answer time
+	Waiting int           // requests of this gateway there
+}
+
+// Model is what a gateway knows of the servers of plain services.
+type Model struct {
+	fleet    int // live gateways
+	services map[string]*service
+	servers  map[string]*server
+	attempts map[uint64]attempt
+	changes  []Change
+}
+
+// service is the state of a service.
+type service struct {
+	answers estimate
+	active  int // gateways that have requests at its servers, including this one
+}
+
+// server is the state of one server.
+type server struct {
+	service     *service
+	answers     estimate
+	recent      float64   // moving average of answer times, in seconds
+	window      float64   // requests that this gateway may have there; 0: not set
+	shrunkAt    time.Time // when the window shrank
+	usedAt      time.Time // of the latest send or end
+	sentAt      time.Time // of the latest send
+	outstanding int
+	silentSince time.Time // latest sign of the server, or the send that ended a time without requests
+	stalled     bool
+	probeAt     time.Time // when the next probe may be sent
+	probeDelay  time.Duration
+	probe       uint64    // attempt that is the latest probe; 0: it has ended
+	resumedAt   time.Time // end of the latest stall
+}
+
+// attempt is a request of this gateway in flight.
+type attempt struct {
+	server string
+	sentAt time.Time
+}
+
+// NewModel returns a Model without servers.
+func NewModel() *Model {
+	return &Model{fleet: 1, services: map[string]*service{}, servers: map[string]*server{}, attempts: map[uint64]attempt{}}
+}
+
+// SetFleet sets the number of live gateways, including this one.
+func (m *Model) SetFleet(gateways int) { m.fleet = max(gateways, 1) }
+
+// SetActive sets how many gateways have requests at a service's servers, not counting this one.
+func (m *Model) SetActive(name string, others int) { m.service(name).active = max(others, 0) + 1 }
+
+// Retain removes the servers for which known returns false.
+func (m *Model) Retain(known func(server string) bool) {
+	for id := range m.servers {
+		if !known(id) {
+			delete(m.servers, id)
+		}
+	}
+}
+
+func (m *Model) service(name string) *service {
+	s := m.services[name]
+	if s == nil {
+		s = &service{active: 1}
+		m.services[name] = s
+	}
+	return s
+}
+
+func (m *Model) server(serviceName, id string) *server {
+	s := m.servers[id]
+	if s == nil {
+		s = &server{service: m.service(serviceName)}
+		m.servers[id] = s
+	}
+	return s
+}
+
+// usual returns the usual answer time of a server, or of its service until enough of its own
+// answers were seen; 0: unknown.
+func (s *server) usual() time.Duration {
+	if s.answers.known() {
+		return s.answers.median
+	}
+	return s.service.answers.median
+}
+
+// RecordSent records that an attempt of this gateway was sent to a server.
+func (m *Model) RecordSent(now time.Time, id uint64, serviceName, serverID string) {
+	s := m.server(serviceName, serverID)
+	if s.outstanding++; s.outstanding == 1 {
+		s.silentSince = now
+	}
+	s.sentAt, s.usedAt = now, now
+	if s.stalled {
+		s.probe = id
+		s.probeDelay = min(2*s.probeDelay, maxProbeInterval)
+		s.probeAt = now.Add(s.probeDelay)
+	}
+	m.attempts[id] = attempt{server: serverID, sentAt: now}
+}
+
+// RecordSign records that a server has begun to answer an attempt.
+func (m *Model) RecordSign(now time.Time, id uint64) {
+	a, known := m.attempts[id]
+	if s := m.servers[a.server]; known && s != nil {
+		m.heard(now, a.server, s)
+	}
+}
+
+// RecordEnd records the end of an attempt. Answer times are learned only if reliable is set: a
+// process that runs late sees answers late.
+func (m *Model) RecordEnd(now time.Time, id uint64, o Outcome, reliable bool) {
+	a, known := m.attempts[id]
+	delete(m.attempts, id)
+	s := m.servers[a.server]
+	if !known || s == nil {
+		return
+	}
+	full := float64(s.outstanding) >= s.window
+	s.outstanding = max(s.outstanding-1, 0)
+	s.usedAt = now
+	if s.probe == id {
+		s.probe = 0
+	}
+	if o == NoSign {
+		return
+	}
+	m.heard(now, a.server, s)
+	switch {
+	case o == Rejected:
+		s.shrink(now)
+	case o == Answered && reliable && !a.sentAt.Before(s.resumedAt):
+		s.learn(now, now.Sub(a.sentAt), full)
+	}
+}
+
+// heard records a sign of a server.
+func (m *Model) heard(now time.Time, id string, s *server) {
+	if s.stalled {
+		m.changes = append(m.changes, Change{Server: id, Silent: now.Sub(s.silentSince), Usual: s.usual(), Waiting: s.outstanding})
+		s.stalled, s.probe, s.resumedAt = false, 0, now
+	}
+	s.silentSince = now
+}
+
+// learn takes the time of an answer into account; full says whether the window was used up.
+func (s *server) learn(now time.Time, took time.Duration, full bool) {
+	s.answers.add(took)
+	s.service.answers.add(took)
+	usual := s.usual().Seconds()
+	s.recent += recentWeight * (min(took.Seconds(), 2*slowAnswerFactor*usual) - s.recent)
+	switch {
+	case s.recent > slowAnswerFactor*usual:
+		s.shrink(now)
+	case full:
+		s.window++
+	}
+}
+
+// shrink reduces the window, at most once in an answer time: answers of one queue are slow
+// together.
+func (s *server) shrink(now time.Time) {
+	if now.Sub(s.shrunkAt) < s.usual() {
+		return
+	}
+	s.window, s.shrunkAt = max(windowDecrease*s.window, 1), now
+}
+
+// ResetSilence forgets how long servers have been silent, since this process ran late and may not
+// have read their answers yet.
+func (m *Model) ResetSilence(now time.Time) {
+	for _, s := range m.servers {
+		if !s.stalled {
+			s.silentSince = now
+		}
+	}
+}
+
+// DetectStalls finds the servers that have stalled.
+func (m *Model) DetectStalls(now time.Time) {
+	for id, s := range m.servers {
+		m.detectStall(now, id, s)
+	}
+}
+
+func (m *Model) detectStall(now time.Time, id string, s *server) {
+	usual := s.usual()
+	if s.stalled || s.outstanding == 0 || usual == 0 || now.Sub(s.silentSince) <= s.stallAfter() {
+		return
+	}
+	s.stalled = true
+	s.probeDelay = min(max(probeFactor*usual, minProbeInterval), maxProbeInterval)
+	s.probeAt = now.Add(s.probeDelay)
+	m.changes = append(m.changes, Change{Server: id, Stalled: true, Silent: now.Sub(s.silentSince), Usual: usual, Waiting: s.outstanding})
+}
+
+// stallAfter returns the time without an answer after which the server counts as stalled.
+func (s *server) stallAfter() time.Duration {
+	usual, slow := s.usual(), s.service.answers.slow
+	if s.answers.known() {
+		slow = s.answers.slow
+	}
+	return max(min(max(stallFactor*usual, slowFactor*slow), maxStallFactor*usual), minStall)
+}
+
+// TakeChanges returns the servers that stalled or answered again since the last call.
+func (m *Model) TakeChanges() []Change {
+	c := m.changes
+	m.changes = nil
+	return c
+}
+
+// Decide decides on a request. It changes no state but that of silent servers; call
+// [Model.RecordSent] when the request is sent.
+func (m *Model) Decide(now time.Time, req Request, servers []Server) Decision {
+	if req.Held || req.Ahead == 0 {
+		if send, ok := m.choose(now, req, servers); ok {
+			return send
+		}
+	}
+	start := m.predictStart(now, req, servers)
+	estimate := start
+	if req.Held {
+		estimate /= waitingTolerance
+	}
+	usual := m.service(req.Service).answers.median
+	limit := req.Objective
+	if limit == 0 {
+		limit = req.Remaining
+	}
+	if limit > 0 && estimate+usual <= limit {
+		return Wait{Start: start}
+	}
+	// The queue will be shorter by half, and by as much as it is too long for the objective.
+	after := max(start/2, start+usual-max(limit, 0), minRetryAfter)
+	if req.Remaining > 0 {
+		after = max(min(after, req.Remaining/4), minRetryAfter)
+	}
+	return Refuse{Start: start, RetryAfter: after}
+}
+
+// choose returns the server that gets the request now: the cheapest one with a free slot, one at
+// which this gateway has less than its even part, or a stalled one that is due for a probe.
+func (m *Model) choose(now time.Time, req Request, servers []Server) (Send, bool) {
+	cheapest := math.Inf(1)
+	var free, even, probe *Server
+	for i := range servers {
+		s := &servers[i]
+		state := m.server(req.Service, s.ID)
+		m.detectStall(now, s.ID, state)
+		if state.stalled {
+			if state.probe == 0 && !now.Before(state.probeAt) && (probe == nil || s.Cost < probe.Cost) {
+				probe = s
+			}
+			continue
+		}
+		cheapest = min(cheapest, s.Cost)
+		limit := float64(limitOf(req, s, state.usual()))
+		switch {
+		case float64(s.Local) >= state.windowAt(now, s, m.fleet):
+		case float64(s.Local+s.Remote) < limit:
+			if free == nil || s.Cost < free.Cost {
+				free = s
+			}
+		case state.hasEvenPart(now, s, limit):
+			if even == nil || occupancy(s) < occupancy(even) {
+				even = s
+			}
+		}
+	}
+	switch {
+	case probe != nil && probe.Local == 0 && (free == nil || probe.Cost <= free.Cost):
+		return Send{Server: probe.ID, Probe: true}, true // no request there shows when it answers again
+	case free != nil && free.Cost <= cheapest+maxCostExcess:
+		return Send{Server: free.ID}, true
+	case even != nil:
+		return Send{Server: even.ID}, true
+	case probe != nil:
+		return Send{Server: probe.ID, Probe: true}, true
+	}
+	return Send{}, false
+}
+
+// limitOf returns how many requests the fleet may have at a server: its slots and a queue in which
+// a request waits for a small part of its objective.
+func limitOf(req Request, s *Server, usual time.Duration) int {
+	queue := maxQueueRatio * float64(s.Capacity)
+	if req.Objective > 0 && usual > 0 {
+		queue = min(queue, queueFraction*float64(req.Objective)*float64(s.Capacity)/float64(usual))
+	}
+	return s.Capacity + int(queue)
+}
+
+// windowAt returns how many requests this gateway may have at the server.
+func (s *server) windowAt(now time.Time, state *Server, fleet int) float64 {
+	if s.window == 0 || s.outstanding == 0 && now.Sub(s.usedAt) > windowRetention {
+		s.window = max(minInitialWindow, float64(state.Capacity)/float64(fleet))
+		s.recent = s.usual().Seconds()
+	}
+	s.window = min(s.window, float64(state.Capacity)*(1+maxQueueRatio))
+	return s.window
+}
+
+// hasEvenPart reports whether this gateway has less than its even part of a full server. If there
+// are more gateways than slots, that is one request in several answer times.
+func (s *server) hasEvenPart(now time.Time, state *Server, limit float64) bool {
+	part := limit / float64(s.service.active)
+	if part >= 1 {
+		return state.Local < int(part)
+	}
+	return state.Local == 0 && now.Sub(s.sentAt).Seconds()*part >= s.usual().Seconds()
+}
+
+// occupancy returns the requests at a server in units of its slots.
+func occupancy(s *Server) float64 { return float64(s.Local+s.Remote) / float64(s.Capacity) }
+
+// predictStart returns the predicted time until a request is sent. It assumes that the other
+// gateways that have requests at the service hold as many as this one.
+func (m *Model) predictStart(now time.Time, req Request, servers []Server) time.Duration {
+	slots, stalledSlots := 0, 0
+	probe := time.Duration(math.MaxInt64)
+	for i := range servers {
+		state := m.server(req.Service, servers[i].ID)
+		if !state.stalled {
+			slots += servers[i].Capacity
+			continue
+		}
+		stalledSlots += servers[i].Capacity
+		probe = min(probe, max(state.probeAt.Sub(now), 0))
+	}
+	delay := time.Duration(0)
+	if slots == 0 {
+		slots, delay = stalledSlots, probe
+	}
+	s := m.service(req.Service)
+	ahead := float64(req.Ahead+1) * float64(s.active)
+	return delay + time.Duration(ahead*s.answers.mean.Seconds()/float64(max(slots, 1))*float64(time.Second))
+}
--- a/gateway/wait_queue.go
+++ b/gateway/wait_queue.go
@@ -30,6 +30,7 @@
 	timer       *time.Timer // runs while the queue is not empty
 	waiters     []*waiter
 	prefillTime time.Duration // sum over all waiting requests
+	slots       []*waiter     // requests to plain services that wait for a slot, by priority and age; the other fields do not count them
 }
 
 // waiter is a waiting request.
@@ -42,7 +43,7 @@
 }
 
 func (q *waitQueue) add(w *waiter) {
-	if len(q.waiters) == 0 {
+	if q.length() == 0 {
 		q.timer.Reset(waitScanInterval)
 	}
 	q.waiters = append(q.waiters, w)
@@ -92,9 +93,14 @@
 	decision := d.decide(now, m)
 	hold, ok := decision.(placement.Hold)
 	if !ok {
+		d.countRefusedForSlot(m.request.Service, decision)
 		m.reply <- decision
 		return
 	}
+	if hold.Reason == placement.NoSlot {
+		d.holdForSlot(&waiter{message: m, since: now, original: *m.request, hold: hold})
+		return
+	}
 	w := &waiter{message: m, since: now, original: *m.request, hold: hold, shareRatio: m.request.ShareRatio}
 	if !d.queueFull(w) {
 		d.queue.add(w)
@@ -123,7 +129,7 @@
 // which case it is refused at once. It assumes that the other gateways hold as much as this
 // one, and that requests that bypass the queue leave half of the servers' time.
 func (d *dispatcher) queueFull(w *waiter) bool {
-	if len(d.queue.waiters) >= maxWaiting {
+	if d.queue.length() >= maxWaiting {
 		return true
 	}
 	if w.hold.Reason == placement.BackingOff {
@@ -175,7 +181,8 @@
 	}
 	clear(d.queue.waiters[len(remaining):])
 	d.queue.waiters = remaining
-	if len(remaining) > 0 {
+	d.scanSlots(now, false)
+	if d.queue.length() > 0 {
 		d.queue.timer.Reset(waitScanInterval)
 	}
 }
