--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -87,6 +87,7 @@
 	slots                *slots.Model              // of plain services; nil: their requests do not wait for slots
 	slotServers          map[string][]uint64       // hashes of plain servers that report their slots, by service
 	activeCountedAt      time.Time                 // when the gateways that have requests there were counted
+	reportedAt           map[string]time.Time      // latest report of running requests, by live gateway
 }
 
 // DispatcherOptions configures placement, shares and retries.
@@ -141,7 +142,7 @@
 	}
 	d.balancer.SetRegions(s.Regions)
 	if s.Features.QueuePlainWork {
-		d.slots = d.balancer.QueuePlainWork()
+		d.slots, d.reportedAt = d.balancer.QueuePlainWork(), map[string]time.Time{}
 	}
 	d.peerState.Store(&peer.State{})
 	return d
--- a/gateway/dispatcher_slots.go
+++ b/gateway/dispatcher_slots.go
@@ -63,6 +63,17 @@
 	}
 }
 
+// recordReport records that another gateway has told its running requests.
+func (d *dispatcher) recordReport(now time.Time, from string) {
+	if d.slots == nil {
+		return
+	}
+	if last, known := d.reportedAt[from]; known {
+		d.slots.RecordReport(now.Sub(last))
+	}
+	d.reportedAt[from] = now
+}
+
 // setSlotStatus fills in what a request to a plain service has to know of others that wait.
 func (d *dispatcher) setSlotStatus(now time.Time, a *placement.Request) {
 	if d.slots == nil || len(d.slotServers[a.Service]) == 0 {
--- a/gateway/dispatcher_updates.go
+++ b/gateway/dispatcher_updates.go
@@ -167,6 +167,7 @@
 		delete(d.peerRunning, u.From)
 		delete(d.halls, u.From)
 		delete(d.demandByGateway, u.From)
+		delete(d.reportedAt, u.From)
 		d.livePeers.Store(int64(len(d.peerRunning)))
 		d.shares.SetRemoteDemands(u.From, nil)
 		return
@@ -177,6 +178,7 @@
 	if u.Hall != "" {
 		d.halls[u.From] = u.Hall
 	}
+	d.recordReport(now, u.From)
 	d.applySpeeds(u.Speeds)
 	d.applyRolloutReports(now, u.From, u.Rollouts)
 	for _, l := range u.Loads {
--- a/gateway/slots/slots.go
+++ b/gateway/slots/slots.go
@@ -52,6 +52,11 @@
 	maxCostExcess = 0.5
 )
 
+const (
+	maxReportInterval = time.Second // a gateway that is silent for longer counts as dead
+	reportWeight      = 32          // reports over which their interval is averaged
+)
+
 // Limits of silence.
 const (
 	// Answer times without an answer after which a server counts as stalled, and the least and most
@@ -139,11 +144,12 @@
 
 // Model is what a gateway knows of the servers of plain services.
 type Model struct {
-	fleet    int // live gateways
-	services map[string]*service
-	servers  map[string]*server
-	attempts map[uint64]attempt
-	changes  []Change
+	fleet          int           // live gateways
+	reportInterval time.Duration // mean interval between two reports of a gateway
+	services       map[string]*service
+	servers        map[string]*server
+	attempts       map[uint64]attempt
+	changes        []Change
 }
 
 // service is the state of a service.
@@ -184,6 +190,11 @@
 // SetFleet sets the number of live gateways, including this one.
 func (m *Model) SetFleet(gateways int) { m.fleet = max(gateways, 1) }
 
+// RecordReport records a report of another gateway, by the time since the one before.
+func (m *Model) RecordReport(interval time.Duration) {
+	m.reportInterval += (min(interval, maxReportInterval) - m.reportInterval) / reportWeight
+}
+
 // SetActive sets how many gateways have requests at a service's servers, not counting this one.
 func (m *Model) SetActive(name string, others int) { m.service(name).active = max(others, 0) + 1 }
 
@@ -397,7 +408,7 @@
 		limit := float64(limitOf(req, s, state.usual()))
 		switch {
 		case float64(s.Local) >= state.windowAt(now, s, m.fleet):
-		case float64(s.Local+s.Remote) < limit:
+		case state.mayTake(now, limit-float64(s.Local+s.Remote), m.reportInterval):
 			if free == nil || s.Cost < free.Cost {
 				free = s
 			}
@@ -440,6 +451,17 @@
 	return s.window
 }
 
+// mayTake reports whether this gateway may send to a server that has so much room by the reports.
+// Reports that are older than an answer time show the same room to all gateways, so each takes its
+// part of it in an answer time.
+func (s *server) mayTake(now time.Time, room float64, reportInterval time.Duration) bool {
+	if room <= 0 {
+		return false
+	}
+	part := room / float64(s.service.active)
+	return part >= 1 || reportInterval < s.usual() || now.Sub(s.sentAt).Seconds()*part >= s.usual().Seconds()
+}
+
 // hasEvenPart reports whether this gateway has less than its even part of a full server. If there
 // are more gateways than slots, that is one request in several answer times.
 func (s *server) hasEvenPart(now time.Time, state *Server, limit float64) bool {
