--- a/gateway/slots/slots.go
+++ b/gateway/slots/slots.go
@@ -40,9 +40,10 @@
 	minInitialWindow = 2.0
 	// A window that has not been used for this long starts again: others may have the slots by now.
 	windowRetention = time.Second
-	// Factor of the window after slow answers and rejections. Gateways that fill a server together
-	// give up a third each.
-	windowDecrease = 0.7
+	// Factors of the window after slow answers and after rejections, which show that the server's
+	// queue is full.
+	slowDecrease      = 0.7
+	rejectionDecrease = 0.5
 	// A server whose latest answers take this much longer than usual has a queue of that length.
 	slowAnswerFactor = 2.0
 	// Weight of an answer among the latest ones.
@@ -166,7 +167,8 @@
 	window      float64   // requests that this gateway may have there; 0: not set
 	shrunkAt    time.Time // when the window shrank
 	usedAt      time.Time // of the latest send or end
-	sentAt      time.Time // of the latest send
+	limit       float64   // requests that the fleet may have there, as of the latest decision
+	extraAt     time.Time // of the latest send beyond the whole slots of this gateway's even part
 	outstanding int
 	silentSince time.Time // latest sign of the server, or the send that ended a time without requests
 	stalled     bool
@@ -237,10 +239,13 @@
 // RecordSent records that an attempt of this gateway was sent to a server.
 func (m *Model) RecordSent(now time.Time, id uint64, serviceName, serverID string) {
 	s := m.server(serviceName, serverID)
+	if whole, _ := s.evenPart(); float64(s.outstanding) >= whole {
+		s.extraAt = now
+	}
 	if s.outstanding++; s.outstanding == 1 {
 		s.silentSince = now
 	}
-	s.sentAt, s.usedAt = now, now
+	s.usedAt = now
 	if s.stalled {
 		s.probe = id
 		s.probeDelay = min(2*s.probeDelay, maxProbeInterval)
@@ -278,7 +283,7 @@
 	m.heard(now, a.server, s)
 	switch {
 	case o == Rejected:
-		s.shrink(now)
+		s.shrink(now, rejectionDecrease)
 	case o == Answered && reliable && !a.sentAt.Before(s.resumedAt):
 		s.learn(now, now.Sub(a.sentAt), full)
 	}
@@ -301,7 +306,9 @@
 	s.recent += recentWeight * (min(took.Seconds(), 2*slowAnswerFactor*usual) - s.recent)
 	switch {
 	case s.recent > slowAnswerFactor*usual:
-		s.shrink(now)
+		s.shrink(now, slowDecrease)
+	case full && now.Sub(s.shrunkAt) < windowRetention:
+		s.window += 1 / s.window
 	case full:
 		s.window++
 	}
@@ -309,11 +316,11 @@
 
 // shrink reduces the window, at most once in an answer time: answers of one queue are slow
 // together.
-func (s *server) shrink(now time.Time) {
+func (s *server) shrink(now time.Time, factor float64) {
 	if now.Sub(s.shrunkAt) < s.usual() {
 		return
 	}
-	s.window, s.shrunkAt = max(windowDecrease*s.window, 1), now
+	s.window, s.shrunkAt = max(factor*s.window, 1), now
 }
 
 // ResetSilence forgets how long servers have been silent, since this process ran late and may not
@@ -405,14 +412,14 @@
 			continue
 		}
 		cheapest = min(cheapest, s.Cost)
-		limit := float64(limitOf(req, s, state.usual()))
+		state.limit = float64(limitOf(req, s, state.usual()))
 		switch {
 		case float64(s.Local) >= state.windowAt(now, s, m.fleet):
-		case state.mayTake(now, limit-float64(s.Local+s.Remote), m.reportInterval):
+		case state.mayTake(now, state.limit-float64(s.Local+s.Remote), m.reportInterval):
 			if free == nil || s.Cost < free.Cost {
 				free = s
 			}
-		case state.hasEvenPart(now, s, limit):
+		case state.hasEvenPart(now, s):
 			if even == nil || occupancy(s) < occupancy(even) {
 				even = s
 			}
@@ -459,17 +466,29 @@
 		return false
 	}
 	part := room / float64(s.service.active)
-	return part >= 1 || reportInterval < s.usual() || now.Sub(s.sentAt).Seconds()*part >= s.usual().Seconds()
+	return part >= 1 || reportInterval < s.usual() || s.sinceExtra(now)*part >= 1
+}
+
+// hasEvenPart reports whether this gateway has less than its even part of a full server. A fraction
+// of a slot is one request in several answer times.
+func (s *server) hasEvenPart(now time.Time, state *Server) bool {
+	whole, rest := s.evenPart()
+	local := float64(state.Local)
+	return local < whole || local == whole && s.sinceExtra(now)*rest >= 1
+}
+
+// evenPart returns this gateway's part of the requests that a server may have, if all gateways that
+// have requests there get the same.
+func (s *server) evenPart() (whole, rest float64) {
+	return math.Modf(s.limit / float64(s.service.active))
 }
 
-// hasEvenPart reports whether this gateway has less than its even part of a full server. If there
-// are more gateways than slots, that is one request in several answer times.
-func (s *server) hasEvenPart(now time.Time, state *Server, limit float64) bool {
-	part := limit / float64(s.service.active)
-	if part >= 1 {
-		return state.Local < int(part)
+// sinceExtra returns the time since the latest send beyond the even part, in answer times.
+func (s *server) sinceExtra(now time.Time) float64 {
+	if s.extraAt.IsZero() {
+		return math.Inf(1)
 	}
-	return state.Local == 0 && now.Sub(s.sentAt).Seconds()*part >= s.usual().Seconds()
+	return float64(now.Sub(s.extraAt)) / float64(max(s.usual(), 1))
 }
 
 // occupancy returns the requests at a server in units of its slots.
