--- a/gateway/call.go
+++ b/gateway/call.go
@@ -187,6 +187,7 @@
 		Int("prompt", c.placeReq.PromptTokens).Int("reread", d.SharedMissTokens).Float64("tokens", c.cost).
 		Dur("left", c.deadline.Sub(sent)).Dur("spent", c.sinceFirstAttempt).Bool("again", c.sinceFirstAttempt > 0).
 		Str("account", c.account).Bool("over_share", c.placeReq.OverShare).Float64("ahead", c.placeReq.ShareRatio).
+		Dur("held", c.placeReq.Waited).Str("held_for", string(c.placeReq.HoldReason)).
 		Str("copy_from", d.CopyFrom).Msg("request sent to server")
 }
 
@@ -285,7 +286,7 @@
 		Dur("predicted", d.Predicted).Dur("retry_after", d.RetryAfter).
 		Dur("spent", c.sinceFirstAttempt).Bool("again", c.sinceFirstAttempt > 0).Str("server_version", c.placeReq.Version).
 		Bool("over_share", c.placeReq.OverShare).Bool("stop", c.placeReq.Capped).Float64("ahead", c.placeReq.ShareRatio).
-		Msg("request refused")
+		Int("waiting_before", c.placeReq.Ahead).Dur("held", c.placeReq.Waited).Msg("request refused")
 }
 
 // fail sends the final response to a request that no server has answered.
--- a/gateway/dispatcher_slots.go
+++ b/gateway/dispatcher_slots.go
@@ -85,6 +85,13 @@
 	}
 }
 
+// resetSlotHold forgets that a request has waited for a slot before its latest attempt.
+func resetSlotHold(a *placement.Request) {
+	if a.HoldReason == placement.NoSlot {
+		a.HoldReason, a.Waited = placement.InTime, 0
+	}
+}
+
 // recordSlotSend records a request to a plain server.
 func (d *dispatcher) recordSlotSend(now time.Time, service string, a placement.Assign) {
 	if d.slots != nil && d.balancer.WaitsForSlots(a.Server.ID) {
@@ -92,16 +99,16 @@
 	}
 }
 
-// recordSlotSign records that a plain server has begun to answer.
-func (d *dispatcher) recordSlotSign(now time.Time, attemptID uint64) {
+// recordSlotFirst records that a plain server has begun to answer.
+func (d *dispatcher) recordSlotFirst(now time.Time, attemptID uint64) {
 	if d.slots != nil {
-		d.slots.RecordSign(now, attemptID)
+		d.slots.RecordFirst(now, attemptID, !d.unreliable(now, now.Add(-catchUpTime)))
 	}
 }
 
 // recordSlotEnd records the end of an attempt, which may free a slot.
 func (d *dispatcher) recordSlotEnd(now time.Time, m attemptEnded) {
-	if d.slots == nil || !d.balancer.WaitsForSlots(m.server) {
+	if d.slots == nil {
 		return
 	}
 	d.slots.RecordEnd(now, m.attemptID, slotOutcome(m), !d.unreliable(now, now.Add(-catchUpTime)))
@@ -138,6 +145,14 @@
 	d.queue.addForSlot(w)
 }
 
+// moveToSlots queues a request for a slot that has waited for servers to end their backoff.
+func (d *dispatcher) moveToSlots(w *waiter, h placement.Hold) {
+	d.queue.prefillTime -= w.hold.PrefillTime
+	w.hold = h
+	d.metrics.SlotDecided(w.original.Service, SlotHeld)
+	d.queue.addForSlot(w)
+}
+
 func (d *dispatcher) refuseSlot(w *waiter) {
 	d.metrics.SlotDecided(w.original.Service, SlotRefused)
 	d.refuse(w)
@@ -175,18 +190,31 @@
 	return q.slots[len(q.slots)-1]
 }
 
-// addForSlot queues a request behind those that are as urgent.
+// addForSlot queues a request in order of priority and age.
 func (q *waitQueue) addForSlot(w *waiter) {
 	if q.length() == 0 {
 		q.timer.Reset(waitScanInterval)
 	}
 	i := len(q.slots)
-	for i > 0 && q.slots[i-1].original.Priority > w.original.Priority {
+	for i > 0 && w.goesBefore(q.slots[i-1]) {
 		i--
 	}
 	q.slots = slices.Insert(q.slots, i, w)
 }
 
+// goesBefore reports whether a request gets a slot before another one. One that a server has
+// rejected has waited before.
+func (w *waiter) goesBefore(x *waiter) bool {
+	switch {
+	case w.original.Priority != x.original.Priority:
+		return w.original.Priority < x.original.Priority
+	case w.message.retry != x.message.retry:
+		return w.message.retry
+	default:
+		return w.since.Before(x.since)
+	}
+}
+
 // scanSlots sends waiting requests to plain servers that have free slots, in order of priority and
 // age, and refuses those that cannot start in time. Unless all is set, those far behind are refused
 // only once they are late.
--- a/gateway/dispatcher_updates.go
+++ b/gateway/dispatcher_updates.go
@@ -34,7 +34,7 @@
 	d.lastHeard[m.server] = now
 	d.balancer.RecordAccepting(now, m.server)
 	d.recordRolloutFirstEvent(now, m.attemptID)
-	d.recordSlotSign(now, m.attemptID)
+	d.recordSlotFirst(now, m.attemptID)
 	if p == nil || p.copiesCache {
 		return // while it copied, later requests may have overtaken it
 	}
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -120,6 +120,8 @@
 	speeds   map[string]*speed    // by service
 	regions  map[string]string    // by hall
 	slots    *slots.Model         // nil: requests to plain servers do not wait for slots
+
+	slotServers []slots.Server // of the latest decision, kept for its memory
 }
 
 // NewBalancer returns a Balancer without servers.
--- a/gateway/placement/slots.go
+++ b/gateway/placement/slots.go
@@ -26,13 +26,14 @@
 // placeInSlots decides on a request to a plain service by the slots of its servers. ok is false if
 // they are not known.
 func (b *Balancer) placeInSlots(now time.Time, req *Request, servers []*server) (d Decision, ok bool) {
-	list := make([]slots.Server, len(servers))
-	for i, s := range servers {
+	list := b.slotServers[:0]
+	for _, s := range servers {
 		if s.Capacity <= 0 {
 			return nil, false
 		}
-		list[i] = slots.Server{ID: s.ID, Capacity: s.Capacity, Local: s.localRunning, Remote: s.remoteRunning, Cost: b.plainCost(now, req, s)}
+		list = append(list, slots.Server{ID: s.ID, Capacity: s.Capacity, Local: s.localRunning, Remote: s.remoteRunning, Cost: b.plainCost(now, req, s)})
 	}
+	b.slotServers = list
 	decision := b.slots.Decide(now, slots.Request{
 		Service: req.Service, Objective: req.Objective, Remaining: req.Remaining, Ahead: req.Ahead, Held: req.HoldReason == NoSlot,
 	}, list)
@@ -41,9 +42,9 @@
 		i := slices.IndexFunc(servers, func(s *server) bool { return s.ID == d.Server })
 		return Assign{Server: servers[i].Server, Load: Load{Server: d.Server}}, true
 	case slots.Wait:
-		return Hold{Predicted: d.Start, Reason: NoSlot}, true
+		return Hold{Predicted: d.Predicted, Reason: NoSlot}, true
 	case slots.Refuse:
-		return Refuse{RetryAfter: d.RetryAfter, Predicted: d.Start, Reason: NoSlot}, true
+		return Refuse{RetryAfter: d.RetryAfter, Predicted: d.Predicted, Reason: NoSlot}, true
 	default:
 		return nil, false
 	}
--- a/gateway/slots/slots.go
+++ b/gateway/slots/slots.go
@@ -110,12 +110,12 @@
 
 // Wait holds the request at the gateway.
 type Wait struct {
-	Start time.Duration // predicted time until it is sent
+	Predicted time.Duration // time until the first event of its answer
 }
 
-// Refuse means that the request cannot start in time.
+// Refuse means that the request cannot be answered in time.
 type Refuse struct {
-	Start      time.Duration // predicted time until it would be sent
+	Predicted  time.Duration // time until the first event of its answer, if it waited
 	RetryAfter time.Duration
 }
 
@@ -155,8 +155,9 @@
 
 // service is the state of a service.
 type service struct {
-	answers estimate
-	active  int // gateways that have requests at its servers, including this one
+	answers estimate // time until the end of an answer, for which it takes a slot
+	first   estimate // time until its first event
+	active  int      // gateways that have requests at its servers, including this one
 }
 
 // server is the state of one server.
@@ -182,6 +183,7 @@
 type attempt struct {
 	server string
 	sentAt time.Time
+	begun  bool // its answer has begun
 }
 
 // NewModel returns a Model without servers.
@@ -254,16 +256,23 @@
 	m.attempts[id] = attempt{server: serverID, sentAt: now}
 }
 
-// RecordSign records that a server has begun to answer an attempt.
-func (m *Model) RecordSign(now time.Time, id uint64) {
+// RecordFirst records that a server has begun to answer an attempt. The time is learned only if
+// reliable is set: a process that runs late sees answers late.
+func (m *Model) RecordFirst(now time.Time, id uint64, reliable bool) {
 	a, known := m.attempts[id]
-	if s := m.servers[a.server]; known && s != nil {
-		m.heard(now, a.server, s)
+	s := m.servers[a.server]
+	if !known || s == nil {
+		return
+	}
+	m.heard(now, a.server, s)
+	a.begun = true
+	m.attempts[id] = a
+	if reliable && !a.sentAt.Before(s.resumedAt) {
+		s.service.first.add(now.Sub(a.sentAt))
 	}
 }
 
-// RecordEnd records the end of an attempt. Answer times are learned only if reliable is set: a
-// process that runs late sees answers late.
+// RecordEnd records the end of an attempt; reliable is as for [Model.RecordFirst].
 func (m *Model) RecordEnd(now time.Time, id uint64, o Outcome, reliable bool) {
 	a, known := m.attempts[id]
 	delete(m.attempts, id)
@@ -285,6 +294,9 @@
 	case o == Rejected:
 		s.shrink(now, rejectionDecrease)
 	case o == Answered && reliable && !a.sentAt.Before(s.resumedAt):
+		if !a.begun {
+			s.service.first.add(now.Sub(a.sentAt))
+		}
 		s.learn(now, now.Sub(a.sentAt), full)
 	}
 }
@@ -376,24 +388,24 @@
 		}
 	}
 	start := m.predictStart(now, req, servers)
-	estimate := start
+	tolerated := start
 	if req.Held {
-		estimate /= waitingTolerance
+		tolerated /= waitingTolerance
 	}
-	usual := m.service(req.Service).answers.median
+	first := m.service(req.Service).first.median
 	limit := req.Objective
 	if limit == 0 {
 		limit = req.Remaining
 	}
-	if limit > 0 && estimate+usual <= limit {
-		return Wait{Start: start}
+	if limit > 0 && tolerated+first <= limit {
+		return Wait{Predicted: start + first}
 	}
-	// The queue will be shorter by half, and by as much as it is too long for the objective.
-	after := max(start/2, start+usual-max(limit, 0), minRetryAfter)
+	// By then the queue is shorter by half, and by as much as it is too long for the objective.
+	after := max(start/2, start+first-max(limit, 0), minRetryAfter)
 	if req.Remaining > 0 {
 		after = max(min(after, req.Remaining/4), minRetryAfter)
 	}
-	return Refuse{Start: start, RetryAfter: after}
+	return Refuse{Predicted: start + first, RetryAfter: after}
 }
 
 // choose returns the server that gets the request now: the cheapest one with a free slot, one at
@@ -474,7 +486,7 @@
 func (s *server) hasEvenPart(now time.Time, state *Server) bool {
 	whole, rest := s.evenPart()
 	local := float64(state.Local)
-	return local < whole || local == whole && s.sinceExtra(now)*rest >= 1
+	return local < whole || local == whole && rest > 0 && s.sinceExtra(now)*rest >= 1
 }
 
 // evenPart returns this gateway's part of the requests that a server may have, if all gateways that
--- a/gateway/wait_queue.go
+++ b/gateway/wait_queue.go
@@ -90,6 +90,7 @@
 
 // place decides on a request or queues it.
 func (d *dispatcher) place(now time.Time, m placementRequest) {
+	resetSlotHold(m.request)
 	decision := d.decide(now, m)
 	hold, ok := decision.(placement.Hold)
 	if !ok {
@@ -165,6 +166,10 @@
 		placed++
 		w.refresh(now)
 		decision := d.decide(now, w.message)
+		if h, ok := decision.(placement.Hold); ok && h.Reason == placement.NoSlot {
+			d.moveToSlots(w, h)
+			continue
+		}
 		if h, ok := decision.(placement.Hold); ok {
 			if w.hold.Reason == placement.BackingOff {
 				d.queue.prefillTime += h.PrefillTime - w.hold.PrefillTime
