--- a/gateway/slots/slots.go
+++ b/gateway/slots/slots.go
@@ -151,6 +151,8 @@
 	servers        map[string]*server
 	attempts       map[uint64]attempt
 	changes        []Change
+
+	states []*server // of the servers of the latest decision
 }
 
 // service is the state of a service.
@@ -169,6 +171,7 @@
 	shrunkAt    time.Time // when the window shrank
 	usedAt      time.Time // of the latest send or end
 	limit       float64   // requests that the fleet may have there, as of the latest decision
+	active      float64   // gateways that share them
 	extraAt     time.Time // of the latest send beyond the whole slots of this gateway's even part
 	outstanding int
 	silentSince time.Time // latest sign of the server, or the send that ended a time without requests
@@ -280,7 +283,7 @@
 	if !known || s == nil {
 		return
 	}
-	full := float64(s.outstanding) >= s.window
+	full := s.window > 0 && float64(s.outstanding) >= s.window
 	s.outstanding = max(s.outstanding-1, 0)
 	s.usedAt = now
 	if s.probe == id {
@@ -382,6 +385,10 @@
 // Decide decides on a request. It changes no state but that of silent servers; call
 // [Model.RecordSent] when the request is sent.
 func (m *Model) Decide(now time.Time, req Request, servers []Server) Decision {
+	m.states = m.states[:0]
+	for i := range servers {
+		m.states = append(m.states, m.server(req.Service, servers[i].ID))
+	}
 	if req.Held || req.Ahead == 0 {
 		if send, ok := m.choose(now, req, servers); ok {
 			return send
@@ -415,7 +422,7 @@
 	var free, even, probe *Server
 	for i := range servers {
 		s := &servers[i]
-		state := m.server(req.Service, s.ID)
+		state := m.states[i]
 		m.detectStall(now, s.ID, state)
 		if state.stalled {
 			if state.probe == 0 && !now.Before(state.probeAt) && (probe == nil || s.Cost < probe.Cost) {
@@ -425,6 +432,7 @@
 		}
 		cheapest = min(cheapest, s.Cost)
 		state.limit = float64(limitOf(req, s, state.usual()))
+		state.active = float64(max(state.service.active, 1+min(s.Remote, 1)))
 		switch {
 		case float64(s.Local) >= state.windowAt(now, s, m.fleet):
 		case state.mayTake(now, state.limit-float64(s.Local+s.Remote), m.reportInterval):
@@ -477,7 +485,7 @@
 	if room <= 0 {
 		return false
 	}
-	part := room / float64(s.service.active)
+	part := room / s.active
 	return part >= 1 || reportInterval < s.usual() || s.sinceExtra(now)*part >= 1
 }
 
@@ -492,7 +500,7 @@
 // evenPart returns this gateway's part of the requests that a server may have, if all gateways that
 // have requests there get the same.
 func (s *server) evenPart() (whole, rest float64) {
-	return math.Modf(s.limit / float64(s.service.active))
+	return math.Modf(s.limit / s.active)
 }
 
 // sinceExtra returns the time since the latest send beyond the even part, in answer times.
@@ -512,7 +520,7 @@
 	slots, stalledSlots := 0, 0
 	probe := time.Duration(math.MaxInt64)
 	for i := range servers {
-		state := m.server(req.Service, servers[i].ID)
+		state := m.states[i]
 		if !state.stalled {
 			slots += servers[i].Capacity
 			continue
