--- a/gateway/slots/slots.go
+++ b/gateway/slots/slots.go
@@ -479,14 +479,16 @@
 }
 
 // mayTake reports whether this gateway may send to a server that has so much room by the reports.
-// Reports that are older than an answer time show the same room to all gateways, so each takes its
-// part of it in an answer time.
+// Late reports show the same room to all gateways, so each takes its part of it in an answer time.
+// They are late if in an interval between two of them fewer requests end at the server than there
+// are gateways that could replace them.
 func (s *server) mayTake(now time.Time, room float64, reportInterval time.Duration) bool {
 	if room <= 0 {
 		return false
 	}
 	part := room / s.active
-	return part >= 1 || reportInterval < s.usual() || s.sinceExtra(now)*part >= 1
+	late := reportInterval.Seconds()*s.active > s.usual().Seconds()*s.limit
+	return part >= 1 || !late || s.sinceExtra(now)*part >= 1
 }
 
 // hasEvenPart reports whether this gateway has less than its even part of a full server. A fraction
--- a/gateway/slots_world_test.go
+++ b/gateway/slots_world_test.go
@@ -31,29 +31,34 @@
 	servers  []*slotServer
 	result   slotWorldResult
 	runs     map[int]int // by request
+	samples  int
+	crowded  int // samples while more requests waited than there are slots
 }
 
 type slotWorldOptions struct {
 	queue       bool // plain_queue: slots
 	gateways    int
-	reportDelay time.Duration                                           // of what gateways tell each other, and its interval; 0: reports are lost
-	load        func(t time.Duration) float64                           // in parts of the capacity
-	end         time.Duration                                           // no more requests arrive
-	stall       func(server int, t time.Duration) (until time.Duration) // end of a stall at t; 0: none
-	dies        func(server int, t time.Duration) bool
-	objective   time.Duration
+	reportDelay time.Duration // interval of what gateways tell each other, and its mean age
+	reportsEnd  time.Duration // reports are lost from then on; 0: never
+	load        float64       // in parts of the capacity, with bursts of three times it if burst is set
+	burst       bool
+	stall       bool          // server 0 answers nothing from the middle of the burst for a second
+	diesAt      time.Duration // when server 0 dies; 0: never
 }
 
 // slotWorldResult counts what callers got.
 type slotWorldResult struct {
 	requests, inTime, late, refused, failed int
-	refusals, rejections                    int // answers to attempts of callers, and of servers to gateways
-	twice                                   int // requests that ran more than once
-	longestQueue                            int // of a server
-	meanQueue                               float64
-	idle                                    float64   // part of slots that were free while requests waited, at servers that did not stall
-	byPriority                              [2][2]int // in time, all
-	samples, idleSamples                    int
+	urgent, urgentInTime                    int
+	refusals, rejections                    int // of callers' attempts by gateways, and of gateways' by servers
+	repeated                                int // requests that ran more than once
+	queue, idle                             float64
+	longestQueue                            int
+}
+
+func (r slotWorldResult) String() string {
+	return fmt.Sprintf("%d requests: %d in time (%.2f of urgent ones), %d late, %d refused (%d refusals), %d failed; servers: %d rejections, queue of %.1f, at most %d, %.3f of slots idle while requests waited",
+		r.requests, r.inTime, float64(r.urgentInTime)/float64(max(r.urgent, 1)), r.late, r.refused, r.refusals, r.failed, r.rejections, r.queue, r.longestQueue, r.idle)
 }
 
 type worldEvent struct {
@@ -82,6 +87,13 @@
 	worldServers     = 3
 	worldAnswer      = 15 * time.Millisecond
 	worldHop         = 500 * time.Microsecond
+	worldObjective   = 300 * time.Millisecond
+	worldEnd         = 4 * time.Second // no more requests arrive
+	worldDrain       = 2 * time.Second // gateways go on for this long
+	burstStart       = time.Second
+	burstEnd         = 3 * time.Second
+	stallStart       = 1500 * time.Millisecond
+	stallEnd         = 2500 * time.Millisecond
 )
 
 type slotGateway struct {
@@ -110,7 +122,7 @@
 type slotServer struct {
 	index   int
 	queue   []*slotJob
-	running int
+	running map[*slotJob]bool
 	dead    bool
 }
 
@@ -130,7 +142,7 @@
 func (w *slotWorld) every(first, interval time.Duration, do func()) {
 	w.at(first, func() {
 		do()
-		if w.now < w.options.end+2*time.Second {
+		if w.now < worldEnd+worldDrain {
 			w.every(w.now+interval, interval, do)
 		}
 	})
@@ -140,7 +152,7 @@
 	w := &slotWorld{options: o, random: rand.New(rand.NewPCG(seed, 1)), arrivals: rand.New(rand.NewPCG(seed, 2)), start: time.Now(), runs: map[int]int{}}
 	v := &View{}
 	for i := range worldServers {
-		w.servers = append(w.servers, &slotServer{index: i})
+		w.servers = append(w.servers, &slotServer{index: i, running: map[*slotJob]bool{}})
 		v.Servers = append(v.Servers, catalog.Server{ID: fmt.Sprintf("i-%d", i), Service: "s", Hall: "h", Capacity: worldSlots})
 	}
 	for i := range o.gateways {
@@ -161,6 +173,12 @@
 			w.every(time.Duration(w.random.Int64N(int64(o.reportDelay))), o.reportDelay, func() { w.report(g) })
 		}
 	}
+	if o.reportsEnd > 0 {
+		w.at(o.reportsEnd+time.Second, w.loseReports) // package peer takes a silent gateway for dead then
+	}
+	if o.diesAt > 0 {
+		w.at(o.diesAt, func() { w.die(w.servers[0]) })
+	}
 	w.arrive()
 	w.every(0, time.Millisecond, w.sample)
 	for len(w.events) > 0 {
@@ -170,17 +188,17 @@
 	}
 	for _, n := range w.runs {
 		if n > 1 {
-			w.result.twice++
+			w.result.repeated++
 		}
 	}
-	w.result.meanQueue /= float64(max(w.result.samples, 1))
-	w.result.idle /= float64(max(w.result.idleSamples, 1))
+	w.result.queue /= float64(max(w.samples, 1))
+	w.result.idle /= float64(max(w.crowded, 1))
 	return w.result
 }
 
 // sample records the servers' queues, and slots that are free while requests wait.
 func (w *slotWorld) sample() {
-	if w.now >= w.options.end {
+	if w.now >= worldEnd {
 		return
 	}
 	held := 0
@@ -190,15 +208,15 @@
 	free, slots := 0, 0
 	for _, s := range w.servers {
 		w.result.longestQueue = max(w.result.longestQueue, len(s.queue))
-		w.result.meanQueue += float64(len(s.queue)) / worldServers
-		if !s.dead && w.options.stall(s.index, w.now) == 0 {
-			free += worldSlots - s.running
+		w.result.queue += float64(len(s.queue)) / worldServers
+		if !s.dead && !w.stalls(s) {
+			free += worldSlots - len(s.running)
 			slots += worldSlots
 		}
 	}
-	w.result.samples++
+	w.samples++
 	if held >= slots {
-		w.result.idleSamples++
+		w.crowded++
 		w.result.idle += float64(free) / float64(max(slots, 1))
 	}
 }
@@ -206,6 +224,9 @@
 // report tells the other gateways of one's running requests. The age of what they know is between
 // half of the delay and one and a half.
 func (w *slotWorld) report(g *slotGateway) {
+	if w.options.reportsEnd > 0 && w.now >= w.options.reportsEnd {
+		return
+	}
 	running := map[uint64]int{}
 	for id, n := range g.running {
 		running[hashString(id)] = n
@@ -221,19 +242,34 @@
 	})
 }
 
+// loseReports has all gateways take the others for dead.
+func (w *slotWorld) loseReports() {
+	for _, g := range w.gateways {
+		for _, other := range w.gateways {
+			w.act(g, func() { g.applyUpdate(w.clock(), peer.Update{From: fmt.Sprint(other.index)}) })
+		}
+	}
+}
+
 // arrive lets callers send requests.
 func (w *slotWorld) arrive() {
-	if w.now >= w.options.end {
+	if w.now >= worldEnd {
 		return
 	}
-	rate := w.options.load(w.now) * worldServers * worldSlots / worldAnswer.Seconds()
+	load := w.options.load
+	if w.options.burst && w.now >= burstStart && w.now < burstEnd {
+		load = 3
+	}
+	rate := load * worldServers * worldSlots / worldAnswer.Seconds()
 	w.at(w.now+time.Duration(w.arrivals.ExpFloat64()/rate*float64(time.Second)), func() {
 		w.result.requests++
 		r := &slotRequest{id: w.result.requests, arrived: w.now, work: w.work()}
 		if w.arrivals.IntN(4) > 0 {
 			r.priority = 1
 		}
-		w.result.byPriority[r.priority][1]++
+		if r.priority == 0 {
+			w.result.urgent++
+		}
 		w.ask(r)
 		w.arrive()
 	})
@@ -257,7 +293,7 @@
 // place has a gateway decide on a request.
 func (w *slotWorld) place(g *slotGateway, a *slotAttempt) {
 	spent := w.now - a.arrived
-	a.request.Objective = remainingObjective(w.options.objective, spent)
+	a.request.Objective = remainingObjective(worldObjective, spent)
 	a.request.Remaining, a.request.CallerTimeout = 3*time.Second-spent, 3*time.Second-spent
 	a.reply = make(chan placement.Decision, 1)
 	g.waiting = append(g.waiting, a)
@@ -300,7 +336,7 @@
 // refused has the caller come back unless its answer would be of no use.
 func (w *slotWorld) refused(a *slotAttempt, after time.Duration) {
 	w.result.refusals++
-	if w.now+after-a.arrived > w.options.objective {
+	if w.now+after-a.arrived > worldObjective {
 		w.result.refused++
 		return
 	}
@@ -323,10 +359,10 @@
 
 // serve begins what the server has slots for.
 func (w *slotWorld) serve(s *slotServer) {
-	for s.running < worldSlots && len(s.queue) > 0 {
+	for len(s.running) < worldSlots && len(s.queue) > 0 {
 		j := s.queue[0]
 		s.queue = s.queue[1:]
-		s.running++
+		s.running[j] = true
 		w.runs[j.attempt.id]++
 		w.at(w.now+j.attempt.work, func() { w.answer(s, j) })
 	}
@@ -337,22 +373,30 @@
 	if s.dead {
 		return
 	}
-	if until := w.options.stall(s.index, w.now); until > w.now {
-		w.at(until+time.Duration(w.random.Int64N(int64(time.Millisecond))), func() { w.answer(s, j) })
+	if w.stalls(s) {
+		w.at(stallEnd+time.Duration(w.random.Int64N(int64(time.Millisecond))), func() { w.answer(s, j) })
 		return
 	}
-	s.running--
+	delete(s.running, j)
 	w.at(w.now+worldHop, func() { w.ended(j, placement.Served) })
 	w.serve(s)
 }
 
+// stalls reports whether a server answers nothing now.
+func (w *slotWorld) stalls(s *slotServer) bool {
+	return w.options.stall && s.index == 0 && w.now >= stallStart && w.now < stallEnd
+}
+
 // die ends a server. Its connections break.
-func (w *slotWorld) die(s *slotServer, lost []*slotJob) {
+func (w *slotWorld) die(s *slotServer) {
 	s.dead = true
-	for _, j := range append(lost, s.queue...) {
+	for j := range s.running {
+		w.ended(j, placement.Failed)
+	}
+	for _, j := range s.queue {
 		w.ended(j, placement.Failed)
 	}
-	s.queue = nil
+	s.queue, s.running = nil, nil
 }
 
 // ended handles the end of an attempt at its gateway.
@@ -365,11 +409,14 @@
 	w.act(g, func() { g.handle(w.clock(), m) })
 	switch o {
 	case placement.Served:
-		if w.now-a.arrived <= w.options.objective {
-			w.result.inTime++
-			w.result.byPriority[a.priority][0]++
-		} else {
+		switch {
+		case w.now-a.arrived > worldObjective:
 			w.result.late++
+		case a.priority == 0:
+			w.result.urgentInTime++
+			fallthrough
+		default:
+			w.result.inTime++
 		}
 	case placement.Rejected, placement.Unreachable:
 		a.retry = o == placement.Rejected || a.retry
@@ -379,58 +426,79 @@
 	}
 }
 
-// burst is three times the capacity for two seconds, between loads of half of it.
-func burst(t time.Duration) float64 {
-	if t >= time.Second && t < 3*time.Second {
-		return 3
+// beforeAndAfter returns the results without a queue for slots, after with one; both of the same requests.
+func beforeAndAfter(t *testing.T, o slotWorldOptions) (before, after slotWorldResult) {
+	t.Helper()
+	const seed = 1
+	before = runSlotWorld(o, seed)
+	o.queue = true
+	after = runSlotWorld(o, seed)
+	t.Logf("before: %v", before)
+	t.Logf("after:  %v", after)
+	for _, r := range []slotWorldResult{before, after} {
+		require.Equal(t, r.requests, r.inTime+r.late+r.refused+r.failed, "each request has ended once")
+		require.Zero(t, r.repeated)
 	}
-	return 0.5
+	require.Equal(t, before.requests, after.requests)
+	return before, after
 }
 
-func noStall(int, time.Duration) time.Duration { return 0 }
-
-// stallOf returns a stall of server 0 for a second.
-func stallOf(from time.Duration) func(int, time.Duration) time.Duration {
-	return func(server int, t time.Duration) time.Duration {
-		if server == 0 && t >= from && t < from+time.Second {
-			return from + time.Second
+// TestPlainBurst: without a queue at the gateways, a burst fills the servers' own queues, these
+// reject most of what is sent, and urgent requests are served no more often than others.
+func TestPlainBurst(t *testing.T) {
+	for _, gateways := range []int{1, 6, 27} {
+		for _, delay := range []time.Duration{5 * time.Millisecond, 50 * time.Millisecond, 250 * time.Millisecond} {
+			t.Run(fmt.Sprintf("%d gateways, reports of %v", gateways, delay), func(t *testing.T) {
+				before, after := beforeAndAfter(t, slotWorldOptions{gateways: gateways, reportDelay: delay, load: 0.5, burst: true})
+				require.Greater(t, float64(after.inTime), 0.97*float64(before.inTime))
+				require.Greater(t, float64(after.urgentInTime), 0.8*float64(after.urgent))
+				require.Less(t, float64(before.urgentInTime), 0.6*float64(before.urgent))
+				require.Less(t, after.rejections, before.rejections/4)
+				require.Less(t, after.queue, before.queue)
+				require.Less(t, after.idle, 0.03)
+				require.Less(t, float64(after.late), 0.02*float64(after.inTime))
+			})
 		}
-		return 0
 	}
 }
 
-func TestSlotWorld(t *testing.T) {
-	steady := func(l float64) func(time.Duration) float64 { return func(time.Duration) float64 { return l } }
-	for _, g := range []int{6} {
-		for _, delay := range []time.Duration{5 * time.Millisecond, 50 * time.Millisecond, 250 * time.Millisecond, 0} {
-			for name, c := range map[string]slotWorldOptions{
-				"1 burst": {load: burst, stall: noStall}, "2 stall .5": {load: steady(.5), stall: stallOf(time.Second)},
-				"3 stall .1": {load: steady(.1), stall: stallOf(time.Second)}, "4 both": {load: burst, stall: stallOf(1500 * time.Millisecond)},
-				"5 steady .9": {load: steady(.9), stall: noStall},
-			} {
-				for _, on := range []bool{false, true} {
-					c.queue, c.gateways, c.reportDelay, c.end, c.objective = on, g, delay, 4*time.Second, 300*time.Millisecond
-					var sum slotWorldResult
-					const seeds = 4
-					p0 := 0.
-					for seed := range uint64(seeds) {
-						r := runSlotWorld(c, seed)
-						sum.requests += r.requests
-						sum.inTime += r.inTime
-						sum.late += r.late
-						sum.refused += r.refused
-						sum.refusals += r.refusals
-						sum.rejections += r.rejections
-						sum.meanQueue += r.meanQueue / seeds
-						sum.idle += r.idle / seeds
-						p0 += float64(r.byPriority[0][0]) / float64(r.byPriority[0][1]) / seeds
-						sum.longestQueue = max(sum.longestQueue, r.longestQueue)
-					}
-					r := sum
-					fmt.Printf("%-12s G=%2d delay %5v queue=%5v: req %d in %d late %d ref %d again %d rej %d maxq %d meanq %.2f idle %.3f prio0 %.3f\n", name, g, delay, on, r.requests/seeds, r.inTime/seeds, r.late/seeds, r.refused/seeds, r.refusals/seeds, r.rejections/seeds, r.longestQueue, r.meanQueue, r.idle, p0)
-				}
-			}
+// TestPlainStall: requests pile up at a server that answers nothing for a second, and are late.
+func TestPlainStall(t *testing.T) {
+	for _, gateways := range []int{1, 6, 27} {
+		for _, delay := range []time.Duration{5 * time.Millisecond, 250 * time.Millisecond} {
+			t.Run(fmt.Sprintf("%d gateways, reports of %v", gateways, delay), func(t *testing.T) {
+				before, after := beforeAndAfter(t, slotWorldOptions{gateways: gateways, reportDelay: delay, load: 0.5, stall: true})
+				require.Greater(t, after.inTime, before.inTime-worldSlots)
+				require.Less(t, after.late+after.refused, 3*worldSlots+after.requests/100)
+			})
+			t.Run(fmt.Sprintf("%d gateways, reports of %v, in a burst", gateways, delay), func(t *testing.T) {
+				before, after := beforeAndAfter(t, slotWorldOptions{gateways: gateways, reportDelay: delay, load: 0.5, burst: true, stall: true})
+				require.Greater(t, float64(after.inTime), 0.97*float64(before.inTime))
+				require.Greater(t, after.urgentInTime, before.urgentInTime)
+				require.Less(t, after.rejections, before.rejections/4)
+			})
 		}
 	}
-	require.True(t, true)
+}
+
+// TestPlainReportsLost: when gateways hear no more of each other in a burst, servers reject the
+// excess, which has not run, and gateways send less because of that.
+func TestPlainReportsLost(t *testing.T) {
+	before, after := beforeAndAfter(t, slotWorldOptions{gateways: 6, reportDelay: 50 * time.Millisecond, reportsEnd: 1200 * time.Millisecond, load: 0.5, burst: true})
+	require.Positive(t, after.rejections)
+	require.Less(t, after.rejections, before.rejections)
+	require.Greater(t, float64(after.inTime), 0.9*float64(before.inTime))
+	require.Zero(t, after.failed)
+}
+
+// TestPlainServerDies: of the requests that wait when a server dies, none is lost. Those that were
+// at the server may have run and are not sent again.
+func TestPlainServerDies(t *testing.T) {
+	for _, delay := range []time.Duration{5 * time.Millisecond, 250 * time.Millisecond} {
+		before, after := beforeAndAfter(t, slotWorldOptions{gateways: 6, reportDelay: delay, load: 0.5, burst: true, diesAt: 2 * time.Second})
+		require.Positive(t, after.failed)
+		require.LessOrEqual(t, after.failed, worldSlots+worldServerQueue)
+		require.Greater(t, float64(after.inTime), 0.9*float64(before.inTime))
+		require.Greater(t, after.urgentInTime, before.urgentInTime)
+	}
 }
