--- a/gateway/dispatcher_slots.go
+++ b/gateway/dispatcher_slots.go
@@ -69,7 +69,7 @@
 		return
 	}
 	if last, known := d.reportedAt[from]; known {
-		d.slots.RecordReport(now.Sub(last))
+		d.slots.RecordReport(now, now.Sub(last))
 	}
 	d.reportedAt[from] = now
 }
--- a/gateway/slots/slots.go
+++ b/gateway/slots/slots.go
@@ -56,6 +56,10 @@
 const (
 	maxReportInterval = time.Second // a gateway that is silent for longer counts as dead
 	reportWeight      = 32          // reports over which their interval is averaged
+	// Interval at which gateways decide again on requests that wait.
+	askInterval = 10 * time.Millisecond
+	// Excess that a server's own queue holds, in parts of its slots.
+	maxExcess = 0.5
 )
 
 // Limits of silence.
@@ -147,6 +151,7 @@
 type Model struct {
 	fleet          int           // live gateways
 	reportInterval time.Duration // mean interval between two reports of a gateway
+	reportedAt     time.Time     // when a gateway has reported last
 	services       map[string]*service
 	servers        map[string]*server
 	attempts       map[uint64]attempt
@@ -198,7 +203,8 @@
 func (m *Model) SetFleet(gateways int) { m.fleet = max(gateways, 1) }
 
 // RecordReport records a report of another gateway, by the time since the one before.
-func (m *Model) RecordReport(interval time.Duration) {
+func (m *Model) RecordReport(now time.Time, interval time.Duration) {
+	m.reportedAt = now
 	m.reportInterval += (min(interval, maxReportInterval) - m.reportInterval) / reportWeight
 }
 
@@ -433,13 +439,14 @@
 		cheapest = min(cheapest, s.Cost)
 		state.limit = float64(limitOf(req, s, state.usual()))
 		state.active = float64(max(state.service.active, 1+min(s.Remote, 1)))
+		late := m.reportsLate(now, state, s.Capacity)
 		switch {
 		case float64(s.Local) >= state.windowAt(now, s, m.fleet):
-		case state.mayTake(now, state.limit-float64(s.Local+s.Remote), m.reportInterval):
+		case state.mayTake(now, state.limit-float64(s.Local+s.Remote), late):
 			if free == nil || s.Cost < free.Cost {
 				free = s
 			}
-		case state.hasEvenPart(now, s):
+		case state.hasEvenPart(now, s, late):
 			if even == nil || occupancy(s) < occupancy(even) {
 				even = s
 			}
@@ -478,22 +485,30 @@
 	return s.window
 }
 
+// reportsLate reports whether the reports of other gateways are late: between two of them, so many
+// gateways could send to the same free slot that the server's own queue does not hold the excess.
+func (m *Model) reportsLate(now time.Time, s *server, capacity int) bool {
+	age := max(m.reportInterval, now.Sub(m.reportedAt))
+	return s.active > 1 && s.active*age.Seconds()/askInterval.Seconds() > maxExcess*float64(capacity)
+}
+
 // mayTake reports whether this gateway may send to a server that has so much room by the reports.
 // Late reports show the same room to all gateways, so each takes its part of it in an answer time.
-// They are late if in an interval between two of them fewer requests end at the server than there
-// are gateways that could replace them.
-func (s *server) mayTake(now time.Time, room float64, reportInterval time.Duration) bool {
+func (s *server) mayTake(now time.Time, room float64, late bool) bool {
 	if room <= 0 {
 		return false
 	}
 	part := room / s.active
-	late := reportInterval.Seconds()*s.active > s.usual().Seconds()*s.limit
 	return part >= 1 || !late || s.sinceExtra(now)*part >= 1
 }
 
 // hasEvenPart reports whether this gateway has less than its even part of a full server. A fraction
-// of a slot is one request in several answer times.
-func (s *server) hasEvenPart(now time.Time, state *Server) bool {
+// of a slot is one request in several answer times. Recent reports of a server far beyond its limit
+// are believed: gateways with more than their part will get nothing until it is below the limit.
+func (s *server) hasEvenPart(now time.Time, state *Server, late bool) bool {
+	if !late && float64(state.Local+state.Remote) >= s.limit+maxQueueRatio*float64(state.Capacity) {
+		return false
+	}
 	whole, rest := s.evenPart()
 	local := float64(state.Local)
 	return local < whole || local == whole && rest > 0 && s.sinceExtra(now)*rest >= 1
