--- a/explain/story.go
+++ b/explain/story.go
@@ -189,8 +189,10 @@
 		return fmt.Sprintf("configuration %d in force (store revision %d)", l.Version, l.Revision)
 	case "server.changed":
 		return fmt.Sprintf("server %s: leaving %t", l.Server, l.Leaving)
-	case "server.gone", "server.missing", "server.silent":
+	case "server.gone", "server.missing", "server.silent", "server.stalled":
 		return fmt.Sprintf("server %s: %s", l.Server, strings.TrimPrefix(l.Event, "server."))
+	case "server.answers_again":
+		return fmt.Sprintf("server %s: answers again", l.Server)
 	default:
 		return strings.TrimSpace(l.Event + " " + l.Error + " " + l.Reason)
 	}
