--- a/gateway/dispatcher_slots.go
+++ b/gateway/dispatcher_slots.go
@@ -79,6 +79,9 @@
 	if d.slots == nil || len(d.slotServers[a.Service]) == 0 {
 		return
 	}
+	if d.unreliable(now, now.Add(-catchUpTime)) {
+		d.slots.ResetSilence(now) // answers may have arrived and not been read yet
+	}
 	d.countActive(now)
 	if a.HoldReason != placement.NoSlot {
 		a.Ahead = d.queue.ahead(a)
