--- a/gateway/dispatcher_slots.go
+++ b/gateway/dispatcher_slots.go
@@ -51,7 +51,6 @@
 		return
 	}
 	d.activeCountedAt = now
-	d.slots.SetFleet(d.fleetSize())
 	for service, servers := range d.slotServers {
 		active := 0
 		for _, running := range d.peerRunning {
--- a/gateway/slots/slots.go
+++ b/gateway/slots/slots.go
@@ -36,7 +36,7 @@
 	// Length of that queue in parts of the slots. A third covers a pause between an answer and the
 	// next request of a third of the answer time; requests that need longer belong in the gateway.
 	maxQueueRatio = 1.0 / 3
-	// Window of a server that has answered nothing lately: one request, and one to follow it.
+	// Least window at the beginning: one request, and one to follow it.
 	minInitialWindow = 2.0
 	// A window that has not been used for this long starts again: others may have the slots by now.
 	windowRetention = time.Second
@@ -149,7 +149,6 @@
 
 // Model is what a gateway knows of the servers of plain services.
 type Model struct {
-	fleet          int           // live gateways
 	reportInterval time.Duration // mean interval between two reports of a gateway
 	reportedAt     time.Time     // when a gateway has reported last
 	services       map[string]*service
@@ -196,12 +195,9 @@
 
 // NewModel returns a Model without servers.
 func NewModel() *Model {
-	return &Model{fleet: 1, services: map[string]*service{}, servers: map[string]*server{}, attempts: map[uint64]attempt{}}
+	return &Model{services: map[string]*service{}, servers: map[string]*server{}, attempts: map[uint64]attempt{}}
 }
 
-// SetFleet sets the number of live gateways, including this one.
-func (m *Model) SetFleet(gateways int) { m.fleet = max(gateways, 1) }
-
 // RecordReport records a report of another gateway, by the time since the one before.
 func (m *Model) RecordReport(now time.Time, interval time.Duration) {
 	m.reportedAt = now
@@ -441,7 +437,7 @@
 		state.active = float64(max(state.service.active, 1+min(s.Remote, 1)))
 		late := m.reportsLate(now, state, s.Capacity)
 		switch {
-		case float64(s.Local) >= state.windowAt(now, s, m.fleet):
+		case float64(s.Local) >= state.windowAt(now, s):
 		case state.mayTake(now, state.limit-float64(s.Local+s.Remote), late):
 			if free == nil || s.Cost < free.Cost {
 				free = s
@@ -475,10 +471,11 @@
 	return s.Capacity + int(queue)
 }
 
-// windowAt returns how many requests this gateway may have at the server.
-func (s *server) windowAt(now time.Time, state *Server, fleet int) float64 {
+// windowAt returns how many requests this gateway may have at the server. It begins with the even
+// part: if no other gateway has requests there, a burst at this one takes all slots at once.
+func (s *server) windowAt(now time.Time, state *Server) float64 {
 	if s.window == 0 || s.outstanding == 0 && now.Sub(s.usedAt) > windowRetention {
-		s.window = max(minInitialWindow, float64(state.Capacity)/float64(fleet))
+		s.window = max(minInitialWindow, s.limit/s.active)
 		s.recent = s.usual().Seconds()
 	}
 	s.window = min(s.window, float64(state.Capacity)*(1+maxQueueRatio))
