--- a/gateway/slots/slots.go
+++ b/gateway/slots/slots.go
@@ -358,8 +358,11 @@
 }
 
 func (m *Model) detectStall(now time.Time, id string, s *server) {
+	if s.stalled || s.outstanding == 0 {
+		return
+	}
 	usual := s.usual()
-	if s.stalled || s.outstanding == 0 || usual == 0 || now.Sub(s.silentSince) <= s.stallAfter() {
+	if usual == 0 || now.Sub(s.silentSince) <= s.stallAfter() {
 		return
 	}
 	s.stalled = true
@@ -422,6 +425,7 @@
 func (m *Model) choose(now time.Time, req Request, servers []Server) (Send, bool) {
 	cheapest := math.Inf(1)
 	var free, even, probe *Server
+	reportAge := max(m.reportInterval, now.Sub(m.reportedAt))
 	for i := range servers {
 		s := &servers[i]
 		state := m.states[i]
@@ -435,7 +439,7 @@
 		cheapest = min(cheapest, s.Cost)
 		state.limit = float64(limitOf(req, s, state.usual()))
 		state.active = float64(max(state.service.active, 1+min(s.Remote, 1)))
-		late := m.reportsLate(now, state, s.Capacity)
+		late := state.reportsLate(reportAge, s.Capacity)
 		switch {
 		case float64(s.Local) >= state.windowAt(now, s):
 		case state.mayTake(now, state.limit-float64(s.Local+s.Remote), late):
@@ -484,9 +488,8 @@
 
 // reportsLate reports whether the reports of other gateways are late: between two of them, so many
 // gateways could send to the same free slot that the server's own queue does not hold the excess.
-func (m *Model) reportsLate(now time.Time, s *server, capacity int) bool {
-	age := max(m.reportInterval, now.Sub(m.reportedAt))
-	return s.active > 1 && s.active*age.Seconds()/askInterval.Seconds() > maxExcess*float64(capacity)
+func (s *server) reportsLate(age time.Duration, capacity int) bool {
+	return s.active > 1 && s.active*float64(age) > maxExcess*float64(capacity)*float64(askInterval)
 }
 
 // mayTake reports whether this gateway may send to a server that has so much room by the reports.
