--- /dev/null
+++ b/gateway/slots_world_test.go
@@ -0,0 +1,507 @@
+package gateway
+
+import (
+	"container/heap"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"opalbridge.dev/gateway/budget"
+	"opalbridge.dev/gateway/catalog"
+	"opalbridge.dev/gateway/peer"
+	"opalbridge.dev/gateway/placement"
+)
+
+// slotWorld simulates gateways before plain servers with few slots, in virtual time.
+type slotWorld struct {
+	options  slotWorldOptions
+	random   *rand.Rand
+	arrivals *rand.Rand // apart, so that the same requests arrive whatever is decided
+	start    time.Time
+	now      time.Duration
+	events   worldEvents
+	sequence int
+	gateways []*slotGateway
+	servers  []*slotServer
+	result   slotWorldResult
+	runs     map[int]int // by request
+	samples  int
+	crowded  int // samples while more requests waited than there are slots
+}
+
+type slotWorldOptions struct {
+	queue       bool // plain_queue: slots
+	gateways    int
+	reportDelay time.Duration // interval of what gateways tell each other, and its mean age
+	reportsEnd  time.Duration // reports are lost from then on; 0: never
+	load        float64       // in parts of the capacity, with bursts of three times it if burst is set
+	burst       bool
+	stall       bool          // server 0 answers nothing from the middle of the burst for a second
+	diesAt      time.Duration // when server 0 dies; 0: never
+}
+
+// slotWorldResult counts what callers got.
+type slotWorldResult struct {
+	requests, inTime, late, refused, failed int
+	urgent, urgentInTime                    int
+	refusals, rejections                    int // of callers' attempts by gateways, and of gateways' by servers
+	repeated                                int // requests that ran more than once
+	queue, idle                             float64
+	longestQueue                            int
+}
+
+func (r slotWorldResult) String() string {
+	return fmt.Sprintf("%d requests: %d in time (%.2f of urgent ones), %d late, %d refused (%d refusals), %d failed; servers: %d rejections, queue of %.1f, at most %d, %.3f of slots idle while requests waited",
+		r.requests, r.inTime, float64(r.urgentInTime)/float64(max(r.urgent, 1)), r.late, r.refused, r.refusals, r.failed, r.rejections, r.queue, r.longestQueue, r.idle)
+}
+
+type worldEvent struct {
+	at       time.Duration
+	sequence int
+	do       func()
+}
+
+type worldEvents []worldEvent
+
+func (e worldEvents) Len() int { return len(e) }
+func (e worldEvents) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].sequence < e[j].sequence
+}
+func (e worldEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *worldEvents) Push(x any)   { *e = append(*e, x.(worldEvent)) }
+func (e *worldEvents) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+const (
+	worldSlots       = 6
+	worldServerQueue = 6 // a server rejects what is beyond
+	worldServers     = 3
+	worldAnswer      = 15 * time.Millisecond
+	worldHop         = 500 * time.Microsecond
+	worldObjective   = 300 * time.Millisecond
+	worldEnd         = 4 * time.Second // no more requests arrive
+	worldDrain       = 2 * time.Second // gateways go on for this long
+	burstStart       = time.Second
+	burstEnd         = 3 * time.Second
+	stallStart       = 1500 * time.Millisecond
+	stallEnd         = 2500 * time.Millisecond
+)
+
+type slotGateway struct {
+	*dispatcher
+	index   int
+	waiting []*slotAttempt
+}
+
+// slotRequest is a caller's request.
+type slotRequest struct {
+	id       int
+	arrived  time.Duration
+	priority int
+	work     time.Duration // time that a server takes for it
+}
+
+// slotAttempt is a request at a gateway.
+type slotAttempt struct {
+	*slotRequest
+	request placement.Request
+	reply   chan placement.Decision
+	assign  placement.Assign
+	retry   bool
+}
+
+type slotServer struct {
+	index   int
+	queue   []*slotJob
+	running map[*slotJob]bool
+	dead    bool
+}
+
+type slotJob struct {
+	attempt *slotAttempt
+	gateway *slotGateway
+}
+
+func (w *slotWorld) at(t time.Duration, do func()) {
+	w.sequence++
+	heap.Push(&w.events, worldEvent{at: t, sequence: w.sequence, do: do})
+}
+
+func (w *slotWorld) clock() time.Time { return w.start.Add(w.now) }
+
+// every calls do at an interval until some time after the last request has arrived.
+func (w *slotWorld) every(first, interval time.Duration, do func()) {
+	w.at(first, func() {
+		do()
+		if w.now < worldEnd+worldDrain {
+			w.every(w.now+interval, interval, do)
+		}
+	})
+}
+
+func runSlotWorld(o slotWorldOptions, seed uint64) slotWorldResult {
+	w := &slotWorld{options: o, random: rand.New(rand.NewPCG(seed, 1)), arrivals: rand.New(rand.NewPCG(seed, 2)), start: time.Now(), runs: map[int]int{}}
+	v := &View{}
+	for i := range worldServers {
+		w.servers = append(w.servers, &slotServer{index: i, running: map[*slotJob]bool{}})
+		v.Servers = append(v.Servers, catalog.Server{ID: fmt.Sprintf("i-%d", i), Service: "s", Hall: "h", Capacity: worldSlots})
+	}
+	for i := range o.gateways {
+		g := &slotGateway{index: i, dispatcher: newDispatcher(zerolog.Nop(), DispatcherOptions{
+			ShareWindow: 4 * time.Second, Hall: "h", Policy: placement.DefaultPolicy(), Features: Features{QueuePlainWork: o.queue},
+			Retries: budget.Limits{Ratio: 0.2, FixedRetries: 50, Window: 10 * time.Second},
+		}, w.start)}
+		g.queue.timer = time.NewTimer(time.Hour)
+		g.setView(w.start, v)
+		w.gateways = append(w.gateways, g)
+	}
+	for i, g := range w.gateways {
+		offset := time.Duration(i) * time.Millisecond
+		w.every(offset, waitScanInterval, func() { w.act(g, func() { g.scanWaiting(w.clock()) }) })
+		w.every(offset, overdueInterval, func() { w.act(g, func() { g.checkSlots(w.clock()) }) })
+		w.every(offset, shareInterval, func() { w.act(g, func() { g.detectSilent(w.clock()) }) })
+		if o.reportDelay > 0 {
+			w.every(time.Duration(w.random.Int64N(int64(o.reportDelay))), o.reportDelay, func() { w.report(g) })
+		}
+	}
+	if o.reportsEnd > 0 {
+		w.at(o.reportsEnd+time.Second, w.loseReports) // package peer takes a silent gateway for dead then
+	}
+	if o.diesAt > 0 {
+		w.at(o.diesAt, func() { w.die(w.servers[0]) })
+	}
+	w.arrive()
+	w.every(0, time.Millisecond, w.sample)
+	for len(w.events) > 0 {
+		e := heap.Pop(&w.events).(worldEvent)
+		w.now = e.at
+		e.do()
+	}
+	for _, n := range w.runs {
+		if n > 1 {
+			w.result.repeated++
+		}
+	}
+	w.result.queue /= float64(max(w.samples, 1))
+	w.result.idle /= float64(max(w.crowded, 1))
+	return w.result
+}
+
+// sample records the servers' queues, and slots that are free while requests wait.
+func (w *slotWorld) sample() {
+	if w.now >= worldEnd {
+		return
+	}
+	held := 0
+	for _, g := range w.gateways {
+		held += len(g.waiting)
+	}
+	free, slots := 0, 0
+	for _, s := range w.servers {
+		w.result.longestQueue = max(w.result.longestQueue, len(s.queue))
+		w.result.queue += float64(len(s.queue)) / worldServers
+		if !s.dead && !w.stalls(s) {
+			free += worldSlots - len(s.running)
+			slots += worldSlots
+		}
+	}
+	w.samples++
+	if held >= slots {
+		w.crowded++
+		w.result.idle += float64(free) / float64(max(slots, 1))
+	}
+}
+
+// report tells the other gateways of one's running requests. The age of what they know is between
+// half of the delay and one and a half.
+func (w *slotWorld) report(g *slotGateway) {
+	if w.options.reportsEnd > 0 && w.now >= w.options.reportsEnd {
+		return
+	}
+	running := map[uint64]int{}
+	for id, n := range g.running {
+		running[hashString(id)] = n
+	}
+	w.at(w.now+w.options.reportDelay/2, func() {
+		for _, other := range w.gateways {
+			if other != g {
+				w.act(other, func() {
+					other.applyUpdate(w.clock(), peer.Update{From: fmt.Sprint(g.index), Alive: true, Full: true, Running: maps.Clone(running)})
+				})
+			}
+		}
+	})
+}
+
+// loseReports has all gateways take the others for dead.
+func (w *slotWorld) loseReports() {
+	for _, g := range w.gateways {
+		for _, other := range w.gateways {
+			w.act(g, func() { g.applyUpdate(w.clock(), peer.Update{From: fmt.Sprint(other.index)}) })
+		}
+	}
+}
+
+// arrive lets callers send requests.
+func (w *slotWorld) arrive() {
+	if w.now >= worldEnd {
+		return
+	}
+	load := w.options.load
+	if w.options.burst && w.now >= burstStart && w.now < burstEnd {
+		load = 3
+	}
+	rate := load * worldServers * worldSlots / worldAnswer.Seconds()
+	w.at(w.now+time.Duration(w.arrivals.ExpFloat64()/rate*float64(time.Second)), func() {
+		w.result.requests++
+		r := &slotRequest{id: w.result.requests, arrived: w.now, work: w.work()}
+		if w.arrivals.IntN(4) > 0 {
+			r.priority = 1
+		}
+		if r.priority == 0 {
+			w.result.urgent++
+		}
+		w.ask(r)
+		w.arrive()
+	})
+}
+
+// work returns the time that a server takes for a request. One in ten takes several times as long.
+func (w *slotWorld) work() time.Duration {
+	if w.arrivals.IntN(10) == 0 {
+		return time.Duration(float64(worldAnswer) * (2 + 2*w.arrivals.ExpFloat64()))
+	}
+	return time.Duration(float64(worldAnswer) * (0.6 + 0.4*w.arrivals.Float64()))
+}
+
+// ask sends a caller's request to a gateway.
+func (w *slotWorld) ask(r *slotRequest) {
+	g := w.gateways[w.random.IntN(len(w.gateways))]
+	a := &slotAttempt{slotRequest: r, request: placement.Request{Service: "s", Hall: "h", Priority: r.priority}}
+	w.place(g, a)
+}
+
+// place has a gateway decide on a request.
+func (w *slotWorld) place(g *slotGateway, a *slotAttempt) {
+	spent := w.now - a.arrived
+	a.request.Objective = remainingObjective(worldObjective, spent)
+	a.request.Remaining, a.request.CallerTimeout = 3*time.Second-spent, 3*time.Second-spent
+	a.reply = make(chan placement.Decision, 1)
+	g.waiting = append(g.waiting, a)
+	w.act(g, func() {
+		if !a.retry {
+			g.handle(w.clock(), requestArrived{service: "s"})
+		}
+		g.handle(w.clock(), placementRequest{request: &a.request, retry: a.retry, done: make(chan struct{}), reply: a.reply})
+	})
+}
+
+// act lets a gateway do something and carries out what it has decided.
+func (w *slotWorld) act(g *slotGateway, do func()) {
+	do()
+	g.waiting = slices.DeleteFunc(g.waiting, func(a *slotAttempt) bool {
+		select {
+		case d := <-a.reply:
+			w.at(w.now, func() { w.carryOut(g, a, d) })
+			return true
+		default:
+			return false
+		}
+	})
+}
+
+func (w *slotWorld) carryOut(g *slotGateway, a *slotAttempt, d placement.Decision) {
+	switch d := d.(type) {
+	case placement.Assign:
+		a.assign = d
+		a.request.Exclude = append(a.request.Exclude, d.Server.ID)
+		s := w.servers[slices.IndexFunc(g.view.Servers, func(s catalog.Server) bool { return s.ID == d.Server.ID })]
+		w.at(w.now+worldHop, func() { w.receive(s, &slotJob{attempt: a, gateway: g}) })
+	case placement.Refuse:
+		w.refused(a, d.RetryAfter)
+	default:
+		w.refused(a, unknownRetryAfter)
+	}
+}
+
+// refused has the caller come back unless its answer would be of no use.
+func (w *slotWorld) refused(a *slotAttempt, after time.Duration) {
+	w.result.refusals++
+	if w.now+after-a.arrived > worldObjective {
+		w.result.refused++
+		return
+	}
+	w.at(w.now+after, func() { w.ask(a.slotRequest) })
+}
+
+// receive handles a request at a server.
+func (w *slotWorld) receive(s *slotServer, j *slotJob) {
+	switch {
+	case s.dead:
+		w.ended(j, placement.Unreachable)
+	case len(s.queue) >= worldServerQueue:
+		w.result.rejections++
+		w.at(w.now+worldHop, func() { w.ended(j, placement.Rejected) })
+	default:
+		s.queue = append(s.queue, j)
+		w.serve(s)
+	}
+}
+
+// serve begins what the server has slots for.
+func (w *slotWorld) serve(s *slotServer) {
+	for len(s.running) < worldSlots && len(s.queue) > 0 {
+		j := s.queue[0]
+		s.queue = s.queue[1:]
+		s.running[j] = true
+		w.runs[j.attempt.id]++
+		w.at(w.now+j.attempt.work, func() { w.answer(s, j) })
+	}
+}
+
+// answer ends a request at a server, after the server's stall if there is one.
+func (w *slotWorld) answer(s *slotServer, j *slotJob) {
+	if s.dead {
+		return
+	}
+	if w.stalls(s) {
+		w.at(stallEnd+time.Duration(w.random.Int64N(int64(time.Millisecond))), func() { w.answer(s, j) })
+		return
+	}
+	delete(s.running, j)
+	w.at(w.now+worldHop, func() { w.ended(j, placement.Served) })
+	w.serve(s)
+}
+
+// stalls reports whether a server answers nothing now.
+func (w *slotWorld) stalls(s *slotServer) bool {
+	return w.options.stall && s.index == 0 && w.now >= stallStart && w.now < stallEnd
+}
+
+// die ends a server. Its connections break.
+func (w *slotWorld) die(s *slotServer) {
+	s.dead = true
+	for j := range s.running {
+		w.ended(j, placement.Failed)
+	}
+	for _, j := range s.queue {
+		w.ended(j, placement.Failed)
+	}
+	s.queue, s.running = nil, nil
+}
+
+// ended handles the end of an attempt at its gateway.
+func (w *slotWorld) ended(j *slotJob, o placement.Outcome) {
+	g, a := j.gateway, j.attempt
+	m := attemptEnded{attemptID: a.assign.ID, server: a.assign.Server.ID, end: o}
+	if o == placement.Served {
+		m.status = 200
+	}
+	w.act(g, func() { g.handle(w.clock(), m) })
+	switch o {
+	case placement.Served:
+		switch {
+		case w.now-a.arrived > worldObjective:
+			w.result.late++
+		case a.priority == 0:
+			w.result.urgentInTime++
+			fallthrough
+		default:
+			w.result.inTime++
+		}
+	case placement.Rejected, placement.Unreachable:
+		a.retry = o == placement.Rejected || a.retry
+		w.place(g, a)
+	default:
+		w.result.failed++ // it may have run and is not sent again
+	}
+}
+
+// beforeAndAfter returns the results without a queue for slots, after with one; both of the same requests.
+func beforeAndAfter(t *testing.T, o slotWorldOptions) (before, after slotWorldResult) {
+	t.Helper()
+	const seed = 1
+	before = runSlotWorld(o, seed)
+	o.queue = true
+	after = runSlotWorld(o, seed)
+	t.Logf("before: %v", before)
+	t.Logf("after:  %v", after)
+	for _, r := range []slotWorldResult{before, after} {
+		require.Equal(t, r.requests, r.inTime+r.late+r.refused+r.failed, "each request has ended once")
+		require.Zero(t, r.repeated)
+	}
+	require.Equal(t, before.requests, after.requests)
+	return before, after
+}
+
+// TestPlainBurst: without a queue at the gateways, a burst fills the servers' own queues, these
+// reject most of what is sent, and urgent requests are served no more often than others.
+func TestPlainBurst(t *testing.T) {
+	for _, gateways := range []int{6, 27} {
+		for _, delay := range []time.Duration{5 * time.Millisecond, 50 * time.Millisecond, 250 * time.Millisecond} {
+			t.Run(fmt.Sprintf("%d gateways, reports of %v", gateways, delay), func(t *testing.T) {
+				before, after := beforeAndAfter(t, slotWorldOptions{gateways: gateways, reportDelay: delay, load: 0.5, burst: true})
+				require.Greater(t, float64(after.inTime), 0.97*float64(before.inTime))
+				require.Greater(t, float64(after.urgentInTime), 0.8*float64(after.urgent))
+				require.Less(t, float64(before.urgentInTime), 0.6*float64(before.urgent))
+				require.Less(t, after.rejections, before.rejections/4)
+				require.Less(t, after.queue, before.queue)
+				require.Less(t, after.idle, 0.03)
+				require.Less(t, float64(after.late), 0.02*float64(after.inTime))
+			})
+		}
+	}
+}
+
+// TestPlainStall: requests pile up at a server that answers nothing for a second, and are late.
+func TestPlainStall(t *testing.T) {
+	for _, gateways := range []int{1, 6, 27} {
+		for _, delay := range []time.Duration{5 * time.Millisecond, 250 * time.Millisecond} {
+			if gateways == 1 && delay > 5*time.Millisecond {
+				continue // it gets no reports
+			}
+			t.Run(fmt.Sprintf("%d gateways, reports of %v", gateways, delay), func(t *testing.T) {
+				before, after := beforeAndAfter(t, slotWorldOptions{gateways: gateways, reportDelay: delay, load: 0.5, stall: true})
+				require.Greater(t, after.inTime, before.inTime-worldSlots)
+				require.Less(t, after.late+after.refused, 3*worldSlots+after.requests/100)
+			})
+			t.Run(fmt.Sprintf("%d gateways, reports of %v, in a burst", gateways, delay), func(t *testing.T) {
+				before, after := beforeAndAfter(t, slotWorldOptions{gateways: gateways, reportDelay: delay, load: 0.5, burst: true, stall: true})
+				require.Greater(t, float64(after.inTime), 0.97*float64(before.inTime))
+				require.Greater(t, after.urgentInTime, before.urgentInTime)
+				require.Less(t, after.rejections, before.rejections/4)
+			})
+		}
+	}
+}
+
+// TestPlainReportsLost: when gateways hear no more of each other in a burst, servers reject the
+// excess, which has not run, and gateways send less because of that.
+func TestPlainReportsLost(t *testing.T) {
+	before, after := beforeAndAfter(t, slotWorldOptions{gateways: 6, reportDelay: 50 * time.Millisecond, reportsEnd: 1200 * time.Millisecond, load: 0.5, burst: true})
+	require.Positive(t, after.rejections)
+	require.Less(t, after.rejections, before.rejections)
+	require.Greater(t, float64(after.inTime), 0.9*float64(before.inTime))
+	require.Zero(t, after.failed)
+}
+
+// TestPlainServerDies: of the requests that wait when a server dies, none is lost. Those that were
+// at the server may have run and are not sent again.
+func TestPlainServerDies(t *testing.T) {
+	for _, delay := range []time.Duration{5 * time.Millisecond, 250 * time.Millisecond} {
+		before, after := beforeAndAfter(t, slotWorldOptions{gateways: 6, reportDelay: delay, load: 0.5, burst: true, diesAt: 2 * time.Second})
+		require.Positive(t, after.failed)
+		require.LessOrEqual(t, after.failed, worldSlots+worldServerQueue)
+		require.Greater(t, float64(after.inTime), 0.9*float64(before.inTime))
+		require.Greater(t, after.urgentInTime, before.urgentInTime)
+	}
+}
