gateway: idle capacity beyond the shares goes by priority, share ratio and age

An account beyond its share was refused beside idle servers unless it had at most an even share. With the setting `surplus: idle` and a token rate in the configuration, package surplus decides: a request gets an idle server that is predicted to send the first event within a quarter of the objective, unless an account that is ahead has unmet demand. Gateways report unmet demand with the accounts' demands. Waiting requests are served in the same order, and refused ones return when their tokens fall due. Refusals beside idle servers are logged and counted. Off by default.

--- a/cmd/opalbridge/gateway.go
+++ b/cmd/opalbridge/gateway.go
@@ -65,6 +65,9 @@
 // RequestEnded implements gateway.Metrics.
 func (c requestMetrics) RequestEnded(o gateway.Outcome) {
 	c.RecordRequest(o.Service, o.Kind, o.Result, o.Attempts, o.FirstByte, o.Total)
+	if o.Result == "refused" {
+		c.RecordRefusal(o.Service, o.Surplus, o.BesideIdle)
+	}
 }
 
 // RetryDecided implements gateway.Metrics.
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -54,6 +54,8 @@
 	trial           bool        // it is quarantined but is sent once as a trial
 	originReported  bool        // an event was relayed, and the version of its server was or will be reported
 	origin          chan string // gets the version that began the stream once it is certain, empty if it is not; nil: it is in placeReq
+
+	refusal placement.Refuse // decision by which it was refused
 }
 
 // step is the next step after an attempt.
@@ -104,7 +106,7 @@
 	c.awaitOrigin()
 	now := time.Now()
 	c.placeReq.Remaining = c.deadline.Sub(now)
-	c.placeReq.Objective = 0
+	c.placeReq.Objective, c.placeReq.FullObjective = 0, c.route.Objective
 	if c.route.Objective > 0 && !c.mayHaveRun {
 		c.placeReq.Objective = remainingObjective(c.route.Objective, c.sinceFirstAttempt+now.Sub(c.arrived))
 		c.placeReq.CallerTimeout = min(c.route.CallerTimeout-now.Sub(c.arrived), c.placeReq.Remaining)
@@ -187,7 +189,7 @@
 		Int("prompt", c.placeReq.PromptTokens).Int("reread", d.SharedMissTokens).Float64("tokens", c.cost).
 		Dur("left", c.deadline.Sub(sent)).Dur("spent", c.sinceFirstAttempt).Bool("again", c.sinceFirstAttempt > 0).
 		Str("account", c.account).Bool("over_share", c.placeReq.OverShare).Float64("ahead", c.placeReq.ShareRatio).
-		Str("copy_from", d.CopyFrom).Msg("request sent to server")
+		Str("copy_from", d.CopyFrom).EmbedObject(surplusFields(d.Surplus)).Msg("request sent to server")
 }
 
 // upstreamRequest builds the request to a server.
@@ -274,7 +276,7 @@
 // refuse tells the caller that the request was not run, and when to retry. After an attempt
 // that may have run it can only report a failure.
 func (c *call) refuse(d placement.Refuse) {
-	c.result, c.reason = "refused", string(d.Reason)
+	c.result, c.reason, c.refusal = "refused", string(d.Reason), d
 	if c.mayHaveRun {
 		c.fail(context.Background(), failStep{err: errors.New(string(d.Reason))})
 		return
@@ -285,7 +287,7 @@
 		Dur("predicted", d.Predicted).Dur("retry_after", d.RetryAfter).
 		Dur("spent", c.sinceFirstAttempt).Bool("again", c.sinceFirstAttempt > 0).Str("server_version", c.placeReq.Version).
 		Bool("over_share", c.placeReq.OverShare).Bool("stop", c.placeReq.Capped).Float64("ahead", c.placeReq.ShareRatio).
-		Msg("request refused")
+		EmbedObject(surplusFields(d.Surplus)).Bool("beside_idle", d.BesideIdle).Msg("request refused")
 }
 
 // fail sends the final response to a request that no server has answered.
@@ -331,6 +333,9 @@
 	if o.Result == "served" && c.missedObjective(o.FirstByte) {
 		o.Result = "late"
 	}
+	if o.Result == "refused" {
+		o.BesideIdle, o.Surplus = c.refusal.BesideIdle, string(c.refusal.Surplus.Reason)
+	}
 	c.gateway.options.Metrics.RequestEnded(o)
 	c.gateway.log.Info().Str("event", "request.ended").Str("request", c.meta.ID).Str("route", c.route.Name).
 		Str("kind", kindName(c.route)).Dur("spent", c.sinceFirstAttempt).Str("account", c.account).Str("result", o.Result).Str("reason", c.reason).Int("attempts", c.attempts).
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -13,6 +13,7 @@
 	"opalbridge.dev/gateway/peer"
 	"opalbridge.dev/gateway/placement"
 	"opalbridge.dev/gateway/share"
+	"opalbridge.dev/gateway/surplus"
 	"opalbridge.dev/gateway/warmup"
 )
 
@@ -67,6 +68,7 @@
 	loggedSpeeds         map[string]placement.Speed // as last logged, by service
 	balancer             *placement.Balancer
 	shares               *share.Tracker
+	surplus              *surplus.Table // nil: not used
 	retryBudget          *budget.Budget
 	lateAcknowledgements []lateAcknowledgement // by due time
 	budgetLoggedAt       map[string]time.Time  // when the use of the retry budget was last logged, by service
@@ -350,6 +352,7 @@
 		}
 		return s.Engine
 	})
+	d.setSurplus()
 	d.reapplyBackoffs(now)
 	peerRunning := d.peerRunningByServer()
 	clear(d.serverIDs)
@@ -396,6 +399,9 @@
 		rate = d.view.Configuration.Limits.TokensPerSecond
 	}
 	d.shares.Recompute(now, rate)
+	if d.surplus != nil {
+		d.surplus.Sweep(now)
+	}
 	if d.shareUpdates++; d.shareUpdates%cacheSweepTicks == 0 {
 		d.balancer.PruneCaches()
 	}
--- a/gateway/dispatcher_publish.go
+++ b/gateway/dispatcher_publish.go
@@ -48,6 +48,7 @@
 	for _, o := range own[:min(len(own), maxDemands)] {
 		list = append(list, &peerpb.Demand{Account: o.Account, Asked: uint32(o.Asked), Admitted: uint32(o.Admitted)})
 	}
+	d.addUnmet(now, list)
 	s := *d.peerState.Load()
 	s.Demands, s.Speeds, s.Rollouts = list, d.learnedSpeeds(), d.rolloutReports(now)
 	d.peerState.Store(&s)
--- /dev/null
+++ b/gateway/dispatcher_surplus.go
@@ -0,0 +1,148 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"opalbridge.dev/gateway/peer/peerpb"
+	"opalbridge.dev/gateway/placement"
+	"opalbridge.dev/gateway/surplus"
+)
+
+// This file connects the dispatcher with package surplus, which decides on requests beyond their
+// account's share if the settings ask for it and the configuration has a token rate.
+
+// minRetryAge is the age from which a request counts as a retry of one that was refused: a new one is
+// decided on within some milliseconds, and refused ones return after 200 ms or more.
+const minRetryAge = 100 * time.Millisecond
+
+// usesSurplus reports whether package surplus decides.
+func (d *dispatcher) usesSurplus() bool {
+	return d.settings.Features.IdleSurplus && d.view.Configuration != nil && d.view.Configuration.Limits.TokensPerSecond > 0
+}
+
+// setSurplus adds the table to the decisions, or removes it, as the configuration says.
+func (d *dispatcher) setSurplus() {
+	switch used := d.usesSurplus(); {
+	case used && d.surplus == nil:
+		d.surplus = surplus.NewTable(func(account string) float64 { return d.shares.Status(account).ShareRatio })
+		d.balancer.SetSurplus(d.surplus)
+	case !used && d.surplus != nil:
+		d.surplus = nil
+		d.balancer.SetSurplus(nil)
+	}
+}
+
+// recordDecision records unmet demand of the request's account, or that it was met, and schedules
+// the retry of a refused request. queued reports whether the request was waiting before.
+func (d *dispatcher) recordDecision(now time.Time, m placementRequest, decision placement.Decision, queued bool) placement.Decision {
+	switch decided := decision.(type) {
+	case placement.Refuse:
+		decided.BesideIdle = d.balancer.HasSuitable(now, m.request)
+		if decided.Reason == placement.OverShare && d.surplus != nil {
+			rate := d.shares.LocalRate(now, m.request.Account)
+			decided.RetryAfter = d.surplus.RetryAfter(now, m.request.Account, m.tokens, rate, m.request.Remaining)
+		}
+		d.recordUnmet(now, m, decided.Reason, decided.Surplus, queued)
+		return decided
+	case placement.Hold:
+		d.recordUnmet(now, m, decided.Reason, decided.Surplus, queued)
+	case placement.Assign:
+		if d.surplus != nil && (queued || now.Sub(m.request.FirstAttempt) >= minRetryAge) {
+			d.surplus.RecordServed(m.request.Account, m.request.Priority, m.tokens)
+		}
+	}
+	return decision
+}
+
+// recordUnmet records a request that was refused or waits, unless no server would be given to it
+// even if accounts behind it got none.
+func (d *dispatcher) recordUnmet(now time.Time, m placementRequest, r placement.Reason, s placement.Surplus, queued bool) {
+	if d.surplus == nil || m.request.Account == "" || m.request.Capped || r != placement.OverShare && r != placement.TooLate {
+		return
+	}
+	u := surplus.Demand{
+		Account: m.request.Account, Priority: m.request.Priority, FirstAttempt: m.request.FirstAttempt, Tokens: m.tokens,
+		Unfit: s.Reason != surplus.Behind && d.balancer.HasIdle(now, m.request),
+	}
+	if queued {
+		u.Tokens = 0 // they were counted when it was queued
+	}
+	d.surplus.RecordUnmet(now, u)
+}
+
+// applyUnmet takes over the unmet demand that another gateway has reported.
+func (d *dispatcher) applyUnmet(now time.Time, list []*peerpb.Demand) {
+	if d.surplus == nil {
+		return
+	}
+	var demands []surplus.Demand
+	for _, p := range list {
+		if p.Unmet == 0 {
+			continue
+		}
+		demands = append(demands, surplus.Demand{
+			Account: p.Account, Priority: int(p.Priority), Tokens: float64(p.Unmet), Unfit: p.Unfit,
+			FirstAttempt: now.Add(-time.Duration(p.OldestMs) * time.Millisecond),
+			Recent:       now.Add(-time.Duration(p.RecentMs) * time.Millisecond),
+		})
+	}
+	d.surplus.RecordRemote(now, demands)
+}
+
+// addUnmet adds this gateway's unmet demand to what it reports of its accounts.
+func (d *dispatcher) addUnmet(now time.Time, list []*peerpb.Demand) {
+	if d.surplus == nil {
+		return
+	}
+	demands := d.surplus.OwnDemands(now)
+	for _, p := range list {
+		u, ok := demands[p.Account]
+		if !ok {
+			continue
+		}
+		p.Unmet, p.Priority, p.Unfit = uint32(min(max(u.Tokens, 1), maxReportedTokens)), uint32(u.Priority), u.Unfit
+		p.OldestMs, p.RecentMs = reportedMilliseconds(now.Sub(u.FirstAttempt)), reportedMilliseconds(now.Sub(u.Recent))
+	}
+}
+
+// Limits of reported unmet demand: more tokens than any fleet processes in half a second, and an
+// age beyond any caller's patience.
+const (
+	maxReportedTokens = 1 << 30
+	maxReportedAge    = time.Hour
+)
+
+func reportedMilliseconds(d time.Duration) uint32 {
+	return uint32(min(max(d, 0), maxReportedAge).Milliseconds())
+}
+
+// comparePositions compares waiting requests by the order in which they get capacity.
+func comparePositions(x, y *waiter) int {
+	return x.position().Compare(y.position())
+}
+
+// position returns the waiter's place in the order.
+func (w *waiter) position() surplus.Position {
+	return surplus.Position{Priority: w.original.Priority, ShareRatio: w.shareRatio, FirstAttempt: w.original.FirstAttempt}
+}
+
+// longestSurplusHold returns how long a request beyond its account's share is held at most for a
+// server to become idle.
+func (d *dispatcher) longestSurplusHold(r *placement.Request) time.Duration {
+	if d.surplus != nil {
+		return surplus.LongestIdleWait(r.Objective + r.Waited)
+	}
+	return d.settings.Policy.SurplusHold(r)
+}
+
+// surplusFields are the log fields of a decision on surplus capacity.
+type surplusFields placement.Surplus
+
+// MarshalZerologObject implements zerolog.LogObjectMarshaler.
+func (f surplusFields) MarshalZerologObject(e *zerolog.Event) {
+	if f.Reason != "" {
+		e.Str("surplus", string(f.Reason)).Str("account_ahead", f.Ahead)
+	}
+}
--- a/gateway/dispatcher_updates.go
+++ b/gateway/dispatcher_updates.go
@@ -189,6 +189,7 @@
 			d.demandByGateway[u.From] += list[i].Asked
 		}
 		d.shares.SetRemoteDemands(u.From, list)
+		d.applyUnmet(now, u.Demands)
 	}
 	defer func() { d.livePeers.Store(int64(len(d.peerRunning))) }()
 	if u.Full {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -94,6 +94,9 @@
 	FirstByte time.Duration
 	Total     time.Duration
 	Attempts  int
+	// Of refused requests:
+	BesideIdle bool   // an idle server could have sent the first event within a quarter of the objective
+	Surplus    string // why it got no surplus capacity; empty: it was within its account's share, or package surplus is not used
 }
 
 // Gateway is one gateway of a fleet.
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -28,6 +28,7 @@
 	"time"
 
 	"opalbridge.dev/gateway/catalog"
+	"opalbridge.dev/gateway/surplus"
 )
 
 // Part is a segment of a prompt that requests may share, identified by a hash of its ID.
@@ -59,6 +60,8 @@
 	Hall          string          // hall of the gateway
 	Priority      int             // 0 is the most urgent
 	MaxEventGap   time.Duration   // longest interval between events within the objective; 0: none
+	FullObjective time.Duration   // the whole objective of its route; 0: Objective and Waited together
+	FirstAttempt  time.Time       // when its caller first tried
 	TieBreak      uint64          // random; chooses among servers of similar cost
 }
 
@@ -77,6 +80,7 @@
 	CopyFrom         string        // address of a server that caches more of the prompt; empty: none
 	ID               uint64        // set by the caller of Place to identify the assignment
 	SendBefore       time.Time     // the request must not be sent later than this; zero: no limit
+	Surplus          Surplus
 }
 
 // Refuse means that the request is not served now and the caller should retry later.
@@ -84,6 +88,8 @@
 	RetryAfter time.Duration
 	Predicted  time.Duration // time until the first event at the best server
 	Reason     Reason
+	Surplus    Surplus
+	BesideIdle bool // set by the caller of Place; see [Balancer.HasSuitable]
 }
 
 // Hold means that the request should wait for capacity while other requests go first.
@@ -92,6 +98,7 @@
 	Predicted   time.Duration // time until the first event at the best server now
 	PrefillTime time.Duration // of Predicted: prefill of the part of the prompt that is not cached
 	Reason      Reason
+	Surplus     Surplus
 }
 
 // NoServer means that no server of the service takes work.
@@ -117,6 +124,7 @@
 	services map[string][]*server // sorted by ID
 	speeds   map[string]*speed    // by service
 	regions  map[string]string    // by hall
+	surplus  *surplus.Table       // decides on requests beyond their account's share; nil: the policy does
 }
 
 // NewBalancer returns a Balancer without servers.
@@ -292,19 +300,23 @@
 func (b *Balancer) placeEngine(now time.Time, req *Request, servers []*server) Decision {
 	best := b.cheapest(now, req, servers)
 	r := b.deferReason(now, req, best)
-	if r == OverShare && req.ShareRatio <= b.policy.MaxIdleShareRatio {
+	var granted surplus.Decision
+	if b.decidesSurplus(req) {
+		best, r, granted = b.placeSurplus(now, req, servers, best, r)
+	} else if r == OverShare && req.ShareRatio <= b.policy.MaxIdleShareRatio {
 		if c, ok := b.cheapestIdle(now, req, servers); ok {
 			best, r = c, InTime
 		}
 	}
+	why := Surplus{Reason: granted.Reason, Ahead: granted.Ahead}
 	if r != InTime {
-		if b.shouldHold(req, best, r) {
-			return Hold{Predicted: best.predicted, PrefillTime: best.prefillTime, Reason: r}
+		if granted.Action == surplus.Wait || b.shouldHold(req, best, r) {
+			return Hold{Predicted: best.predicted, PrefillTime: best.prefillTime, Reason: r, Surplus: why}
 		}
-		return Refuse{RetryAfter: b.retryAfter(req, best, r), Predicted: best.predicted, Reason: r}
+		return Refuse{RetryAfter: b.retryAfter(req, best, r), Predicted: best.predicted, Reason: r, Surplus: why}
 	}
 	load := Load{Server: best.server.ID, Work: best.work, Parts: partHashes(req.Parts), CacheTokens: best.uncachedTokens + req.OutputTokens}
-	assign := Assign{Server: best.server.Server, Load: load, Predicted: best.predicted, QueueTime: best.queueTime, PrefillTime: best.prefillTime, SharedMissTokens: best.sharedMissTokens}
+	assign := Assign{Surplus: why, Server: best.server.Server, Load: load, Predicted: best.predicted, QueueTime: best.queueTime, PrefillTime: best.prefillTime, SharedMissTokens: best.sharedMissTokens}
 	assign.NominalLatency = best.work + best.server.speed.firstEventTime()
 	if best.copyFrom != nil {
 		assign.CopyFrom = best.copyFrom.Address
--- /dev/null
+++ b/gateway/placement/surplus.go
@@ -0,0 +1,126 @@
+package placement
+
+import (
+	"time"
+
+	"opalbridge.dev/gateway/surplus"
+)
+
+// Surplus says whether and why a request beyond its account's share got capacity that was idle.
+type Surplus struct {
+	Reason surplus.Reason // empty: the request was within its account's share, or package surplus is not used
+	Ahead  string         // account that is ahead in order and has unmet demand; empty: none
+}
+
+// SetSurplus lets a table decide on requests beyond their account's share; nil: the policy decides
+// by itself, from how far the account is ahead.
+func (b *Balancer) SetSurplus(t *surplus.Table) { b.surplus = t }
+
+// decidesSurplus reports whether the table decides on a request.
+func (b *Balancer) decidesSurplus(req *Request) bool {
+	return b.surplus != nil && req.Objective != 0 && req.OverShare && req.HoldReason != TooLate
+}
+
+// fullObjective returns the objective of the request's route.
+func (req *Request) fullObjective() time.Duration {
+	if req.FullObjective > 0 {
+		return req.FullObjective
+	}
+	return req.Objective + req.Waited
+}
+
+// Position returns the request's place in the order in which requests get capacity.
+func (req *Request) Position() surplus.Position {
+	return surplus.Position{Priority: req.Priority, ShareRatio: req.ShareRatio, FirstAttempt: req.FirstAttempt}
+}
+
+// placeSurplus decides on a request beyond its account's share. best is its cheapest candidate and
+// r why it should not go there by the policy. The policy's own rules, which serve accounts with
+// less than an even share, stay in force; the order of accounts applies to them as well.
+func (b *Balancer) placeSurplus(now time.Time, req *Request, servers []*server, best candidate, r Reason) (candidate, Reason, surplus.Decision) {
+	objective := req.fullObjective()
+	state := b.surplusState(now, best)
+	if r == InTime && !state.Suits(objective) {
+		// The policy grants a server that is not idle. Only the order is left to decide.
+		state = surplus.Server{Slots: state.Slots}
+	} else if !req.Capped && !state.Suits(objective) {
+		if c, ok := b.cheapestSuitable(now, req, servers); ok {
+			best, state = c, b.surplusState(now, c)
+		}
+	}
+	d := b.surplus.Decide(now, surplus.Request{
+		Position: req.Position(), Account: req.Account, Capped: req.Capped, Objective: objective, Waited: req.Waited,
+	}, state)
+	switch {
+	case d.Action == surplus.Grant:
+		return best, InTime, d
+	case d.Action == surplus.Wait || r == InTime:
+		return best, OverShare, d // a request held as late would be exempt from its account's share
+	}
+	return best, r, d
+}
+
+// surplusState returns what package surplus needs to know of a candidate.
+func (b *Balancer) surplusState(now time.Time, c candidate) surplus.Server {
+	return surplus.Server{
+		Predicted: c.predicted, QueueTime: max(c.queueTime, c.server.busyUntil.Sub(now), 0),
+		Running: c.server.localRunning + c.server.remoteRunning, Slots: c.server.engine.Slots,
+	}
+}
+
+// cheapestSuitable returns the cheapest server that has surplus capacity for a request and caches
+// nearly all shared parts of it, so that no cache fills up with parts that other servers hold. ok
+// is false if there is none.
+func (b *Balancer) cheapestSuitable(now time.Time, req *Request, servers []*server) (best candidate, ok bool) {
+	for _, s := range servers {
+		if !s.isIdle(now) {
+			continue
+		}
+		if _, missing := s.cache.match(req); missing > b.policy.MaxSurplusMissTokens {
+			continue
+		}
+		c := b.evaluate(now, req, s, cacheHolder{})
+		if !b.surplusState(now, c).Suits(req.fullObjective()) {
+			continue
+		}
+		if !ok || c.cost < best.cost {
+			best, ok = c, true
+		}
+	}
+	return best, ok
+}
+
+// isIdle reports whether a server has no prefill backlog and at least half of its slots are free.
+func (s *server) isIdle(now time.Time) bool {
+	return surplus.Server{QueueTime: s.busyUntil.Sub(now), Running: s.localRunning + s.remoteRunning, Slots: s.engine.Slots}.IsIdle()
+}
+
+// HasIdle reports whether a server that may get the request is idle: it has no prefill backlog and
+// at least half of its slots are free.
+func (b *Balancer) HasIdle(now time.Time, req *Request) bool {
+	servers, _ := b.available(now, req)
+	for _, s := range servers {
+		if s.engine != nil && s.isIdle(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// HasSuitable reports whether an idle server could send the first event of a request within the
+// part of its objective that package surplus asks for. Refusals beside such servers are counted.
+func (b *Balancer) HasSuitable(now time.Time, req *Request) bool {
+	if req.Objective == 0 {
+		return false
+	}
+	servers, _ := b.available(now, req)
+	for _, s := range servers {
+		if s.engine == nil || !s.isIdle(now) {
+			continue
+		}
+		if b.surplusState(now, b.evaluate(now, req, s, cacheHolder{})).Suits(req.fullObjective()) {
+			return true
+		}
+	}
+	return false
+}
--- a/gateway/share/share.go
+++ b/gateway/share/share.go
@@ -222,6 +222,18 @@
 	return s
 }
 
+// LocalRate returns the part of an account's fair share that falls to this gateway, in tokens per
+// second: the fair share is divided among the gateways as they are asked for the account's tokens. It
+// is 0 if there is no fair share or nothing was asked for here.
+func (t *Tracker) LocalRate(now time.Time, account string) float64 {
+	total := t.totals[account].Asked
+	if t.fairShare == 0 || total <= 0 || t.local[account] == nil {
+		return 0
+	}
+	part := min(t.demand(now, account).Asked/total, 1) // the total is as of the last Recompute
+	return t.fairShare * part / t.window.Seconds()
+}
+
 // MaxMinShare returns the max-min fair share: the level up to which each demand is met when
 // the capacity is divided among them. It is 0 if all demands fit or the capacity is unknown.
 func MaxMinShare(demands []float64, capacity float64) float64 {
--- a/gateway/wait_queue.go
+++ b/gateway/wait_queue.go
@@ -49,18 +49,30 @@
 	q.prefillTime += w.hold.PrefillTime
 }
 
-// mostOverShare returns the waiter whose account has got most in relation to its even share,
-// among the waiters beyond their share; nil if there is none.
-func (q *waitQueue) mostOverShare() *waiter {
+// lastBeyondShare returns the last waiter in an order among those beyond their account's share; nil
+// if there is none.
+func (q *waitQueue) lastBeyondShare(compare func(x, y *waiter) int) *waiter {
 	var found *waiter
 	for _, w := range q.waiters {
-		if w.hold.Reason == placement.OverShare && (found == nil || w.shareRatio > found.shareRatio) {
+		if w.hold.Reason == placement.OverShare && (found == nil || compare(w, found) > 0) {
 			found = w
 		}
 	}
 	return found
 }
 
+// compareShareRatios orders waiters by how much their accounts have got in relation to an even
+// share.
+func compareShareRatios(x, y *waiter) int { return cmp.Compare(x.shareRatio, y.shareRatio) }
+
+// waiterOrder returns the order in which waiting requests get capacity.
+func (d *dispatcher) waiterOrder() func(x, y *waiter) int {
+	if d.surplus != nil {
+		return comparePositions
+	}
+	return compareShareRatios
+}
+
 func (q *waitQueue) remove(w *waiter) {
 	q.waiters = slices.DeleteFunc(q.waiters, func(x *waiter) bool { return x == w })
 	q.prefillTime -= w.hold.PrefillTime
@@ -90,6 +102,7 @@
 // place decides on a request or queues it.
 func (d *dispatcher) place(now time.Time, m placementRequest) {
 	decision := d.decide(now, m)
+	decision = d.recordDecision(now, m, decision, false)
 	hold, ok := decision.(placement.Hold)
 	if !ok {
 		m.reply <- decision
@@ -100,23 +113,24 @@
 		d.queue.add(w)
 		return
 	}
-	// The account with the highest share ratio makes room.
-	if f := d.queue.mostOverShare(); f != nil && f.shareRatio > w.shareRatio {
+	// The last in order makes room.
+	order := d.waiterOrder()
+	if f := d.queue.lastBeyondShare(order); f != nil && order(f, w) > 0 {
 		d.queue.remove(f)
-		d.refuse(f)
+		d.refuse(now, f)
 		d.queue.add(w)
 		return
 	}
-	d.refuse(w)
+	d.refuse(now, w)
 }
 
 // refuse refuses a request that does not fit into the queue.
-func (d *dispatcher) refuse(w *waiter) {
+func (d *dispatcher) refuse(now time.Time, w *waiter) {
 	after := d.settings.Policy.MinRetryAfter
 	if w.hold.Reason == placement.BackingOff {
 		after = max(after, w.hold.Predicted)
 	}
-	w.message.reply <- placement.Refuse{RetryAfter: after, Predicted: w.hold.Predicted, Reason: w.hold.Reason}
+	w.message.reply <- d.recordDecision(now, w.message, placement.Refuse{RetryAfter: after, Predicted: w.hold.Predicted, Reason: w.hold.Reason, Surplus: w.hold.Surplus}, true)
 }
 
 // queueFull reports whether the queue is so long that a request would be served too late, in
@@ -132,18 +146,19 @@
 	servers := max(d.balancer.ServerCount(w.original.Service), 1)
 	wait := 2 * d.queue.prefillTime * time.Duration(d.fleetSize()) / time.Duration(servers)
 	if w.hold.Reason == placement.OverShare {
-		return wait > d.settings.Policy.SurplusHold(&w.original)
+		return wait > d.longestSurplusHold(&w.original)
 	}
 	return wait+w.hold.PrefillTime > w.original.CallerTimeout/2
 }
 
 // scanWaiting finds servers with capacity for waiting requests: accounts that got least go
-// first, and the oldest request of each account first.
+// first, and the oldest request of each account first. If package surplus is used, requests go by
+// priority before that.
 func (d *dispatcher) scanWaiting(now time.Time) {
 	for _, w := range d.queue.waiters {
 		w.shareRatio = d.shares.Status(w.original.Account).ShareRatio
 	}
-	slices.SortStableFunc(d.queue.waiters, func(x, y *waiter) int { return cmp.Compare(x.shareRatio, y.shareRatio) })
+	slices.SortStableFunc(d.queue.waiters, d.waiterOrder())
 	placed, sent := 0, 0
 	remaining := d.queue.waiters[:0]
 	for _, w := range d.queue.waiters {
@@ -158,7 +173,7 @@
 		}
 		placed++
 		w.refresh(now)
-		decision := d.decide(now, w.message)
+		decision := d.recordDecision(now, w.message, d.decide(now, w.message), true)
 		if h, ok := decision.(placement.Hold); ok {
 			if w.hold.Reason == placement.BackingOff {
 				d.queue.prefillTime += h.PrefillTime - w.hold.PrefillTime
--- a/telemetry/gateway.go
+++ b/telemetry/gateway.go
@@ -18,12 +18,13 @@
 	retries      metric.Int64Counter
 	acknowledged metric.Float64Histogram
 	resumed      metric.Int64Counter
+	refusals     metric.Int64Counter
 }
 
 // NewGatewayMetrics creates the instruments of a gateway.
 func NewGatewayMetrics(m metric.Meter) (*GatewayMetrics, error) {
 	var c GatewayMetrics
-	var errs [7]error
+	var errs [8]error
 	c.requests, errs[0] = m.Int64Counter("opalbridge.gateway.requests", metric.WithDescription("requests that ended, by service, kind and result"))
 	c.attempts, errs[1] = m.Int64Counter("opalbridge.gateway.attempts", metric.WithDescription("sends to servers, by service; over opalbridge.gateway.requests"))
 	c.first, errs[2] = m.Float64Histogram("opalbridge.gateway.first", metric.WithUnit("s"), metric.WithDescription("time from arrival to the first byte passed on"))
@@ -31,6 +32,7 @@
 	c.retries, errs[4] = m.Int64Counter("opalbridge.gateway.retries", metric.WithDescription("retries that the budget granted or refused, by service and decision"))
 	c.acknowledged, errs[5] = m.Float64Histogram("opalbridge.gateway.retry_acknowledged", metric.WithUnit("s"), metric.WithDescription("time from the decision on a retry to its server's first sign of life"))
 	c.resumed, errs[6] = m.Int64Counter("opalbridge.gateway.streams_resumed", metric.WithDescription("streams that callers took up, by service and outcome"))
+	c.refusals, errs[7] = m.Int64Counter("opalbridge.gateway.refusals", metric.WithDescription("requests refused, by service, by why they got no capacity beyond their account's share, and by whether an idle server could have served them within a quarter of their objective"))
 	return &c, errors.Wrap(errors.Join(errs[:]...), "telemetry: gateway")
 }
 
@@ -57,6 +59,13 @@
 	c.retries.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("decision", decision)))
 }
 
+// RecordRefusal records a refused request. surplus says why it got no capacity beyond its account's
+// share; besideIdle reports whether an idle server could have served it soon.
+func (c *GatewayMetrics) RecordRefusal(service, surplus string, besideIdle bool) {
+	c.refusals.Add(context.Background(), 1, metric.WithAttributes(
+		attribute.String("service", service), attribute.String("surplus", surplus), attribute.Bool("beside_idle", besideIdle)))
+}
+
 // RecordStreamResumed records what became of a caller's attempt to take up a stream.
 func (c *GatewayMetrics) RecordStreamResumed(service, outcome string) {
 	c.resumed.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("outcome", outcome)))
