--- a/gateway/dispatcher_surplus.go
+++ b/gateway/dispatcher_surplus.go
@@ -42,7 +42,9 @@
 		decided.BesideIdle = d.balancer.HasSuitable(now, m.request)
 		if decided.Reason == placement.OverShare && d.surplus != nil {
 			rate := d.shares.LocalRate(now, m.request.Account)
-			decided.RetryAfter = d.surplus.RetryAfter(now, m.request.Account, m.tokens, rate, m.request.Remaining)
+			decided.RetryAfter = d.surplus.RetryAfter(now, surplus.Retry{
+				Account: m.request.Account, Tokens: m.tokens, Remaining: m.request.Remaining, Objective: m.request.Objective, Route: m.request.FullObjective,
+			}, rate)
 		}
 		d.recordUnmet(now, m, decided.Reason, decided.Surplus, queued)
 		return decided
@@ -50,7 +52,7 @@
 		d.recordUnmet(now, m, decided.Reason, decided.Surplus, queued)
 	case placement.Assign:
 		if d.surplus != nil && (queued || now.Sub(m.request.FirstAttempt) >= minRetryAge) {
-			d.surplus.RecordServed(m.request.Account, m.request.Priority, m.tokens)
+			d.surplus.RecordServed(now, m.request.Account, m.request.Priority, m.tokens)
 		}
 	}
 	return decision
@@ -146,3 +148,32 @@
 		e.Str("surplus", string(f.Reason)).Str("account_ahead", f.Ahead)
 	}
 }
+
+// sendFirstBehind makes room in the full queue for a waiter: of the requests, including this one, that
+// wait only because other accounts are ahead, it sends the first in order. Unmet demand of
+// accounts ahead is then not at this gateway, or has not taken the idle server in its own scans, and
+// no request is refused beside an idle server for it. It reports whether the waiter was queued or
+// sent.
+func (d *dispatcher) sendFirstBehind(now time.Time, w *waiter) bool {
+	var first *waiter
+	for _, x := range append(d.queue.waiters[:len(d.queue.waiters):len(d.queue.waiters)], w) {
+		if x.hold.Surplus.Reason == surplus.Behind && !x.cancelled() && (first == nil || comparePositions(x, first) < 0) {
+			first = x
+		}
+	}
+	if first == nil {
+		return false
+	}
+	first.refresh(now)
+	first.message.request.Waited = first.original.Objective.Abs() + time.Hour // longer than any request is held behind others
+	assign, ok := d.decide(now, first.message).(placement.Assign)
+	if !ok {
+		return false
+	}
+	first.message.reply <- d.recordDecision(now, first.message, assign, true)
+	if first != w {
+		d.queue.remove(first)
+		d.queue.add(w)
+	}
+	return true
+}
--- a/gateway/placement/surplus.go
+++ b/gateway/placement/surplus.go
@@ -48,8 +48,9 @@
 			best, state = c, b.surplusState(now, c)
 		}
 	}
+	state.Spare = b.spareTokens(now, req, servers)
 	d := b.surplus.Decide(now, surplus.Request{
-		Position: req.Position(), Account: req.Account, Capped: req.Capped, Objective: objective, Waited: req.Waited,
+		Position: req.Position(), Account: req.Account, Tokens: float64(req.PromptTokens), Capped: req.Capped, Objective: objective, Waited: req.Waited,
 	}, state)
 	switch {
 	case d.Action == surplus.Grant:
@@ -90,6 +91,20 @@
 	return best, ok
 }
 
+// spareTokens returns how many prompt tokens the idle servers could prefill within the part of the
+// objective in which surplus capacity must send a first event.
+func (b *Balancer) spareTokens(now time.Time, req *Request, servers []*server) float64 {
+	idle := 0
+	for _, s := range servers {
+		if s.isIdle(now) {
+			idle++
+		}
+	}
+	speed := servers[0].speed
+	available := scale(req.fullObjective(), surplus.ObjectiveFraction) - speed.firstEventTime()
+	return float64(idle) * max(available.Seconds(), 0) * 1000 * b.policy.PrefillTokensPerMS / speed.prefillSlowdown.value
+}
+
 // isIdle reports whether a server has no prefill backlog and at least half of its slots are free.
 func (s *server) isIdle(now time.Time) bool {
 	return surplus.Server{QueueTime: s.busyUntil.Sub(now), Running: s.localRunning + s.remoteRunning, Slots: s.engine.Slots}.IsIdle()
--- a/gateway/share/share.go
+++ b/gateway/share/share.go
@@ -222,16 +222,17 @@
 	return s
 }
 
-// LocalRate returns the part of an account's fair share that falls to this gateway, in tokens per
-// second: the fair share is divided among the gateways as they are asked for the account's tokens. It
-// is 0 if there is no fair share or nothing was asked for here.
+// LocalRate returns the rate at which an account is served that falls to this gateway, in tokens per
+// second: its fair share, or what it was admitted if that is more, divided among the gateways as they
+// are asked for the account's tokens. It is 0 if there is no fair share or nothing was asked for
+// here.
 func (t *Tracker) LocalRate(now time.Time, account string) float64 {
 	total := t.totals[account].Asked
 	if t.fairShare == 0 || total <= 0 || t.local[account] == nil {
 		return 0
 	}
 	part := min(t.demand(now, account).Asked/total, 1) // the total is as of the last Recompute
-	return t.fairShare * part / t.window.Seconds()
+	return max(t.fairShare, t.totals[account].Admitted) * part / t.window.Seconds()
 }
 
 // MaxMinShare returns the max-min fair share: the level up to which each demand is met when
--- a/gateway/surplus/retry.go
+++ b/gateway/surplus/retry.go
@@ -14,11 +14,24 @@
 	maxScheduled = 4096
 )
 
+// Retry describes a refused request whose caller may retry.
+type Retry struct {
+	Account   string
+	Tokens    float64
+	Remaining time.Duration // time until an answer is of no use to the caller
+	Objective time.Duration // time left until the first event is late
+	Route     time.Duration // the whole objective of its route
+}
+
 // RetryAfter returns when the caller of a refused request should retry: when its tokens fall due
 // at the account's rate (tokens per second; 0: unknown), after those of its requests that were refused
-// before. remaining is the time until an answer is of no use to the caller.
-func (t *Table) RetryAfter(now time.Time, account string, tokens, rate float64, remaining time.Duration) time.Duration {
-	limit := fraction(remaining, maxRemainingFraction)
+// before. A request that can still be in time returns while it can, as a server may become idle.
+func (t *Table) RetryAfter(now time.Time, r Retry, rate float64) time.Duration {
+	limit := fraction(r.Remaining, maxRemainingFraction)
+	if left := r.Objective - fraction(r.Route, ObjectiveFraction); left >= minRetryAfter {
+		limit = min(limit, left)
+	}
+	account := r.Account
 	due, scheduled := t.due[account]
 	if limit <= minRetryAfter || rate <= 0 || !scheduled && len(t.due) >= maxScheduled {
 		return max(min(minRetryAfter, limit), 10*time.Millisecond)
@@ -30,7 +43,7 @@
 		return limit // the schedule is full, and does not get longer
 	}
 	step := limit // also bounds the step of a very low rate
-	if s := tokens / rate; s < limit.Seconds() {
+	if s := r.Tokens / rate; s < limit.Seconds() {
 		step = time.Duration(s * float64(time.Second))
 	}
 	t.due[account] = due.Add(max(step, 0))
--- a/gateway/surplus/surplus.go
+++ b/gateway/surplus/surplus.go
@@ -72,6 +72,7 @@
 type Request struct {
 	Position
 	Account   string
+	Tokens    float64
 	Capped    bool          // the account is so far ahead of a backlogged account that it gets no surplus capacity
 	Objective time.Duration // of its route
 	Waited    time.Duration // time it has been held
@@ -83,6 +84,7 @@
 	QueueTime time.Duration // of Predicted: until the server begins to process the prompt
 	Running   int           // requests of all gateways
 	Slots     int
+	Spare     float64 // tokens that this server and all others that are idle could prefill within the part of the objective that ObjectiveFraction says
 }
 
 // Suits reports whether a server has surplus capacity for a request with an objective.
@@ -111,6 +113,7 @@
 // Reasons.
 const (
 	ServerIdle   Reason = "server idle"            // granted
+	EnoughIdle   Reason = "enough servers idle"    // granted although another account is ahead
 	WaitedEnough Reason = "others did not take it" // granted although another account is ahead
 	Capped       Reason = "account far ahead"      // refused
 	Behind       Reason = "another account first"  // waits
@@ -137,10 +140,12 @@
 		}
 		return d
 	}
-	ahead := t.ahead(now, r)
+	ahead, tokens := t.ahead(now, r)
 	switch {
 	case ahead == "":
 		return Decision{Action: Grant, Reason: ServerIdle}
+	case tokens+r.Tokens <= s.Spare:
+		return Decision{Action: Grant, Reason: EnoughIdle, Ahead: ahead}
 	case r.Waited >= min(protection, fraction(r.Objective, maxBehindFraction)):
 		return Decision{Action: Grant, Reason: WaitedEnough, Ahead: ahead}
 	}
--- a/gateway/surplus/unmet.go
+++ b/gateway/surplus/unmet.go
@@ -31,12 +31,13 @@
 // entry is the unmet demand of an account's requests of one priority.
 type entry struct {
 	firstAttempt time.Time
-	ownTokens    float64   // of this gateway
-	ownRecent    time.Time // latest demand at this gateway
-	ownFit       time.Time // latest demand at this gateway that a server could serve if others were not first, or if one were idle
-	remoteFit    time.Time // the same, at other gateways
-	unfitSince   time.Time // when unfit demand at any gateway began
-	unfitRecent  time.Time // latest unfit demand at any gateway
+	ownTokens    tokenWindow // of this gateway
+	remoteTokens tokenWindow // of other gateways
+	ownRecent    time.Time   // latest demand at this gateway
+	ownFit       time.Time   // latest demand at this gateway that a server could serve if others were not first, or if one were idle
+	remoteFit    time.Time   // the same, at other gateways
+	unfitSince   time.Time   // when unfit demand at any gateway began
+	unfitRecent  time.Time   // latest unfit demand at any gateway
 }
 
 // NewTable returns an empty Table. shareRatio returns the current share ratio of an account.
@@ -65,10 +66,7 @@
 	if e == nil {
 		return
 	}
-	if !isRecent(now, e.ownRecent) {
-		e.ownTokens = 0
-	}
-	e.ownTokens += d.Tokens
+	e.ownTokens.add(now, d.Tokens)
 	e.ownRecent = now
 	if d.Unfit {
 		e.addUnfit(now)
@@ -78,13 +76,14 @@
 }
 
 // RecordServed records that a request of this gateway that was recorded as unmet is served.
-func (t *Table) RecordServed(account string, priority int, tokens float64) {
+func (t *Table) RecordServed(now time.Time, account string, priority int, tokens float64) {
 	e := t.entries[entryKey{account, priority}]
 	if e == nil {
 		return
 	}
-	if e.ownTokens -= tokens; e.ownTokens <= 0 {
-		e.ownTokens, e.ownRecent, e.ownFit = 0, time.Time{}, time.Time{}
+	e.ownTokens.add(now, -tokens)
+	if e.ownTokens.sum(now) <= 0 {
+		e.ownTokens, e.ownRecent, e.ownFit = tokenWindow{}, time.Time{}, time.Time{}
 	}
 }
 
@@ -99,8 +98,11 @@
 			continue
 		}
 		e := t.entry(now, d)
+		if e == nil {
+			continue
+		}
+		e.remoteTokens.add(now, d.Tokens)
 		switch {
-		case e == nil:
 		case d.Unfit:
 			e.addUnfit(recent)
 		case recent.After(e.remoteFit):
@@ -109,6 +111,39 @@
 	}
 }
 
+// tokenWindow counts tokens in two periods of half of the protection each, which is also the
+// interval at which other gateways report.
+type tokenWindow struct {
+	began         time.Time // of the current period
+	current, last float64
+}
+
+func (w *tokenWindow) advance(now time.Time) {
+	switch age := now.Sub(w.began); {
+	case age >= protection:
+		*w = tokenWindow{began: now}
+	case age >= protection/2:
+		*w = tokenWindow{began: w.began.Add(protection / 2), last: w.current}
+	}
+}
+
+func (w *tokenWindow) add(now time.Time, tokens float64) {
+	w.advance(now)
+	w.current += tokens
+}
+
+// sum returns the tokens of both periods.
+func (w *tokenWindow) sum(now time.Time) float64 {
+	w.advance(now)
+	return max(w.current+w.last, 0)
+}
+
+// largest returns the tokens of the period with more: each gateway has reported once in it.
+func (w *tokenWindow) largest(now time.Time) float64 {
+	w.advance(now)
+	return max(w.current, w.last, 0)
+}
+
 // addUnfit records unfit demand, which is protected only when it begins.
 func (e *entry) addUnfit(at time.Time) {
 	if at.Sub(e.unfitRecent) >= unfitRest {
@@ -160,27 +195,31 @@
 			d.Recent = e.ownRecent
 		}
 		d.Priority = min(d.Priority, k.priority)
-		d.Tokens += e.ownTokens
+		d.Tokens += e.ownTokens.sum(now)
 		d.Unfit = d.Unfit && !isRecent(now, e.ownFit)
 		demands[k.account] = d
 	}
 	return demands
 }
 
-// ahead returns the first account in order that is ahead of a request and has unmet demand, or an
-// empty string. An account is never ahead of itself.
-func (t *Table) ahead(now time.Time, r Request) string {
-	first, account := r.Position, ""
+// ahead returns the first account in order that is ahead of a request and has unmet demand, and the
+// tokens of all such accounts. An account is never ahead of itself.
+func (t *Table) ahead(now time.Time, r Request) (account string, tokens float64) {
+	first := r.Position
 	for k, e := range t.entries {
-		if k.account == r.Account || k.priority > first.Priority || !e.isProtected(now) {
+		if k.account == r.Account || k.priority > r.Priority || !e.isProtected(now) {
 			continue
 		}
 		p := Position{Priority: k.priority, ShareRatio: t.shareRatio(k.account), FirstAttempt: e.firstAttempt}
-		if c := p.Compare(first); c < 0 || c == 0 && account != "" && k.account < account {
+		if p.Compare(r.Position) >= 0 {
+			continue
+		}
+		tokens += e.ownTokens.sum(now) + e.remoteTokens.largest(now)
+		if c := p.Compare(first); c < 0 || c == 0 && k.account < account {
 			first, account = p, k.account
 		}
 	}
-	return account
+	return account, tokens
 }
 
 // Sweep removes what no longer affects a decision.
--- a/gateway/wait_queue.go
+++ b/gateway/wait_queue.go
@@ -113,6 +113,9 @@
 		d.queue.add(w)
 		return
 	}
+	if d.surplus != nil && d.sendFirstBehind(now, w) {
+		return
+	}
 	// The last in order makes room.
 	order := d.waiterOrder()
 	if f := d.queue.lastBeyondShare(order); f != nil && order(f, w) > 0 {
@@ -179,6 +182,7 @@
 				d.queue.prefillTime += h.PrefillTime - w.hold.PrefillTime
 				w.hold = h // current reason for waiting
 			}
+			w.hold.Surplus = h.Surplus
 			remaining = append(remaining, w)
 			continue
 		}
