gateway/surplus: unmet demand counts by what it needs; other gateways are told its need

Demand that needs a faster server than the idle one is protected only when it begins. A request goes ahead of unmet demand that the idle servers can take besides it. What the share policy gives (accounts with less than an even share) stays, in order.

--- a/gateway/dispatcher_surplus.go
+++ b/gateway/dispatcher_surplus.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -66,7 +67,10 @@
 	}
 	u := surplus.Demand{
 		Account: m.request.Account, Priority: m.request.Priority, FirstAttempt: m.request.FirstAttempt, Tokens: m.tokens,
-		Unfit: s.Reason != surplus.Behind && d.balancer.HasIdle(now, m.request),
+		Need: s.Need,
+	}
+	if r == placement.TooLate && !d.balancer.HasIdle(now, m.request) {
+		u.Need = 0 // within its share it takes any server that becomes idle
 	}
 	if queued {
 		u.Tokens = 0 // they were counted when it was queued
@@ -85,7 +89,7 @@
 			continue
 		}
 		demands = append(demands, surplus.Demand{
-			Account: p.Account, Priority: int(p.Priority), Tokens: float64(p.Unmet), Unfit: p.Unfit,
+			Account: p.Account, Priority: int(p.Priority), Tokens: float64(p.Unmet), Need: float64(p.Need) / needUnit,
 			FirstAttempt: now.Add(-time.Duration(p.OldestMs) * time.Millisecond),
 			Recent:       now.Add(-time.Duration(p.RecentMs) * time.Millisecond),
 		})
@@ -104,7 +108,8 @@
 		if !ok {
 			continue
 		}
-		p.Unmet, p.Priority, p.Unfit = uint32(min(max(u.Tokens, 1), maxReportedTokens)), uint32(u.Priority), u.Unfit
+		p.Unmet, p.Priority = uint32(min(max(u.Tokens, 1), maxReportedTokens)), uint32(u.Priority)
+		p.Need = uint32(min(math.Ceil(u.Need*needUnit), maxReportedNeed))
 		p.OldestMs, p.RecentMs = reportedMilliseconds(now.Sub(u.FirstAttempt)), reportedMilliseconds(now.Sub(u.Recent))
 	}
 }
@@ -114,6 +119,9 @@
 const (
 	maxReportedTokens = 1 << 30
 	maxReportedAge    = time.Hour
+	// Needs are reported in hundredths; no server is a hundred times as fast as the nominal speed.
+	needUnit        = 100
+	maxReportedNeed = 100 * needUnit
 )
 
 func reportedMilliseconds(d time.Duration) uint32 {
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -310,6 +310,9 @@
 	}
 	why := Surplus{Reason: granted.Reason, Ahead: granted.Ahead}
 	if r != InTime {
+		if b.surplus != nil {
+			why.Need = surplus.Need(best.work, best.server.speed.firstEventTime(), req.fullObjective())
+		}
 		if granted.Action == surplus.Wait || b.shouldHold(req, best, r) {
 			return Hold{Predicted: best.predicted, PrefillTime: best.prefillTime, Reason: r, Surplus: why}
 		}
--- a/gateway/placement/surplus.go
+++ b/gateway/placement/surplus.go
@@ -10,6 +10,7 @@
 type Surplus struct {
 	Reason surplus.Reason // empty: the request was within its account's share, or package surplus is not used
 	Ahead  string         // account that is ahead in order and has unmet demand; empty: none
+	Need   float64        // see [surplus.Need]; only of requests that are not sent
 }
 
 // SetSurplus lets a table decide on requests beyond their account's share; nil: the policy decides
@@ -40,12 +41,13 @@
 func (b *Balancer) placeSurplus(now time.Time, req *Request, servers []*server, best candidate, r Reason) (candidate, Reason, surplus.Decision) {
 	objective := req.fullObjective()
 	state := b.surplusState(now, best)
-	if r == InTime && !state.Suits(objective) {
-		// The policy grants a server that is not idle. Only the order is left to decide.
-		state = surplus.Server{Slots: state.Slots}
-	} else if !req.Capped && !state.Suits(objective) {
+	state.Given = r == InTime
+	if !req.Capped && !state.Suits(objective) {
 		if c, ok := b.cheapestSuitable(now, req, servers); ok {
 			best, state = c, b.surplusState(now, c)
+		} else if c, ok := b.cheapestIdle(now, req, servers); ok && r == OverShare && req.ShareRatio <= b.policy.MaxIdleShareRatio {
+			best, state = c, b.surplusState(now, c)
+			state.Given = true
 		}
 	}
 	state.Spare = b.spareTokens(now, req, servers)
@@ -64,8 +66,8 @@
 // surplusState returns what package surplus needs to know of a candidate.
 func (b *Balancer) surplusState(now time.Time, c candidate) surplus.Server {
 	return surplus.Server{
-		Predicted: c.predicted, QueueTime: max(c.queueTime, c.server.busyUntil.Sub(now), 0),
-		Running: c.server.localRunning + c.server.remoteRunning, Slots: c.server.engine.Slots,
+		Predicted: c.predicted, QueueTime: c.server.busyUntil.Sub(now), // copies of cached parts do not count as queued
+		Running: c.server.localRunning + c.server.remoteRunning, Slots: c.server.engine.Slots, Slowness: c.server.slowdown(now),
 	}
 }
 
--- a/gateway/surplus/surplus.go
+++ b/gateway/surplus/surplus.go
@@ -40,10 +40,10 @@
 	// maxIdleWaitFraction is the fraction of the objective for which a request waits at most for
 	// a server to become idle.
 	maxIdleWaitFraction = 0.25
-	// unfitRest is how long an account must be without unfit demand before such demand is
-	// protected again. Without it, a steady flow of long prompts would keep servers idle that
-	// cannot serve them.
-	unfitRest = 2 * time.Second
+	// minPause is how long an account must be without unmet demand before demand that needs a faster
+	// server is protected again. Without it, a steady flow of long prompts would keep servers
+	// idle that cannot serve them.
+	minPause = 2 * time.Second
 	// ratioSteps is the number of steps of a share ratio that are told apart. Counts of other gateways
 	// are up to 250 ms old, a sixteenth of the usual share window.
 	ratioSteps = 16
@@ -84,12 +84,14 @@
 	QueueTime time.Duration // of Predicted: until the server begins to process the prompt
 	Running   int           // requests of all gateways
 	Slots     int
+	Given     bool    // the request gets it by other rules, so that only the order is left to decide
+	Slowness  float64 // its prefill times over the nominal ones
 	Spare     float64 // tokens that this server and all others that are idle could prefill within the part of the objective that ObjectiveFraction says
 }
 
 // Suits reports whether a server has surplus capacity for a request with an objective.
 func (s Server) Suits(objective time.Duration) bool {
-	return s.IsIdle() && s.Predicted <= fraction(objective, ObjectiveFraction)
+	return s.Given || s.IsIdle() && s.Predicted <= fraction(objective, ObjectiveFraction)
 }
 
 // IsIdle reports whether nothing is queued at a server and at least half of its slots are free.
@@ -140,11 +142,11 @@
 		}
 		return d
 	}
-	ahead, tokens := t.ahead(now, r)
+	ahead, tokens := t.ahead(now, r, s.Slowness)
 	switch {
 	case ahead == "":
 		return Decision{Action: Grant, Reason: ServerIdle}
-	case tokens+r.Tokens <= s.Spare:
+	case tokens*min(s.Predicted.Seconds()/protection.Seconds(), 1)+r.Tokens <= s.Spare:
 		return Decision{Action: Grant, Reason: EnoughIdle, Ahead: ahead}
 	case r.Waited >= min(protection, fraction(r.Objective, maxBehindFraction)):
 		return Decision{Action: Grant, Reason: WaitedEnough, Ahead: ahead}
--- a/gateway/surplus/unmet.go
+++ b/gateway/surplus/unmet.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"time"
 )
 
@@ -11,8 +12,19 @@
 	Priority     int       // of the most urgent of these requests
 	FirstAttempt time.Time // of the caller that has tried for longest
 	Tokens       float64
+	Need         float64   // of the request that needs least, see [Need]
 	Recent       time.Time // when the latest of these requests was refused or was waiting
-	Unfit        bool      // no server that was idle could have served these requests
+}
+
+// Need returns what a request needs of a server: its nominal prefill time over the time that it may
+// take for the first event to be within ObjectiveFraction of the objective. A server whose slowness
+// times the need is over 1 is too slow for the request.
+func Need(prefill, firstEventDelay, objective time.Duration) float64 {
+	available := fraction(objective, ObjectiveFraction) - firstEventDelay
+	if available <= 0 {
+		return math.Inf(1)
+	}
+	return float64(prefill) / float64(available)
 }
 
 // Table holds the unmet demand that is known at one gateway, and the times at which refused
@@ -30,14 +42,24 @@
 
 // entry is the unmet demand of an account's requests of one priority.
 type entry struct {
-	firstAttempt time.Time
-	ownTokens    tokenWindow // of this gateway
-	remoteTokens tokenWindow // of other gateways
-	ownRecent    time.Time   // latest demand at this gateway
-	ownFit       time.Time   // latest demand at this gateway that a server could serve if others were not first, or if one were idle
-	remoteFit    time.Time   // the same, at other gateways
-	unfitSince   time.Time   // when unfit demand at any gateway began
-	unfitRecent  time.Time   // latest unfit demand at any gateway
+	since  time.Time // when it began, after at least minPause without
+	recent time.Time // when it was last known
+	own    claim     // of this gateway
+	remote claim     // of other gateways
+}
+
+// claim is unmet demand in the last half second, in two periods of half of that. Other gateways
+// report at the same interval.
+type claim struct {
+	recent        time.Time
+	began         time.Time // of the current period
+	current, last period
+}
+
+type period struct {
+	tokens       float64
+	need         float64   // the least
+	firstAttempt time.Time // the earliest; zero: no demand
 }
 
 // NewTable returns an empty Table. shareRatio returns the current share ratio of an account.
@@ -48,31 +70,58 @@
 // isRecent reports whether demand at a time is still protected.
 func isRecent(now, at time.Time) bool { return now.Sub(at) < protection }
 
-// isProtected reports whether the demand keeps capacity from accounts behind it.
-func (e *entry) isProtected(now time.Time) bool {
-	return isRecent(now, e.ownFit) || isRecent(now, e.remoteFit) ||
-		isRecent(now, e.unfitRecent) && isRecent(now, e.unfitSince)
+func (c *claim) advance(now time.Time) {
+	switch age := now.Sub(c.began); {
+	case age >= protection:
+		c.began, c.current, c.last = now, period{}, period{}
+	case age >= protection/2:
+		c.began, c.current, c.last = c.began.Add(protection/2), period{}, c.current
+	}
+}
+
+func (c *claim) add(now, recent time.Time, d Demand) {
+	c.advance(now)
+	p := &c.current
+	p.tokens += d.Tokens
+	if p.firstAttempt.IsZero() {
+		p.firstAttempt, p.need = d.FirstAttempt, d.Need
+	}
+	if d.FirstAttempt.Before(p.firstAttempt) {
+		p.firstAttempt = d.FirstAttempt
+	}
+	p.need = min(p.need, d.Need)
+	if recent.After(c.recent) {
+		c.recent = recent
+	}
 }
 
-// isForgettable reports whether the entry no longer affects a decision.
-func (e *entry) isForgettable(now time.Time) bool {
-	return !e.isProtected(now) && !isRecent(now, e.ownRecent) && now.Sub(e.unfitRecent) >= unfitRest
+// summary returns what is known of the claim. ok is false if there is none that is recent.
+func (c *claim) summary(now time.Time) (p period, ok bool) {
+	if !isRecent(now, c.recent) {
+		return period{}, false
+	}
+	c.advance(now)
+	if c.last.firstAttempt.IsZero() {
+		return c.current, !c.current.firstAttempt.IsZero()
+	}
+	p = c.last
+	if c.current.firstAttempt.IsZero() {
+		return p, true
+	}
+	p.tokens += c.current.tokens
+	p.need = min(p.need, c.current.need)
+	if c.current.firstAttempt.Before(p.firstAttempt) {
+		p.firstAttempt = c.current.firstAttempt
+	}
+	return p, true
 }
 
 // RecordUnmet records that a request of this gateway was refused or is waiting. While a request
 // waits, it is recorded again with Tokens of 0.
 func (t *Table) RecordUnmet(now time.Time, d Demand) {
-	e := t.entry(now, d)
-	if e == nil {
-		return
-	}
-	e.ownTokens.add(now, d.Tokens)
-	e.ownRecent = now
-	if d.Unfit {
-		e.addUnfit(now)
-		return
+	if e := t.entry(now, now, d); e != nil {
+		e.own.add(now, now, d)
 	}
-	e.ownFit = now
 }
 
 // RecordServed records that a request of this gateway that was recorded as unmet is served.
@@ -81,9 +130,10 @@
 	if e == nil {
 		return
 	}
-	e.ownTokens.add(now, -tokens)
-	if e.ownTokens.sum(now) <= 0 {
-		e.ownTokens, e.ownRecent, e.ownFit = tokenWindow{}, time.Time{}, time.Time{}
+	e.own.advance(now)
+	e.own.current.tokens -= tokens
+	if e.own.current.tokens+e.own.last.tokens <= 0 {
+		e.own = claim{}
 	}
 }
 
@@ -97,65 +147,15 @@
 		if !isRecent(now, recent) {
 			continue
 		}
-		e := t.entry(now, d)
-		if e == nil {
-			continue
-		}
-		e.remoteTokens.add(now, d.Tokens)
-		switch {
-		case d.Unfit:
-			e.addUnfit(recent)
-		case recent.After(e.remoteFit):
-			e.remoteFit = recent
+		if e := t.entry(now, recent, d); e != nil {
+			d.Tokens /= 2 // a gateway reports the last half second twice in it
+			e.remote.add(now, recent, d)
 		}
 	}
 }
 
-// tokenWindow counts tokens in two periods of half of the protection each, which is also the
-// interval at which other gateways report.
-type tokenWindow struct {
-	began         time.Time // of the current period
-	current, last float64
-}
-
-func (w *tokenWindow) advance(now time.Time) {
-	switch age := now.Sub(w.began); {
-	case age >= protection:
-		*w = tokenWindow{began: now}
-	case age >= protection/2:
-		*w = tokenWindow{began: w.began.Add(protection / 2), last: w.current}
-	}
-}
-
-func (w *tokenWindow) add(now time.Time, tokens float64) {
-	w.advance(now)
-	w.current += tokens
-}
-
-// sum returns the tokens of both periods.
-func (w *tokenWindow) sum(now time.Time) float64 {
-	w.advance(now)
-	return max(w.current+w.last, 0)
-}
-
-// largest returns the tokens of the period with more: each gateway has reported once in it.
-func (w *tokenWindow) largest(now time.Time) float64 {
-	w.advance(now)
-	return max(w.current, w.last, 0)
-}
-
-// addUnfit records unfit demand, which is protected only when it begins.
-func (e *entry) addUnfit(at time.Time) {
-	if at.Sub(e.unfitRecent) >= unfitRest {
-		e.unfitSince = at
-	}
-	if at.After(e.unfitRecent) {
-		e.unfitRecent = at
-	}
-}
-
 // entry returns the entry for a demand, adding it if it is new; nil if there are too many.
-func (t *Table) entry(now time.Time, d Demand) *entry {
+func (t *Table) entry(now, recent time.Time, d Demand) *entry {
 	key := entryKey{d.Account, d.Priority}
 	e := t.entries[key]
 	if e == nil {
@@ -165,11 +165,14 @@
 		if len(t.entries) >= maxEntries {
 			return nil
 		}
-		e = &entry{firstAttempt: d.FirstAttempt}
+		e = &entry{}
 		t.entries[key] = e
 	}
-	if d.FirstAttempt.Before(e.firstAttempt) || !e.isProtected(now) && !isRecent(now, e.ownRecent) {
-		e.firstAttempt = d.FirstAttempt
+	if recent.Sub(e.recent) >= minPause {
+		e.since = recent
+	}
+	if recent.After(e.recent) {
+		e.recent = recent
 	}
 	return e
 }
@@ -178,7 +181,8 @@
 func (t *Table) OwnDemands(now time.Time) map[string]Demand {
 	var demands map[string]Demand
 	for k, e := range t.entries {
-		if !isRecent(now, e.ownRecent) {
+		p, ok := e.own.summary(now)
+		if !ok {
 			continue
 		}
 		if demands == nil {
@@ -186,35 +190,50 @@
 		}
 		d, known := demands[k.account]
 		if !known {
-			d = Demand{Account: k.account, Priority: k.priority, FirstAttempt: e.firstAttempt, Unfit: true}
+			d = Demand{Account: k.account, Priority: k.priority, FirstAttempt: p.firstAttempt, Need: p.need}
 		}
-		if e.firstAttempt.Before(d.FirstAttempt) {
-			d.FirstAttempt = e.firstAttempt
+		if p.firstAttempt.Before(d.FirstAttempt) {
+			d.FirstAttempt = p.firstAttempt
 		}
-		if e.ownRecent.After(d.Recent) {
-			d.Recent = e.ownRecent
+		if e.own.recent.After(d.Recent) {
+			d.Recent = e.own.recent
 		}
 		d.Priority = min(d.Priority, k.priority)
-		d.Tokens += e.ownTokens.sum(now)
-		d.Unfit = d.Unfit && !isRecent(now, e.ownFit)
+		d.Need = min(d.Need, p.need)
+		d.Tokens += max(p.tokens, 0)
 		demands[k.account] = d
 	}
 	return demands
 }
 
-// ahead returns the first account in order that is ahead of a request and has unmet demand, and the
-// tokens of all such accounts. An account is never ahead of itself.
-func (t *Table) ahead(now time.Time, r Request) (account string, tokens float64) {
+// ahead returns the first account in order that is ahead of a request and has unmet demand that a
+// server of the given slowness could serve, and the tokens of all such accounts. Demand that needs
+// a faster server counts too when it has just begun. An account is never ahead of itself.
+func (t *Table) ahead(now time.Time, r Request, slowness float64) (account string, tokens float64) {
 	first := r.Position
 	for k, e := range t.entries {
-		if k.account == r.Account || k.priority > r.Priority || !e.isProtected(now) {
+		if k.account == r.Account || k.priority > r.Priority || !isRecent(now, e.recent) {
+			continue
+		}
+		own, hasOwn := e.own.summary(now)
+		remote, hasRemote := e.remote.summary(now)
+		if !hasOwn {
+			own = remote
+		} else if hasRemote {
+			own.tokens += remote.tokens
+			own.need = min(own.need, remote.need)
+			if remote.firstAttempt.Before(own.firstAttempt) {
+				own.firstAttempt = remote.firstAttempt
+			}
+		}
+		if !hasOwn && !hasRemote || own.need*slowness > 1 && !isRecent(now, e.since) {
 			continue
 		}
-		p := Position{Priority: k.priority, ShareRatio: t.shareRatio(k.account), FirstAttempt: e.firstAttempt}
+		p := Position{Priority: k.priority, ShareRatio: t.shareRatio(k.account), FirstAttempt: own.firstAttempt}
 		if p.Compare(r.Position) >= 0 {
 			continue
 		}
-		tokens += e.ownTokens.sum(now) + e.remoteTokens.largest(now)
+		tokens += max(own.tokens, 0)
 		if c := p.Compare(first); c < 0 || c == 0 && k.account < account {
 			first, account = p, k.account
 		}
@@ -224,6 +243,6 @@
 
 // Sweep removes what no longer affects a decision.
 func (t *Table) Sweep(now time.Time) {
-	maps.DeleteFunc(t.entries, func(_ entryKey, e *entry) bool { return e.isForgettable(now) })
+	maps.DeleteFunc(t.entries, func(_ entryKey, e *entry) bool { return now.Sub(e.recent) >= minPause })
 	maps.DeleteFunc(t.due, func(_ string, due time.Time) bool { return !due.After(now) })
 }
