gateway: refused requests return while they can be in time; cached parts first

Requests within their account's share go before all others in the wait queue, what the share policy grants is granted at once, and a server that caches the shared parts of a prompt is preferred for half of the wait for an idle one.

--- a/gateway/dispatcher_surplus.go
+++ b/gateway/dispatcher_surplus.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"math"
 	"time"
 
@@ -44,7 +45,7 @@
 		if decided.Reason == placement.OverShare && d.surplus != nil {
 			rate := d.shares.LocalRate(now, m.request.Account)
 			decided.RetryAfter = d.surplus.RetryAfter(now, surplus.Retry{
-				Account: m.request.Account, Tokens: m.tokens, Remaining: m.request.Remaining, Objective: m.request.Objective, Route: m.request.FullObjective,
+				Account: m.request.Account, Tokens: m.tokens, Remaining: m.request.Remaining, Objective: m.request.Objective,
 			}, rate)
 		}
 		d.recordUnmet(now, m, decided.Reason, decided.Surplus, queued)
@@ -128,9 +129,16 @@
 	return uint32(min(max(d, 0), maxReportedAge).Milliseconds())
 }
 
-// comparePositions compares waiting requests by the order in which they get capacity.
+// comparePositions compares waiting requests by the order in which they get capacity: first those
+// within their account's share, whatever the others' priority.
 func comparePositions(x, y *waiter) int {
-	return x.position().Compare(y.position())
+	beyond := func(w *waiter) int {
+		if w.hold.Reason == placement.OverShare {
+			return 1
+		}
+		return 0
+	}
+	return cmp.Or(cmp.Compare(beyond(x), beyond(y)), x.position().Compare(y.position()))
 }
 
 // position returns the waiter's place in the order.
@@ -157,15 +165,17 @@
 	}
 }
 
-// sendFirstBehind makes room in the full queue for a waiter: of the requests, including this one, that
-// wait only because other accounts are ahead, it sends the first in order. Unmet demand of
-// accounts ahead is then not at this gateway, or has not taken the idle server in its own scans, and
-// no request is refused beside an idle server for it. It reports whether the waiter was queued or
-// sent.
-func (d *dispatcher) sendFirstBehind(now time.Time, w *waiter) bool {
+// sendFirstBlocked makes room in the full queue for a waiter: of the requests, including this one,
+// that wait although servers are idle, because other accounts are ahead or for a server that caches
+// more of the prompt, it sends the first in order. Otherwise a request would be refused beside an
+// idle server. It reports whether the waiter was queued or sent.
+func (d *dispatcher) sendFirstBlocked(now time.Time, w *waiter) bool {
 	var first *waiter
 	for _, x := range append(d.queue.waiters[:len(d.queue.waiters):len(d.queue.waiters)], w) {
-		if x.hold.Surplus.Reason == surplus.Behind && !x.cancelled() && (first == nil || comparePositions(x, first) < 0) {
+		if r := x.hold.Surplus.Reason; r != surplus.Behind && r != surplus.NoneCached {
+			continue
+		}
+		if !x.cancelled() && (first == nil || comparePositions(x, first) < 0) {
 			first = x
 		}
 	}
@@ -173,7 +183,7 @@
 		return false
 	}
 	first.refresh(now)
-	first.message.request.Waited = first.original.Objective.Abs() + time.Hour // longer than any request is held behind others
+	first.message.request.Waited = first.message.request.FullObjective + time.Hour // longer than any request waits for these reasons
 	assign, ok := d.decide(now, first.message).(placement.Assign)
 	if !ok {
 		return false
--- a/gateway/placement/surplus.go
+++ b/gateway/placement/surplus.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"opalbridge.dev/gateway/surplus"
@@ -35,34 +36,66 @@
 	return surplus.Position{Priority: req.Priority, ShareRatio: req.ShareRatio, FirstAttempt: req.FirstAttempt}
 }
 
+// firstSurplusMiss is how many tokens of shared parts a server may prefill again for a request beyond
+// its account's share, if another server holds them, until the request has waited for a while for
+// one that does. With Policy.MaxSurplusMissTokens from the start, 3.0 million tokens of a day were
+// prefilled again rather than 2.2 million.
+const firstSurplusMiss = 100
+
+// maxSurplusMiss returns how many tokens of shared parts a server may prefill again for a request
+// now: rather than refuse it, an idle server does.
+func (b *Balancer) maxSurplusMiss(req *Request) int {
+	if req.Waited < surplus.LongestIdleWait(req.fullObjective())/2 {
+		return firstSurplusMiss
+	}
+	return b.policy.MaxSurplusMissTokens
+}
+
 // placeSurplus decides on a request beyond its account's share. best is its cheapest candidate and
-// r why it should not go there by the policy. The policy's own rules, which serve accounts with
-// less than an even share, stay in force; the order of accounts applies to them as well.
+// r why it should not go there by the policy. What the policy grants, which serves accounts with
+// less than an even share, it grants at once, whoever is ahead.
 func (b *Balancer) placeSurplus(now time.Time, req *Request, servers []*server, best candidate, r Reason) (candidate, Reason, surplus.Decision) {
+	if r == InTime {
+		return best, r, surplus.Decision{Action: surplus.Grant, Reason: surplus.ByShare}
+	}
 	objective := req.fullObjective()
 	state := b.surplusState(now, best)
-	state.Given = r == InTime
-	if !req.Capped && !state.Suits(objective) {
-		if c, ok := b.cheapestSuitable(now, req, servers); ok {
+	uncached := false
+	if !req.Capped && (!state.Suits(objective) || best.sharedMissTokens > b.maxSurplusMiss(req) && b.isCached(req, servers)) {
+		c, ok := candidate{}, false
+		if c, ok, uncached = b.cheapestSuitable(now, req, servers); ok {
 			best, state = c, b.surplusState(now, c)
 		} else if c, ok := b.cheapestIdle(now, req, servers); ok && r == OverShare && req.ShareRatio <= b.policy.MaxIdleShareRatio {
-			best, state = c, b.surplusState(now, c)
-			state.Given = true
+			return c, InTime, surplus.Decision{Action: surplus.Grant, Reason: surplus.ByShare}
+		} else {
+			uncached = uncached || state.Suits(objective)
+			state.Slots = 0 // no server suits
 		}
 	}
 	state.Spare = b.spareTokens(now, req, servers)
 	d := b.surplus.Decide(now, surplus.Request{
 		Position: req.Position(), Account: req.Account, Tokens: float64(req.PromptTokens), Capped: req.Capped, Objective: objective, Waited: req.Waited,
 	}, state)
-	switch {
-	case d.Action == surplus.Grant:
+	if d.Reason == surplus.NoneIdle && uncached {
+		d.Reason = surplus.NoneCached
+	}
+	switch d.Action {
+	case surplus.Grant:
 		return best, InTime, d
-	case d.Action == surplus.Wait || r == InTime:
+	case surplus.Wait:
 		return best, OverShare, d // a request held as late would be exempt from its account's share
 	}
 	return best, r, d
 }
 
+// isCached reports whether one of the servers holds nearly all shared parts of a request.
+func (b *Balancer) isCached(req *Request, servers []*server) bool {
+	return slices.ContainsFunc(servers, func(s *server) bool {
+		_, missing := s.cache.match(req)
+		return missing <= firstSurplusMiss
+	})
+}
+
 // surplusState returns what package surplus needs to know of a candidate.
 func (b *Balancer) surplusState(now time.Time, c candidate) surplus.Server {
 	return surplus.Server{
@@ -73,13 +106,15 @@
 
 // cheapestSuitable returns the cheapest server that has surplus capacity for a request and caches
 // nearly all shared parts of it, so that no cache fills up with parts that other servers hold. ok
-// is false if there is none.
-func (b *Balancer) cheapestSuitable(now time.Time, req *Request, servers []*server) (best candidate, ok bool) {
+// is false if there is none, and uncached reports whether some are idle that cache less.
+func (b *Balancer) cheapestSuitable(now time.Time, req *Request, servers []*server) (best candidate, ok, uncached bool) {
+	most := b.maxSurplusMiss(req)
 	for _, s := range servers {
 		if !s.isIdle(now) {
 			continue
 		}
-		if _, missing := s.cache.match(req); missing > b.policy.MaxSurplusMissTokens {
+		if _, missing := s.cache.match(req); missing > most {
+			uncached = uncached || missing <= b.policy.MaxSurplusMissTokens
 			continue
 		}
 		c := b.evaluate(now, req, s, cacheHolder{})
@@ -90,7 +125,7 @@
 			best, ok = c, true
 		}
 	}
-	return best, ok
+	return best, ok, uncached
 }
 
 // spareTokens returns how many prompt tokens the idle servers could prefill within the part of the
--- a/gateway/surplus/retry.go
+++ b/gateway/surplus/retry.go
@@ -9,6 +9,12 @@
 	// maxRemainingFraction is the fraction of the remaining time that a caller is asked to wait at
 	// most. Callers wait for at most a third of it.
 	maxRemainingFraction = 0.25
+	// inTimeFraction is the fraction of what is left of the objective that a caller is asked to wait at
+	// most while its request can still be in time, but maxInTimeWait if that is longer. With
+	// delays of up to a quarter of the remaining time instead, 5,137 of 62,000 requests of a
+	// day were late rather than 1,561.
+	inTimeFraction = 0.5
+	maxInTimeWait  = 225 * time.Millisecond
 	// maxScheduled limits the accounts for which a schedule is kept; requests of further accounts
 	// get the shortest delay.
 	maxScheduled = 4096
@@ -20,7 +26,6 @@
 	Tokens    float64
 	Remaining time.Duration // time until an answer is of no use to the caller
 	Objective time.Duration // time left until the first event is late
-	Route     time.Duration // the whole objective of its route
 }
 
 // RetryAfter returns when the caller of a refused request should retry: when its tokens fall due
@@ -28,8 +33,8 @@
 // before. A request that can still be in time returns while it can, as a server may become idle.
 func (t *Table) RetryAfter(now time.Time, r Retry, rate float64) time.Duration {
 	limit := fraction(r.Remaining, maxRemainingFraction)
-	if left := r.Objective - fraction(r.Route, ObjectiveFraction); left >= minRetryAfter {
-		limit = min(limit, left)
+	if r.Objective > minRetryAfter {
+		limit = min(limit, max(fraction(r.Objective, inTimeFraction), maxInTimeWait))
 	}
 	account := r.Account
 	due, scheduled := t.due[account]
--- a/gateway/surplus/surplus.go
+++ b/gateway/surplus/surplus.go
@@ -84,19 +84,18 @@
 	QueueTime time.Duration // of Predicted: until the server begins to process the prompt
 	Running   int           // requests of all gateways
 	Slots     int
-	Given     bool    // the request gets it by other rules, so that only the order is left to decide
 	Slowness  float64 // its prefill times over the nominal ones
 	Spare     float64 // tokens that this server and all others that are idle could prefill within the part of the objective that ObjectiveFraction says
 }
 
 // Suits reports whether a server has surplus capacity for a request with an objective.
 func (s Server) Suits(objective time.Duration) bool {
-	return s.Given || s.IsIdle() && s.Predicted <= fraction(objective, ObjectiveFraction)
+	return s.IsIdle() && s.Predicted <= fraction(objective, ObjectiveFraction)
 }
 
 // IsIdle reports whether nothing is queued at a server and at least half of its slots are free.
 func (s Server) IsIdle() bool {
-	return s.QueueTime <= 0 && float64(s.Running) <= maxOccupancy*float64(s.Slots)
+	return s.Slots > 0 && s.QueueTime <= 0 && float64(s.Running) <= maxOccupancy*float64(s.Slots)
 }
 
 // Action is what is done with a request.
@@ -114,12 +113,14 @@
 
 // Reasons.
 const (
-	ServerIdle   Reason = "server idle"            // granted
-	EnoughIdle   Reason = "enough servers idle"    // granted although another account is ahead
-	WaitedEnough Reason = "others did not take it" // granted although another account is ahead
-	Capped       Reason = "account far ahead"      // refused
-	Behind       Reason = "another account first"  // waits
-	NoneIdle     Reason = "no server idle"         // waits, or is refused
+	ByShare      Reason = "less than an even share"  // granted by the share policy
+	ServerIdle   Reason = "server idle"              // granted
+	EnoughIdle   Reason = "enough servers idle"      // granted although another account is ahead
+	WaitedEnough Reason = "others did not take it"   // granted although another account is ahead
+	Capped       Reason = "account far ahead"        // refused
+	Behind       Reason = "another account first"    // waits
+	NoneIdle     Reason = "no server idle"           // waits, or is refused
+	NoneCached   Reason = "no idle server caches it" // waits, or is refused
 )
 
 // Decision is the result of [Table.Decide].
--- a/gateway/wait_queue.go
+++ b/gateway/wait_queue.go
@@ -113,7 +113,7 @@
 		d.queue.add(w)
 		return
 	}
-	if d.surplus != nil && d.sendFirstBehind(now, w) {
+	if d.surplus != nil && d.sendFirstBlocked(now, w) {
 		return
 	}
 	// The last in order makes room.
