--- a/gateway/surplus/surplus.go
+++ b/gateway/surplus/surplus.go
@@ -143,11 +143,11 @@
 		}
 		return d
 	}
-	ahead, tokens := t.ahead(now, r, s.Slowness)
+	ahead, tokens := t.ahead(now, r, s)
 	switch {
 	case ahead == "":
 		return Decision{Action: Grant, Reason: ServerIdle}
-	case tokens*min(s.Predicted.Seconds()/protection.Seconds(), 1)+r.Tokens <= s.Spare:
+	case tokens+r.Tokens <= s.Spare:
 		return Decision{Action: Grant, Reason: EnoughIdle, Ahead: ahead}
 	case r.Waited >= min(protection, fraction(r.Objective, maxBehindFraction)):
 		return Decision{Action: Grant, Reason: WaitedEnough, Ahead: ahead}
--- a/gateway/surplus/unmet.go
+++ b/gateway/surplus/unmet.go
@@ -12,7 +12,7 @@
 	Priority     int       // of the most urgent of these requests
 	FirstAttempt time.Time // of the caller that has tried for longest
 	Tokens       float64
-	Need         float64   // of the request that needs least, see [Need]
+	Need         float64   // of the request that needs least, see [Need]; 0: it is within its account's share and takes any server that is idle
 	Recent       time.Time // when the latest of these requests was refused or was waiting
 }
 
@@ -207,9 +207,12 @@
 }
 
 // ahead returns the first account in order that is ahead of a request and has unmet demand that a
-// server of the given slowness could serve, and the tokens of all such accounts. Demand that needs
-// a faster server counts too when it has just begun. An account is never ahead of itself.
-func (t *Table) ahead(now time.Time, r Request, slowness float64) (account string, tokens float64) {
+// server could serve, and the tokens of all such accounts that are to be left to them: all tokens of
+// requests within their share, and what is expected of others while the request occupies the
+// server. Demand that needs a faster server counts too when it has just begun. An account is never ahead of
+// itself.
+func (t *Table) ahead(now time.Time, r Request, s Server) (account string, tokens float64) {
+	occupied := min(s.Predicted.Seconds()/protection.Seconds(), 1)
 	first := r.Position
 	for k, e := range t.entries {
 		if k.account == r.Account || k.priority > r.Priority || !isRecent(now, e.recent) {
@@ -226,13 +229,16 @@
 				own.firstAttempt = remote.firstAttempt
 			}
 		}
-		if !hasOwn && !hasRemote || own.need*slowness > 1 && !isRecent(now, e.since) {
+		if !hasOwn && !hasRemote || own.need*s.Slowness > 1 && !isRecent(now, e.since) {
 			continue
 		}
 		p := Position{Priority: k.priority, ShareRatio: t.shareRatio(k.account), FirstAttempt: own.firstAttempt}
 		if p.Compare(r.Position) >= 0 {
 			continue
 		}
+		if own.need > 0 {
+			own.tokens *= occupied // what is expected while the request occupies the server
+		}
 		tokens += max(own.tokens, 0)
 		if c := p.Compare(first); c < 0 || c == 0 && k.account < account {
 			first, account = p, k.account
