--- a/gateway/dispatcher_surplus.go
+++ b/gateway/dispatcher_surplus.go
@@ -104,17 +104,28 @@
 		return
 	}
 	demands := d.surplus.OwnDemands(now)
+	every := (d.fleetSize()*len(demands) + maxUnmetReports - 1) / maxUnmetReports
+	if every > 1 && (uint64(d.shareUpdates)+hashString(d.settings.Address))%uint64(every) != 0 {
+		return
+	}
 	for _, p := range list {
 		u, ok := demands[p.Account]
 		if !ok {
 			continue
 		}
+		u.Tokens *= float64(max(every, 1)) // for the gateways that report at other times
 		p.Unmet, p.Priority = uint32(min(max(u.Tokens, 1), maxReportedTokens)), uint32(u.Priority)
 		p.Need = uint32(min(math.Ceil(u.Need*needUnit), maxReportedNeed))
 		p.OldestMs, p.RecentMs = reportedMilliseconds(now.Sub(u.FirstAttempt)), reportedMilliseconds(now.Sub(u.Recent))
 	}
 }
 
+// maxUnmetReports bounds the accounts whose unmet demand all gateways together report in a share
+// interval, so that a gateway reads less than 10 KB/s of it, whatever the number of gateways. In a
+// larger fleet each gateway reports only at every so many intervals: it matters that an account has
+// unmet demand, not at how many gateways.
+const maxUnmetReports = 144
+
 // Limits of reported unmet demand: more tokens than any fleet processes in half a second, and an
 // age beyond any caller's patience.
 const (
--- a/gateway/dispatcher_surplus_test.go
+++ b/gateway/dispatcher_surplus_test.go
@@ -1,10 +1,12 @@
 package gateway
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"opalbridge.dev/gateway/catalog"
 	"opalbridge.dev/gateway/peer"
@@ -203,3 +205,35 @@
 		}
 	}
 }
+
+// TestUnmetBytes measures what unmet demand adds to the beacons, for docs/CAPACITY.md: what a gateway
+// sends, and what it reads from all others, must stay within 10 KB/s.
+func TestUnmetBytes(t *testing.T) {
+	const intervals = 400
+	now := time.Now()
+	for _, accounts := range []int{2, 30} {
+		for _, gateways := range []int{30, 300, 2400} {
+			d := newSurplusDispatcher(t, now, 1)
+			for i := range gateways - 1 {
+				d.peerRunning[fmt.Sprint(i)] = nil
+			}
+			added := 0
+			for range intervals {
+				var list []*peerpb.Demand
+				for i := range accounts {
+					u := surplus.Demand{Account: fmt.Sprintf("account-%02d", i), Priority: 1, FirstAttempt: now.Add(-2 * time.Second), Tokens: 100_000, Need: 0.5}
+					d.surplus.RecordUnmet(now, u)
+					list = append(list, &peerpb.Demand{Account: u.Account, Asked: 1 << 20, Admitted: 1 << 19})
+				}
+				beacon := &peerpb.Beacon{Demands: list}
+				before := proto.Size(beacon)
+				d.addUnmet(now.Add(100*time.Millisecond), list)
+				added += proto.Size(beacon) - before
+				d.shareUpdates++
+			}
+			sent := float64(added) / intervals / shareInterval.Seconds()
+			fmt.Printf("figure unmet-%d-accounts-%d %.1f B/s sent %.1f KB/s read\n", accounts, gateways, sent, sent*float64(gateways-1)/1000)
+			require.LessOrEqual(t, sent*float64(gateways-1), 10_000.0)
+		}
+	}
+}
--- a/gateway/peer/size_test.go
+++ b/gateway/peer/size_test.go
@@ -46,5 +46,7 @@
 	fmt.Printf("figure beacon-backlog %d B\n", (size(0, 0, 0, 20, 0, false)-bare)/20)
 	fmt.Printf("figure beacon-refusal %d B\n", (size(0, 0, 0, 0, 20, false)-bare)/20)
 	fmt.Printf("figure beacon-account %d B\n", (size(0, 0, 20, 0, 0, true)-size(0, 0, 0, 0, 0, true))/20)
-	require.Less(t, size(maxLoads, 100, 48, 100, maxRefusals, true), maxDatagramSize, "a beacon must fit into one datagram")
+	const most = 1<<32 - 1
+	unmet := proto.Size(&peerpb.Demand{Unmet: most, Priority: most, OldestMs: most, RecentMs: most, Need: most})
+	require.Less(t, size(maxLoads, 100, 48, 100, maxRefusals, true)+48*unmet, maxDatagramSize, "a beacon must fit into one datagram")
 }
