--- a/gateway/dispatcher_surplus_test.go
+++ b/gateway/dispatcher_surplus_test.go
@@ -209,7 +209,7 @@
 // TestUnmetBytes measures what unmet demand adds to the beacons, for docs/CAPACITY.md: what a gateway
 // sends, and what it reads from all others, must stay within 10 KB/s.
 func TestUnmetBytes(t *testing.T) {
-	const intervals = 400
+	const intervals = 2000
 	now := time.Now()
 	for _, accounts := range []int{2, 30} {
 		for _, gateways := range []int{30, 300, 2400} {
--- a/gateway/placement/surplus.go
+++ b/gateway/placement/surplus.go
@@ -68,13 +68,18 @@
 	uncached := false
 	if !req.Capped && (!state.Suits(objective) || best.sharedMissTokens > b.maxSurplusMiss(req) && b.isCached(req, servers)) {
 		c, ok := candidate{}, false
-		if c, ok, uncached = b.cheapestSuitable(now, req, servers); ok {
+		c, ok, uncached = b.cheapestSuitable(now, req, servers)
+		switch {
+		case ok:
 			best, state = c, b.surplusState(now, c)
-		} else if c, ok := b.cheapestIdle(now, req, servers); ok && r == OverShare && req.ShareRatio <= b.policy.MaxIdleShareRatio {
-			return c, InTime, granted
-		} else if r == InTime {
+		case r == InTime:
 			return best, r, granted // many servers are idle, though not this one
-		} else {
+		default:
+			if r == OverShare && req.ShareRatio <= b.policy.MaxIdleShareRatio {
+				if c, ok := b.cheapestIdle(now, req, servers); ok {
+					return c, InTime, granted
+				}
+			}
 			uncached = uncached || state.Suits(objective)
 			state.Slots = 0 // no server suits
 		}
@@ -120,11 +125,15 @@
 	from := int(req.TieBreak % uint64(len(servers)))
 	for i := range servers {
 		s := servers[(from+i)%len(servers)]
-		if !s.isIdle(now) || s.isTooSlow(req, b.policy) {
+		if !s.isIdle(now) {
 			continue
 		}
-		if _, missing := s.cache.match(req); missing > most {
-			uncached = uncached || missing <= b.policy.MaxSurplusMissTokens
+		cached, missing := s.cache.match(req)
+		if missing > most && (uncached || missing > b.policy.MaxSurplusMissTokens) || s.isTooSlow(req, cached, b.policy) {
+			continue
+		}
+		if missing > most {
+			uncached = true
 			continue
 		}
 		c := b.evaluate(now, req, s, cacheHolder{})
@@ -141,10 +150,9 @@
 	return best, ok, uncached
 }
 
-// isTooSlow reports whether a server could not send the first event of a request within the part of
-// the objective that is asked for even if it were as fast as any server.
-func (s *server) isTooSlow(req *Request, p Policy) bool {
-	cached, _ := s.cache.match(req)
+// isTooSlow reports whether a server that caches so much of a request could not send its first event
+// within the part of the objective that is asked for even if it were as fast as any server.
+func (s *server) isTooSlow(req *Request, cached int, p Policy) bool {
 	fastest := scale(p.prefillTime(req.PromptTokens-cached, req.PromptTokens), s.speed.prefillSlowdown.value*minRelativeSlowdown)
 	return fastest+s.speed.firstEventTime() > scale(req.fullObjective(), surplus.ObjectiveFraction)
 }
@@ -188,7 +196,10 @@
 	}
 	servers, _ := b.available(now, req)
 	for _, s := range servers {
-		if s.engine == nil || !s.isIdle(now) || s.isTooSlow(req, b.policy) {
+		if s.engine == nil || !s.isIdle(now) {
+			continue
+		}
+		if cached, _ := s.cache.match(req); s.isTooSlow(req, cached, b.policy) {
 			continue
 		}
 		if b.surplusState(now, b.evaluate(now, req, s, cacheHolder{})).Suits(req.fullObjective()) {
