--- a/gateway/dispatcher_surplus.go
+++ b/gateway/dispatcher_surplus.go
@@ -141,15 +141,29 @@
 }
 
 // comparePositions compares waiting requests by the order in which they get capacity: first those
-// within their account's share, whatever the others' priority.
+// within their account's share, whatever the others' priority. Of requests that differ only in age, those
+// that are late already come last: with too little capacity for all, serving the oldest first
+// made nearly all late.
 func comparePositions(x, y *waiter) int {
-	beyond := func(w *waiter) int {
-		if w.hold.Reason == placement.OverShare {
-			return 1
-		}
+	p, q := x.position(), y.position()
+	p.FirstAttempt, q.FirstAttempt = time.Time{}, time.Time{}
+	return cmp.Or(
+		compareBools(x.hold.Reason == placement.OverShare, y.hold.Reason == placement.OverShare),
+		p.Compare(q),
+		compareBools(x.message.request.Objective < 0, y.message.request.Objective < 0),
+		x.original.FirstAttempt.Compare(y.original.FirstAttempt),
+	)
+}
+
+// compareBools orders false before true.
+func compareBools(x, y bool) int {
+	switch {
+	case x == y:
 		return 0
+	case x:
+		return 1
 	}
-	return cmp.Or(cmp.Compare(beyond(x), beyond(y)), x.position().Compare(y.position()))
+	return -1
 }
 
 // position returns the waiter's place in the order.
@@ -166,13 +180,24 @@
 	return d.settings.Policy.SurplusHold(r)
 }
 
+// waitsForIdle reports whether a waiter gets no server in this scan whatever its place: it is beyond an
+// even share, and no server is idle. Without this, an account with many such requests would use up
+// the decisions of each scan, and others would not be looked at.
+func (d *dispatcher) waitsForIdle(now time.Time, w *waiter) bool {
+	return d.surplus != nil && w.hold.Reason == placement.OverShare && w.shareRatio > d.settings.Policy.MaxIdleShareRatio &&
+		now.Sub(w.since) < d.longestSurplusHold(&w.original) && !d.balancer.HasIdle(now, &w.original)
+}
+
 // surplusFields are the log fields of a decision on surplus capacity.
 type surplusFields placement.Surplus
 
 // MarshalZerologObject implements zerolog.LogObjectMarshaler.
 func (f surplusFields) MarshalZerologObject(e *zerolog.Event) {
 	if f.Reason != "" {
-		e.Str("surplus", string(f.Reason)).Str("account_ahead", f.Ahead)
+		e.Str("surplus", string(f.Reason))
+	}
+	if f.Ahead != "" {
+		e.Str("account_ahead", f.Ahead)
 	}
 }
 
@@ -194,8 +219,11 @@
 		return false
 	}
 	first.refresh(now)
-	first.message.request.Waited = first.message.request.FullObjective + time.Hour // longer than any request waits for these reasons
+	request := first.message.request
+	waited := request.Waited
+	request.Waited = request.FullObjective + time.Hour // longer than any request waits for these reasons
 	assign, ok := d.decide(now, first.message).(placement.Assign)
+	request.Waited = waited
 	if !ok {
 		return false
 	}
--- a/gateway/placement/surplus.go
+++ b/gateway/placement/surplus.go
@@ -31,8 +31,8 @@
 	return req.Objective + req.Waited
 }
 
-// Position returns the request's place in the order in which requests get capacity.
-func (req *Request) Position() surplus.Position {
+// position returns the request's place in the order in which requests get capacity.
+func (req *Request) position() surplus.Position {
 	return surplus.Position{Priority: req.Priority, ShareRatio: req.ShareRatio, FirstAttempt: req.FirstAttempt}
 }
 
@@ -86,7 +86,7 @@
 	}
 	state.Spare = b.spareTokens(now, req, servers)
 	d := b.surplus.Decide(now, surplus.Request{
-		Position: req.Position(), Account: req.Account, Tokens: float64(req.PromptTokens), Capped: req.Capped, Objective: objective, Waited: req.Waited,
+		Position: req.position(), Account: req.Account, Tokens: float64(req.PromptTokens), Capped: req.Capped, Objective: objective, Waited: req.Waited,
 	}, state)
 	if d.Reason == surplus.NoneIdle && uncached {
 		d.Reason = surplus.NoneCached
--- a/gateway/share/share_test.go
+++ b/gateway/share/share_test.go
@@ -57,6 +57,41 @@
 	}
 }
 
+// TestLocalRate checks that a gateway's part of the rate at which an account is served follows what
+// the account asks for there, and that it is not below the account's share.
+func TestLocalRate(t *testing.T) {
+	newTracker := func(local, remote, admitted float64) *share.Tracker {
+		tracker := share.NewTracker(4 * time.Second)
+		if local > 0 {
+			tracker.RecordAsked(start, "a", local)
+		}
+		tracker.RecordAdmitted(start, "b", 2000)
+		tracker.RecordAsked(start, "b", 100_000)
+		tracker.SetRemoteDemands("p", []share.Demand{{Account: "a", Asked: remote, Admitted: admitted}})
+		tracker.Recompute(start, 1000)
+		return tracker
+	}
+	tests := []struct {
+		name                    string
+		local, remote, admitted float64
+		want                    float64 // tokens per second; the fair share is 2,000 tokens in 4 s
+	}{
+		{"all here", 10_000, 0, 0, 500},
+		{"a quarter here", 10_000, 30_000, 1000, 125},
+		{"nothing here", 0, 30_000, 1000, 0},
+		{"served beyond its share", 10_000, 30_000, 8000, 500},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			require.InDelta(t, test.want, newTracker(test.local, test.remote, test.admitted).LocalRate(start, "a"), 1e-6)
+		})
+	}
+	all := share.NewTracker(4 * time.Second)
+	all.RecordAsked(start, "a", 100)
+	all.Recompute(start, 1000)
+	require.Zero(t, all.LocalRate(start, "a"), "all demands fit")
+}
+
 func TestStatus(t *testing.T) {
 	tr := share.NewTracker(4 * time.Second)
 	record := func(now time.Time, account string, tokens float64, admit bool) {
--- a/gateway/wait_queue.go
+++ b/gateway/wait_queue.go
@@ -170,7 +170,7 @@
 			w.message.reply <- placement.NoServer{} // the reply is not read
 			continue
 		}
-		if placed >= maxPlacedPerScan || sent >= maxSentPerScan {
+		if placed >= maxPlacedPerScan || sent >= maxSentPerScan || d.waitsForIdle(now, w) {
 			remaining = append(remaining, w)
 			continue
 		}
