--- a/gateway/dispatcher_slots.go
+++ b/gateway/dispatcher_slots.go
@@ -133,16 +133,16 @@
 
 // holdForSlot queues a request to a plain service. If the queue is full, the request that would be
 // sent last is refused.
-func (d *dispatcher) holdForSlot(w *waiter) {
+func (d *dispatcher) holdForSlot(now time.Time, w *waiter) {
 	d.metrics.SlotDecided(w.original.Service, SlotHeld)
 	if d.queue.length() >= maxWaiting {
 		last := d.queue.lastForSlots()
 		if last == nil || last.original.Priority <= w.original.Priority {
-			d.refuseSlot(w)
+			d.refuseSlot(now, w)
 			return
 		}
 		d.queue.slots = slices.DeleteFunc(d.queue.slots, func(x *waiter) bool { return x == last })
-		d.refuseSlot(last)
+		d.refuseSlot(now, last)
 	}
 	d.queue.addForSlot(w)
 }
@@ -155,9 +155,9 @@
 	d.queue.addForSlot(w)
 }
 
-func (d *dispatcher) refuseSlot(w *waiter) {
+func (d *dispatcher) refuseSlot(now time.Time, w *waiter) {
 	d.metrics.SlotDecided(w.original.Service, SlotRefused)
-	d.refuse(w)
+	d.refuse(now, w)
 }
 
 // countRefusedForSlot counts a refusal for want of a slot.
