gateway, platform: streams move off servers that leave

A run at a server that leaves is copied to another server with kv-move and goes on there with Kv-From. It goes on only once its server has stopped it. Off by default (setting stream_moves).

--- a/cmd/opalbridge/gateway.go
+++ b/cmd/opalbridge/gateway.go
@@ -82,6 +82,11 @@
 	c.RecordStreamResumed(service, string(outcome))
 }
 
+// StreamContinued implements gateway.Metrics.
+func (c requestMetrics) StreamContinued(service string, s gateway.ContinuationStep, outcome string) {
+	c.RecordStreamContinued(service, string(s), outcome)
+}
+
 func runGateway(ctx context.Context, s *settings.Settings, file string) error {
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(heapLimitRatio * float64(s.MemoryMB) * (1 << 20)))
@@ -173,6 +178,7 @@
 		Source:    &platform.Feed{Store: store, Halls: s.Regions, OnDecodeError: entries.record},
 		Caches:    &platform.Caches{},
 		Lifetimes: &platform.Reports{},
+		Copies:    &platform.Copies{},
 		Claims:    &platform.ClaimStore{Store: store, Holder: s.Name + "/" + strconv.FormatInt(time.Now().UnixNano(), 36)},
 		Rollouts:  &platform.RolloutStore{Store: store},
 		Suspects:  &platform.SuspectStore{Store: store},
--- a/gateway/admission_test.go
+++ b/gateway/admission_test.go
@@ -44,9 +44,10 @@
 	}
 }
 
-func (c *deniedCounter) RetryDecided(string, bool)               {}
-func (c *deniedCounter) RetryAcknowledged(string, time.Duration) {}
-func (c *deniedCounter) StreamResumed(string, ResumeOutcome)     {}
+func (c *deniedCounter) RetryDecided(string, bool)                        {}
+func (c *deniedCounter) RetryAcknowledged(string, time.Duration)          {}
+func (c *deniedCounter) StreamResumed(string, ResumeOutcome)              {}
+func (c *deniedCounter) StreamContinued(string, ContinuationStep, string) {}
 
 // startAdmission starts an admission listener with a capacity, in front of a server that
 // responds with 200.
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -49,11 +49,16 @@
 	firstEventAt    time.Time     // when the first of them was sent to the caller
 	result          string        // for logs and metrics
 	reason          string
-	cachedSubjects  *subjects   // computed by subjects; nil: not yet
-	responseStarted atomic.Bool // the caller has received part of a response
-	trial           bool        // it is quarantined but is sent once as a trial
-	originReported  bool        // an event was relayed, and the version of its server was or will be reported
-	origin          chan string // gets the version that began the stream once it is certain, empty if it is not; nil: it is in placeReq
+	cachedSubjects  *subjects     // computed by subjects; nil: not yet
+	responseStarted atomic.Bool   // the caller has received part of a response
+	trial           bool          // it is quarantined but is sent once as a trial
+	originReported  bool          // an event was relayed, and the version of its server was or will be reported
+	relayed         int           // events relayed to the caller by all attempts
+	moves           int           // number of times its run was stopped to go on from a copy
+	movedFrom       *streamRun    // the run that has moved last
+	continuing      *continueStep // the attempt goes on with a run; nil: it begins one
+	serverRun       *streamRun    // of the latest attempt, if it can move
+	origin          chan string   // gets the version that began the stream once it is certain, empty if it is not; nil: it is in placeReq
 }
 
 // step is the next step after an attempt.
@@ -82,16 +87,20 @@
 		return
 	}
 	c.gateway.dispatcher.send(requestArrived{service: c.service, account: c.account, tokens: c.cost})
+	next := c.attempt(ctx)
 	for {
-		switch s := c.attempt(ctx).(type) {
+		switch s := next.(type) {
 		case doneStep:
 			return
 		case failStep:
 			c.fail(ctx, s)
 			return
+		case continueStep:
+			next = c.continueRun(ctx, s)
 		case retryStep:
 			c.gateway.log.Info().Str("event", "attempt.failed").Str("request", c.meta.ID).Int("attempt", c.attempts).
 				Err(s.err).Bool("may_have_run", c.mayHaveRun).Msg("retrying at another server")
+			next = c.attempt(ctx)
 		}
 	}
 }
@@ -160,11 +169,18 @@
 		return failStep{err: err}
 	}
 	sent := time.Now()
-	if err := c.gateway.signals.checkAvailable(sent, d.Server.ID); err != nil {
+	if err := c.checkAvailable(sent, d.Server); err != nil {
 		c.gateway.dispatcher.send(attemptEnded{attemptID: d.ID, server: d.Server.ID, end: placement.NotSent})
+		if c.continuing != nil {
+			return c.notContinued(ctx, err)
+		}
 		return retryStep{err}
 	}
-	c.attempts++
+	if c.continuing == nil {
+		c.attempts++
+	} else {
+		c.continuing.sent = true
+	}
 	c.placeReq.Exclude = append(c.placeReq.Exclude, d.Server.ID)
 	c.logSent(sent, d)
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -172,12 +188,22 @@
 	c.gateway.activeCalls.add(c, cancel)
 	defer c.gateway.activeCalls.remove(c)
 	c.status, c.eventCount = 0, 0
+	c.serverRun = c.beginRun(ctx, cancel, d, sent)
+	defer c.endRun(c.serverRun)
 	result := c.gateway.pool.Send(ctx, d.Server, c.upstreamRequest(d, sent))
 	end, next := c.handleResult(ctx, d, sent, result)
-	c.gateway.dispatcher.send(attemptEnded{attemptID: d.ID, server: d.Server.ID, end: end, route: c.route.Name, status: c.status, eventInterval: c.meanEventInterval()})
+	c.gateway.dispatcher.send(attemptEnded{attemptID: d.ID, server: d.Server.ID, end: end, route: c.route.Name, status: c.status, eventInterval: c.meanEventInterval(), service: d.Server.Service})
 	return next
 }
 
+// checkAvailable returns an error if a server may not get the request now.
+func (c *call) checkAvailable(now time.Time, s catalog.Server) error {
+	if c.continuesAtSource() {
+		return nil
+	}
+	return c.gateway.signals.checkAvailable(now, s.ID)
+}
+
 // logSent logs an attempt with what decided it.
 func (c *call) logSent(sent time.Time, d placement.Assign) {
 	c.gateway.log.Info().Str("event", "attempt.sent").Str("request", c.meta.ID).Int("attempt", c.attempts).
@@ -197,17 +223,22 @@
 	h.Del("Expect") // the whole body has been received
 	c.gateway.options.Codec.Forward(h, protocol.Forward{
 		Caller: c.request.Header, Server: d.Server.Name(), Account: c.account, Deadline: c.deadline.Sub(now), LastEventID: c.lastEventID,
-		CopyFrom: d.CopyFrom,
+		CopyFrom: d.CopyFrom, ContinueFrom: c.continueFrom(),
 	})
 	return &upstream.Request{
 		ID: c.meta.ID, Method: c.request.Method, Target: requestTarget(c.request), Host: c.request.Host,
 		Header: h, Body: c.body, Idempotent: c.route.MayRepeat(), SendBefore: d.SendBefore,
-		BeforeSend: func() error { return c.gateway.signals.checkAvailable(time.Now(), d.Server.ID) }, ConfirmLifetime: c.lifetimeCheck(d.Server),
+		BeforeSend: func() error { return c.checkAvailable(time.Now(), d.Server) }, ConfirmLifetime: c.lifetimeCheck(d.Server),
 	}
 }
 
 // handleResult turns the result of an attempt into the next step.
 func (c *call) handleResult(ctx context.Context, d placement.Assign, sent time.Time, r upstream.Result) (placement.Outcome, step) {
+	if c.continuing != nil {
+		if end, next, ok := c.handleNotContinued(ctx, d, r); ok {
+			return end, next
+		}
+	}
 	switch r := r.(type) {
 	case upstream.Unsent:
 		if ctx.Err() != nil {
@@ -230,6 +261,9 @@
 	case upstream.Indeterminate:
 		c.delivered++
 		c.mayHaveRun = true
+		if next, ok := c.movedAway(ctx, c.serverRun, false, r.Err); ok {
+			return placement.Abandoned, next
+		}
 		if ctx.Err() != nil {
 			return placement.Abandoned, c.abandonAttempt(ctx, d, sent)
 		}
--- /dev/null
+++ b/gateway/call_continue.go
@@ -0,0 +1,272 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"opalbridge.dev/gateway/catalog"
+	"opalbridge.dev/gateway/placement"
+	"opalbridge.dev/gateway/protocol"
+	"opalbridge.dev/gateway/upstream"
+)
+
+// This file is a call's part in runs that go on at another server from a copy of their memory. The
+// caller notices nothing: the answer keeps the head of its first server, and events that it has are
+// dropped. It is the same run, so it counts neither as an attempt nor as a retry. It goes on only once
+// its server has stopped it or has crashed, so that no two servers work on it.
+
+// continueStep means that the run goes on from a copy of its memory.
+type continueStep struct {
+	points []resumePoint // tried in this order
+	cause  continueCause
+	err    error // how it ended at its server, for the case that it goes on nowhere
+	sent   bool  // the request was sent to the first of the points, or nearly so
+}
+
+func (continueStep) step() {}
+
+// resumePoint is a server and the copy from which a run can go on there.
+type resumePoint struct {
+	server catalog.Server
+	copy   protocol.RunCopy
+	giver  catalog.Server // that gave the handle
+}
+
+// atSource reports whether the server is the one that has stopped the run.
+func (p resumePoint) atSource() bool { return p.server.ID == p.giver.ID }
+
+// continueCause is why a run goes on elsewhere.
+type continueCause string
+
+// Causes for which runs go on at other servers.
+const (
+	causeMoved continueCause = "moved"
+)
+
+// Outcomes of moves and continuations, for logs and metrics.
+const (
+	continuedMoved      = "moved"      // its memory is at the target
+	continuedStopped    = "stopped"    // its source has stopped it, and only that has its memory
+	continuedStayed     = "stayed"     // its source went on
+	continuedUnanswered = "unanswered" // it is unknown whether its source has stopped it
+	continuedRunning    = "running"    // the server has taken it over
+	continuedRefused    = "refused"    // the server has not run it
+	continuedFailed     = "failed"     // the server may have run it
+)
+
+// beginRun makes an attempt known as a run that can move; nil: it cannot.
+func (c *call) beginRun(ctx context.Context, cancel context.CancelCauseFunc, d placement.Assign, sent time.Time) *streamRun {
+	runs := c.gateway.runs
+	if runs == nil || c.route.Kind != catalog.Stream || c.request.Method == http.MethodHead || c.moves >= maxMoves || !canMove(c.meta.ID) || d.Server.Version == "" {
+		return nil
+	}
+	engine := c.gateway.view.Load().engine(d.Server.Service)
+	if engine == nil || !engine.Moves {
+		return nil
+	}
+	request := c.placeReq
+	request.Pinned, request.Version = true, d.Server.Version
+	r := &streamRun{
+		gateway: c.gateway, id: c.meta.ID, server: d.Server, service: d.Server.Service, engine: engine, sent: sent, first: d.Predicted,
+		deadline: c.deadline, request: request, events: c.relayed, stream: ctx, cancel: cancel, progress: runProgress{lastID: c.lastEventID},
+	}
+	runs.begin(r)
+	return r
+}
+
+// endRun ends what beginRun has begun. A copy that was not used is freed.
+func (c *call) endRun(r *streamRun) {
+	if r == nil {
+		return
+	}
+	c.gateway.runs.end(r)
+	outcome := r.finish()
+	if c.movedFrom != r {
+		c.freeUnused(r, outcome)
+		c.recordMove(r, outcome)
+	}
+}
+
+// freeUnused frees the copy of a run that does not go on from it.
+func (c *call) freeUnused(r *streamRun, outcome moveOutcome) {
+	switch o := outcome.(type) {
+	case moved:
+		c.gateway.freeCopy(r.server, o.handle)
+	case stopped:
+		c.gateway.freeCopy(r.server, o.handle)
+	case unanswered:
+		c.gateway.freeCopy(r.server, o.handle)
+	case stayed:
+	}
+}
+
+// movedAway returns the next step after a stream that has ended or broken off because its run has
+// moved; ok is false if it has not, or if nobody waits for the rest. complete says that the end cannot
+// be that of a stopped run.
+func (c *call) movedAway(ctx context.Context, r *streamRun, complete bool, err error) (next continueStep, ok bool) {
+	if r == nil {
+		return continueStep{}, false
+	}
+	outcome := r.finish()
+	if c.request.Context().Err() != nil || !time.Now().Before(c.deadline) || errors.Is(context.Cause(ctx), errQuarantined) {
+		return continueStep{}, false
+	}
+	source := resumePoint{server: r.server, giver: r.server}
+	next = continueStep{cause: causeMoved, err: err}
+	switch o := outcome.(type) {
+	case moved:
+		source.copy = protocol.RunCopy{Address: r.server.Address, Handle: o.handle}
+		next.points = []resumePoint{{server: o.target, copy: source.copy, giver: r.server}, source}
+	case stopped:
+		source.copy = protocol.RunCopy{Address: r.server.Address, Handle: o.handle}
+		next.points = []resumePoint{source}
+	case unanswered:
+		if complete {
+			return continueStep{}, false
+		}
+		source.copy = protocol.RunCopy{Address: r.server.Address, Handle: o.handle}
+		next.points = []resumePoint{source} // the source knows whether it has stopped the run
+	default:
+		return continueStep{}, false
+	}
+	c.movedFrom = r
+	c.moves++
+	c.mayHaveRun = true
+	c.recordMove(r, outcome)
+	return next, true
+}
+
+// continueRun sends the request to the first of the servers at which its run can go on.
+func (c *call) continueRun(ctx context.Context, s continueStep) step {
+	c.awaitOrigin()
+	if c.relayed > 0 && (!c.placeReq.Pinned || c.placeReq.Version == "" || c.placeReq.Version != s.points[0].server.Version) {
+		c.freeCopies(s.points)
+		return c.retryOrFail(errors.Wrap(s.err, "gateway: the version that began the stream is not certain"))
+	}
+	point := s.points[0]
+	id := c.gateway.dispatcher.continueAt(point.server, c.placeReq.PromptTokens+c.placeReq.OutputTokens)
+	c.continuing = &s
+	next := c.send(ctx, placement.Assign{Server: point.server, ID: id})
+	c.continuing = nil
+	if _, failed := next.(failStep); failed && !s.sent {
+		c.freeCopies(s.points)
+	}
+	return next
+}
+
+// freeCopies frees the copies of a run that does not go on.
+func (c *call) freeCopies(points []resumePoint) {
+	if len(points) > 0 {
+		c.gateway.freeCopy(points[0].giver, points[0].copy.Handle)
+	}
+}
+
+// continuesAtSource reports whether this attempt asks the server that has stopped the run to go on with
+// it, which it does although it is leaving.
+func (c *call) continuesAtSource() bool {
+	return c.continuing != nil && c.continuing.points[0].atSource()
+}
+
+// continueFrom returns the copy from which the server of this attempt continues; zero: none.
+func (c *call) continueFrom() protocol.RunCopy {
+	if c.continuing == nil {
+		return protocol.RunCopy{}
+	}
+	return c.continuing.points[0].copy
+}
+
+// notContinued returns the next step after a server has not gone on with the run: it goes on at the
+// next one, or the request fails as if it had broken off.
+func (c *call) notContinued(ctx context.Context, err error) step {
+	s := *c.continuing
+	c.recordContinued(s, continuedRefused, err)
+	if ctx.Err() != nil {
+		c.freeCopies(s.points)
+		return c.contextEnded(ctx)
+	}
+	if len(s.points) > 1 {
+		s.points, s.sent = s.points[1:], false
+		return s
+	}
+	c.freeCopies(s.points)
+	return c.retryOrFail(errors.CombineErrors(s.err, err))
+}
+
+// handleNotContinued handles the result of an attempt to go on with a run; ok is false if the server
+// has answered, or may have run it.
+func (c *call) handleNotContinued(ctx context.Context, d placement.Assign, r upstream.Result) (end placement.Outcome, next step, ok bool) {
+	switch r := r.(type) {
+	case upstream.Unsent:
+		end = placement.Unreachable
+		if ctx.Err() != nil || errors.Is(r.Err, errServerLeaving) || errors.Is(r.Err, errServerBackoff) {
+			end = placement.NotSent
+		}
+		return end, c.notContinued(ctx, r.Err), true
+	case upstream.NotExecuted:
+		return placement.NotSent, c.notContinued(ctx, errors.Newf("gateway: server %s does not go on with it: status %d", d.Server.ID, r.Status)), true
+	case upstream.Indeterminate:
+		if ctx.Err() == nil && r.ConnectionFailed && refusesConnections(ctx, d.Server) {
+			return placement.Failed, c.notContinued(ctx, r.Err), true // it has crashed and cannot work on it
+		}
+		c.recordContinued(*c.continuing, continuedFailed, r.Err)
+	}
+	return 0, nil, false
+}
+
+// recordMove logs and counts what became of a run that was to move.
+func (c *call) recordMove(r *streamRun, outcome moveOutcome) {
+	if r.outcome == nil {
+		return // no move was begun
+	}
+	line := c.gateway.log.Info().Str("event", "stream.moved").Str("request", c.meta.ID).Str("server", r.server.ID).Int("events", c.relayed).Str("after_event", c.lastEventID)
+	result := continuedStayed
+	switch o := outcome.(type) {
+	case moved:
+		result = continuedMoved
+		line.Str("target", o.target.ID).Str("handle", o.handle)
+	case stopped:
+		result = continuedStopped
+		line.Str("handle", o.handle)
+	case unanswered:
+		result = continuedUnanswered
+		line.Str("handle", o.handle).AnErr("reason", o.err)
+	case stayed:
+		line.Str("reason", string(o.reason))
+	}
+	line.Str("outcome", result).Msg("server leaves under a stream")
+	c.gateway.countContinuation(c.service, ContinuationMove, result)
+}
+
+// recordContinued logs and counts whether a server has gone on with a run.
+func (c *call) recordContinued(s continueStep, outcome string, err error) {
+	p := s.points[0]
+	c.gateway.log.Info().Str("event", "stream.continued").Str("request", c.meta.ID).Str("server", p.server.ID).Str("from", p.giver.ID).Str("handle", p.copy.Handle).
+		Str("cause", string(s.cause)).Int("events", c.relayed).Str("after_event", c.lastEventID).Str("outcome", outcome).AnErr("reason", err).Msg("stream continues from a copy of its run")
+	c.gateway.countContinuation(c.service, ContinuationResume, outcome)
+}
+
+// logContinued logs that the server of this attempt has gone on with a run.
+func (c *call) logContinued() {
+	if c.continuing != nil {
+		c.recordContinued(*c.continuing, continuedRunning, nil)
+	}
+}
+
+// ContinuationStep is a step by which a stream continues at another server.
+type ContinuationStep string
+
+// Steps by which streams continue at other servers.
+const (
+	ContinuationMove   ContinuationStep = "move"   // off a leaving server
+	ContinuationBackup ContinuationStep = "backup" // copied as it grows
+	ContinuationResume ContinuationStep = "resume" // at the other server
+)
+
+func (g *Gateway) countContinuation(service string, s ContinuationStep, outcome string) {
+	if g.options.Metrics != nil {
+		g.options.Metrics.StreamContinued(service, s, outcome)
+	}
+}
--- a/gateway/continuation/continuation.go
+++ b/gateway/continuation/continuation.go
@@ -1,12 +1,336 @@
 // Package continuation decides which running requests move to another backend server and which are
-// backed up to one, and from where a request goes on after its server has left or crashed.
+// backed up to one.
 //
 // # Usage
 //
-//	d := continuation.NewPlanner(continuation.DefaultLimits())
-//	target := d.Backup(now, run, servers)  // before the request is sent
-//	step := d.Leaving(now, run, servers)   // when its server announces that it leaves
+//	p := continuation.NewPlanner(continuation.DefaultLimits())
+//	p.SetFleet(now, servers, gateways)
+//	target, ok := p.Backup(now, run, servers)       // when the request is sent
+//	switch d := p.Leaving(now, run, left, servers).(type) {
+//	case continuation.Move: // copy it to d.Target, then call p.MoveEnded(d.Target)
+//	case continuation.Wait: // ask again after d.For
+//	case continuation.Stay: // leave it where it is
+//	}
+//
+// Load: servers that leave or crash during runs of several seconds. A run moves off a leaving server
+// if it would not end in the time that is left there. A run is backed up if the time that a crash is
+// expected to cost exceeds the copy's time on the links. The links' time is bounded, so that copies
+// of runs never take much from copies of cached prompts.
 //
 // The package does no locking and no I/O and does not read the clock. A Planner must be used by one
 // goroutine only.
 package continuation
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Limits bounds what a gateway moves and backs up.
+type Limits struct {
+	MaxMoves      int           // moves in progress
+	LinkShare     float64       // share of the links' time that all gateways together may use
+	LinkBurst     time.Duration // time for which unused link time accumulates
+	BackupReserve float64       // share of the accumulated link time that backups leave for moves
+	Margin        time.Duration // a run that ends later than this before its server's end moves
+	MoveOverhead  time.Duration // time of a move in addition to the copy
+	MinBackup     time.Duration // expected duration from which on a run is backed up
+	CrashWindow   time.Duration // crashes that are older do not count
+}
+
+// DefaultLimits returns the default limits.
+func DefaultLimits() Limits {
+	return Limits{
+		MaxMoves:      8,
+		LinkShare:     0.1,
+		LinkBurst:     5 * time.Second, // the runs of a gateway at a server that leaves, a dozen, move at once
+		BackupReserve: 0.5,
+		Margin:        500 * time.Millisecond,
+		MoveOverhead:  100 * time.Millisecond, // two calls to the source and one to the target
+		MinBackup:     time.Second,
+		CrashWindow:   30 * time.Second,
+	}
+}
+
+// Intervals at which a run at a leaving server is considered again.
+const (
+	retryInterval   = 25 * time.Millisecond // a move in progress takes about as long
+	recheckInterval = 250 * time.Millisecond
+)
+
+// overrunShare is the share of what a run has answered that it is assumed to answer yet, if it has
+// reached its expected length.
+const overrunShare = 0.25
+
+// Run describes a run.
+type Run struct {
+	Service       string
+	Hall          string // of its server
+	PromptTokens  int
+	OutputTokens  int           // expected length of the answer; 0: unknown
+	EventTokens   int           // tokens in an event; 0: unknown
+	Events        int           // events so far
+	EventInterval time.Duration // mean interval between these; 0: unknown
+	FirstEvent    time.Duration // predicted time from now to the first event, if there was none
+	Remaining     time.Duration // until its answer is of no use to the caller
+	BytesPerToken int           // size of its memory
+	LinkMbps      float64       // bandwidth of its server for copies
+}
+
+// Server is a server that may take a run.
+type Server struct {
+	ID      string
+	Hall    string
+	Running int // requests there
+	Slots   int // 0: unknown
+}
+
+// Decision is what becomes of a run at a leaving server.
+type Decision interface{ decision() }
+
+// Move copies the run to the target. The move counts as in progress until [Planner.MoveEnded].
+type Move struct{ Target string }
+
+// Wait means that the run should be considered again.
+type Wait struct {
+	For    time.Duration
+	Reason Reason
+}
+
+// Stay leaves the run where it is.
+type Stay struct{ Reason Reason }
+
+func (Move) decision() {}
+func (Wait) decision() {}
+func (Stay) decision() {}
+
+// Reason says why a run does not move.
+type Reason string
+
+// Reasons why a run does not move.
+const (
+	EndsInTime   Reason = "it ends in time"
+	NoTime       Reason = "too little time is left for a copy"
+	NoTarget     Reason = "no server can take it"
+	TooManyMoves Reason = "too many moves are in progress"
+	LinksBusy    Reason = "the links' time is used up"
+)
+
+// Planner decides which runs move and which are backed up.
+type Planner struct {
+	limits   Limits
+	linkRate float64 // seconds of link time that this gateway may use in a second
+	linkTime float64 // accumulated seconds of link time
+	filledAt time.Time
+	servers  int
+	moves    int                      // in progress
+	incoming map[string]int           // moves in progress, by target
+	backups  map[string]int           // runs that are backed up, by target
+	crashes  []crash                  // within the window, oldest first
+	paces    map[string]time.Duration // mean event interval, by service
+}
+
+type crash struct {
+	server string
+	at     time.Time
+}
+
+// NewPlanner returns a planner for a fleet that is still unknown.
+func NewPlanner(l Limits) *Planner {
+	return &Planner{limits: l, incoming: map[string]int{}, backups: map[string]int{}, paces: map[string]time.Duration{}}
+}
+
+// SetFleet sets the number of servers that copy runs, and of gateways that share their links.
+func (p *Planner) SetFleet(now time.Time, servers, gateways int) {
+	first := p.filledAt.IsZero()
+	p.fill(now)
+	p.servers = servers
+	p.linkRate = p.limits.LinkShare * float64(servers) / float64(max(gateways, 1))
+	if first {
+		p.linkTime = p.maxLinkTime()
+	}
+	p.linkTime = min(p.linkTime, p.maxLinkTime())
+}
+
+func (p *Planner) maxLinkTime() float64 { return p.linkRate * p.limits.LinkBurst.Seconds() }
+
+// fill accumulates link time.
+func (p *Planner) fill(now time.Time) {
+	if !p.filledAt.IsZero() {
+		p.linkTime = min(p.linkTime+p.linkRate*max(now.Sub(p.filledAt), 0).Seconds(), p.maxLinkTime())
+	}
+	p.filledAt = now
+}
+
+// RecordPace records the mean interval between the events of a run that has ended.
+func (p *Planner) RecordPace(service string, interval time.Duration) {
+	if interval <= 0 {
+		return
+	}
+	const weight = 8 // runs that the mean covers
+	if old, known := p.paces[service]; known {
+		interval = old + (interval-old)/weight
+	}
+	p.paces[service] = interval
+}
+
+// RecordCrash records the crash of a server; further reports of the same crash are ignored.
+func (p *Planner) RecordCrash(now time.Time, server string) {
+	p.expireCrashes(now)
+	if !slices.ContainsFunc(p.crashes, func(c crash) bool { return c.server == server }) {
+		p.crashes = append(p.crashes, crash{server, now})
+	}
+}
+
+func (p *Planner) expireCrashes(now time.Time) {
+	for len(p.crashes) > 0 && now.Sub(p.crashes[0].at) > p.limits.CrashWindow {
+		p.crashes = p.crashes[1:]
+	}
+}
+
+// crashRate returns the crashes of a server in a second.
+func (p *Planner) crashRate(now time.Time) float64 {
+	p.expireCrashes(now)
+	return float64(len(p.crashes)) / (float64(max(p.servers, 1)) * p.limits.CrashWindow.Seconds())
+}
+
+// Leaving decides on a run whose server ends when the given time has passed.
+func (p *Planner) Leaving(now time.Time, r Run, left time.Duration, servers []Server) Decision {
+	left -= p.limits.Margin
+	switch end := p.timeToEnd(r); {
+	case 2*end <= left:
+		return Stay{EndsInTime}
+	case end <= left:
+		return Wait{recheckInterval, EndsInTime} // it may get slower
+	}
+	if left < p.limits.MoveOverhead {
+		return Stay{NoTime}
+	}
+	if p.moves >= p.limits.MaxMoves {
+		return Wait{retryInterval, TooManyMoves}
+	}
+	target, ok := p.target(r, servers)
+	if !ok {
+		return Wait{recheckInterval, NoTarget} // a slot may become free
+	}
+	copying := r.copyTime(r.PromptTokens+r.answered(), target.Hall)
+	if copying+p.limits.MoveOverhead > left {
+		return Stay{NoTime}
+	}
+	p.fill(now)
+	if p.linkTime < copying.Seconds() {
+		return Wait{retryInterval, LinksBusy}
+	}
+	p.linkTime -= copying.Seconds()
+	p.moves++
+	p.incoming[target.ID]++
+	return Move{Target: target.ID}
+}
+
+// MoveEnded records the end of a move in progress.
+func (p *Planner) MoveEnded(target string) {
+	p.moves--
+	release(p.incoming, target)
+}
+
+// target returns the server that a run moves to: one of its hall if there is one, and the least
+// loaded of these.
+func (p *Planner) target(r Run, servers []Server) (Server, bool) {
+	return p.least(servers, func(s Server) bool { return s.hasSlot(p.incoming[s.ID] + p.backups[s.ID]) }, func(x, y Server) int {
+		return cmp.Or(cmp.Compare(hallRank(r, x), hallRank(r, y)), cmp.Compare(x.load(p.incoming[x.ID]), y.load(p.incoming[y.ID])))
+	})
+}
+
+// Backup decides whether a run that is about to be sent is backed up, and to which server. The run
+// counts as backed up there until [Planner.BackupEnded].
+func (p *Planner) Backup(now time.Time, r Run, servers []Server) (target string, ok bool) {
+	duration := p.timeToEnd(r)
+	if duration <= p.limits.MinBackup {
+		return "", false
+	}
+	copying := r.copyTime(r.PromptTokens+r.OutputTokens, r.Hall)
+	lost := r.FirstEvent + max(duration-r.FirstEvent, 0)/2 // a crash comes halfway through its events on average
+	if p.crashRate(now)*duration.Seconds()*lost.Seconds() <= copying.Seconds() {
+		return "", false
+	}
+	best, ok := p.least(servers, func(s Server) bool { return s.Hall == r.Hall && s.hasSlot(p.incoming[s.ID]+p.backups[s.ID]) }, func(x, y Server) int {
+		return cmp.Or(cmp.Compare(p.backups[x.ID], p.backups[y.ID]), cmp.Compare(x.load(0), y.load(0)))
+	})
+	p.fill(now)
+	if !ok || p.linkTime-copying.Seconds() < p.limits.BackupReserve*p.maxLinkTime() {
+		return "", false
+	}
+	p.linkTime -= copying.Seconds()
+	p.backups[best.ID]++
+	return best.ID, true
+}
+
+// BackupEnded records the end of a run that was backed up.
+func (p *Planner) BackupEnded(target string) { release(p.backups, target) }
+
+func release(counts map[string]int, server string) {
+	if counts[server]--; counts[server] <= 0 {
+		delete(counts, server)
+	}
+}
+
+// least returns the first server in the order of compare among those that qualify.
+func (p *Planner) least(servers []Server, qualifies func(Server) bool, compare func(x, y Server) int) (best Server, ok bool) {
+	for _, s := range servers {
+		if qualifies(s) && (!ok || compare(s, best) < 0) {
+			best, ok = s, true
+		}
+	}
+	return best, ok
+}
+
+// hasSlot reports whether a server has a slot for one more run beside those that are coming.
+func (s Server) hasSlot(coming int) bool { return s.Slots == 0 || s.Running+coming < s.Slots }
+
+// load returns the share of a server's slots that are in use.
+func (s Server) load(coming int) float64 {
+	return float64(s.Running+coming) / float64(max(s.Slots, 1))
+}
+
+func hallRank(r Run, s Server) int {
+	if s.Hall == r.Hall {
+		return 0
+	}
+	return 1
+}
+
+// answered returns the tokens that a run has answered.
+func (r Run) answered() int { return r.Events * max(r.EventTokens, 1) }
+
+// timeToEnd returns the expected time to the end of a run.
+func (p *Planner) timeToEnd(r Run) time.Duration {
+	pace := r.EventInterval
+	if pace == 0 {
+		pace = p.paces[r.Service]
+	}
+	if pace == 0 || r.OutputTokens == 0 {
+		return r.Remaining // the longest that it can be
+	}
+	done := r.answered()
+	tokens := max(float64(r.OutputTokens-done), overrunShare*float64(done))
+	end := time.Duration(tokens / float64(max(r.EventTokens, 1)) * float64(pace))
+	if r.Events == 0 {
+		end += r.FirstEvent
+	}
+	return min(end, r.Remaining)
+}
+
+// copyTime returns the time that a copy of so many tokens takes on the links; copies between halls
+// take two of them.
+func (r Run) copyTime(tokens int, hall string) time.Duration {
+	if r.LinkMbps <= 0 {
+		return 0
+	}
+	const bitsPerByte, mega = 8, 1e6
+	seconds := float64(tokens) * float64(r.BytesPerToken) * bitsPerByte / (r.LinkMbps * mega)
+	if hall != r.Hall {
+		seconds *= 2
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -10,6 +10,7 @@
 
 	"opalbridge.dev/gateway/budget"
 	"opalbridge.dev/gateway/catalog"
+	"opalbridge.dev/gateway/continuation"
 	"opalbridge.dev/gateway/peer"
 	"opalbridge.dev/gateway/placement"
 	"opalbridge.dev/gateway/share"
@@ -71,6 +72,7 @@
 	lateAcknowledgements []lateAcknowledgement // by due time
 	budgetLoggedAt       map[string]time.Time  // when the use of the retry budget was last logged, by service
 	coldLimiter          *warmup.Limiter
+	planner              *continuation.Planner
 	rollouts             map[string]*serviceRollout // by service
 	lastRequested        map[string]time.Time       // time of the last request, by service
 	halls                map[string]string          // of live gateways, by address
@@ -133,6 +135,7 @@
 		peerRunning: map[string]map[uint64]int{}, demandByGateway: map[string]float64{},
 		rollouts: map[string]*serviceRollout{}, viewFresh: func(time.Time) bool { return true },
 		metrics: discardMetrics{}, started: now, budgetLoggedAt: map[string]time.Time{},
+		planner:     continuation.NewPlanner(continuation.DefaultLimits()),
 		coldLimiter: warmup.NewLimiter(), lastRequested: map[string]time.Time{}, halls: map[string]string{},
 	}
 	d.balancer.SetRegions(s.Regions)
@@ -238,6 +241,12 @@
 	case backoffRequested:
 		d.backoffUntil[m.server] = latest(d.backoffUntil[m.server], m.until)
 		d.balancer.BackoffUntil(now, m.server, m.until)
+	case moveRequested:
+		m.reply <- d.decideMove(now, m)
+	case moveEnded:
+		d.planner.MoveEnded(m.target)
+	case runContinued:
+		m.reply <- d.recordContinued(now, m)
 	case viewReplaced:
 		d.setView(now, m.view)
 	case peersUpdated:
@@ -306,6 +315,7 @@
 func (d *dispatcher) recordEnd(now time.Time, m attemptEnded) {
 	d.refundTokens(now, m)
 	d.recordRolloutAnswer(now, m)
+	d.planner.RecordPace(m.service, m.eventInterval)
 	d.endRetry(now, d.pending[m.attemptID], m)
 	delete(d.pending, m.attemptID)
 	if m.end == placement.Served || m.end == placement.Rejected {
@@ -339,6 +349,7 @@
 
 // setView takes over the configuration and the servers of a new view.
 func (d *dispatcher) setView(now time.Time, v *View) {
+	d.setPlannerFleet(now, d.view, v)
 	d.view = v
 	d.balancer.SetServers(now, v.Servers, func(service string) *catalog.Engine {
 		if v.Configuration == nil {
--- /dev/null
+++ b/gateway/dispatcher_continuation.go
@@ -0,0 +1,144 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"opalbridge.dev/gateway/catalog"
+	"opalbridge.dev/gateway/continuation"
+	"opalbridge.dev/gateway/placement"
+)
+
+// This file decides with package continuation which runs move off leaving servers and which are
+// backed up, and records where they go on.
+
+// Messages about runs that go on at other servers.
+type (
+	// moveRequested asks what becomes of a run at a leaving server.
+	moveRequested struct {
+		run     continuation.Run
+		request *placement.Request // restricted to the servers that may take over the run
+		left    time.Duration      // until its server ends
+		reply   chan<- moveDecision
+	}
+	// moveEnded reports the end of a move in progress.
+	moveEnded struct{ target string }
+	// runContinued asks for the ID of an attempt that continues a run at a server.
+	runContinued struct {
+		server catalog.Server
+		tokens int // cache space that the run takes
+		reply  chan<- uint64
+	}
+)
+
+func (moveRequested) dispatcherMessage() {}
+func (moveEnded) dispatcherMessage()     {}
+func (runContinued) dispatcherMessage()  {}
+
+// moveDecision is a decision of package continuation with the target of a move.
+type moveDecision struct {
+	decision continuation.Decision
+	target   catalog.Server
+}
+
+// requestMove returns what becomes of a run at a leaving server; ok is false if ctx ends first.
+func (d *dispatcher) requestMove(ctx context.Context, m moveRequested) (decision moveDecision, ok bool) {
+	reply := make(chan moveDecision, 1)
+	m.reply = reply
+	d.send(m)
+	select {
+	case decision = <-reply:
+		return decision, true
+	case <-d.done:
+		return moveDecision{}, false
+	case <-ctx.Done():
+		go d.releaseMove(reply)
+		return moveDecision{}, false
+	}
+}
+
+// releaseMove undoes a decision to move that nobody waits for any more.
+func (d *dispatcher) releaseMove(reply <-chan moveDecision) {
+	select {
+	case m := <-reply:
+		if _, moves := m.decision.(continuation.Move); moves {
+			d.send(moveEnded{target: m.target.ID})
+		}
+	case <-d.done:
+	}
+}
+
+// continueAt records that a run continues at a server and returns the ID of the attempt. It draws on
+// neither the account's share nor the retry budget: it is the same run.
+func (d *dispatcher) continueAt(server catalog.Server, tokens int) uint64 {
+	reply := make(chan uint64, 1)
+	d.send(runContinued{server: server, tokens: tokens, reply: reply})
+	select {
+	case id := <-reply:
+		return id
+	case <-d.done:
+		return 0
+	}
+}
+
+// decideMove decides on a run at a leaving server.
+func (d *dispatcher) decideMove(now time.Time, m moveRequested) moveDecision {
+	targets := d.balancer.Targets(now, m.request)
+	decision := d.planner.Leaving(now, m.run, m.left, d.plannerServers(now, targets))
+	result := moveDecision{decision: decision}
+	if move, ok := decision.(continuation.Move); ok {
+		i := slices.IndexFunc(targets, func(t placement.Target) bool { return t.Server.ID == move.Target })
+		result.target = targets[i].Server
+	}
+	return result
+}
+
+// plannerServers returns what the planner knows of targets. Cold servers take no runs of others.
+func (d *dispatcher) plannerServers(now time.Time, targets []placement.Target) []continuation.Server {
+	list := make([]continuation.Server, 0, len(targets))
+	for _, t := range targets {
+		if !d.coldLimiter.IsCold(now, t.Server.ID) {
+			list = append(list, continuation.Server{ID: t.Server.ID, Hall: t.Server.Hall, Running: t.Running, Slots: t.Server.Capacity})
+		}
+	}
+	return list
+}
+
+// recordContinued records that a run continues at a server.
+func (d *dispatcher) recordContinued(now time.Time, m runContinued) uint64 {
+	d.lastAttemptID++
+	d.balancer.RecordSent(now, placement.Load{Server: m.server.ID, CacheTokens: m.tokens}, true)
+	d.running[m.server.ID]++
+	d.schedulePublish(now)
+	return d.lastAttemptID
+}
+
+// setPlannerFleet tells the planner the servers of the view and which of them have crashed: those
+// that are gone although nothing had announced that.
+func (d *dispatcher) setPlannerFleet(now time.Time, before, after *View) {
+	engines := 0
+	for _, s := range after.Servers {
+		if e := after.engine(s.Service); e != nil && (e.Moves || e.Backups) {
+			engines++
+		}
+	}
+	d.planner.SetFleet(now, engines, d.fleetSize())
+	for _, s := range removedServers(before.Servers, after.Servers) {
+		if e := after.engine(s.Service); e != nil && !s.Leaving && !s.Evacuated {
+			d.planner.RecordCrash(now, s.ID)
+		}
+	}
+}
+
+// engine returns the engine of a service; nil if it is unknown or a plain service.
+func (v *View) engine(service string) *catalog.Engine {
+	if v.Configuration == nil {
+		return nil
+	}
+	s, ok := v.Configuration.Service(service)
+	if !ok {
+		return nil
+	}
+	return s.Engine
+}
--- a/gateway/dispatcher_messages.go
+++ b/gateway/dispatcher_messages.go
@@ -41,6 +41,7 @@
 		route         string
 		status        int           // of the server's answer; 0: none, or an incomplete answer
 		eventInterval time.Duration // mean time between events of a stream; 0: unknown
+		service       string
 	}
 	// cacheReported reports the contents of a server's cache.
 	cacheReported struct {
--- a/gateway/dispatcher_retries.go
+++ b/gateway/dispatcher_retries.go
@@ -95,7 +95,8 @@
 // discardMetrics implements Metrics.
 type discardMetrics struct{}
 
-func (discardMetrics) RequestEnded(Outcome)                    {}
-func (discardMetrics) RetryDecided(string, bool)               {}
-func (discardMetrics) RetryAcknowledged(string, time.Duration) {}
-func (discardMetrics) StreamResumed(string, ResumeOutcome)     {}
+func (discardMetrics) RequestEnded(Outcome)                             {}
+func (discardMetrics) RetryDecided(string, bool)                        {}
+func (discardMetrics) RetryAcknowledged(string, time.Duration)          {}
+func (discardMetrics) StreamResumed(string, ResumeOutcome)              {}
+func (discardMetrics) StreamContinued(string, ContinuationStep, string) {}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -30,7 +30,9 @@
 // suspects_trials.go sends some all the same; suspects_store.go persists suspects, and
 // call_quarantine.go applies them to a request in progress. crashes.go detects crashed servers,
 // and signals.go applies what servers announce in responses. origins.go and call_resume.go keep a
-// stream at the software version that began it; server_lifetime.go tells a server's lifetimes
+// stream at the software version that began it; run_moves.go, call_continue.go and
+// dispatcher_continuation.go have streams go on at other servers from copies of their runs, which
+// run_copies.go asks for; server_lifetime.go tells a server's lifetimes
 // apart. stop.go shuts the gateway down.
 package gateway
 
@@ -59,6 +61,7 @@
 	Source         Source
 	Caches         Caches       // nil: servers do not report the contents of their caches
 	Lifetimes      Lifetimes    // nil: servers are in the lifetimes that their entries tell
+	Copies         RunCopies    // nil: runs do not move
 	Claims         ClaimStore   // nil: cold servers get no requests
 	Rollouts       RolloutStore // nil: the progress of rollouts is not reported to operators
 	Suspects       SuspectStore // nil: requests that crashed servers are not remembered once all gateways have restarted
@@ -83,6 +86,8 @@
 	RetryAcknowledged(service string, delay time.Duration)
 	// StreamResumed records what became of a caller's attempt to take up a stream.
 	StreamResumed(service string, outcome ResumeOutcome)
+	// StreamContinued records what became of a step by which a stream continues at another server.
+	StreamContinued(service string, s ContinuationStep, outcome string)
 }
 
 // Outcome describes a finished request.
@@ -121,6 +126,8 @@
 	activeCalls           *activeCalls
 	signals               *serverSignals
 	origins               *originTracker
+	runs                  *streamRuns // nil: streams do not move
+	unusedCopies          chan unusedCopy
 	callerRetries         callerRetryTracker
 	stopping              atomic.Bool
 	active                atomic.Int64 // requests being served
@@ -156,6 +163,12 @@
 	g.activeCalls = newActiveCalls()
 	g.signals = newServerSignals()
 	g.origins = newOriginTracker(g.started)
+	if o.Copies != nil {
+		g.unusedCopies = make(chan unusedCopy, unusedCopyQueueSize)
+		if o.Dispatcher.Features.MoveStreams {
+			g.runs = newStreamRuns(g)
+		}
+	}
 	g.pool.OnSignal = g.handleSignal
 	o.Peer.Origins = g.origins
 	o.Peer.Hall = o.Dispatcher.Hall
@@ -216,6 +229,7 @@
 	group.Go(background, "suspects", g.suspects.runWriter)
 	group.Go(background, "quarantine", g.cancelQuarantinedCalls)
 	group.Go(background, "versions", g.recordVersions)
+	group.Go(background, "unused copies", g.freeCopies)
 	for range probeWorkers {
 		group.Go(background, "probes", g.crashes.runProbes)
 	}
--- a/gateway/protocol/protocol.go
+++ b/gateway/protocol/protocol.go
@@ -12,6 +12,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"time"
 )
 
@@ -46,6 +47,28 @@
 	Deadline    time.Duration
 	LastEventID string // resume after this event; empty: as the caller asked
 	CopyFrom    string // address of a server whose cache holds more of the prompt; empty: none
+	// BackupTo is the address of a server to which the run's memory is copied as it grows; empty: none.
+	BackupTo string
+	// ContinueFrom is the copy of the run's memory from which the server continues; zero: none.
+	ContinueFrom RunCopy
+}
+
+// RunCopy identifies a copy of a run's memory.
+type RunCopy struct {
+	Address string // of the server that has given the handle
+	Handle  string
+}
+
+// maxHandleLength limits handles. They go into a header and a path.
+const maxHandleLength = 128
+
+// ValidHandle reports whether a text may be the handle of a copy: letters, digits and the characters
+// of identifiers, which mean the same in a header and in a path.
+func ValidHandle(text string) bool {
+	allowed := func(r rune) bool {
+		return r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || strings.ContainsRune("-_.:~", r)
+	}
+	return text != "" && len(text) <= maxHandleLength && strings.Trim(text, ".") != "" && strings.IndexFunc(text, func(r rune) bool { return !allowed(r) }) < 0
 }
 
 // Response holds a server's headers.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -112,6 +112,11 @@
 	started := false
 	for {
 		event, err := readEvent(events)
+		if err != nil {
+			if next, ok := c.movedAway(ctx, c.serverRun, err == io.EOF && !r.Unframed, err); ok {
+				return placement.Abandoned, next
+			}
+		}
 		if err != nil && ctx.Err() != nil {
 			return placement.Abandoned, c.abandonAttempt(ctx, d, sent)
 		}
@@ -129,6 +134,7 @@
 		if !started {
 			started = true
 			c.gateway.dispatcher.send(firstEventReceived{attemptID: d.ID, server: d.Server.ID})
+			c.logContinued()
 		}
 		if len(event) > 0 && !c.alreadyRelayed(event) {
 			c.pinVersion(ctx, d.Server, r)
@@ -183,6 +189,8 @@
 	if id := eventID(event); id != "" {
 		c.lastEventID = id
 	}
+	c.relayed++
+	c.serverRun.eventRelayed(now, c.lastEventID, r.LifetimeConfirmed())
 	if more {
 		return nil
 	}
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -423,6 +423,7 @@
 	}
 	if changed {
 		w.gateway.dispatcher.viewChanged(v)
+		w.gateway.runs.viewChanged(now, v.Servers)
 		w.gateway.peers.SendSoon()
 	}
 }
--- a/telemetry/gateway.go
+++ b/telemetry/gateway.go
@@ -18,12 +18,13 @@
 	retries      metric.Int64Counter
 	acknowledged metric.Float64Histogram
 	resumed      metric.Int64Counter
+	continued    metric.Int64Counter
 }
 
 // NewGatewayMetrics creates the instruments of a gateway.
 func NewGatewayMetrics(m metric.Meter) (*GatewayMetrics, error) {
 	var c GatewayMetrics
-	var errs [7]error
+	var errs [8]error
 	c.requests, errs[0] = m.Int64Counter("opalbridge.gateway.requests", metric.WithDescription("requests that ended, by service, kind and result"))
 	c.attempts, errs[1] = m.Int64Counter("opalbridge.gateway.attempts", metric.WithDescription("sends to servers, by service; over opalbridge.gateway.requests"))
 	c.first, errs[2] = m.Float64Histogram("opalbridge.gateway.first", metric.WithUnit("s"), metric.WithDescription("time from arrival to the first byte passed on"))
@@ -31,6 +32,7 @@
 	c.retries, errs[4] = m.Int64Counter("opalbridge.gateway.retries", metric.WithDescription("retries that the budget granted or refused, by service and decision"))
 	c.acknowledged, errs[5] = m.Float64Histogram("opalbridge.gateway.retry_acknowledged", metric.WithUnit("s"), metric.WithDescription("time from the decision on a retry to its server's first sign of life"))
 	c.resumed, errs[6] = m.Int64Counter("opalbridge.gateway.streams_resumed", metric.WithDescription("streams that callers took up, by service and outcome"))
+	c.continued, errs[7] = m.Int64Counter("opalbridge.gateway.streams_continued", metric.WithDescription("steps by which streams continue at other servers: move, backup, resume; by service and outcome"))
 	return &c, errors.Wrap(errors.Join(errs[:]...), "telemetry: gateway")
 }
 
@@ -62,6 +64,11 @@
 	c.resumed.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("outcome", outcome)))
 }
 
+// RecordStreamContinued records what became of a step by which a stream continues at another server.
+func (c *GatewayMetrics) RecordStreamContinued(service, step, outcome string) {
+	c.continued.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("step", step), attribute.String("outcome", outcome)))
+}
+
 // RecordRetryAcknowledged records the time from the decision on a retry to its server's first sign of
 // life.
 func (c *GatewayMetrics) RecordRetryAcknowledged(service string, delay time.Duration) {
