gateway, platform: streams that are backed up go on after a crash

A run whose expected loss exceeds its copy's time on the links is sent with Kv-Backup. After its server has certainly ended it goes on at the backup with Kv-From. Off by default (setting stream_backups).

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -114,6 +114,7 @@
 	now := time.Now()
 	c.placeReq.Remaining = c.deadline.Sub(now)
 	c.placeReq.Objective = 0
+	c.placeReq.MayBackUp = c.mayBackUp()
 	if c.route.Objective > 0 && !c.mayHaveRun {
 		c.placeReq.Objective = remainingObjective(c.route.Objective, c.sinceFirstAttempt+now.Sub(c.arrived))
 		c.placeReq.CallerTimeout = min(c.route.CallerTimeout-now.Sub(c.arrived), c.placeReq.Remaining)
@@ -196,14 +197,6 @@
 	return next
 }
 
-// checkAvailable returns an error if a server may not get the request now.
-func (c *call) checkAvailable(now time.Time, s catalog.Server) error {
-	if c.continuesAtSource() {
-		return nil
-	}
-	return c.gateway.signals.checkAvailable(now, s.ID)
-}
-
 // logSent logs an attempt with what decided it.
 func (c *call) logSent(sent time.Time, d placement.Assign) {
 	c.gateway.log.Info().Str("event", "attempt.sent").Str("request", c.meta.ID).Int("attempt", c.attempts).
@@ -223,7 +216,7 @@
 	h.Del("Expect") // the whole body has been received
 	c.gateway.options.Codec.Forward(h, protocol.Forward{
 		Caller: c.request.Header, Server: d.Server.Name(), Account: c.account, Deadline: c.deadline.Sub(now), LastEventID: c.lastEventID,
-		CopyFrom: d.CopyFrom, ContinueFrom: c.continueFrom(),
+		CopyFrom: d.CopyFrom, BackupTo: d.Backup.Address, ContinueFrom: c.continueFrom(),
 	})
 	return &upstream.Request{
 		ID: c.meta.ID, Method: c.request.Method, Target: requestTarget(c.request), Host: c.request.Host,
@@ -269,6 +262,7 @@
 		}
 		if r.ConnectionFailed {
 			c.reportLost(d, sent, lossConnectionBroke)
+			return placement.Failed, c.continueOrRetry(ctx, d, r.Err)
 		}
 		return placement.Failed, c.retryOrFail(r.Err)
 	case upstream.Responded:
--- a/gateway/call_continue.go
+++ b/gateway/call_continue.go
@@ -33,17 +33,16 @@
 	server catalog.Server
 	copy   protocol.RunCopy
 	giver  catalog.Server // that gave the handle
+	source bool           // the server has stopped the run, so it goes on with it although it is leaving
 }
 
-// atSource reports whether the server is the one that has stopped the run.
-func (p resumePoint) atSource() bool { return p.server.ID == p.giver.ID }
-
 // continueCause is why a run goes on elsewhere.
 type continueCause string
 
 // Causes for which runs go on at other servers.
 const (
-	causeMoved continueCause = "moved"
+	causeMoved   continueCause = "moved"
+	causeCrashed continueCause = "crashed"
 )
 
 // Outcomes of moves and continuations, for logs and metrics.
@@ -55,25 +54,40 @@
 	continuedRunning    = "running"    // the server has taken it over
 	continuedRefused    = "refused"    // the server has not run it
 	continuedFailed     = "failed"     // the server may have run it
+	backupBegun         = "begun"
 )
 
-// beginRun makes an attempt known as a run that can move; nil: it cannot.
+// canContinue reports whether a run of the request could go on at another server. Its ID must be one
+// that a call to a server can name.
+func (c *call) canContinue() bool {
+	return c.gateway.runs != nil && c.route.Kind == catalog.Stream && c.request.Method != http.MethodHead && protocol.ValidHandle(c.meta.ID)
+}
+
+// mayBackUp reports whether a run of the request may be backed up.
+func (c *call) mayBackUp() bool { return c.canContinue() && c.gateway.runs.withID(c.meta.ID) == 0 }
+
+// beginRun makes an attempt known as a run that can move or is backed up; nil: it is neither.
 func (c *call) beginRun(ctx context.Context, cancel context.CancelCauseFunc, d placement.Assign, sent time.Time) *streamRun {
-	runs := c.gateway.runs
-	if runs == nil || c.route.Kind != catalog.Stream || c.request.Method == http.MethodHead || c.moves >= maxMoves || !canMove(c.meta.ID) || d.Server.Version == "" {
+	if !c.canContinue() || d.Server.Version == "" {
 		return nil
 	}
 	engine := c.gateway.view.Load().engine(d.Server.Service)
-	if engine == nil || !engine.Moves {
+	movable := c.gateway.options.Dispatcher.Features.MoveStreams && engine != nil && engine.Moves && c.moves < maxMoves
+	if !movable && d.Backup.ID == "" {
 		return nil
 	}
+	if d.Backup.ID != "" {
+		c.gateway.log.Info().Str("event", "stream.backed_up").Str("request", c.meta.ID).Str("server", d.Server.ID).Str("target", d.Backup.ID).
+			Int("prompt", c.placeReq.PromptTokens).Int("output", c.placeReq.OutputTokens).Dur("predicted", d.Predicted).Msg("run is backed up")
+		c.gateway.countContinuation(c.service, ContinuationBackup, backupBegun)
+	}
 	request := c.placeReq
 	request.Pinned, request.Version = true, d.Server.Version
 	r := &streamRun{
-		gateway: c.gateway, id: c.meta.ID, server: d.Server, service: d.Server.Service, engine: engine, sent: sent, first: d.Predicted,
+		movable: movable, gateway: c.gateway, id: c.meta.ID, server: d.Server, service: d.Server.Service, engine: engine, sent: sent, first: d.Predicted,
 		deadline: c.deadline, request: request, events: c.relayed, stream: ctx, cancel: cancel, progress: runProgress{lastID: c.lastEventID},
 	}
-	runs.begin(r)
+	c.gateway.runs.begin(r)
 	return r
 }
 
@@ -114,7 +128,7 @@
 	if c.request.Context().Err() != nil || !time.Now().Before(c.deadline) || errors.Is(context.Cause(ctx), errQuarantined) {
 		return continueStep{}, false
 	}
-	source := resumePoint{server: r.server, giver: r.server}
+	source := resumePoint{server: r.server, giver: r.server, source: true}
 	next = continueStep{cause: causeMoved, err: err}
 	switch o := outcome.(type) {
 	case moved:
@@ -139,6 +153,50 @@
 	return next, true
 }
 
+// continueOrRetry returns the next step after a response has broken off: the run goes on at its backup
+// if its server has crashed, and otherwise the request fails or is retried.
+func (c *call) continueOrRetry(ctx context.Context, d placement.Assign, err error) step {
+	if d.Backup.ID == "" || !c.serverCrashed(ctx, d.Server) {
+		return c.retryOrFail(err)
+	}
+	point := resumePoint{server: d.Backup, copy: protocol.RunCopy{Address: d.Backup.Address, Handle: c.meta.ID}, giver: d.Backup}
+	s := continueStep{points: []resumePoint{point}, cause: causeCrashed, err: err}
+	if n, _ := c.crashesSeen(); n >= noRetryCrashes {
+		c.recordContinued(s, continuedRefused, errors.Newf("gateway: %d servers have crashed under the request", n))
+		c.freeCopies(s.points)
+		return failStep{err: err}
+	}
+	return s
+}
+
+// Probes of a server under which a response has broken off. Its process may take a moment to end.
+const (
+	crashProbes        = 5
+	firstProbeInterval = 10 * time.Millisecond // doubles each time
+)
+
+// serverCrashed reports whether a server has certainly ended: it refuses connections, or another
+// lifetime answers at its address. A connection that breaks while the server lives is no crash.
+func (c *call) serverCrashed(ctx context.Context, s catalog.Server) bool {
+	interval := firstProbeInterval
+	for range crashProbes {
+		if refusesConnections(ctx, s) {
+			c.gateway.crashes.connectionRefused(time.Now(), s.ID)
+			return true
+		}
+		if c.gateway.lifetimeInDoubt(s) && errors.Is(c.gateway.confirmLifetime(ctx, s), errOtherLifetime) {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(interval):
+		}
+		interval *= 2
+	}
+	return false
+}
+
 // continueRun sends the request to the first of the servers at which its run can go on.
 func (c *call) continueRun(ctx context.Context, s continueStep) step {
 	c.awaitOrigin()
@@ -164,10 +222,15 @@
 	}
 }
 
-// continuesAtSource reports whether this attempt asks the server that has stopped the run to go on with
-// it, which it does although it is leaving.
-func (c *call) continuesAtSource() bool {
-	return c.continuing != nil && c.continuing.points[0].atSource()
+// checkAvailable returns an error if a server may not get the request now.
+func (c *call) checkAvailable(now time.Time, s catalog.Server) error {
+	if c.continuing != nil && c.continuing.points[0].source {
+		return nil
+	}
+	if c.continuing != nil && !c.gateway.view.Load().acceptsWork(s.ID) {
+		return errServerLeaving // since it was chosen
+	}
+	return c.gateway.signals.checkAvailable(now, s.ID)
 }
 
 // continueFrom returns the copy from which the server of this attempt continues; zero: none.
--- a/gateway/continuation/continuation.go
+++ b/gateway/continuation/continuation.go
@@ -5,7 +5,9 @@
 //
 //	p := continuation.NewPlanner(continuation.DefaultLimits())
 //	p.SetFleet(now, servers, gateways)
-//	target, ok := p.Backup(now, run, servers)       // when the request is sent
+//	if p.WorthBackup(now, run) {
+//		target, ok := p.Backup(run, servers) // when the request is sent
+//	}
 //	switch d := p.Leaving(now, run, left, servers).(type) {
 //	case continuation.Move: // copy it to d.Target, then call p.MoveEnded(d.Target)
 //	case continuation.Wait: // ask again after d.For
@@ -242,26 +244,35 @@
 	})
 }
 
-// Backup decides whether a run that is about to be sent is backed up, and to which server. The run
-// counts as backed up there until [Planner.BackupEnded].
-func (p *Planner) Backup(now time.Time, r Run, servers []Server) (target string, ok bool) {
+// WorthBackup reports whether the time that a crash is expected to cost a run that is about to be sent
+// exceeds the time of a backup on the links, and there is such time.
+func (p *Planner) WorthBackup(now time.Time, r Run) bool {
 	duration := p.timeToEnd(r)
 	if duration <= p.limits.MinBackup {
-		return "", false
+		return false
 	}
-	copying := r.copyTime(r.PromptTokens+r.OutputTokens, r.Hall)
+	copying := r.backupTime()
 	lost := r.FirstEvent + max(duration-r.FirstEvent, 0)/2 // a crash comes halfway through its events on average
 	if p.crashRate(now)*duration.Seconds()*lost.Seconds() <= copying.Seconds() {
-		return "", false
+		return false
 	}
+	p.fill(now)
+	return p.linkTime-copying.Seconds() >= p.limits.BackupReserve*p.maxLinkTime()
+}
+
+// backupTime returns the time that a backup of a run that is about to be sent takes on the links.
+func (r Run) backupTime() time.Duration { return r.copyTime(r.PromptTokens+r.OutputTokens, r.Hall) }
+
+// Backup returns the server of the run's hall at which a run that is worth it is backed up. The run
+// counts as backed up there until [Planner.BackupEnded].
+func (p *Planner) Backup(r Run, servers []Server) (target string, ok bool) {
 	best, ok := p.least(servers, func(s Server) bool { return s.Hall == r.Hall && s.hasSlot(p.incoming[s.ID]+p.backups[s.ID]) }, func(x, y Server) int {
 		return cmp.Or(cmp.Compare(p.backups[x.ID], p.backups[y.ID]), cmp.Compare(x.load(0), y.load(0)))
 	})
-	p.fill(now)
-	if !ok || p.linkTime-copying.Seconds() < p.limits.BackupReserve*p.maxLinkTime() {
+	if !ok {
 		return "", false
 	}
-	p.linkTime -= copying.Seconds()
+	p.linkTime -= r.backupTime().Seconds()
 	p.backups[best.ID]++
 	return best.ID, true
 }
--- a/gateway/continuation/continuation_test.go
+++ b/gateway/continuation/continuation_test.go
@@ -104,7 +104,10 @@
 			r.Events = 0
 			p.SetFleet(now, 40, 20)
 			test.change(&r, p)
-			target, ok := p.Backup(now, r, test.servers)
+			target, ok := "", false
+			if p.WorthBackup(now, r) {
+				target, ok = p.Backup(r, test.servers)
+			}
 			require.Equal(t, test.want, target)
 			require.Equal(t, test.want != "", ok)
 		})
@@ -126,7 +129,10 @@
 			used += r.copyTime(r.PromptTokens+r.answered(), "h1")
 			p.MoveEnded(m.Target)
 		}
-		if target, ok := p.Backup(now, r, targets); ok {
+		if !p.WorthBackup(now, r) {
+			continue
+		}
+		if target, ok := p.Backup(r, targets); ok {
 			used += r.copyTime(r.PromptTokens+r.OutputTokens, "h1")
 			p.BackupEnded(target)
 		}
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -73,6 +73,7 @@
 	budgetLoggedAt       map[string]time.Time  // when the use of the retry budget was last logged, by service
 	coldLimiter          *warmup.Limiter
 	planner              *continuation.Planner
+	backups              map[uint64]string          // server at which the run is backed up, by attempt ID
 	rollouts             map[string]*serviceRollout // by service
 	lastRequested        map[string]time.Time       // time of the last request, by service
 	halls                map[string]string          // of live gateways, by address
@@ -135,6 +136,7 @@
 		peerRunning: map[string]map[uint64]int{}, demandByGateway: map[string]float64{},
 		rollouts: map[string]*serviceRollout{}, viewFresh: func(time.Time) bool { return true },
 		metrics: discardMetrics{}, started: now, budgetLoggedAt: map[string]time.Time{},
+		backups:     map[uint64]string{},
 		planner:     continuation.NewPlanner(continuation.DefaultLimits()),
 		coldLimiter: warmup.NewLimiter(), lastRequested: map[string]time.Time{}, halls: map[string]string{},
 	}
@@ -288,6 +290,7 @@
 		service: m.request.Service, retry: m.retry,
 	}
 	d.running[assign.Server.ID]++
+	assign.Backup = d.chooseBackup(now, m.request, assign)
 	if ro != nil {
 		d.recordRolloutSend(now, ro, assign)
 	}
@@ -316,6 +319,7 @@
 	d.refundTokens(now, m)
 	d.recordRolloutAnswer(now, m)
 	d.planner.RecordPace(m.service, m.eventInterval)
+	d.endBackup(m.attemptID)
 	d.endRetry(now, d.pending[m.attemptID], m)
 	delete(d.pending, m.attemptID)
 	if m.end == placement.Served || m.end == placement.Rejected {
--- a/gateway/dispatcher_continuation.go
+++ b/gateway/dispatcher_continuation.go
@@ -94,6 +94,39 @@
 	return result
 }
 
+// chooseBackup returns the server at which a run is backed up that is about to be sent; zero: none.
+func (d *dispatcher) chooseBackup(now time.Time, r *placement.Request, a placement.Assign) catalog.Server {
+	e := d.view.engine(r.Service)
+	if !d.settings.Features.BackUpStreams || !r.MayBackUp || e == nil || !e.Backups || a.Server.Version == "" {
+		return catalog.Server{}
+	}
+	run := continuation.Run{
+		Service: r.Service, Hall: a.Server.Hall, PromptTokens: r.PromptTokens, OutputTokens: r.OutputTokens, EventTokens: e.MaxEventTokens,
+		FirstEvent: a.Predicted, Remaining: r.Remaining, BytesPerToken: e.BytesPerToken, LinkMbps: e.LinkMbps,
+	}
+	if !d.planner.WorthBackup(now, run) {
+		return catalog.Server{}
+	}
+	others := *r
+	others.Pinned, others.Version = true, a.Server.Version
+	others.Exclude = append(slices.Clone(r.Exclude), a.Server.ID)
+	targets := d.balancer.Targets(now, &others)
+	id, ok := d.planner.Backup(run, d.plannerServers(now, targets))
+	if !ok {
+		return catalog.Server{}
+	}
+	d.backups[a.ID] = id
+	return targets[slices.IndexFunc(targets, func(t placement.Target) bool { return t.Server.ID == id })].Server
+}
+
+// endBackup records the end of an attempt whose run may have been backed up.
+func (d *dispatcher) endBackup(attemptID uint64) {
+	if id, ok := d.backups[attemptID]; ok {
+		delete(d.backups, attemptID)
+		d.planner.BackupEnded(id)
+	}
+}
+
 // plannerServers returns what the planner knows of targets. Cold servers take no runs of others.
 func (d *dispatcher) plannerServers(now time.Time, targets []placement.Target) []continuation.Server {
 	list := make([]continuation.Server, 0, len(targets))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -126,7 +126,7 @@
 	activeCalls           *activeCalls
 	signals               *serverSignals
 	origins               *originTracker
-	runs                  *streamRuns // nil: streams do not move
+	runs                  *streamRuns // nil: streams neither move nor are backed up
 	unusedCopies          chan unusedCopy
 	callerRetries         callerRetryTracker
 	stopping              atomic.Bool
@@ -165,7 +165,7 @@
 	g.origins = newOriginTracker(g.started)
 	if o.Copies != nil {
 		g.unusedCopies = make(chan unusedCopy, unusedCopyQueueSize)
-		if o.Dispatcher.Features.MoveStreams {
+		if o.Dispatcher.Features.MoveStreams || o.Dispatcher.Features.BackUpStreams {
 			g.runs = newStreamRuns(g)
 		}
 	}
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -60,6 +60,7 @@
 	Priority      int             // 0 is the most urgent
 	MaxEventGap   time.Duration   // longest interval between events within the objective; 0: none
 	TieBreak      uint64          // random; chooses among servers of similar cost
+	MayBackUp     bool            // its run may be backed up at another server
 }
 
 // Decision is the result of [Balancer.Place].
@@ -69,14 +70,15 @@
 type Assign struct {
 	Server           catalog.Server
 	Load             Load
-	Predicted        time.Duration // time until the first event
-	QueueTime        time.Duration // of Predicted: until the server begins to process the prompt
-	PrefillTime      time.Duration // of Predicted: prefill of the part of the prompt that is not cached
-	NominalLatency   time.Duration // prefill and first event at a server of median speed, without queueing
-	SharedMissTokens int           // tokens of shared parts that are not in the server's cache
-	CopyFrom         string        // address of a server that caches more of the prompt; empty: none
-	ID               uint64        // set by the caller of Place to identify the assignment
-	SendBefore       time.Time     // the request must not be sent later than this; zero: no limit
+	Predicted        time.Duration  // time until the first event
+	QueueTime        time.Duration  // of Predicted: until the server begins to process the prompt
+	PrefillTime      time.Duration  // of Predicted: prefill of the part of the prompt that is not cached
+	NominalLatency   time.Duration  // prefill and first event at a server of median speed, without queueing
+	SharedMissTokens int            // tokens of shared parts that are not in the server's cache
+	CopyFrom         string         // address of a server that caches more of the prompt; empty: none
+	ID               uint64         // set by the caller of Place to identify the assignment
+	SendBefore       time.Time      // the request must not be sent later than this; zero: no limit
+	Backup           catalog.Server // set by the caller of Place: where the run is backed up; zero: nowhere
 }
 
 // Refuse means that the request is not served now and the caller should retry later.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -122,14 +122,14 @@
 		}
 		if err != nil && err != io.EOF {
 			c.reportLost(d, sent, lossConnectionBroke)
-			return placement.Failed, c.retryOrFail(errors.Wrapf(err, "gateway: stream of server %s", d.Server.ID))
+			return placement.Failed, c.continueOrRetry(ctx, d, errors.Wrapf(err, "gateway: stream of server %s", d.Server.ID))
 		}
 		if err == io.EOF && len(event) > 0 && r.Length < 0 {
 			c.reportLost(d, sent, lossConnectionBroke)
-			return placement.Failed, c.retryOrFail(errors.Newf("gateway: stream of server %s ends within an event", d.Server.ID))
+			return placement.Failed, c.continueOrRetry(ctx, d, errors.Newf("gateway: stream of server %s ends within an event", d.Server.ID))
 		}
 		if err == io.EOF && c.endedByCrash(ctx, d, sent, r) {
-			return placement.Failed, c.retryOrFail(errors.Newf("gateway: server %s crashed within its stream", d.Server.ID))
+			return placement.Failed, c.continueOrRetry(ctx, d, errors.Newf("gateway: server %s crashed within its stream", d.Server.ID))
 		}
 		if !started {
 			started = true
--- a/gateway/run_moves.go
+++ b/gateway/run_moves.go
@@ -11,7 +11,6 @@
 	"opalbridge.dev/gateway/catalog"
 	"opalbridge.dev/gateway/continuation"
 	"opalbridge.dev/gateway/placement"
-	"opalbridge.dev/gateway/protocol"
 )
 
 // This file moves the runs of this gateway off servers that leave. Each run at such a server has a
@@ -80,7 +79,7 @@
 func (stopped) moveOutcome()    {}
 func (unanswered) moveOutcome() {}
 
-// streamRuns holds the streams of this gateway that can move. It is safe for concurrent use; nil holds
+// streamRuns holds the streams of this gateway that can move or are backed up. It is safe for concurrent use; nil holds
 // none.
 type streamRuns struct {
 	gateway *Gateway
@@ -94,8 +93,9 @@
 	return &streamRuns{gateway: g, byID: map[string]int{}, runs: map[string]map[*streamRun]struct{}{}, leaving: map[string]time.Time{}}
 }
 
-// streamRun is a run that can move.
+// streamRun is a run that can move or is backed up.
 type streamRun struct {
+	movable  bool
 	gateway  *Gateway
 	id       string // the ID of its request
 	server   catalog.Server
@@ -144,7 +144,7 @@
 	}
 	s.runs[r.server.ID][r] = struct{}{}
 	s.byID[r.id]++
-	if since, leaving := s.leaving[r.server.ID]; leaving {
+	if since, leaving := s.leaving[r.server.ID]; leaving && r.movable {
 		r.startMove(since.Add(drainTime))
 	}
 }
@@ -162,11 +162,11 @@
 	}
 }
 
-// shareID reports whether several runs have an ID. Their server cannot tell which of them to move.
-func (s *streamRuns) shareID(id string) bool {
+// withID returns the number of runs with an ID. Servers cannot tell several apart.
+func (s *streamRuns) withID(id string) int {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.byID[id] > 1
+	return s.byID[id]
 }
 
 // serverLeaving moves the runs off a server that leaves.
@@ -185,7 +185,9 @@
 	}
 	s.leaving[server] = now
 	for r := range s.runs[server] {
-		r.startMove(now.Add(drainTime))
+		if r.movable {
+			r.startMove(now.Add(drainTime))
+		}
 	}
 }
 
@@ -331,7 +333,7 @@
 	if _, err := strconv.ParseInt(p.lastID, 10, 64); r.events+p.events > 0 && err != nil {
 		return reasonNoIDs
 	}
-	if r.gateway.runs.shareID(r.id) {
+	if r.gateway.runs.withID(r.id) > 1 {
 		return reasonSharedID
 	}
 	if confirmed || !r.gateway.lifetimeInDoubt(r.server) {
@@ -451,6 +453,3 @@
 		}
 	}
 }
-
-// canMove reports whether runs of requests with this ID can be named to servers.
-func canMove(id string) bool { return protocol.ValidHandle(id) }
