--- a/gateway/call.go
+++ b/gateway/call.go
@@ -55,6 +55,7 @@
 	originReported  bool          // an event was relayed, and the version of its server was or will be reported
 	relayed         int           // events relayed to the caller by all attempts
 	moves           int           // number of times its run was stopped to go on from a copy
+	crashResumes    int           // number of servers that went on with it after a crash; like attempts, they leave fewer servers for retries
 	movedFrom       *streamRun    // the run that has moved last
 	continuing      *continueStep // the attempt goes on with a run; nil: it begins one
 	serverRun       *streamRun    // of the latest attempt, if it can move
@@ -173,7 +174,7 @@
 	if err := c.checkAvailable(sent, d.Server); err != nil {
 		c.gateway.dispatcher.send(attemptEnded{attemptID: d.ID, server: d.Server.ID, end: placement.NotSent})
 		if c.continuing != nil {
-			return c.notContinued(ctx, err)
+			return c.refusedToContinue(ctx, err)
 		}
 		return retryStep{err}
 	}
--- a/gateway/call_continue.go
+++ b/gateway/call_continue.go
@@ -72,7 +72,7 @@
 		return nil
 	}
 	engine := c.gateway.view.Load().engine(d.Server.Service)
-	movable := c.gateway.options.Dispatcher.Features.MoveStreams && engine != nil && engine.Moves && c.moves < maxMoves
+	movable := c.gateway.options.Dispatcher.Features.MoveStreams && engine.CanMoveRuns() && c.moves < maxMoves
 	if !movable && d.Backup.ID == "" {
 		return nil
 	}
@@ -207,6 +207,9 @@
 	point := s.points[0]
 	id := c.gateway.dispatcher.continueAt(point.server, c.placeReq.PromptTokens+c.placeReq.OutputTokens)
 	c.continuing = &s
+	if s.cause == causeCrashed {
+		c.crashResumes++
+	}
 	next := c.send(ctx, placement.Assign{Server: point.server, ID: id})
 	c.continuing = nil
 	if _, failed := next.(failStep); failed && !s.sent {
@@ -241,6 +244,14 @@
 	return c.continuing.points[0].copy
 }
 
+// refusedToContinue returns the next step after a server has not run the request.
+func (c *call) refusedToContinue(ctx context.Context, err error) step {
+	if c.continuing.cause == causeCrashed {
+		c.crashResumes--
+	}
+	return c.notContinued(ctx, err)
+}
+
 // notContinued returns the next step after a server has not gone on with the run: it goes on at the
 // next one, or the request fails as if it had broken off.
 func (c *call) notContinued(ctx context.Context, err error) step {
@@ -267,9 +278,9 @@
 		if ctx.Err() != nil || errors.Is(r.Err, errServerLeaving) || errors.Is(r.Err, errServerBackoff) {
 			end = placement.NotSent
 		}
-		return end, c.notContinued(ctx, r.Err), true
+		return end, c.refusedToContinue(ctx, r.Err), true
 	case upstream.NotExecuted:
-		return placement.NotSent, c.notContinued(ctx, errors.Newf("gateway: server %s does not go on with it: status %d", d.Server.ID, r.Status)), true
+		return placement.NotSent, c.refusedToContinue(ctx, errors.Newf("gateway: server %s does not go on with it: status %d", d.Server.ID, r.Status)), true
 	case upstream.Indeterminate:
 		if ctx.Err() == nil && r.ConnectionFailed && refusesConnections(ctx, d.Server) {
 			return placement.Failed, c.notContinued(ctx, r.Err), true // it has crashed and cannot work on it
--- a/gateway/catalog/catalog.go
+++ b/gateway/catalog/catalog.go
@@ -107,6 +107,13 @@
 // SupportsCacheCopy reports whether servers copy cached parts of prompts from each other.
 func (e *Engine) SupportsCacheCopy() bool { return e != nil && e.BytesPerToken > 0 && e.LinkMbps > 0 }
 
+// CanMoveRuns reports whether runs can be moved to other servers. Without the figures of copies, their
+// time on the links could not be bounded.
+func (e *Engine) CanMoveRuns() bool { return e.SupportsCacheCopy() && e.Moves }
+
+// CanBackUpRuns reports whether runs can be backed up at other servers.
+func (e *Engine) CanBackUpRuns() bool { return e.SupportsCacheCopy() && e.Backups }
+
 // Account is a client account.
 type Account struct {
 	Name        string
--- a/gateway/continuation/continuation.go
+++ b/gateway/continuation/continuation.go
@@ -200,11 +200,8 @@
 // Leaving decides on a run whose server ends when the given time has passed.
 func (p *Planner) Leaving(now time.Time, r Run, left time.Duration, servers []Server) Decision {
 	left -= p.limits.Margin
-	switch end := p.timeToEnd(r); {
-	case 2*end <= left:
-		return Stay{EndsInTime}
-	case end <= left:
-		return Wait{recheckInterval, EndsInTime} // it may get slower
+	if p.timeToEnd(r) <= left {
+		return Wait{recheckInterval, EndsInTime} // the estimate may be too short, or the run may get slower
 	}
 	if left < p.limits.MoveOverhead {
 		return Stay{NoTime}
--- a/gateway/dispatcher_continuation.go
+++ b/gateway/dispatcher_continuation.go
@@ -97,7 +97,7 @@
 // chooseBackup returns the server at which a run is backed up that is about to be sent; zero: none.
 func (d *dispatcher) chooseBackup(now time.Time, r *placement.Request, a placement.Assign) catalog.Server {
 	e := d.view.engine(r.Service)
-	if !d.settings.Features.BackUpStreams || !r.MayBackUp || e == nil || !e.Backups || a.Server.Version == "" {
+	if !d.settings.Features.BackUpStreams || !r.MayBackUp || !e.CanBackUpRuns() || a.Server.Version == "" {
 		return catalog.Server{}
 	}
 	run := continuation.Run{
@@ -152,7 +152,7 @@
 func (d *dispatcher) setPlannerFleet(now time.Time, before, after *View) {
 	engines := 0
 	for _, s := range after.Servers {
-		if e := after.engine(s.Service); e != nil && (e.Moves || e.Backups) {
+		if e := after.engine(s.Service); e.CanMoveRuns() || e.CanBackUpRuns() {
 			engines++
 		}
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -44,7 +44,7 @@
 
 // canRetry reports whether a failed response may be replaced by another server's.
 func (c *call) canRetry() bool {
-	if !c.route.MayRepeat() || c.attempts >= c.route.MaxAttempts {
+	if !c.route.MayRepeat() || c.attempts+c.crashResumes >= c.route.MaxAttempts {
 		return false
 	}
 	n, _ := c.crashesSeen()
