--- a/explain/story.go
+++ b/explain/story.go
@@ -35,6 +35,9 @@
 	Resumes       string    `json:"resumes"`        // the attempt whose stream is taken up
 	AfterEvent    string    `json:"after_event"`
 	Outcome       string    `json:"outcome"`
+	Target        string    `json:"target"` // of a move or a backup
+	From          string    `json:"from"`   // the server that gave a copy's handle
+	Cause         string    `json:"cause"`
 	Revision      uint64    `json:"revision"`
 	Predicted     float64   `json:"predicted"` // milliseconds, as all durations below
 	Work          float64   `json:"work"`
@@ -170,6 +173,16 @@
 			l.Attempt, server, l.Predicted, l.Work, l.TimeLeft, l.Account, share)
 	case "stream.resumed":
 		return fmt.Sprintf("takes up the stream of attempt %q after event %s: %s, version %q", l.Resumes, l.AfterEvent, l.Outcome, l.ServerVersion)
+	case "stream.backed_up":
+		return fmt.Sprintf("backed up from server %s at server %s", l.Server, l.Target)
+	case "stream.moved":
+		text := fmt.Sprintf("server %s leaves under its stream after event %s: %s", l.Server, cmp.Or(l.AfterEvent, "none"), l.Outcome)
+		if l.Target != "" {
+			text += " to server " + l.Target
+		}
+		return text + reasonText(l)
+	case "stream.continued":
+		return fmt.Sprintf("goes on at server %s by a handle of server %s after event %s (%s): %s", l.Server, l.From, cmp.Or(l.AfterEvent, "none"), l.Cause, l.Outcome) + reasonText(l)
 	case "attempt.failed":
 		return fmt.Sprintf("attempt %d failed (may have run: %t): %s", l.Attempt, l.MayHaveRun, l.Error)
 	case "request.refused":
@@ -181,10 +194,7 @@
 		return "answer broken off: " + l.Error
 	case "request.ended":
 		text := fmt.Sprintf("%s after %d attempts, first byte after %.0f ms, end after %.0f ms", l.Result, l.Attempts, l.FirstByte, l.Total)
-		if l.Reason != "" {
-			text += ": " + l.Reason
-		}
-		return text
+		return text + reasonText(l)
 	case "configuration.in_force":
 		return fmt.Sprintf("configuration %d in force (store revision %d)", l.Version, l.Revision)
 	case "server.changed":
@@ -195,3 +205,11 @@
 		return strings.TrimSpace(l.Event + " " + l.Error + " " + l.Reason)
 	}
 }
+
+// reasonText returns a line's reason, if it has one, as the end of a description.
+func reasonText(l Line) string {
+	if l.Reason == "" {
+		return ""
+	}
+	return ": " + l.Reason
+}
--- a/explain/story_test.go
+++ b/explain/story_test.go
@@ -18,6 +18,9 @@
 {"level":"info","node":"g1","event":"attempt.sent","request":"r1","attempt":1,"server":"i-1","predicted":210.4,"work":80,"left":900,"account":"t1","time":"2026-12-02T14:00:06Z"}
 {"level":"info","node":"g1","event":"stream.resumed","request":"r6","resumes":"r1","after_event":"4","outcome":"known","service":"s","server_version":"v1.2","lookup":3.1,"time":"2026-12-02T14:00:06Z"}
 {"level":"info","node":"g1","event":"attempt.sent","request":"r6","attempt":1,"server":"i-3","server_version":"v1.2","resumes":"r1","after_event":"4","predicted":50,"time":"2026-12-02T14:00:06Z"}
+{"level":"info","node":"g1","event":"stream.backed_up","request":"r7","server":"i-4","target":"i-5","time":"2026-12-02T14:00:06Z"}
+{"level":"info","node":"g1","event":"stream.moved","request":"r7","server":"i-4","target":"i-6","events":9,"after_event":"9","outcome":"moved","time":"2026-12-02T14:00:06Z"}
+{"level":"info","node":"g1","event":"stream.continued","request":"r7","server":"i-6","from":"i-4","cause":"moved","after_event":"9","outcome":"refused","reason":"status 503","time":"2026-12-02T14:00:06Z"}
 {"level":"info","node":"g1","event":"attempt.failed","request":"r1","attempt":1,"error":"reset","may_have_run":true,"time":"2026-12-02T14:00:06Z"}
 {"level":"info","node":"g1","event":"attempt.sent","request":"r2","attempt":1,"server":"i-2","time":"2026-12-02T14:00:06Z"}
 {"level":"info","node":"g1","event":"request.ended","request":"r1","result":"failed","reason":"reset","attempts":1,"whole":31,"time":"2026-12-02T14:00:07Z"}
@@ -41,6 +44,10 @@
 		{"stream taken up", "r6", []string{
 			`takes up the stream of attempt "r1" after event 4: known, version "v1.2"`, "attempt 1 sent to server i-3 of version v1.2 to go on after event 4",
 		}, []string{"i-2"}},
+		{"stream moved", "r7", []string{
+			"backed up from server i-4 at server i-5", "server i-4 leaves under its stream after event 9: moved to server i-6",
+			"goes on at server i-6 by a handle of server i-4 after event 9 (moved): refused: status 503",
+		}, []string{"i-1 "}},
 		{"refused", "r3", []string{"refused as not run: no server in time", "come back after 200 ms"}, []string{"configuration 7"}},
 		{"denied with others", "r5", []string{"503", "short of processor"}, []string{"r4"}},
 	}
--- a/gateway/run_moves.go
+++ b/gateway/run_moves.go
@@ -87,10 +87,12 @@
 	byID    map[string]int                     // number of runs by request ID
 	runs    map[string]map[*streamRun]struct{} // by server
 	leaving map[string]time.Time               // when it was first known, by server
+	slots   chan struct{}                      // held by runs that ask to move now or are moving, so that the others ask the dispatcher seldom
 }
 
 func newStreamRuns(g *Gateway) *streamRuns {
-	return &streamRuns{gateway: g, byID: map[string]int{}, runs: map[string]map[*streamRun]struct{}{}, leaving: map[string]time.Time{}}
+	return &streamRuns{gateway: g, byID: map[string]int{}, runs: map[string]map[*streamRun]struct{}{}, leaving: map[string]time.Time{},
+		slots: make(chan struct{}, continuation.DefaultLimits().MaxMoves)}
 }
 
 // streamRun is a run that can move or is backed up.
@@ -224,7 +226,7 @@
 		p.firstEvent = now
 	}
 	p.lastEvent, p.lastID = now, id
-	r.confirmed = confirmed
+	r.confirmed = r.confirmed || confirmed
 }
 
 // startMove begins to move the run off its server, which ends at a time, unless that was begun before.
@@ -289,6 +291,7 @@
 		}
 		outcome, why := r.moveTo(ctx, target)
 		r.gateway.dispatcher.send(moveEnded{target: target.ID})
+		<-r.gateway.runs.slots
 		if outcome != nil {
 			return outcome
 		}
@@ -298,29 +301,61 @@
 	return stayed{reason}
 }
 
-// awaitTarget returns the server that the run moves to, or the reason why it stays.
+// awaitTarget returns the server that the run moves to, and holds a slot for the move, or the reason why
+// it stays.
 func (r *streamRun) awaitTarget(ctx context.Context, request *placement.Request, end time.Time) (catalog.Server, continuation.Reason) {
+	holding := false
 	for {
-		if why := r.checkMovable(ctx); why != "" {
-			return catalog.Server{}, why
-		}
-		now := time.Now()
-		m, ok := r.gateway.dispatcher.requestMove(ctx, moveRequested{run: r.describe(now), request: request, left: end.Sub(now)})
-		if !ok {
-			return catalog.Server{}, reasonEnded
-		}
-		switch d := m.decision.(type) {
-		case continuation.Move:
-			return m.target, ""
-		case continuation.Stay:
-			return catalog.Server{}, d.Reason
-		case continuation.Wait:
+		if !holding {
 			select {
 			case <-ctx.Done():
 				return catalog.Server{}, reasonEnded
-			case <-time.After(d.For):
+			case r.gateway.runs.slots <- struct{}{}:
+				holding = true
 			}
 		}
+		target, wait, why := r.askTarget(ctx, request, end)
+		if why == "" {
+			return target, ""
+		}
+		if wait == 0 || why == continuation.EndsInTime || why == continuation.NoTarget {
+			<-r.gateway.runs.slots
+			holding = false
+		}
+		if wait == 0 {
+			return catalog.Server{}, why
+		}
+		select {
+		case <-ctx.Done():
+			if holding {
+				<-r.gateway.runs.slots
+			}
+			return catalog.Server{}, reasonEnded
+		case <-time.After(wait):
+		}
+	}
+}
+
+// askTarget asks the dispatcher for the server that the run moves to. If there is none now, it returns
+// why, and how long to wait until it asks again; 0: the run stays.
+func (r *streamRun) askTarget(ctx context.Context, request *placement.Request, end time.Time) (target catalog.Server, wait time.Duration, why continuation.Reason) {
+	if why := r.checkMovable(ctx); why != "" {
+		return catalog.Server{}, 0, why
+	}
+	now := time.Now()
+	m, ok := r.gateway.dispatcher.requestMove(ctx, moveRequested{run: r.describe(now), request: request, left: end.Sub(now)})
+	if !ok {
+		return catalog.Server{}, 0, reasonEnded
+	}
+	switch d := m.decision.(type) {
+	case continuation.Move:
+		return m.target, 0, ""
+	case continuation.Wait:
+		return catalog.Server{}, d.For, d.Reason
+	case continuation.Stay:
+		return catalog.Server{}, 0, d.Reason
+	default:
+		panic(errors.AssertionFailedf("gateway: decision %T", d))
 	}
 }
 
