--- a/gateway/run_moves.go
+++ b/gateway/run_moves.go
@@ -305,6 +305,7 @@
 // it stays.
 func (r *streamRun) awaitTarget(ctx context.Context, request *placement.Request, end time.Time) (catalog.Server, continuation.Reason) {
 	holding := false
+	waited := continuation.NoTime // why there was no target before
 	for {
 		if !holding {
 			select {
@@ -322,8 +323,13 @@
 			<-r.gateway.runs.slots
 			holding = false
 		}
-		if wait == 0 {
+		switch {
+		case wait == 0 && why == continuation.NoTime:
+			return catalog.Server{}, waited
+		case wait == 0:
 			return catalog.Server{}, why
+		case why != continuation.EndsInTime:
+			waited = why
 		}
 		select {
 		case <-ctx.Done():
