--- a/gateway/continuation/continuation.go
+++ b/gateway/continuation/continuation.go
@@ -78,6 +78,7 @@
 	Remaining     time.Duration // until its answer is of no use to the caller
 	BytesPerToken int           // size of its memory
 	LinkMbps      float64       // bandwidth of its server for copies
+	TieBreak      uint64        // chooses among servers of similar load, so that gateways choose different ones
 }
 
 // Server is a server that may take a run.
@@ -145,11 +146,11 @@
 
 // SetFleet sets the number of servers that copy runs, and of gateways that share their links.
 func (p *Planner) SetFleet(now time.Time, servers, gateways int) {
-	first := p.filledAt.IsZero()
+	unknown := p.linkRate == 0
 	p.fill(now)
 	p.servers = servers
 	p.linkRate = p.limits.LinkShare * float64(servers) / float64(max(gateways, 1))
-	if first {
+	if unknown {
 		p.linkTime = p.maxLinkTime()
 	}
 	p.linkTime = min(p.linkTime, p.maxLinkTime())
@@ -233,11 +234,14 @@
 	release(p.incoming, target)
 }
 
-// target returns the server that a run moves to: one of its hall if there is one, and the least
+// target returns the server that a run moves to: one of its hall if there is one, and one of the least
 // loaded of these.
 func (p *Planner) target(r Run, servers []Server) (Server, bool) {
-	return p.least(servers, func(s Server) bool { return s.hasSlot(p.incoming[s.ID] + p.backups[s.ID]) }, func(x, y Server) int {
-		return cmp.Or(cmp.Compare(hallRank(r, x), hallRank(r, y)), cmp.Compare(x.load(p.incoming[x.ID]), y.load(p.incoming[y.ID])))
+	return least(servers, func(s Server) bool { return s.hasSlot(p.incoming[s.ID] + p.backups[s.ID]) }, func(x, y Server) int {
+		if c := cmp.Compare(hallRank(r, x), hallRank(r, y)); c != 0 {
+			return c
+		}
+		return r.compareLoad(x, y, p.incoming)
 	})
 }
 
@@ -263,8 +267,11 @@
 // Backup returns the server of the run's hall at which a run that is worth it is backed up. The run
 // counts as backed up there until [Planner.BackupEnded].
 func (p *Planner) Backup(r Run, servers []Server) (target string, ok bool) {
-	best, ok := p.least(servers, func(s Server) bool { return s.Hall == r.Hall && s.hasSlot(p.incoming[s.ID]+p.backups[s.ID]) }, func(x, y Server) int {
-		return cmp.Or(cmp.Compare(p.backups[x.ID], p.backups[y.ID]), cmp.Compare(x.load(0), y.load(0)))
+	best, ok := least(servers, func(s Server) bool { return s.Hall == r.Hall && s.hasSlot(p.incoming[s.ID]+p.backups[s.ID]) }, func(x, y Server) int {
+		if c := cmp.Compare(p.backups[x.ID], p.backups[y.ID]); c != 0 {
+			return c
+		}
+		return r.compareLoad(x, y, p.incoming)
 	})
 	if !ok {
 		return "", false
@@ -284,7 +291,7 @@
 }
 
 // least returns the first server in the order of compare among those that qualify.
-func (p *Planner) least(servers []Server, qualifies func(Server) bool, compare func(x, y Server) int) (best Server, ok bool) {
+func least(servers []Server, qualifies func(Server) bool, compare func(x, y Server) int) (best Server, ok bool) {
 	for _, s := range servers {
 		if qualifies(s) && (!ok || compare(s, best) < 0) {
 			best, ok = s, true
@@ -296,9 +303,29 @@
 // hasSlot reports whether a server has a slot for one more run beside those that are coming.
 func (s Server) hasSlot(coming int) bool { return s.Slots == 0 || s.Running+coming < s.Slots }
 
-// load returns the share of a server's slots that are in use.
-func (s Server) load(coming int) float64 {
-	return float64(s.Running+coming) / float64(max(s.Slots, 1))
+// loadSteps is the number of steps of load within which servers count as equally loaded. All gateways
+// that have runs at a leaving server choose targets at the same time.
+const loadSteps = 10
+
+// loadStep returns the share of a server's slots that are in use, in steps.
+func (s Server) loadStep(coming int) int { return loadSteps * (s.Running + coming) / max(s.Slots, 1) }
+
+// compareLoad orders servers by load, and those of similar load differently for each run.
+func (r Run) compareLoad(x, y Server, incoming map[string]int) int {
+	if c := cmp.Compare(x.loadStep(incoming[x.ID]), y.loadStep(incoming[y.ID])); c != 0 {
+		return c
+	}
+	return cmp.Compare(r.rank(x), r.rank(y))
+}
+
+// rank returns the rank of a server among those of similar load (FNV-1a, mixed since IDs differ in
+// their last characters only).
+func (r Run) rank(s Server) uint64 {
+	h := r.TieBreak ^ 0xcbf29ce484222325
+	for i := range len(s.ID) {
+		h = (h ^ uint64(s.ID[i])) * 0x100000001b3
+	}
+	return (h ^ h>>33) * 0xff51afd7ed558ccd
 }
 
 func hallRank(r Run, s Server) int {
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -73,6 +73,7 @@
 	budgetLoggedAt       map[string]time.Time  // when the use of the retry budget was last logged, by service
 	coldLimiter          *warmup.Limiter
 	planner              *continuation.Planner
+	copyServers          int                        // servers that copy runs
 	backups              map[uint64]string          // server at which the run is backed up, by attempt ID
 	rollouts             map[string]*serviceRollout // by service
 	lastRequested        map[string]time.Time       // time of the last request, by service
@@ -411,6 +412,7 @@
 		rate = d.view.Configuration.Limits.TokensPerSecond
 	}
 	d.shares.Recompute(now, rate)
+	d.planner.SetFleet(now, d.copyServers, d.fleetSize())
 	if d.shareUpdates++; d.shareUpdates%cacheSweepTicks == 0 {
 		d.balancer.PruneCaches()
 	}
--- a/gateway/dispatcher_continuation.go
+++ b/gateway/dispatcher_continuation.go
@@ -102,7 +102,7 @@
 	}
 	run := continuation.Run{
 		Service: r.Service, Hall: a.Server.Hall, PromptTokens: r.PromptTokens, OutputTokens: r.OutputTokens, EventTokens: e.MaxEventTokens,
-		FirstEvent: a.Predicted, Remaining: r.Remaining, BytesPerToken: e.BytesPerToken, LinkMbps: e.LinkMbps,
+		FirstEvent: a.Predicted, Remaining: r.Remaining, BytesPerToken: e.BytesPerToken, LinkMbps: e.LinkMbps, TieBreak: r.TieBreak,
 	}
 	if !d.planner.WorthBackup(now, run) {
 		return catalog.Server{}
@@ -150,13 +150,13 @@
 // setPlannerFleet tells the planner the servers of the view and which of them have crashed: those
 // that are gone although nothing had announced that.
 func (d *dispatcher) setPlannerFleet(now time.Time, before, after *View) {
-	engines := 0
+	d.copyServers = 0
 	for _, s := range after.Servers {
 		if e := after.engine(s.Service); e.CanMoveRuns() || e.CanBackUpRuns() {
-			engines++
+			d.copyServers++
 		}
 	}
-	d.planner.SetFleet(now, engines, d.fleetSize())
+	d.planner.SetFleet(now, d.copyServers, d.fleetSize())
 	for _, s := range removedServers(before.Servers, after.Servers) {
 		if e := after.engine(s.Service); e != nil && !s.Leaving && !s.Evacuated {
 			d.planner.RecordCrash(now, s.ID)
--- a/gateway/run_moves.go
+++ b/gateway/run_moves.go
@@ -22,10 +22,12 @@
 	// drainTime is how long a server serves after it has announced that it leaves: the platform's
 	// drain_ms.
 	drainTime = 3 * time.Second
-	// copyTimeout bounds a copy while the run goes on. Tens of milliseconds are usual.
-	copyTimeout = time.Second
-	// stopTimeout bounds the copy of what is new once the run has stopped, for which its caller waits.
-	stopTimeout = 400 * time.Millisecond
+	// finalCopyTime is the time before its server's end at which a run must have been copied while it goes
+	// on. Tens of milliseconds are usual, but all gateways copy from that server at once.
+	finalCopyTime = 500 * time.Millisecond
+	// stopTimeout bounds the copy of what is new once the run has stopped, for which its caller waits. It
+	// takes milliseconds, unless the server's link is busy with the copies of other runs.
+	stopTimeout = time.Second
 	// closeTimeout is how long a stopped run's stream may stay open. The server closes it at once.
 	closeTimeout = 100 * time.Millisecond
 	// busyInterval is the time between two calls to a source that is handling another one for the run.
@@ -289,7 +291,7 @@
 		if why != "" {
 			return stayed{why}
 		}
-		outcome, why := r.moveTo(ctx, target)
+		outcome, why := r.moveTo(ctx, target, end)
 		r.gateway.dispatcher.send(moveEnded{target: target.ID})
 		<-r.gateway.runs.slots
 		if outcome != nil {
@@ -400,7 +402,7 @@
 	run := continuation.Run{
 		Service: r.service, Hall: r.server.Hall, PromptTokens: r.request.PromptTokens, OutputTokens: r.request.OutputTokens,
 		EventTokens: r.engine.MaxEventTokens, Events: r.events + p.events, Remaining: r.deadline.Sub(now),
-		BytesPerToken: r.engine.BytesPerToken, LinkMbps: r.engine.LinkMbps,
+		BytesPerToken: r.engine.BytesPerToken, LinkMbps: r.engine.LinkMbps, TieBreak: r.request.TieBreak,
 	}
 	const minEvents = 3 // fewer say little of the pace
 	if p.events >= minEvents {
@@ -414,8 +416,8 @@
 
 // moveTo moves the run to a target. It returns no outcome, and the reason, if another target may be
 // tried.
-func (r *streamRun) moveTo(ctx context.Context, target catalog.Server) (moveOutcome, continuation.Reason) {
-	handle, why := r.copyRunning(ctx, target)
+func (r *streamRun) moveTo(ctx context.Context, target catalog.Server, end time.Time) (moveOutcome, continuation.Reason) {
+	handle, why := r.copyRunning(ctx, target, end.Add(-finalCopyTime))
 	switch {
 	case why == continuation.NoTarget, why == reasonSourceFails:
 		return nil, why
@@ -428,10 +430,10 @@
 	return r.stopAndCopy(target, handle), ""
 }
 
-// copyRunning copies the run's memory while it goes on, and returns the copy's handle or the reason
-// why there is none.
-func (r *streamRun) copyRunning(ctx context.Context, target catalog.Server) (handle string, why continuation.Reason) {
-	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+// copyRunning copies the run's memory while it goes on, until a time at most, and returns the copy's
+// handle or the reason why there is none.
+func (r *streamRun) copyRunning(ctx context.Context, target catalog.Server, until time.Time) (handle string, why continuation.Reason) {
+	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
 	result, err := r.copyTo(ctx, target, false)
 	if err != nil {
