--- a/soak/book.go
+++ b/soak/book.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"opalbridge.dev/platform"
+	"opalbridge.dev/platform/platformtest"
 )
 
 // recorder records what callers and servers observe, and the violations found.
@@ -103,14 +104,22 @@
 // checkRuns compares the executions on the servers with what callers were told.
 func (b *recorder) checkRuns(servers []*backend) {
 	runs := map[string]int{}
+	lasted := map[string][]platformtest.Run{}
 	for _, s := range servers {
 		for _, r := range s.Runs() {
+			lasted[r.ID] = append(lasted[r.ID], r)
+			if r.From != "" {
+				continue // the same run
+			}
 			runs[r.ID]++
 			if r.Account != "t1" {
 				b.violationf("request %s ran for account %q", r.ID, r.Account)
 			}
 		}
 	}
+	for id, list := range lasted {
+		b.checkOneAtATime(id, list)
+	}
 	for id, n := range runs {
 		kind, known := b.sent[id]
 		once := kind == "once" || kind == "stream"
@@ -125,6 +134,16 @@
 	}
 }
 
+// checkOneAtATime checks that a run that went on from a copy had ended elsewhere.
+func (b *recorder) checkOneAtATime(id string, runs []platformtest.Run) {
+	slices.SortFunc(runs, func(x, y platformtest.Run) int { return x.Began.Compare(y.Began) })
+	for i, r := range runs {
+		if r.From != "" && (i == 0 || runs[i-1].Ended.IsZero() || r.Began.Before(runs[i-1].Ended)) {
+			b.violationf("request %s went on from %s while it ran elsewhere", id, r.From)
+		}
+	}
+}
+
 // kinds are the kinds of requests; each has a route of its own.
 var kinds = []string{"once", "many", "stream", "resume"}
 
@@ -212,6 +231,9 @@
 // defaultBody is the request body of regular callers.
 const defaultBody = "hello"
 
+// longAnswer is the length in tokens of answers that would outlast servers that leave.
+const longAnswer = 100_000
+
 // send sends one request. Status 0 means that no answer arrived; an error beside a nonzero
 // status means that the body was cut.
 func (r *Run) send(client *http.Client, p *process, path, id, key, payload string) (status int, body string, err error) {
@@ -227,6 +249,9 @@
 	request.GetBody = nil // the transport must not retry by itself
 	request.Host = "h"
 	platform.SetCallerHeaders(request.Header, id, key, callerDeadline)
+	if r.options.Moves {
+		platform.SetLengthHeader(request.Header, longAnswer)
+	}
 	if len(prompt) > 0 {
 		platform.SetPromptHeader(request.Header, promptPartTokens, prompt...)
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -42,6 +42,7 @@
 	Early    bool   // fatal requests start with the gateways, not after settleBefore
 	Restores bool   // also restore the store from copies
 	Signals  bool   // servers also announce in answers that they are leaving, and ask for backoff
+	Moves    bool   // streams move off servers that leave, which happens often
 	Versions bool   // also replace servers by servers of another software version, and have callers take up streams
 }
 
@@ -73,6 +74,7 @@
 	version      int
 	closers      []func()
 	fatalPaused  atomic.Bool // no fatal requests are sent
+	network      platformtest.Network
 }
 
 // backend is a fake server behind its proxy.
@@ -167,6 +169,9 @@
 		return nil, err
 	}
 	r.closers = append(r.closers, p.Close)
+	if r.options.Moves {
+		r.network.Add(p.Address(), s)
+	}
 	b := &backend{Server: s, proxy: p}
 	s.OnCrash = func(body string) { r.crashServer(b, body) }
 	r.announce(b, "ready")
@@ -187,8 +192,8 @@
  {"name":"versions","host":"h","prefix":"/versions/","kind":"streaming","timeout_ms":4000,"goal_ms":800,"service":"s","max_attempts":2,"resumable":true},
  {"name":"once","host":"h","prefix":"/once/","kind":"non_idempotent","timeout_ms":1500,"goal_ms":300,"service":"s","max_attempts":1},
  {"name":"many","host":"h","prefix":"/many/","kind":"idempotent","timeout_ms":1500,"goal_ms":300,"service":"s","max_attempts":2}],
- "services":[{"name":"s","max_conns":500,"runtime":{"capacity":64,"kv_tokens":500000,"token_kv_bytes":163840,"link_mbps":550000}}],"limits":{"idle_timeout_ms":15000},
- "tenants":[{"name":"t1","api_keys":["steady","key-%d"]}]}`, r.version, r.version))
+ "services":[{"name":"s","max_conns":500,"runtime":{"capacity":64,"kv_tokens":500000,"token_kv_bytes":163840,"link_mbps":550000,"stride":1,"moves":%t}}],"limits":{"idle_timeout_ms":15000},
+ "tenants":[{"name":"t1","api_keys":["steady","key-%d"]}]}`, r.version, r.options.Moves, r.version))
 }
 
 // Play injects faults for the duration d, lets the fleet settle, and returns the violations.
@@ -206,6 +211,9 @@
 	if r.options.Versions {
 		faults = slices.Concat(faults, versionFaults, versionFaults, versionFaults, versionFaults)
 	}
+	if r.options.Moves {
+		faults = slices.Concat(faults, slices.Repeat([]fault{leavingFault}, len(faults)))
+	}
 	defer r.close()
 	time.Sleep(settleBefore)
 	r.fatalPaused.Store(false)
@@ -288,6 +296,19 @@
 	}
 }
 
+// Continued returns the number of runs that went on from copies.
+func (r *Run) Continued() int {
+	n := 0
+	for _, s := range slices.Concat(r.servers, r.retired) {
+		for _, run := range s.Runs() {
+			if run.From != "" {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 func (r *Run) close() {
 	if r.stop != nil {
 		r.stop()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -26,6 +26,7 @@
 	copies   = flag.Bool("copies", false, "also restore the store from copies")
 	words    = flag.Bool("words", false, "servers also announce in answers that they are leaving, and ask for backoff")
 	versions = flag.Bool("versions", false, "also replace servers by servers of another software version, and have callers take up streams")
+	moves    = flag.Bool("moves", false, "streams move off servers that leave, which happens often")
 	logs     = flag.String("logs", "", "directory that keeps the gateways' logs")
 )
 
@@ -56,6 +57,9 @@
 	r, err := soak.Start(o)
 	require.NoError(t, err)
 	require.Empty(t, r.Play(*plays), "seed %d", o.Seed)
+	if o.Moves {
+		t.Logf("%d streams went on from copies", r.Continued())
+	}
 }
 
 // TestSoak runs a few seeds in CI; run it with -seeds 50 or -fresh for more.
@@ -66,7 +70,7 @@
 	}
 	for n := range uint64(*seeds) {
 		t.Run(fmt.Sprintf("seed=%d", from+n), func(t *testing.T) {
-			play(t, binary, soak.Options{Seed: from + n, Restarts: *restarts, Fatal: *fatal, Early: *early, Signals: *words, Restores: *copies, Versions: *versions, Part: *part})
+			play(t, binary, soak.Options{Seed: from + n, Restarts: *restarts, Fatal: *fatal, Early: *early, Signals: *words, Restores: *copies, Versions: *versions, Part: *part, Moves: *moves})
 		})
 	}
 }
@@ -114,6 +118,11 @@
 	play(t, build(t), soak.Options{Seed: 9205, Versions: true, Restarts: true, Signals: true})
 }
 
+// TestSoakMoves runs a seed with streams that move off servers that leave.
+func TestSoakMoves(t *testing.T) {
+	play(t, build(t), soak.Options{Seed: 9500, Restarts: true, Moves: true})
+}
+
 // TestSoakPart runs a seed with a part of prompts that crashes servers, beside requests that do so as
 // a whole.
 func TestSoakPart(t *testing.T) {
--- a/soak/trouble.go
+++ b/soak/trouble.go
@@ -60,6 +60,13 @@
 
 const slowLink = 150 * time.Millisecond
 
+// leavingFault has a server announce by its entry that it leaves, and return.
+var leavingFault = fault{"server leaves and returns", func(r *Run, random *rand.Rand) func() {
+	s := r.randomServer(random)
+	r.announce(s, "draining")
+	return func() { r.announce(s, "ready") }
+}}
+
 var baseFaults = []fault{
 	{"gateway pauses", func(r *Run, random *rand.Rand) func() {
 		p := r.randomGateway(random)
@@ -87,11 +94,7 @@
 		r.configure()
 		return func() {}
 	}},
-	{"server leaves and returns", func(r *Run, random *rand.Rand) func() {
-		s := r.randomServer(random)
-		r.announce(s, "draining")
-		return func() { r.announce(s, "ready") }
-	}},
+	leavingFault,
 	{"server's entry lapses", func(r *Run, random *rand.Rand) func() {
 		s := r.randomServer(random)
 		r.remove("servers/" + s.ID)
