--- a/soak/soak.go
+++ b/soak/soak.go
@@ -75,6 +75,7 @@
 	closers      []func()
 	fatalPaused  atomic.Bool // no fatal requests are sent
 	network      platformtest.Network
+	healthy      platformtest.Behaviour
 }
 
 // backend is a fake server behind its proxy.
@@ -97,7 +98,10 @@
 // Start starts the fakes, the gateways and the callers.
 func Start(o Options) (*Run, error) {
 	o.Gateways, o.Servers, o.Callers = orDefault(o.Gateways, 3), orDefault(o.Servers, 4), orDefault(o.Callers, 12)
-	r := &Run{options: o, random: rand.New(rand.NewPCG(o.Seed, 1)), store: &platformtest.Store{}, written: map[string][]byte{}, recorder: newRecorder()}
+	r := &Run{options: o, random: rand.New(rand.NewPCG(o.Seed, 1)), store: &platformtest.Store{}, written: map[string][]byte{}, recorder: newRecorder(), healthy: healthy}
+	if o.Moves {
+		r.healthy.EventInterval = 60 * time.Millisecond // so that streams run while servers leave
+	}
 	store := httptest.NewServer(r.store)
 	r.closers = append(r.closers, store.Close)
 	r.storeAddress = strings.TrimPrefix(store.URL, "http://")
@@ -157,7 +161,7 @@
 // addServer starts a server of a software version.
 func (r *Run) addServer(i int, version string) (*backend, error) {
 	s := &platformtest.Server{ID: fmt.Sprintf("i-%d", i), Service: "s", Hall: "hall"}
-	s.Set(healthy)
+	s.Set(r.healthy)
 	s.SetVersion(version)
 	if r.options.Versions {
 		s.Restart(time.Now().UnixMilli()) // servers that start again under their ID tell when
--- a/soak/trouble.go
+++ b/soak/trouble.go
@@ -24,10 +24,10 @@
 // behaviourFault returns a fault that changes the behaviour of a random server.
 func behaviourFault(change func(b *platformtest.Behaviour)) func(*Run, *rand.Rand) func() {
 	return func(r *Run, random *rand.Rand) func() {
-		s, b := r.randomServer(random), healthy
+		s, b := r.randomServer(random), r.healthy
 		change(&b)
 		s.Set(b)
-		return func() { s.Set(healthy) }
+		return func() { s.Set(r.healthy) }
 	}
 }
 
--- a/soak/words.go
+++ b/soak/words.go
@@ -166,18 +166,18 @@
 		}
 	}},
 	{"server asks for rest", func(r *Run, random *rand.Rand) func() {
-		return requestBackoff(r.randomServer(random), random)
+		return r.requestBackoff(r.randomServer(random), random)
 	}},
 	{"server asks for rest as busy", func(r *Run, random *rand.Rand) func() {
-		s, b := r.randomServer(random), healthy
+		s, b := r.randomServer(random), r.healthy
 		b.Reject, b.RejectStatus, b.RetryAfter = true, http.StatusTooManyRequests, "1"
 		s.Set(b)
-		return func() { s.Set(healthy) }
+		return func() { s.Set(r.healthy) }
 	}},
 	{"all servers ask for rest", func(r *Run, random *rand.Rand) func() {
 		var undo []func()
 		for _, s := range r.servers {
-			undo = append(undo, requestBackoff(s, random))
+			undo = append(undo, r.requestBackoff(s, random))
 		}
 		return func() {
 			for _, u := range undo {
@@ -190,20 +190,20 @@
 // announceLeaving has a server announce in its answers that it is leaving, and later restart.
 // Before the restart it serves for longer than leavingGrace, so that late requests are recorded.
 func (r *Run) announceLeaving(s *backend, born int64) (undo func()) {
-	b := healthy
+	b := r.healthy
 	b.Leaving = true
 	s.Set(b)
 	return func() {
 		time.Sleep(leavingGrace)
-		s.Set(healthy)
+		s.Set(r.healthy)
 		r.crashAndRestart(s, born)
 	}
 }
 
 // requestBackoff has a server refuse requests and ask for backoff.
-func requestBackoff(s *backend, random *rand.Rand) (undo func()) {
-	b := healthy
+func (r *Run) requestBackoff(s *backend, random *rand.Rand) (undo func()) {
+	b := r.healthy
 	b.Reject, b.RetryAfter = true, []string{"0.7", "1", "2"}[random.IntN(3)]
 	s.Set(b)
-	return func() { s.Set(healthy) }
+	return func() { s.Set(r.healthy) }
 }
