--- a/gateway/call_continue.go
+++ b/gateway/call_continue.go
@@ -150,6 +150,10 @@
 	c.moves++
 	c.mayHaveRun = true
 	c.recordMove(r, outcome)
+	c.awaitOrigin()
+	if c.placeReq.Pinned && c.placeReq.Version == "" {
+		c.placeReq.Version = r.server.Version // certain since the move began, see checkMovable
+	}
 	return next, true
 }
 
