--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -10,6 +10,7 @@
 
 	"opalbridge.dev/gateway/budget"
 	"opalbridge.dev/gateway/catalog"
+	"opalbridge.dev/gateway/continuation"
 	"opalbridge.dev/gateway/peer"
 	"opalbridge.dev/gateway/placement"
 	"opalbridge.dev/gateway/share"
@@ -74,6 +75,9 @@
 	lateAcknowledgements []lateAcknowledgement // by due time
 	budgetLoggedAt       map[string]time.Time  // when the use of the retry budget was last logged, by service
 	coldLimiter          *warmup.Limiter
+	planner              *continuation.Planner
+	copyServers          int                        // servers that copy runs
+	backups              map[uint64]string          // server at which the run is backed up, by attempt ID
 	rollouts             map[string]*serviceRollout // by service
 	lastRequested        map[string]time.Time       // time of the last request, by service
 	halls                map[string]string          // of live gateways, by address
@@ -140,6 +144,8 @@
 		peerRunning: map[string]map[uint64]int{}, demandByGateway: map[string]float64{},
 		rollouts: map[string]*serviceRollout{}, viewFresh: func(time.Time) bool { return true },
 		metrics: discardMetrics{}, started: now, budgetLoggedAt: map[string]time.Time{},
+		backups:     map[uint64]string{},
+		planner:     continuation.NewPlanner(continuation.DefaultLimits()),
 		coldLimiter: warmup.NewLimiter(), lastRequested: map[string]time.Time{}, halls: map[string]string{},
 	}
 	d.balancer.SetRegions(s.Regions)
@@ -249,6 +255,12 @@
 	case backoffRequested:
 		d.backoffUntil[m.server] = latest(d.backoffUntil[m.server], m.until)
 		d.balancer.BackoffUntil(now, m.server, m.until)
+	case moveRequested:
+		m.reply <- d.decideMove(now, m)
+	case moveEnded:
+		d.planner.MoveEnded(m.target)
+	case runContinued:
+		m.reply <- d.recordContinued(now, m)
 	case viewReplaced:
 		d.setView(now, m.view)
 	case peersUpdated:
@@ -292,6 +304,7 @@
 	}
 	d.running[assign.Server.ID]++
 	d.recordSlotSend(now, m.request.Service, assign)
+	assign.Backup = d.chooseBackup(now, m.request, assign)
 	if ro != nil {
 		d.recordRolloutSend(now, ro, assign)
 	}
@@ -319,6 +332,8 @@
 func (d *dispatcher) recordEnd(now time.Time, m attemptEnded) {
 	d.refundTokens(now, m)
 	d.recordRolloutAnswer(now, m)
+	d.planner.RecordPace(m.service, m.eventInterval)
+	d.endBackup(m.attemptID)
 	d.endRetry(now, d.pending[m.attemptID], m)
 	delete(d.pending, m.attemptID)
 	if m.end == placement.Served || m.end == placement.Rejected {
@@ -353,6 +368,7 @@
 
 // setView takes over the configuration and the servers of a new view.
 func (d *dispatcher) setView(now time.Time, v *View) {
+	d.setPlannerFleet(now, d.view, v)
 	d.view = v
 	d.balancer.SetServers(now, v.Servers, func(service string) *catalog.Engine {
 		if v.Configuration == nil {
@@ -415,6 +431,7 @@
 	if d.surplus != nil {
 		d.surplus.Sweep(now)
 	}
+	d.planner.SetFleet(now, d.copyServers, d.fleetSize())
 	if d.shareUpdates++; d.shareUpdates%cacheSweepTicks == 0 {
 		d.balancer.PruneCaches()
 	}
--- a/gateway/dispatcher_retries.go
+++ b/gateway/dispatcher_retries.go
@@ -95,8 +95,9 @@
 // discardMetrics implements Metrics.
 type discardMetrics struct{}
 
-func (discardMetrics) RequestEnded(Outcome)                    {}
-func (discardMetrics) RetryDecided(string, bool)               {}
-func (discardMetrics) RetryAcknowledged(string, time.Duration) {}
-func (discardMetrics) StreamResumed(string, ResumeOutcome)     {}
-func (discardMetrics) SlotDecided(string, SlotDecision)        {}
+func (discardMetrics) RequestEnded(Outcome)                             {}
+func (discardMetrics) RetryDecided(string, bool)                        {}
+func (discardMetrics) RetryAcknowledged(string, time.Duration)          {}
+func (discardMetrics) StreamResumed(string, ResumeOutcome)              {}
+func (discardMetrics) SlotDecided(string, SlotDecision)                 {}
+func (discardMetrics) StreamContinued(string, ContinuationStep, string) {}
--- a/gateway/dispatcher_slots_test.go
+++ b/gateway/dispatcher_slots_test.go
@@ -35,10 +35,11 @@
 	return f
 }
 
-func (f *slotFixture) RequestEnded(Outcome)                    {}
-func (f *slotFixture) RetryDecided(string, bool)               {}
-func (f *slotFixture) RetryAcknowledged(string, time.Duration) {}
-func (f *slotFixture) StreamResumed(string, ResumeOutcome)     {}
+func (f *slotFixture) RequestEnded(Outcome)                             {}
+func (f *slotFixture) RetryDecided(string, bool)                        {}
+func (f *slotFixture) RetryAcknowledged(string, time.Duration)          {}
+func (f *slotFixture) StreamResumed(string, ResumeOutcome)              {}
+func (f *slotFixture) StreamContinued(string, ContinuationStep, string) {}
 
 // SlotDecided implements Metrics.
 func (f *slotFixture) SlotDecided(_ string, d SlotDecision) { f.decisions[d]++ }
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -65,6 +65,7 @@
 	FullObjective time.Duration   // the whole objective of its route; 0: Objective and Waited together
 	FirstAttempt  time.Time       // when its caller first tried
 	TieBreak      uint64          // random; chooses among servers of similar cost
+	MayBackUp     bool            // its run may be backed up at another server
 }
 
 // Decision is the result of [Balancer.Place].
@@ -83,6 +84,7 @@
 	ID               uint64        // set by the caller of Place to identify the assignment
 	SendBefore       time.Time     // the request must not be sent later than this; zero: no limit
 	Surplus          Surplus
+	Backup           catalog.Server // set by the caller of Place: where the run is backed up; zero: nowhere
 }
 
 // Refuse means that the request is not served now and the caller should retry later.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -44,7 +44,7 @@
 
 // canRetry reports whether a failed response may be replaced by another server's.
 func (c *call) canRetry() bool {
-	if !c.route.MayRepeat() || c.attempts >= c.route.MaxAttempts {
+	if !c.route.MayRepeat() || c.attempts+c.crashResumes >= c.route.MaxAttempts {
 		return false
 	}
 	n, _ := c.crashesSeen()
@@ -112,23 +112,29 @@
 	started := false
 	for {
 		event, err := readEvent(events)
+		if err != nil {
+			if next, ok := c.movedAway(ctx, c.serverRun, err == io.EOF && !r.Unframed, err); ok {
+				return placement.Abandoned, next
+			}
+		}
 		if err != nil && ctx.Err() != nil {
 			return placement.Abandoned, c.abandonAttempt(ctx, d, sent)
 		}
 		if err != nil && err != io.EOF {
 			c.reportLost(d, sent, lossConnectionBroke)
-			return placement.Failed, c.retryOrFail(errors.Wrapf(err, "gateway: stream of server %s", d.Server.ID))
+			return placement.Failed, c.continueOrRetry(ctx, d, errors.Wrapf(err, "gateway: stream of server %s", d.Server.ID))
 		}
 		if err == io.EOF && len(event) > 0 && r.Length < 0 {
 			c.reportLost(d, sent, lossConnectionBroke)
-			return placement.Failed, c.retryOrFail(errors.Newf("gateway: stream of server %s ends within an event", d.Server.ID))
+			return placement.Failed, c.continueOrRetry(ctx, d, errors.Newf("gateway: stream of server %s ends within an event", d.Server.ID))
 		}
 		if err == io.EOF && c.endedByCrash(ctx, d, sent, r) {
-			return placement.Failed, c.retryOrFail(errors.Newf("gateway: server %s crashed within its stream", d.Server.ID))
+			return placement.Failed, c.continueOrRetry(ctx, d, errors.Newf("gateway: server %s crashed within its stream", d.Server.ID))
 		}
 		if !started {
 			started = true
 			c.gateway.dispatcher.send(firstEventReceived{attemptID: d.ID, server: d.Server.ID})
+			c.logContinued()
 		}
 		if len(event) > 0 && !c.alreadyRelayed(event) {
 			c.pinVersion(ctx, d.Server, r)
@@ -183,6 +189,8 @@
 	if id := eventID(event); id != "" {
 		c.lastEventID = id
 	}
+	c.relayed++
+	c.serverRun.eventRelayed(now, c.lastEventID, r.LifetimeConfirmed())
 	if more {
 		return nil
 	}
--- a/soak/trouble.go
+++ b/soak/trouble.go
@@ -24,10 +24,10 @@
 // behaviourFault returns a fault that changes the behaviour of a random server.
 func behaviourFault(change func(b *platformtest.Behaviour)) func(*Run, *rand.Rand) func() {
 	return func(r *Run, random *rand.Rand) func() {
-		s, b := r.randomServer(random), healthy
+		s, b := r.randomServer(random), r.healthy
 		change(&b)
 		s.Set(b)
-		return func() { s.Set(healthy) }
+		return func() { s.Set(r.healthy) }
 	}
 }
 
@@ -60,6 +60,13 @@
 
 const slowLink = 150 * time.Millisecond
 
+// leavingFault has a server announce by its entry that it leaves, and return.
+var leavingFault = fault{"server leaves and returns", func(r *Run, random *rand.Rand) func() {
+	s := r.randomServer(random)
+	r.announce(s, "draining")
+	return func() { r.announce(s, "ready") }
+}}
+
 var baseFaults = []fault{
 	{"gateway pauses", func(r *Run, random *rand.Rand) func() {
 		p := r.randomGateway(random)
@@ -87,11 +94,7 @@
 		r.configure()
 		return func() {}
 	}},
-	{"server leaves and returns", func(r *Run, random *rand.Rand) func() {
-		s := r.randomServer(random)
-		r.announce(s, "draining")
-		return func() { r.announce(s, "ready") }
-	}},
+	leavingFault,
 	{"server's entry lapses", func(r *Run, random *rand.Rand) func() {
 		s := r.randomServer(random)
 		r.remove("servers/" + s.ID)
--- a/telemetry/gateway.go
+++ b/telemetry/gateway.go
@@ -20,12 +20,13 @@
 	resumed      metric.Int64Counter
 	slots        metric.Int64Counter
 	refusals     metric.Int64Counter
+	continued    metric.Int64Counter
 }
 
 // NewGatewayMetrics creates the instruments of a gateway.
 func NewGatewayMetrics(m metric.Meter) (*GatewayMetrics, error) {
 	var c GatewayMetrics
-	var errs [9]error
+	var errs [10]error
 	c.requests, errs[0] = m.Int64Counter("opalbridge.gateway.requests", metric.WithDescription("requests that ended, by service, kind and result"))
 	c.attempts, errs[1] = m.Int64Counter("opalbridge.gateway.attempts", metric.WithDescription("sends to servers, by service; over opalbridge.gateway.requests"))
 	c.first, errs[2] = m.Float64Histogram("opalbridge.gateway.first", metric.WithUnit("s"), metric.WithDescription("time from arrival to the first byte passed on"))
@@ -35,6 +36,7 @@
 	c.resumed, errs[6] = m.Int64Counter("opalbridge.gateway.streams_resumed", metric.WithDescription("streams that callers took up, by service and outcome"))
 	c.slots, errs[7] = m.Int64Counter("opalbridge.gateway.slot_decisions", metric.WithDescription("requests to plain services that were held or refused for want of a slot, by service and decision"))
 	c.refusals, errs[8] = m.Int64Counter("opalbridge.gateway.refusals", metric.WithDescription("requests refused, by service, by why they got no capacity beyond their account's share, and by whether an idle server could have served them within a quarter of their objective"))
+	c.continued, errs[9] = m.Int64Counter("opalbridge.gateway.streams_continued", metric.WithDescription("steps by which streams continue at other servers: move, backup, resume; by service and outcome"))
 	return &c, errors.Wrap(errors.Join(errs[:]...), "telemetry: gateway")
 }
 
@@ -79,6 +81,11 @@
 	c.slots.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("decision", decision)))
 }
 
+// RecordStreamContinued records what became of a step by which a stream continues at another server.
+func (c *GatewayMetrics) RecordStreamContinued(service, step, outcome string) {
+	c.continued.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("step", step), attribute.String("outcome", outcome)))
+}
+
 // RecordRetryAcknowledged records the time from the decision on a retry to its server's first sign of
 // life.
 func (c *GatewayMetrics) RecordRetryAcknowledged(service string, delay time.Duration) {
