--- a/gateway/dispatcher_slots_test.go
+++ b/gateway/dispatcher_slots_test.go
@@ -80,19 +80,26 @@
 	first, second := f.sent(f.ask(1, nil)), f.sent(f.ask(1, nil))
 	low := f.ask(2, nil)
 	middle, next := f.ask(1, nil), f.ask(1, nil)
-	retry := f.ask(1, func(m *placementRequest) { m.retry = true })
+	var held *placement.Request
+	retry := f.ask(1, func(m *placementRequest) { m.retry, held = true, m.request })
 	urgent := f.ask(0, nil)
 	require.Equal(t, 5, f.queue.length())
 	require.Equal(t, map[SlotDecision]int{SlotHeld: 5}, f.decisions)
 	f.end(first, placement.Served)
 	f.sent(urgent)
 	f.end(second, placement.Failed)
+	require.Equal(t, placement.NoSlot, held.HoldReason)
+	require.Positive(t, held.Waited)
 	a := f.sent(retry)
 	require.Empty(t, middle)
 	f.end(a, placement.Rejected)
 	b := f.sent(middle)
 	f.end(b, placement.Served)
 	f.sent(next)
+	again := f.ask(1, func(m *placementRequest) { *m.request, held = *held, m.request })
+	require.Empty(t, again)
+	require.Equal(t, 1, f.queue.ahead(&placement.Request{Service: "s", Priority: 1}), "it has not been held for this attempt")
+	require.Zero(t, held.Waited)
 	require.Empty(t, low)
 	require.Empty(t, f.queue.waiters)
 }
@@ -174,6 +181,36 @@
 	require.Zero(t, f.queue.length())
 }
 
+// TestReturnedServer checks that nothing is kept of a server that was stalled when its entry went.
+func TestReturnedServer(t *testing.T) {
+	f := newSlotFixture(t)
+	for range 10 {
+		f.end(f.sent(f.ask(0, nil)), placement.Served)
+	}
+	f.sent(f.ask(0, nil))
+	f.now = f.now.Add(100 * time.Millisecond)
+	require.Empty(t, f.ask(0, nil), "it has stalled")
+	v := f.view
+	f.setView(f.now, &View{})
+	f.setView(f.now, v)
+	f.sent(f.ask(0, func(m *placementRequest) { m.request.Priority = -1 }))
+}
+
+// TestLateGateway checks that a process that runs late takes no server for stalled: it may not have
+// read the answers yet.
+func TestLateGateway(t *testing.T) {
+	f := newSlotFixture(t)
+	for range 10 {
+		f.end(f.sent(f.ask(0, nil)), placement.Served)
+	}
+	f.sent(f.ask(0, nil))
+	f.lateness = func(_, _ time.Time) time.Duration { return 100 * time.Millisecond }
+	f.now = f.now.Add(100 * time.Millisecond)
+	f.sent(f.ask(0, nil))
+	f.checkSlots(f.now)
+	require.NotContains(t, f.log.String(), "server.stalled")
+}
+
 // TestStalledServerIsLogged checks the lines about a server that stalls and answers again, and that
 // such a server is not ejected besides: it gets requests as soon as it answers.
 func TestStalledServerIsLogged(t *testing.T) {
--- a/gateway/slots/slots_test.go
+++ b/gateway/slots/slots_test.go
@@ -78,7 +78,8 @@
 		{"it has its half", 1, request(), serverList([2]int{4, 8}), slots.Wait{}},
 		{"it has its part of many", 7, request(), serverList([2]int{1, 7}), slots.Wait{}},
 		{"it has none of many", 7, request(), serverList([2]int{0, 20}), send{Server: "0"}},
-		{"a short objective takes no queue", 0, with(func(r *slots.Request) { r.Objective = 40 * time.Millisecond }), serverList([2]int{4, 2}), slots.Wait{}},
+		{"a short objective takes no queue", 0, with(func(r *slots.Request) { r.Objective = 40 * time.Millisecond }), serverList([2]int{3, 3}), slots.Wait{}},
+		{"a longer one does", 0, request(), serverList([2]int{3, 3}), send{Server: "0"}},
 		{"the objective cannot be met", 0, with(func(r *slots.Request) { r.Objective = 17 * time.Millisecond }), serverList([2]int{4, 4}), slots.Refuse{}},
 		{"already late, but a slot is free", 0, with(func(r *slots.Request) { r.Objective = -time.Second }), serverList([2]int{0, 2}), send{Server: "0"}},
 		{"already late", 0, with(func(r *slots.Request) { r.Objective = -time.Second }), serverList([2]int{4, 4}), slots.Refuse{}},
@@ -249,7 +250,10 @@
 	require.IsType(t, slots.Wait{}, m.Decide(probe.Add(time.Second), request(), full), "one request at a time")
 	m.RecordEnd(probe.Add(time.Second), third, slots.NoSign, true)
 	require.Equal(t, slots.Send{Server: "0", Probe: true}, m.Decide(probe.Add(time.Second), request(), full))
-	m.send(probe.Add(time.Second), "0")
+	m.RecordEnd(probe.Add(time.Second), m.send(probe.Add(time.Second), "0"), slots.NoSign, true)
+	const interval = 8 * answer
+	require.IsType(t, slots.Wait{}, m.Decide(probe.Add(time.Second+3*interval), request(), full), "the interval grows")
+	require.IsType(t, slots.Send{}, m.Decide(probe.Add(time.Second+4*interval), request(), full))
 
 	m.RecordEnd(probe.Add(2*time.Second), first, slots.Answered, true)
 	changes := m.TakeChanges()
@@ -260,7 +264,7 @@
 	r := request()
 	r.Ahead = 50
 	wait := m.Decide(probe.Add(2*time.Second), r, serverList([2]int{8, 0})).(slots.Wait)
-	require.Less(t, wait.Predicted, objective, "answers after a stall say nothing of the usual time")
+	require.Less(t, wait.Predicted, objective/2, "answers after a stall say nothing of the usual time")
 }
 
 // TestStalledServerWithoutRequests: no request is left there that could show that the server
