--- a/gateway/dispatcher_slots.go
+++ b/gateway/dispatcher_slots.go
@@ -114,7 +114,9 @@
 		return
 	}
 	d.slots.RecordEnd(now, m.attemptID, slotOutcome(m), !d.unreliable(now, now.Add(-catchUpTime)))
-	d.scanSlots(now, false)
+	if d.balancer.WaitsForSlots(m.server) {
+		d.scanSlots(now, false)
+	}
 }
 
 // slotOutcome returns what the end of an attempt says about its server.
@@ -263,20 +265,17 @@
 	if d.slots == nil {
 		return
 	}
+	defer d.logStalls()
 	if d.unreliable(now, now.Add(-catchUpTime)) {
 		d.slots.ResetSilence(now)
 		return
 	}
 	d.slots.DetectStalls(now)
 	d.scanSlots(now, true)
-	d.logStalls()
 }
 
 // logStalls logs servers that have stalled or answer again.
 func (d *dispatcher) logStalls() {
-	if d.slots == nil {
-		return
-	}
 	for _, c := range d.slots.TakeChanges() {
 		event, text := "server.answers_again", "server answers again"
 		if c.Stalled {
--- a/gateway/slots/slots.go
+++ b/gateway/slots/slots.go
@@ -387,8 +387,8 @@
 	return c
 }
 
-// Decide decides on a request. It changes no state but that of silent servers; call
-// [Model.RecordSent] when the request is sent.
+// Decide decides on a request. It finds servers that have stalled, but records nothing of the
+// request; call [Model.RecordSent] when it is sent.
 func (m *Model) Decide(now time.Time, req Request, servers []Server) Decision {
 	m.states = m.states[:0]
 	for i := range servers {
@@ -412,7 +412,7 @@
 	if limit > 0 && tolerated+first <= limit {
 		return Wait{Predicted: start + first}
 	}
-	// By then the queue is shorter by half, and by as much as it is too long for the objective.
+	// By then what waits is fewer by half, and by as many as are too many for the objective.
 	after := max(start/2, start+first-max(limit, 0), minRetryAfter)
 	if req.Remaining > 0 {
 		after = max(min(after, req.Remaining/4), minRetryAfter)
@@ -546,7 +546,7 @@
 		probe = min(probe, max(state.probeAt.Sub(now), 0))
 	}
 	delay := time.Duration(0)
-	if slots == 0 {
+	if slots == 0 && stalledSlots > 0 {
 		slots, delay = stalledSlots, probe
 	}
 	s := m.service(req.Service)
