--- a/gateway/dispatcher_slots_test.go
+++ b/gateway/dispatcher_slots_test.go
@@ -12,6 +12,7 @@
 	"opalbridge.dev/gateway/catalog"
 	"opalbridge.dev/gateway/peer"
 	"opalbridge.dev/gateway/placement"
+	"opalbridge.dev/gateway/rollout"
 )
 
 // slotFixture is a dispatcher before one plain server with two slots.
@@ -260,3 +261,22 @@
 	require.Nil(t, f.slots)
 	require.Empty(t, f.log.String())
 }
+
+// TestSlotsDuringRollout checks that a request that the new version has no slot for goes to the old
+// one while the new one gets a part of the requests only, and waits or is refused later: else a
+// burst would bring requests back to servers that are to be stopped.
+func TestSlotsDuringRollout(t *testing.T) {
+	now := time.Now()
+	d := newRolloutDispatcher(t, now, rolloutRecord{Order: testOrder(7), Since: now, Status: rollout.Status{State: rollout.InProgress, Target: "v2", Revision: 8}})
+	accepts := func() []bool {
+		s := d.rollouts["s"]
+		return []bool{s.targetAccepts(placement.Hold{Reason: placement.NoSlot}), s.targetAccepts(placement.Refuse{Reason: placement.NoSlot})}
+	}
+	require.Equal(t, []bool{false, false}, accepts())
+	for at := now; at.Before(now.Add(9 * time.Second)); at = at.Add(50 * time.Millisecond) {
+		d.countVersions(at, 20)
+		d.advanceRollouts(at)
+	}
+	require.Equal(t, rollout.Full, d.rollouts["s"].rollout.Stage())
+	require.Equal(t, []bool{true, true}, accepts())
+}
