--- a/gateway/surplus/unmet.go
+++ b/gateway/surplus/unmet.go
@@ -160,7 +160,7 @@
 	e := t.entries[key]
 	if e == nil {
 		if len(t.entries) >= maxEntries {
-			t.Sweep(now)
+			t.sweepEntries(now)
 		}
 		if len(t.entries) >= maxEntries {
 			return nil
@@ -249,6 +249,10 @@
 
 // Sweep removes what no longer affects a decision.
 func (t *Table) Sweep(now time.Time) {
-	maps.DeleteFunc(t.entries, func(_ entryKey, e *entry) bool { return now.Sub(e.recent) >= minPause })
+	t.sweepEntries(now)
 	maps.DeleteFunc(t.due, func(_ string, due time.Time) bool { return !due.After(now) })
 }
+
+func (t *Table) sweepEntries(now time.Time) {
+	maps.DeleteFunc(t.entries, func(_ entryKey, e *entry) bool { return now.Sub(e.recent) >= minPause })
+}
