--- a/gateway/call.go
+++ b/gateway/call.go
@@ -196,7 +196,7 @@
 	defer c.endRun(c.serverRun)
 	result := c.gateway.pool.Send(ctx, d.Server, c.upstreamRequest(d, sent))
 	end, next := c.handleResult(ctx, d, sent, result)
-	c.gateway.dispatcher.send(attemptEnded{attemptID: d.ID, server: d.Server.ID, end: end, route: c.route.Name, status: c.status, eventInterval: c.meanEventInterval(), service: d.Server.Service})
+	c.gateway.dispatcher.send(attemptEnded{attemptID: d.ID, server: d.Server.ID, end: end, route: c.route.Name, status: c.status, eventInterval: c.meanEventInterval(), service: d.Server.Service, events: c.answeredEvents()})
 	return next
 }
 
@@ -209,6 +209,7 @@
 		Int("prompt", c.placeReq.PromptTokens).Int("reread", d.SharedMissTokens).Float64("tokens", c.cost).
 		Dur("left", c.deadline.Sub(sent)).Dur("spent", c.sinceFirstAttempt).Bool("again", c.sinceFirstAttempt > 0).
 		Str("account", c.account).Bool("over_share", c.placeReq.OverShare).Float64("ahead", c.placeReq.ShareRatio).
+		Dur("pause", d.Pause).Float64("late_share", d.LateShare).
 		Dur("held", c.placeReq.Waited).Str("held_for", string(c.placeReq.HoldReason)).
 		Str("copy_from", d.CopyFrom).EmbedObject(surplusFields(d.Surplus)).Msg("request sent to server")
 }
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -11,6 +11,7 @@
 	"opalbridge.dev/gateway/budget"
 	"opalbridge.dev/gateway/catalog"
 	"opalbridge.dev/gateway/continuation"
+	"opalbridge.dev/gateway/decode"
 	"opalbridge.dev/gateway/peer"
 	"opalbridge.dev/gateway/placement"
 	"opalbridge.dev/gateway/share"
@@ -58,9 +59,10 @@
 	statusWrites chan<- rolloutStatusWrite
 	viewFresh    func(now time.Time) bool // whether the view is known to match the store
 
-	livePeers atomic.Int64 // live gateways other than this one
-	metrics   Metrics
-	started   time.Time
+	livePeers       atomic.Int64 // live gateways other than this one
+	pausesPredicted atomic.Int64 // requests sent although running streams were expected to be late because of them
+	metrics         Metrics
+	started         time.Time
 
 	// The fields below are owned by run.
 	lastAttemptID        uint64                     // last attempt ID issued
@@ -92,6 +94,8 @@
 	demandByGateway      map[string]float64        // tokens asked for in the share window, by gateway, including this one
 	slots                *slots.Model              // of plain services; nil: their requests do not wait for slots
 	slotServers          map[string][]uint64       // hashes of plain servers that report their slots, by service
+	lengths              *decode.Lengths           // of answers
+	answers              map[uint64]answer         // of attempts in flight whose memory is counted, by attempt ID
 	activeCountedAt      time.Time                 // when the gateways that have requests there were counted
 	reportedAt           map[string]time.Time      // latest report of running requests, by live gateway
 }
@@ -144,7 +148,8 @@
 		peerRunning: map[string]map[uint64]int{}, demandByGateway: map[string]float64{},
 		rollouts: map[string]*serviceRollout{}, viewFresh: func(time.Time) bool { return true },
 		metrics: discardMetrics{}, started: now, budgetLoggedAt: map[string]time.Time{},
-		backups:     map[uint64]string{},
+		backups: map[uint64]string{},
+		lengths: decode.NewLengths(), answers: map[uint64]answer{},
 		planner:     continuation.NewPlanner(continuation.DefaultLimits()),
 		coldLimiter: warmup.NewLimiter(), lastRequested: map[string]time.Time{}, halls: map[string]string{},
 	}
@@ -277,6 +282,7 @@
 	}
 	d.setShareStatus(m.request)
 	d.setSlotStatus(now, m.request)
+	d.setExpectedOutput(m.request)
 	var decision placement.Decision
 	ro := d.rollouts[m.request.Service]
 	if ro == nil {
@@ -304,6 +310,7 @@
 	}
 	d.running[assign.Server.ID]++
 	d.recordSlotSend(now, m.request.Service, assign)
+	d.recordAnswerExpected(m.request, assign)
 	assign.Backup = d.chooseBackup(now, m.request, assign)
 	if ro != nil {
 		d.recordRolloutSend(now, ro, assign)
@@ -334,6 +341,7 @@
 	d.recordRolloutAnswer(now, m)
 	d.planner.RecordPace(m.service, m.eventInterval)
 	d.endBackup(m.attemptID)
+	d.recordAnswerEnd(m)
 	d.endRetry(now, d.pending[m.attemptID], m)
 	delete(d.pending, m.attemptID)
 	if m.end == placement.Served || m.end == placement.Rejected {
@@ -381,6 +389,7 @@
 		return s.Engine
 	})
 	d.setSurplus()
+	d.setPauseLimits(v.Configuration)
 	d.reapplyBackoffs(now)
 	peerRunning := d.peerRunningByServer()
 	clear(d.serverIDs)
--- a/gateway/dispatcher_messages.go
+++ b/gateway/dispatcher_messages.go
@@ -42,6 +42,7 @@
 		status        int           // of the server's answer; 0: none, or an incomplete answer
 		eventInterval time.Duration // mean time between events of a stream; 0: unknown
 		service       string
+		events        int // of a stream that was relayed from its beginning; 0: unknown
 	}
 	// cacheReported reports the contents of a server's cache.
 	cacheReported struct {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,6 +17,7 @@
 //
 // Placement: dispatcher.go makes all decisions with package placement, dispatcher_cold.go
 // limits the load of cold servers, dispatcher_slots.go queues requests to plain services for slots,
+// dispatcher_pauses.go regards pauses of running streams,
 // dispatcher_rollout.go moves a service to a new version:
 // dispatcher_rollout_answers.go counts the answers and dispatcher_rollout_status.go reports the
 // progress.
--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -203,7 +203,7 @@
 	c.placeReq = placement.Request{
 		Service: c.service, Account: c.account, Parts: parts, PromptTokens: prompt, OutputTokens: output,
 		Hall: c.gateway.options.Dispatcher.Hall, TieBreak: hashString(c.meta.ID), Regions: c.regions,
-		Priority: c.priority, MaxEventGap: c.route.MaxEventGap, FirstAttempt: c.arrived.Add(-c.sinceFirstAttempt),
+		Priority: c.priority, MaxEventGap: c.route.MaxEventGap, Route: c.route.Name, FirstAttempt: c.arrived.Add(-c.sinceFirstAttempt),
 	}
 	c.setEngine(v)
 }
--- a/gateway/placement/candidate.go
+++ b/gateway/placement/candidate.go
@@ -17,6 +17,8 @@
 	sharedMissTokens int           // tokens of shared parts that are prefilled here although another server may have them
 	predicted        time.Duration // time until the first event
 	cost             time.Duration // orders candidates
+	pause            time.Duration // longest pause of the streams there; 0: unknown
+	lateShare        float64       // share of these streams that is late because of it
 }
 
 // evaluate returns the candidate for a server; from is the server of its version that caches most
@@ -40,6 +42,8 @@
 	// Recomputing a shared part also delays the requests behind this one.
 	c.sharedMissTokens = max(missing-copied, 0)
 	c.cost += scale(s.timeFor(now, b.policy.prefillTime(c.sharedMissTokens, c.sharedMissTokens)), b.policy.RecomputeWeight)
+	c.pause, c.lateShare = s.pauseAfter(now, c.prefillTime)
+	c.cost += s.pauseCost(c.lateShare)
 	return c
 }
 
--- a/gateway/placement/engine.go
+++ b/gateway/placement/engine.go
@@ -40,6 +40,7 @@
 	firstEventDelay estimate  // seconds from the end of prefill to the first event
 	medianSlowdown  float64   // median of the servers' observed slowdowns
 	medianAt        time.Time // when medianSlowdown was computed
+	heldMean        float64   // mean cache memory of a request, in tokens
 }
 
 // estimate tracks a median: it moves until as many samples lie above it as below.
--- a/gateway/placement/observe.go
+++ b/gateway/placement/observe.go
@@ -17,6 +17,8 @@
 		s.localRunning++
 		s.backoff.recordSent(now)
 	}
+	s.holdMemory(l, local)
+	s.beginPeriod(now)
 	if s.busyUntil.Before(now) {
 		s.busyUntil = now
 	}
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -40,32 +40,34 @@
 
 // Request describes a request to place.
 type Request struct {
-	Service       string
-	Account       string
-	Parts         []Part          // of the prompt, in order; the last one belongs to this request alone
-	PromptTokens  int             // length of the whole prompt
-	OutputTokens  int             // expected length of the answer
-	Objective     time.Duration   // time left until the first event is late, counted from the caller's first attempt; negative: already late; 0: no objective
-	CallerTimeout time.Duration   // time left until the caller stops waiting for the first event
-	Remaining     time.Duration   // time left until an answer is of no use to the caller
-	HoldReason    Reason          // why it has been held so far
-	Waited        time.Duration   // time it has been held
-	OverShare     bool            // the account has used up its fair share of the fleet
-	Capped        bool            // the account is so far ahead of a backlogged account that it gets no surplus capacity
-	ShareRatio    float64         // tokens admitted for the account over an even share of all admitted tokens; 0: unknown
-	Exclude       []string        // servers already tried
-	Withheld      map[string]bool // servers withheld from requests of this kind; shared, must not be modified
-	Regions       catalog.Regions // regions in which it may be served
-	Pinned        bool            // it continues a stream, so only servers of Version may run it
-	Version       string          // software version that began the stream, if Pinned; empty: unknown, so no server may run it
-	Hall          string          // hall of the gateway
-	Priority      int             // 0 is the most urgent
-	Ahead         int             // requests that wait for a slot of the service at this gateway and go before it
-	MaxEventGap   time.Duration   // longest interval between events within the objective; 0: none
-	FullObjective time.Duration   // the whole objective of its route; 0: Objective and Waited together
-	FirstAttempt  time.Time       // when its caller first tried
-	TieBreak      uint64          // random; chooses among servers of similar cost
-	MayBackUp     bool            // its run may be backed up at another server
+	Service        string
+	Account        string
+	Parts          []Part          // of the prompt, in order; the last one belongs to this request alone
+	PromptTokens   int             // length of the whole prompt
+	OutputTokens   int             // expected length of the answer
+	Objective      time.Duration   // time left until the first event is late, counted from the caller's first attempt; negative: already late; 0: no objective
+	CallerTimeout  time.Duration   // time left until the caller stops waiting for the first event
+	Remaining      time.Duration   // time left until an answer is of no use to the caller
+	HoldReason     Reason          // why it has been held so far
+	Waited         time.Duration   // time it has been held
+	OverShare      bool            // the account has used up its fair share of the fleet
+	Capped         bool            // the account is so far ahead of a backlogged account that it gets no surplus capacity
+	ShareRatio     float64         // tokens admitted for the account over an even share of all admitted tokens; 0: unknown
+	Exclude        []string        // servers already tried
+	Withheld       map[string]bool // servers withheld from requests of this kind; shared, must not be modified
+	Regions        catalog.Regions // regions in which it may be served
+	Pinned         bool            // it continues a stream, so only servers of Version may run it
+	Version        string          // software version that began the stream, if Pinned; empty: unknown, so no server may run it
+	Hall           string          // hall of the gateway
+	Priority       int             // 0 is the most urgent
+	Ahead          int             // requests that wait for a slot of the service at this gateway and go before it
+	MaxEventGap    time.Duration   // longest interval between events within the objective; 0: none
+	Route          string          // name of its route
+	ExpectedOutput int             // OutputTokens as corrected by earlier answers; 0: not corrected
+	FullObjective  time.Duration   // the whole objective of its route; 0: Objective and Waited together
+	FirstAttempt   time.Time       // when its caller first tried
+	TieBreak       uint64          // random; chooses among servers of similar cost
+	MayBackUp      bool            // its run may be backed up at another server
 }
 
 // Decision is the result of [Balancer.Place].
@@ -83,6 +85,8 @@
 	CopyFrom         string        // address of a server that caches more of the prompt; empty: none
 	ID               uint64        // set by the caller of Place to identify the assignment
 	SendBefore       time.Time     // the request must not be sent later than this; zero: no limit
+	Pause            time.Duration // longest pause of the streams there after it; 0: unknown
+	LateShare        float64       // share of these streams that is expected to be late because of it
 	Surplus          Surplus
 	Backup           catalog.Server // set by the caller of Place: where the run is backed up; zero: nowhere
 }
@@ -119,16 +123,18 @@
 	Work        time.Duration // prefill time of the part of the prompt that is not cached there
 	Parts       []uint64      // hashes of the prompt's parts, in order
 	CacheTokens int           // cache space taken: uncached prompt tokens and the answer
+	HeldTokens  int           // the same with the corrected length of the answer; 0: not counted
 }
 
 // Balancer models all servers and places requests on them.
 type Balancer struct {
-	policy   Policy
-	servers  map[string]*server
-	services map[string][]*server // sorted by ID
-	speeds   map[string]*speed    // by service
-	regions  map[string]string    // by hall
-	slots    *slots.Model         // nil: requests to plain servers do not wait for slots
+	policy      Policy
+	servers     map[string]*server
+	services    map[string][]*server     // sorted by ID
+	speeds      map[string]*speed        // by service
+	regions     map[string]string        // by hall
+	pauseLimits map[string]time.Duration // longest pause of streams, by service
+	slots       *slots.Model             // nil: requests to plain servers do not wait for slots
 
 	slotServers []slots.Server // of the latest decision, kept for its memory
 	surplus     *surplus.Table // decides on requests beyond their account's share; nil: the policy does
@@ -161,6 +167,7 @@
 	ejection         time.Duration
 	backoff          backoff
 	announcedLeaving bool // it has announced that it leaves, but its entry does not say so yet
+	decoding         decoding
 }
 
 // SetServers replaces the set of servers. engine returns a service's engine, or nil for a
@@ -175,6 +182,7 @@
 		}
 		m.Server, m.engine, m.speed = s, engine(s.Service), b.speedOf(s.Service)
 		m.cache.capacity = b.policy.cacheSize(m.engine)
+		b.applyPauseLimit(m)
 		kept[s.ID] = m
 		b.services[s.Service] = append(b.services[s.Service], m)
 	}
@@ -312,6 +320,7 @@
 }
 
 func (b *Balancer) placeEngine(now time.Time, req *Request, servers []*server) Decision {
+	servers = b.withMemory(req, servers)
 	best := b.cheapest(now, req, servers)
 	r := b.deferReason(now, req, best)
 	var granted surplus.Decision
@@ -333,7 +342,10 @@
 		return Refuse{RetryAfter: b.retryAfter(req, best, r), Predicted: best.predicted, Reason: r, Surplus: why}
 	}
 	load := Load{Server: best.server.ID, Work: best.work, Parts: partHashes(req.Parts), CacheTokens: best.uncachedTokens + req.OutputTokens}
-	assign := Assign{Surplus: why, Server: best.server.Server, Load: load, Predicted: best.predicted, QueueTime: best.queueTime, PrefillTime: best.prefillTime, SharedMissTokens: best.sharedMissTokens}
+	if best.server.decoding.regarded() {
+		load.HeldTokens = best.uncachedTokens + req.heldOutput()
+	}
+	assign := Assign{Surplus: why, Pause: best.pause, LateShare: best.lateShare, Server: best.server.Server, Load: load, Predicted: best.predicted, QueueTime: best.queueTime, PrefillTime: best.prefillTime, SharedMissTokens: best.sharedMissTokens}
 	assign.NominalLatency = best.work + best.server.speed.firstEventTime()
 	if best.copyFrom != nil {
 		assign.CopyFrom = best.copyFrom.Address
