--- a/cmd/opalbridge/gateway.go
+++ b/cmd/opalbridge/gateway.go
@@ -150,6 +150,7 @@
 		{Name: "opalbridge.gateway.resting", Description: "servers that have asked this gateway for rest", Read: func() float64 { return float64(g.Status().BackingOff) }},
 		{Name: "opalbridge.gateway.barred", Description: "requests and parts of prompts that reach no server any more, since servers ended under them", Read: func() float64 { return float64(g.Status().Quarantined) }},
 		{Name: "opalbridge.gateway.barred_parts", Description: "of them, parts of prompts", Read: func() float64 { return float64(g.Status().QuarantinedParts) }},
+		{Name: "opalbridge.gateway.pauses_predicted", Description: "requests sent although running streams were expected to be late because of them", Read: func() float64 { return float64(g.Status().PausesPredicted) }},
 		{Name: "opalbridge.gateway.origins", Description: "attempts of callers whose streams' versions this gateway remembers, for itself and others", Read: func() float64 { return float64(g.Status().Origins) }},
 		{Name: "opalbridge.gateway.log_lines_dropped", Description: "log lines that were not written", Read: func() float64 { return float64(logWriter.Dropped()) }},
 		{Name: "opalbridge.gateway.unreadable_entries", Description: "entries in the platform's store that could not be read, each time that they were met", Read: func() float64 { return float64(entries.total()) }},
--- a/gateway/decode/decode.go
+++ b/gateway/decode/decode.go
@@ -45,6 +45,12 @@
 	return e.Quiet() + min(max(prefill, 0), e.Busy(slowness))
 }
 
+// CanDelay reports whether prefill can make streams late at a server of the given slowness: decoding
+// alone is not too slow, and prefill without a break would be.
+func (e Engine) CanDelay(slowness float64, longest time.Duration) bool {
+	return e.Known() && e.Quiet() < longest && e.Quiet()+e.Busy(slowness) > longest
+}
+
 // Parameters of the share of streams that is late.
 const (
 	// Servers that share their hosts are slow for moments, two to three times as slow as a moment
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -265,6 +265,7 @@
 	AnnouncedLeaving     int           // servers that have announced in responses that they are leaving
 	BackingOff           int           // servers that have asked this gateway to back off
 	Origins              int           // attempts of callers whose streams' versions are remembered
+	PausesPredicted      int64         // requests sent although running streams were expected to be late because of them
 }
 
 // Status returns the gateway's current state.
@@ -281,6 +282,7 @@
 	}
 	s.AnnouncedLeaving, s.BackingOff = g.signals.count(time.Now())
 	s.Origins = g.origins.count()
+	s.PausesPredicted = g.dispatcher.pausesPredicted.Load()
 	s.Suspects = int(g.suspects.suspectCount.Load())
 	s.Quarantined, s.QuarantinedParts = g.suspects.quarantinedCount()
 	if v.Configuration != nil {
--- a/gateway/placement/pauses.go
+++ b/gateway/placement/pauses.go
@@ -69,7 +69,11 @@
 	if s.busyUntil.After(now) {
 		prefill += s.busyUntil.Sub(d.busySince)
 	}
-	pause = d.engine.Pause(prefill, s.slowdown(now))
+	slowness := s.slowdown(now)
+	pause = d.engine.Pause(prefill, slowness)
+	if !d.engine.CanDelay(slowness, d.longestPause) {
+		return pause, 0
+	}
 	return pause, decode.LateShare(pause, d.longestPause)
 }
 
