--- a/gateway/decode/decode.go
+++ b/gateway/decode/decode.go
@@ -45,18 +45,16 @@
 	return e.Quiet() + min(max(prefill, 0), e.Busy(slowness))
 }
 
-// CanDelay reports whether prefill can make streams late at a server of the given slowness: decoding
-// alone is not too slow, and prefill without a break would be in a slow moment.
-func (e Engine) CanDelay(slowness float64, longest time.Duration) bool {
-	return e.Known() && e.Quiet() < longest && e.Quiet()+e.Busy(momentSlowness*slowness) > longest
+// CanDelay reports whether prefill can make streams late at a server of nominal speed: decoding alone
+// is not too slow, and prefill without a break would be.
+func (e Engine) CanDelay(longest time.Duration) bool {
+	return e.Known() && e.Quiet() < longest && e.Quiet()+e.Busy(1) > longest
 }
 
 // Parameters of the share of streams that is late.
 const (
 	// Servers that share their hosts are slow for moments, two to three times as slow as a moment
-	// before.
-	momentSlowness = 2.5
-	// A pause that such a moment would make too long is late for this share of streams.
+	// before. A pause that such a moment would make too long is late for this share of streams.
 	momentShare = 0.2
 	momentFrom  = 0.3 // predicted pauses from this fraction of the longest one on
 	momentTo    = 0.5
--- a/gateway/placement/pauses.go
+++ b/gateway/placement/pauses.go
@@ -30,9 +30,9 @@
 // regarded reports whether pauses of the server's streams are regarded.
 func (d *decoding) regarded() bool { return d.longestPause > 0 }
 
-// SetPauseLimits sets the longest pause of streams in time, by service. Services without one, and
-// services whose engines do not report how many tokens an event has, are placed without regard to
-// pauses and memory.
+// SetPauseLimits sets the longest pause of streams in time, by service. Services without one, services
+// whose engines do not report how many tokens an event has, and those where prefill delays no event for
+// that long at an engine of nominal speed, are placed without regard to pauses and memory.
 func (b *Balancer) SetPauseLimits(byService map[string]time.Duration) {
 	b.pauseLimits = byService
 	for _, s := range b.servers {
@@ -47,7 +47,7 @@
 		return
 	}
 	e := decode.Engine{EventTokens: s.engine.MaxEventTokens, Step: decodeStep, Chunk: b.policy.prefillTime(prefillChunkTokens, prefillChunkTokens)}
-	if limit := b.pauseLimits[s.Service]; limit > 0 && e.Known() {
+	if limit := b.pauseLimits[s.Service]; limit > 0 && e.CanDelay(limit) {
 		s.decoding.longestPause, s.decoding.engine = limit, e
 	}
 }
@@ -69,11 +69,7 @@
 	if s.busyUntil.After(now) {
 		prefill += s.busyUntil.Sub(d.busySince)
 	}
-	slowness := s.slowdown(now)
-	pause = d.engine.Pause(prefill, slowness)
-	if !d.engine.CanDelay(slowness, d.longestPause) {
-		return pause, 0
-	}
+	pause = d.engine.Pause(prefill, s.slowdown(now))
 	return pause, decode.LateShare(pause, d.longestPause)
 }
 
