--- a/gateway/dispatcher_surplus.go
+++ b/gateway/dispatcher_surplus.go
@@ -41,7 +41,9 @@
 func (d *dispatcher) recordDecision(now time.Time, m placementRequest, decision placement.Decision, queued bool) placement.Decision {
 	switch decided := decision.(type) {
 	case placement.Refuse:
-		decided.BesideIdle = d.balancer.HasSuitable(now, m.request)
+		if d.settings.Features.IdleSurplus { // it takes as long as a decision
+			decided.BesideIdle = d.balancer.HasSuitable(now, m.request)
+		}
 		if decided.Reason == placement.OverShare && d.surplus != nil {
 			rate := d.shares.LocalRate(now, m.request.Account)
 			decided.RetryAfter = d.surplus.RetryAfter(now, surplus.Retry{
--- a/gateway/surplus_world_test.go
+++ b/gateway/surplus_world_test.go
@@ -79,6 +79,7 @@
 	tokens  float64
 	first   time.Time
 	gateway *dispatcher
+	request *placement.Request
 	reply   chan placement.Decision
 }
 
@@ -224,7 +225,7 @@
 		CallerTimeout: 4 * surplusObjective, Remaining: 10*time.Second - spent,
 		Parts: []placement.Part{{Hash: hashString(c.account.name), Tokens: c.account.shared}, {Hash: w.rng.Uint64(), Tokens: c.prompt - c.account.shared}},
 	}
-	c.reply = make(chan placement.Decision, 1)
+	c.request, c.reply = r, make(chan placement.Decision, 1)
 	c.gateway.handle(w.now, requestArrived{service: "s", account: c.account.name, tokens: c.tokens})
 	c.gateway.place(w.now, placementRequest{request: r, tokens: c.tokens, reply: c.reply})
 	w.waiting = append(w.waiting, c)
@@ -256,7 +257,7 @@
 		switch {
 		case r.Surplus.Reason == surplus.Capped:
 			w.capped++
-		case r.BesideIdle:
+		case c.gateway.balancer.HasSuitable(w.now, c.request): // the refusal says so only if the setting is on
 			w.besideIdle++
 		}
 	}
