--- a/cmd/opalbridge/gateway.go
+++ b/cmd/opalbridge/gateway.go
@@ -197,8 +197,9 @@
 			ShareWindow: s.ShareWindow, Policy: placement.DefaultPolicy(), Hall: s.Hall,
 			ColdLimits: warmup.Limits{Factor: s.ColdFactor, Extra: s.ColdExtra}, Regions: s.Regions,
 			Features: gateway.Features{
-				IdleSurplus: s.IdleSurplus, AvoidPauses: s.AvoidPauses, MoveStreams: s.MoveStreams,
-				BackUpStreams: s.BackUpStreams, QueuePlainWork: s.QueuePlainWork,
+				IdleSurplus: s.IdleSurplus != settings.Off, SurplusAuto: s.IdleSurplus == settings.Auto,
+				QueuePlainWork: s.QueuePlainWork != settings.Off, PlainQueueAuto: s.QueuePlainWork == settings.Auto,
+				AvoidPauses: s.AvoidPauses, MoveStreams: s.MoveStreams, BackUpStreams: s.BackUpStreams,
 			},
 		},
 		MilliCPU: int(s.CPULimit * 1000), MemoryLimit: int64(s.MemoryMB) << 20, FileLimit: openFileLimit(s), ShutdownGrace: s.StopTimeout, Log: log, Metrics: requestMetrics{metrics},
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -120,6 +120,8 @@
 	MoveStreams    bool // streams move off servers that leave: package continuation
 	BackUpStreams  bool // streams are backed up: package continuation
 	QueuePlainWork bool // requests to plain servers wait for slots: package slots
+	SurplusAuto    bool // IdleSurplus applies only to services whose configuration calls for it
+	PlainQueueAuto bool // the same for QueuePlainWork
 }
 
 // pendingAttempt is a request that was sent and has no first event yet.
@@ -388,8 +390,9 @@
 		}
 		return s.Engine
 	})
-	d.setSurplus()
 	d.setPauseLimits(v.Configuration)
+	d.setSurplus()
+	d.setSlotServices(v.Configuration)
 	d.reapplyBackoffs(now)
 	peerRunning := d.peerRunningByServer()
 	clear(d.serverIDs)
--- a/gateway/dispatcher_slots.go
+++ b/gateway/dispatcher_slots.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"opalbridge.dev/gateway/catalog"
 	"opalbridge.dev/gateway/placement"
 	"opalbridge.dev/gateway/slots"
 )
@@ -29,6 +30,20 @@
 	SlotRefused SlotDecision = "refused"
 )
 
+// setSlotServices sets the services whose requests wait for slots, if that depends on the
+// configuration. What a gateway knows of the others' requests may be 250 ms old; with a shorter
+// objective, a request would be decided on by what was there before its caller sent it.
+func (d *dispatcher) setSlotServices(c *catalog.Configuration) {
+	if d.slots == nil || !d.settings.Features.PlainQueueAuto || c == nil {
+		return
+	}
+	services := map[string]bool{}
+	for service, objective := range shortestObjectives(c, func(r *catalog.Route) bool { return r.Kind != catalog.Stream }) {
+		services[service] = objective >= shareInterval
+	}
+	d.balancer.SetSlotServices(services)
+}
+
 // setSlotServers takes over the servers of a new view.
 func (d *dispatcher) setSlotServers() {
 	if d.slots == nil {
--- a/gateway/dispatcher_surplus.go
+++ b/gateway/dispatcher_surplus.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"opalbridge.dev/gateway/catalog"
 	"opalbridge.dev/gateway/peer/peerpb"
 	"opalbridge.dev/gateway/placement"
 	"opalbridge.dev/gateway/surplus"
@@ -26,14 +27,50 @@
 
 // setSurplus adds the table to the decisions, or removes it, as the configuration says.
 func (d *dispatcher) setSurplus() {
-	switch used := d.usesSurplus(); {
+	var services map[string]bool
+	used := d.usesSurplus()
+	if used && d.settings.Features.SurplusAuto {
+		services = d.surplusServices(d.view.Configuration)
+		used = len(services) > 0
+	}
+	switch {
 	case used && d.surplus == nil:
 		d.surplus = surplus.NewTable(func(account string) float64 { return d.shares.Status(account).ShareRatio })
-		d.balancer.SetSurplus(d.surplus)
-	case !used && d.surplus != nil:
+	case !used:
 		d.surplus = nil
-		d.balancer.SetSurplus(nil)
 	}
+	d.balancer.SetSurplus(d.surplus, services)
+}
+
+// surplusServices returns the services whose configuration calls for package surplus. What is served
+// beyond the shares lengthens other streams, so pauses of streams have to be regarded; and a caller
+// that is refused must be able to come back in time.
+func (d *dispatcher) surplusServices(c *catalog.Configuration) map[string]bool {
+	services := map[string]bool{}
+	for service, objective := range shortestObjectives(c, func(r *catalog.Route) bool { return r.Kind == catalog.Stream }) {
+		if objective >= surplus.MinObjective && d.balancer.RegardsPauses(service) {
+			services[service] = true
+		}
+	}
+	return services
+}
+
+// shortestObjectives returns the shortest objective of the routes that are included, by service.
+// Routes without one do not count.
+func shortestObjectives(c *catalog.Configuration, included func(r *catalog.Route) bool) map[string]time.Duration {
+	shortest := map[string]time.Duration{}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		if r.Objective <= 0 || !included(r) {
+			continue
+		}
+		for _, t := range r.Targets {
+			if known, ok := shortest[t.Service]; !ok || r.Objective < known {
+				shortest[t.Service] = r.Objective
+			}
+		}
+	}
+	return shortest
 }
 
 // recordDecision records unmet demand of the request's account, or that it was met, and schedules
@@ -41,7 +78,7 @@
 func (d *dispatcher) recordDecision(now time.Time, m placementRequest, decision placement.Decision, queued bool) placement.Decision {
 	switch decided := decision.(type) {
 	case placement.Refuse:
-		if d.settings.Features.IdleSurplus { // it takes as long as a decision
+		if d.surplus != nil { // it takes as long as a decision
 			decided.BesideIdle = d.balancer.HasSuitable(now, m.request)
 		}
 		if decided.Reason == placement.OverShare && d.surplus != nil {
--- a/gateway/placement/pauses.go
+++ b/gateway/placement/pauses.go
@@ -52,6 +52,12 @@
 	}
 }
 
+// RegardsPauses reports whether the placement of requests to a service regards pauses of its streams.
+func (b *Balancer) RegardsPauses(service string) bool {
+	group := b.services[service]
+	return len(group) > 0 && group[0].decoding.regarded()
+}
+
 // beginPeriod records that a server is about to get work, before busyUntil is moved.
 func (s *server) beginPeriod(now time.Time) {
 	if s.busyUntil.Before(now) {
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -136,8 +136,10 @@
 	pauseLimits map[string]time.Duration // longest pause of streams, by service
 	slots       *slots.Model             // nil: requests to plain servers do not wait for slots
 
-	slotServers []slots.Server // of the latest decision, kept for its memory
-	surplus     *surplus.Table // decides on requests beyond their account's share; nil: the policy does
+	slotServers     []slots.Server  // of the latest decision, kept for its memory
+	surplus         *surplus.Table  // decides on requests beyond their account's share; nil: the policy does
+	surplusServices map[string]bool // to which surplus applies; nil: all
+	slotServices    map[string]bool // plain services whose requests wait for slots; nil: all
 }
 
 // NewBalancer returns a Balancer without servers.
--- a/gateway/placement/slots.go
+++ b/gateway/placement/slots.go
@@ -17,15 +17,26 @@
 	return b.slots
 }
 
+// SetSlotServices sets the plain services whose requests wait for slots; nil: all.
+func (b *Balancer) SetSlotServices(services map[string]bool) { b.slotServices = services }
+
 // WaitsForSlots reports whether requests to a server wait for slots.
 func (b *Balancer) WaitsForSlots(server string) bool {
 	s := b.servers[server]
-	return s != nil && b.slots != nil && s.engine == nil && s.Capacity > 0
+	return s != nil && b.slots != nil && s.engine == nil && s.Capacity > 0 && b.queuesFor(s.Service)
+}
+
+// queuesFor reports whether requests to a plain service wait for slots.
+func (b *Balancer) queuesFor(service string) bool {
+	return b.slotServices == nil || b.slotServices[service]
 }
 
 // placeInSlots decides on a request to a plain service by the slots of its servers. ok is false if
 // they are not known.
 func (b *Balancer) placeInSlots(now time.Time, req *Request, servers []*server) (d Decision, ok bool) {
+	if !b.queuesFor(req.Service) {
+		return nil, false
+	}
 	list := b.slotServers[:0]
 	for _, s := range servers {
 		if s.Capacity <= 0 {
--- a/gateway/placement/surplus.go
+++ b/gateway/placement/surplus.go
@@ -14,12 +14,17 @@
 	Need   float64        // see [surplus.Need]; only of requests that are not sent
 }
 
-// SetSurplus lets a table decide on requests beyond their account's share; nil: the policy decides
-// by itself, from how far the account is ahead.
-func (b *Balancer) SetSurplus(t *surplus.Table) { b.surplus = t }
+// SetSurplus lets a table decide on requests to some services beyond their account's share; nil: to
+// all services. Without a table the policy decides by itself, from how far the account is ahead.
+func (b *Balancer) SetSurplus(t *surplus.Table, services map[string]bool) {
+	b.surplus, b.surplusServices = t, services
+}
 
 // decidesSurplus reports whether the table decides on a request.
 func (b *Balancer) decidesSurplus(req *Request) bool {
+	if b.surplusServices != nil && !b.surplusServices[req.Service] {
+		return false
+	}
 	return b.surplus != nil && req.Objective != 0 && req.OverShare && req.HoldReason != TooLate
 }
 
--- a/gateway/placement/surplus_test.go
+++ b/gateway/placement/surplus_test.go
@@ -49,7 +49,7 @@
 			for _, on := range []bool{true, false} {
 				b := newBalancer(3)
 				if on {
-					b.SetSurplus(surplus.NewTable(func(string) float64 { return 1.5 }))
+					b.SetSurplus(surplus.NewTable(func(string) float64 { return 1.5 }), nil)
 				}
 				for _, s := range test.cached {
 					b.RecordCached(start, s, []uint64{1})
@@ -102,7 +102,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			table := surplus.NewTable(func(account string) float64 { return map[string]float64{"a": 1.5, "b": 1.2}[account] })
 			b := newBalancer(5)
-			b.SetSurplus(table)
+			b.SetSurplus(table, nil)
 			for age := time.Duration(0); age <= min(test.age, 600*time.Millisecond); age += 100 * time.Millisecond {
 				table.RecordUnmet(start.Add(age), surplus.Demand{Account: "b", FirstAttempt: start, Tokens: 40_000, Need: test.need})
 			}
@@ -159,7 +159,7 @@
 			for i := range 30 {
 				table.RecordUnmet(start, surplus.Demand{Account: string(rune('A' + i)), FirstAttempt: start, Tokens: 1e6, Need: 0.1})
 			}
-			balancer.SetSurplus(table)
+			balancer.SetSurplus(table, nil)
 		}
 		for i, s := range servers(180) {
 			if i%2 == 0 {
--- a/gateway/surplus/surplus.go
+++ b/gateway/surplus/surplus.go
@@ -24,6 +24,9 @@
 )
 
 const (
+	// MinObjective is the shortest objective of streams with which a caller that is refused can come
+	// back after 225 ms, half of it, and be in time.
+	MinObjective = 450 * time.Millisecond
 	// ObjectiveFraction is the fraction of its route's objective within which the first event of a
 	// request must be predicted for it to get surplus capacity: a request that arrives behind it
 	// is delayed by less than that, and the rest of the objective covers errors of the prediction.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -80,13 +80,23 @@
 	Regions      map[string]string
 
 	// Optional decisions of gateways; see their keys.
-	IdleSurplus    bool
+	IdleSurplus    Mode
 	AvoidPauses    bool
 	MoveStreams    bool
 	BackUpStreams  bool
-	QueuePlainWork bool
+	QueuePlainWork Mode
 }
 
+// Mode says whether an optional decision is made.
+type Mode int
+
+// Modes.
+const (
+	Off  Mode = iota
+	Auto      // for the services whose configuration calls for it
+	On
+)
+
 // FieldError is an error at one key of a settings file.
 type FieldError struct {
 	Line    int
@@ -209,16 +219,16 @@
 		func(s *Settings, t string) error { return setFloat(&s.ColdExtra, t, 0, 1e6) }},
 	{"regions", gateway, false, "", "Region of each hall, as HALL=REGION by commas, for accounts and routes that are bound to regions.",
 		func(s *Settings, t string) error { return setRegions(&s.Regions, t) }},
-	{"surplus", gateway, false, "share", "What accounts beyond their share get: share (mostly as they got least), or idle (idle servers, unless others wait for them).",
-		func(s *Settings, t string) error { return setChoice(&s.IdleSurplus, t, "share", "idle") }},
+	{"surplus", gateway, false, "share", "What accounts beyond their share get: share (mostly as they got least), idle (idle servers, unless others wait for them), or auto (idle for services where pauses are avoided and whose streams' objectives are 450 ms or more).",
+		func(s *Settings, t string) error { return setMode(&s.IdleSurplus, t, "share", "idle") }},
 	{"pauses", gateway, false, "ignore", "Whether requests avoid servers where they would delay the events of running streams beyond their route's longest pause: ignore or avoid.",
 		func(s *Settings, t string) error { return setChoice(&s.AvoidPauses, t, "ignore", "avoid") }},
 	{"stream_moves", gateway, false, "off", "Whether streams move off servers that leave, if their engines can: off or on.",
 		func(s *Settings, t string) error { return setChoice(&s.MoveStreams, t, "off", "on") }},
 	{"stream_backups", gateway, false, "off", "Whether streams are backed up to a second server where that is worth it, if their engines can: off or on.",
 		func(s *Settings, t string) error { return setChoice(&s.BackUpStreams, t, "off", "on") }},
-	{"plain_queue", gateway, false, "none", "Whether requests to plain servers wait at the gateway for a free slot: none or slots.",
-		func(s *Settings, t string) error { return setChoice(&s.QueuePlainWork, t, "none", "slots") }},
+	{"plain_queue", gateway, false, "none", "Whether requests to plain servers wait at the gateway for a free slot: none, slots, or auto (slots for services whose routes' objectives are 250 ms or more).",
+		func(s *Settings, t string) error { return setMode(&s.QueuePlainWork, t, "none", "slots") }},
 }
 
 // Parse parses the settings of a role. If the content is valid YAML but not valid
@@ -450,6 +460,17 @@
 	return nil
 }
 
+// setMode sets a mode from one of two words, or auto.
+func setMode(to *Mode, t, off, on string) error {
+	modes := map[string]Mode{off: Off, "auto": Auto, on: On}
+	m, ok := modes[t]
+	if !ok {
+		return errors.Newf("%q is neither %s nor auto nor %s", t, off, on)
+	}
+	*to = m
+	return nil
+}
+
 // setChoice sets whether the second of two words was given.
 func setChoice(to *bool, t, off, on string) error {
 	if t != off && t != on {
