--- a/gateway/surplus/surplus_test.go
+++ b/gateway/surplus/surplus_test.go
@@ -279,3 +279,22 @@
 		table.Decide(start, request("a", 0, 2), idleServer)
 	}
 }
+
+// TestLateStreams: a request beyond its account's share must not be given a server where it makes the
+// streams of others late, however idle the server is.
+func TestLateStreams(t *testing.T) {
+	const objective = time.Second
+	tests := []struct {
+		lateShare float64
+		want      bool
+	}{
+		{0, true},
+		{0.05, true},
+		{0.2, false},
+		{1, false},
+	}
+	for _, test := range tests {
+		s := surplus.Server{Predicted: 100 * time.Millisecond, Slots: 64, LateShare: test.lateShare}
+		require.Equal(t, test.want, s.Suits(objective), "%v", test.lateShare)
+	}
+}
