--- a/gateway/placement/pauses.go
+++ b/gateway/placement/pauses.go
@@ -79,6 +79,13 @@
 	return pause, decode.LateShare(pause, d.longestPause)
 }
 
+// delaysStreams reports whether prefill without a break would make the server's streams late at its
+// current speed.
+func (s *server) delaysStreams(now time.Time) bool {
+	d := &s.decoding
+	return d.regarded() && d.engine.Pause(time.Hour, s.slowdown(now)) > d.longestPause
+}
+
 // pauseCost returns what the streams at a server lose if that share of them is late.
 func (s *server) pauseCost(lateShare float64) time.Duration {
 	return scale(lateStreamCost, lateShare*float64(s.localRunning+s.remoteRunning))
--- a/gateway/placement/surplus.go
+++ b/gateway/placement/surplus.go
@@ -117,7 +117,7 @@
 func (b *Balancer) surplusState(now time.Time, c candidate) surplus.Server {
 	return surplus.Server{
 		Predicted: c.predicted, QueueTime: c.server.busyUntil.Sub(now), // copies of cached parts do not count as queued
-		Running: c.server.localRunning + c.server.remoteRunning, Slots: c.server.engine.Slots, LateShare: c.lateShare, Slowness: c.server.slowdown(now),
+		Running: c.server.localRunning + c.server.remoteRunning, Slots: c.server.engine.Slots, DelaysStreams: c.server.delaysStreams(now), Slowness: c.server.slowdown(now),
 	}
 }
 
--- a/gateway/surplus/surplus.go
+++ b/gateway/surplus/surplus.go
@@ -34,9 +34,6 @@
 	// maxOccupancy is the fraction of a server's slots that may be in use. When prefill and
 	// decoding both saturate a server, its streams take several times as long.
 	maxOccupancy = 0.5
-	// maxLateShare is the share of the streams at a server that a request beyond its share may make
-	// late: streams within the shares must not pay for it.
-	maxLateShare = 0.1
 	// protection is how long unmet demand of one account keeps surplus capacity from accounts
 	// behind it. Other gateways learn of it up to 250 ms late.
 	protection = 500 * time.Millisecond
@@ -87,18 +84,19 @@
 
 // Server is the state of a server and what a request would get there.
 type Server struct {
-	Predicted time.Duration // time until the first event
-	QueueTime time.Duration // of Predicted: until the server begins to process the prompt
-	Running   int           // requests of all gateways
-	LateShare float64       // share of the streams there that is expected to be late because of the request
-	Slots     int
-	Slowness  float64 // its prefill times over the nominal ones
-	Spare     float64 // tokens that this server and all others that are idle could prefill within the part of the objective that ObjectiveFraction says
+	Predicted     time.Duration // time until the first event
+	QueueTime     time.Duration // of Predicted: until the server begins to process the prompt
+	Running       int           // requests of all gateways
+	DelaysStreams bool          // prefill without a break would make streams there late
+	Slots         int
+	Slowness      float64 // its prefill times over the nominal ones
+	Spare         float64 // tokens that this server and all others that are idle could prefill within the part of the objective that ObjectiveFraction says
 }
 
-// Suits reports whether a server has surplus capacity for a request with an objective.
+// Suits reports whether a server has surplus capacity for a request with an objective. Streams within the
+// shares must not be late for the sake of requests beyond them.
 func (s Server) Suits(objective time.Duration) bool {
-	return s.IsIdle() && s.Predicted <= fraction(objective, ObjectiveFraction) && s.LateShare <= maxLateShare
+	return s.IsIdle() && s.Predicted <= fraction(objective, ObjectiveFraction) && !s.DelaysStreams
 }
 
 // IsIdle reports whether nothing is queued at a server and at least half of its slots are free.
--- a/gateway/surplus/surplus_test.go
+++ b/gateway/surplus/surplus_test.go
@@ -280,21 +280,12 @@
 	}
 }
 
-// TestLateStreams: a request beyond its account's share must not be given a server where it makes the
-// streams of others late, however idle the server is.
+// TestLateStreams: a request beyond its account's share must not be given a server where prefill makes
+// the streams of others late, however idle the server is.
 func TestLateStreams(t *testing.T) {
 	const objective = time.Second
-	tests := []struct {
-		lateShare float64
-		want      bool
-	}{
-		{0, true},
-		{0.05, true},
-		{0.2, false},
-		{1, false},
-	}
-	for _, test := range tests {
-		s := surplus.Server{Predicted: 100 * time.Millisecond, Slots: 64, LateShare: test.lateShare}
-		require.Equal(t, test.want, s.Suits(objective), "%v", test.lateShare)
-	}
+	s := surplus.Server{Predicted: 100 * time.Millisecond, Slots: 64}
+	require.True(t, s.Suits(objective))
+	s.DelaysStreams = true
+	require.False(t, s.Suits(objective))
 }
