gateway/offload: an overloaded gateway withdraws from the load balancer

Cause: the load balancer picks a gateway by a hash of the caller, and the same one for a retry, so all callers of an account may reach one small host while larger ones of its hall are idle.

Gateways tell each other in full beacons whether they are ready, have withdrawn or are not ready for another reason; gateways that stop count as not ready, since the load balancer uses all gateways of a hall, stopping ones too, if fewer than half are ready. Setting withdraw (off, on, auto), default off. The rule of auto is that of surplus, for all services with streams.

Result: go test ./gateway/offload ./gateway ./gateway/peer ./settings ./cmd/opalbridge pass.

--- a/cmd/opalbridge/gateway.go
+++ b/cmd/opalbridge/gateway.go
@@ -145,6 +145,7 @@
 		{Name: "opalbridge.gateway.active_requests", Description: "requests in hand", Read: func() float64 { return float64(g.Status().Active) }},
 		{Name: "opalbridge.gateway.lateness", Unit: "s", Description: "of the process's own timers, as of the latest measurement", Read: func() float64 { return g.Status().SchedulingDelay.Seconds() }},
 		{Name: "opalbridge.gateway.admitted", Description: "share of requests that the process has time for", Read: func() float64 { return g.Status().AdmittedShare }},
+		{Name: "opalbridge.gateway.withdrawn", Description: "1 while the gateway fails the balancer's health checks, as it lacks processor time for its callers", Read: func() float64 { return withdrawnGauge(g.Status().Withdrawn) }},
 		{Name: "opalbridge.gateway.suspects", Description: "requests, and parts of their prompts, that were at servers when these ended", Read: func() float64 { return float64(g.Status().Suspects) }},
 		{Name: "opalbridge.gateway.said_leaving", Description: "servers that have said in answers that they leave", Read: func() float64 { return float64(g.Status().AnnouncedLeaving) }},
 		{Name: "opalbridge.gateway.resting", Description: "servers that have asked this gateway for rest", Read: func() float64 { return float64(g.Status().BackingOff) }},
@@ -157,6 +158,14 @@
 	})
 }
 
+// withdrawnGauge is the gauge's value.
+func withdrawnGauge(withdrawn bool) float64 {
+	if withdrawn {
+		return 1
+	}
+	return 0
+}
+
 // openGateway opens the gateway's sockets and builds the gateway from its settings.
 func openGateway(s *settings.Settings, t *telemetry.Telemetry, log zerolog.Logger, entries *unreadableEntries) (*gateway.Gateway, error) {
 	metrics, err := telemetry.NewGatewayMetrics(t.Meter("gateway"))
@@ -199,6 +208,7 @@
 			Features: gateway.Features{
 				IdleSurplus: s.IdleSurplus != settings.Off, SurplusAuto: s.IdleSurplus == settings.Auto,
 				QueuePlainWork: s.QueuePlainWork != settings.Off, PlainQueueAuto: s.QueuePlainWork == settings.Auto,
+				Withdraw: s.Withdraw != settings.Off, WithdrawAuto: s.Withdraw == settings.Auto,
 				AvoidPauses: s.AvoidPauses, MoveStreams: s.MoveStreams, BackUpStreams: s.BackUpStreams,
 			},
 		},
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -60,6 +60,7 @@
 	viewFresh    func(now time.Time) bool // whether the view is known to match the store
 
 	livePeers       atomic.Int64 // live gateways other than this one
+	tolerantStreams atomic.Bool  // see allStreamsTolerant
 	pausesPredicted atomic.Int64 // requests sent although running streams were expected to be late because of them
 	metrics         Metrics
 	started         time.Time
@@ -122,6 +123,8 @@
 	QueuePlainWork bool // requests to plain servers wait for slots: package slots
 	SurplusAuto    bool // IdleSurplus applies only to services whose configuration calls for it
 	PlainQueueAuto bool // the same for QueuePlainWork
+	Withdraw       bool // an overloaded gateway withdraws from the load balancer: package offload
+	WithdrawAuto   bool // Withdraw applies only if the configuration calls for it
 }
 
 // pendingAttempt is a request that was sent and has no first event yet.
--- a/gateway/dispatcher_surplus.go
+++ b/gateway/dispatcher_surplus.go
@@ -40,6 +40,7 @@
 		d.surplus = nil
 	}
 	d.balancer.SetSurplus(d.surplus, services)
+	d.tolerantStreams.Store(d.allStreamsTolerant(d.view.Configuration))
 }
 
 // surplusServices returns the services whose configuration calls for package surplus. What is served
@@ -55,6 +56,23 @@
 	return services
 }
 
+// allStreamsTolerant reports whether every service with streams is one of surplusServices: a hop more, or
+// another gateway, costs such callers little.
+func (d *dispatcher) allStreamsTolerant(c *catalog.Configuration) bool {
+	if c == nil {
+		return false
+	}
+	services := d.surplusServices(c)
+	for _, r := range c.Routes {
+		for _, t := range r.Targets {
+			if r.Kind == catalog.Stream && !services[t.Service] {
+				return false
+			}
+		}
+	}
+	return len(services) > 0
+}
+
 // shortestObjectives returns the shortest objective of the routes that are included, by service.
 // Routes without one do not count.
 func shortestObjectives(c *catalog.Configuration, included func(r *catalog.Route) bool) map[string]time.Duration {
--- a/gateway/features_test.go
+++ b/gateway/features_test.go
@@ -7,15 +7,17 @@
 	"github.com/stretchr/testify/require"
 
 	"opalbridge.dev/gateway/catalog"
+	"opalbridge.dev/gateway/peer"
 	"opalbridge.dev/gateway/placement"
 )
 
 // TestFeaturesByConfiguration: with automatic modes, deployments whose configuration does not call for
 // an optional decision must be served as without it.
 func TestFeaturesByConfiguration(t *testing.T) {
-	stream := func(objective, gap time.Duration) catalog.Route {
-		return catalog.Route{Kind: catalog.Stream, Targets: []catalog.Target{{Service: "s", Weight: 1}}, Objective: objective, MaxEventGap: gap}
+	streamTo := func(service string, objective, gap time.Duration) catalog.Route {
+		return catalog.Route{Kind: catalog.Stream, Targets: []catalog.Target{{Service: service, Weight: 1}}, Objective: objective, MaxEventGap: gap}
 	}
+	stream := func(objective, gap time.Duration) catalog.Route { return streamTo("s", objective, gap) }
 	plain := func(objective time.Duration) catalog.Route {
 		return catalog.Route{Kind: catalog.OneShot, Targets: []catalog.Target{{Service: "p", Weight: 1}}, Objective: objective}
 	}
@@ -26,34 +28,64 @@
 		eventTokens    int
 		routes         []catalog.Route
 		surplus, slots bool
+		withdraw       bool
 	}{
-		{"all called for", Features{}, 6, []catalog.Route{stream(800*time.Millisecond, gap), plain(300 * time.Millisecond)}, true, true},
-		{"a route without objective", Features{}, 6, []catalog.Route{stream(800*time.Millisecond, gap), stream(0, gap), plain(300 * time.Millisecond), plain(0)}, true, true},
-		{"one objective too short", Features{}, 6, []catalog.Route{stream(800*time.Millisecond, gap), stream(300*time.Millisecond, gap), plain(300 * time.Millisecond), plain(120 * time.Millisecond)}, false, false},
-		{"prefill delays no stream", Features{}, 3, []catalog.Route{stream(800*time.Millisecond, gap), plain(300 * time.Millisecond)}, false, true},
-		{"no longest pause", Features{}, 6, []catalog.Route{stream(800*time.Millisecond, 0)}, false, false},
-		{"no routes", Features{}, 6, nil, false, false},
-		{"always on", Features{IdleSurplus: true, QueuePlainWork: true}, 3, []catalog.Route{stream(300*time.Millisecond, gap), plain(120 * time.Millisecond)}, true, true},
+		{"all called for", Features{}, 6, []catalog.Route{stream(800*time.Millisecond, gap), plain(300 * time.Millisecond)}, true, true, true},
+		{"a route without objective", Features{}, 6, []catalog.Route{stream(800*time.Millisecond, gap), stream(0, gap), plain(300 * time.Millisecond), plain(0)}, true, true, true},
+		{"one objective too short", Features{}, 6, []catalog.Route{stream(800*time.Millisecond, gap), stream(300*time.Millisecond, gap), plain(300 * time.Millisecond), plain(120 * time.Millisecond)}, false, false, false},
+		{"prefill delays no stream", Features{}, 3, []catalog.Route{stream(800*time.Millisecond, gap), plain(300 * time.Millisecond)}, false, true, false},
+		{"no longest pause", Features{}, 6, []catalog.Route{stream(800*time.Millisecond, 0)}, false, false, false},
+		{"one service with streams is not called for", Features{}, 6, []catalog.Route{stream(800*time.Millisecond, gap), streamTo("q", 300*time.Millisecond, gap)}, true, false, false},
+		{"streams of one service have no objective", Features{}, 6, []catalog.Route{stream(800*time.Millisecond, gap), streamTo("q", 0, gap)}, true, false, false},
+		{"all services with streams are called for", Features{}, 6, []catalog.Route{stream(800*time.Millisecond, gap), streamTo("q", 450*time.Millisecond, gap)}, true, false, true},
+		{"no routes", Features{}, 6, nil, false, false, false},
+		{"always on", Features{IdleSurplus: true, QueuePlainWork: true, Withdraw: true}, 3, []catalog.Route{stream(300*time.Millisecond, gap), plain(120 * time.Millisecond)}, true, true, true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			now := time.Now()
 			f := test.features
 			if !f.IdleSurplus {
-				f = Features{IdleSurplus: true, SurplusAuto: true, QueuePlainWork: true, PlainQueueAuto: true}
+				f = Features{IdleSurplus: true, SurplusAuto: true, QueuePlainWork: true, PlainQueueAuto: true, Withdraw: true, WithdrawAuto: true}
 			}
 			f.AvoidPauses = true
 			d := newDispatcher(newTestDispatcher(t, now, 1).log, DispatcherOptions{ShareWindow: 4 * time.Second, Policy: placement.DefaultPolicy(), Features: f}, now)
 			d.peers = newTestDispatcher(t, now, 1).peers
 			c, err := catalog.NewConfiguration(catalog.Document{
 				Version: 1, Routes: test.routes, Limits: catalog.Limits{TokensPerSecond: 1000},
-				Services: []catalog.Service{{Name: "s", Engine: &catalog.Engine{Slots: 64, KVTokens: 500_000, MaxEventTokens: test.eventTokens}}, {Name: "p"}},
+				Services: []catalog.Service{
+					{Name: "s", Engine: &catalog.Engine{Slots: 64, KVTokens: 500_000, MaxEventTokens: test.eventTokens}}, {Name: "p"},
+					{Name: "q", Engine: &catalog.Engine{Slots: 64, KVTokens: 500_000, MaxEventTokens: test.eventTokens}},
+				},
 			})
 			require.NoError(t, err)
-			servers := []catalog.Server{{ID: "i-1", Service: "s", Address: "10.0.0.1:80", Capacity: 64}, {ID: "i-2", Service: "p", Address: "10.0.0.2:80", Capacity: 6}}
+			servers := []catalog.Server{{ID: "i-1", Service: "s", Address: "10.0.0.1:80", Capacity: 64}, {ID: "i-2", Service: "p", Address: "10.0.0.2:80", Capacity: 6}, {ID: "i-3", Service: "q", Address: "10.0.0.3:80", Capacity: 64}}
 			d.setView(now, &View{Configuration: c, Servers: servers})
 			require.Equal(t, test.surplus, d.surplus != nil)
 			require.Equal(t, test.slots, d.balancer.WaitsForSlots("i-2"))
+			w := newWithdrawal(&Gateway{dispatcher: d, options: Options{Dispatcher: d.settings, MilliCPU: 144}})
+			require.Equal(t, test.withdraw, withdrawsWhenOverloaded(w, now))
 		})
 	}
 }
+
+// withdrawsWhenOverloaded overloads a gateway in a hall of larger ones.
+func withdrawsWhenOverloaded(w *withdrawal, now time.Time) bool {
+	for _, from := range []string{"1", "2", "3"} {
+		w.update(now, peer.Update{From: from, Alive: true, Full: true, Weight: 800})
+	}
+	for range 60 {
+		now = now.Add(delaySampleInterval)
+		w.sample(now, 0)
+	}
+	return w.isWithdrawn()
+}
+
+// TestWithdrawOff: a gateway whose settings do not say that it may withdraw must stay ready.
+func TestWithdrawOff(t *testing.T) {
+	now := time.Now()
+	w := newWithdrawal(&Gateway{dispatcher: newTestDispatcher(t, now, 1), options: Options{MilliCPU: 144}})
+	require.False(t, withdrawsWhenOverloaded(w, now))
+	w = newWithdrawal(&Gateway{dispatcher: newTestDispatcher(t, now, 1), options: Options{MilliCPU: 144, Dispatcher: DispatcherOptions{Features: Features{Withdraw: true}}}})
+	require.True(t, withdrawsWhenOverloaded(w, now))
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -35,7 +35,8 @@
 // stream at the software version that began it; run_moves.go, call_continue.go and
 // dispatcher_continuation.go have streams go on at other servers from copies of their runs, which
 // run_copies.go asks for; server_lifetime.go tells a server's lifetimes
-// apart. stop.go shuts the gateway down.
+// apart. withdrawal.go has an overloaded gateway withdraw from the load balancer (package offload).
+// stop.go shuts the gateway down.
 package gateway
 
 import (
@@ -140,6 +141,7 @@
 	active                atomic.Int64 // requests being served
 	capacity              capacity
 	offloadTargets        *offloadTargets
+	withdrawal            *withdrawal     // nil: it never withdraws from the load balancer
 	offloader             *offloader      // set by serve
 	background            context.Context // context of background tasks; set by serve
 	overload              overload
@@ -164,6 +166,7 @@
 	g.dispatcher.statusWrites = g.statusWrites
 	g.dispatcher.viewFresh = func(now time.Time) bool { return now.Sub(g.confirmedAt()) <= confirmationTimeout }
 	g.dispatcher.lateness = g.overload.maxDelay
+	g.withdrawal = newWithdrawal(g)
 	g.suspects = newSuspectTracker(o.Log, o.Dispatcher.Address, func() int { return int(g.dispatcher.livePeers.Load()) + 1 })
 	g.suspects.store = o.Suspects
 	g.crashes = newCrashDetector(o.Log, g.suspects.serverCrashed)
@@ -199,6 +202,7 @@
 	if !g.overload.overloaded(time.Now()) && !g.stopping.Load() {
 		s.Weight = g.options.MilliCPU
 	}
+	s.Readiness = g.readiness()
 	if v.Configuration != nil {
 		s.ConfigurationVersion = v.Configuration.Version
 	}
@@ -266,6 +270,7 @@
 	BackingOff           int           // servers that have asked this gateway to back off
 	Origins              int           // attempts of callers whose streams' versions are remembered
 	PausesPredicted      int64         // requests sent although running streams were expected to be late because of them
+	Withdrawn            bool          // the gateway fails the load balancer's health checks, as it is overloaded
 }
 
 // Status returns the gateway's current state.
@@ -279,6 +284,7 @@
 		Active:          int(g.active.Load()),
 		SchedulingDelay: time.Duration(g.overload.delay.Load()),
 		AdmittedShare:   g.overload.admittedShare(),
+		Withdrawn:       g.withdrawal.isWithdrawn(),
 	}
 	s.AnnouncedLeaving, s.BackingOff = g.signals.count(time.Now())
 	s.Origins = g.origins.count()
--- /dev/null
+++ b/gateway/offload/offload.go
@@ -0,0 +1,40 @@
+// Package offload decides how a gateway that has too little CPU time for its callers is relieved by
+// other gateways. The load balancer picks a gateway by a hash of the caller, and the same one for a
+// retry, so one small host may get most of a hall's connections while larger ones are idle.
+//
+// A [Withdrawal] decides when the gateway withdraws: it fails the load balancer's health checks, so
+// that new connections go to other gateways of its hall.
+//
+// # Usage
+//
+//	w := offload.NewWithdrawal(offload.Gateway{Address: "10.1.0.33", Hall: "a", MilliCPU: 144})
+//	w.Report(now, offload.Gateway{Address: "10.1.0.34", Hall: "a", MilliCPU: 800}) // another gateway's state
+//	w.Lost("10.1.0.34")                                                            // it has not been heard from
+//	s := w.Sample(offload.Sample{At: now, Admitted: 0.2, CalledFor: true})
+//	if s.Withdrawn { … } // s.Reason says why
+//
+// The load balancer needs two failed checks, one second apart, before it acts, and uses all gateways
+// of a hall if fewer than half of them are ready. Therefore few gateways withdraw, one after the other,
+// and a gateway that cannot know the state of its hall is ready.
+//
+// The package does no locking and no I/O and does not read the clock. A Withdrawal must be used by
+// one goroutine at a time.
+package offload
+
+// Readiness is what a gateway answers to the load balancer's health checks.
+type Readiness int
+
+// The values are sent to other gateways.
+const (
+	Ready     Readiness = iota
+	Withdrawn           // not ready, as it has withdrawn
+	NotReady            // not ready for another reason: it is stopping, or has no configuration or servers
+)
+
+// Gateway is the state of a gateway.
+type Gateway struct {
+	Address   string
+	Hall      string
+	MilliCPU  int // thousandths of a core that it may use; of another gateway, 0 while it is short of CPU time
+	Readiness Readiness
+}
--- /dev/null
+++ b/gateway/offload/withdrawal.go
@@ -0,0 +1,283 @@
+package offload
+
+import "time"
+
+// Conditions of a withdrawal.
+const (
+	// A gateway is overloaded if it admits less than this share of connections over the window. Above
+	// it, other gateways can take over the rest: handing a connection off costs a third of serving it.
+	minAdmitted = 0.3
+	// Longer than a burst of a few hundred connections or a pause of the process lasts.
+	admittedWindow = time.Second
+	// A gateway that is to take the callers has at least this many times the CPU. A host of the same
+	// size would soon be overloaded by them.
+	minCPURatio = 2
+	// The load balancer uses all gateways of a hall if fewer than half are ready. The rest is a margin
+	// for one that dies.
+	minReadyNumerator, minReadyDenominator = 3, 5
+	// Part of the fleet that may be withdrawn; one gateway always may.
+	maxWithdrawnDivisor = 8
+	// The load balancer needs two failed checks, one second apart, and then moves callers together.
+	settleTime = 3 * time.Second
+)
+
+// Times until a withdrawn gateway becomes ready again.
+const (
+	// The load balancer brings the same callers back, so a return costs a second or two of overload.
+	firstDuration = time.Minute
+	// Callers change from one part of a day to the next.
+	maxDuration = 10 * time.Minute
+)
+
+// Reason says why a gateway withdraws or becomes ready again.
+type Reason string
+
+// Reasons.
+const (
+	Overloaded   Reason = "too few connections admitted"
+	TimeIsOver   Reason = "time is over"
+	FewReady     Reason = "too few gateways of the hall are ready"
+	ManyInFleet  Reason = "too many gateways of the fleet are withdrawn"
+	AloneInHall  Reason = "no other gateway of the hall is heard of"
+	NotCalledFor Reason = "the configuration does not call for it"
+)
+
+// Sample is a measurement of this gateway.
+type Sample struct {
+	At        time.Time
+	Admitted  float64 // share of connections that the gateway admits from now on
+	CalledFor bool    // the settings and the configuration call for withdrawing
+}
+
+// Status is the current decision.
+type Status struct {
+	Withdrawn bool
+	Reason    Reason // of the latest change; empty: there was none
+	// Of a gateway that has withdrawn:
+	Admitted  float64       // share of connections that it had admitted over the last second
+	Duration  time.Duration // until it becomes ready again
+	HallReady int           // ready gateways of the hall when it changed, including this one if it is ready
+	Hall      int           // gateways of the hall, including this one
+}
+
+// Withdrawal decides whether a gateway withdraws from the load balancer.
+type Withdrawal struct {
+	self       Gateway
+	peers      map[string]*report
+	admitted   window
+	status     Status
+	changedAt  time.Time     // when it last withdrew or became ready again; zero: it never withdrew
+	duration   time.Duration // of the latest withdrawal
+	settlesAt  time.Time     // until then it does not withdraw
+	crowdSince time.Time     // since when more gateways are withdrawn than may be; zero: they are not
+}
+
+// report is the latest state of another gateway.
+type report struct {
+	Gateway
+	notReadySince time.Time // when this gateway heard of it; zero if it is ready
+}
+
+// NewWithdrawal returns a Withdrawal for a gateway that is ready.
+func NewWithdrawal(self Gateway) *Withdrawal {
+	return &Withdrawal{self: self, peers: map[string]*report{}}
+}
+
+// Report takes over another gateway's state.
+func (w *Withdrawal) Report(now time.Time, g Gateway) {
+	r := w.peers[g.Address]
+	if r == nil {
+		r = &report{}
+		w.peers[g.Address] = r
+	}
+	if g.Readiness == Ready {
+		r.notReadySince = time.Time{}
+	} else if r.notReadySince.IsZero() {
+		r.notReadySince = now
+	}
+	r.Gateway = g
+}
+
+// Lost records that another gateway has stopped or is not heard of any more.
+func (w *Withdrawal) Lost(address string) { delete(w.peers, address) }
+
+// Sample takes a measurement and returns the decision.
+func (w *Withdrawal) Sample(s Sample) Status {
+	w.admitted.add(s.At, s.Admitted)
+	switch {
+	case w.status.Withdrawn:
+		c := w.count()
+		if r := w.reasonToReturn(s, c); r != "" {
+			w.setReady(s.At, r, c)
+		}
+	case s.CalledFor && s.Admitted < minAdmitted && !s.At.Before(w.settlesAt):
+		// The latest share is compared as well: after a pause of the process, the shares are low
+		// for half a second only.
+		if admitted, ok := w.admitted.mean(s.At); ok && admitted < minAdmitted {
+			if c := w.count(); w.mayWithdraw(s.At, c) {
+				w.withdraw(s.At, admitted, c)
+			}
+		}
+	}
+	return w.status
+}
+
+// counts are numbers of gateways, including this one unless they say otherwise.
+type counts struct {
+	fleet     int
+	withdrawn int // of the fleet
+	before    int // of these, those with a lower address than this one
+	hall      int
+	notReady  int // of the hall
+	// Of the other gateways of the hall:
+	withdrawnBefore int // withdrawn, with a lower address than this one
+	stopping        int // not ready without having withdrawn
+	largest         int // most CPU of one that is ready and not short of CPU time
+	latestNotReady  time.Time
+}
+
+// count counts the gateways.
+func (w *Withdrawal) count() counts {
+	c := counts{fleet: 1, hall: 1}
+	if w.status.Withdrawn {
+		c.withdrawn, c.notReady = 1, 1
+	}
+	for _, r := range w.peers {
+		c.fleet++
+		before := r.Readiness == Withdrawn && r.Address < w.self.Address
+		if r.Readiness == Withdrawn {
+			c.withdrawn++
+		}
+		if before {
+			c.before++
+		}
+		if r.Hall != w.self.Hall {
+			continue
+		}
+		c.hall++
+		switch r.Readiness {
+		case Ready:
+			c.largest = max(c.largest, r.MilliCPU)
+			continue
+		case Withdrawn:
+			if before {
+				c.withdrawnBefore++
+			}
+		default:
+			c.stopping++
+		}
+		c.notReady++
+		if r.notReadySince.After(c.latestNotReady) {
+			c.latestNotReady = r.notReadySince
+		}
+	}
+	return c
+}
+
+// maxNotReady returns how many gateways of the hall may be not ready.
+func (c counts) maxNotReady() int {
+	return c.hall - (c.hall*minReadyNumerator+minReadyDenominator-1)/minReadyDenominator
+}
+
+// maxWithdrawn returns how many gateways of the fleet may be withdrawn.
+func (c counts) maxWithdrawn() int { return max(c.fleet/maxWithdrawnDivisor, 1) }
+
+// mayWithdraw reports whether the other gateways allow that this one withdraws.
+func (w *Withdrawal) mayWithdraw(now time.Time, c counts) bool {
+	return c.largest >= minCPURatio*w.self.MilliCPU && c.largest > 0 &&
+		c.notReady < c.maxNotReady() && c.withdrawn < c.maxWithdrawn() && now.Sub(c.latestNotReady) >= settleTime
+}
+
+// reasonToReturn returns why a withdrawn gateway becomes ready again, or "" if it stays withdrawn.
+func (w *Withdrawal) reasonToReturn(s Sample, c counts) Reason {
+	few, many := c.notReady > c.maxNotReady(), c.withdrawn > c.maxWithdrawn()
+	if !few && !many {
+		w.crowdSince = time.Time{}
+	} else if w.crowdSince.IsZero() {
+		w.crowdSince = s.At
+	}
+	// Of several gateways that have withdrawn at the same moment, those with the lowest addresses
+	// stay withdrawn, or all would return and withdraw again. If the others have not returned
+	// after a while, they cannot know of this one.
+	waited := !w.crowdSince.IsZero() && s.At.Sub(w.crowdSince) >= settleTime
+	switch {
+	case !s.CalledFor:
+		return NotCalledFor
+	case c.hall == 1:
+		return AloneInHall
+	case few && (waited || c.withdrawnBefore >= c.maxNotReady()-c.stopping):
+		return FewReady
+	case many && (waited || c.before >= c.maxWithdrawn()):
+		return ManyInFleet
+	case s.At.Sub(w.changedAt) >= w.duration:
+		return TimeIsOver
+	}
+	return ""
+}
+
+// withdraw makes the gateway not ready.
+func (w *Withdrawal) withdraw(now time.Time, admitted float64, c counts) {
+	switch {
+	case w.duration == 0 || now.Sub(w.changedAt) >= maxDuration:
+		w.duration = firstDuration
+	default: // the callers that overloaded it have come back
+		w.duration = min(2*w.duration, maxDuration)
+	}
+	w.changedAt, w.crowdSince = now, time.Time{}
+	w.status = Status{
+		Withdrawn: true, Reason: Overloaded, Admitted: admitted, Duration: w.duration, HallReady: c.hall - c.notReady - 1, Hall: c.hall,
+	}
+}
+
+// setReady makes the gateway ready again.
+func (w *Withdrawal) setReady(now time.Time, r Reason, c counts) {
+	w.changedAt = now
+	w.admitted.clear()
+	if r != TimeIsOver {
+		w.settlesAt = now.Add(settleTime) // gateways that come and go do not make this one change all the time
+	}
+	w.status = Status{Reason: r, HallReady: c.hall - c.notReady + 1, Hall: c.hall}
+}
+
+// window holds the admitted shares of the last second.
+type window struct {
+	samples []admittedSample // by time; the first one may be older
+}
+
+type admittedSample struct {
+	at    time.Time
+	share float64 // until the next sample
+}
+
+func (w *window) clear() { w.samples = w.samples[:0] }
+
+// add adds a share and drops those that have ended before the window.
+func (w *window) add(now time.Time, share float64) {
+	w.samples = append(w.samples, admittedSample{now, share})
+	begin := now.Add(-admittedWindow)
+	old := 0
+	for old+1 < len(w.samples) && !w.samples[old+1].at.After(begin) {
+		old++
+	}
+	w.samples = append(w.samples[:0], w.samples[old:]...)
+}
+
+// mean returns the mean share, weighted by time. ok is false if the samples do not cover the window.
+func (w *window) mean(now time.Time) (share float64, ok bool) {
+	begin := now.Add(-admittedWindow)
+	if len(w.samples) == 0 || w.samples[0].at.After(begin) {
+		return 0, false
+	}
+	sum := 0.0
+	for i, s := range w.samples {
+		from, to := s.at, now
+		if from.Before(begin) {
+			from = begin
+		}
+		if i+1 < len(w.samples) {
+			to = w.samples[i+1].at
+		}
+		sum += s.share * to.Sub(from).Seconds()
+	}
+	return sum / admittedWindow.Seconds(), true
+}
--- /dev/null
+++ b/gateway/offload/withdrawal_test.go
@@ -0,0 +1,337 @@
+package offload_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"opalbridge.dev/gateway/offload"
+)
+
+const (
+	sampleInterval = 25 * time.Millisecond
+	hall           = "a"
+)
+
+// gateways returns the reports of n gateways with addresses from "10" on.
+func gateways(n int, hall string, milliCPU int, r offload.Readiness) []offload.Gateway {
+	var list []offload.Gateway
+	for i := range n {
+		list = append(list, offload.Gateway{Address: fmt.Sprintf("%d-%s", 10+i, hall), Hall: hall, MilliCPU: milliCPU, Readiness: r})
+	}
+	return list
+}
+
+func join(lists ...[]offload.Gateway) []offload.Gateway {
+	var all []offload.Gateway
+	for i, l := range lists {
+		for _, g := range l {
+			g.Address = fmt.Sprintf("%s-%d", g.Address, i)
+			all = append(all, g)
+		}
+	}
+	return all
+}
+
+// play takes samples for a time and returns the last decision and the time.
+func play(w *offload.Withdrawal, now time.Time, d time.Duration, admitted float64) (offload.Status, time.Time) {
+	var s offload.Status
+	for end := now.Add(d); now.Before(end); {
+		now = now.Add(sampleInterval)
+		s = w.Sample(offload.Sample{At: now, Admitted: admitted, CalledFor: true})
+	}
+	return s, now
+}
+
+// newOverloaded returns a gateway of 144 thousandths of a core at the address "50".
+func newOverloaded() *offload.Withdrawal {
+	return offload.NewWithdrawal(offload.Gateway{Address: "50", Hall: hall, MilliCPU: 144})
+}
+
+// TestWithdrawalConditions: a gateway must not withdraw if its callers would be no better off, or if
+// the load balancer would have too few gateways left.
+func TestWithdrawalConditions(t *testing.T) {
+	large := gateways(1, hall, 800, offload.Ready)
+	small := gateways(7, hall, 144, offload.Ready)
+	tests := []struct {
+		name      string
+		others    []offload.Gateway
+		age       time.Duration // of the reports
+		admitted  float64
+		withdraws bool
+	}{
+		{"overloaded beside a larger gateway", join(large, small), time.Hour, 0.2, true},
+		{"nothing admitted", join(large, small), time.Hour, 0, true},
+		{"admits enough", join(large, small), time.Hour, 0.3, false},
+		{"admits all", join(large, small), time.Hour, 1, false},
+		{"none is larger", small, time.Hour, 0, false},
+		{"one has twice the CPU", join(gateways(1, hall, 288, offload.Ready), small), time.Hour, 0, true},
+		{"one has less than twice the CPU", join(gateways(1, hall, 287, offload.Ready), small), time.Hour, 0, false},
+		{"the larger one is short of CPU time", join(gateways(1, hall, 0, offload.Ready), small), time.Hour, 0, false},
+		{"the larger one has withdrawn", join(gateways(1, hall, 800, offload.Withdrawn), small), time.Hour, 0, false},
+		{"the larger one is stopping", join(gateways(1, hall, 800, offload.NotReady), small), time.Hour, 0, false},
+		{"the larger one is in another hall", join(gateways(3, "b", 800, offload.Ready), small), time.Hour, 0, false},
+		{"alone", nil, time.Hour, 0, false},
+		{"two in the hall", large, time.Hour, 0, false},
+		{"three in the hall", join(large, gateways(1, hall, 144, offload.Ready)), time.Hour, 0, true},
+		{"one of three is stopping", join(large, gateways(1, hall, 0, offload.NotReady)), time.Hour, 0, false},
+		{"two of nine are stopping", join(large, gateways(5, hall, 144, offload.Ready), gateways(2, hall, 0, offload.NotReady)), time.Hour, 0, true},
+		{"three of nine are stopping", join(large, gateways(4, hall, 144, offload.Ready), gateways(3, hall, 0, offload.NotReady)), time.Hour, 0, false},
+		{"one of a small fleet has withdrawn", join(large, small, gateways(1, hall, 144, offload.Withdrawn)), time.Hour, 0, false},
+		{"one of a small fleet has withdrawn elsewhere", join(large, small, gateways(1, "b", 144, offload.Withdrawn)), time.Hour, 0, false},
+		{"two of 27 have withdrawn", join(large, small, gateways(16, "b", 800, offload.Ready), gateways(2, "b", 144, offload.Withdrawn)), time.Hour, 0, true},
+		{"three of 27 have withdrawn", join(large, small, gateways(15, "b", 800, offload.Ready), gateways(3, "b", 144, offload.Withdrawn)), time.Hour, 0, false},
+		{"one in the hall withdrew a moment ago", join(large, small, gateways(16, "b", 800, offload.Ready), gateways(1, hall, 144, offload.Withdrawn)), 1500 * time.Millisecond, 0, false},
+		{"one in another hall withdrew a moment ago", join(large, small, gateways(16, "b", 800, offload.Ready), gateways(1, "b", 144, offload.Withdrawn)), 1500 * time.Millisecond, 0, true},
+		{"one in the hall withdrew three seconds ago", join(large, small, gateways(16, "b", 800, offload.Ready), gateways(1, hall, 144, offload.Withdrawn)), 3 * time.Second, 0, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			w := newOverloaded()
+			for _, g := range test.others {
+				w.Report(now.Add(-test.age), g)
+			}
+			_, now = play(w, now, time.Second, test.admitted)
+			s := w.Sample(offload.Sample{At: now, Admitted: test.admitted, CalledFor: true})
+			require.False(t, s.Withdrawn, "it takes a second")
+			now = now.Add(sampleInterval)
+			s = w.Sample(offload.Sample{At: now, Admitted: test.admitted, CalledFor: true})
+			require.Equal(t, test.withdraws, s.Withdrawn)
+			if test.withdraws {
+				require.Equal(t, offload.Overloaded, s.Reason)
+				require.InDelta(t, test.admitted, s.Admitted, 1e-9)
+				require.Equal(t, time.Minute, s.Duration)
+			}
+		})
+	}
+}
+
+// TestAdmittedOverASecond: a pause of the process or a burst must not make a gateway withdraw.
+func TestAdmittedOverASecond(t *testing.T) {
+	tests := []struct {
+		name      string
+		admitted  func(at time.Duration) float64
+		interval  time.Duration
+		withdraws bool
+	}{
+		{"half a second", func(at time.Duration) float64 {
+			if at > 2*time.Second && at < 2500*time.Millisecond {
+				return 0
+			}
+			return 1
+		}, sampleInterval, false},
+		{"recovery from a pause of two seconds", func(at time.Duration) float64 {
+			// Nothing is sampled during the pause; then the shares of handoffs and of admitted
+			// connections rise by 0.02 each sample.
+			switch {
+			case at < 2*time.Second:
+				return 1
+			case at < 4*time.Second:
+				return -1
+			case at < 4200*time.Millisecond:
+				return 0
+			}
+			return min(0.8*(at-4200*time.Millisecond).Seconds(), 1)
+		}, sampleInterval, false},
+		{"every other half second", func(at time.Duration) float64 { return float64(at / (500 * time.Millisecond) % 2) }, sampleInterval, false},
+		{"a short recovery each second", func(at time.Duration) float64 {
+			if at%time.Second < 200*time.Millisecond {
+				return 1
+			}
+			return 0.05
+		}, sampleInterval, true},
+		{"few samples, as it lacks CPU time", func(time.Duration) float64 { return 0.05 }, 300 * time.Millisecond, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			begin := time.Unix(1000, 0)
+			w := newOverloaded()
+			for _, g := range join(gateways(2, hall, 800, offload.Ready), gateways(6, hall, 144, offload.Ready)) {
+				w.Report(begin, g)
+			}
+			withdrawn := false
+			for at := time.Duration(0); at < 8*time.Second; at += test.interval {
+				if share := test.admitted(at); share >= 0 {
+					withdrawn = withdrawn || w.Sample(offload.Sample{At: begin.Add(at), Admitted: share, CalledFor: true}).Withdrawn
+				}
+			}
+			require.Equal(t, test.withdraws, withdrawn)
+		})
+	}
+}
+
+// TestReturnReasons: a withdrawn gateway must come back when its hall needs it, or when it cannot know
+// the state of its hall.
+func TestReturnReasons(t *testing.T) {
+	hallOf9 := join(gateways(2, hall, 800, offload.Ready), gateways(6, hall, 144, offload.Ready))
+	otherHalls := gateways(18, "b", 800, offload.Ready)
+	lost := func(from int) func(w *offload.Withdrawal, now time.Time) {
+		return func(w *offload.Withdrawal, _ time.Time) {
+			for _, g := range hallOf9[from:] {
+				w.Lost(g.Address)
+			}
+		}
+	}
+	report := func(list ...offload.Gateway) func(w *offload.Withdrawal, now time.Time) {
+		return func(w *offload.Withdrawal, now time.Time) {
+			for _, g := range list {
+				w.Report(now, g)
+			}
+		}
+	}
+	with := func(list []offload.Gateway, r offload.Readiness) []offload.Gateway {
+		var changed []offload.Gateway
+		for _, g := range list {
+			g.Readiness = r
+			changed = append(changed, g)
+		}
+		return changed
+	}
+	higher := func(n int, hall string) []offload.Gateway {
+		list := gateways(n, hall, 144, offload.Withdrawn)
+		for i := range list {
+			list[i].Address = "9" + list[i].Address
+		}
+		return list
+	}
+	lower := gateways(4, "b", 144, offload.Withdrawn)
+	tests := []struct {
+		name   string
+		event  func(w *offload.Withdrawal, now time.Time)
+		reason offload.Reason // empty: it stays withdrawn
+	}{
+		{"nothing happens", func(*offload.Withdrawal, time.Time) {}, ""},
+		{"six of eight others are lost", lost(2), ""}, // 2 of 3 are ready
+		{"seven of eight others are lost", lost(1), offload.FewReady},
+		{"no other is heard of", lost(0), offload.AloneInHall},
+		{"two stop", report(with(hallOf9[:2], offload.NotReady)...), ""},
+		{"three stop", report(with(hallOf9[:3], offload.NotReady)...), offload.FewReady},
+		{"three with higher addresses withdraw", report(higher(3, hall)...), ""}, // 8 of 12 are ready
+		{"seven with higher addresses withdraw", report(higher(7, hall)...), ""}, // they return
+		{"three with lower addresses withdraw", report(with(hallOf9[:3], offload.Withdrawn)...), offload.FewReady},
+		{"three elsewhere with higher addresses withdraw", report(higher(3, "b")...), ""},
+		{"two elsewhere with lower addresses withdraw", report(lower[:2]...), ""},
+		{"three elsewhere with lower addresses withdraw", report(lower[:3]...), offload.ManyInFleet},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			w := newOverloaded()
+			for _, g := range append(append([]offload.Gateway{}, hallOf9...), otherHalls...) {
+				w.Report(now, g)
+			}
+			s, now := play(w, now, 2*time.Second, 0.1)
+			require.True(t, s.Withdrawn)
+			test.event(w, now)
+			s, now = play(w, now, sampleInterval, 0.1)
+			require.Equal(t, test.reason == "", s.Withdrawn)
+			if test.reason != "" {
+				require.Equal(t, test.reason, s.Reason)
+				s, _ = play(w, now, 2*time.Second, 0.1)
+				require.False(t, s.Withdrawn, "it does not change again at once")
+			}
+		})
+	}
+}
+
+// TestOthersDoNotReturn: gateways that withdrew at the same moment and do not hear of this one must not
+// leave the hall with too few ready gateways.
+func TestOthersDoNotReturn(t *testing.T) {
+	now := time.Unix(1000, 0)
+	w := newOverloaded()
+	for _, g := range join(gateways(2, hall, 800, offload.Ready), gateways(6, hall, 144, offload.Ready)) {
+		w.Report(now, g)
+	}
+	s, now := play(w, now, 2*time.Second, 0.1)
+	require.True(t, s.Withdrawn)
+	for _, g := range []string{"91", "92", "93", "94", "95", "96"} {
+		w.Report(now, offload.Gateway{Address: g, Hall: hall, Readiness: offload.Withdrawn})
+	}
+	s, now = play(w, now, 2900*time.Millisecond, 0.1)
+	require.True(t, s.Withdrawn)
+	s, _ = play(w, now, 200*time.Millisecond, 0.1)
+	require.Equal(t, offload.FewReady, s.Reason)
+	require.False(t, s.Withdrawn)
+}
+
+// TestTwoWithdrawAtOnce: of two gateways that withdraw before they hear of each other, one must stay
+// withdrawn; otherwise both return and withdraw again for ever.
+func TestTwoWithdrawAtOnce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	names := []string{"51", "52"}
+	ws := map[string]*offload.Withdrawal{}
+	state := map[string]offload.Status{}
+	for _, name := range names {
+		ws[name] = offload.NewWithdrawal(offload.Gateway{Address: name, Hall: hall, MilliCPU: 144})
+		ws[name].Report(now, offload.Gateway{Address: "1", Hall: hall, MilliCPU: 800})
+	}
+	changes := 0
+	for i := range 2000 {
+		now = now.Add(sampleInterval)
+		for _, name := range names {
+			s := ws[name].Sample(offload.Sample{At: now, Admitted: 0.1, CalledFor: true})
+			if s.Withdrawn != state[name].Withdrawn {
+				changes++
+			}
+			state[name] = s
+		}
+		if i%10 != 0 {
+			continue // beacons
+		}
+		for j, name := range names {
+			g := offload.Gateway{Address: name, Hall: hall, MilliCPU: 144}
+			if state[name].Withdrawn {
+				g.Readiness = offload.Withdrawn
+			}
+			ws[names[1-j]].Report(now, g)
+		}
+	}
+	require.True(t, state["51"].Withdrawn)
+	require.False(t, state["52"].Withdrawn)
+	require.Equal(t, 3, changes, "both withdraw, one returns")
+}
+
+// TestWithdrawalTimes: the same callers overload a gateway again when it returns, so it stays away
+// longer each time, but not for ever, and a calm time is forgotten.
+func TestWithdrawalTimes(t *testing.T) {
+	now := time.Unix(1000, 0)
+	w := newOverloaded()
+	for _, g := range join(gateways(2, hall, 800, offload.Ready), gateways(6, hall, 144, offload.Ready)) {
+		w.Report(now, g)
+	}
+	for _, minutes := range []int{1, 2, 4, 8, 10, 10} {
+		s, then := play(w, now, 1200*time.Millisecond, 0.1)
+		require.True(t, s.Withdrawn)
+		require.Equal(t, time.Duration(minutes)*time.Minute, s.Duration)
+		s, then = play(w, then, s.Duration-time.Second, 1)
+		require.True(t, s.Withdrawn)
+		s, now = play(w, then, time.Second, 1)
+		require.False(t, s.Withdrawn)
+		require.Equal(t, offload.TimeIsOver, s.Reason)
+	}
+	_, now = play(w, now, 10*time.Minute, 1)
+	s, _ := play(w, now, 2*time.Second, 0.1)
+	require.Equal(t, time.Minute, s.Duration)
+}
+
+// TestNotCalledFor: a gateway must not withdraw, or stay withdrawn, where the configuration does not
+// call for it.
+func TestNotCalledFor(t *testing.T) {
+	now := time.Unix(1000, 0)
+	w := newOverloaded()
+	for _, g := range join(gateways(2, hall, 800, offload.Ready), gateways(6, hall, 144, offload.Ready)) {
+		w.Report(now, g)
+	}
+	for range 200 {
+		now = now.Add(sampleInterval)
+		require.False(t, w.Sample(offload.Sample{At: now, Admitted: 0}).Withdrawn)
+	}
+	s, now := play(w, now, sampleInterval, 0)
+	require.True(t, s.Withdrawn)
+	s = w.Sample(offload.Sample{At: now.Add(sampleInterval), Admitted: 0})
+	require.False(t, s.Withdrawn)
+	require.Equal(t, offload.NotCalledFor, s.Reason)
+}
--- a/gateway/overload.go
+++ b/gateway/overload.go
@@ -167,6 +167,7 @@
 		}
 		before := t.admitted
 		o.record(&t, due, now)
+		g.withdrawal.sample(now, t.admitted)
 		if before == 1 && t.admitted < 1 || before < 1 && t.admitted == 1 {
 			g.log.Warn().Str("event", "gateway.overload").Bool("overloaded", t.admitted < 1).Dur("late", now.Sub(due)).
 				Int64("requests", g.active.Load()).Msg("admission control")
--- a/gateway/peer/messages.go
+++ b/gateway/peer/messages.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"opalbridge.dev/gateway/catalog"
+	"opalbridge.dev/gateway/offload"
 	"opalbridge.dev/gateway/peer/peerpb"
 )
 
@@ -70,9 +71,10 @@
 	Speeds               []Speed
 	ConfigurationVersion uint64
 	StoreRevision        catalog.Revision
-	ConfirmedAt          time.Time // when StoreRevision was last confirmed as the store's latest
-	StoreUnreachable     bool      // own calls to the store fail
-	Weight               int       // thousandths of a core that it may use; 0 while it is short of processor time
+	ConfirmedAt          time.Time         // when StoreRevision was last confirmed as the store's latest
+	StoreUnreachable     bool              // own calls to the store fail
+	Weight               int               // thousandths of a core that it may use; 0 while it is short of processor time
+	Readiness            offload.Readiness // what it answers to the load balancer
 	Rollouts             []*peerpb.Rollout
 }
 
@@ -93,6 +95,7 @@
 	Full           bool
 	Speeds         []Speed           // only if Full
 	Weight         int               // thousandths of a core that it may use; 0 while it is short of processor time; only if Full
+	Readiness      offload.Readiness // only if Full
 	Rollouts       []*peerpb.Rollout // only if Full, and only those that have changed
 	// Demands is set only if HasDemands.
 	Demands              []*peerpb.Demand
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -10,6 +10,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"opalbridge.dev/gateway/handoff"
+	"opalbridge.dev/gateway/offload"
 )
 
 // Times of connections and of the shutdown.
@@ -122,11 +123,9 @@
 	return r
 }
 
-// Ready reports whether the gateway takes connections: it has a configuration and servers, and
-// is not shutting down.
-func (g *Gateway) Ready() bool {
-	return g.hasView() && !g.stopping.Load()
-}
+// Ready reports whether the load balancer is to send connections: the gateway has a configuration
+// and servers, is not shutting down, and has not withdrawn.
+func (g *Gateway) Ready() bool { return g.readiness() == offload.Ready }
 
 // hasView reports whether the gateway has a configuration and servers.
 func (g *Gateway) hasView() bool {
--- a/gateway/update_receiver.go
+++ b/gateway/update_receiver.go
@@ -29,6 +29,7 @@
 			g.dispatcher.send(peersUpdated{list})
 			for _, u := range list {
 				g.offloadTargets.update(u)
+				g.withdrawal.update(time.Now(), u)
 				g.callerRetries.addRemote(time.Now(), u.Refusals)
 				g.suspects.setPeerLive(u.From, u.Alive)
 				g.suspects.applyPeerReports(time.Now(), u.Crashes, u.Cleared)
--- a/settings/mode_test.go
+++ b/settings/mode_test.go
@@ -15,17 +15,20 @@
 	tests := []struct {
 		text           string
 		surplus, plain settings.Mode
+		withdraw       settings.Mode
 		valid          bool
 	}{
-		{"", settings.Off, settings.Off, true},
-		{"surplus: share\nplain_queue: none\n", settings.Off, settings.Off, true},
-		{"surplus: auto\nplain_queue: auto\n", settings.Auto, settings.Auto, true},
-		{"surplus: idle\nplain_queue: slots\n", settings.On, settings.On, true},
-		{"surplus: Idle\n", settings.Off, settings.Off, false},
-		{"surplus: on\n", settings.Off, settings.Off, false},
-		{"plain_queue: \"\"\n", settings.Off, settings.Off, false},
-		{"pauses: auto\n", settings.Off, settings.Off, false},
-		{"stream_moves: yes\n", settings.Off, settings.Off, false},
+		{"", settings.Off, settings.Off, settings.Off, true},
+		{"surplus: share\nplain_queue: none\nwithdraw: off\n", settings.Off, settings.Off, settings.Off, true},
+		{"surplus: auto\nplain_queue: auto\nwithdraw: auto\n", settings.Auto, settings.Auto, settings.Auto, true},
+		{"surplus: idle\nplain_queue: slots\nwithdraw: on\n", settings.On, settings.On, settings.On, true},
+		{"surplus: Idle\n", settings.Off, settings.Off, settings.Off, false},
+		{"surplus: on\n", settings.Off, settings.Off, settings.Off, false},
+		{"plain_queue: \"\"\n", settings.Off, settings.Off, settings.Off, false},
+		{"pauses: auto\n", settings.Off, settings.Off, settings.Off, false},
+		{"withdraw: yes\n", settings.Off, settings.Off, settings.Off, false},
+		{"withdraw: Auto\n", settings.Off, settings.Off, settings.Off, false},
+		{"stream_moves: yes\n", settings.Off, settings.Off, settings.Off, false},
 	}
 	for _, test := range tests {
 		t.Run(fmt.Sprintf("%q", test.text), func(t *testing.T) {
@@ -37,6 +40,7 @@
 			require.NoError(t, err)
 			require.Equal(t, test.surplus, s.IdleSurplus)
 			require.Equal(t, test.plain, s.QueuePlainWork)
+			require.Equal(t, test.withdraw, s.Withdraw)
 		})
 	}
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -85,6 +85,7 @@
 	MoveStreams    bool
 	BackUpStreams  bool
 	QueuePlainWork Mode
+	Withdraw       Mode
 }
 
 // Mode says whether an optional decision is made.
@@ -229,6 +230,8 @@
 		func(s *Settings, t string) error { return setChoice(&s.BackUpStreams, t, "off", "on") }},
 	{"plain_queue", gateway, false, "none", "Whether requests to plain servers wait at the gateway for a free slot: none, slots, or auto (slots for services whose routes' objectives are 250 ms or more).",
 		func(s *Settings, t string) error { return setMode(&s.QueuePlainWork, t, "none", "slots") }},
+	{"withdraw", gateway, false, "off", "Whether a gateway without CPU time for its callers fails the load balancer's health checks for a while, if a larger one in its hall has CPU to spare: off, on, or auto (on if, of every service with streams, pauses are avoided and the objectives are 450 ms or more).",
+		func(s *Settings, t string) error { return setMode(&s.Withdraw, t, "off", "on") }},
 }
 
 // Parse parses the settings of a role. If the content is valid YAML but not valid
