gateway/surplus: nothing beyond the shares while streams within them pause for too long

Each gateway now counts the streams within the shares that end; while more than one in fifty paused for too long, the share policy decides as before. Ruled out: a reserve of an eighth or a quarter of the servers (refuses beside idle servers what TestSurplusUnderPressure forbids), and closing by the learned speed of most servers (slow servers' estimates return to the median, so it hardly ever closed).

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -196,7 +196,7 @@
 	defer c.endRun(c.serverRun)
 	result := c.gateway.pool.Send(ctx, d.Server, c.upstreamRequest(d, sent))
 	end, next := c.handleResult(ctx, d, sent, result)
-	c.gateway.dispatcher.send(attemptEnded{attemptID: d.ID, server: d.Server.ID, end: end, route: c.route.Name, status: c.status, eventInterval: c.meanEventInterval(), service: d.Server.Service, events: c.answeredEvents()})
+	c.gateway.dispatcher.send(attemptEnded{attemptID: d.ID, server: d.Server.ID, end: end, route: c.route.Name, status: c.status, eventInterval: c.meanEventInterval(), service: d.Server.Service, events: c.answeredEvents(), withinShare: !c.placeReq.OverShare, paused: c.paused()})
 	return next
 }
 
@@ -377,10 +377,12 @@
 // missedObjective reports whether a response missed its route's objectives: for the time from
 // the caller's first attempt to the first event, or for the interval between two events.
 func (c *call) missedObjective(first time.Duration) bool {
-	r := c.route
-	return r.Objective > 0 && c.sinceFirstAttempt+first > r.Objective || r.MaxEventGap > 0 && c.maxEventGap > r.MaxEventGap
+	return c.route.Objective > 0 && c.sinceFirstAttempt+first > c.route.Objective || c.paused()
 }
 
+// paused reports whether the interval between two events of the response was too long.
+func (c *call) paused() bool { return c.route.MaxEventGap > 0 && c.maxEventGap > c.route.MaxEventGap }
+
 func kindName(r *catalog.Route) string {
 	switch r.Kind {
 	case catalog.Stream:
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -347,6 +347,7 @@
 	d.planner.RecordPace(m.service, m.eventInterval)
 	d.endBackup(m.attemptID)
 	d.recordAnswerEnd(m)
+	d.recordStreamEnd(now, m)
 	d.endRetry(now, d.pending[m.attemptID], m)
 	delete(d.pending, m.attemptID)
 	if m.end == placement.Served || m.end == placement.Rejected {
--- a/gateway/dispatcher_messages.go
+++ b/gateway/dispatcher_messages.go
@@ -43,6 +43,8 @@
 		eventInterval time.Duration // mean time between events of a stream; 0: unknown
 		service       string
 		events        int // of a stream that was relayed from its beginning; 0: unknown
+		withinShare   bool
+		paused        bool // the pause between two events was longer than the route's longest one
 	}
 	// cacheReported reports the contents of a server's cache.
 	cacheReported struct {
--- a/gateway/dispatcher_surplus.go
+++ b/gateway/dispatcher_surplus.go
@@ -117,6 +117,15 @@
 	return decision
 }
 
+// recordStreamEnd records whether a stream within its account's share paused for too long. While this
+// process runs late, that says nothing about the servers.
+func (d *dispatcher) recordStreamEnd(now time.Time, m attemptEnded) {
+	if d.surplus == nil || !m.withinShare || m.events == 0 || m.end != placement.Served || d.unreliable(now, now.Add(-catchUpTime)) {
+		return
+	}
+	d.surplus.RecordStream(now, m.service, m.paused)
+}
+
 // recordUnmet records a request that was refused or waits, unless no server would be given to it
 // even if accounts behind it got none.
 func (d *dispatcher) recordUnmet(now time.Time, m placementRequest, r placement.Reason, s placement.Surplus, queued bool) {
--- a/gateway/dispatcher_surplus_test.go
+++ b/gateway/dispatcher_surplus_test.go
@@ -53,6 +53,38 @@
 	require.Nil(t, d.surplus, "no configuration")
 }
 
+// TestStreamEndsCount guards against requests beyond the shares that are served although streams within the
+// shares pause: only these count, and only while this process sees their events in time.
+func TestStreamEndsCount(t *testing.T) {
+	ended := attemptEnded{service: "s", end: placement.Served, withinShare: true, paused: true, events: 10}
+	tests := []struct {
+		name   string
+		change func(d *dispatcher, m *attemptEnded)
+		want   bool
+	}{
+		{"streams pause", func(*dispatcher, *attemptEnded) {}, true},
+		{"streams do not pause", func(_ *dispatcher, m *attemptEnded) { m.paused = false }, false},
+		{"streams beyond the shares pause", func(_ *dispatcher, m *attemptEnded) { m.withinShare = false }, false},
+		{"not a whole stream", func(_ *dispatcher, m *attemptEnded) { m.events = 0 }, false},
+		{"streams fail", func(_ *dispatcher, m *attemptEnded) { m.end = placement.Failed }, false},
+		{"this process is late", func(d *dispatcher, _ *attemptEnded) {
+			d.lateness = func(_, _ time.Time) time.Duration { return time.Second }
+		}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			now := time.Now()
+			d := newSurplusDispatcher(t, now, 1)
+			m := ended
+			test.change(d, &m)
+			for range 20 {
+				d.recordStreamEnd(now, m)
+			}
+			require.Equal(t, test.want, d.surplus.StreamsLate(now, "s"))
+		})
+	}
+}
+
 // TestWaitersInOrder guards against waiting requests that are served out of order: those within
 // their share come first, and then go priority, share and age.
 func TestWaitersInOrder(t *testing.T) {
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -326,7 +326,7 @@
 	best := b.cheapest(now, req, servers)
 	r := b.deferReason(now, req, best)
 	var granted surplus.Decision
-	if b.decidesSurplus(req) {
+	if b.decidesSurplus(now, req) {
 		best, r, granted = b.placeSurplus(now, req, servers, best, r)
 	} else if r == OverShare && req.ShareRatio <= b.policy.MaxIdleShareRatio {
 		if c, ok := b.cheapestIdle(now, req, servers); ok {
@@ -335,6 +335,9 @@
 	}
 	why := Surplus{Reason: granted.Reason, Ahead: granted.Ahead}
 	if r != InTime {
+		if why.Reason == "" && b.concernsSurplus(req) {
+			why.Reason = surplus.Closed
+		}
 		if b.surplus != nil {
 			why.Need = surplus.Need(best.work, best.server.speed.firstEventTime(), req.fullObjective())
 		}
--- a/gateway/placement/surplus.go
+++ b/gateway/placement/surplus.go
@@ -21,11 +21,17 @@
 }
 
 // decidesSurplus reports whether the table decides on a request.
-func (b *Balancer) decidesSurplus(req *Request) bool {
-	if b.surplusServices != nil && !b.surplusServices[req.Service] {
+func (b *Balancer) decidesSurplus(now time.Time, req *Request) bool {
+	return b.concernsSurplus(req) && !b.surplus.StreamsLate(now, req.Service)
+}
+
+// concernsSurplus reports whether a request is beyond its account's share, at a service to which surplus
+// applies.
+func (b *Balancer) concernsSurplus(req *Request) bool {
+	if b.surplus == nil || b.surplusServices != nil && !b.surplusServices[req.Service] {
 		return false
 	}
-	return b.surplus != nil && req.Objective != 0 && req.OverShare && req.HoldReason != TooLate
+	return req.Objective != 0 && req.OverShare && req.HoldReason != TooLate
 }
 
 // fullObjective returns the objective of the request's route.
--- a/gateway/placement/surplus_test.go
+++ b/gateway/placement/surplus_test.go
@@ -118,6 +118,34 @@
 	}
 }
 
+// TestSurplusWhileStreamsAreLate guards against requests beyond the shares that get idle servers while streams
+// within the shares are late.
+func TestSurplusWhileStreamsAreLate(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		b := newBalancer(3)
+		table := surplus.NewTable(func(string) float64 { return 1.5 })
+		b.SetSurplus(table, nil)
+		for range 100 {
+			table.RecordStream(start, "s", late)
+		}
+		b.RecordCached(start, "i-00", []uint64{1})
+		for i, work := range []time.Duration{40 * time.Millisecond, 400 * time.Millisecond, 0} {
+			b.RecordSent(start, placement.Load{Server: servers(3)[i].ID, Work: work}, false)
+		}
+		r := beyondShare()
+		r.Objective, r.Waited = 525*time.Millisecond, 75*time.Millisecond
+		want := placement.Decision(placement.Assign{})
+		if late {
+			want = placement.Refuse{}
+		}
+		d := b.Place(start, r)
+		require.IsType(t, want, d, "late: %t", late)
+		if d, ok := d.(placement.Refuse); ok {
+			require.Equal(t, surplus.Closed, d.Surplus.Reason)
+		}
+	}
+}
+
 // TestHasSuitable checks which refusals count as made beside an idle server.
 func TestHasSuitable(t *testing.T) {
 	tests := []struct {
--- a/gateway/surplus/surplus.go
+++ b/gateway/surplus/surplus.go
@@ -7,6 +7,7 @@
 //	t := surplus.NewTable(shareRatio)
 //	t.RecordUnmet(now, surplus.Demand{Account: account, Priority: p, FirstAttempt: first, Tokens: n})
 //	t.RecordRemote(now, demands) // of another gateway
+//	t.RecordStream(now, service, late) // a stream within its account's share has ended
 //	switch d := t.Decide(now, surplus.Request{…}, surplus.Server{…}); d.Action {
 //	case surplus.Grant:  // send it
 //	case surplus.Wait:   // ask again soon
@@ -119,14 +120,15 @@
 
 // Reasons.
 const (
-	ByShare      Reason = "less than an even share"  // granted by the share policy
-	ServerIdle   Reason = "server idle"              // granted
-	EnoughIdle   Reason = "enough servers idle"      // granted although another account is ahead
-	WaitedEnough Reason = "others did not take it"   // granted although another account is ahead
-	Capped       Reason = "account far ahead"        // refused
-	Behind       Reason = "another account first"    // waits
-	NoneIdle     Reason = "no server idle"           // waits, or is refused
-	NoneCached   Reason = "no idle server caches it" // waits, or is refused
+	ByShare      Reason = "less than an even share"            // granted by the share policy
+	ServerIdle   Reason = "server idle"                        // granted
+	EnoughIdle   Reason = "enough servers idle"                // granted although another account is ahead
+	WaitedEnough Reason = "others did not take it"             // granted although another account is ahead
+	Capped       Reason = "account far ahead"                  // refused
+	Behind       Reason = "another account first"              // waits
+	NoneIdle     Reason = "no server idle"                     // waits, or is refused
+	NoneCached   Reason = "no idle server caches it"           // waits, or is refused
+	Closed       Reason = "streams within the shares are late" // the share policy decides; see [Table.StreamsLate]
 )
 
 // Decision is the result of [Table.Decide].
--- a/gateway/surplus/unmet.go
+++ b/gateway/surplus/unmet.go
@@ -33,6 +33,7 @@
 	shareRatio func(account string) float64
 	entries    map[entryKey]*entry
 	due        map[string]time.Time // when the next request falls due, by account
+	lateness   map[string]*lateness // by service
 }
 
 type entryKey struct {
@@ -64,7 +65,7 @@
 
 // NewTable returns an empty Table. shareRatio returns the current share ratio of an account.
 func NewTable(shareRatio func(account string) float64) *Table {
-	return &Table{shareRatio: shareRatio, entries: map[entryKey]*entry{}, due: map[string]time.Time{}}
+	return &Table{shareRatio: shareRatio, entries: map[entryKey]*entry{}, due: map[string]time.Time{}, lateness: map[string]*lateness{}}
 }
 
 // isRecent reports whether demand at a time is still protected.
