gateway: runs go on elsewhere only with all of their events, after a certain crash, under an ID of their own

Faults found in a review of runs that move or go on from a backup, each with a test that failed before: - Events that the new server leaves out went unnoticed, and after a crash events without numeric IDs were repeated. continuation.Sequence follows the IDs; a missing event breaks the stream off or has it resumed without a copy. - The end of an unframed stream whose run was stopped counted as complete if the deadline passed in that moment. - A server that had started again before it got the request counted as crashed when the connection broke. - A run went on from a copy under an ID that another request had used meanwhile; only runs that move or are backed up were counted. - Crashes of servers that start again at once did not count among the two after which a request does not go on. - A run whose request had not reached the leaving server yet was given up. - requestMove left a goroutine that nobody waited for. A target that dies when it is asked is probed like any other server.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"opalbridge.dev/gateway/catalog"
+	"opalbridge.dev/gateway/continuation"
 	"opalbridge.dev/gateway/placement"
 	"opalbridge.dev/gateway/protocol"
 	"opalbridge.dev/gateway/upstream"
@@ -55,13 +56,15 @@
 	originReported  bool        // an event was relayed, and the version of its server was or will be reported
 	origin          chan string // gets the version that began the stream once it is certain, empty if it is not; nil: it is in placeReq
 
-	refusal      placement.Refuse // decision by which it was refused
-	relayed      int              // events relayed to the caller by all attempts
-	moves        int              // number of times its run was stopped to go on from a copy
-	crashResumes int              // number of servers that went on with it after a crash; like attempts, they leave fewer servers for retries
-	movedFrom    *streamRun       // the run that has moved last
-	continuing   *continueStep    // the attempt goes on with a run; nil: it begins one
-	serverRun    *streamRun       // of the latest attempt, if it can move
+	refusal      placement.Refuse      // decision by which it was refused
+	relayed      int                   // events relayed to the caller by all attempts
+	sequence     continuation.Sequence // their IDs
+	moves        int                   // number of times its run was stopped to go on from a copy
+	crashResumes int                   // number of servers that went on with it after a crash; like attempts, they leave fewer servers for retries
+	crashes      int                   // number of servers that have crashed under it, as this call has seen
+	movedFrom    *streamRun            // the run that has moved last
+	continuing   *continueStep         // the attempt goes on with a run; nil: it begins one
+	serverRun    *streamRun            // of the latest attempt, if it can move
 }
 
 // step is the next step after an attempt.
@@ -192,6 +195,10 @@
 	c.gateway.activeCalls.add(c, cancel)
 	defer c.gateway.activeCalls.remove(c)
 	c.status, c.eventCount = 0, 0
+	defer c.gateway.runs.addID(c.meta.ID)()
+	if d.Backup.ID != "" && c.gateway.runs.sharedID(c.meta.ID) {
+		d.Backup = catalog.Server{} // since it was placed
+	}
 	c.serverRun = c.beginRun(ctx, cancel, d, sent)
 	defer c.endRun(c.serverRun)
 	result := c.gateway.pool.Send(ctx, d.Server, c.upstreamRequest(d, sent))
--- a/gateway/call_continue.go
+++ b/gateway/call_continue.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -64,7 +65,7 @@
 }
 
 // mayBackUp reports whether a run of the request may be backed up.
-func (c *call) mayBackUp() bool { return c.canContinue() && c.gateway.runs.withID(c.meta.ID) == 0 }
+func (c *call) mayBackUp() bool { return c.canContinue() && !c.gateway.runs.usesID(c.meta.ID) }
 
 // beginRun makes an attempt known as a run that can move or is backed up; nil: it is neither.
 func (c *call) beginRun(ctx context.Context, cancel context.CancelCauseFunc, d placement.Assign, sent time.Time) *streamRun {
@@ -82,10 +83,10 @@
 		c.gateway.countContinuation(c.service, ContinuationBackup, backupBegun)
 	}
 	request := c.placeReq
-	request.Pinned, request.Version = true, d.Server.Version
+	request.Pinned, request.Version, request.Exclude = true, d.Server.Version, slices.Clone(request.Exclude)
 	r := &streamRun{
 		movable: movable, gateway: c.gateway, id: c.meta.ID, server: d.Server, service: d.Server.Service, engine: engine, sent: sent, first: d.Predicted,
-		deadline: c.deadline, request: request, events: c.relayed, stream: ctx, cancel: cancel, progress: runProgress{lastID: c.lastEventID},
+		deadline: c.deadline, request: request, events: c.relayed, stream: ctx, cancel: cancel, progress: runProgress{unjoinable: !c.sequence.Joinable()},
 	}
 	c.gateway.runs.begin(r)
 	return r
@@ -119,17 +120,18 @@
 
 // movedAway returns the next step after a stream that has ended or broken off because its run has
 // moved; ok is false if it has not, or if nobody waits for the rest. complete says that the end cannot
-// be that of a stopped run.
-func (c *call) movedAway(ctx context.Context, r *streamRun, complete bool, err error) (next continueStep, ok bool) {
+// be that of a stopped run. The end of an unframed stream does not show that the answer is incomplete,
+// so a run that was stopped and goes on nowhere has a next step as well.
+func (c *call) movedAway(ctx context.Context, r *streamRun, complete bool, err error) (s step, ok bool) {
 	if r == nil {
-		return continueStep{}, false
+		return nil, false
 	}
 	outcome := r.finish()
-	if c.request.Context().Err() != nil || !time.Now().Before(c.deadline) || errors.Is(context.Cause(ctx), errQuarantined) {
-		return continueStep{}, false
+	if c.request.Context().Err() != nil || errors.Is(context.Cause(ctx), errQuarantined) {
+		return nil, false
 	}
 	source := resumePoint{server: r.server, giver: r.server, source: true}
-	next = continueStep{cause: causeMoved, err: err}
+	next := continueStep{cause: causeMoved, err: err}
 	switch o := outcome.(type) {
 	case moved:
 		source.copy = protocol.RunCopy{Address: r.server.Address, Handle: o.handle}
@@ -139,12 +141,20 @@
 		next.points = []resumePoint{source}
 	case unanswered:
 		if complete {
-			return continueStep{}, false
+			return nil, false
 		}
 		source.copy = protocol.RunCopy{Address: r.server.Address, Handle: o.handle}
 		next.points = []resumePoint{source} // the source knows whether it has stopped the run
 	default:
-		return continueStep{}, false
+		return nil, false
+	}
+	switch {
+	case !time.Now().Before(c.deadline):
+		c.mayHaveRun = true
+		return failStep{err: errDeadline, deadlinePassed: true}, true
+	case !c.sequence.Joinable():
+		c.mayHaveRun = true
+		return c.retryOrFail(errors.Wrap(err, string(reasonNoIDs))), true
 	}
 	c.movedFrom = r
 	c.moves++
@@ -160,12 +170,18 @@
 // continueOrRetry returns the next step after a response has broken off: the run goes on at its backup
 // if its server has crashed, and otherwise the request fails or is retried.
 func (c *call) continueOrRetry(ctx context.Context, d placement.Assign, err error) step {
-	if d.Backup.ID == "" || !c.serverCrashed(ctx, d.Server) {
+	if d.Backup.ID == "" || !c.sequence.Joinable() || c.gateway.runs.sharedID(c.meta.ID) {
+		return c.retryOrFail(err)
+	}
+	c.awaitOrigin()
+	if !c.serverCrashed(ctx, d.Server, c.placeReq.Pinned && c.placeReq.Version != "") {
 		return c.retryOrFail(err)
 	}
+	c.crashes++
 	point := resumePoint{server: d.Backup, copy: protocol.RunCopy{Address: d.Backup.Address, Handle: c.meta.ID}, giver: d.Backup}
 	s := continueStep{points: []resumePoint{point}, cause: causeCrashed, err: err}
-	if n, _ := c.crashesSeen(); n >= noRetryCrashes {
+	n, _ := c.crashesSeen()
+	if n = max(n, c.crashes); n >= noRetryCrashes { // the crash of a server that has started again at once is not detected yet
 		c.recordContinued(s, continuedRefused, errors.Newf("gateway: %d servers have crashed under the request", n))
 		c.freeCopies(s.points)
 		return failStep{err: err}
@@ -180,15 +196,16 @@
 )
 
 // serverCrashed reports whether a server has certainly ended: it refuses connections, or another
-// lifetime answers at its address. A connection that breaks while the server lives is no crash.
-func (c *call) serverCrashed(ctx context.Context, s catalog.Server) bool {
+// lifetime answers at its address. A connection that breaks while the server lives is no crash. The
+// request may have reached the other lifetime; confirmed says that it has not.
+func (c *call) serverCrashed(ctx context.Context, s catalog.Server, confirmed bool) bool {
 	interval := firstProbeInterval
 	for range crashProbes {
 		if refusesConnections(ctx, s) {
 			c.gateway.crashes.connectionRefused(time.Now(), s.ID)
 			return true
 		}
-		if c.gateway.lifetimeInDoubt(s) && errors.Is(c.gateway.confirmLifetime(ctx, s), errOtherLifetime) {
+		if confirmed && c.gateway.lifetimeInDoubt(s) && errors.Is(c.gateway.confirmLifetime(ctx, s), errOtherLifetime) {
 			return true
 		}
 		select {
@@ -286,14 +303,27 @@
 	case upstream.NotExecuted:
 		return placement.NotSent, c.refusedToContinue(ctx, errors.Newf("gateway: server %s does not go on with it: status %d", d.Server.ID, r.Status)), true
 	case upstream.Indeterminate:
-		if ctx.Err() == nil && r.ConnectionFailed && refusesConnections(ctx, d.Server) {
-			return placement.Failed, c.notContinued(ctx, r.Err), true // it has crashed and cannot work on it
+		if ctx.Err() == nil && r.ConnectionFailed && c.serverCrashed(ctx, d.Server, c.placeReq.Pinned) {
+			c.crashes++
+			return placement.Failed, c.notContinued(ctx, r.Err), true // it cannot work on it
 		}
 		c.recordContinued(*c.continuing, continuedFailed, r.Err)
 	}
 	return 0, nil, false
 }
 
+// checkContinues returns an error if an event of a run that goes on elsewhere does not continue the
+// events that the caller has.
+func (c *call) checkContinues(event []byte) error {
+	id := eventID(event)
+	if c.continuing == nil || id == "" || c.sequence.Continues(id) {
+		return nil
+	}
+	err := errors.Newf("gateway: event %s does not follow event %s: the run is another one, or events are missing", id, c.lastEventID)
+	c.recordContinued(*c.continuing, continuedFailed, err)
+	return err
+}
+
 // recordMove logs and counts what became of a run that was to move.
 func (c *call) recordMove(r *streamRun, outcome moveOutcome) {
 	if r.outcome == nil {
--- a/gateway/dispatcher_continuation.go
+++ b/gateway/dispatcher_continuation.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"slices"
 	"time"
 
@@ -42,8 +41,9 @@
 	target   catalog.Server
 }
 
-// requestMove returns what becomes of a run at a leaving server; ok is false if ctx ends first.
-func (d *dispatcher) requestMove(ctx context.Context, m moveRequested) (decision moveDecision, ok bool) {
+// requestMove returns what becomes of a run at a leaving server; ok is false if the dispatcher has
+// ended. The caller must report the end of a move that it is told to make.
+func (d *dispatcher) requestMove(m moveRequested) (decision moveDecision, ok bool) {
 	reply := make(chan moveDecision, 1)
 	m.reply = reply
 	d.send(m)
@@ -52,20 +52,6 @@
 		return decision, true
 	case <-d.done:
 		return moveDecision{}, false
-	case <-ctx.Done():
-		go d.releaseMove(reply)
-		return moveDecision{}, false
-	}
-}
-
-// releaseMove undoes a decision to move that nobody waits for any more.
-func (d *dispatcher) releaseMove(reply <-chan moveDecision) {
-	select {
-	case m := <-reply:
-		if _, moves := m.decision.(continuation.Move); moves {
-			d.send(moveEnded{target: m.target.ID})
-		}
-	case <-d.done:
 	}
 }
 
--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -97,6 +97,7 @@
 		gateway: g, w: w, request: r, meta: meta, route: route, account: account.Name, priority: account.PriorityOn(route),
 		arrived: arrived, deadline: arrived.Add(requestTimeout(route, meta)), regions: route.Regions.Intersect(account.Regions),
 	}
+	c.sequence.StartAfter(meta.LastEventID)
 	if d := c.readBody(v.Configuration.Limits); d.status != 0 {
 		return nil, d
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -137,6 +137,9 @@
 			c.logContinued()
 		}
 		if len(event) > 0 && !c.alreadyRelayed(event) {
+			if err := c.checkContinues(event); err != nil {
+				return placement.Failed, c.retryOrFail(err)
+			}
 			c.pinVersion(ctx, d.Server, r)
 			if werr := c.relayEvent(r, control, event, events.Buffered() > 0); werr != nil {
 				c.result, c.reason = "left", werr.Error()
@@ -186,11 +189,13 @@
 	if c.eventCount++; c.eventCount == 1 {
 		c.firstEventAt = now
 	}
-	if id := eventID(event); id != "" {
+	id := eventID(event)
+	if id != "" {
 		c.lastEventID = id
 	}
+	c.sequence.Add(id, hasData(event))
 	c.relayed++
-	c.serverRun.eventRelayed(now, c.lastEventID, r.LifetimeConfirmed())
+	c.serverRun.eventRelayed(now, c.sequence.Joinable(), r.LifetimeConfirmed())
 	if more {
 		return nil
 	}
@@ -240,6 +245,11 @@
 	}
 }
 
+// hasData reports whether an event has data.
+func hasData(event []byte) bool {
+	return bytes.HasPrefix(event, []byte("data")) || bytes.Contains(event, []byte("\ndata"))
+}
+
 // eventID returns the ID of an event, or "" if it has none.
 func eventID(event []byte) string {
 	for line := range strings.Lines(string(event)) {
--- a/gateway/run_moves.go
+++ b/gateway/run_moves.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strconv"
 	"sync"
 	"time"
 
@@ -32,6 +31,8 @@
 	closeTimeout = 100 * time.Millisecond
 	// busyInterval is the time between two calls to a source that is handling another one for the run.
 	busyInterval = 20 * time.Millisecond
+	// notBegunInterval is the time until a source that does not know a run yet is asked again.
+	notBegunInterval = 250 * time.Millisecond
 	// maxMoveTargets limits the targets that are tried for a move.
 	maxMoveTargets = 3
 	// maxMoves limits how often a request moves.
@@ -47,9 +48,10 @@
 // Reasons why a run does not move, in addition to those of package continuation.
 const (
 	reasonEnded       continuation.Reason = "it has ended"
-	reasonNoIDs       continuation.Reason = "its event IDs are not numbers"
+	reasonNoIDs       continuation.Reason = "its event IDs are not ascending numbers"
 	reasonSharedID    continuation.Reason = "another request has its ID"
 	reasonNoVersion   continuation.Reason = "its server's version is not certain"
+	reasonNotBegun    continuation.Reason = "its server has not begun it"
 	reasonBusy        continuation.Reason = "its server is handling another call for it"
 	reasonSourceFails continuation.Reason = "its server does not answer"
 )
@@ -86,14 +88,14 @@
 type streamRuns struct {
 	gateway *Gateway
 	mutex   sync.Mutex
-	byID    map[string]int                     // number of runs by request ID
+	byID    map[string]*idUse                  // of requests at servers, by request ID
 	runs    map[string]map[*streamRun]struct{} // by server
 	leaving map[string]time.Time               // when it was first known, by server
 	slots   chan struct{}                      // held by runs that ask to move now or are moving, so that the others ask the dispatcher seldom
 }
 
 func newStreamRuns(g *Gateway) *streamRuns {
-	return &streamRuns{gateway: g, byID: map[string]int{}, runs: map[string]map[*streamRun]struct{}{}, leaving: map[string]time.Time{},
+	return &streamRuns{gateway: g, byID: map[string]*idUse{}, runs: map[string]map[*streamRun]struct{}{}, leaving: map[string]time.Time{},
 		slots: make(chan struct{}, continuation.DefaultLimits().MaxMoves)}
 }
 
@@ -136,7 +138,7 @@
 	events     int
 	firstEvent time.Time
 	lastEvent  time.Time
-	lastID     string
+	unjoinable bool // events of the run from another server could not be joined to those that the caller has
 }
 
 // begin adds a run, and moves it if its server is leaving already.
@@ -147,7 +149,6 @@
 		s.runs[r.server.ID] = map[*streamRun]struct{}{}
 	}
 	s.runs[r.server.ID][r] = struct{}{}
-	s.byID[r.id]++
 	if since, leaving := s.leaving[r.server.ID]; leaving && r.movable {
 		r.startMove(since.Add(drainTime))
 	}
@@ -161,16 +162,55 @@
 	if len(s.runs[r.server.ID]) == 0 {
 		delete(s.runs, r.server.ID)
 	}
-	if s.byID[r.id]--; s.byID[r.id] == 0 {
-		delete(s.byID, r.id)
+}
+
+// idUse is the use of an ID by requests at servers.
+type idUse struct {
+	requests int
+	shared   bool // several had it at once
+}
+
+// addID records that a request with an ID is at a server. The returned function records that it is
+// not any more.
+func (s *streamRuns) addID(id string) (remove func()) {
+	if s == nil {
+		return func() {}
 	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	u := s.byID[id]
+	if u == nil {
+		u = &idUse{}
+		s.byID[id] = u
+	}
+	u.requests++
+	u.shared = u.shared || u.requests > 1
+	return func() {
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		if u.requests--; u.requests == 0 {
+			delete(s.byID, id)
+		}
+	}
+}
+
+// usesID reports whether a request with an ID is at a server.
+func (s *streamRuns) usesID(id string) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.byID[id] != nil
 }
 
-// withID returns the number of runs with an ID. Servers cannot tell several apart.
-func (s *streamRuns) withID(id string) int {
+// sharedID reports whether several requests with an ID have been at servers at once. Servers cannot
+// tell their runs and copies apart.
+func (s *streamRuns) sharedID(id string) bool {
+	if s == nil {
+		return false
+	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.byID[id]
+	u := s.byID[id]
+	return u != nil && u.shared
 }
 
 // serverLeaving moves the runs off a server that leaves.
@@ -217,7 +257,7 @@
 }
 
 // eventRelayed records an event that the caller got.
-func (r *streamRun) eventRelayed(now time.Time, id string, confirmed bool) {
+func (r *streamRun) eventRelayed(now time.Time, joinable, confirmed bool) {
 	if r == nil {
 		return
 	}
@@ -227,7 +267,7 @@
 	if p.events++; p.events == 1 {
 		p.firstEvent = now
 	}
-	p.lastEvent, p.lastID = now, id
+	p.lastEvent, p.unjoinable = now, !joinable
 	r.confirmed = r.confirmed || confirmed
 }
 
@@ -286,7 +326,7 @@
 func (r *streamRun) move(ctx context.Context, end time.Time) moveOutcome {
 	request := r.request
 	var reason continuation.Reason
-	for range maxMoveTargets {
+	for tried := 0; tried < maxMoveTargets; {
 		target, why := r.awaitTarget(ctx, &request, end)
 		if why != "" {
 			return stayed{why}
@@ -298,6 +338,15 @@
 			return outcome
 		}
 		reason = why
+		if why == reasonNotBegun {
+			select {
+			case <-ctx.Done():
+				return stayed{reasonEnded}
+			case <-time.After(notBegunInterval):
+			}
+			continue
+		}
+		tried++
 		request.Exclude = append(request.Exclude[:len(request.Exclude):len(request.Exclude)], target.ID)
 	}
 	return stayed{reason}
@@ -351,7 +400,7 @@
 		return catalog.Server{}, 0, why
 	}
 	now := time.Now()
-	m, ok := r.gateway.dispatcher.requestMove(ctx, moveRequested{run: r.describe(now), request: request, left: end.Sub(now)})
+	m, ok := r.gateway.dispatcher.requestMove(moveRequested{run: r.describe(now), request: request, left: end.Sub(now)})
 	if !ok {
 		return catalog.Server{}, 0, reasonEnded
 	}
@@ -373,10 +422,10 @@
 	r.mutex.Lock()
 	p, confirmed := r.progress, r.confirmed
 	r.mutex.Unlock()
-	if _, err := strconv.ParseInt(p.lastID, 10, 64); r.events+p.events > 0 && err != nil {
+	if p.unjoinable {
 		return reasonNoIDs
 	}
-	if r.gateway.runs.withID(r.id) > 1 {
+	if r.gateway.runs.sharedID(r.id) {
 		return reasonSharedID
 	}
 	if confirmed || !r.gateway.lifetimeInDoubt(r.server) {
@@ -419,7 +468,7 @@
 func (r *streamRun) moveTo(ctx context.Context, target catalog.Server, end time.Time) (moveOutcome, continuation.Reason) {
 	handle, why := r.copyRunning(ctx, target, end.Add(-finalCopyTime))
 	switch {
-	case why == continuation.NoTarget, why == reasonSourceFails:
+	case why == continuation.NoTarget, why == reasonSourceFails, why == reasonNotBegun:
 		return nil, why
 	case why != "":
 		return stayed{why}, ""
@@ -447,7 +496,10 @@
 	case RunBusy:
 		return "", reasonBusy
 	default:
-		return "", reasonEnded
+		if r.answers() {
+			return "", reasonEnded
+		}
+		return "", reasonNotBegun // its request is on the way or waits at the server
 	}
 }
 
@@ -477,6 +529,13 @@
 	}
 }
 
+// answers reports whether the run has made an event.
+func (r *streamRun) answers() bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.progress.events > 0
+}
+
 // closeSoon closes the stream of the stopped run if the server does not.
 func (r *streamRun) closeSoon() {
 	time.AfterFunc(closeTimeout, func() { r.cancel(errRunMoved) })
--- a/gateway/run_moves_test.go
+++ b/gateway/run_moves_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net/http/httptest"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -90,8 +92,9 @@
 		movable: true, gateway: g, id: id, server: v.Servers[0], service: "s", engine: v.engine("s"), sent: now, deadline: now.Add(time.Minute),
 		request: placement.Request{Service: "s", Hall: "h", PromptTokens: 10_000, OutputTokens: tokens, Pinned: true, Version: "v1", Exclude: []string{"a"}, Regions: catalog.Regions{"near"}},
 		stream:  stream, cancel: cancel,
-		progress: runProgress{events: 3, firstEvent: now.Add(-200 * time.Millisecond), lastEvent: now, lastID: "3"},
+		progress: runProgress{events: 3, firstEvent: now.Add(-200 * time.Millisecond), lastEvent: now},
 	}
+	context.AfterFunc(stream, g.runs.addID(id))
 	g.runs.begin(run)
 	return run, stream
 }
@@ -117,6 +120,7 @@
 				case <-time.After(time.Duration(tokens-15) * 20 * time.Millisecond):
 				}
 				g.runs.end(run)
+				run.cancel(nil)
 				outcomes <- run.finish()
 			}()
 		}
@@ -144,6 +148,76 @@
 	})
 }
 
+// lateCopies knows runs from a time on.
+type lateCopies struct {
+	slowCopies
+	from time.Time
+}
+
+// Copy implements RunCopies.
+func (c *lateCopies) Copy(ctx context.Context, r RunCopyRequest) (RunCopyResult, error) {
+	if time.Now().Before(c.from) {
+		return RunUnknown{}, nil
+	}
+	return c.slowCopies.Copy(ctx, r)
+}
+
+// TestRunMovesOnceBegun: a server does not know a run whose request is on its way to it when it leaves,
+// so an answer that there is no such run does not mean that it has ended before its first event.
+func TestRunMovesOnceBegun(t *testing.T) {
+	for _, events := range []int{0, 3} {
+		t.Run(fmt.Sprintf("%d events", events), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				copies := &lateCopies{slowCopies{targets: map[string]bool{}, stops: map[string]int{}}, time.Now().Add(300 * time.Millisecond)}
+				g := newMovingGateway(t, copies)
+				run, _ := g.beginTestRun("r", 1000)
+				run.progress.events = events
+				g.runs.serverLeaving(time.Now(), "a")
+				time.Sleep(drainTime)
+				if events == 0 {
+					require.IsType(t, moved{}, run.finish())
+					return
+				}
+				require.Equal(t, stayed{reasonEnded}, run.finish())
+			})
+		})
+	}
+}
+
+// TestStoppedRunIsNotComplete: the end of an unframed stream looks the same whether the run has ended or
+// was stopped. A run that was stopped and cannot go on must not be relayed as a complete answer.
+func TestStoppedRunIsNotComplete(t *testing.T) {
+	tests := []struct {
+		name    string
+		outcome moveOutcome
+		change  func(c *call)
+		want    step // nil: as without a move
+	}{
+		{"moved", moved{handle: "h"}, func(*call) {}, continueStep{}},
+		{"moved, too late", moved{handle: "h"}, func(c *call) { c.deadline = time.Now() }, failStep{}},
+		{"stopped, too late", stopped{handle: "h"}, func(c *call) { c.deadline = time.Now() }, failStep{}},
+		{"perhaps stopped, too late", unanswered{handle: "h"}, func(c *call) { c.deadline = time.Now() }, failStep{}},
+		{"moved, the last event has no ID", moved{handle: "h"}, func(c *call) { c.sequence.Add("", true) }, failStep{}},
+		{"not stopped", stayed{reasonEnded}, func(c *call) { c.deadline = time.Now() }, nil},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := newMovingGateway(t, &slowCopies{})
+				run, stream := g.beginTestRun("r", 1000)
+				run.phase, run.outcome = moveStopping, make(chan moveOutcome, 1)
+				run.outcome <- test.outcome
+				c := &call{gateway: g, request: httptest.NewRequest("POST", "/", nil), route: &catalog.Route{Kind: catalog.Stream}, deadline: time.Now().Add(time.Minute)}
+				c.sequence.Add("1", true)
+				test.change(c)
+				next, ok := c.movedAway(stream, run, false, io.EOF)
+				require.Equal(t, test.want != nil, ok)
+				require.IsType(t, test.want, next)
+			})
+		})
+	}
+}
+
 // TestRunThatCannotMove: pieces of two runs must not be joined, so a run stays whose events could not be
 // told apart, or that its server could confuse with another.
 func TestRunThatCannotMove(t *testing.T) {
@@ -152,8 +226,7 @@
 		change func(g *Gateway, r *streamRun)
 		want   moveOutcome
 	}{
-		{"event IDs are no numbers", func(_ *Gateway, r *streamRun) { r.progress.lastID = "x" }, stayed{reasonNoIDs}},
-		{"no event IDs", func(_ *Gateway, r *streamRun) { r.progress.lastID = "" }, stayed{reasonNoIDs}},
+		{"event IDs are no numbers", func(_ *Gateway, r *streamRun) { r.eventRelayed(time.Now(), false, true) }, stayed{reasonNoIDs}},
 		{"another request has its ID", func(g *Gateway, _ *streamRun) { g.beginTestRun("r", 1000) }, stayed{reasonSharedID}},
 		{"no server has its version", func(_ *Gateway, r *streamRun) { r.request.Version = "v3" }, stayed{continuation.NoTarget}},
 		{"no server in its regions", func(_ *Gateway, r *streamRun) { r.request.Regions = catalog.Regions{} }, stayed{continuation.NoTarget}},
