gateway/continuation: backs up runs only where the expected saving exceeds the copy's time

Runs of unknown length or pace counted as lasting until their caller's timeout, the time before the first event was counted twice, the copy as long as the whole guess of the answer, and servers whose entries had only lapsed as crashed.

The chance is now the sum of the rate in the long run and of the momentary one times the share of crashes that followed others, and is lowered by the chance that the backup crashes as well.

--- a/gateway/continuation/continuation.go
+++ b/gateway/continuation/continuation.go
@@ -15,9 +15,10 @@
 //	}
 //
 // Load: servers that leave or crash during runs of several seconds. A run moves off a leaving server
-// if it would not end in the time that is left there. A run is backed up if the time that a crash is
-// expected to cost exceeds the copy's time on the links. The links' time is bounded, so that copies
-// of runs never take much from copies of cached prompts.
+// if it would not end in the time that is left there. A run is backed up if the time that this is
+// expected to save its caller exceeds the copy's time on the links: its chance of a crash, which is learned from
+// those that the fleet has seen, times the time that a crash would cost. The links' time is bounded,
+// so that copies of runs never take much from copies of cached prompts.
 //
 // The package does no locking and no I/O and does not read the clock. A Planner must be used by one
 // goroutine only.
@@ -25,7 +26,6 @@
 
 import (
 	"cmp"
-	"slices"
 	"time"
 )
 
@@ -38,7 +38,7 @@
 	Margin        time.Duration // a run that ends later than this before its server's end moves
 	MoveOverhead  time.Duration // time of a move in addition to the copy
 	MinBackup     time.Duration // expected duration from which on a run is backed up
-	CrashWindow   time.Duration // crashes that are older do not count
+	CrashWindow   time.Duration // time for which crashes make others more likely
 }
 
 // DefaultLimits returns the default limits.
@@ -126,29 +126,23 @@
 	linkRate float64 // seconds of link time that this gateway may use in a second
 	linkTime float64 // accumulated seconds of link time
 	filledAt time.Time
-	servers  int
-	moves    int                      // in progress
-	incoming map[string]int           // moves in progress, by target
-	backups  map[string]int           // runs that are backed up, by target
-	crashes  []crash                  // within the window, oldest first
+	moves    int            // in progress
+	incoming map[string]int // moves in progress, by target
+	backups  map[string]int // runs that are backed up, by target
+	crashes  crashHistory
 	paces    map[string]time.Duration // mean event interval, by service
 }
 
-type crash struct {
-	server string
-	at     time.Time
-}
-
 // NewPlanner returns a planner for a fleet that is still unknown.
 func NewPlanner(l Limits) *Planner {
-	return &Planner{limits: l, incoming: map[string]int{}, backups: map[string]int{}, paces: map[string]time.Duration{}}
+	return &Planner{limits: l, crashes: crashHistory{window: l.CrashWindow}, incoming: map[string]int{}, backups: map[string]int{}, paces: map[string]time.Duration{}}
 }
 
 // SetFleet sets the number of servers that copy runs, and of gateways that share their links.
 func (p *Planner) SetFleet(now time.Time, servers, gateways int) {
 	unknown := p.linkRate == 0
 	p.fill(now)
-	p.servers = servers
+	p.crashes.advance(now, servers)
 	p.linkRate = p.limits.LinkShare * float64(servers) / float64(max(gateways, 1))
 	if unknown {
 		p.linkTime = p.maxLinkTime()
@@ -179,24 +173,10 @@
 }
 
 // RecordCrash records the crash of a server; further reports of the same crash are ignored.
-func (p *Planner) RecordCrash(now time.Time, server string) {
-	p.expireCrashes(now)
-	if !slices.ContainsFunc(p.crashes, func(c crash) bool { return c.server == server }) {
-		p.crashes = append(p.crashes, crash{server, now})
-	}
-}
-
-func (p *Planner) expireCrashes(now time.Time) {
-	for len(p.crashes) > 0 && now.Sub(p.crashes[0].at) > p.limits.CrashWindow {
-		p.crashes = p.crashes[1:]
-	}
-}
+func (p *Planner) RecordCrash(now time.Time, server string) { p.crashes.add(now, server) }
 
-// crashRate returns the crashes of a server in a second.
-func (p *Planner) crashRate(now time.Time) float64 {
-	p.expireCrashes(now)
-	return float64(len(p.crashes)) / (float64(max(p.servers, 1)) * p.limits.CrashWindow.Seconds())
-}
+// RecordBack takes back the crash of a server whose entry had only lapsed.
+func (p *Planner) RecordBack(server string) { p.crashes.remove(server) }
 
 // Leaving decides on a run whose server ends when the given time has passed.
 func (p *Planner) Leaving(now time.Time, r Run, left time.Duration, servers []Server) Decision {
@@ -245,24 +225,53 @@
 	})
 }
 
-// WorthBackup reports whether the time that a crash is expected to cost a run that is about to be sent
-// exceeds the time of a backup on the links, and there is such time.
+// WorthBackup reports whether the time that a backup is expected to save the caller of a run that is
+// about to be sent exceeds the backup's time on the links, and there is such time. Copies delay others on
+// busy links by their own time, and by less on idle ones.
 func (p *Planner) WorthBackup(now time.Time, r Run) bool {
-	duration := p.timeToEnd(r)
-	if duration <= p.limits.MinBackup {
-		return false
-	}
-	copying := r.backupTime()
-	lost := r.FirstEvent + max(duration-r.FirstEvent, 0)/2 // a crash comes halfway through its events on average
-	if p.crashRate(now)*duration.Seconds()*lost.Seconds() <= copying.Seconds() {
+	copying := p.backupTime(r)
+	if p.savedByBackup(now, r) <= copying {
 		return false
 	}
 	p.fill(now)
 	return p.linkTime-copying.Seconds() >= p.limits.BackupReserve*p.maxLinkTime()
 }
 
-// backupTime returns the time that a backup of a run that is about to be sent takes on the links.
-func (r Run) backupTime() time.Duration { return r.copyTime(r.PromptTokens+r.OutputTokens, r.Hall) }
+// savedByBackup returns the time that a backup is expected to save. A caller whose run is lost begins
+// anew and loses the time that has passed, half of the run's on average. A run of unknown length has no
+// expected time.
+func (p *Planner) savedByBackup(now time.Time, r Run) time.Duration {
+	duration := p.duration(r)
+	if duration <= p.limits.MinBackup {
+		return 0
+	}
+	chance := min(p.crashes.rate(now)*duration.Seconds(), 1) * (1 - p.crashes.together())
+	return time.Duration(chance * float64(duration) / 2)
+}
+
+// defaultPace is the event interval of a service that is not known yet: five tokens of 10 ms.
+const defaultPace = 50 * time.Millisecond
+
+// duration returns the expected time that a run takes that is about to be sent; 0: unknown.
+func (p *Planner) duration(r Run) time.Duration {
+	if r.OutputTokens == 0 {
+		return 0
+	}
+	events := float64(r.OutputTokens) / float64(max(r.EventTokens, 1))
+	return min(r.FirstEvent+time.Duration(events*float64(p.pace(r))), r.Remaining)
+}
+
+// pace returns the expected interval between a run's events.
+func (p *Planner) pace(r Run) time.Duration {
+	return cmp.Or(r.EventInterval, p.paces[r.Service], defaultPace)
+}
+
+// backupTime returns the time that a backup of a run that is about to be sent takes on the links, for
+// as many tokens as it can answer in its time.
+func (p *Planner) backupTime(r Run) time.Duration {
+	answered := float64(max(p.duration(r)-r.FirstEvent, 0)) / float64(p.pace(r)) * float64(max(r.EventTokens, 1))
+	return r.copyTime(r.PromptTokens+int(answered), r.Hall)
+}
 
 // Backup returns the server of the run's hall at which a run that is worth it is backed up. The run
 // counts as backed up there until [Planner.BackupEnded].
@@ -276,7 +285,7 @@
 	if !ok {
 		return "", false
 	}
-	p.linkTime -= r.backupTime().Seconds()
+	p.linkTime -= p.backupTime(r).Seconds()
 	p.backups[best.ID]++
 	return best.ID, true
 }
--- a/gateway/dispatcher_continuation.go
+++ b/gateway/dispatcher_continuation.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -87,7 +88,7 @@
 		return catalog.Server{}
 	}
 	run := continuation.Run{
-		Service: r.Service, Hall: a.Server.Hall, PromptTokens: r.PromptTokens, OutputTokens: r.OutputTokens, EventTokens: e.MaxEventTokens,
+		Service: r.Service, Hall: a.Server.Hall, PromptTokens: r.PromptTokens, OutputTokens: cmp.Or(r.ExpectedOutput, r.OutputTokens), EventTokens: e.MaxEventTokens,
 		FirstEvent: a.Predicted, Remaining: r.Remaining, BytesPerToken: e.BytesPerToken, LinkMbps: e.LinkMbps, TieBreak: r.TieBreak,
 	}
 	if !d.planner.WorthBackup(now, run) {
@@ -144,10 +145,13 @@
 	}
 	d.planner.SetFleet(now, d.copyServers, d.fleetSize())
 	for _, s := range removedServers(before.Servers, after.Servers) {
-		if e := after.engine(s.Service); e != nil && !s.Leaving && !s.Evacuated {
+		if e := after.engine(s.Service); (e.CanMoveRuns() || e.CanBackUpRuns()) && !s.Leaving && !s.Evacuated {
 			d.planner.RecordCrash(now, s.ID)
 		}
 	}
+	for _, s := range removedServers(after.Servers, before.Servers) {
+		d.planner.RecordBack(s.ID) // its entry had lapsed while the store was unreachable
+	}
 }
 
 // engine returns the engine of a service; nil if it is unknown or a plain service.
