gateway/continuation/transfer: moves runs off leaving servers, without the Gateway type

Moved from gateway's root behind Planner, Lifetimes and Copies: runs and their moves, calls for copies and the freeing of unused ones. The root keeps the calls' and the dispatcher's part (call_continue.go, dispatcher_continuation.go).

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -12,6 +12,7 @@
 
 	"opalbridge.dev/gateway/catalog"
 	"opalbridge.dev/gateway/continuation"
+	"opalbridge.dev/gateway/continuation/transfer"
 	"opalbridge.dev/gateway/placement"
 	"opalbridge.dev/gateway/protocol"
 	"opalbridge.dev/gateway/upstream"
@@ -62,9 +63,9 @@
 	moves        int                   // number of times its run was stopped to go on from a copy
 	crashResumes int                   // number of servers that went on with it after a crash; like attempts, they leave fewer servers for retries
 	crashes      int                   // number of servers that have crashed under it, as this call has seen
-	movedFrom    *streamRun            // the run that has moved last
+	movedFrom    *transfer.Run         // the run that has moved last
 	continuing   *continueStep         // the attempt goes on with a run; nil: it begins one
-	serverRun    *streamRun            // of the latest attempt, if it can move
+	serverRun    *transfer.Run         // of the latest attempt, if it can move
 }
 
 // step is the next step after an attempt.
@@ -195,8 +196,8 @@
 	c.gateway.activeCalls.add(c, cancel)
 	defer c.gateway.activeCalls.remove(c)
 	c.status, c.eventCount = 0, 0
-	defer c.gateway.runs.addID(c.meta.ID)()
-	if d.Backup.ID != "" && c.gateway.runs.sharedID(c.meta.ID) {
+	defer c.gateway.runs.AddID(c.meta.ID)()
+	if d.Backup.ID != "" && c.gateway.runs.SharedID(c.meta.ID) {
 		d.Backup = catalog.Server{} // since it was placed
 	}
 	c.serverRun = c.beginRun(ctx, cancel, d, sent)
--- a/gateway/call_continue.go
+++ b/gateway/call_continue.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"opalbridge.dev/gateway/catalog"
+	"opalbridge.dev/gateway/continuation/transfer"
 	"opalbridge.dev/gateway/placement"
 	"opalbridge.dev/gateway/protocol"
 	"opalbridge.dev/gateway/upstream"
@@ -21,7 +22,7 @@
 
 // continueStep means that the run goes on from a copy of its memory.
 type continueStep struct {
-	points []resumePoint // tried in this order
+	points []transfer.Point // tried in this order
 	cause  continueCause
 	err    error // how it ended at its server, for the case that it goes on nowhere
 	sent   bool  // the request was sent to the first of the points, or nearly so
@@ -29,14 +30,6 @@
 
 func (continueStep) step() {}
 
-// resumePoint is a server and the copy from which a run can go on there.
-type resumePoint struct {
-	server catalog.Server
-	copy   protocol.RunCopy
-	giver  catalog.Server // that gave the handle
-	source bool           // the server has stopped the run, so it goes on with it although it is leaving
-}
-
 // continueCause is why a run goes on elsewhere.
 type continueCause string
 
@@ -58,6 +51,18 @@
 	backupBegun         = "begun"
 )
 
+// runLifetimes implements transfer.Lifetimes.
+type runLifetimes struct{ gateway *Gateway }
+
+func (l runLifetimes) InDoubt(s catalog.Server) bool { return l.gateway.lifetimeInDoubt(s) }
+
+func (l runLifetimes) Confirm(ctx context.Context, s catalog.Server) error {
+	return l.gateway.confirmLifetime(ctx, s)
+}
+
+// maxMoves limits how often a request moves.
+const maxMoves = 4
+
 // canContinue reports whether a run of the request could go on at another server. Its ID must be one
 // that a call to a server can name.
 func (c *call) canContinue() bool {
@@ -65,10 +70,10 @@
 }
 
 // mayBackUp reports whether a run of the request may be backed up.
-func (c *call) mayBackUp() bool { return c.canContinue() && !c.gateway.runs.usesID(c.meta.ID) }
+func (c *call) mayBackUp() bool { return c.canContinue() && !c.gateway.runs.UsesID(c.meta.ID) }
 
 // beginRun makes an attempt known as a run that can move or is backed up; nil: it is neither.
-func (c *call) beginRun(ctx context.Context, cancel context.CancelCauseFunc, d placement.Assign, sent time.Time) *streamRun {
+func (c *call) beginRun(ctx context.Context, cancel context.CancelCauseFunc, d placement.Assign, sent time.Time) *transfer.Run {
 	if !c.canContinue() || d.Server.Version == "" {
 		return nil
 	}
@@ -84,93 +89,64 @@
 	}
 	request := c.placeReq
 	request.Pinned, request.Version, request.Exclude = true, d.Server.Version, slices.Clone(request.Exclude)
-	r := &streamRun{
-		movable: movable, gateway: c.gateway, id: c.meta.ID, server: d.Server, service: d.Server.Service, engine: engine, sent: sent, first: d.Predicted,
-		deadline: c.deadline, request: request, events: c.relayed, stream: ctx, cancel: cancel, progress: runProgress{unjoinable: !c.sequence.Joinable()},
+	r := &transfer.Run{
+		Movable: movable, ID: c.meta.ID, Server: d.Server, Service: d.Server.Service, Engine: engine, Sent: sent, FirstEvent: d.Predicted,
+		Deadline: c.deadline, Request: request, Events: c.relayed, Joinable: c.sequence.Joinable(), Stream: ctx, Cancel: cancel,
 	}
-	c.gateway.runs.begin(r)
+	c.gateway.runs.Begin(r)
 	return r
 }
 
 // endRun ends what beginRun has begun. A copy that was not used is freed.
-func (c *call) endRun(r *streamRun) {
+func (c *call) endRun(r *transfer.Run) {
 	if r == nil {
 		return
 	}
-	c.gateway.runs.end(r)
-	outcome := r.finish()
+	c.gateway.runs.End(r)
+	outcome := r.Finish()
 	if c.movedFrom != r {
-		c.freeUnused(r, outcome)
+		c.gateway.copyCleaner.Free(r.Server, transfer.Handle(outcome)) // it does not go on from the copy
 		c.recordMove(r, outcome)
 	}
 }
 
-// freeUnused frees the copy of a run that does not go on from it.
-func (c *call) freeUnused(r *streamRun, outcome moveOutcome) {
-	switch o := outcome.(type) {
-	case moved:
-		c.gateway.freeCopy(r.server, o.handle)
-	case stopped:
-		c.gateway.freeCopy(r.server, o.handle)
-	case unanswered:
-		c.gateway.freeCopy(r.server, o.handle)
-	case stayed:
-	}
-}
-
 // movedAway returns the next step after a stream that has ended or broken off because its run has
 // moved; ok is false if it has not, or if nobody waits for the rest. complete says that the end cannot
 // be that of a stopped run. The end of an unframed stream does not show that the answer is incomplete,
 // so a run that was stopped and goes on nowhere has a next step as well.
-func (c *call) movedAway(ctx context.Context, r *streamRun, complete bool, err error) (s step, ok bool) {
+func (c *call) movedAway(ctx context.Context, r *transfer.Run, complete bool, err error) (s step, ok bool) {
 	if r == nil {
 		return nil, false
 	}
-	outcome := r.finish()
+	outcome := r.Finish()
 	if c.request.Context().Err() != nil || errors.Is(context.Cause(ctx), errQuarantined) {
 		return nil, false
 	}
-	source := resumePoint{server: r.server, giver: r.server, source: true}
-	next := continueStep{cause: causeMoved, err: err}
-	switch o := outcome.(type) {
-	case moved:
-		source.copy = protocol.RunCopy{Address: r.server.Address, Handle: o.handle}
-		next.points = []resumePoint{{server: o.target, copy: source.copy, giver: r.server}, source}
-	case stopped:
-		source.copy = protocol.RunCopy{Address: r.server.Address, Handle: o.handle}
-		next.points = []resumePoint{source}
-	case unanswered:
-		if complete {
-			return nil, false
-		}
-		source.copy = protocol.RunCopy{Address: r.server.Address, Handle: o.handle}
-		next.points = []resumePoint{source} // the source knows whether it has stopped the run
-	default:
+	points := transfer.Points(r.Server, outcome, complete)
+	if len(points) == 0 {
 		return nil, false
 	}
+	c.mayHaveRun = true
 	switch {
 	case !time.Now().Before(c.deadline):
-		c.mayHaveRun = true
 		return failStep{err: errDeadline, deadlinePassed: true}, true
 	case !c.sequence.Joinable():
-		c.mayHaveRun = true
-		return c.retryOrFail(errors.Wrap(err, string(reasonNoIDs))), true
+		return c.retryOrFail(errors.Wrap(err, string(transfer.NoIDs))), true
 	}
 	c.movedFrom = r
 	c.moves++
-	c.mayHaveRun = true
 	c.recordMove(r, outcome)
 	c.awaitOrigin()
 	if c.placeReq.Pinned && c.placeReq.Version == "" {
-		c.placeReq.Version = r.server.Version // certain since the move began, see checkMovable
+		c.placeReq.Version = r.Server.Version // certain since the move began, see checkMovable
 	}
-	return next, true
+	return continueStep{points: points, cause: causeMoved, err: err}, true
 }
 
 // continueOrRetry returns the next step after a response has broken off: the run goes on at its backup
 // if its server has crashed, and otherwise the request fails or is retried.
 func (c *call) continueOrRetry(ctx context.Context, d placement.Assign, err error) step {
-	if d.Backup.ID == "" || !c.sequence.Joinable() || c.gateway.runs.sharedID(c.meta.ID) {
+	if d.Backup.ID == "" || !c.sequence.Joinable() || c.gateway.runs.SharedID(c.meta.ID) {
 		return c.retryOrFail(err)
 	}
 	c.awaitOrigin()
@@ -178,8 +154,8 @@
 		return c.retryOrFail(err)
 	}
 	c.crashes++
-	point := resumePoint{server: d.Backup, copy: protocol.RunCopy{Address: d.Backup.Address, Handle: c.meta.ID}, giver: d.Backup}
-	s := continueStep{points: []resumePoint{point}, cause: causeCrashed, err: err}
+	point := transfer.Point{Server: d.Backup, Copy: protocol.RunCopy{Address: d.Backup.Address, Handle: c.meta.ID}, Giver: d.Backup}
+	s := continueStep{points: []transfer.Point{point}, cause: causeCrashed, err: err}
 	n, _ := c.crashesSeen()
 	if n = max(n, c.crashes); n >= noRetryCrashes { // the crash of a server that has started again at once is not detected yet
 		c.recordContinued(s, continuedRefused, errors.Newf("gateway: %d servers have crashed under the request", n))
@@ -221,17 +197,17 @@
 // continueRun sends the request to the first of the servers at which its run can go on.
 func (c *call) continueRun(ctx context.Context, s continueStep) step {
 	c.awaitOrigin()
-	if c.relayed > 0 && (!c.placeReq.Pinned || c.placeReq.Version == "" || c.placeReq.Version != s.points[0].server.Version) {
+	if c.relayed > 0 && (!c.placeReq.Pinned || c.placeReq.Version == "" || c.placeReq.Version != s.points[0].Server.Version) {
 		c.freeCopies(s.points)
 		return c.retryOrFail(errors.Wrap(s.err, "gateway: the version that began the stream is not certain"))
 	}
 	point := s.points[0]
-	id := c.gateway.dispatcher.continueAt(point.server, c.placeReq.PromptTokens+c.placeReq.OutputTokens)
+	id := c.gateway.dispatcher.continueAt(point.Server, c.placeReq.PromptTokens+c.placeReq.OutputTokens)
 	c.continuing = &s
 	if s.cause == causeCrashed {
 		c.crashResumes++
 	}
-	next := c.send(ctx, placement.Assign{Server: point.server, ID: id})
+	next := c.send(ctx, placement.Assign{Server: point.Server, ID: id})
 	c.continuing = nil
 	if _, failed := next.(failStep); failed && !s.sent {
 		c.freeCopies(s.points)
@@ -240,15 +216,15 @@
 }
 
 // freeCopies frees the copies of a run that does not go on.
-func (c *call) freeCopies(points []resumePoint) {
+func (c *call) freeCopies(points []transfer.Point) {
 	if len(points) > 0 {
-		c.gateway.freeCopy(points[0].giver, points[0].copy.Handle)
+		c.gateway.copyCleaner.Free(points[0].Giver, points[0].Copy.Handle)
 	}
 }
 
 // checkAvailable returns an error if a server may not get the request now.
 func (c *call) checkAvailable(now time.Time, s catalog.Server) error {
-	if c.continuing != nil && c.continuing.points[0].source {
+	if c.continuing != nil && c.continuing.points[0].Source {
 		return nil
 	}
 	if c.continuing != nil && !c.gateway.view.Load().acceptsWork(s.ID) {
@@ -262,7 +238,7 @@
 	if c.continuing == nil {
 		return protocol.RunCopy{}
 	}
-	return c.continuing.points[0].copy
+	return c.continuing.points[0].Copy
 }
 
 // refusedToContinue returns the next step after a server has not run the request.
@@ -325,24 +301,24 @@
 }
 
 // recordMove logs and counts what became of a run that was to move.
-func (c *call) recordMove(r *streamRun, outcome moveOutcome) {
-	if r.outcome == nil {
+func (c *call) recordMove(r *transfer.Run, outcome transfer.Outcome) {
+	if !r.MoveBegun() {
 		return // no move was begun
 	}
-	line := c.gateway.log.Info().Str("event", "stream.moved").Str("request", c.meta.ID).Str("server", r.server.ID).Int("events", c.relayed).Str("after_event", c.lastEventID)
+	line := c.gateway.log.Info().Str("event", "stream.moved").Str("request", c.meta.ID).Str("server", r.Server.ID).Int("events", c.relayed).Str("after_event", c.lastEventID)
 	result := continuedStayed
 	switch o := outcome.(type) {
-	case moved:
+	case transfer.Moved:
 		result = continuedMoved
-		line.Str("target", o.target.ID).Str("handle", o.handle)
-	case stopped:
+		line.Str("target", o.Target.ID).Str("handle", o.Handle)
+	case transfer.Stopped:
 		result = continuedStopped
-		line.Str("handle", o.handle)
-	case unanswered:
+		line.Str("handle", o.Handle)
+	case transfer.Unanswered:
 		result = continuedUnanswered
-		line.Str("handle", o.handle).AnErr("reason", o.err)
-	case stayed:
-		line.Str("reason", string(o.reason))
+		line.Str("handle", o.Handle).AnErr("reason", o.Err)
+	case transfer.Stayed:
+		line.Str("reason", string(o.Reason))
 	}
 	line.Str("outcome", result).Msg("server leaves under a stream")
 	c.gateway.countContinuation(c.service, ContinuationMove, result)
@@ -351,7 +327,7 @@
 // recordContinued logs and counts whether a server has gone on with a run.
 func (c *call) recordContinued(s continueStep, outcome string, err error) {
 	p := s.points[0]
-	c.gateway.log.Info().Str("event", "stream.continued").Str("request", c.meta.ID).Str("server", p.server.ID).Str("from", p.giver.ID).Str("handle", p.copy.Handle).
+	c.gateway.log.Info().Str("event", "stream.continued").Str("request", c.meta.ID).Str("server", p.Server.ID).Str("from", p.Giver.ID).Str("handle", p.Copy.Handle).
 		Str("cause", string(s.cause)).Int("events", c.relayed).Str("after_event", c.lastEventID).Str("outcome", outcome).AnErr("reason", err).Msg("stream continues from a copy of its run")
 	c.gateway.countContinuation(c.service, ContinuationResume, outcome)
 }
--- a/gateway/dispatcher_continuation.go
+++ b/gateway/dispatcher_continuation.go
@@ -42,20 +42,21 @@
 	target   catalog.Server
 }
 
-// requestMove returns what becomes of a run at a leaving server; ok is false if the dispatcher has
-// ended. The caller must report the end of a move that it is told to make.
-func (d *dispatcher) requestMove(m moveRequested) (decision moveDecision, ok bool) {
+// PlanMove implements transfer.Planner.
+func (d *dispatcher) PlanMove(run continuation.Run, request *placement.Request, left time.Duration) (decision continuation.Decision, target catalog.Server, ok bool) {
 	reply := make(chan moveDecision, 1)
-	m.reply = reply
-	d.send(m)
+	d.send(moveRequested{run: run, request: request, left: left, reply: reply})
 	select {
-	case decision = <-reply:
-		return decision, true
+	case m := <-reply:
+		return m.decision, m.target, true
 	case <-d.done:
-		return moveDecision{}, false
+		return nil, catalog.Server{}, false
 	}
 }
 
+// MoveEnded implements transfer.Planner.
+func (d *dispatcher) MoveEnded(target string) { d.send(moveEnded{target: target}) }
+
 // continueAt records that a run continues at a server and returns the ID of the attempt. It draws on
 // neither the account's share nor the retry budget: it is the same run.
 func (d *dispatcher) continueAt(server catalog.Server, tokens int) uint64 {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -32,9 +32,9 @@
 // suspects_trials.go sends some all the same; suspects_store.go persists suspects, and
 // call_quarantine.go applies them to a request in progress. crashes.go detects crashed servers,
 // and signals.go applies what servers announce in responses. origins.go and call_resume.go keep a
-// stream at the software version that began it; run_moves.go, call_continue.go and
-// dispatcher_continuation.go have streams go on at other servers from copies of their runs, which
-// run_copies.go asks for; server_lifetime.go tells a server's lifetimes
+// stream at the software version that began it; call_continue.go and dispatcher_continuation.go have
+// streams go on at other servers from copies of their runs, which package transfer asks for;
+// server_lifetime.go tells a server's lifetimes
 // apart. stop.go shuts the gateway down.
 package gateway
 
@@ -47,6 +47,7 @@
 	"github.com/rs/zerolog"
 
 	"opalbridge.dev/duty"
+	"opalbridge.dev/gateway/continuation/transfer"
 	"opalbridge.dev/gateway/peer"
 	"opalbridge.dev/gateway/protocol"
 	"opalbridge.dev/gateway/upstream"
@@ -61,12 +62,12 @@
 	PeerListener   net.Listener // requests of other gateways, on the address of Peer
 	Peer           peer.Options // Hall, State, Origins and OnError are set by New
 	Source         Source
-	Caches         Caches       // nil: servers do not report the contents of their caches
-	Lifetimes      Lifetimes    // nil: servers are in the lifetimes that their entries tell
-	Copies         RunCopies    // nil: runs do not move
-	Claims         ClaimStore   // nil: cold servers get no requests
-	Rollouts       RolloutStore // nil: the progress of rollouts is not reported to operators
-	Suspects       SuspectStore // nil: requests that crashed servers are not remembered once all gateways have restarted
+	Caches         Caches          // nil: servers do not report the contents of their caches
+	Lifetimes      Lifetimes       // nil: servers are in the lifetimes that their entries tell
+	Copies         transfer.Copies // nil: runs do not move
+	Claims         ClaimStore      // nil: cold servers get no requests
+	Rollouts       RolloutStore    // nil: the progress of rollouts is not reported to operators
+	Suspects       SuspectStore    // nil: requests that crashed servers are not remembered once all gateways have restarted
 	Codec          protocol.Codec
 	Dispatcher     DispatcherOptions
 	MilliCPU       int           // thousandths of a core that the process may use
@@ -133,8 +134,8 @@
 	activeCalls           *activeCalls
 	signals               *serverSignals
 	origins               *originTracker
-	runs                  *streamRuns // nil: streams neither move nor are backed up
-	unusedCopies          chan unusedCopy
+	runs                  *transfer.Runs    // nil: streams neither move nor are backed up
+	copyCleaner           *transfer.Cleaner // nil: runs do not move
 	callerRetries         callerRetryTracker
 	stopping              atomic.Bool
 	active                atomic.Int64 // requests being served
@@ -171,9 +172,9 @@
 	g.signals = newServerSignals()
 	g.origins = newOriginTracker(g.started)
 	if o.Copies != nil {
-		g.unusedCopies = make(chan unusedCopy, unusedCopyQueueSize)
+		g.copyCleaner = transfer.NewCleaner(o.Copies, o.Log)
 		if o.Dispatcher.Features.MoveStreams || o.Dispatcher.Features.BackUpStreams {
-			g.runs = newStreamRuns(g)
+			g.runs = transfer.NewRuns(transfer.Options{Copies: o.Copies, Planner: g.dispatcher, Lifetimes: runLifetimes{g}, Cleaner: g.copyCleaner})
 		}
 	}
 	g.pool.OnSignal = g.handleSignal
@@ -236,7 +237,7 @@
 	group.Go(background, "suspects", g.suspects.runWriter)
 	group.Go(background, "quarantine", g.cancelQuarantinedCalls)
 	group.Go(background, "versions", g.recordVersions)
-	group.Go(background, "unused copies", g.freeCopies)
+	group.Go(background, "unused copies", g.copyCleaner.Run)
 	for range probeWorkers {
 		group.Go(background, "probes", g.crashes.runProbes)
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -195,7 +195,7 @@
 	}
 	c.sequence.Add(id, hasData(event))
 	c.relayed++
-	c.serverRun.eventRelayed(now, c.sequence.Joinable(), r.LifetimeConfirmed())
+	c.serverRun.EventRelayed(now, c.sequence.Joinable(), r.LifetimeConfirmed())
 	if more {
 		return nil
 	}
--- a/gateway/signals.go
+++ b/gateway/signals.go
@@ -195,7 +195,7 @@
 // serverLeaving tells the dispatcher at once that a server is leaving; the view follows.
 func (g *Gateway) serverLeaving(server string) {
 	g.dispatcher.send(leavingAnnounced{server: server})
-	g.runs.serverLeaving(time.Now(), server)
+	g.runs.ServerLeaving(time.Now(), server)
 	select {
 	case g.storeWatcher.leavingSignal <- struct{}{}:
 	default: // the store watcher has a notification pending
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -427,7 +427,7 @@
 		w.gateway.suspects.applyStored(now, old.Suspects, v.Suspects, w.gateway.watchesStore.Load())
 	}
 	if changed {
-		w.gateway.runs.viewChanged(now, v.Servers)
+		w.gateway.runs.ViewChanged(now, v.Servers)
 		w.gateway.peers.SendSoon()
 	}
 }
