--- a/gateway/dispatcher_continuation.go
+++ b/gateway/dispatcher_continuation.go
@@ -1,7 +1,7 @@
 package gateway
 
 import (
-	"context"
+	"cmp"
 	"slices"
 	"time"
 
@@ -42,33 +42,21 @@
 	target   catalog.Server
 }
 
-// requestMove returns what becomes of a run at a leaving server; ok is false if ctx ends first.
-func (d *dispatcher) requestMove(ctx context.Context, m moveRequested) (decision moveDecision, ok bool) {
+// PlanMove implements transfer.Planner.
+func (d *dispatcher) PlanMove(run continuation.Run, request *placement.Request, left time.Duration) (decision continuation.Decision, target catalog.Server, ok bool) {
 	reply := make(chan moveDecision, 1)
-	m.reply = reply
-	d.send(m)
-	select {
-	case decision = <-reply:
-		return decision, true
-	case <-d.done:
-		return moveDecision{}, false
-	case <-ctx.Done():
-		go d.releaseMove(reply)
-		return moveDecision{}, false
-	}
-}
-
-// releaseMove undoes a decision to move that nobody waits for any more.
-func (d *dispatcher) releaseMove(reply <-chan moveDecision) {
+	d.send(moveRequested{run: run, request: request, left: left, reply: reply})
 	select {
 	case m := <-reply:
-		if _, moves := m.decision.(continuation.Move); moves {
-			d.send(moveEnded{target: m.target.ID})
-		}
+		return m.decision, m.target, true
 	case <-d.done:
+		return nil, catalog.Server{}, false
 	}
 }
 
+// MoveEnded implements transfer.Planner.
+func (d *dispatcher) MoveEnded(target string) { d.send(moveEnded{target: target}) }
+
 // continueAt records that a run continues at a server and returns the ID of the attempt. It draws on
 // neither the account's share nor the retry budget: it is the same run.
 func (d *dispatcher) continueAt(server catalog.Server, tokens int) uint64 {
@@ -101,7 +89,7 @@
 		return catalog.Server{}
 	}
 	run := continuation.Run{
-		Service: r.Service, Hall: a.Server.Hall, PromptTokens: r.PromptTokens, OutputTokens: r.OutputTokens, EventTokens: e.MaxEventTokens,
+		Service: r.Service, Hall: a.Server.Hall, PromptTokens: r.PromptTokens, OutputTokens: cmp.Or(r.ExpectedOutput, r.OutputTokens), EventTokens: e.MaxEventTokens,
 		FirstEvent: a.Predicted, Remaining: r.Remaining, BytesPerToken: e.BytesPerToken, LinkMbps: e.LinkMbps, TieBreak: r.TieBreak,
 	}
 	if !d.planner.WorthBackup(now, run) {
@@ -158,10 +146,13 @@
 	}
 	d.planner.SetFleet(now, d.copyServers, d.fleetSize())
 	for _, s := range removedServers(before.Servers, after.Servers) {
-		if e := after.engine(s.Service); e != nil && !s.Leaving && !s.Evacuated {
+		if e := after.engine(s.Service); (e.CanMoveRuns() || e.CanBackUpRuns()) && !s.Leaving && !s.Evacuated {
 			d.planner.RecordCrash(now, s.ID)
 		}
 	}
+	for _, s := range removedServers(after.Servers, before.Servers) {
+		d.planner.RecordBack(s.ID) // its entry had lapsed while the store was unreachable
+	}
 }
 
 // engine returns the engine of a service; nil if it is unknown or a plain service.
