settings, gateway: streams move and are backed up where the configuration calls for it, with auto

stream_moves and stream_backups were off or on for a whole deployment, whatever its configuration. TestFeaturesByConfiguration covers both modes.

--- a/gateway/call_continue.go
+++ b/gateway/call_continue.go
@@ -78,7 +78,7 @@
 		return nil
 	}
 	engine := c.gateway.view.Load().engine(d.Server.Service)
-	movable := c.gateway.options.Dispatcher.Features.MoveStreams && engine.CanMoveRuns() && c.moves < maxMoves
+	movable := c.gateway.dispatcher.movesStreams() && engine.CanMoveRuns() && c.moves < maxMoves
 	if !movable && d.Backup.ID == "" {
 		return nil
 	}
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -125,6 +125,21 @@
 	PlainQueueAuto bool // the same for QueuePlainWork
 	Withdraw       bool // an overloaded gateway withdraws from the load balancer: package offload
 	WithdrawAuto   bool // Withdraw applies only if the configuration calls for it
+	// The same for MoveStreams and BackUpStreams.
+	MoveStreamsAuto   bool
+	BackUpStreamsAuto bool
+}
+
+// movesStreams reports whether streams move off servers that leave.
+func (d *dispatcher) movesStreams() bool {
+	f := d.settings.Features
+	return f.MoveStreams && (!f.MoveStreamsAuto || d.tolerantStreams.Load())
+}
+
+// backsUpStreams reports whether streams are backed up.
+func (d *dispatcher) backsUpStreams() bool {
+	f := d.settings.Features
+	return f.BackUpStreams && (!f.BackUpStreamsAuto || d.tolerantStreams.Load())
 }
 
 // pendingAttempt is a request that was sent and has no first event yet.
--- a/gateway/dispatcher_continuation.go
+++ b/gateway/dispatcher_continuation.go
@@ -85,7 +85,7 @@
 // chooseBackup returns the server at which a run is backed up that is about to be sent; zero: none.
 func (d *dispatcher) chooseBackup(now time.Time, r *placement.Request, a placement.Assign) catalog.Server {
 	e := d.view.engine(r.Service)
-	if !d.settings.Features.BackUpStreams || !r.MayBackUp || !e.CanBackUpRuns() || a.Server.Version == "" {
+	if !d.backsUpStreams() || !r.MayBackUp || !e.CanBackUpRuns() || a.Server.Version == "" {
 		return catalog.Server{}
 	}
 	run := continuation.Run{
--- a/gateway/features_test.go
+++ b/gateway/features_test.go
@@ -39,14 +39,15 @@
 		{"streams of one service have no objective", Features{}, 6, []catalog.Route{stream(800*time.Millisecond, gap), streamTo("q", 0, gap)}, true, false, false},
 		{"all services with streams are called for", Features{}, 6, []catalog.Route{stream(800*time.Millisecond, gap), streamTo("q", 450*time.Millisecond, gap)}, true, false, true},
 		{"no routes", Features{}, 6, nil, false, false, false},
-		{"always on", Features{IdleSurplus: true, QueuePlainWork: true, Withdraw: true}, 3, []catalog.Route{stream(300*time.Millisecond, gap), plain(120 * time.Millisecond)}, true, true, true},
+		{"always on", Features{IdleSurplus: true, QueuePlainWork: true, Withdraw: true, MoveStreams: true, BackUpStreams: true}, 3, []catalog.Route{stream(300*time.Millisecond, gap), plain(120 * time.Millisecond)}, true, true, true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			now := time.Now()
 			f := test.features
 			if !f.IdleSurplus {
-				f = Features{IdleSurplus: true, SurplusAuto: true, QueuePlainWork: true, PlainQueueAuto: true, Withdraw: true, WithdrawAuto: true}
+				f = Features{IdleSurplus: true, SurplusAuto: true, QueuePlainWork: true, PlainQueueAuto: true, Withdraw: true, WithdrawAuto: true,
+					MoveStreams: true, MoveStreamsAuto: true, BackUpStreams: true, BackUpStreamsAuto: true}
 			}
 			f.AvoidPauses = true
 			d := newDispatcher(newTestDispatcher(t, now, 1).log, DispatcherOptions{ShareWindow: 4 * time.Second, Policy: placement.DefaultPolicy(), Features: f}, now)
@@ -65,6 +66,8 @@
 			require.Equal(t, test.slots, d.balancer.WaitsForSlots("i-2"))
 			w := newWithdrawal(&Gateway{dispatcher: d, options: Options{Dispatcher: d.settings, MilliCPU: 144}})
 			require.Equal(t, test.withdraw, withdrawsWhenOverloaded(w, now))
+			require.Equal(t, test.withdraw, d.movesStreams(), "the same rule")
+			require.Equal(t, test.withdraw, d.backsUpStreams(), "the same rule")
 		})
 	}
 }
--- a/settings/mode_test.go
+++ b/settings/mode_test.go
@@ -28,6 +28,7 @@
 		{"pauses: auto\n", settings.Off, settings.Off, settings.Off, false},
 		{"withdraw: yes\n", settings.Off, settings.Off, settings.Off, false},
 		{"withdraw: Auto\n", settings.Off, settings.Off, settings.Off, false},
+		{"stream_backups: 1\n", settings.Off, settings.Off, settings.Off, false},
 		{"stream_moves: yes\n", settings.Off, settings.Off, settings.Off, false},
 	}
 	for _, test := range tests {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -82,8 +82,8 @@
 	// Optional decisions of gateways; see their keys.
 	IdleSurplus    Mode
 	AvoidPauses    bool
-	MoveStreams    bool
-	BackUpStreams  bool
+	MoveStreams    Mode
+	BackUpStreams  Mode
 	QueuePlainWork Mode
 	Withdraw       Mode
 }
@@ -224,10 +224,10 @@
 		func(s *Settings, t string) error { return setMode(&s.IdleSurplus, t, "share", "idle") }},
 	{"pauses", gateway, false, "ignore", "Whether requests avoid servers where they would delay the events of running streams beyond their route's longest pause: ignore or avoid.",
 		func(s *Settings, t string) error { return setChoice(&s.AvoidPauses, t, "ignore", "avoid") }},
-	{"stream_moves", gateway, false, "off", "Whether streams move off servers that leave, if their engines can: off or on.",
-		func(s *Settings, t string) error { return setChoice(&s.MoveStreams, t, "off", "on") }},
-	{"stream_backups", gateway, false, "off", "Whether streams are backed up to a second server where that is worth it, if their engines can: off or on.",
-		func(s *Settings, t string) error { return setChoice(&s.BackUpStreams, t, "off", "on") }},
+	{"stream_moves", gateway, false, "off", "Whether streams move off servers that leave, if their engines can: off, on, or auto (on if, of every service with streams, pauses are avoided and the objectives are 450 ms or more).",
+		func(s *Settings, t string) error { return setMode(&s.MoveStreams, t, "off", "on") }},
+	{"stream_backups", gateway, false, "off", "Whether streams are backed up to a second server where that is worth it, if their engines can: off, on, or auto (as of stream_moves).",
+		func(s *Settings, t string) error { return setMode(&s.BackUpStreams, t, "off", "on") }},
 	{"plain_queue", gateway, false, "none", "Whether requests to plain servers wait at the gateway for a free slot: none, slots, or auto (slots for services whose routes' objectives are 250 ms or more).",
 		func(s *Settings, t string) error { return setMode(&s.QueuePlainWork, t, "none", "slots") }},
 	{"withdraw", gateway, false, "off", "Whether a gateway without CPU time for its callers fails the load balancer's health checks for a while, if a larger one in its hall has CPU to spare: off, on, or auto (on if, of every service with streams, pauses are avoided and the objectives are 450 ms or more).",
