gateway/continuation/transfer: checks again before it stops a run that it can still be moved

Another request with the run's ID, or an event without an ID, may come while the run is copied. The stop then could have hit the other run, or the stream would have been cut. TestRunIsNotStoppedOnceItCannotMove failed before.

--- a/gateway/continuation/transfer/run.go
+++ b/gateway/continuation/transfer/run.go
@@ -519,7 +519,12 @@
 		return nil, why
 	case why != "":
 		return Stayed{why}, ""
-	case !r.beginStop():
+	}
+	if why := r.checkMovable(ctx); why != "" { // again: it may have changed within the copy
+		r.runs.options.Cleaner.Free(r.Server, handle)
+		return Stayed{why}, ""
+	}
+	if !r.beginStop() {
 		r.runs.options.Cleaner.Free(r.Server, handle)
 		return Stayed{reasonEnded}, ""
 	}
--- a/gateway/continuation/transfer/run_test.go
+++ b/gateway/continuation/transfer/run_test.go
@@ -214,6 +214,46 @@
 	}
 }
 
+// hookedCopies calls a function within each call.
+type hookedCopies struct {
+	slowCopies
+	hook func(Request)
+}
+
+// Copy implements Copies.
+func (c *hookedCopies) Copy(ctx context.Context, r Request) (Result, error) {
+	c.hook(r)
+	return c.slowCopies.Copy(ctx, r)
+}
+
+// TestRunIsNotStoppedOnceItCannotMove: another request with the ID of a run, or an event without an ID,
+// may come while the run is copied. Stopping it then could stop the other, or would cut the stream.
+func TestRunIsNotStoppedOnceItCannotMove(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(f *testRuns, r *Run)
+		want   Outcome
+	}{
+		{"another request gets its ID", func(f *testRuns, _ *Run) { f.AddID("r") }, Stayed{reasonSharedID}},
+		{"an event has no ID", func(_ *testRuns, r *Run) { r.EventRelayed(time.Now(), false, true) }, Stayed{NoIDs}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				copies := &hookedCopies{slowCopies: slowCopies{targets: map[string]bool{}, stops: map[string]int{}}}
+				f := newTestRuns(copies)
+				var run *Run
+				copies.hook = func(Request) { test.change(f, run) }
+				run, _ = f.begin("r", 1000)
+				f.ServerLeaving(time.Now(), "a")
+				time.Sleep(drainTime)
+				require.Equal(t, test.want, run.Finish())
+				require.Empty(t, copies.stops)
+			})
+		})
+	}
+}
+
 // TestRunThatCannotMove: pieces of two runs must not be joined, so a run stays whose events could not be
 // told apart, or that its server could confuse with another.
 func TestRunThatCannotMove(t *testing.T) {
