--- a/cmd/opalbridge/quarantine_test.go
+++ b/cmd/opalbridge/quarantine_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"opalbridge.dev/gateway"
 	"opalbridge.dev/gateway/quarantine"
+	"opalbridge.dev/gateway/suspect"
 	"opalbridge.dev/platform"
 	"opalbridge.dev/platform/platformtest"
 )
@@ -29,17 +29,17 @@
 	}
 	barred, suspected := quarantine.Key{1}, quarantine.Key{2}
 	s := &platform.SuspectStore{Store: &platform.Store{Address: address}}
-	require.NoError(t, s.Save(t.Context(), barred, gateway.Suspect{Summary: "quito POST h/x", Servers: []string{"i-1", "i-2"}}))
-	require.NoError(t, s.Save(t.Context(), barred, gateway.Suspect{Summary: "quito POST h/x", Servers: []string{"i-2", "i-3"}}))
-	require.NoError(t, s.Save(t.Context(), suspected, gateway.Suspect{Summary: "cuenca POST h/y", Servers: []string{"i-1", "i-3"}}))
+	require.NoError(t, s.Save(t.Context(), barred, suspect.Suspect{Summary: "quito POST h/x", Servers: []string{"i-1", "i-2"}}))
+	require.NoError(t, s.Save(t.Context(), barred, suspect.Suspect{Summary: "quito POST h/x", Servers: []string{"i-2", "i-3"}}))
+	require.NoError(t, s.Save(t.Context(), suspected, suspect.Suspect{Summary: "cuenca POST h/y", Servers: []string{"i-1", "i-3"}}))
 
 	part, partOfTwo := quarantine.Key{3}, quarantine.Key{4}
 	requests := []quarantine.Key{{8}, {9}}
-	require.NoError(t, s.Save(t.Context(), part, gateway.Suspect{
+	require.NoError(t, s.Save(t.Context(), part, suspect.Suspect{
 		Summary: "part 5c1e", Servers: []string{"i-1", "i-2", "i-3"},
 		Part: &quarantine.PartEvidence{Accounts: []string{"quito"}, Requests: requests, SpanMs: 800},
 	}))
-	require.NoError(t, s.Save(t.Context(), partOfTwo, gateway.Suspect{
+	require.NoError(t, s.Save(t.Context(), partOfTwo, suspect.Suspect{
 		Summary: "part 91bd", Servers: []string{"i-1", "i-2", "i-3"},
 		Part: &quarantine.PartEvidence{Accounts: []string{"quito", "cuenca"}, Requests: requests, SpanMs: 800, AnsweredBefore: true},
 	}))
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -13,6 +13,7 @@
 	"opalbridge.dev/gateway/catalog"
 	"opalbridge.dev/gateway/placement"
 	"opalbridge.dev/gateway/protocol"
+	"opalbridge.dev/gateway/suspect"
 	"opalbridge.dev/gateway/upstream"
 )
 
@@ -49,11 +50,11 @@
 	firstEventAt    time.Time     // when the first of them was sent to the caller
 	result          string        // for logs and metrics
 	reason          string
-	cachedSubjects  *subjects   // computed by subjects; nil: not yet
-	responseStarted atomic.Bool // the caller has received part of a response
-	trial           bool        // it is quarantined but is sent once as a trial
-	originReported  bool        // an event was relayed, and the version of its server was or will be reported
-	origin          chan string // gets the version that began the stream once it is certain, empty if it is not; nil: it is in placeReq
+	cachedSubjects  *suspect.Subjects // computed by subjects; nil: not yet
+	responseStarted atomic.Bool       // the caller has received part of a response
+	trial           bool              // it is quarantined but is sent once as a trial
+	originReported  bool              // an event was relayed, and the version of its server was or will be reported
+	origin          chan string       // gets the version that began the stream once it is certain, empty if it is not; nil: it is in placeReq
 
 	refusal      placement.Refuse // decision by which it was refused
 	relayed      int              // events relayed to the caller by all attempts
--- a/gateway/call_quarantine.go
+++ b/gateway/call_quarantine.go
@@ -13,6 +13,7 @@
 	"opalbridge.dev/gateway/catalog"
 	"opalbridge.dev/gateway/placement"
 	"opalbridge.dev/gateway/quarantine"
+	"opalbridge.dev/gateway/suspect"
 	"opalbridge.dev/gateway/upstream"
 )
 
@@ -42,7 +43,7 @@
 
 // cancelQuarantined cancels the calls whose request is quarantined, except those that are
 // already being answered.
-func (a *activeCalls) cancelQuarantined(quarantined func(r subjects) bool) {
+func (a *activeCalls) cancelQuarantined(quarantined func(r suspect.Subjects) bool) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	for c, cancel := range a.calls {
@@ -61,11 +62,18 @@
 // latest crash may still be on its way.
 const noRetryCrashes = quarantine.CrashThreshold - 1
 
-// maxSummaryLength limits the part of a request that is logged.
-const maxSummaryLength = 200
+// quarantineError returns the error of a request that is quarantined because of these keys.
+func quarantineError(r suspect.Subjects, barring []quarantine.Key) error {
+	for _, p := range r.Parts {
+		if slices.Contains(barring, p.Key) {
+			return errors.Wrapf(errQuarantined, "%s (%s)", p.Summary(), p.Key)
+		}
+	}
+	return errQuarantined
+}
 
 // subjects returns what can be quarantined of the request, which is computed on first use.
-func (c *call) subjects() subjects {
+func (c *call) subjects() suspect.Subjects {
 	if c.cachedSubjects == nil {
 		computed := c.computeSubjects()
 		c.cachedSubjects = &computed
@@ -75,11 +83,11 @@
 
 // computeSubjects computes what can be quarantined of the request. It reads only fields that do not
 // change once the request is sent, so other goroutines may call it.
-func (c *call) computeSubjects() subjects {
-	return subjects{
-		request: c.computeRequestKey(),
-		account: c.account,
-		parts:   promptParts(c.service, c.meta.Model, c.meta.Parts),
+func (c *call) computeSubjects() suspect.Subjects {
+	return suspect.Subjects{
+		Request: c.computeRequestKey(),
+		Account: c.account,
+		Parts:   suspect.PromptParts(c.service, c.meta.Model, c.meta.Parts),
 	}
 }
 
@@ -97,7 +105,7 @@
 // requestKey returns the key of the whole request, without computing those of its parts.
 func (c *call) requestKey() quarantine.Key {
 	if c.cachedSubjects != nil {
-		return c.cachedSubjects.request
+		return c.cachedSubjects.Request
 	}
 	return c.computeRequestKey()
 }
@@ -105,10 +113,10 @@
 // crashesSeen returns how many servers have crashed under the request or a part of its prompt, and
 // what quarantines it; nil if it is not quarantined.
 func (c *call) crashesSeen() (n int, barring []quarantine.Key) {
-	if c.gateway.suspects.suspectCount.Load() == 0 {
+	if c.gateway.suspects.Count() == 0 {
 		return 0, nil
 	}
-	return c.gateway.suspects.examine(c.subjects())
+	return c.gateway.suspects.Examine(c.subjects())
 }
 
 // checkQuarantine returns an error if the request may not be sent to a server. With sending set, it
@@ -119,24 +127,24 @@
 		return nil
 	}
 	if !sending {
-		if c.gateway.suspects.trialDue(time.Now(), c.subjects()) {
+		if c.gateway.suspects.TrialDue(time.Now(), c.subjects()) {
 			return nil
 		}
-		return c.subjects().quarantineError(barring)
+		return quarantineError(c.subjects(), barring)
 	}
-	c.trial = c.gateway.suspects.claimTrial(c.request.Context(), c.subjects())
+	c.trial = c.gateway.suspects.ClaimTrial(c.request.Context(), c.subjects())
 	if c.trial {
 		return nil
 	}
-	return c.subjects().quarantineError(barring)
+	return quarantineError(c.subjects(), barring)
 }
 
 // reportAnswered records that the request was answered completely, by a response with this status.
 func (c *call) reportAnswered(status int) {
 	now := time.Now()
-	c.gateway.suspects.requestAnswered(now, c.requestKey())
+	c.gateway.suspects.RequestAnswered(now, c.requestKey())
 	if status < http.StatusMultipleChoices { // a server may reject a request without working on its prompt
-		c.gateway.suspects.partsAnswered(now, c.service, c.meta.Model, c.meta.Parts)
+		c.gateway.suspects.PartsAnswered(now, c.service, c.meta.Model, c.meta.Parts)
 	}
 }
 
@@ -147,15 +155,15 @@
 		heard = c.lastEventAt
 	}
 	planned := !c.gateway.view.Load().acceptsWork(d.Server.ID)
-	lost := suspect{
-		key:        c.subjects().request,
-		id:         c.meta.ID,
-		account:    c.account,
-		summary:    c.summary(),
-		parts:      c.subjects().parts,
-		responding: heard != sent,
+	lost := suspect.Request{
+		Key:        c.subjects().Request,
+		ID:         c.meta.ID,
+		Account:    c.account,
+		Summary:    c.summary(),
+		Parts:      c.subjects().Parts,
+		Responding: heard != sent,
 	}
-	c.gateway.crashes.requestLost(time.Now(), d.Server, planned, heard, lostRequest{kind: kind, suspect: lost})
+	c.gateway.crashes.requestLost(time.Now(), d.Server, planned, heard, lostRequest{kind: kind, Request: lost})
 }
 
 // endedByCrash reports whether an unframed response has ended because its server crashed, and if so
@@ -173,7 +181,7 @@
 // summary describes the request for operators.
 func (c *call) summary() string {
 	text := c.account + " " + c.request.Method + " " + c.request.Host + requestTarget(c.request)
-	return text[:min(len(text), maxSummaryLength)]
+	return text[:min(len(text), suspect.MaxSummaryLength)]
 }
 
 // abandonAttempt records the loss of a request whose context has ended at a server, and
@@ -208,8 +216,8 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-g.suspects.newlyQuarantined:
-			g.activeCalls.cancelQuarantined(g.suspects.bars)
+		case <-g.suspects.NewlyQuarantined():
+			g.activeCalls.cancelQuarantined(g.suspects.Bars)
 		}
 	}
 }
--- a/gateway/claim_ranking_test.go
+++ b/gateway/claim_ranking_test.go
@@ -12,19 +12,6 @@
 	"opalbridge.dev/gateway/warmup"
 )
 
-// TestUnitHashIsUniform checks that names that differ only in their last characters are spread
-// evenly. Without mixing the hash, one tenth of the range got 10 of these 1,000 names.
-func TestUnitHashIsUniform(t *testing.T) {
-	const names, parts = 1000, 10
-	var found [parts]int
-	for n := range names {
-		found[int(parts*unitHash(fmt.Sprint("10.0.0.1/i-", n)))]++
-	}
-	for part, n := range found {
-		require.InDelta(t, names/parts, n, names/parts/2, "part %d", part)
-	}
-}
-
 // TestClaimRankingFollowsDemand checks that a gateway with much demand and few running
 // requests holds a share of the cold servers that matches its demand.
 //
--- a/gateway/cold_simulation_test.go
+++ b/gateway/cold_simulation_test.go
@@ -15,6 +15,7 @@
 	"opalbridge.dev/gateway/catalog"
 	"opalbridge.dev/gateway/peer"
 	"opalbridge.dev/gateway/placement"
+	"opalbridge.dev/gateway/suspect"
 	"opalbridge.dev/gateway/warmup"
 )
 
@@ -171,10 +172,10 @@
 	g.view.Store(&View{})
 	g.dispatcher = newDispatcher(zerolog.Nop(), DispatcherOptions{ShareWindow: time.Second, Policy: placement.DefaultPolicy(), ColdLimits: simLimits, Address: fmt.Sprint(w.starts)}, w.now)
 	g.dispatcher.peers, g.dispatcher.claims = w.node, g.claims
-	g.suspects = newSuspectTracker(zerolog.Nop(), g.dispatcher.settings.Address, func() int { return simGateways })
-	g.suspects.peers = w.node
+	g.suspects = suspect.NewTracker(zerolog.Nop(), g.dispatcher.settings.Address, func() int { return simGateways })
+	g.suspects.Peers = w.node
 	g.signals = newServerSignals()
-	g.crashes = newCrashDetector(zerolog.Nop(), g.suspects.serverCrashed)
+	g.crashes = newCrashDetector(zerolog.Nop(), g.suspects.ServerCrashed)
 	g.storeWatcher = newStoreWatcher(g)
 	return &simGateway{Gateway: g, name: fmt.Sprint(w.starts), known: map[int]bool{}}
 }
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"opalbridge.dev/gateway/catalog"
+	"opalbridge.dev/gateway/suspect"
 )
 
 // This file tells crashed servers from broken connections, and finds the requests that a
@@ -45,7 +46,7 @@
 // crashDetector tracks servers that may have crashed. It is safe for concurrent use.
 type crashDetector struct {
 	log     zerolog.Logger
-	onCrash func(now time.Time, server string, requests []suspect)
+	onCrash func(now time.Time, server string, requests []suspect.Request)
 	probes  chan catalog.Server
 
 	mutex   sync.Mutex
@@ -63,7 +64,7 @@
 
 // lostRequest is a request that got no complete answer.
 type lostRequest struct {
-	suspect
+	suspect.Request
 	kind lossKind
 	at   time.Time
 }
@@ -77,7 +78,7 @@
 	lossCallerClosed                    // its caller closed the connection
 )
 
-func newCrashDetector(log zerolog.Logger, onCrash func(now time.Time, server string, requests []suspect)) *crashDetector {
+func newCrashDetector(log zerolog.Logger, onCrash func(now time.Time, server string, requests []suspect.Request)) *crashDetector {
 	return &crashDetector{
 		log: log, onCrash: onCrash, probes: make(chan catalog.Server, probeQueueSize),
 		losses: map[string]*serverLosses{}, removed: map[string]time.Time{},
@@ -148,14 +149,14 @@
 	if cause != "" {
 		c.log.Warn().Str("event", "server.ended").Str("server", server).Str("by", cause).Int("requests", len(requests)).Msg("server crashed: any of its requests may be the cause")
 	}
-	list := make([]suspect, len(requests))
+	list := make([]suspect.Request, len(requests))
 	for i, l := range requests {
-		list[i] = l.suspect
+		list[i] = l.Request
 		if l.kind == lossConnectionBroke {
-			list[i].lostAt = l.at
+			list[i].LostAt = l.at
 		}
-		c.log.Warn().Str("event", "request.lost").Str("request", l.id).Str("server", server).Str("key", l.key.String()).
-			Str("asks", l.summary).Str("parts", joinPartIDs(l.parts)).Bool("responding", l.responding).
+		c.log.Warn().Str("event", "request.lost").Str("request", l.ID).Str("server", server).Str("key", l.Key.String()).
+			Str("asks", l.Summary).Str("parts", l.PartIDs()).Bool("responding", l.Responding).
 			Msg("request was at a server that crashed")
 	}
 	c.onCrash(now, server, list)
--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -9,7 +9,9 @@
 	"github.com/stretchr/testify/require"
 
 	"opalbridge.dev/gateway/catalog"
+	"opalbridge.dev/gateway/protocol"
 	"opalbridge.dev/gateway/quarantine"
+	"opalbridge.dev/gateway/suspect"
 )
 
 // testLoss is a lost request, identified by its number.
@@ -28,7 +30,7 @@
 	draining := []catalog.Server{others[0], leavingServer("i-1@5"), others[1]}
 	lose := func(l testLoss) func(d *crashDetector, now time.Time) {
 		return func(d *crashDetector, now time.Time) {
-			d.requestLost(now, server, l.planned, now.Add(-l.ago), lostRequest{kind: l.kind, suspect: suspect{key: quarantine.Key{l.n}}})
+			d.requestLost(now, server, l.planned, now.Add(-l.ago), lostRequest{kind: l.kind, Request: suspect.Request{Key: quarantine.Key{l.n}}})
 		}
 	}
 	refuse := func(d *crashDetector, now time.Time) { d.connectionRefused(now, server.ID) }
@@ -62,10 +64,10 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			var blamed []byte
-			d := newCrashDetector(zerolog.Nop(), func(_ time.Time, server string, requests []suspect) {
+			d := newCrashDetector(zerolog.Nop(), func(_ time.Time, server string, requests []suspect.Request) {
 				require.Equal(t, "i-1@5", server)
 				for _, s := range requests {
-					blamed = append(blamed, s.key[0])
+					blamed = append(blamed, s.Key[0])
 				}
 			})
 			now := time.Now()
@@ -81,10 +83,10 @@
 // TestCrashRecordsExpire checks that old losses are not blamed and that memory is bounded.
 func TestCrashRecordsExpire(t *testing.T) {
 	blamed := 0
-	d := newCrashDetector(zerolog.Nop(), func(_ time.Time, _ string, requests []suspect) { blamed += len(requests) })
+	d := newCrashDetector(zerolog.Nop(), func(_ time.Time, _ string, requests []suspect.Request) { blamed += len(requests) })
 	now := time.Now()
 	for n := range 2 * maxLostPerServer {
-		d.requestLost(now, readyServer("i-1"), false, now, lostRequest{suspect: suspect{key: quarantine.Key{byte(n)}}})
+		d.requestLost(now, readyServer("i-1"), false, now, lostRequest{Request: suspect.Request{Key: quarantine.Key{byte(n)}}})
 	}
 	d.connectionRefused(now, "i-1")
 	require.Equal(t, maxLostPerServer, blamed)
@@ -98,3 +100,28 @@
 	require.Len(t, d.losses, 1000)
 	require.LessOrEqual(t, len(d.probes), probeQueueSize)
 }
+
+// TestCrashesCountFromTheirTime guards against servers that crash at the same moment, which a gateway
+// notices one after the other.
+func TestCrashesCountFromTheirTime(t *testing.T) {
+	s, now := newIdleGateway(t).suspects, time.Now()
+	subjects := func(body string) suspect.Subjects {
+		return suspect.Subjects{
+			Request: quarantine.KeyOf(quarantine.Request{Account: "a", Body: []byte(body)}),
+			Account: "a",
+			Parts:   suspect.PromptParts("s", "m", []protocol.Part{{ID: "shared"}, {ID: body}}),
+		}
+	}
+	detector := newCrashDetector(zerolog.Nop(), s.ServerCrashed)
+	for n := range 4 {
+		r := subjects(fmt.Sprint("own", n))
+		lost := suspect.Request{Key: r.Request, Account: r.Account, Parts: r.Parts}
+		detector.requestLost(now, readyServer(fmt.Sprint("i-", n)), false, now, lostRequest{kind: lossConnectionBroke, Request: lost})
+	}
+	for n := range 4 {
+		detector.connectionRefused(now.Add(time.Duration(n)*time.Second), fmt.Sprint("i-", n))
+	}
+	crashes, barring := s.Examine(subjects("own"))
+	require.Equal(t, 4, crashes, "under the shared part")
+	require.Empty(t, barring)
+}
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"sync/atomic"
 	"time"
 
@@ -12,6 +11,7 @@
 	"opalbridge.dev/gateway/catalog"
 	"opalbridge.dev/gateway/continuation"
 	"opalbridge.dev/gateway/decode"
+	"opalbridge.dev/gateway/idhash"
 	"opalbridge.dev/gateway/peer"
 	"opalbridge.dev/gateway/placement"
 	"opalbridge.dev/gateway/share"
@@ -456,8 +456,4 @@
 func (d *dispatcher) fleetSize() int { return len(d.peerRunning) + 1 }
 
 // hashString returns a short identifier for an ID.
-func hashString(id string) uint64 {
-	h := fnv.New64a()
-	h.Write([]byte(id))
-	return h.Sum64()
-}
+func hashString(id string) uint64 { return idhash.Sum(id) }
--- a/gateway/dispatcher_cold.go
+++ b/gateway/dispatcher_cold.go
@@ -5,6 +5,7 @@
 	"math"
 	"time"
 
+	"opalbridge.dev/gateway/idhash"
 	"opalbridge.dev/gateway/warmup"
 )
 
@@ -132,7 +133,7 @@
 // rendezvousScore returns a gateway's score for a server. Each gateway has the highest
 // score for a share of the servers that is proportional to its weight.
 func rendezvousScore(gateway, server string, weight float64) float64 {
-	return -weight / math.Log(unitHash(gateway+"/"+server))
+	return -weight / math.Log(idhash.Unit(gateway+"/"+server))
 }
 
 // sum returns the sum of all counts.
--- a/gateway/dispatcher_rollout_status.go
+++ b/gateway/dispatcher_rollout_status.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"opalbridge.dev/gateway/idhash"
 	"opalbridge.dev/gateway/rollout"
 )
 
@@ -92,9 +93,9 @@
 
 // rolloutRank returns how many live gateways rank before this one for a service.
 func (d *dispatcher) rolloutRank(service string) (before int) {
-	own := unitHash(d.settings.Address + "/" + service)
+	own := idhash.Unit(d.settings.Address + "/" + service)
 	for address := range d.peerRunning {
-		if unitHash(address+"/"+service) < own {
+		if idhash.Unit(address+"/"+service) < own {
 			before++
 		}
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -27,10 +27,9 @@
 // gateways, and changelog.go keeps what has changed for incremental views, view_document.go
 // encodes them, and update_receiver.go decides when to fetch them.
 //
-// Protection: callers.go manages callers' connections, suspects.go keeps requests that crash
-// servers away from other servers, suspects_parts.go does so with parts of prompts, and
-// suspects_trials.go sends some all the same; suspects_store.go persists suspects, and
-// call_quarantine.go applies them to a request in progress. crashes.go detects crashed servers,
+// Protection: callers.go manages callers' connections, package suspect keeps requests and parts of
+// prompts that crash servers away from other servers, and call_quarantine.go applies this to a
+// request in progress. crashes.go detects crashed servers,
 // and signals.go applies what servers announce in responses. origins.go and call_resume.go keep a
 // stream at the software version that began it; run_moves.go, call_continue.go and
 // dispatcher_continuation.go have streams go on at other servers from copies of their runs, which
@@ -49,6 +48,7 @@
 	"opalbridge.dev/duty"
 	"opalbridge.dev/gateway/peer"
 	"opalbridge.dev/gateway/protocol"
+	"opalbridge.dev/gateway/suspect"
 	"opalbridge.dev/gateway/upstream"
 	"opalbridge.dev/gateway/warmup"
 )
@@ -61,12 +61,12 @@
 	PeerListener   net.Listener // requests of other gateways, on the address of Peer
 	Peer           peer.Options // Hall, State, Origins and OnError are set by New
 	Source         Source
-	Caches         Caches       // nil: servers do not report the contents of their caches
-	Lifetimes      Lifetimes    // nil: servers are in the lifetimes that their entries tell
-	Copies         RunCopies    // nil: runs do not move
-	Claims         ClaimStore   // nil: cold servers get no requests
-	Rollouts       RolloutStore // nil: the progress of rollouts is not reported to operators
-	Suspects       SuspectStore // nil: requests that crashed servers are not remembered once all gateways have restarted
+	Caches         Caches        // nil: servers do not report the contents of their caches
+	Lifetimes      Lifetimes     // nil: servers are in the lifetimes that their entries tell
+	Copies         RunCopies     // nil: runs do not move
+	Claims         ClaimStore    // nil: cold servers get no requests
+	Rollouts       RolloutStore  // nil: the progress of rollouts is not reported to operators
+	Suspects       suspect.Store // nil: requests that crashed servers are not remembered once all gateways have restarted
 	Codec          protocol.Codec
 	Dispatcher     DispatcherOptions
 	MilliCPU       int           // thousandths of a core that the process may use
@@ -129,7 +129,7 @@
 	claims                chan warmup.Claim       // claims to be written to the store
 	statusWrites          chan rolloutStatusWrite // rollout statuses to be reported to the operators
 	crashes               *crashDetector
-	suspects              *suspectTracker
+	suspects              *suspect.Tracker
 	activeCalls           *activeCalls
 	signals               *serverSignals
 	origins               *originTracker
@@ -164,9 +164,9 @@
 	g.dispatcher.statusWrites = g.statusWrites
 	g.dispatcher.viewFresh = func(now time.Time) bool { return now.Sub(g.confirmedAt()) <= confirmationTimeout }
 	g.dispatcher.lateness = g.overload.maxDelay
-	g.suspects = newSuspectTracker(o.Log, o.Dispatcher.Address, func() int { return int(g.dispatcher.livePeers.Load()) + 1 })
-	g.suspects.store = o.Suspects
-	g.crashes = newCrashDetector(o.Log, g.suspects.serverCrashed)
+	g.suspects = suspect.NewTracker(o.Log, o.Dispatcher.Address, func() int { return int(g.dispatcher.livePeers.Load()) + 1 })
+	g.suspects.Store = o.Suspects
+	g.crashes = newCrashDetector(o.Log, g.suspects.ServerCrashed)
 	g.activeCalls = newActiveCalls()
 	g.signals = newServerSignals()
 	g.origins = newOriginTracker(g.started)
@@ -186,7 +186,7 @@
 	if err != nil {
 		return nil, err
 	}
-	g.peers, g.dispatcher.peers, g.suspects.peers, g.origins.peers = peers, peers, peers, peers
+	g.peers, g.dispatcher.peers, g.suspects.Peers, g.origins.peers = peers, peers, peers, peers
 	g.storeWatcher = newStoreWatcher(g)
 	return g, nil
 }
@@ -233,7 +233,7 @@
 	group.Go(background, "caches", g.queryCaches)
 	group.Go(background, "claims", g.writeClaims)
 	group.Go(background, "rollout statuses", g.writeRolloutStatuses)
-	group.Go(background, "suspects", g.suspects.runWriter)
+	group.Go(background, "suspects", g.suspects.RunWriter)
 	group.Go(background, "quarantine", g.cancelQuarantinedCalls)
 	group.Go(background, "versions", g.recordVersions)
 	group.Go(background, "unused copies", g.freeCopies)
@@ -283,8 +283,8 @@
 	s.AnnouncedLeaving, s.BackingOff = g.signals.count(time.Now())
 	s.Origins = g.origins.count()
 	s.PausesPredicted = g.dispatcher.pausesPredicted.Load()
-	s.Suspects = int(g.suspects.suspectCount.Load())
-	s.Quarantined, s.QuarantinedParts = g.suspects.quarantinedCount()
+	s.Suspects = g.suspects.Count()
+	s.Quarantined, s.QuarantinedParts = g.suspects.QuarantinedCount()
 	if v.Configuration != nil {
 		s.ConfigurationVersion = v.Configuration.Version
 	}
--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"opalbridge.dev/gateway/catalog"
+	"opalbridge.dev/gateway/idhash"
 	"opalbridge.dev/gateway/placement"
 	"opalbridge.dev/gateway/protocol"
 )
@@ -185,7 +186,9 @@
 
 // setPlaceReq sets the input of the placement decision.
 func (c *call) setPlaceReq(v *View) {
-	c.service = c.route.PickService(unitHash(c.meta.ID))
+	// By the ID, so that a request keeps its service when the caller's connection breaks and the
+	// request is retried.
+	c.service = c.route.PickService(idhash.Unit(c.meta.ID))
 	output := c.meta.ExpectedOutputTokens
 	if output == 0 {
 		output = c.meta.MaxOutputTokens
@@ -226,19 +229,6 @@
 // A generated token costs as much as two prompt tokens, as in the servers' documented rate.
 const outputTokenWeight = 2
 
-// unitHash maps an ID to [0, 1), so that a request keeps its service when the caller's
-// connection breaks and the request is retried. The high bits of the FNV sums of IDs that
-// differ only in their last characters are nearly equal, so the sum is mixed (the finalizer of
-// MurmurHash3).
-func unitHash(id string) float64 {
-	const bits = 53 // bits of a float64's mantissa
-	h := hashString(id)
-	h = (h ^ h>>33) * 0xff51afd7ed558ccd
-	h = (h ^ h>>33) * 0xc4ceb9fe1a85ec53
-	h ^= h >> 33
-	return float64(h>>(64-bits)) / (1 << bits)
-}
-
 // deny responds to a request that goes to no server.
 func (g *Gateway) deny(w http.ResponseWriter, r *http.Request, d denial) {
 	writeDenial(w, d)
--- a/gateway/reconcile.go
+++ b/gateway/reconcile.go
@@ -24,7 +24,7 @@
 //     its entry is written again, or until the period is over and the entry is still there.
 //
 // What the gateways themselves wrote, nobody else writes again: see
-// suspectTracker.scheduleRewrites. Claims of cold servers are not written again, see
+// suspect.Tracker.ScheduleRewrites. Claims of cold servers are not written again, see
 // [warmup.Episode]: the holder of one goes on, and nobody else can claim the server.
 
 const (
@@ -216,6 +216,6 @@
 			changed = append(changed, k)
 		}
 	}
-	w.gateway.suspects.scheduleRewrites(w.applyTime, changed, w.gateway.watchesStore.Load())
+	w.gateway.suspects.ScheduleRewrites(w.applyTime, changed, w.gateway.watchesStore.Load())
 	return merged
 }
--- a/gateway/suspects_bench_test.go
+++ b/gateway/suspect/bench_test.go
@@ -1,4 +1,4 @@
-package gateway
+package suspect
 
 import (
 	"fmt"
@@ -12,7 +12,7 @@
 	"opalbridge.dev/gateway/quarantine"
 )
 
-// discardReports is a suspectPublisher that drops everything.
+// discardReports is a Publisher that drops everything.
 type discardReports struct{}
 
 func (discardReports) PublishCrash(peer.Crash)      {}
@@ -32,15 +32,15 @@
 func BenchmarkPartsAnswered(b *testing.B) {
 	for _, crashed := range []bool{false, true} {
 		b.Run(fmt.Sprintf("crashes=%t", crashed), func(b *testing.B) {
-			s := newSuspectTracker(zerolog.Nop(), "10.0.0.1", func() int { return 10 })
-			s.peers = discardReports{}
+			s := NewTracker(zerolog.Nop(), "10.0.0.1", func() int { return 10 })
+			s.Peers = discardReports{}
 			prompt, now := benchmarkPrompt(), time.Unix(1000, 0)
 			if crashed {
-				s.serverCrashed(now, "i-1", []suspect{{key: quarantine.Key{1}, parts: promptParts("other", "m", prompt)}})
+				s.ServerCrashed(now, "i-1", []Request{{Key: quarantine.Key{1}, Parts: PromptParts("other", "m", prompt)}})
 			}
 			b.ReportAllocs()
 			for b.Loop() {
-				s.partsAnswered(now, "s", "m", prompt)
+				s.PartsAnswered(now, "s", "m", prompt)
 			}
 		})
 	}
@@ -48,12 +48,12 @@
 
 // BenchmarkExamine measures what a request costs while suspects are known.
 func BenchmarkExamine(b *testing.B) {
-	s := newSuspectTracker(zerolog.Nop(), "10.0.0.1", func() int { return 10 })
-	s.peers = discardReports{}
+	s := NewTracker(zerolog.Nop(), "10.0.0.1", func() int { return 10 })
+	s.Peers = discardReports{}
 	prompt, now := benchmarkPrompt(), time.Unix(1000, 0)
-	s.serverCrashed(now, "i-1", []suspect{{key: quarantine.Key{1}, parts: promptParts("s", "m", prompt)}})
+	s.ServerCrashed(now, "i-1", []Request{{Key: quarantine.Key{1}, Parts: PromptParts("s", "m", prompt)}})
 	b.ReportAllocs()
 	for b.Loop() {
-		s.examine(subjects{request: quarantine.Key{2}, account: "a", parts: promptParts("s", "m", prompt)})
+		s.Examine(Subjects{Request: quarantine.Key{2}, Account: "a", Parts: PromptParts("s", "m", prompt)})
 	}
 }
--- a/gateway/suspects_parts.go
+++ b/gateway/suspect/parts.go
@@ -1,12 +1,10 @@
-package gateway
+package suspect
 
 import (
 	"slices"
 	"strings"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"opalbridge.dev/gateway/peer"
 	"opalbridge.dev/gateway/protocol"
 	"opalbridge.dev/gateway/quarantine"
@@ -16,22 +14,22 @@
 // crashes may be one part, in requests of which no two are alike (platform:
 // TestPromptPartThatCrashesServers).
 
-// promptPart is a part of a prompt that other requests may share.
-type promptPart struct {
+// Part is a part of a prompt that other requests may share.
+type Part struct {
 	quarantine.Part
-	key quarantine.Key
+	Key quarantine.Key
 }
 
-// summary describes the part for operators.
-func (p promptPart) summary() string {
+// Summary describes the part for operators.
+func (p Part) Summary() string {
 	text := "part " + p.ID + " of prompts for model " + p.Model + " at service " + p.Service
-	return text[:min(len(text), maxSummaryLength)]
+	return text[:min(len(text), MaxSummaryLength)]
 }
 
-// promptParts returns the parts of a prompt, each once, without the last, which belongs to its
+// PromptParts returns the parts of a prompt, each once, without the last, which belongs to its
 // request alone.
-func promptParts(service, model string, parts []protocol.Part) []promptPart {
-	list := make([]promptPart, 0, len(parts))
+func PromptParts(service, model string, parts []protocol.Part) []Part {
+	list := make([]Part, 0, len(parts))
 	seen := make(map[string]bool, len(parts))
 	for _, p := range parts[:max(len(parts)-1, 0)] {
 		if p.ID == "" || seen[p.ID] {
@@ -39,7 +37,7 @@
 		}
 		seen[p.ID] = true
 		part := quarantine.Part{Service: service, Model: model, ID: p.ID}
-		list = append(list, promptPart{part, quarantine.KeyOfPart(part)})
+		list = append(list, Part{part, quarantine.KeyOfPart(part)})
 	}
 	return list
 }
@@ -47,75 +45,65 @@
 // maxLoggedParts limits the parts of a prompt in a log line.
 const maxLoggedParts = 16
 
-// joinPartIDs returns the IDs of parts.
-func joinPartIDs(parts []promptPart) string {
+// PartIDs returns the IDs of the parts of the request's prompt for a log line.
+func (r Request) PartIDs() string {
 	ids := make([]string, 0, maxLoggedParts)
-	for _, p := range parts[:min(len(parts), maxLoggedParts)] {
+	for _, p := range r.Parts[:min(len(r.Parts), maxLoggedParts)] {
 		ids = append(ids, p.ID)
 	}
 	return strings.Join(ids, ",")
 }
 
-// subjects are what can be quarantined of a request: the request itself, and parts of its prompt.
-type subjects struct {
-	request quarantine.Key
-	account string
-	parts   []promptPart
+// Subjects are what can be quarantined of a request: the request itself, and parts of its prompt.
+type Subjects struct {
+	Request quarantine.Key
+	Account string
+	Parts   []Part
 }
 
 // partKeys returns the keys of the parts.
-func (r subjects) partKeys() []quarantine.Key {
-	keys := make([]quarantine.Key, len(r.parts))
-	for i, p := range r.parts {
-		keys[i] = p.key
+func (r Subjects) partKeys() []quarantine.Key {
+	keys := make([]quarantine.Key, len(r.Parts))
+	for i, p := range r.Parts {
+		keys[i] = p.Key
 	}
 	return keys
 }
 
-// quarantineError returns the error of a request that is quarantined because of these keys.
-func (r subjects) quarantineError(barring []quarantine.Key) error {
-	for _, p := range r.parts {
-		if slices.Contains(barring, p.key) {
-			return errors.Wrapf(errQuarantined, "%s (%s)", p.summary(), p.key)
-		}
-	}
-	return errQuarantined
-}
-
-// examine returns the largest number of servers that have crashed under a request or under a part of
+// Examine returns the largest number of servers that have crashed under a request or under a part of
 // its prompt that had not been answered before, and the keys that quarantine the request.
-func (s *suspectTracker) examine(r subjects) (crashes int, barring []quarantine.Key) {
+func (s *Tracker) Examine(r Subjects) (crashes int, barring []quarantine.Key) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	crashes = s.registry.CrashCount(r.request)
-	for _, p := range r.parts {
-		crashes = max(crashes, s.registry.UnansweredCrashCount(p.key))
+	crashes = s.registry.CrashCount(r.Request)
+	for _, p := range r.Parts {
+		crashes = max(crashes, s.registry.UnansweredCrashCount(p.Key))
 	}
 	return crashes, s.barringLocked(r)
 }
 
-// bars reports whether a request is quarantined.
-func (s *suspectTracker) bars(r subjects) bool {
-	_, barring := s.examine(r)
+// Bars reports whether a request is quarantined.
+func (s *Tracker) Bars(r Subjects) bool {
+	_, barring := s.Examine(r)
 	return len(barring) > 0
 }
 
 // barringLocked returns the keys that quarantine a request: its own first. The mutex must be held.
-func (s *suspectTracker) barringLocked(r subjects) []quarantine.Key {
+func (s *Tracker) barringLocked(r Subjects) []quarantine.Key {
 	var list []quarantine.Key
-	if s.registry.IsQuarantined(r.request) {
-		list = append(list, r.request)
+	if s.registry.IsQuarantined(r.Request) {
+		list = append(list, r.Request)
 	}
-	for _, p := range r.parts {
-		if s.registry.Bars(p.key, r.account) {
-			list = append(list, p.key)
+	for _, p := range r.Parts {
+		if s.registry.Bars(p.Key, r.Account) {
+			list = append(list, p.Key)
 		}
 	}
 	return list
 }
 
 // kindOf returns the kind of a suspect, for events in the log.
-func (s *suspectTracker) kindOf(k quarantine.Key) string {
+func (s *Tracker) kindOf(k quarantine.Key) string {
 	if s.registry.IsPart(k) {
 		return "part"
 	}
@@ -124,17 +112,17 @@
 
 // suspectParts returns the parts of requests that were at a server when it crashed, each once, those
 // first that are more likely to be the cause. The mutex must be held.
-func (s *suspectTracker) suspectParts(now time.Time, requests []suspect) []quarantine.PartSuspect {
+func (s *Tracker) suspectParts(now time.Time, requests []Request) []quarantine.PartSuspect {
 	var fresh, answered []quarantine.PartSuspect
 	seen := map[quarantine.Key]bool{}
 	for _, t := range requests {
-		for _, p := range t.parts {
-			if seen[p.key] {
+		for _, p := range t.Parts {
+			if seen[p.Key] {
 				continue
 			}
-			seen[p.key] = true
-			part := quarantine.PartSuspect{Key: p.key, Account: t.account, Request: t.key}
-			if part.AnsweredBefore = s.answeredParts.Contains(now, p.key); part.AnsweredBefore {
+			seen[p.Key] = true
+			part := quarantine.PartSuspect{Key: p.Key, Account: t.Account, Request: t.Key}
+			if part.AnsweredBefore = s.answeredParts.Contains(now, p.Key); part.AnsweredBefore {
 				answered = append(answered, part)
 				continue
 			}
@@ -163,7 +151,7 @@
 
 // reportedParts returns the parts that a peer reports, with what this gateway knows of them. The
 // mutex must be held.
-func (s *suspectTracker) reportedParts(now time.Time, reported []peer.Part) []quarantine.PartSuspect {
+func (s *Tracker) reportedParts(now time.Time, reported []peer.Part) []quarantine.PartSuspect {
 	parts := make([]quarantine.PartSuspect, len(reported))
 	for i, p := range reported {
 		parts[i] = quarantine.PartSuspect{
@@ -182,19 +170,19 @@
 
 // vouch tells the peers of reported parts that this gateway has had answered, if they may not know
 // it; who has stored such a part stores it anew. The mutex must be held.
-func (s *suspectTracker) vouch(now time.Time, reported []peer.Part) {
+func (s *Tracker) vouch(now time.Time, reported []peer.Part) {
 	for _, p := range reported {
 		k := quarantine.Key(p.Key)
 		if p.AnsweredBefore || s.registry.CrashCount(k) < vouchCrashes || !s.answeredParts.Contains(now, k) {
 			continue
 		}
-		s.peers.PublishPartAnswered(p.Key)
+		s.Peers.PublishPartAnswered(p.Key)
 	}
 }
 
-// applyPartsAnswered applies a peer's report that parts had been answered before they were present
+// ApplyPartsAnswered applies a peer's report that parts had been answered before they were present
 // at crashes.
-func (s *suspectTracker) applyPartsAnswered(keys []peer.Key) {
+func (s *Tracker) ApplyPartsAnswered(keys []peer.Key) {
 	if len(keys) == 0 {
 		return
 	}
@@ -211,9 +199,9 @@
 	}
 }
 
-// partsAnswered records that a request with these parts was answered completely, so servers do not
+// PartsAnswered records that a request with these parts was answered completely, so servers do not
 // crash on any of them.
-func (s *suspectTracker) partsAnswered(now time.Time, service, model string, parts []protocol.Part) {
+func (s *Tracker) PartsAnswered(now time.Time, service, model string, parts []protocol.Part) {
 	if len(parts) < 2 {
 		return
 	}
--- a/gateway/suspects_parts_test.go
+++ b/gateway/suspect/parts_test.go
@@ -1,4 +1,4 @@
-package gateway
+package suspect
 
 import (
 	"fmt"
@@ -14,26 +14,26 @@
 )
 
 // promptSubjects returns what can be quarantined of a request with these parts in its prompt.
-func promptSubjects(account, body string, parts ...string) subjects {
+func promptSubjects(account, body string, parts ...string) Subjects {
 	var prompt []protocol.Part
 	for _, p := range append(parts, body) {
 		prompt = append(prompt, protocol.Part{ID: p})
 	}
-	return subjects{
-		request: quarantine.KeyOf(quarantine.Request{Account: account, Body: []byte(body)}),
-		account: account,
-		parts:   promptParts("s", "m", prompt),
+	return Subjects{
+		Request: quarantine.KeyOf(quarantine.Request{Account: account, Body: []byte(body)}),
+		Account: account,
+		Parts:   PromptParts("s", "m", prompt),
 	}
 }
 
-func suspectOf(r subjects, lostAt time.Time) suspect {
-	return suspect{key: r.request, account: r.account, parts: r.parts, lostAt: lostAt}
+func suspectOf(r Subjects, lostAt time.Time) Request {
+	return Request{Key: r.Request, Account: r.Account, Parts: r.Parts, LostAt: lostAt}
 }
 
 // newTestTracker returns a tracker whose reports are dropped.
-func newTestTracker(store SuspectStore) *suspectTracker {
-	s := newSuspectTracker(zerolog.Nop(), "10.0.0.1", func() int { return 1 })
-	s.peers, s.store = discardReports{}, store
+func newTestTracker(store Store) *Tracker {
+	s := NewTracker(zerolog.Nop(), "10.0.0.1", func() int { return 1 })
+	s.Peers, s.Store = discardReports{}, store
 	return s
 }
 
@@ -45,60 +45,43 @@
 	for n := range 3 {
 		r := promptSubjects("a", fmt.Sprint("own", n), "bad")
 		at := now.Add(time.Duration(n) * time.Second)
-		first.serverCrashed(at, fmt.Sprint("i-", n), []suspect{suspectOf(r, at)})
+		first.ServerCrashed(at, fmt.Sprint("i-", n), []Request{suspectOf(r, at)})
 	}
-	require.True(t, first.flush(t.Context()))
+	require.True(t, first.Flush(t.Context()))
 	stored, _ := store.snapshot()
 	second := newTestTracker(store)
-	second.applyStored(now.Add(time.Minute), nil, stored, true)
-	require.True(t, second.bars(promptSubjects("a", "own", "x", "bad")))
-	require.False(t, second.bars(promptSubjects("b", "own", "bad")), "no request of the account was at a crash")
-	require.False(t, second.bars(promptSubjects("a", "bad", "x")), "the last part crashes no server")
-}
-
-// TestCrashesCountFromTheirTime guards against servers that crash at the same moment, which a gateway
-// notices one after the other.
-func TestCrashesCountFromTheirTime(t *testing.T) {
-	s, now := newTestTracker(nil), time.Now()
-	detector := newCrashDetector(zerolog.Nop(), s.serverCrashed)
-	for n := range 4 {
-		r := promptSubjects("a", fmt.Sprint("own", n), "shared")
-		server := readyServer(fmt.Sprint("i-", n))
-		detector.requestLost(now, server, false, now, lostRequest{kind: lossConnectionBroke, suspect: suspectOf(r, time.Time{})})
-	}
-	for n := range 4 {
-		detector.connectionRefused(now.Add(time.Duration(n)*time.Second), fmt.Sprint("i-", n))
-	}
-	require.Equal(t, 4, s.registry.CrashCount(promptSubjects("a", "own", "shared").parts[0].key))
-	require.False(t, s.bars(promptSubjects("a", "own", "shared")))
+	second.ApplyStored(now.Add(time.Minute), nil, stored, true)
+	require.True(t, second.Bars(promptSubjects("a", "own", "x", "bad")))
+	require.False(t, second.Bars(promptSubjects("b", "own", "bad")), "no request of the account was at a crash")
+	require.False(t, second.Bars(promptSubjects("a", "bad", "x")), "the last part crashes no server")
 }
 
 // TestStoredPartFollowsAnswers guards against a sound part that stays in the store as one that was
 // never answered, where gateways that start would bar it.
 func TestStoredPartFollowsAnswers(t *testing.T) {
-	crashes := func(s *suspectTracker, now time.Time) {
+	crashes := func(s *Tracker, now time.Time) {
 		for n := range 3 {
 			r := promptSubjects("a", fmt.Sprint("own", n), "shared")
 			at := now.Add(time.Duration(n) * 10 * time.Millisecond)
-			s.serverCrashed(at, fmt.Sprint("i-", n), []suspect{suspectOf(r, at)})
+			s.ServerCrashed(at, fmt.Sprint("i-", n), []Request{suspectOf(r, at)})
 		}
 	}
-	shared := promptSubjects("a", "own", "shared").parts[0].key
+	shared := promptSubjects("a", "own", "shared").Parts[0].Key
 	tests := []struct {
 		name string
-		do   func(writer, watcher *suspectTracker, store *sharedSuspects)
+		do   func(writer, watcher *Tracker, store *sharedSuspects)
 	}{
-		{"another gateway vouches for it", func(writer, _ *suspectTracker, _ *sharedSuspects) {
-			writer.applyPartsAnswered([]peer.Key{peer.Key(shared)})
+		{"another gateway vouches for it", func(writer, _ *Tracker, _ *sharedSuspects) {
+			writer.ApplyPartsAnswered([]peer.Key{peer.Key(shared)})
 		}},
-		{"it is answered after another gateway vouched", func(writer, _ *suspectTracker, _ *sharedSuspects) {
+		{"it is answered after another gateway vouched", func(writer, _ *Tracker, _ *sharedSuspects) {
 			writer.registry.MarkAnsweredBefore(shared)
-			writer.partsAnswered(time.Now(), "s", "m", []protocol.Part{{ID: "shared"}, {ID: "own"}})
+			writer.PartsAnswered(time.Now(), "s", "m", []protocol.Part{{ID: "shared"}, {ID: "own"}})
 		}},
-		{"its writer has ended, and another gateway has had it answered", func(_, watcher *suspectTracker, store *sharedSuspects) {
-			watcher.partsAnswered(time.Now(), "s", "m", []protocol.Part{{ID: "shared"}, {ID: "own"}})
+		{"its writer has ended, and another gateway has had it answered", func(_, watcher *Tracker, store *sharedSuspects) {
+			watcher.PartsAnswered(time.Now(), "s", "m", []protocol.Part{{ID: "shared"}, {ID: "own"}})
 			stored, _ := store.snapshot()
-			watcher.applyStored(time.Now(), nil, stored, true)
+			watcher.ApplyStored(time.Now(), nil, stored, true)
 		}},
 	}
 	for _, test := range tests {
@@ -106,16 +89,16 @@
 			store := &sharedSuspects{stored: map[quarantine.Key]quarantine.StoredRecord{}}
 			writer, watcher := newTestTracker(store), newTestTracker(store)
 			crashes(writer, time.Now())
-			require.True(t, writer.flush(t.Context()))
+			require.True(t, writer.Flush(t.Context()))
 			stored, _ := store.snapshot()
 			require.Contains(t, stored, shared)
 			test.do(writer, watcher, store)
-			require.True(t, writer.flush(t.Context()))
-			require.True(t, watcher.flush(t.Context()))
+			require.True(t, writer.Flush(t.Context()))
+			require.True(t, watcher.Flush(t.Context()))
 			stored, _ = store.snapshot()
 			started := newTestTracker(store)
-			started.applyStored(time.Now(), nil, stored, true)
-			require.False(t, started.bars(promptSubjects("a", "x", "shared")))
+			started.ApplyStored(time.Now(), nil, stored, true)
+			require.False(t, started.Bars(promptSubjects("a", "x", "shared")))
 		})
 	}
 }
@@ -140,7 +123,7 @@
 				prompt = append(prompt, protocol.Part{ID: id})
 			}
 			ids := []string{}
-			for _, p := range promptParts("s", "m", prompt) {
+			for _, p := range PromptParts("s", "m", prompt) {
 				ids = append(ids, p.ID)
 			}
 			require.Equal(t, test.want, ids)
--- a/gateway/suspects_store.go
+++ b/gateway/suspect/store.go
@@ -1,4 +1,4 @@
-package gateway
+package suspect
 
 import (
 	"context"
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"opalbridge.dev/gateway/idhash"
 	"opalbridge.dev/gateway/quarantine"
 )
 
@@ -19,9 +20,9 @@
 	maxStoreWriteBackoff = 2 * time.Second
 )
 
-// applyStored applies the stored suspects; old is their former state. Those that this gateway
+// ApplyStored applies the stored suspects; old is their former state. Those that this gateway
 // knows to have been answered since are deleted by one gateway of each hall, the one that watches.
-func (s *suspectTracker) applyStored(now time.Time, old, stored map[quarantine.Key]quarantine.StoredRecord, watches bool) {
+func (s *Tracker) ApplyStored(now time.Time, old, stored map[quarantine.Key]quarantine.StoredRecord, watches bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for k, record := range stored {
@@ -58,15 +59,15 @@
 	}
 }
 
-// rewriteJitter spreads the rewrites of lost suspects over the gateways, so that mostly the first
+// RewriteJitter spreads the rewrites of lost suspects over the gateways, so that mostly the first
 // one writes and the others see the result.
-const rewriteJitter = time.Second
+const RewriteJitter = time.Second
 
-// scheduleRewrites has suspects written again to a restored store that has lost some of them or
+// ScheduleRewrites has suspects written again to a restored store that has lost some of them or
 // holds deleted ones again. Only a gateway that watches for its hall, or that has written them
 // before, does so.
-func (s *suspectTracker) scheduleRewrites(now time.Time, keys []quarantine.Key, watches bool) {
-	if s.store == nil {
+func (s *Tracker) ScheduleRewrites(now time.Time, keys []quarantine.Key, watches bool) {
+	if s.Store == nil {
 		return
 	}
 	s.mutex.Lock()
@@ -75,12 +76,12 @@
 		if _, already := s.rewriteAt[k]; already || !watches && !s.ownWrites[k] {
 			continue
 		}
-		s.rewriteAt[k] = now.Add(time.Duration(unitHash(s.address+"/"+k.String()) * float64(rewriteJitter)))
+		s.rewriteAt[k] = now.Add(time.Duration(idhash.Unit(s.address+"/"+k.String()) * float64(RewriteJitter)))
 	}
 }
 
-// queueDueRewrites queues the rewrites that are due.
-func (s *suspectTracker) queueDueRewrites(now time.Time) {
+// QueueDueRewrites queues the rewrites that are due.
+func (s *Tracker) QueueDueRewrites(now time.Time) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for k, at := range s.rewriteAt {
@@ -92,9 +93,9 @@
 	}
 }
 
-// cancelRewriteIfStored cancels the rewrite of a suspect if the store already holds all that is
+// CancelRewriteIfStored cancels the rewrite of a suspect if the store already holds all that is
 // known of it.
-func (s *suspectTracker) cancelRewriteIfStored(key quarantine.Key, stored quarantine.StoredRecord) {
+func (s *Tracker) CancelRewriteIfStored(key quarantine.Key, stored quarantine.StoredRecord) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if _, due := s.rewriteAt[key]; !due {
@@ -107,44 +108,23 @@
 	}
 }
 
-// setSuspect applies a suspect's stored state.
-func (w *storeWatcher) setSuspect(key quarantine.Key, stored quarantine.StoredRecord) {
-	delete(w.tombstones.suspects, key)
-	w.gateway.suspects.cancelRewriteIfStored(key, stored)
-	w.suspectChanges.add(w.changeRevision, key.String())
-	changed := make(map[quarantine.Key]quarantine.StoredRecord, len(w.suspects)+1)
-	maps.Copy(changed, w.suspects)
-	changed[key] = stored
-	w.suspects, w.suspectsChanged = changed, true
-}
-
-// removeSuspect applies the removal of a suspect from the store.
-func (w *storeWatcher) removeSuspect(key quarantine.Key) {
-	w.tombstones.addSuspect(w.applyTime, key)
-	w.gateway.suspects.cancelRewriteIfStored(key, quarantine.StoredRecord{})
-	w.suspectChanges.add(w.changeRevision, key.String())
-	changed := maps.Clone(w.suspects)
-	delete(changed, key)
-	w.suspects, w.suspectsChanged = changed, true
-}
-
 // queueWrite has a suspect written to the store, or deleted there if it is not worth a record. The
 // mutex must be held.
-func (s *suspectTracker) queueWrite(k quarantine.Key) {
+func (s *Tracker) queueWrite(k quarantine.Key) {
 	s.pendingWrites[k] = true
 	s.wakeWriter()
 }
 
-func (s *suspectTracker) wakeWriter() {
+func (s *Tracker) wakeWriter() {
 	select {
 	case s.writerWake <- struct{}{}:
 	default: // the writer takes all pending writes
 	}
 }
 
-// runWriter writes pending suspects to the store until ctx is done.
-func (s *suspectTracker) runWriter(ctx context.Context) {
-	if s.store == nil {
+// RunWriter writes pending suspects to the store until ctx is done.
+func (s *Tracker) RunWriter(ctx context.Context) {
+	if s.Store == nil {
 		return
 	}
 	retry := time.NewTimer(time.Hour)
@@ -157,7 +137,7 @@
 		case <-s.writerWake:
 		case <-retry.C:
 		}
-		if s.flush(ctx) {
+		if s.Flush(ctx) {
 			wait = minStoreWriteBackoff
 			continue
 		}
@@ -166,8 +146,8 @@
 	}
 }
 
-// flush writes all pending suspects and reports whether all writes succeeded.
-func (s *suspectTracker) flush(ctx context.Context) bool {
+// Flush writes all pending suspects and reports whether all writes succeeded.
+func (s *Tracker) Flush(ctx context.Context) bool {
 	s.mutex.Lock()
 	list := slices.Collect(maps.Keys(s.pendingWrites))
 	clear(s.pendingWrites)
@@ -185,7 +165,7 @@
 	return ok
 }
 
-func (s *suspectTracker) writeSuspect(ctx context.Context, k quarantine.Key) error {
+func (s *Tracker) writeSuspect(ctx context.Context, k quarantine.Key) error {
 	ctx, cancel := context.WithTimeout(ctx, storeWriteTimeout)
 	defer cancel()
 	s.mutex.Lock()
@@ -197,7 +177,7 @@
 	}
 	s.mutex.Unlock()
 	if !repeated {
-		return s.store.Delete(ctx, k)
+		return s.Store.Delete(ctx, k)
 	}
-	return s.store.Save(ctx, k, Suspect{Summary: summary, Servers: r.Servers, Simultaneous: r.Simultaneous, Trials: trials, Part: r.Part})
+	return s.Store.Save(ctx, k, Suspect{Summary: summary, Servers: r.Servers, Simultaneous: r.Simultaneous, Trials: trials, Part: r.Part})
 }
--- a/gateway/suspects.go
+++ b/gateway/suspect/suspect.go
@@ -1,4 +1,28 @@
-package gateway
+// Package suspect protects the fleet from requests, and parts of prompts, that crash servers. Such a
+// request arrives as a valid first attempt each time, at any gateway, and would crash server after
+// server (platform: TestRequestThatCrashesServers). Package gateway detects which servers have
+// crashed, and package quarantine decides which requests, and which parts of prompts (parts.go),
+// are quarantined. A [Tracker] keeps what a gateway has seen and heard of them.
+//
+// What one gateway has seen reaches the others in two ways, so that either may fail: by beacons
+// ([Publisher]), within milliseconds, and, for requests during which two servers or more have
+// crashed, by the store ([Store], store.go), which also outlasts all gateways. Where something else
+// may be the cause of the crashes, a quarantined request is sent all the same, a few times over the
+// fleet (trials.go).
+//
+// # Usage
+//
+//	t := suspect.NewTracker(log, address, fleetSize)
+//	t.Peers, t.Store = peers, store
+//	go t.RunWriter(ctx)
+//	subjects := suspect.Subjects{Request: key, Account: "quito", Parts: suspect.PromptParts(service, model, parts)}
+//	if t.Bars(subjects) && !t.ClaimTrial(ctx, subjects) { … } // must not be sent to a server
+//	t.ServerCrashed(now, "i-7f3a@1760000000000", requests)   // with requests of this gateway
+//	t.RequestAnswered(now, key)                              // was not the cause
+//	t.PartsAnswered(now, service, model, parts)              // nor were these
+//	t.ApplyPeerReports(now, update.Crashes, update.Cleared)  // from another gateway
+//	t.ApplyStored(now, old, stored, watches)                 // from the store
+package suspect
 
 import (
 	"context"
@@ -13,16 +37,6 @@
 	"opalbridge.dev/gateway/quarantine"
 )
 
-// This file protects the fleet from requests that crash servers. Such a request arrives as a
-// valid first attempt each time, at any gateway, and would crash server after server (platform:
-// TestRequestThatCrashesServers). crashes.go detects which servers have crashed, and package
-// quarantine decides which requests, and which parts of prompts (suspects_parts.go), are
-// quarantined.
-//
-// What one gateway has seen reaches the others in two ways, so that either may fail: by beacons,
-// within milliseconds, and, for requests during which two servers or more have crashed, by the
-// store, which also outlasts all gateways.
-
 // Suspect is a request, or a part of prompts, during which two servers or more have crashed.
 type Suspect struct {
 	Summary      string                   // description for operators
@@ -32,8 +46,8 @@
 	Part         *quarantine.PartEvidence // nil: it is a request
 }
 
-// SuspectStore stores suspects where all gateways see the same ones, until they are deleted.
-type SuspectStore interface {
+// Store stores suspects where all gateways see the same ones, until they are deleted.
+type Store interface {
 	// Save merges what is known of a suspect into the stored state.
 	Save(ctx context.Context, key quarantine.Key, s Suspect) error
 	// Delete removes a suspect; it need not exist.
@@ -43,9 +57,9 @@
 	CountTrial(ctx context.Context, key quarantine.Key, trials int) (counted bool, err error)
 }
 
-// suspectPublisher tells the other gateways what this one knows of suspects. Its methods must not
+// Publisher tells the other gateways what this one knows of suspects. Its methods must not
 // block.
-type suspectPublisher interface {
+type Publisher interface {
 	PublishCrash(c peer.Crash)
 	PublishCleared(c peer.Cleared)
 	PublishPartAnswered(k peer.Key)
@@ -60,13 +74,15 @@
 	minSuspectsPerSecond = 4
 )
 
-// suspectTracker tracks requests during which servers have crashed. It is safe for concurrent use.
-type suspectTracker struct {
+// Tracker tracks requests during which servers have crashed. It is safe for concurrent use.
+type Tracker struct {
+	// Peers and Store are set before the first call of a method.
+	Peers Publisher
+	Store Store // nil: nothing is stored, and quarantined requests are not tried
+
 	log              zerolog.Logger
-	peers            suspectPublisher
-	address          string        // IP address of this gateway
-	store            SuspectStore  // nil: nothing is stored, and quarantined requests are not tried
-	fleetSize        func() int    // number of live gateways
+	address          string // IP address of this gateway
+	fleetSize        func() int
 	writerWake       chan struct{} // there is something to write
 	newlyQuarantined chan struct{} // a request has been quarantined
 	suspectCount     atomic.Int64  // requests in the registry; if 0, lookups are skipped
@@ -85,8 +101,10 @@
 	reported      int
 }
 
-func newSuspectTracker(log zerolog.Logger, address string, fleetSize func() int) *suspectTracker {
-	return &suspectTracker{
+// NewTracker returns a tracker of the gateway with this IP address. fleetSize returns the number of
+// live gateways.
+func NewTracker(log zerolog.Logger, address string, fleetSize func() int) *Tracker {
+	return &Tracker{
 		log: log, address: address, fleetSize: fleetSize,
 		writerWake:       make(chan struct{}, 1),
 		newlyQuarantined: make(chan struct{}, 1),
@@ -100,27 +118,30 @@
 	}
 }
 
-// suspect is a request that was at a server when the server crashed.
-type suspect struct {
-	key        quarantine.Key
-	id         string // of the attempt, as its caller gave it
-	account    string
-	summary    string
-	parts      []promptPart
-	responding bool      // events of its answer had arrived
-	lostAt     time.Time // when its connection broke; zero: not known
+// Request is a request that was at a server when the server crashed.
+type Request struct {
+	Key        quarantine.Key
+	ID         string // of the attempt, as its caller gave it
+	Account    string
+	Summary    string // description for operators
+	Parts      []Part
+	Responding bool      // events of its answer had arrived
+	LostAt     time.Time // when its connection broke; zero: not known
 }
 
-// serverCrashed records that a server has crashed with requests of this gateway, and reports it
+// MaxSummaryLength limits the description of a request or part.
+const MaxSummaryLength = 200
+
+// ServerCrashed records that a server has crashed with requests of this gateway, and reports it
 // to the peers.
-func (s *suspectTracker) serverCrashed(now time.Time, server string, requests []suspect) {
+func (s *Tracker) ServerCrashed(now time.Time, server string, requests []Request) {
 	// Requests without a response so far come first, in case not all can be reported: servers
 	// crash when they begin with the request that causes it.
-	slices.SortStableFunc(requests, func(x, y suspect) int {
+	slices.SortStableFunc(requests, func(x, y Request) int {
 		switch {
-		case x.responding == y.responding:
+		case x.Responding == y.Responding:
 			return 0
-		case y.responding:
+		case y.Responding:
 			return -1
 		}
 		return 1
@@ -129,8 +150,8 @@
 	defer s.mutex.Unlock()
 	keys := make([]quarantine.Key, 0, len(requests))
 	for _, t := range requests {
-		if !s.recentAnswers.Contains(now, t.key) {
-			keys = append(keys, t.key)
+		if !s.recentAnswers.Contains(now, t.Key) {
+			keys = append(keys, t.Key)
 		}
 	}
 	parts := s.suspectParts(now, requests)
@@ -147,25 +168,25 @@
 
 // crashTime returns when a server crashed: when the first connection to it broke. The crash may be
 // noticed seconds later.
-func crashTime(now time.Time, requests []suspect) time.Time {
+func crashTime(now time.Time, requests []Request) time.Time {
 	at := now
 	for _, t := range requests {
-		if !t.lostAt.IsZero() && t.lostAt.Before(at) {
-			at = t.lostAt
+		if !t.LostAt.IsZero() && t.LostAt.Before(at) {
+			at = t.LostAt
 		}
 	}
 	return at
 }
 
 // summarize keeps the descriptions of suspects that have changed.
-func (s *suspectTracker) summarize(requests []suspect, changed []quarantine.Key) {
+func (s *Tracker) summarize(requests []Request, changed []quarantine.Key) {
 	for _, t := range requests {
-		if slices.Contains(changed, t.key) {
-			s.summaries[t.key] = t.summary
+		if slices.Contains(changed, t.Key) {
+			s.summaries[t.Key] = t.Summary
 		}
-		for _, p := range t.parts {
-			if slices.Contains(changed, p.key) {
-				s.summaries[p.key] = p.summary()
+		for _, p := range t.Parts {
+			if slices.Contains(changed, p.Key) {
+				s.summaries[p.Key] = p.Summary()
 			}
 		}
 	}
@@ -173,7 +194,7 @@
 
 // reportCrash reports to the peers which requests and parts were at a server: those with an earlier
 // crash, and of the rest as many as the limit allows.
-func (s *suspectTracker) reportCrash(now time.Time, e peer.Crash, keys []quarantine.Key, parts []quarantine.PartSuspect, repeated []quarantine.Key) {
+func (s *Tracker) reportCrash(now time.Time, e peer.Crash, keys []quarantine.Key, parts []quarantine.PartSuspect, repeated []quarantine.Key) {
 	if now.Sub(s.windowStart) >= time.Second {
 		s.windowStart, s.reported = now, 0
 	}
@@ -196,11 +217,11 @@
 			e.Suspects = append(e.Suspects, peer.Key(k))
 		}
 	}
-	s.peers.PublishCrash(e)
+	s.Peers.PublishCrash(e)
 }
 
 // reportChanged logs the new state of requests. The mutex must be held.
-func (s *suspectTracker) reportChanged(changed []quarantine.Key, server string) {
+func (s *Tracker) reportChanged(changed []quarantine.Key, server string) {
 	for _, k := range changed {
 		r, _ := s.registry.Record(k)
 		event := s.log.Warn().Str("key", k.String()).Str("asks", s.summaries[k]).Strs("servers", r.Servers).Str("latest", server)
@@ -220,8 +241,8 @@
 	s.suspectCount.Store(int64(s.registry.Len()))
 }
 
-// applyPeerReports applies what a peer reports.
-func (s *suspectTracker) applyPeerReports(now time.Time, crashes []peer.Crash, cleared []peer.Cleared) {
+// ApplyPeerReports applies what a peer reports.
+func (s *Tracker) ApplyPeerReports(now time.Time, crashes []peer.Crash, cleared []peer.Cleared) {
 	if len(crashes)+len(cleared) == 0 {
 		return
 	}
@@ -231,7 +252,7 @@
 		keys := make([]quarantine.Key, 0, len(e.Suspects))
 		for _, k := range e.Suspects {
 			if s.recentAnswers.Contains(now, quarantine.Key(k)) {
-				s.peers.PublishCleared(peer.Cleared{Key: k, Servers: []string{e.Server}})
+				s.Peers.PublishCleared(peer.Cleared{Key: k, Servers: []string{e.Server}})
 				continue
 			}
 			keys = append(keys, quarantine.Key(k))
@@ -249,8 +270,8 @@
 	}
 }
 
-// requestAnswered records that a request was answered completely.
-func (s *suspectTracker) requestAnswered(now time.Time, key quarantine.Key) {
+// RequestAnswered records that a request was answered completely.
+func (s *Tracker) RequestAnswered(now time.Time, key quarantine.Key) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.recentAnswers.Add(now, key)
@@ -258,28 +279,36 @@
 }
 
 // clearCrashes discards the crashes counted for a request, here and at the peers.
-func (s *suspectTracker) clearCrashes(key quarantine.Key) {
+func (s *Tracker) clearCrashes(key quarantine.Key) {
 	_, repeated := s.registry.Record(key)
 	cleared := s.registry.MarkAnswered(key)
 	if len(cleared) == 0 {
 		return
 	}
-	s.peers.PublishCleared(peer.Cleared{Key: peer.Key(key), Servers: cleared})
+	s.Peers.PublishCleared(peer.Cleared{Key: peer.Key(key), Servers: cleared})
 	if repeated || s.ownWrites[key] {
 		s.removeStored(key)
 	}
 }
 
 // removeStored has a request deleted from the store.
-func (s *suspectTracker) removeStored(k quarantine.Key) {
+func (s *Tracker) removeStored(k quarantine.Key) {
 	s.log.Info().Str("event", s.kindOf(k)+".cleared").Str("key", k.String()).Str("asks", s.summaries[k]).Msg("answered; no longer a suspect")
 	delete(s.summaries, k)
 	s.queueWrite(k)
 }
 
-// quarantinedCount returns the number of quarantined suspects, and how many of them are parts of
+// Count returns the number of suspects, counting those during which one server has crashed. If it is
+// 0, no request is quarantined. It takes no lock.
+func (s *Tracker) Count() int { return int(s.suspectCount.Load()) }
+
+// NewlyQuarantined returns the channel that tells when a request has been quarantined. It tells once
+// of several ones.
+func (s *Tracker) NewlyQuarantined() <-chan struct{} { return s.newlyQuarantined }
+
+// QuarantinedCount returns the number of quarantined suspects, and how many of them are parts of
 // prompts.
-func (s *suspectTracker) quarantinedCount() (all, parts int) {
+func (s *Tracker) QuarantinedCount() (all, parts int) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	return s.registry.CountQuarantined()
--- a/gateway/suspects_trials.go
+++ b/gateway/suspect/trials.go
@@ -1,9 +1,10 @@
-package gateway
+package suspect
 
 import (
 	"context"
 	"time"
 
+	"opalbridge.dev/gateway/idhash"
 	"opalbridge.dev/gateway/quarantine"
 )
 
@@ -31,8 +32,8 @@
 	claiming bool      // a trial is being claimed from the store
 }
 
-// setPeerLive records whether a peer is alive.
-func (s *suspectTracker) setPeerLive(address string, alive bool) {
+// SetPeerLive records whether a peer is alive.
+func (s *Tracker) SetPeerLive(address string, alive bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if alive {
@@ -42,11 +43,11 @@
 	delete(s.livePeers, address)
 }
 
-// trialDue reports whether this gateway may send a quarantined request once now: for all that
+// TrialDue reports whether this gateway may send a quarantined request once now: for all that
 // quarantines it, something else may be the cause of the crashes. Gateways take turns in an order by
 // rendezvous hashing, which is the same for nearly all of them, including those that have
 // started since and know of the crashes from the store alone.
-func (s *suspectTracker) trialDue(now time.Time, r subjects) bool {
+func (s *Tracker) TrialDue(now time.Time, r Subjects) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	barring := s.barringLocked(r)
@@ -60,7 +61,7 @@
 
 // doubtful reports whether something else than what has this key may be the cause of the crashes,
 // and if so how long ago the latest crash was.
-func (s *suspectTracker) doubtful(now time.Time, key quarantine.Key, r subjects) (quiet time.Duration, ok bool) {
+func (s *Tracker) doubtful(now time.Time, key quarantine.Key, r Subjects) (quiet time.Duration, ok bool) {
 	if quiet, ok := s.registry.Ambiguous(now, key); ok {
 		return quiet, true
 	}
@@ -68,26 +69,26 @@
 }
 
 // trialDueLocked is trialDue for one key, with the mutex held.
-func (s *suspectTracker) trialDueLocked(now time.Time, key quarantine.Key, r subjects) bool {
+func (s *Tracker) trialDueLocked(now time.Time, key quarantine.Key, r Subjects) bool {
 	quiet, doubtful := s.doubtful(now, key, r)
 	known := s.trials[key]
-	if !doubtful || s.store == nil || known.claiming || known.count >= maxTrials {
+	if !doubtful || s.Store == nil || known.claiming || known.count >= maxTrials {
 		return false
 	}
 	rank := 0
-	own := unitHash(s.address + "/" + key.String())
+	own := idhash.Unit(s.address + "/" + key.String())
 	for address := range s.livePeers {
-		if unitHash(address+"/"+key.String()) > own {
+		if idhash.Unit(address+"/"+key.String()) > own {
 			rank++
 		}
 	}
 	return min(quiet, now.Sub(known.lastAt)) >= trialInterval+time.Duration(min(rank, maxTrialRank))*trialStagger
 }
 
-// claimTrial claims a trial of a quarantined request, by the first key that quarantines it. The
+// ClaimTrial claims a trial of a quarantined request, by the first key that quarantines it. The
 // store counts the trials, which bounds them over the fleet, whichever gateways have started since.
-func (s *suspectTracker) claimTrial(ctx context.Context, r subjects) bool {
-	if !s.trialDue(time.Now(), r) {
+func (s *Tracker) ClaimTrial(ctx context.Context, r Subjects) bool {
+	if !s.TrialDue(time.Now(), r) {
 		return false
 	}
 	s.mutex.Lock()
@@ -102,7 +103,7 @@
 	s.mutex.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, trialTimeout)
 	defer cancel()
-	counted, err := s.store.CountTrial(ctx, key, known.count)
+	counted, err := s.Store.CountTrial(ctx, key, known.count)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	state := s.trials[key]
--- a/gateway/part_worlds_test.go
+++ b/gateway/suspect/worlds_test.go
@@ -1,4 +1,4 @@
-package gateway
+package suspect
 
 import (
 	"cmp"
@@ -84,7 +84,7 @@
 type worldGateway struct {
 	world   *partWorld
 	index   int
-	tracker *suspectTracker
+	tracker *Tracker
 	cut     bool // from the other gateways
 	stop    context.CancelFunc
 	stopped chan struct{}
@@ -103,8 +103,8 @@
 
 // worldRequest is a request at a server.
 type worldRequest struct {
-	suspect
-	subjects subjects
+	Request
+	subjects Subjects
 	prompt   []protocol.Part
 	gateway  *worldGateway
 	begins   time.Time // when the server begins to answer
@@ -120,18 +120,18 @@
 	from, to int
 	update   peer.Update
 	crashed  string    // or a server whose crash the gateway detects then
-	lost     []suspect // its own requests there
+	lost     []Request // its own requests there
 }
 
-// PublishCrash implements suspectPublisher.
+// PublishCrash implements Publisher.
 func (g *worldGateway) PublishCrash(c peer.Crash) { g.publish(peer.Update{Crashes: []peer.Crash{c}}) }
 
-// PublishCleared implements suspectPublisher.
+// PublishCleared implements Publisher.
 func (g *worldGateway) PublishCleared(c peer.Cleared) {
 	g.publish(peer.Update{Cleared: []peer.Cleared{c}})
 }
 
-// PublishPartAnswered implements suspectPublisher.
+// PublishPartAnswered implements Publisher.
 func (g *worldGateway) PublishPartAnswered(k peer.Key) {
 	g.publish(peer.Update{PartsAnswered: []peer.Key{k}})
 }
@@ -166,7 +166,7 @@
 	return nil
 }
 
-// Save implements SuspectStore.
+// Save implements Store.
 func (s *sharedSuspects) Save(_ context.Context, k quarantine.Key, known Suspect) error {
 	return s.do(func() {
 		record := quarantine.StoredRecord{Servers: known.Servers, Simultaneous: known.Simultaneous, Trials: known.Trials, Part: known.Part}
@@ -174,12 +174,12 @@
 	})
 }
 
-// Delete implements SuspectStore.
+// Delete implements Store.
 func (s *sharedSuspects) Delete(_ context.Context, k quarantine.Key) error {
 	return s.do(func() { delete(s.stored, k) })
 }
 
-// CountTrial implements SuspectStore.
+// CountTrial implements Store.
 func (s *sharedSuspects) CountTrial(_ context.Context, k quarantine.Key, trials int) (counted bool, err error) {
 	err = s.do(func() {
 		record, known := s.stored[k]
@@ -206,13 +206,13 @@
 func (w *partWorld) startGateway(index int) *worldGateway {
 	ctx, stop := context.WithCancel(context.Background())
 	g := &worldGateway{world: w, index: index, stop: stop, stopped: make(chan struct{}), seen: map[quarantine.Key]quarantine.StoredRecord{}}
-	g.tracker = newSuspectTracker(zerolog.Nop(), fmt.Sprintf("10.0.0.%d", index+1), func() int { return w.partScenario.gateways })
-	g.tracker.peers, g.tracker.store = g, w.store
+	g.tracker = NewTracker(zerolog.Nop(), fmt.Sprintf("10.0.0.%d", index+1), func() int { return w.partScenario.gateways })
+	g.tracker.Peers, g.tracker.Store = g, w.store
 	for other := range w.partScenario.gateways {
-		g.tracker.setPeerLive(fmt.Sprintf("10.0.0.%d", other+1), other != index)
+		g.tracker.SetPeerLive(fmt.Sprintf("10.0.0.%d", other+1), other != index)
 	}
 	go func() {
-		g.tracker.runWriter(ctx)
+		g.tracker.RunWriter(ctx)
 		close(g.stopped)
 	}()
 	return g
@@ -246,7 +246,7 @@
 	w.requests++
 	r := &worldRequest{gateway: g, fatal: fatal, whole: whole}
 	if repeats != nil {
-		r.suspect, r.subjects, r.prompt, r.repeated = repeats.suspect, repeats.subjects, repeats.prompt, true
+		r.Request, r.subjects, r.prompt, r.repeated = repeats.Request, repeats.subjects, repeats.prompt, true
 	} else {
 		body := fmt.Sprint("body", w.requests)
 		if whole {
@@ -255,20 +255,20 @@
 		for _, p := range append(slices.Clone(shared), body) {
 			r.prompt = append(r.prompt, protocol.Part{ID: p, Tokens: 100})
 		}
-		r.subjects = subjects{
-			request: quarantine.KeyOf(quarantine.Request{Account: account, Body: []byte(body)}),
-			account: account,
-			parts:   promptParts("s", "m", r.prompt),
+		r.subjects = Subjects{
+			Request: quarantine.KeyOf(quarantine.Request{Account: account, Body: []byte(body)}),
+			Account: account,
+			Parts:   PromptParts("s", "m", r.prompt),
 		}
-		r.suspect = suspect{key: r.subjects.request, id: body, account: account, parts: r.subjects.parts}
+		r.Request = Request{Key: r.subjects.Request, ID: body, Account: account, Parts: r.subjects.Parts}
 	}
 	sound := !fatal && !whole
 	late := sound && now.Sub(w.began) > worldPatience
 	if late {
 		w.outcome.sound++
 	}
-	if g.tracker.bars(r.subjects) {
-		if !g.tracker.trialDue(now, r.subjects) || !g.tracker.claimTrial(context.Background(), r.subjects) {
+	if g.tracker.Bars(r.subjects) {
+		if !g.tracker.TrialDue(now, r.subjects) || !g.tracker.ClaimTrial(context.Background(), r.subjects) {
 			if sound {
 				w.outcome.barredEver++
 			}
@@ -298,12 +298,12 @@
 	s.running, s.upAt = nil, now.Add(3*time.Second)
 	s.lifetime++
 	for i, g := range w.gateways {
-		var mine []suspect
+		var mine []Request
 		for _, r := range lost {
 			if r.gateway == g {
-				r.suspect.responding = now.After(r.begins)
-				r.suspect.lostAt = now
-				mine = append(mine, r.suspect)
+				r.Responding = now.After(r.begins)
+				r.LostAt = now
+				mine = append(mine, r.Request)
 			}
 		}
 		if len(mine) > 0 {
@@ -316,7 +316,7 @@
 	}
 	for _, r := range lost {
 		if !r.repeated && w.random.IntN(2) == 0 {
-			w.send(w.gateways[w.random.IntN(len(w.gateways))], r.suspect.account, nil, r.fatal, r.whole, r)
+			w.send(w.gateways[w.random.IntN(len(w.gateways))], r.Account, nil, r.fatal, r.whole, r)
 		}
 	}
 }
@@ -336,8 +336,8 @@
 				w.crash(s)
 			case !now.Before(r.ends):
 				s.running = slices.DeleteFunc(s.running, func(o *worldRequest) bool { return o == r })
-				r.gateway.tracker.requestAnswered(now, r.subjects.request)
-				r.gateway.tracker.partsAnswered(now, "s", "m", r.prompt)
+				r.gateway.tracker.RequestAnswered(now, r.subjects.Request)
+				r.gateway.tracker.PartsAnswered(now, "s", "m", r.prompt)
 			}
 			if len(s.running) == 0 {
 				break
@@ -345,7 +345,7 @@
 		}
 		// A gateway takes back what waits at a server once it is quarantined.
 		s.running = slices.DeleteFunc(s.running, func(r *worldRequest) bool {
-			return now.Before(r.begins) && r.fatal && r.gateway.tracker.bars(r.subjects)
+			return now.Before(r.begins) && r.fatal && r.gateway.tracker.Bars(r.subjects)
 		})
 	}
 }
@@ -364,12 +364,12 @@
 	for _, d := range due {
 		g := w.gateways[d.to]
 		if d.crashed != "" {
-			g.tracker.serverCrashed(now, d.crashed, d.lost)
+			g.tracker.ServerCrashed(now, d.crashed, d.lost)
 			continue
 		}
 		if !g.cut {
-			g.tracker.applyPeerReports(now, d.update.Crashes, d.update.Cleared)
-			g.tracker.applyPartsAnswered(d.update.PartsAnswered)
+			g.tracker.ApplyPeerReports(now, d.update.Crashes, d.update.Cleared)
+			g.tracker.ApplyPartsAnswered(d.update.PartsAnswered)
 		}
 	}
 }
@@ -381,7 +381,7 @@
 		return
 	}
 	for i, g := range w.gateways {
-		g.tracker.applyStored(time.Now(), g.seen, stored, i == 0)
+		g.tracker.ApplyStored(time.Now(), g.seen, stored, i == 0)
 		g.seen = stored
 	}
 }
--- a/gateway/update_receiver.go
+++ b/gateway/update_receiver.go
@@ -30,9 +30,9 @@
 			for _, u := range list {
 				g.offloadTargets.update(u)
 				g.callerRetries.addRemote(time.Now(), u.Refusals)
-				g.suspects.setPeerLive(u.From, u.Alive)
-				g.suspects.applyPeerReports(time.Now(), u.Crashes, u.Cleared)
-				g.suspects.applyPartsAnswered(u.PartsAnswered)
+				g.suspects.SetPeerLive(u.From, u.Alive)
+				g.suspects.ApplyPeerReports(time.Now(), u.Crashes, u.Cleared)
+				g.suspects.ApplyPartsAnswered(u.PartsAnswered)
 				g.applyPeerLeaving(time.Now(), u.From, u.LeavingServers)
 				r.handle(ctx, time.Now(), u)
 			}
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -181,7 +181,7 @@
 			startCall(now)
 		case now := <-ticker.C:
 			w.expireMissing(now)
-			w.gateway.suspects.queueDueRewrites(now)
+			w.gateway.suspects.QueueDueRewrites(now)
 			startCall(now)
 		}
 	}
@@ -424,10 +424,31 @@
 	w.gateway.crashes.viewChanged(now, old.Servers, v.Servers)
 	if w.suspectsChanged {
 		w.suspectsChanged = false
-		w.gateway.suspects.applyStored(now, old.Suspects, v.Suspects, w.gateway.watchesStore.Load())
+		w.gateway.suspects.ApplyStored(now, old.Suspects, v.Suspects, w.gateway.watchesStore.Load())
 	}
 	if changed {
 		w.gateway.runs.viewChanged(now, v.Servers)
 		w.gateway.peers.SendSoon()
 	}
 }
+
+// setSuspect applies a suspect's stored state.
+func (w *storeWatcher) setSuspect(key quarantine.Key, stored quarantine.StoredRecord) {
+	delete(w.tombstones.suspects, key)
+	w.gateway.suspects.CancelRewriteIfStored(key, stored)
+	w.suspectChanges.add(w.changeRevision, key.String())
+	changed := make(map[quarantine.Key]quarantine.StoredRecord, len(w.suspects)+1)
+	maps.Copy(changed, w.suspects)
+	changed[key] = stored
+	w.suspects, w.suspectsChanged = changed, true
+}
+
+// removeSuspect applies the removal of a suspect from the store.
+func (w *storeWatcher) removeSuspect(key quarantine.Key) {
+	w.tombstones.addSuspect(w.applyTime, key)
+	w.gateway.suspects.CancelRewriteIfStored(key, quarantine.StoredRecord{})
+	w.suspectChanges.add(w.changeRevision, key.String())
+	changed := maps.Clone(w.suspects)
+	delete(changed, key)
+	w.suspects, w.suspectsChanged = changed, true
+}
