--- a/gateway/suspect/trials.go
+++ b/gateway/suspect/trials.go
@@ -85,6 +85,13 @@
 	return min(quiet, now.Sub(known.lastAt)) >= trialInterval+time.Duration(min(rank, maxTrialRank))*trialStagger
 }
 
+// Trials returns how many trials of a suspect this gateway knows of.
+func (s *Tracker) Trials(key quarantine.Key) int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.trials[key].count
+}
+
 // ClaimTrial claims a trial of a quarantined request, by the first key that quarantines it. The
 // store counts the trials, which bounds them over the fleet, whichever gateways have started since.
 func (s *Tracker) ClaimTrial(ctx context.Context, r Subjects) bool {
--- a/gateway/suspects_restore_test.go
+++ b/gateway/suspects_restore_test.go
@@ -59,6 +59,7 @@
 		require.False(t, isQuarantined(g, deleted))
 		require.True(t, g.suspects.TrialDue(now.Add(time.Minute), suspect.Subjects{Request: quarantined}), "one trial is left")
 		require.False(t, g.suspects.TrialDue(now.Add(time.Minute), suspect.Subjects{Request: tried}), "both trials are used")
+		require.Equal(t, 2, g.suspects.Trials(tried))
 		writes := func() []quarantine.Key {
 			g.suspects.QueueDueRewrites(now.Add(suspect.RewriteJitter))
 			require.True(t, g.suspects.Flush(t.Context()))
