gateway/slots: a slot left by a gateway's own request is used again at once

Cause: with more gateways than slots, each gateway's part of a server is less than a slot. A gateway whose request ended had to wait some answer times for its next turn, and the others learned of the free slot from reports only. The queue at servers also shrank with the time that a request had already waited, down to none. So slots idled under lasting overload. Even parts were taken at servers far beyond their limit although recent reports showed it, and those requests were late.

Change: while reports are late, a gateway uses the slot that its own request has left within a third of an answer time, if nothing waits behind and the server has not rejected for a second. The short queue is measured by the objective at the first attempt. Reports up to half an answer time old are believed of overfull servers. A request that has waited is refused when less time is left than half of the answers take.

TestPlainServerDies now lets the dead server's entry lapse after a second.

--- a/gateway/dispatcher_slots.go
+++ b/gateway/dispatcher_slots.go
@@ -99,6 +99,7 @@
 	d.countActive(now)
 	if a.HoldReason != placement.NoSlot {
 		a.Ahead = d.queue.ahead(a)
+		a.Behind = d.queue.waitingForSlots(a.Service) - a.Ahead
 	}
 }
 
@@ -198,6 +199,17 @@
 	return n
 }
 
+// waitingForSlots returns how many requests to a service wait for slots.
+func (q *waitQueue) waitingForSlots(service string) int {
+	n := 0
+	for _, w := range q.slots {
+		if w.original.Service == service {
+			n++
+		}
+	}
+	return n
+}
+
 // length returns the number of all waiting requests.
 func (q *waitQueue) length() int { return len(q.waiters) + len(q.slots) }
 
@@ -242,8 +254,13 @@
 		return
 	}
 	held, ahead := map[string]int{}, map[string]int{}
+	behind := map[string]int{}
+	for _, w := range d.queue.slots {
+		behind[w.original.Service]++
+	}
 	remaining := d.queue.slots[:0]
 	for _, w := range d.queue.slots {
+		behind[w.original.Service]--
 		if w.cancelled() {
 			w.message.reply <- placement.NoServer{} // the reply is not read
 			continue
@@ -257,6 +274,7 @@
 			continue
 		}
 		a.Ahead = ahead[service]
+		a.Behind = behind[service]
 		decision := d.decide(now, w.message)
 		switch decision := decision.(type) {
 		case placement.Hold:
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -61,6 +61,7 @@
 	Hall           string          // hall of the gateway
 	Priority       int             // 0 is the most urgent
 	Ahead          int             // requests that wait for a slot of the service at this gateway and go before it
+	Behind         int             // requests to its plain service that wait at this gateway and go later
 	MaxEventGap    time.Duration   // longest interval between events within the objective; 0: none
 	Route          string          // name of its route
 	ExpectedOutput int             // OutputTokens as corrected by earlier answers; 0: not corrected
--- a/gateway/placement/slots.go
+++ b/gateway/placement/slots.go
@@ -46,7 +46,7 @@
 	}
 	b.slotServers = list
 	decision := b.slots.Decide(now, slots.Request{
-		Service: req.Service, Objective: req.Objective, Remaining: req.Remaining, Ahead: req.Ahead, Held: req.HoldReason == NoSlot,
+		Service: req.Service, Objective: req.Objective, Full: req.FullObjective, Remaining: req.Remaining, Ahead: req.Ahead, Behind: req.Behind, Held: req.HoldReason == NoSlot,
 	}, list)
 	switch d := decision.(type) {
 	case slots.Send:
--- a/gateway/slots/server.go
+++ b/gateway/slots/server.go
@@ -15,6 +15,9 @@
 	usedAt      time.Time // of the latest send or end
 	limit       float64   // requests that the fleet may have there, as of the latest decision
 	active      float64   // gateways that share them
+	rejectedAt  time.Time // of the latest rejection
+	freed       int       // slots that ended requests of this gateway have left, not used since
+	freedAt     time.Time // when the latest one was left
 	extraAt     time.Time // of the latest send beyond the whole slots of this gateway's even part
 	outstanding int
 	silentSince time.Time // latest sign of the server, or the send that ended a time without requests
@@ -95,13 +98,32 @@
 	return part >= 1 || !late || s.sinceExtra(now)*part >= 1
 }
 
-// hasEvenPart reports whether this gateway has less than its even part of a full server. A fraction
-// of a slot is one request in several answer times. Recent reports of a server far beyond its limit
-// are believed: gateways with more than their part will get nothing until it is below the limit.
-func (s *server) hasEvenPart(now time.Time, state *Server, late bool) bool {
-	if !late && float64(state.Local+state.Remote) >= s.limit+maxQueueRatio*float64(state.Capacity) {
-		return false
+// recordFreed records that a request of this gateway has left a slot.
+func (s *server) recordFreed(now time.Time) {
+	if !s.hasFreed(now) {
+		s.freed = 0
 	}
+	s.freed, s.freedAt = min(s.freed+1, maxFreed), now
+}
+
+// hasFreed reports whether this gateway may use a slot that a request of its own has left. After a
+// while, others may have taken it, and the server's own queue takes it if that is full.
+func (s *server) hasFreed(now time.Time) bool {
+	return s.freed > 0 && now.Sub(s.rejectedAt) > windowRetention && float64(now.Sub(s.freedAt)) <= freedRetention*float64(s.usual())
+}
+
+// overfull reports whether a server is far beyond its limit by recent reports. It gets nothing then:
+// gateways with more than their part will get nothing either until it is below the limit. Reports
+// that are older than an answer time say nothing of this moment, and all gateways that believe them
+// stop and go on together.
+func (s *server) overfull(age time.Duration, state *Server, late bool) bool {
+	recent := !late || float64(age) <= recentReportAge*float64(s.usual())
+	return recent && float64(state.Local+state.Remote) >= s.limit+maxQueueRatio*float64(state.Capacity)
+}
+
+// hasEvenPart reports whether this gateway has less than its even part of a full server. A fraction
+// of a slot is one request in several answer times.
+func (s *server) hasEvenPart(now time.Time, state *Server) bool {
 	whole, rest := s.evenPart()
 	local := float64(state.Local)
 	return local < whole || local == whole && rest > 0 && s.sinceExtra(now)*rest >= 1
--- a/gateway/slots/slots.go
+++ b/gateway/slots/slots.go
@@ -17,7 +17,9 @@
 // answer and the next request. What other gateways have there is known from their reports, which
 // may be late or lost. So each gateway also limits its own requests at a server by what that
 // server's answers show (a window that grows with answers in the usual time and shrinks with slow
-// answers and rejections), and may always use its even part of the slots.
+// answers and rejections), and may always use its even part of the slots. While reports are late, it
+// also uses the slots that its own ended requests have left: no other gateway knows yet that they
+// are free.
 //
 // The package does no locking and no I/O and does not read the clock. A Model must be used by one
 // goroutine only.
@@ -60,6 +62,16 @@
 	askInterval = 10 * time.Millisecond
 	// Excess that a server's own queue holds, in parts of its slots.
 	maxExcess = 0.5
+	// Age of reports, in answer times, up to which they are believed of a server that is far beyond
+	// its limit.
+	recentReportAge = 0.5
+	// Time, in answer times, in which a gateway may use a slot that its own request has left, and the
+	// number of such slots. In a longer time, a new request of another gateway takes it too.
+	freedRetention = 0.3
+	maxFreed       = 2
+	// Requests behind one from which on it does not use such a slot: where many wait at each gateway,
+	// even parts keep the slots busy, and slots have to go to the most urgent requests of the fleet.
+	maxBehindFreed = 1
 )
 
 // Limits of silence.
@@ -89,8 +101,10 @@
 type Request struct {
 	Service   string
 	Objective time.Duration // time left until its answer is late; negative: already late; 0: no objective
+	Full      time.Duration // Objective at its caller's first attempt; 0: unknown
 	Remaining time.Duration // time left until an answer is of no use
 	Ahead     int           // requests that wait at this gateway and go first
+	Behind    int           // requests that wait at this gateway and go later
 	Held      bool          // it has waited before and is next in turn
 }
 
@@ -223,7 +237,7 @@
 	if s.outstanding++; s.outstanding == 1 {
 		s.silentSince = now
 	}
-	s.usedAt = now
+	s.usedAt, s.freed = now, max(s.freed-1, 0)
 	if s.stalled {
 		s.probe = id
 		s.probeDelay = min(2*s.probeDelay, maxProbeInterval)
@@ -259,6 +273,9 @@
 	full := s.window > 0 && float64(s.outstanding) >= s.window
 	s.outstanding = max(s.outstanding-1, 0)
 	s.usedAt = now
+	if o == Answered || o == Failed {
+		s.recordFreed(now)
+	}
 	if s.probe == id {
 		s.probe = 0
 	}
@@ -268,6 +285,7 @@
 	m.heard(now, a.server, s)
 	switch {
 	case o == Rejected:
+		s.rejectedAt = now
 		s.shrink(now, rejectionDecrease)
 	case o == Answered && reliable && !a.sentAt.Before(s.resumedAt):
 		if !a.begun {
@@ -331,7 +349,9 @@
 	for i := range servers {
 		m.states = append(m.states, m.server(req.Service, servers[i].ID))
 	}
-	if req.Held || req.Ahead == 0 {
+	first := m.service(req.Service).first.median
+	late := req.Held && req.Objective != 0 && req.Objective < first // others that wait can still be in time
+	if !late && (req.Held || req.Ahead == 0) {
 		if send, ok := m.choose(now, req, servers); ok {
 			return send
 		}
@@ -341,7 +361,6 @@
 	if req.Held {
 		tolerated /= waitingTolerance
 	}
-	first := m.service(req.Service).first.median
 	limit := req.Objective
 	if limit == 0 {
 		limit = req.Remaining
@@ -357,11 +376,12 @@
 	return Refuse{Predicted: start + first, RetryAfter: after}
 }
 
-// choose returns the server that gets the request now: the cheapest one with a free slot, one at
-// which this gateway has less than its even part, or a stalled one that is due for a probe.
+// choose returns the server that gets the request now: the cheapest one with a free slot, one that
+// has just answered this gateway, one at which this gateway has less than its even part, or a
+// stalled one that is due for a probe.
 func (m *Model) choose(now time.Time, req Request, servers []Server) (Send, bool) {
 	cheapest := math.Inf(1)
-	var free, even, probe *Server
+	var free, freed, even, probe *Server
 	reportAge := max(m.reportInterval, now.Sub(m.reportedAt))
 	for i := range servers {
 		s := &servers[i]
@@ -374,16 +394,22 @@
 			continue
 		}
 		cheapest = min(cheapest, s.Cost)
-		state.limit = float64(limitOf(req, s, state.usual()))
 		state.active = float64(max(state.service.active, 1+min(s.Remote, 1)))
 		late := state.reportsLate(reportAge, s.Capacity)
+		state.limit = float64(limitOf(req, s, state.usual()))
+		overfull := state.overfull(reportAge, s, late)
 		switch {
 		case float64(s.Local) >= state.windowAt(now, s):
 		case state.mayTake(now, state.limit-float64(s.Local+s.Remote), late):
 			if free == nil || s.Cost < free.Cost {
 				free = s
 			}
-		case state.hasEvenPart(now, s, late):
+		case overfull:
+		case late && req.Behind < maxBehindFreed && state.hasFreed(now):
+			if freed == nil || occupancy(s) < occupancy(freed) {
+				freed = s
+			}
+		case state.hasEvenPart(now, s):
 			if even == nil || occupancy(s) < occupancy(even) {
 				even = s
 			}
@@ -394,6 +420,8 @@
 		return Send{Server: probe.ID, Probe: true}, true // no request there shows when it answers again
 	case free != nil && free.Cost <= cheapest+maxCostExcess:
 		return Send{Server: free.ID}, true
+	case freed != nil:
+		return Send{Server: freed.ID}, true
 	case even != nil:
 		return Send{Server: even.ID}, true
 	case probe != nil:
@@ -406,8 +434,8 @@
 // a request waits for a small part of its objective.
 func limitOf(req Request, s *Server, usual time.Duration) int {
 	queue := maxQueueRatio * float64(s.Capacity)
-	if req.Objective > 0 && usual > 0 {
-		queue = min(queue, queueFraction*float64(req.Objective)*float64(s.Capacity)/float64(usual))
+	if objective := max(req.Objective, req.Full); objective > 0 && usual > 0 {
+		queue = min(queue, queueFraction*float64(objective)*float64(s.Capacity)/float64(usual))
 	}
 	return s.Capacity + int(queue)
 }
--- a/gateway/slots/slots_test.go
+++ b/gateway/slots/slots_test.go
@@ -96,6 +96,9 @@
 		{"a server that fails some", 0, request(), list{{ID: "0", Capacity: 6, Local: 8, Cost: 1.3}, {ID: "1", Capacity: 6, Cost: 1.4}}, send{Server: "1"}},
 		{"huge capacity", 0, request(), list{{ID: "0", Capacity: 1 << 20, Local: 1 << 19, Remote: 1 << 18}}, send{Server: "0"}},
 		{"huge capacity is used up", 0, request(), list{{ID: "0", Capacity: 1 << 20, Local: 1 << 20, Remote: 1 << 20}}, slots.Wait{}},
+		{"it has waited, and a queue is still short for its full objective", 0, with(func(r *slots.Request) { r.Objective, r.Full = 20*time.Millisecond, objective }), serverList([2]int{7, 0}), send{Server: "0"}},
+		{"it has waited until it would be late", 0, with(func(r *slots.Request) { r.Objective, r.Held = answer-1, true }), serverList([2]int{4, 0}), slots.Refuse{}},
+		{"it has waited and can be in time", 0, with(func(r *slots.Request) { r.Objective, r.Held = answer, true }), serverList([2]int{4, 0}), send{Server: "0"}},
 		{"one slot", 0, request(), list{{ID: "0", Capacity: 1, Local: 1}}, slots.Wait{}},
 		{"no server", 0, request(), nil, slots.Wait{}},
 	}
@@ -229,6 +232,81 @@
 	}
 }
 
+// TestFreedSlot: late reports show a free slot only when many answers could have used it, so the
+// gateway whose request has left it uses it at once.
+func TestFreedSlot(t *testing.T) {
+	tests := []struct {
+		name     string
+		interval time.Duration // of reports
+		outcome  slots.Outcome
+		since    time.Duration // since the end of the request
+		behind   int
+		remote   int
+		want     slots.Decision
+	}{
+		{"an answer", 250 * time.Millisecond, slots.Answered, 0, 0, 8, slots.Send{Server: "0"}},
+		{"a failure that the server has told", 250 * time.Millisecond, slots.Failed, 0, 0, 8, slots.Send{Server: "0"}},
+		{"a rejection: it had no slot", 250 * time.Millisecond, slots.Rejected, 0, 0, 8, slots.Wait{}},
+		{"no sign of the server", 250 * time.Millisecond, slots.NoSign, 0, 0, 8, slots.Wait{}},
+		{"others may have taken it", 250 * time.Millisecond, slots.Answered, answer / 2, 0, 8, slots.Wait{}},
+		{"many wait: parts keep slots busy, in order of priority", 250 * time.Millisecond, slots.Answered, 0, 1, 8, slots.Wait{}},
+		{"late reports of a server far beyond its limit", 250 * time.Millisecond, slots.Answered, 0, 0, 10, slots.Send{Server: "0"}},
+		{"recent reports of it are believed", 7 * time.Millisecond, slots.Answered, 0, 0, 10, slots.Wait{}},
+		{"recent reports of a full one", 7 * time.Millisecond, slots.Answered, 0, 0, 9, slots.Send{Server: "0"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			m := newModel(10, "0")
+			m.SetActive("s", 15)
+			for range 200 {
+				m.RecordReport(start, test.interval)
+			}
+			require.IsType(t, slots.Send{}, m.Decide(start.Add(-answer), request(), serverList([2]int{0, 0})))
+			id := m.send(start.Add(-answer), "0")
+			m.RecordEnd(start, id, test.outcome, true)
+			r := request()
+			r.Behind = test.behind
+			require.IsType(t, test.want, m.Decide(start.Add(test.since), r, serverList([2]int{0, test.remote})))
+			m.send(start.Add(test.since), "0")
+			require.IsType(t, slots.Wait{}, m.Decide(start.Add(test.since), r, serverList([2]int{1, test.remote})), "it is used once")
+		})
+	}
+}
+
+// TestFreedSlotAfterRejection: the own queue of a server that rejects is full and takes the slot.
+func TestFreedSlotAfterRejection(t *testing.T) {
+	for _, test := range []struct {
+		since time.Duration // since the rejection
+		want  slots.Decision
+	}{{500 * time.Millisecond, slots.Wait{}}, {1500 * time.Millisecond, slots.Send{}}} {
+		m := newModel(10, "0")
+		m.SetActive("s", 15)
+		for range 200 {
+			m.RecordReport(start, 250*time.Millisecond)
+		}
+		m.RecordEnd(start.Add(-test.since), m.send(start.Add(-test.since), "0"), slots.Rejected, true)
+		m.Decide(start.Add(-answer), request(), serverList([2]int{0, 0}))
+		m.RecordEnd(start, m.send(start.Add(-answer), "0"), slots.Answered, true)
+		require.IsType(t, test.want, m.Decide(start, request(), serverList([2]int{0, 8})), "%v after the rejection", test.since)
+	}
+}
+
+// TestOverfullServer: all gateways take no even part of a server that recent reports show far beyond
+// its limit. Reports that are older than an answer time would have them stop and go on together.
+func TestOverfullServer(t *testing.T) {
+	for _, test := range []struct {
+		interval time.Duration
+		want     slots.Decision
+	}{{5 * time.Millisecond, slots.Wait{}}, {250 * time.Millisecond, slots.Send{}}} {
+		m := newModel(10, "0")
+		m.SetActive("s", 26)
+		for range 200 {
+			m.RecordReport(start, test.interval)
+		}
+		require.IsType(t, test.want, m.Decide(start, request(), serverList([2]int{0, 10})), "reports of %v", test.interval)
+	}
+}
+
 // TestStall: a server that answers nothing for several answer times gets nothing but probes, ever
 // less often, until it answers.
 func TestStall(t *testing.T) {
--- a/gateway/slots_world_test.go
+++ b/gateway/slots_world_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -33,17 +34,80 @@
 	runs     map[int]int // by request
 	samples  int
 	crowded  int // samples while more requests waited than there are slots
+	waiting  int // samples while requests waited
+}
+
+// slotSite describes the plain servers of a world, their work and their callers.
+type slotSite struct {
+	servers     int
+	slots       int
+	serverQueue int // a server rejects what is beyond
+	answer      time.Duration
+	work        func(r *rand.Rand) time.Duration // time that a server takes for a request
+	hop         func(r *rand.Rand) time.Duration // from a gateway to a server, or back
+	load        func(o *slotWorldOptions, now time.Duration) float64
+	end         time.Duration // no more requests arrive
+	returns     int           // how often a refused caller comes back; 0: as long as its answer is of use
+	urgent      int           // one in so many requests is urgent; 0: none
+	repeatable  int           // one in so many requests is repeatable; 0: none
+}
+
+// burstSite has short answers and, for two seconds, three times its capacity in requests.
+var burstSite = slotSite{
+	servers: 3, slots: 6, serverQueue: 6, answer: 15 * time.Millisecond, end: 4 * time.Second, urgent: 4,
+	// One in ten takes several times as long.
+	work: func(r *rand.Rand) time.Duration {
+		if r.IntN(10) == 0 {
+			return time.Duration(float64(15*time.Millisecond) * (2 + 2*r.ExpFloat64()))
+		}
+		return time.Duration(float64(15*time.Millisecond) * (0.6 + 0.4*r.Float64()))
+	},
+	hop: func(*rand.Rand) time.Duration { return 500 * time.Microsecond },
+	load: func(o *slotWorldOptions, now time.Duration) float64 {
+		if o.burst && now >= burstStart && now < burstEnd {
+			return 3
+		}
+		return o.load
+	},
+}
+
+const (
+	shrinkAt  = 3 * time.Second // half of the servers of shrinkingSite end
+	shrinkEnd = 21 * time.Second
+)
+
+// shrinkingSite loses two of four servers. What is left gets about as many requests as it can serve
+// for 18 s.
+var shrinkingSite = slotSite{
+	servers: 4, slots: 6, serverQueue: 24, answer: 60 * time.Millisecond, end: shrinkEnd, returns: 1, repeatable: 6,
+	work: func(r *rand.Rand) time.Duration {
+		answer := time.Duration(float64(60*time.Millisecond) * (0.5 + r.Float64()))
+		if r.IntN(100) == 0 {
+			answer *= 5
+		}
+		return answer
+	},
+	hop: func(r *rand.Rand) time.Duration {
+		return 500*time.Microsecond + time.Duration(r.Int64N(int64(1500*time.Microsecond)))
+	},
+	load: func(o *slotWorldOptions, now time.Duration) float64 {
+		load := 1.055 + 0.125*math.Sin(2*math.Pi*(now-shrinkAt).Seconds()/11)
+		return load / 2 // of the four servers
+	},
 }
 
 type slotWorldOptions struct {
-	queue       bool // plain_queue: slots
+	site        *slotSite // nil: burstSite
+	queue       bool      // plain_queue: slots
 	gateways    int
 	reportDelay time.Duration // interval of what gateways tell each other, and its mean age
 	reportsEnd  time.Duration // reports are lost from then on; 0: never
 	load        float64       // in parts of the capacity, with bursts of three times it if burst is set
 	burst       bool
 	stall       bool          // server 0 answers nothing from the middle of the burst for a second
-	diesAt      time.Duration // when server 0 dies; 0: never
+	diesAt      time.Duration // when the first servers die; 0: never
+	dying       int           // how many of them
+	uneven      bool          // two thirds of the requests reach a third of the gateways first
 }
 
 // slotWorldResult counts what callers got.
@@ -51,14 +115,16 @@
 	requests, inTime, late, refused, failed int
 	urgent, urgentInTime                    int
 	refusals, rejections                    int // of callers' attempts by gateways, and of gateways' by servers
-	repeated                                int // requests that ran more than once
+	repeated                                int // requests that ran more than once and are not repeatable
 	queue, idle                             float64
 	longestQueue                            int
+	idleWaiting                             float64 // part of the slots that is free while requests wait at gateways
+	lateUsual                               int     // late ones whose answer takes the usual time
 }
 
 func (r slotWorldResult) String() string {
-	return fmt.Sprintf("%d requests: %d in time (%.2f of urgent ones), %d late, %d refused (%d refusals), %d failed; servers: %d rejections, queue of %.1f, at most %d, %.3f of slots idle while requests waited",
-		r.requests, r.inTime, float64(r.urgentInTime)/float64(max(r.urgent, 1)), r.late, r.refused, r.refusals, r.failed, r.rejections, r.queue, r.longestQueue, r.idle)
+	return fmt.Sprintf("%d requests: %d in time (%.2f of urgent ones), %d late (%d with usual answers), %d refused (%d refusals), %d failed; servers: %d rejections, queue of %.1f, at most %d, %.3f of slots idle while many requests waited, %.3f while any did",
+		r.requests, r.inTime, float64(r.urgentInTime)/float64(max(r.urgent, 1)), r.late, r.lateUsual, r.refused, r.refusals, r.failed, r.rejections, r.queue, r.longestQueue, r.idle, r.idleWaiting)
 }
 
 type worldEvent struct {
@@ -82,18 +148,12 @@
 }
 
 const (
-	worldSlots       = 6
-	worldServerQueue = 6 // a server rejects what is beyond
-	worldServers     = 3
-	worldAnswer      = 15 * time.Millisecond
-	worldHop         = 500 * time.Microsecond
-	worldObjective   = 300 * time.Millisecond
-	worldEnd         = 4 * time.Second // no more requests arrive
-	worldDrain       = 2 * time.Second // gateways go on for this long
-	burstStart       = time.Second
-	burstEnd         = 3 * time.Second
-	stallStart       = 1500 * time.Millisecond
-	stallEnd         = 2500 * time.Millisecond
+	worldObjective = 300 * time.Millisecond
+	worldDrain     = 2 * time.Second // gateways go on for this long
+	burstStart     = time.Second
+	burstEnd       = 3 * time.Second
+	stallStart     = 1500 * time.Millisecond
+	stallEnd       = 2500 * time.Millisecond
 )
 
 type slotGateway struct {
@@ -104,10 +164,12 @@
 
 // slotRequest is a caller's request.
 type slotRequest struct {
-	id       int
-	arrived  time.Duration
-	priority int
-	work     time.Duration // time that a server takes for it
+	id         int
+	arrived    time.Duration
+	priority   int
+	work       time.Duration // time that a server takes for it
+	repeatable bool
+	refusals   int
 }
 
 // slotAttempt is a request at a gateway.
@@ -120,6 +182,7 @@
 }
 
 type slotServer struct {
+	id      string
 	index   int
 	queue   []*slotJob
 	running map[*slotJob]bool
@@ -142,18 +205,21 @@
 func (w *slotWorld) every(first, interval time.Duration, do func()) {
 	w.at(first, func() {
 		do()
-		if w.now < worldEnd+worldDrain {
+		if w.now < w.options.site.end+worldDrain {
 			w.every(w.now+interval, interval, do)
 		}
 	})
 }
 
 func runSlotWorld(o slotWorldOptions, seed uint64) slotWorldResult {
+	if o.site == nil {
+		o.site = &burstSite
+	}
 	w := &slotWorld{options: o, random: rand.New(rand.NewPCG(seed, 1)), arrivals: rand.New(rand.NewPCG(seed, 2)), start: time.Now(), runs: map[int]int{}}
 	v := &View{}
-	for i := range worldServers {
-		w.servers = append(w.servers, &slotServer{index: i, running: map[*slotJob]bool{}})
-		v.Servers = append(v.Servers, catalog.Server{ID: fmt.Sprintf("i-%d", i), Service: "s", Hall: "h", Capacity: worldSlots})
+	for i := range o.site.servers {
+		w.servers = append(w.servers, &slotServer{id: fmt.Sprintf("i-%d", i), index: i, running: map[*slotJob]bool{}})
+		v.Servers = append(v.Servers, catalog.Server{ID: fmt.Sprintf("i-%d", i), Service: "s", Hall: "h", Capacity: o.site.slots})
 	}
 	for i := range o.gateways {
 		g := &slotGateway{index: i, dispatcher: newDispatcher(zerolog.Nop(), DispatcherOptions{
@@ -177,7 +243,14 @@
 		w.at(o.reportsEnd+time.Second, w.loseReports) // package peer takes a silent gateway for dead then
 	}
 	if o.diesAt > 0 {
-		w.at(o.diesAt, func() { w.die(w.servers[0]) })
+		for _, s := range w.servers[:o.dying] {
+			w.at(o.diesAt, func() { w.die(s) })
+		}
+		w.at(o.diesAt+time.Second, func() { // their entries lapse
+			for _, g := range w.gateways {
+				w.act(g, func() { g.setView(w.clock(), &View{Servers: v.Servers[o.dying:]}) })
+			}
+		})
 	}
 	w.arrive()
 	w.every(0, time.Millisecond, w.sample)
@@ -193,28 +266,38 @@
 	}
 	w.result.queue /= float64(max(w.samples, 1))
 	w.result.idle /= float64(max(w.crowded, 1))
+	w.result.idleWaiting /= float64(max(w.waiting, 1))
 	return w.result
 }
 
 // sample records the servers' queues, and slots that are free while requests wait.
 func (w *slotWorld) sample() {
-	if w.now >= worldEnd {
+	if w.now >= w.options.site.end {
 		return
 	}
 	held := 0
 	for _, g := range w.gateways {
 		held += len(g.waiting)
 	}
-	free, slots := 0, 0
+	free, slots, live := 0, 0, 0
+	for _, s := range w.servers {
+		if !s.dead {
+			live++
+		}
+	}
 	for _, s := range w.servers {
 		w.result.longestQueue = max(w.result.longestQueue, len(s.queue))
-		w.result.queue += float64(len(s.queue)) / worldServers
+		w.result.queue += float64(len(s.queue)) / float64(live)
 		if !s.dead && !w.stalls(s) {
-			free += worldSlots - len(s.running)
-			slots += worldSlots
+			free += w.options.site.slots - len(s.running)
+			slots += w.options.site.slots
 		}
 	}
 	w.samples++
+	if held > 0 {
+		w.waiting++
+		w.result.idleWaiting += float64(free) / float64(max(slots, 1))
+	}
 	if held >= slots {
 		w.crowded++
 		w.result.idle += float64(free) / float64(max(slots, 1))
@@ -253,40 +336,34 @@
 
 // arrive lets callers send requests.
 func (w *slotWorld) arrive() {
-	if w.now >= worldEnd {
+	site := w.options.site
+	if w.now >= site.end {
 		return
 	}
-	load := w.options.load
-	if w.options.burst && w.now >= burstStart && w.now < burstEnd {
-		load = 3
-	}
-	rate := load * worldServers * worldSlots / worldAnswer.Seconds()
+	rate := site.load(&w.options, w.now) * float64(site.servers*site.slots) / site.answer.Seconds()
 	w.at(w.now+time.Duration(w.arrivals.ExpFloat64()/rate*float64(time.Second)), func() {
 		w.result.requests++
-		r := &slotRequest{id: w.result.requests, arrived: w.now, work: w.work()}
-		if w.arrivals.IntN(4) > 0 {
+		r := &slotRequest{id: w.result.requests, arrived: w.now, work: site.work(w.arrivals)}
+		if site.urgent > 0 && w.arrivals.IntN(site.urgent) > 0 {
 			r.priority = 1
 		}
-		if r.priority == 0 {
+		if site.urgent > 0 && r.priority == 0 {
 			w.result.urgent++
 		}
+		r.repeatable = site.repeatable > 0 && w.arrivals.IntN(site.repeatable) == 0
 		w.ask(r)
 		w.arrive()
 	})
 }
 
-// work returns the time that a server takes for a request. One in ten takes several times as long.
-func (w *slotWorld) work() time.Duration {
-	if w.arrivals.IntN(10) == 0 {
-		return time.Duration(float64(worldAnswer) * (2 + 2*w.arrivals.ExpFloat64()))
-	}
-	return time.Duration(float64(worldAnswer) * (0.6 + 0.4*w.arrivals.Float64()))
-}
-
 // ask sends a caller's request to a gateway.
 func (w *slotWorld) ask(r *slotRequest) {
-	g := w.gateways[w.random.IntN(len(w.gateways))]
-	a := &slotAttempt{slotRequest: r, request: placement.Request{Service: "s", Hall: "h", Priority: r.priority}}
+	n := len(w.gateways)
+	if w.options.uneven && w.random.IntN(3) > 0 {
+		n /= 3
+	}
+	g := w.gateways[w.random.IntN(n)]
+	a := &slotAttempt{slotRequest: r, request: placement.Request{Service: "s", Hall: "h", Priority: r.priority, FullObjective: worldObjective}}
 	w.place(g, a)
 }
 
@@ -324,8 +401,8 @@
 	case placement.Assign:
 		a.assign = d
 		a.request.Exclude = append(a.request.Exclude, d.Server.ID)
-		s := w.servers[slices.IndexFunc(g.view.Servers, func(s catalog.Server) bool { return s.ID == d.Server.ID })]
-		w.at(w.now+worldHop, func() { w.receive(s, &slotJob{attempt: a, gateway: g}) })
+		s := w.servers[slices.IndexFunc(w.servers, func(s *slotServer) bool { return s.id == d.Server.ID })]
+		w.at(w.now+w.options.site.hop(w.random), func() { w.receive(s, &slotJob{attempt: a, gateway: g}) })
 	case placement.Refuse:
 		w.refused(a, d.RetryAfter)
 	default:
@@ -336,7 +413,9 @@
 // refused has the caller come back unless its answer would be of no use.
 func (w *slotWorld) refused(a *slotAttempt, after time.Duration) {
 	w.result.refusals++
-	if w.now+after-a.arrived > worldObjective {
+	a.refusals++
+	returns := w.options.site.returns
+	if returns > 0 && a.refusals > returns || returns == 0 && w.now+after-a.arrived > worldObjective {
 		w.result.refused++
 		return
 	}
@@ -348,9 +427,9 @@
 	switch {
 	case s.dead:
 		w.ended(j, placement.Unreachable)
-	case len(s.queue) >= worldServerQueue:
+	case len(s.queue) >= w.options.site.serverQueue:
 		w.result.rejections++
-		w.at(w.now+worldHop, func() { w.ended(j, placement.Rejected) })
+		w.at(w.now+w.options.site.hop(w.random), func() { w.ended(j, placement.Rejected) })
 	default:
 		s.queue = append(s.queue, j)
 		w.serve(s)
@@ -359,11 +438,13 @@
 
 // serve begins what the server has slots for.
 func (w *slotWorld) serve(s *slotServer) {
-	for len(s.running) < worldSlots && len(s.queue) > 0 {
+	for len(s.running) < w.options.site.slots && len(s.queue) > 0 {
 		j := s.queue[0]
 		s.queue = s.queue[1:]
 		s.running[j] = true
-		w.runs[j.attempt.id]++
+		if !j.attempt.repeatable {
+			w.runs[j.attempt.id]++
+		}
 		w.at(w.now+j.attempt.work, func() { w.answer(s, j) })
 	}
 }
@@ -378,7 +459,7 @@
 		return
 	}
 	delete(s.running, j)
-	w.at(w.now+worldHop, func() { w.ended(j, placement.Served) })
+	w.at(w.now+w.options.site.hop(w.random), func() { w.ended(j, placement.Served) })
 	w.serve(s)
 }
 
@@ -412,17 +493,22 @@
 		switch {
 		case w.now-a.arrived > worldObjective:
 			w.result.late++
-		case a.priority == 0:
+			if a.work < 2*w.options.site.answer {
+				w.result.lateUsual++
+			}
+		case a.priority == 0 && w.options.site.urgent > 0:
 			w.result.urgentInTime++
 			fallthrough
 		default:
 			w.result.inTime++
 		}
-	case placement.Rejected, placement.Unreachable:
-		a.retry = o == placement.Rejected || a.retry
+	case placement.Rejected, placement.Unreachable, placement.Failed:
+		if o == placement.Failed && !a.repeatable {
+			w.result.failed++ // it may have run and is not sent again
+			return
+		}
+		a.retry = o != placement.Unreachable || a.retry
 		w.place(g, a)
-	default:
-		w.result.failed++ // it may have run and is not sent again
 	}
 }
 
@@ -471,8 +557,8 @@
 			}
 			t.Run(fmt.Sprintf("%d gateways, reports of %v", gateways, delay), func(t *testing.T) {
 				before, after := beforeAndAfter(t, slotWorldOptions{gateways: gateways, reportDelay: delay, load: 0.5, stall: true})
-				require.Greater(t, after.inTime, before.inTime-worldSlots)
-				require.Less(t, after.late+after.refused, 3*worldSlots+after.requests/100)
+				require.Greater(t, after.inTime, before.inTime-burstSite.slots)
+				require.Less(t, after.late+after.refused, 3*burstSite.slots+after.requests/100)
 			})
 			t.Run(fmt.Sprintf("%d gateways, reports of %v, in a burst", gateways, delay), func(t *testing.T) {
 				before, after := beforeAndAfter(t, slotWorldOptions{gateways: gateways, reportDelay: delay, load: 0.5, burst: true, stall: true})
@@ -498,10 +584,26 @@
 // at the server may have run and are not sent again.
 func TestPlainServerDies(t *testing.T) {
 	for _, delay := range []time.Duration{5 * time.Millisecond, 250 * time.Millisecond} {
-		before, after := beforeAndAfter(t, slotWorldOptions{gateways: 6, reportDelay: delay, load: 0.5, burst: true, diesAt: 2 * time.Second})
+		before, after := beforeAndAfter(t, slotWorldOptions{gateways: 6, reportDelay: delay, load: 0.5, burst: true, diesAt: 2 * time.Second, dying: 1})
 		require.Positive(t, after.failed)
-		require.LessOrEqual(t, after.failed, worldSlots+worldServerQueue)
+		require.LessOrEqual(t, after.failed, burstSite.slots+burstSite.serverQueue)
 		require.Greater(t, float64(after.inTime), 0.9*float64(before.inTime))
 		require.Greater(t, after.urgentInTime, before.urgentInTime)
 	}
 }
+
+// TestPlainShrunk: a service that has lost half of its servers gets about as many requests as it can
+// serve, for long. Slots that idle while requests wait, and requests that are sent when they are
+// nearly late, cost answers.
+func TestPlainShrunk(t *testing.T) {
+	for _, uneven := range []bool{false, true} {
+		for _, delay := range []time.Duration{5 * time.Millisecond, 250 * time.Millisecond} {
+			t.Run(fmt.Sprintf("reports of %v, uneven gateways %v", delay, uneven), func(t *testing.T) {
+				before, after := beforeAndAfter(t, slotWorldOptions{site: &shrinkingSite, gateways: 27, reportDelay: delay, diesAt: shrinkAt, dying: 2, uneven: uneven})
+				require.Less(t, after.idleWaiting, 0.05)
+				require.Less(t, float64(after.lateUsual), 0.03*float64(after.inTime))
+				require.Greater(t, float64(after.inTime), 1.3*float64(before.inTime))
+			})
+		}
+	}
+}
