placement: servers of engines without slots are placed by their entries' slots

The slots of a server's entry, which are validated, now count where the configuration has none: for the delay of crowded servers, for the occupancy that surplus capacity depends on, and for slow starts.

TestEngineWithoutSlots compares the predicted first event with that of 64 slots; for 0, -1 and -64 it failed before.

--- a/gateway/placement/backoff.go
+++ b/gateway/placement/backoff.go
@@ -82,10 +82,11 @@
 	}
 }
 
-// slots returns how many requests the server processes at once.
+// slots returns how many requests the server processes at once: what the configuration says of its
+// engine, or else what its entry says.
 func (s *server) slots() int {
-	if s.engine != nil {
-		return max(s.engine.Slots, 1)
+	if s.engine != nil && s.engine.Slots > 0 {
+		return s.engine.Slots
 	}
 	return max(s.Capacity, 1)
 }
--- a/gateway/placement/candidate.go
+++ b/gateway/placement/candidate.go
@@ -64,7 +64,7 @@
 // crowdingDelay returns the delay expected of a server that runs nearly as many requests as
 // it has slots.
 func (b *Balancer) crowdingDelay(s *server) time.Duration {
-	over := s.localRunning + s.remoteRunning - s.engine.Slots + b.policy.SlotHeadroom
+	over := s.localRunning + s.remoteRunning - s.slots() + b.policy.SlotHeadroom
 	return time.Duration(max(over, 0)) * b.policy.SlotDelay
 }
 
--- a/gateway/placement/engine_test.go
+++ b/gateway/placement/engine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -9,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"opalbridge.dev/gateway/catalog"
 	"opalbridge.dev/gateway/placement"
 )
 
@@ -128,3 +130,25 @@
 	outlier.run(servers, seconds)
 	require.InEpsilon(t, normal.balancer.Speed("s").PrefillSlowdown, outlier.balancer.Speed("s").PrefillSlowdown, 0.2)
 }
+
+// TestEngineWithoutSlots guards against an engine whose slots are missing or negative in the
+// configuration: its servers counted as crowded, and requests were refused as late. The slots of their
+// entries count.
+func TestEngineWithoutSlots(t *testing.T) {
+	for _, slots := range []int{0, -1, -64, math.MinInt} {
+		t.Run(fmt.Sprint(slots), func(t *testing.T) {
+			assigned := map[int]placement.Assign{}
+			for _, n := range []int{slots, 64} {
+				b := placement.NewBalancer(placement.DefaultPolicy())
+				b.SetServers(start, []catalog.Server{{ID: "i-1", Service: "m", Hall: "h", Capacity: 64}}, func(string) *catalog.Engine {
+					return &catalog.Engine{Slots: n, KVTokens: 500_000}
+				})
+				b.SetRemoteRunning("i-1", 40)
+				a, ok := b.Place(start, &placement.Request{Service: "m", Hall: "h", PromptTokens: 1000, Objective: time.Second, Remaining: time.Minute}).(placement.Assign)
+				require.True(t, ok)
+				assigned[n] = a
+			}
+			require.Equal(t, assigned[64].Predicted, assigned[slots].Predicted)
+		})
+	}
+}
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -417,7 +417,7 @@
 // hasSurplusSlots reports whether a server has enough free slots for a request beyond its
 // account's share.
 func (b *Balancer) hasSurplusSlots(req *Request, s *server) bool {
-	occupancy := float64(s.localRunning+s.remoteRunning) / float64(max(s.engine.Slots, 1))
+	occupancy := float64(s.localRunning+s.remoteRunning) / float64(s.slots())
 	return req.ShareRatio <= b.policy.LowShareRatio || occupancy <= b.policy.MaxSurplusOccupancy
 }
 
--- a/gateway/placement/surplus.go
+++ b/gateway/placement/surplus.go
@@ -117,7 +117,7 @@
 func (b *Balancer) surplusState(now time.Time, c candidate) surplus.Server {
 	return surplus.Server{
 		Predicted: c.predicted, QueueTime: c.server.busyUntil.Sub(now), // copies of cached parts do not count as queued
-		Running: c.server.localRunning + c.server.remoteRunning, Slots: c.server.engine.Slots, DelaysStreams: c.server.delaysStreams(now), Slowness: c.server.slowdown(now),
+		Running: c.server.localRunning + c.server.remoteRunning, Slots: c.server.slots(), DelaysStreams: c.server.delaysStreams(now), Slowness: c.server.slowdown(now),
 	}
 }
 
@@ -178,7 +178,7 @@
 
 // isIdle reports whether a server has no prefill backlog and at least half of its slots are free.
 func (s *server) isIdle(now time.Time) bool {
-	return surplus.Server{QueueTime: s.busyUntil.Sub(now), Running: s.localRunning + s.remoteRunning, Slots: s.engine.Slots}.IsIdle()
+	return surplus.Server{QueueTime: s.busyUntil.Sub(now), Running: s.localRunning + s.remoteRunning, Slots: s.slots()}.IsIdle()
 }
 
 // HasIdle reports whether a server that may get the request is idle: it has no prefill backlog and
