soak: plays backups, a plain service with few slots, and accounts over their shares

The soak knew of the parts for high load only streams that move.

Backups (-backups, TestSoakBackups): stream_backups is on and every second fault is a server that crashes; it refuses connections, loses its runs and starts again at another address. No copy serves twice, and a request goes on from a backup at most once.

Plain (-plain, TestSoakPlain): plain_queue: slots with two servers of three slots, which stall, get bursts and all other faults. Whenever the fleet has settled, half of the requests or more are served, and each server gets some.

Surplus (-surplus, TestSoakSurplus): surplus: idle with three accounts at a token rate, two of which ask for several times their shares. Whenever the fleet has settled, each account is served.

For all options, answers with 429 or 503 must carry a retry time, and a request that was answered with one of them must not have run, whatever its route; before, only those that may not be repeated were checked. A probe after the faults that a gateway short of processor time refuses is sent again for up to 5 s: on a busy machine it counted as a violation. With Surplus, so are other refused probes, since callers keep all slots taken; an answer of 401 fails as before.

--- a/soak/book.go
+++ b/soak/book.go
@@ -1,12 +1,14 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -19,6 +21,8 @@
 type recorder struct {
 	mutex      sync.Mutex
 	sent       map[string]string          // kind of each request
+	accounts   map[string]string          // account of each request; none: t1
+	answers    []answer                   // to regular requests
 	refused    map[string]bool            // requests that were answered as not executed
 	stopping   map[string]bool            // caller addresses of gateways in a planned stop with no other fault active
 	highest    map[string]acceptedVersion // newest version accepted, by gateway and incarnation
@@ -28,6 +32,13 @@
 	signals    serverSignals
 }
 
+// answer is an answer to a regular request.
+type answer struct {
+	at            time.Time
+	kind, account string
+	served        bool
+}
+
 // acceptedVersion is the newest version whose key a gateway has accepted, and when that was
 // first observed.
 type acceptedVersion struct {
@@ -36,7 +47,7 @@
 }
 
 func newRecorder() *recorder {
-	return &recorder{sent: map[string]string{}, refused: map[string]bool{}, stopping: map[string]bool{}, highest: map[string]acceptedVersion{}, fatal: map[string]*fatalHistory{}, signals: serverSignals{leaving: map[sender]time.Time{}}}
+	return &recorder{sent: map[string]string{}, accounts: map[string]string{}, refused: map[string]bool{}, stopping: map[string]bool{}, highest: map[string]acceptedVersion{}, fatal: map[string]*fatalHistory{}, signals: serverSignals{leaving: map[sender]time.Time{}}}
 }
 
 // violationf records a violation with the current time.
@@ -82,9 +93,11 @@
 	if readErr == nil && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests) {
 		b.refused[id] = true
 	}
-	if readErr == nil && status == http.StatusOK {
+	served := readErr == nil && status == http.StatusOK
+	if served {
 		b.served++
 	}
+	b.answers = append(b.answers, answer{time.Now(), kind, cmp.Or(b.accounts[id], "t1"), served})
 }
 
 // recordAccepted records that a gateway accepted a version's key in a request sent at the
@@ -112,7 +125,7 @@
 				continue // the same run
 			}
 			runs[r.ID]++
-			if r.Account != "t1" {
+			if r.Account != cmp.Or(b.accounts[r.ID], "t1") {
 				b.violationf("request %s ran for account %q", r.ID, r.Account)
 			}
 		}
@@ -122,25 +135,36 @@
 	}
 	for id, n := range runs {
 		kind, known := b.sent[id]
-		once := kind == "once" || kind == "stream"
+		once := kind == "once" || kind == "stream" || kind == "plain-once"
 		switch {
 		case !known:
 			b.violationf("request %s ran but was never sent", id)
 		case once && n > 1:
 			b.violationf("%s request %s ran %d times", kind, id, n)
-		case once && b.refused[id]:
+		case b.refused[id]:
 			b.violationf("%s request %s ran but was answered as not executed", kind, id)
 		}
 	}
 }
 
-// checkOneAtATime checks that a run that went on from a copy had ended elsewhere.
+// checkOneAtATime checks that a run that went on from a copy had ended elsewhere, that no copy served
+// twice, and that the run went on from a backup at most once: under a second crash it ends.
 func (b *recorder) checkOneAtATime(id string, runs []platformtest.Run) {
 	slices.SortFunc(runs, func(x, y platformtest.Run) int { return x.Began.Compare(y.Began) })
+	backups := 0
 	for i, r := range runs {
 		if r.From != "" && (i == 0 || runs[i-1].Ended.IsZero() || r.Began.Before(runs[i-1].Ended)) {
 			b.violationf("request %s went on from %s while it ran elsewhere", id, r.From)
 		}
+		if slices.ContainsFunc(runs[:i], func(x platformtest.Run) bool { return r.From != "" && x.From == r.From }) {
+			b.violationf("request %s went on from %s twice", id, r.From)
+		}
+		if strings.HasSuffix(r.From, "/"+id) {
+			backups++
+		}
+	}
+	if backups > 1 {
+		b.violationf("request %s went on from %d backups", id, backups)
 	}
 }
 
@@ -168,7 +192,7 @@
 	for n := 0; ctx.Err() == nil; n++ {
 		kind := kinds[random.IntN(len(kinds))]
 		p := r.gateways[random.IntN(len(r.gateways))]
-		r.sendSteady(client, p, fmt.Sprintf("c%d-%d", caller, n), kind)
+		r.sendSteady(client, p, fmt.Sprintf("c%d-%d", caller, n), kind, r.accountOf(caller))
 		if n%10 == 0 {
 			r.probeVersion(client, p, fmt.Sprintf("l%d-%d", caller, n), random)
 		}
@@ -176,13 +200,14 @@
 	}
 }
 
-// sendSteady sends a request with the key of every version and records its answer.
-func (r *Run) sendSteady(client *http.Client, p *process, id, kind string) {
+// sendSteady sends a request with an account's key of every version and records its answer. After a
+// refusal it waits for a moment.
+func (r *Run) sendSteady(client *http.Client, p *process, id, kind, account string) {
 	r.recorder.mutex.Lock()
-	r.recorder.sent[id] = kind
+	r.recorder.sent[id], r.recorder.accounts[id] = kind, account
 	planned := r.recorder.stopping[p.front]
 	r.recorder.mutex.Unlock()
-	status, body, err := r.send(client, p, "/"+kind+"/", id, "steady", defaultBody)
+	status, body, err := r.send(client, p, "/"+kind+"/", id, steadyKeys[account], defaultBody)
 	if status == 0 {
 		return // nothing is guaranteed without an answer
 	}
@@ -190,8 +215,14 @@
 	planned = planned || r.recorder.stopping[p.front]
 	r.recorder.mutex.Unlock()
 	r.recorder.recordAnswer(id, kind, p.front, status, body, err, planned)
+	if status == http.StatusServiceUnavailable && (r.options.Surplus || r.options.Plain) {
+		time.Sleep(refusedPause)
+	}
 }
 
+// refusedPause is the pause of a caller that was refused; gateways ask for 0.2 s or more.
+const refusedPause = 100 * time.Millisecond
+
 // probeVersion sends a request with the key of one of the latest versions.
 func (r *Run) probeVersion(client *http.Client, p *process, id string, random *rand.Rand) {
 	r.recorder.mutex.Lock()
@@ -217,17 +248,28 @@
 	return n
 }
 
-// probe sends an idempotent request with the given key and returns its status.
+// probe sends an idempotent request with the given key and returns its status. While the gateway is
+// short of processor time, which is no fault of what is probed, it sends again as the gateway asks; also
+// after other refusals if callers keep all slots taken.
 func (r *Run) probe(p *process, key string) int {
-	id := fmt.Sprintf("ask-%s-%d", p.name, time.Now().UnixNano())
-	r.recorder.mutex.Lock()
-	r.recorder.sent[id] = "many"
-	r.recorder.mutex.Unlock()
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 3 * time.Second}
-	status, _, _ := r.send(client, p, "/many/", id, key, defaultBody)
-	return status
+	for began := time.Now(); ; time.Sleep(refusedPause) {
+		id := fmt.Sprintf("ask-%s-%d", p.name, time.Now().UnixNano())
+		r.recorder.mutex.Lock()
+		r.recorder.sent[id] = "many"
+		r.recorder.mutex.Unlock()
+		status, body, _ := r.send(client, p, "/many/", id, key, defaultBody)
+		busy := r.options.Surplus || strings.HasPrefix(body, "gateway short of processor")
+		if status != http.StatusServiceUnavailable || !busy || time.Since(began) > maxOverload {
+			return status
+		}
+	}
 }
 
+// maxOverload is the time for which a gateway may refuse probes because the machine or the servers are
+// busy.
+const maxOverload = 5 * time.Second
+
 // defaultBody is the request body of regular callers.
 const defaultBody = "hello"
 
@@ -249,9 +291,12 @@
 	request.GetBody = nil // the transport must not retry by itself
 	request.Host = "h"
 	platform.SetCallerHeaders(request.Header, id, key, callerDeadline)
-	if r.options.Moves {
+	if r.options.copiesRuns() {
 		platform.SetLengthHeader(request.Header, longAnswer)
 	}
+	if r.options.Surplus {
+		platform.SetTokenHeader(request.Header, surplusPrompt, 1)
+	}
 	if len(prompt) > 0 {
 		platform.SetPromptHeader(request.Header, promptPartTokens, prompt...)
 	}
@@ -268,6 +313,11 @@
 		r.recorder.signals.recordLeaving(sender{from, response.Header.Get(lifetimeMark)})
 		r.recorder.mutex.Unlock()
 	}
+	if refused := response.StatusCode == http.StatusServiceUnavailable || response.StatusCode == http.StatusTooManyRequests; refused {
+		if after, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64); err != nil || after <= 0 {
+			r.recorder.violationf("request %s was refused with the retry time %q", id, response.Header.Get("Retry-After"))
+		}
+	}
 	raw, err := io.ReadAll(response.Body)
 	return response.StatusCode, string(raw), err
 }
--- a/soak/fatal.go
+++ b/soak/fatal.go
@@ -114,15 +114,19 @@
 	}
 }
 
-// crashServer crashes a server that executes a fatal request and schedules its restart.
+// crashServer crashes a server, because it executes a fatal request unless body is empty, and schedules
+// its restart.
 func (r *Run) crashServer(b *backend, body string) {
 	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	if b.down {
+	down := b.down
+	b.down = true
+	b.mutex.Unlock()
+	if down {
 		return
 	}
-	b.down = true
 	b.proxy.Refuse()
+	b.StopRuns() // before its connections break: a crashed server works on nothing
+	b.proxy.Reset()
 	r.recorder.mutex.Lock()
 	f := r.recorder.historyOf(crashCause(body))
 	f.crashes = append(f.crashes, time.Now())
@@ -139,6 +143,9 @@
 		return
 	}
 	b.down = false
+	if r.options.copiesRuns() {
+		r.network.Readdress(b.Server, b.proxy.Address())
+	}
 	b.Restart(time.Now().UnixMilli())
 	r.announce(b, "ready")
 }
--- a/soak/process.go
+++ b/soak/process.go
@@ -47,8 +47,13 @@
 	p.settings = filepath.Join(o.Dir, p.name+".yaml")
 	text := fmt.Sprintf("name: %s\nhall: hall\nfront_address: %s\nready_address: %s\npeer_address: 127.0.0.%d:%d\nstore_address: %s\n"+
 		"seeds: 127.0.0.1,127.0.0.2\nstop_timeout: 6s\nrepeat_ratio: 1\nrepeat_extra: 200\n", p.name, p.front, p.address, i+1, port, p.proxy.Address())
-	if o.Moves {
-		text += "stream_moves: on\n"
+	for _, option := range []struct {
+		on      bool
+		setting string
+	}{{o.Moves, "stream_moves: on"}, {o.Backups, "stream_backups: on"}, {o.Plain, "plain_queue: slots"}, {o.Surplus, "surplus: idle"}} {
+		if option.on {
+			text += option.setting + "\n"
+		}
 	}
 	if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
 		return nil, err
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -49,12 +49,11 @@
 	return p.listener.Addr().String()
 }
 
-// Refuse resets all connections and refuses new ones.
+// Refuse refuses new connections.
 func (p *Proxy) Refuse() {
 	p.mutex.Lock()
+	defer p.mutex.Unlock()
 	p.listener.Close()
-	p.mutex.Unlock()
-	p.Reset()
 }
 
 // Reopen accepts connections again, at another address.
@@ -109,6 +108,7 @@
 	p.closed = true
 	p.mutex.Unlock()
 	p.Refuse()
+	p.Reset()
 }
 
 func (p *Proxy) accept(l net.Listener) {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -43,9 +43,15 @@
 	Restores bool   // also restore the store from copies
 	Signals  bool   // servers also announce in answers that they are leaving, and ask for backoff
 	Moves    bool   // streams move off servers that leave, which happens often
+	Backups  bool   // streams are backed up, and servers crash often
+	Plain    bool   // also send requests to plain servers with few slots, which stall
+	Surplus  bool   // three accounts share a token rate, and two of them ask for more than their shares
 	Versions bool   // also replace servers by servers of another software version, and have callers take up streams
 }
 
+// copiesRuns reports whether servers copy runs to each other.
+func (o Options) copiesRuns() bool { return o.Moves || o.Backups }
+
 // Times of a run.
 const (
 	settleBefore      = 2 * time.Second        // before the first fault
@@ -66,6 +72,7 @@
 	writeMutex   sync.Mutex        // guards written, and writes to the store by operators and servers
 	written      map[string][]byte // what operators and servers have written, by key
 	servers      []*backend
+	plain        []*backend // servers of the plain service
 	retired      []*backend // servers that were replaced
 	gateways     []*process
 	recorder     *recorder
@@ -81,9 +88,10 @@
 // backend is a fake server behind its proxy.
 type backend struct {
 	*platformtest.Server
-	proxy *Proxy
-	mutex sync.Mutex
-	down  bool // it refuses connections until it restarts
+	proxy   *Proxy
+	healthy platformtest.Behaviour // without faults
+	mutex   sync.Mutex
+	down    bool // it refuses connections until it restarts
 }
 
 // healthy is the behaviour of a server without faults.
@@ -97,10 +105,16 @@
 
 // Start starts the fakes, the gateways and the callers.
 func Start(o Options) (*Run, error) {
+	if o.Surplus || o.Backups {
+		o.Callers = orDefault(o.Callers, manyCallers)
+	}
 	o.Gateways, o.Servers, o.Callers = orDefault(o.Gateways, 3), orDefault(o.Servers, 4), orDefault(o.Callers, 12)
 	r := &Run{options: o, random: rand.New(rand.NewPCG(o.Seed, 1)), store: &platformtest.Store{}, written: map[string][]byte{}, recorder: newRecorder(), healthy: healthy}
-	if o.Moves {
-		r.healthy.EventInterval = 60 * time.Millisecond // so that streams run while servers leave
+	if o.copiesRuns() {
+		r.healthy.EventInterval = 60 * time.Millisecond // so that streams run while servers leave or crash
+	}
+	if o.Surplus {
+		r.healthy.EventInterval = 30 * time.Millisecond // so that most servers have half of their slots taken
 	}
 	store := httptest.NewServer(r.store)
 	r.closers = append(r.closers, store.Close)
@@ -113,6 +127,15 @@
 		}
 		r.servers = append(r.servers, b)
 	}
+	if o.Plain {
+		for i := range plainServers {
+			b, err := r.addPlainServer(i)
+			if err != nil {
+				return r, err
+			}
+			r.plain = append(r.plain, b)
+		}
+	}
 	port, err := platformtest.FreePort()
 	if err != nil {
 		return r, err
@@ -133,6 +156,12 @@
 		r.callers.Add(1)
 		go r.runCaller(ctx, i)
 	}
+	if o.Plain {
+		for i := range plainCallers {
+			r.callers.Add(1)
+			go r.runPlainCaller(ctx, i)
+		}
+	}
 	if o.Versions {
 		for i := range resumingCallers {
 			r.callers.Add(1)
@@ -151,6 +180,10 @@
 	return r, nil
 }
 
+// manyCallers is the number of callers if servers must be busy: accounts beyond their shares find none
+// idle at times, and each crash ends several streams.
+const manyCallers = 24
+
 func orDefault(n, value int) int {
 	if n == 0 {
 		return value
@@ -161,11 +194,19 @@
 // addServer starts a server of a software version.
 func (r *Run) addServer(i int, version string) (*backend, error) {
 	s := &platformtest.Server{ID: fmt.Sprintf("i-%d", i), Service: "s", Hall: "hall"}
-	s.Set(r.healthy)
+	if r.options.Surplus {
+		s.Slots = surplusSlots
+	}
 	s.SetVersion(version)
 	if r.options.Versions {
 		s.Restart(time.Now().UnixMilli()) // servers that start again under their ID tell when
 	}
+	return r.listen(s, r.healthy)
+}
+
+// listen has a server listen behind a proxy, and announces it.
+func (r *Run) listen(s *platformtest.Server, healthy platformtest.Behaviour) (*backend, error) {
+	s.Set(healthy)
 	h := httptest.NewServer(r.recorder.recordRequests(s))
 	r.closers = append(r.closers, h.Close)
 	p, err := NewProxy(strings.TrimPrefix(h.URL, "http://"))
@@ -173,10 +214,10 @@
 		return nil, err
 	}
 	r.closers = append(r.closers, p.Close)
-	if r.options.Moves {
+	if r.options.copiesRuns() {
 		r.network.Add(p.Address(), s)
 	}
-	b := &backend{Server: s, proxy: p}
+	b := &backend{Server: s, proxy: p, healthy: healthy}
 	s.OnCrash = func(body string) { r.crashServer(b, body) }
 	r.announce(b, "ready")
 	return b, nil
@@ -190,14 +231,25 @@
 // version, and one other key is in this version only.
 func (r *Run) configure() {
 	r.version++
+	slots, copiedBytes, rate := 64, 163840, 0
+	if r.options.Backups {
+		copiedBytes = 1000 // so that the links' time bounds no backups
+	}
+	if r.options.Surplus {
+		slots, rate = surplusSlots, surplusRate
+	}
 	r.put(platform.ConfigurationKey, fmt.Appendf(nil, `{"version":%d,"routes":[
  {"name":"stream","host":"h","prefix":"/stream/","kind":"streaming","timeout_ms":4000,"goal_ms":800,"service":"s","max_attempts":1},
  {"name":"resume","host":"h","prefix":"/resume/","kind":"streaming","timeout_ms":4000,"goal_ms":800,"service":"s","max_attempts":2,"resumable":true},
  {"name":"versions","host":"h","prefix":"/versions/","kind":"streaming","timeout_ms":4000,"goal_ms":800,"service":"s","max_attempts":2,"resumable":true},
  {"name":"once","host":"h","prefix":"/once/","kind":"non_idempotent","timeout_ms":1500,"goal_ms":300,"service":"s","max_attempts":1},
- {"name":"many","host":"h","prefix":"/many/","kind":"idempotent","timeout_ms":1500,"goal_ms":300,"service":"s","max_attempts":2}],
- "services":[{"name":"s","max_conns":500,"runtime":{"capacity":64,"kv_tokens":500000,"token_kv_bytes":163840,"link_mbps":550000,"stride":1,"moves":%t}}],"limits":{"idle_timeout_ms":15000},
- "tenants":[{"name":"t1","api_keys":["steady","key-%d"]}]}`, r.version, r.options.Moves, r.version))
+ {"name":"many","host":"h","prefix":"/many/","kind":"idempotent","timeout_ms":1500,"goal_ms":300,"service":"s","max_attempts":2},
+ {"name":"plain-once","host":"h","prefix":"/plain-once/","kind":"non_idempotent","timeout_ms":1500,"goal_ms":300,"service":"p","max_attempts":1},
+ {"name":"plain-many","host":"h","prefix":"/plain-many/","kind":"idempotent","timeout_ms":1500,"goal_ms":300,"service":"p","max_attempts":2}],
+ "services":[{"name":"s","max_conns":500,"runtime":{"capacity":%d,"kv_tokens":500000,"token_kv_bytes":%d,"link_mbps":550000,"stride":1,"moves":%t,"backups":%t}},
+ {"name":"p","max_conns":500}],"limits":{"idle_timeout_ms":15000,"tokens_per_s":%d},
+ "tenants":[{"name":"t1","api_keys":["steady","key-%d"]},{"name":"t2","api_keys":["steady-t2"]},{"name":"t3","api_keys":["steady-t3"]}]}`,
+		r.version, slots, copiedBytes, r.options.Moves, r.options.Backups, rate, r.version))
 }
 
 // Play injects faults for the duration d, lets the fleet settle, and returns the violations.
@@ -218,8 +270,14 @@
 	if r.options.Moves {
 		faults = slices.Concat(faults, slices.Repeat([]fault{leavingFault}, len(faults)))
 	}
+	if r.options.Backups {
+		faults = slices.Concat(faults, slices.Repeat([]fault{crashFault}, len(faults)))
+	}
+	if r.options.Plain {
+		faults = slices.Concat(faults, slices.Repeat(plainFaults, len(faults)/len(plainFaults)))
+	}
 	defer r.close()
-	time.Sleep(settleBefore)
+	r.settle(settleBefore)
 	r.fatalPaused.Store(false)
 	var active sync.WaitGroup
 	for end := time.Now().Add(d); time.Now().Before(end); {
@@ -240,21 +298,36 @@
 		time.Sleep(time.Duration(r.random.Int64N(int64(maxFaultDuration / 3))))
 	}
 	active.Wait()
-	time.Sleep(settleAfter)
+	r.settle(settleAfter)
 	r.checkRecovery()
 	r.stop()
 	r.callers.Wait()
-	r.recorder.checkRuns(slices.Concat(r.servers, r.retired))
+	r.recorder.checkRuns(r.allServers())
 	r.checkFatal()
 	r.checkPart()
 	return r.recorder.report()
 }
 
+// settle waits for d while no fault is active, and checks that callers are served in the second half.
+func (r *Run) settle(d time.Duration) {
+	time.Sleep(d / 2)
+	started := !slices.ContainsFunc(r.gateways, func(p *process) bool { return !p.ready() })
+	from := time.Now()
+	time.Sleep(d / 2)
+	if started {
+		r.checkSurplus(from)
+		r.checkPlain(from)
+	}
+}
+
+// allServers returns the servers of both services, with those that were replaced.
+func (r *Run) allServers() []*backend { return slices.Concat(r.servers, r.plain, r.retired) }
+
 // plannedStop stops and restarts a gateway with no other fault active: no request may be cut.
 func (r *Run) plannedStop() {
 	r.fatalPaused.Store(true)
 	defer r.fatalPaused.Store(false)
-	time.Sleep(settleAfter) // until requests that earlier faults broke have ended
+	r.settle(settleAfter) // until requests that earlier faults broke have ended
 	p := r.gateways[r.random.IntN(len(r.gateways))]
 	r.recorder.setStopping(p.front, true)
 	p.terminate()
@@ -300,10 +373,17 @@
 	}
 }
 
+// Refused returns the number of requests of regular callers that were refused.
+func (r *Run) Refused() int {
+	r.recorder.mutex.Lock()
+	defer r.recorder.mutex.Unlock()
+	return len(r.recorder.refused)
+}
+
 // Continued returns the number of runs that went on from copies.
 func (r *Run) Continued() int {
 	n := 0
-	for _, s := range slices.Concat(r.servers, r.retired) {
+	for _, s := range r.allServers() {
 		for _, run := range s.Runs() {
 			if run.From != "" {
 				n++
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -26,6 +26,9 @@
 	copies   = flag.Bool("copies", false, "also restore the store from copies")
 	words    = flag.Bool("words", false, "servers also announce in answers that they are leaving, and ask for backoff")
 	versions = flag.Bool("versions", false, "also replace servers by servers of another software version, and have callers take up streams")
+	backups  = flag.Bool("backups", false, "streams are backed up, and servers crash often")
+	plain    = flag.Bool("plain", false, "also send requests to plain servers with few slots, which stall")
+	surplus  = flag.Bool("surplus", false, "three accounts share a token rate, and two of them ask for more than their shares")
 	moves    = flag.Bool("moves", false, "streams move off servers that leave, which happens often")
 	logs     = flag.String("logs", "", "directory that keeps the gateways' logs")
 )
@@ -47,7 +50,7 @@
 	return binary
 }
 
-func play(t *testing.T, binary string, o soak.Options) {
+func play(t *testing.T, binary string, o soak.Options) *soak.Run {
 	dir := t.TempDir()
 	if *logs != "" {
 		dir = filepath.Join(*logs, fmt.Sprint(o.Seed))
@@ -57,9 +60,13 @@
 	r, err := soak.Start(o)
 	require.NoError(t, err)
 	require.Empty(t, r.Play(*plays), "seed %d", o.Seed)
-	if o.Moves {
+	if o.Moves || o.Backups {
 		t.Logf("%d streams went on from copies", r.Continued())
 	}
+	if o.Plain || o.Surplus {
+		t.Logf("%d requests were refused", r.Refused())
+	}
+	return r
 }
 
 // TestSoak runs a few seeds in CI; run it with -seeds 50 or -fresh for more.
@@ -70,7 +77,7 @@
 	}
 	for n := range uint64(*seeds) {
 		t.Run(fmt.Sprintf("seed=%d", from+n), func(t *testing.T) {
-			play(t, binary, soak.Options{Seed: from + n, Restarts: *restarts, Fatal: *fatal, Early: *early, Signals: *words, Restores: *copies, Versions: *versions, Part: *part, Moves: *moves})
+			play(t, binary, soak.Options{Seed: from + n, Restarts: *restarts, Fatal: *fatal, Early: *early, Signals: *words, Restores: *copies, Versions: *versions, Part: *part, Moves: *moves, Backups: *backups, Plain: *plain, Surplus: *surplus})
 		})
 	}
 }
@@ -123,6 +130,22 @@
 	play(t, build(t), soak.Options{Seed: 9500, Restarts: true, Moves: true})
 }
 
+// TestSoakBackups runs a seed with streams that go on from backups after their servers have crashed.
+func TestSoakBackups(t *testing.T) {
+	r := play(t, build(t), soak.Options{Seed: 9602, Restarts: true, Backups: true})
+	require.Positive(t, r.Continued())
+}
+
+// TestSoakPlain runs a seed with requests that wait for the slots of plain servers, which stall.
+func TestSoakPlain(t *testing.T) {
+	play(t, build(t), soak.Options{Seed: 9700, Restarts: true, Plain: true})
+}
+
+// TestSoakSurplus runs a seed with accounts that ask for more than their shares.
+func TestSoakSurplus(t *testing.T) {
+	play(t, build(t), soak.Options{Seed: 9800, Restarts: true, Surplus: true})
+}
+
 // TestSoakPart runs a seed with a part of prompts that crashes servers, beside requests that do so as
 // a whole.
 func TestSoakPart(t *testing.T) {
--- a/soak/trouble.go
+++ b/soak/trouble.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"syscall"
 	"time"
 
@@ -19,18 +20,27 @@
 	return r.gateways[random.IntN(len(r.gateways))]
 }
 
-func (r *Run) randomServer(random *rand.Rand) *backend { return r.servers[random.IntN(len(r.servers))] }
+func (r *Run) randomServer(random *rand.Rand) *backend {
+	all := slices.Concat(r.servers, r.plain)
+	return all[random.IntN(len(all))]
+}
 
 // behaviourFault returns a fault that changes the behaviour of a random server.
 func behaviourFault(change func(b *platformtest.Behaviour)) func(*Run, *rand.Rand) func() {
 	return func(r *Run, random *rand.Rand) func() {
-		s, b := r.randomServer(random), r.healthy
-		change(&b)
-		s.Set(b)
-		return func() { s.Set(r.healthy) }
+		s := r.randomServer(random)
+		return s.behave(change)
 	}
 }
 
+// behave changes the behaviour of a server.
+func (b *backend) behave(change func(*platformtest.Behaviour)) (undo func()) {
+	changed := b.healthy
+	change(&changed)
+	b.Set(changed)
+	return func() { b.Set(b.healthy) }
+}
+
 // linkFault returns a fault of the link between a random gateway and the store, or between all
 // gateways and a random server.
 func linkFault(l Link, store bool) func(*Run, *rand.Rand) func() {
@@ -136,6 +146,13 @@
 	{"server is slow", behaviourFault(func(b *platformtest.Behaviour) { b.ServiceTime = 400 * time.Millisecond })},
 }
 
+// crashFault has a server refuse connections, lose its runs, and start again. It is kept apart from
+// baseFaults so that a seed without it draws the same faults as before.
+var crashFault = fault{"server crashes", func(r *Run, random *rand.Rand) func() {
+	r.crashServer(r.randomServer(random), "")
+	return func() {}
+}}
+
 // resetServer resets the connections to a server.
 func (r *Run) resetServer(s *backend) {
 	r.recorder.recordLinkFault(s.ID)()
--- a/soak/words.go
+++ b/soak/words.go
@@ -169,10 +169,9 @@
 		return r.requestBackoff(r.randomServer(random), random)
 	}},
 	{"server asks for rest as busy", func(r *Run, random *rand.Rand) func() {
-		s, b := r.randomServer(random), r.healthy
-		b.Reject, b.RejectStatus, b.RetryAfter = true, http.StatusTooManyRequests, "1"
-		s.Set(b)
-		return func() { s.Set(r.healthy) }
+		return r.randomServer(random).behave(func(b *platformtest.Behaviour) {
+			b.Reject, b.RejectStatus, b.RetryAfter = true, http.StatusTooManyRequests, "1"
+		})
 	}},
 	{"all servers ask for rest", func(r *Run, random *rand.Rand) func() {
 		var undo []func()
@@ -190,20 +189,16 @@
 // announceLeaving has a server announce in its answers that it is leaving, and later restart.
 // Before the restart it serves for longer than leavingGrace, so that late requests are recorded.
 func (r *Run) announceLeaving(s *backend, born int64) (undo func()) {
-	b := r.healthy
-	b.Leaving = true
-	s.Set(b)
+	undo = s.behave(func(b *platformtest.Behaviour) { b.Leaving = true })
 	return func() {
 		time.Sleep(leavingGrace)
-		s.Set(r.healthy)
+		undo()
 		r.crashAndRestart(s, born)
 	}
 }
 
 // requestBackoff has a server refuse requests and ask for backoff.
 func (r *Run) requestBackoff(s *backend, random *rand.Rand) (undo func()) {
-	b := r.healthy
-	b.Reject, b.RetryAfter = true, []string{"0.7", "1", "2"}[random.IntN(3)]
-	s.Set(b)
-	return func() { s.Set(r.healthy) }
+	after := []string{"0.7", "1", "2"}[random.IntN(3)]
+	return s.behave(func(b *platformtest.Behaviour) { b.Reject, b.RetryAfter = true, after })
 }
