--- a/gateway/offload/withdrawal.go
+++ b/gateway/offload/withdrawal.go
@@ -67,7 +67,8 @@
 	admitted   window
 	status     Status
 	changedAt  time.Time     // when it last withdrew or became ready again; zero: it never withdrew
-	duration   time.Duration // of the latest withdrawal
+	duration   time.Duration // of the latest withdrawal that has lasted for its time, or lasts; 0: none
+	previous   time.Duration // duration before the latest withdrawal
 	settlesAt  time.Time     // until then it does not withdraw
 	crowdSince time.Time     // since when more gateways are withdrawn than may be; zero: they are not
 }
@@ -126,11 +127,11 @@
 type counts struct {
 	fleet     int
 	withdrawn int // of the fleet
-	before    int // of these, those with a lower address than this one
+	before    int // of these, those before this one; see isBefore
 	hall      int
 	notReady  int // of the hall
 	// Of the other gateways of the hall:
-	withdrawnBefore int // withdrawn, with a lower address than this one
+	withdrawnBefore int // withdrawn before this one
 	stopping        int // not ready without having withdrawn
 	largest         int // most CPU of one that is ready and not short of CPU time
 	latestNotReady  time.Time
@@ -144,7 +145,7 @@
 	}
 	for _, r := range w.peers {
 		c.fleet++
-		before := r.Readiness == Withdrawn && r.Address < w.self.Address
+		before := w.isBefore(r)
 		if r.Readiness == Withdrawn {
 			c.withdrawn++
 		}
@@ -174,6 +175,17 @@
 	return c
 }
 
+// isBefore reports whether another gateway has withdrawn before this one. None withdraws that knows of
+// another withdrawal within the settle time, so two within it did so at the same moment, and the lower
+// address counts as first.
+func (w *Withdrawal) isBefore(r *report) bool {
+	if r.Readiness != Withdrawn {
+		return false
+	}
+	later := r.notReadySince.Sub(w.changedAt)
+	return later <= -settleTime || later < settleTime && r.Address < w.self.Address
+}
+
 // maxNotReady returns how many gateways of the hall may be not ready.
 func (c counts) maxNotReady() int {
 	return c.hall - (c.hall*minReadyNumerator+minReadyDenominator-1)/minReadyDenominator
@@ -196,9 +208,9 @@
 	} else if w.crowdSince.IsZero() {
 		w.crowdSince = s.At
 	}
-	// Of several gateways that have withdrawn at the same moment, those with the lowest addresses
-	// stay withdrawn, or all would return and withdraw again. If the others have not returned
-	// after a while, they cannot know of this one.
+	// Of several gateways that have withdrawn at the same moment, some stay withdrawn, or all would
+	// return and withdraw again. If the others have not returned after a while, they cannot know of
+	// this one.
 	waited := !w.crowdSince.IsZero() && s.At.Sub(w.crowdSince) >= settleTime
 	switch {
 	case !s.CalledFor:
@@ -217,6 +229,7 @@
 
 // withdraw makes the gateway not ready.
 func (w *Withdrawal) withdraw(now time.Time, admitted float64, c counts) {
+	w.previous = w.duration
 	switch {
 	case w.duration == 0 || now.Sub(w.changedAt) >= maxDuration:
 		w.duration = firstDuration
@@ -235,6 +248,7 @@
 	w.admitted.clear()
 	if r != TimeIsOver {
 		w.settlesAt = now.Add(settleTime) // gateways that come and go do not make this one change all the time
+		w.duration = w.previous           // its callers need not have come back
 	}
 	w.status = Status{Reason: r, HallReady: c.hall - c.notReady + 1, Hall: c.hall}
 }
--- a/gateway/offload/withdrawal_test.go
+++ b/gateway/offload/withdrawal_test.go
@@ -200,8 +200,8 @@
 	lower := gateways(4, "b", 144, offload.Withdrawn)
 	tests := []struct {
 		name   string
-		event  func(w *offload.Withdrawal, now time.Time)
-		reason offload.Reason // empty: it stays withdrawn
+		event  func(w *offload.Withdrawal, now time.Time) // a second after it has withdrawn
+		reason offload.Reason                             // empty: it stays withdrawn
 	}{
 		{"nothing happens", func(*offload.Withdrawal, time.Time) {}, ""},
 		{"six of eight others are lost", lost(2), ""}, // 2 of 3 are ready
@@ -237,6 +237,28 @@
 	}
 }
 
+// TestEarlierWithdrawalStays: a gateway that others know to have withdrawn must not come back because they
+// withdraw at the same moment, whatever their addresses: its callers would move once more.
+func TestEarlierWithdrawalStays(t *testing.T) {
+	now := time.Unix(1000, 0)
+	w := newOverloaded()
+	others := join(gateways(2, hall, 800, offload.Ready), gateways(6, hall, 144, offload.Ready))
+	for _, g := range append(gateways(18, "b", 800, offload.Ready), others...) {
+		w.Report(now, g)
+	}
+	s, now := play(w, now, 5*time.Second, 0.1)
+	require.True(t, s.Withdrawn)
+	for _, g := range others[2:5] {
+		g.Readiness = offload.Withdrawn
+		w.Report(now, g)
+	}
+	s, now = play(w, now, 500*time.Millisecond, 0.1)
+	require.True(t, s.Withdrawn)
+	w.Report(now, others[4]) // the last one by address has returned
+	s, _ = play(w, now, 10*time.Second, 0.1)
+	require.True(t, s.Withdrawn)
+}
+
 // TestOthersDoNotReturn: gateways that withdrew at the same moment and do not hear of this one must not
 // leave the hall with too few ready gateways.
 func TestOthersDoNotReturn(t *testing.T) {
@@ -335,3 +357,24 @@
 	require.False(t, s.Withdrawn)
 	require.Equal(t, offload.NotCalledFor, s.Reason)
 }
+
+// BenchmarkSample measures a sample of a gateway that admits all connections, and of one that has
+// withdrawn and counts the others, for docs/CAPACITY.md. There are 40 samples a second.
+func BenchmarkSample(b *testing.B) {
+	for _, n := range []int{30, 300, 2400} {
+		for _, admitted := range []float64{1, 0.1} {
+			b.Run(fmt.Sprintf("%d gateways, admitted %g", n, admitted), func(b *testing.B) {
+				now := time.Unix(1000, 0)
+				w := newOverloaded()
+				for _, g := range append(gateways(n/3-1, hall, 800, offload.Ready), gateways(n-n/3, "b", 800, offload.Ready)...) {
+					w.Report(now, g)
+				}
+				s, now := play(w, now, 2*time.Second, admitted)
+				require.Equal(b, admitted < 1, s.Withdrawn)
+				for b.Loop() {
+					w.Sample(offload.Sample{At: now, Admitted: admitted, CalledFor: true})
+				}
+			})
+		}
+	}
+}
--- a/gateway/peer/relay_test.go
+++ b/gateway/peer/relay_test.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"opalbridge.dev/gateway/catalog"
+	"opalbridge.dev/gateway/offload"
 	"opalbridge.dev/gateway/peer"
 	"opalbridge.dev/gateway/peer/peerpb"
 )
@@ -182,3 +183,28 @@
 	defer m.mutex.Unlock()
 	return m.alive[from]
 }
+
+// TestReadinessReachesAllHalls: a gateway that is not ready must count as such in the other gateways'
+// decisions, in its own hall and in others.
+func TestReadinessReachesAllHalls(t *testing.T) {
+	port := freePort(t)
+	states := []offload.Readiness{offload.Ready, offload.Withdrawn, offload.NotReady, offload.Ready}
+	var members []*member
+	for i, r := range states {
+		members = append(members, joinHall(t, port, i+1, fmt.Sprintf("hall-%d", i/2), peer.State{Readiness: r}, "127.0.0.1"))
+	}
+	for i, m := range members {
+		for j, want := range states {
+			if i == j {
+				continue
+			}
+			from := fmt.Sprintf("127.0.0.%d", j+1)
+			eventually(t, fmt.Sprintf("node %d knows the readiness of node %d", i+1, j+1), func() bool {
+				m.mutex.Lock()
+				defer m.mutex.Unlock()
+				u := m.lastUpdate[from]
+				return u.Full && u.Readiness == want && u.Hall == fmt.Sprintf("hall-%d", j/2)
+			})
+		}
+	}
+}
--- a/gateway/peer/size_test.go
+++ b/gateway/peer/size_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
+	"opalbridge.dev/gateway/offload"
 	"opalbridge.dev/gateway/peer/peerpb"
 )
 
@@ -46,7 +47,10 @@
 	fmt.Printf("figure beacon-backlog %d B\n", (size(0, 0, 0, 20, 0, false)-bare)/20)
 	fmt.Printf("figure beacon-refusal %d B\n", (size(0, 0, 0, 0, 20, false)-bare)/20)
 	fmt.Printf("figure beacon-account %d B\n", (size(0, 0, 20, 0, 0, true)-size(0, 0, 0, 0, 0, true))/20)
+	withdrawn := proto.Size(&peerpb.Datagram{Beacon: &peerpb.Beacon{Hall: "hall-1", Readiness: uint32(offload.Withdrawn)}}) -
+		proto.Size(&peerpb.Datagram{Beacon: &peerpb.Beacon{Hall: "hall-1"}})
+	fmt.Printf("figure beacon-withdrawn %d B\n", withdrawn)
 	const most = 1<<32 - 1
 	unmet := proto.Size(&peerpb.Demand{Unmet: most, Priority: most, OldestMs: most, RecentMs: most, Need: most})
-	require.Less(t, size(maxLoads, 100, 48, 100, maxRefusals, true)+48*unmet, maxDatagramSize, "a beacon must fit into one datagram")
+	require.Less(t, size(maxLoads, 100, 48, 100, maxRefusals, true)+48*unmet+withdrawn, maxDatagramSize, "a beacon must fit into one datagram")
 }
