--- a/gateway/offload/withdrawal_test.go
+++ b/gateway/offload/withdrawal_test.go
@@ -396,6 +396,7 @@
 				s, now := play(w, now, 2*time.Second, admitted)
 				require.Equal(b, admitted < 1, s.Withdrawn)
 				for b.Loop() {
+					now = now.Add(sampleInterval)
 					w.Sample(offload.Sample{At: now, Admitted: admitted, CalledFor: true})
 				}
 			})
