--- a/gateway/continuation/transfer/run.go
+++ b/gateway/continuation/transfer/run.go
@@ -571,7 +571,7 @@
 		return Moved{target, result.Handle}
 	case NotCopied:
 		r.closeSoon()
-		return Stopped{result.Handle}
+		return Stopped(result)
 	case Busy:
 		r.runs.options.Cleaner.Free(r.Server, handle)
 		return Stayed{reasonBusy}
