soak: breaks connections of servers that work on, and checks each gateway's plain servers

A third of the option's own faults now breaks connections on the gateways' side only, and the server learns of it 1 s later.

Servers that start again stop their runs first, so that their end and the stream's continuation do not race.

checkPlain counts, for each gateway, the requests that reached each plain server.

--- a/soak/plain.go
+++ b/soak/plain.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -71,8 +72,8 @@
 	}},
 }
 
-// checkPlain checks that since a time, most requests to the plain service were served, and some by each
-// of its servers.
+// checkPlain checks that since a time, most requests to the plain service were served, and that each
+// gateway has sent some to each of its servers.
 func (r *Run) checkPlain(from time.Time) {
 	if !r.options.Plain {
 		return
@@ -91,15 +92,20 @@
 	if float64(served) < minPlainServed*float64(all) || served == 0 {
 		r.recorder.violationf("the plain service served %d of %d requests in %s without faults", served, all, time.Since(from))
 	}
-	for _, s := range r.plain {
-		n := 0
-		for _, run := range s.Runs() {
-			if run.Began.After(from) {
-				n++
-			}
+	r.recorder.mutex.Lock()
+	arrived := map[string]int{}
+	for _, a := range r.recorder.signals.arrivals {
+		if a.at.After(from) {
+			gateway, _, _ := strings.Cut(a.gateway, "/")
+			arrived[gateway+" "+serverOf(a.lifetime)]++
 		}
-		if n == 0 {
-			r.recorder.violationf("plain server %s got no request in %s without faults", s.ID, time.Since(from))
+	}
+	r.recorder.mutex.Unlock()
+	for _, p := range r.gateways {
+		for _, s := range r.plain {
+			if arrived[p.name+" "+s.ID] == 0 {
+				r.recorder.violationf("plain server %s got no request of %s in %s without faults", s.ID, p.name, time.Since(from))
+			}
 		}
 	}
 }
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -29,7 +29,11 @@
 }
 
 // connection is one connection through a proxy, with the faults that apply to it alone.
-type connection struct{ link Link }
+type connection struct {
+	link   Link
+	in     net.Conn
+	linger time.Duration // for which the target's side stays open once the other one has ended
+}
 
 // NewProxy starts a proxy that forwards to target.
 func NewProxy(target string) (*Proxy, error) {
@@ -91,6 +95,26 @@
 	}
 }
 
+// Drop resets the open connections on the side that opened them. The target learns of it after linger.
+func (p *Proxy) Drop(linger time.Duration) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for c := range p.open {
+		c.linger = linger
+		if t, ok := c.in.(*net.TCPConn); ok {
+			_ = t.SetLinger(0) // close with RST instead of FIN
+		}
+		c.in.Close()
+	}
+}
+
+// lingering returns for how long the target's side of a connection stays open.
+func (p *Proxy) lingering(conn *connection) time.Duration {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return conn.linger
+}
+
 // Silence permanently withholds the traffic of the connections that are open now; new
 // connections are not affected.
 func (p *Proxy) Silence(to, from bool) {
@@ -127,7 +151,7 @@
 		in.Close()
 		return
 	}
-	conn := &connection{}
+	conn := &connection{in: in}
 	p.track(conn, in, out, true)
 	done := make(chan struct{}, 2)
 	go p.copy(conn, out, in, func(l Link) bool { return l.SilentTo }, done)
@@ -181,6 +205,7 @@
 			}
 			time.Sleep(p.currentLink(conn).Delay)
 			if _, werr := to.Write(buffer[:n]); werr != nil {
+				time.Sleep(p.lingering(conn))
 				from.Close()
 				return
 			}
@@ -192,6 +217,7 @@
 			return
 		}
 		if err != nil {
+			time.Sleep(p.lingering(conn))
 			to.Close()
 			return
 		}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -271,7 +271,7 @@
 		faults = slices.Concat(faults, slices.Repeat([]fault{leavingFault}, len(faults)))
 	}
 	if r.options.Backups {
-		faults = slices.Concat(faults, slices.Repeat([]fault{crashFault}, len(faults)))
+		faults = slices.Concat(faults, slices.Repeat(backupFaults, len(faults)/len(backupFaults)))
 	}
 	if r.options.Plain {
 		faults = slices.Concat(faults, slices.Repeat(plainFaults, len(faults)/len(plainFaults)))
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -132,7 +132,7 @@
 
 // TestSoakBackups runs a seed with streams that go on from backups after their servers have crashed.
 func TestSoakBackups(t *testing.T) {
-	r := play(t, build(t), soak.Options{Seed: 9602, Restarts: true, Backups: true})
+	r := play(t, build(t), soak.Options{Seed: 9611, Restarts: true, Backups: true})
 	require.Positive(t, r.Continued())
 }
 
--- a/soak/trouble.go
+++ b/soak/trouble.go
@@ -146,12 +146,28 @@
 	{"server is slow", behaviourFault(func(b *platformtest.Behaviour) { b.ServiceTime = 400 * time.Millisecond })},
 }
 
-// crashFault has a server refuse connections, lose its runs, and start again. It is kept apart from
-// baseFaults so that a seed without it draws the same faults as before.
-var crashFault = fault{"server crashes", func(r *Run, random *rand.Rand) func() {
+// droppedLinger is the time after which a server learns that its connections have broken.
+const droppedLinger = time.Second
+
+// backupFaults are the faults of servers that crash, and of connections that break while their server
+// works on, in which case no stream may go on elsewhere. They are kept apart from baseFaults so that a
+// seed without them draws the same faults as before.
+var backupFaults = []fault{
+	{"server crashes", crashOnce},
+	{"server crashes", crashOnce},
+	{"server's connections break and it works on", func(r *Run, random *rand.Rand) func() {
+		s := r.randomServer(random)
+		endFault := r.recorder.recordLinkFault(s.ID)
+		s.proxy.Drop(droppedLinger)
+		return endFault
+	}},
+}
+
+// crashOnce has a server refuse connections, lose its runs, and start again.
+func crashOnce(r *Run, random *rand.Rand) (undo func()) {
 	r.crashServer(r.randomServer(random), "")
 	return func() {}
-}}
+}
 
 // resetServer resets the connections to a server.
 func (r *Run) resetServer(s *backend) {
@@ -232,6 +248,7 @@
 // crashAndRestart crashes a server and restarts it with the same ID.
 func (r *Run) crashAndRestart(s *backend, born int64) {
 	s.proxy.Reset()
+	s.StopRuns() // a process that has ended works on nothing
 	s.Restart(born)
 	r.announce(s, "ready")
 }
