gateway/placement: silent servers are ejected where one server reports no slots

Cause: a service with a server that reports no capacity has no queue for slots, but its other servers counted as served by the queue. A silent one of these was neither stalled nor ejected and went on getting requests.

Change: whether requests wait for slots is a property of the whole service.

Result: TestSlotsUnknownAtOneServer, which failed before.

--- a/gateway/dispatcher_slots_test.go
+++ b/gateway/dispatcher_slots_test.go
@@ -233,6 +233,25 @@
 	f.sent(f.ask(0, nil))
 }
 
+// TestSlotsUnknownAtOneServer checks that nothing waits for slots where a server does not report them,
+// and that a silent server is ejected there as without the queue: no stall keeps requests from it.
+func TestSlotsUnknownAtOneServer(t *testing.T) {
+	for _, capacity := range []int{0, -1} {
+		f := newSlotFixture(t)
+		f.setView(f.now, &View{Servers: []catalog.Server{{ID: "i-0", Service: "s", Hall: "h", Capacity: 2}, {ID: "i-1", Service: "s", Hall: "h", Capacity: capacity}}})
+		sent := map[string]int{}
+		for range 10 {
+			sent[f.sent(f.ask(0, nil)).server]++
+		}
+		require.Positive(t, sent["i-0"])
+		f.now = f.now.Add(time.Second)
+		f.detectSilent(f.now)
+		require.Regexp(t, `"server.silent","server":"i-0"`, f.log.String())
+		require.NotContains(t, f.log.String(), "server.stalled")
+		require.Zero(t, f.queue.length())
+	}
+}
+
 // TestActiveGateways checks that reports of other gateways count for their even part, and that a
 // gateway that has died does not.
 func TestActiveGateways(t *testing.T) {
--- a/gateway/placement/slots.go
+++ b/gateway/placement/slots.go
@@ -23,12 +23,14 @@
 // WaitsForSlots reports whether requests to a server wait for slots.
 func (b *Balancer) WaitsForSlots(server string) bool {
 	s := b.servers[server]
-	return s != nil && b.slots != nil && s.engine == nil && s.Capacity > 0 && b.queuesFor(s.Service)
+	return s != nil && b.slots != nil && s.engine == nil && b.queuesFor(s.Service)
 }
 
-// queuesFor reports whether requests to a plain service wait for slots.
+// queuesFor reports whether requests to a plain service wait for slots: all of its servers report
+// how many they have.
 func (b *Balancer) queuesFor(service string) bool {
-	return b.slotServices == nil || b.slotServices[service]
+	return (b.slotServices == nil || b.slotServices[service]) &&
+		!slices.ContainsFunc(b.services[service], func(s *server) bool { return s.Capacity <= 0 })
 }
 
 // placeInSlots decides on a request to a plain service by the slots of its servers. ok is false if
@@ -39,9 +41,6 @@
 	}
 	list := b.slotServers[:0]
 	for _, s := range servers {
-		if s.Capacity <= 0 {
-			return nil, false
-		}
 		list = append(list, slots.Server{ID: s.ID, Capacity: s.Capacity, Local: s.localRunning, Remote: s.remoteRunning, Cost: b.plainCost(now, req, s)})
 	}
 	b.slotServers = list
