gateway/offload: a gateway withdraws and returns by what its hall admits

Gateways told each other only whether they were short of CPU time. The small ones say so nearly all the time at 250 requests a second as at 500, so a withdrawn gateway did not return when the load doubled.

A gateway withdraws only if the hall's ready gateways that are not larger admitted 75 % over 2 s, and returns if they admitted less than 12 % over 3 s. Two limits, as the callers that move lower the share. Reports are recorded as well as samples, which an overloaded gateway takes late. Gateways of earlier releases are regarded as before.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -199,9 +199,11 @@
 	s := *g.dispatcher.peerState.Load()
 	v := g.view.Load()
 	s.StoreRevision, s.ConfirmedAt, s.StoreUnreachable = v.Revision, g.confirmedAt(), g.storeUnreachable.Load()
-	if !g.overload.overloaded(time.Now()) && !g.stopping.Load() {
+	now := time.Now()
+	if !g.overload.overloaded(now) && !g.stopping.Load() {
 		s.Weight = g.options.MilliCPU
 	}
+	s.NotAdmitted = g.overload.notAdmittedPercent(now)
 	s.Readiness = g.readiness()
 	if v.Configuration != nil {
 		s.ConfigurationVersion = v.Configuration.Version
--- a/gateway/offload/offload.go
+++ b/gateway/offload/offload.go
@@ -16,8 +16,8 @@
 // The load balancer needs two failed checks, one second apart, before it acts, and uses all gateways
 // of a hall if fewer than half of them are ready. Therefore few gateways withdraw, one after the other,
 // and a gateway that cannot know the state of its hall is ready. It gives each gateway the same share of the
-// callers that move, so a gateway does not withdraw if those that are not larger are short of CPU time, and
-// returns if those that are larger are.
+// callers that move, so a gateway does not withdraw if those that are not larger admit too few connections, and
+// returns if they admit hardly any or those that are larger are short of CPU time.
 //
 // The package does no locking and no I/O and does not read the clock. A Withdrawal must be used by
 // one goroutine at a time.
@@ -35,8 +35,11 @@
 
 // Gateway is the state of a gateway.
 type Gateway struct {
-	Address   string
-	Hall      string
-	MilliCPU  int // thousandths of a core that it may use; of another gateway, 0 while it is short of CPU time
-	Readiness Readiness
+	Address  string
+	Hall     string
+	MilliCPU int // thousandths of a core that it may use; of another gateway, 0 while it is short of CPU time
+	// Percent of connections that it does not admit. 0 while it is short of CPU time means that it does not
+	// tell: it runs an earlier release.
+	NotAdmitted int
+	Readiness   Readiness
 }
--- a/gateway/offload/withdrawal.go
+++ b/gateway/offload/withdrawal.go
@@ -12,12 +12,21 @@
 	// A gateway that is to take the callers has at least this many times the CPU. A host of the same
 	// size would soon be overloaded by them.
 	minCPURatio = 2
-	// The hall is short of CPU time if the gateways that are not larger have been so for this part of the
-	// window. The load balancer gives each of them as many of the moved callers as a larger one, and
-	// overloaded ones lose more callers than the withdrawn one gains. A gateway is short for some of the
-	// time long before it is overloaded; a window of 2 s was too short to tell the two apart.
+	// The load balancer gives each gateway that is not larger as many of the moved callers as a larger one,
+	// and overloaded ones lose more callers than the withdrawn one gains. So those that are not larger must
+	// admit this share on average. In the simulated hall they admit 80 to 98 % at the rate that it can
+	// carry, and 50 to 70 % at twice this rate.
+	minSimilarAdmitted = 0.75
+	similarWindow      = 2 * time.Second
+	// A withdrawn gateway becomes ready again if they admit less than this share over the settle time. With
+	// its callers they admit 15 to 45 % at the rate that the hall can carry, and 2 to 12 % at twice this rate.
+	minSimilarAdmittedAfter = 0.12
+	// Gateways of earlier releases tell only whether they are short of CPU time. They may be so for this
+	// part of the window.
 	maxSimilarShort = 0.7
 	shortWindow     = 3 * time.Second
+	// Minimum time between records of the hall's state that reports cause.
+	recordInterval = 100 * time.Millisecond
 	// A withdrawn gateway becomes ready again if the larger gateways of its hall have been short of CPU time
 	// for this part of the settle time: nobody can take its callers then.
 	minLargerShort = 0.5
@@ -77,9 +86,13 @@
 	similar  tally // of the hall's gateways that are not larger
 	larger   tally // of those with at least minCPURatio times the CPU
 	admitted window
+	// Mean shares of connections that similar gateways admit.
+	similarAdmitted      window
+	similarAdmittedAfter window // over the settle time
 	// Shares of gateways that are short of CPU time.
-	similarShort window
+	similarShort window // only those that do not tell what they admit
 	largerShort  window
+	recordedAt   time.Time // when these windows were last added to
 	status       Status
 	changedAt    time.Time     // when it last withdrew or became ready again; zero: it never withdrew
 	duration     time.Duration // of the latest withdrawal that has lasted for its time, or lasts; 0: none
@@ -99,6 +112,7 @@
 func NewWithdrawal(self Gateway) *Withdrawal {
 	return &Withdrawal{
 		self: self, peers: map[string]*report{}, admitted: window{length: admittedWindow},
+		similarAdmitted: window{length: similarWindow}, similarAdmittedAfter: window{length: settleTime},
 		similarShort: window{length: shortWindow}, largerShort: window{length: settleTime},
 	}
 }
@@ -122,6 +136,20 @@
 		r.size = g.MilliCPU
 	}
 	w.count(r, 1)
+	// An overloaded gateway takes its samples seconds late, and the mean shares must hold what it has
+	// heard of meanwhile.
+	if !w.recordedAt.IsZero() && now.Sub(w.recordedAt) >= recordInterval {
+		w.recordHall(now)
+	}
+}
+
+// recordHall records the state of the hall.
+func (w *Withdrawal) recordHall(now time.Time) {
+	w.recordedAt = now
+	w.similarAdmitted.add(now, w.similar.admitted())
+	w.similarAdmittedAfter.add(now, w.similar.admitted())
+	w.similarShort.add(now, share(w.similar.untold, w.similar.ready, 0))
+	w.largerShort.add(now, share(w.larger.short, w.larger.ready, 1))
 }
 
 // Lost records that another gateway has stopped or is not heard of any more.
@@ -142,27 +170,39 @@
 		t = &w.larger
 	}
 	t.ready += n
+	t.notAdmitted += n * r.NotAdmitted
 	if r.MilliCPU == 0 {
 		t.short += n
+		if r.NotAdmitted == 0 {
+			t.untold += n
+		}
 	}
 }
 
-// tally counts ready gateways of the hall, and those of them that are short of CPU time.
-type tally struct{ ready, short int }
+// tally counts ready gateways of the hall.
+type tally struct {
+	ready       int
+	short       int // short of CPU time
+	untold      int // of these, those that do not tell what they admit
+	notAdmitted int // sum of the percentages that are not admitted
+}
+
+// admitted returns the mean share of connections that the gateways admit, 1 if there are none. Those that
+// do not tell count as admitting all.
+func (t tally) admitted() float64 { return 1 - share(t.notAdmitted, 100*t.ready, 0) }
 
-// share returns the part that is short of CPU time, or none if there are no gateways.
-func (t tally) share(none float64) float64 {
-	if t.ready == 0 {
+// share returns n as a part of all, or none if all is 0.
+func share(n, all int, none float64) float64 {
+	if all == 0 {
 		return none
 	}
-	return float64(t.short) / float64(t.ready)
+	return float64(n) / float64(all)
 }
 
 // Sample takes a measurement and returns the decision.
 func (w *Withdrawal) Sample(s Sample) Status {
 	w.admitted.add(s.At, s.Admitted)
-	w.similarShort.add(s.At, w.similar.share(0))
-	w.largerShort.add(s.At, w.larger.share(1))
+	w.recordHall(s.At)
 	switch {
 	case w.status.Withdrawn:
 		c := w.counts()
@@ -254,14 +294,16 @@
 
 // mayWithdraw reports whether the other gateways allow that this one withdraws.
 func (w *Withdrawal) mayWithdraw(now time.Time, c counts) bool {
+	admitted, _ := w.similarAdmitted.mean(now)
 	short, ok := w.similarShort.mean(now)
-	return ok && short < maxSimilarShort && c.largest >= minCPURatio*w.self.MilliCPU && c.largest > 0 &&
+	return ok && admitted >= minSimilarAdmitted && short < maxSimilarShort && c.largest >= minCPURatio*w.self.MilliCPU && c.largest > 0 &&
 		c.notReady < c.maxNotReady() && c.withdrawn < c.maxWithdrawn() && now.Sub(c.latestNotReady) >= settleTime
 }
 
 // reasonToReturn returns why a withdrawn gateway becomes ready again, or "" if it stays withdrawn.
 func (w *Withdrawal) reasonToReturn(s Sample, c counts) Reason {
 	short, _ := w.largerShort.mean(s.At)
+	admitted, _ := w.similarAdmittedAfter.mean(s.At)
 	few, many := c.notReady > c.maxNotReady(), c.withdrawn > c.maxWithdrawn()
 	if !few && !many {
 		w.crowdSince = time.Time{}
@@ -281,7 +323,7 @@
 		return FewReady
 	case many && (waited || c.before >= c.maxWithdrawn()):
 		return ManyInFleet
-	case short >= minLargerShort && s.At.Sub(w.changedAt) >= settleTime:
+	case (short >= minLargerShort || admitted < minSimilarAdmittedAfter) && s.At.Sub(w.changedAt) >= settleTime:
 		return HallShort
 	case s.At.Sub(w.changedAt) >= w.duration:
 		return TimeIsOver
--- a/gateway/offload/withdrawal_test.go
+++ b/gateway/offload/withdrawal_test.go
@@ -35,6 +35,16 @@
 	return all
 }
 
+// notAdmitting returns the gateways with the percentage of connections that they do not admit.
+func notAdmitting(percent int, list []offload.Gateway) []offload.Gateway {
+	var changed []offload.Gateway
+	for _, g := range list {
+		g.NotAdmitted = percent
+		changed = append(changed, g)
+	}
+	return changed
+}
+
 // play takes samples for a time and returns the last decision and the time.
 func play(w *offload.Withdrawal, now time.Time, d time.Duration, admitted float64) (offload.Status, time.Time) {
 	var s offload.Status
@@ -97,6 +107,15 @@
 		{"four of seven small ones are short of CPU time", join(large, gateways(3, hall, 144, offload.Ready), gateways(4, hall, 0, offload.Ready)), time.Hour, 0, true},
 		{"five of seven small ones are short of CPU time", join(large, gateways(2, hall, 144, offload.Ready), gateways(5, hall, 0, offload.Ready)), time.Hour, 0, false},
 		{"all small ones are short of CPU time", join(large, gateways(7, hall, 0, offload.Ready)), time.Hour, 0, false},
+		{"small ones admit 75 %", join(large, notAdmitting(25, small)), time.Hour, 0, true},
+		{"small ones admit 74 %", join(large, notAdmitting(26, small)), time.Hour, 0, false},
+		{"small ones admit 75 % and are short of CPU time", join(large, notAdmitting(25, gateways(7, hall, 0, offload.Ready))), time.Hour, 0, true},
+		{"small ones admit 74 % and are short of CPU time", join(large, notAdmitting(26, gateways(7, hall, 0, offload.Ready))), time.Hour, 0, false},
+		{"one of seven small ones admits none", join(large, notAdmitting(100, small[:1]), small[1:]), time.Hour, 0, true},
+		{"two of seven small ones admit none", join(large, notAdmitting(100, small[:2]), small[2:]), time.Hour, 0, false},
+		{"a larger one admits little", join(large, notAdmitting(90, gateways(1, hall, 800, offload.Ready)), small), time.Hour, 0, true},
+		{"those of another hall admit none", join(large, small, notAdmitting(100, gateways(30, "b", 144, offload.Ready))), time.Hour, 0, true},
+		{"those that are stopping admit none", join(large, small[:5], notAdmitting(100, gateways(2, hall, 144, offload.NotReady))), time.Hour, 0, true},
 		{"those of another hall are short of CPU time", join(large, small, gateways(30, "b", 0, offload.Ready)), time.Hour, 0, true},
 		{"those that are stopping are short of CPU time", join(large, gateways(5, hall, 144, offload.Ready), gateways(2, hall, 0, offload.NotReady)), time.Hour, 0, true},
 		{"all others are larger", gateways(8, hall, 800, offload.Ready), time.Hour, 0, true},
@@ -489,7 +508,7 @@
 	require.True(t, s.Withdrawn)
 }
 
-// TestHallShort: when no larger gateway can take the callers, they overload the other small ones, so the
+// TestHallShort: when no larger gateway can take the callers, or the hall has too little CPU, they overload the other small ones, so the
 // gateway returns, and does not withdraw again for a minute, nor while these are short of CPU time.
 func TestHallShort(t *testing.T) {
 	large, small := gateways(2, hall, 800, offload.Ready), gateways(6, hall, 144, offload.Ready)
@@ -511,6 +530,10 @@
 		{"all small ones are short", large, short(small), false}, // the large ones take connections from them
 		{"one of two large ones is short", append(short(large[:1]), large[1]), small, true},
 		{"all are short", short(large), short(small), true},
+		{"small ones admit 12 %", large, notAdmitting(88, short(small)), false},
+		{"small ones admit 11 %", large, notAdmitting(89, short(small)), true},
+		{"half of the small ones admit none", large, append(notAdmitting(100, short(small[:3])), small[3:]...), false},
+		{"large ones admit little", notAdmitting(95, large), small, false},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -550,6 +573,29 @@
 	}
 }
 
+// TestHallShortWithoutSamples: an overloaded gateway takes its samples late. What it has heard meanwhile must
+// count for the time that it held, or a withdrawn gateway returns much later than its hall needs it.
+func TestHallShortWithoutSamples(t *testing.T) {
+	large, small := gateways(2, hall, 800, offload.Ready), gateways(6, hall, 144, offload.Ready)
+	w := newOverloaded()
+	report := func(now time.Time, small []offload.Gateway) {
+		for _, g := range join(large, small) {
+			w.Report(now, g)
+		}
+	}
+	report(start, small)
+	s, now := play(w, start, 2*time.Second, 0.1)
+	require.True(t, s.Withdrawn)
+	_, now = play(w, now, 5*time.Second, 1)
+	for range 14 { // 3.5 s
+		report(now, notAdmitting(100, small))
+		now = now.Add(250 * time.Millisecond)
+	}
+	s, _ = play(w, now, sampleInterval, 1)
+	require.False(t, s.Withdrawn)
+	require.Equal(t, offload.HallShort, s.Reason)
+}
+
 // TestShortForAMoment: small gateways that are short of CPU time for some of the time, as they are at two
 // thirds of the load that they can carry, must not keep a gateway from withdrawing.
 func TestShortForAMoment(t *testing.T) {
--- a/gateway/overload.go
+++ b/gateway/overload.go
@@ -217,6 +217,16 @@
 // admittedShare returns the share of requests that is admitted.
 func (o *overload) admittedShare() float64 { return 1 - float64(o.notAdmitted.Load())/shareScale }
 
+// notAdmittedPercent returns the percentage of requests that is not admitted, rounded up. While the process
+// lacks processor time, it is at least 1: 0 would tell the others that it runs an earlier release.
+func (o *overload) notAdmittedPercent(now time.Time) int {
+	percent := int((o.notAdmitted.Load()*100 + shareScale - 1) / shareScale)
+	if percent == 0 && o.overloaded(now) {
+		return 1
+	}
+	return percent
+}
+
 // overloaded reports whether the process lacks processor time now: what it learns from others
 // and what it sends to them is late then.
 func (o *overload) overloaded(now time.Time) bool {
--- a/gateway/overload_test.go
+++ b/gateway/overload_test.go
@@ -52,3 +52,22 @@
 	}
 	require.InDelta(t, 500, admitted, 100)
 }
+
+// TestNotAdmittedPercent: a gateway that admits all must send nothing, and one that is short of processor time
+// must not look like one of an earlier release, which sends nothing either.
+func TestNotAdmittedPercent(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tests := []struct {
+		admitted float64
+		delay    time.Duration
+		want     int
+	}{
+		{1, 0, 0}, {1, highDelay + 1, 1}, {0.999, 0, 1}, {0.75, 0, 25}, {0.11, 0, 89}, {0, 0, 100}, {0, severeDelay, 100},
+	}
+	for _, test := range tests {
+		o := &overload{}
+		o.notAdmitted.Store(uint64((1 - test.admitted) * shareScale))
+		o.delay.Store(int64(test.delay))
+		require.Equal(t, test.want, o.notAdmittedPercent(now), "admitted %g, delay %s", test.admitted, test.delay)
+	}
+}
--- a/gateway/peer/beacon.go
+++ b/gateway/peer/beacon.go
@@ -39,7 +39,7 @@
 	if full {
 		b.Rollouts = s.Rollouts
 		b.Demands, b.DemandsTold, b.Hall, b.Weight = s.Demands, true, n.options.Hall, uint32(max(s.Weight, 0))
-		b.Readiness = uint32(s.Readiness)
+		b.NotAdmitted, b.Readiness = uint32(min(max(s.NotAdmitted, 0), 100)), uint32(s.Readiness)
 		for _, v := range s.Speeds {
 			b.Speeds = append(b.Speeds, &peerpb.Speed{Service: v.Service, Reading: float32(v.PrefillSlowdown), FirstStepUs: microseconds(v.FirstEventDelay)})
 		}
@@ -188,7 +188,7 @@
 func (r *remote) applyGauges(b *peerpb.Beacon, u *Update) {
 	if b.DemandsTold {
 		r.weight, u.Weight = b.Weight, int(b.Weight)
-		u.Readiness = offload.Readiness(b.Readiness)
+		u.NotAdmitted, u.Readiness = int(min(b.NotAdmitted, 100)), offload.Readiness(b.Readiness)
 	}
 	if b.Hall != "" {
 		r.hall = b.Hall
--- a/gateway/peer/messages.go
+++ b/gateway/peer/messages.go
@@ -74,6 +74,7 @@
 	ConfirmedAt          time.Time         // when StoreRevision was last confirmed as the store's latest
 	StoreUnreachable     bool              // own calls to the store fail
 	Weight               int               // thousandths of a core that it may use; 0 while it is short of processor time
+	NotAdmitted          int               // percent of connections that it does not admit, at least 1 while it is short of processor time
 	Readiness            offload.Readiness // what it answers to the load balancer
 	Rollouts             []*peerpb.Rollout
 }
@@ -95,6 +96,7 @@
 	Full           bool
 	Speeds         []Speed           // only if Full
 	Weight         int               // thousandths of a core that it may use; 0 while it is short of processor time; only if Full
+	NotAdmitted    int               // percent of connections that it does not admit; only if Full
 	Readiness      offload.Readiness // only if Full
 	Rollouts       []*peerpb.Rollout // only if Full, and only those that have changed
 	// Demands is set only if HasDemands.
--- a/gateway/peer/relay_test.go
+++ b/gateway/peer/relay_test.go
@@ -185,13 +185,13 @@
 }
 
 // TestReadinessReachesAllHalls: a gateway that is not ready must count as such in the other gateways'
-// decisions, in its own hall and in others.
+// decisions, in its own hall and in others, and so must what it does not admit.
 func TestReadinessReachesAllHalls(t *testing.T) {
 	port := freePort(t)
 	states := []offload.Readiness{offload.Ready, offload.Withdrawn, offload.NotReady, offload.Ready}
 	var members []*member
 	for i, r := range states {
-		members = append(members, joinHall(t, port, i+1, fmt.Sprintf("hall-%d", i/2), peer.State{Readiness: r}, "127.0.0.1"))
+		members = append(members, joinHall(t, port, i+1, fmt.Sprintf("hall-%d", i/2), peer.State{Readiness: r, NotAdmitted: 50 * i}, "127.0.0.1"))
 	}
 	for i, m := range members {
 		for j, want := range states {
@@ -203,7 +203,7 @@
 				m.mutex.Lock()
 				defer m.mutex.Unlock()
 				u := m.lastUpdate[from]
-				return u.Full && u.Readiness == want && u.Hall == fmt.Sprintf("hall-%d", j/2)
+				return u.Full && u.Readiness == want && u.NotAdmitted == min(50*j, 100) && u.Hall == fmt.Sprintf("hall-%d", j/2)
 			})
 		}
 	}
--- a/gateway/withdrawal.go
+++ b/gateway/withdrawal.go
@@ -73,7 +73,7 @@
 	case !u.Alive:
 		w.decision.Lost(u.From)
 	case u.Full:
-		w.decision.Report(now, offload.Gateway{Address: u.From, Hall: u.Hall, MilliCPU: u.Weight, Readiness: u.Readiness})
+		w.decision.Report(now, offload.Gateway{Address: u.From, Hall: u.Hall, MilliCPU: u.Weight, NotAdmitted: u.NotAdmitted, Readiness: u.Readiness})
 	}
 }
 
--- a/gateway/withdrawal_world_test.go
+++ b/gateway/withdrawal_world_test.go
@@ -268,6 +268,7 @@
 	if !g.overload.overloaded(w.start.Add(w.now)) {
 		u.Weight = int(g.cpu * 1000)
 	}
+	u.NotAdmitted = g.overload.notAdmittedPercent(w.start.Add(w.now))
 	if g.withdrawal.isWithdrawn() {
 		u.Readiness = offload.Withdrawn
 	}
@@ -404,7 +405,7 @@
 		{150, []uint64{0, 1}, hallMinInTime, 20},
 		{250, []uint64{0, 1}, 0, 30},
 		{350, []uint64{0, 1}, 0, 30},
-		// With 4 and 6, a gateway that observes its hall for 2 s only withdraws.
+		// With 4 and 6, a gateway withdraws that knows only whether the others are short of CPU time, over 2 s.
 		{500, []uint64{0, 4, 6}, 0, 30},
 	}
 	for _, test := range tests {
