--- a/gateway/offload/withdrawal.go
+++ b/gateway/offload/withdrawal.go
@@ -18,17 +18,17 @@
 	// carry, and 50 to 70 % at twice this rate.
 	minSimilarAdmitted = 0.75
 	similarWindow      = 2 * time.Second
-	// A withdrawn gateway becomes ready again if they admit less than this share over the settle time. With
-	// its callers they admit 15 to 45 % at the rate that the hall can carry, and 2 to 12 % at twice this rate.
-	minSimilarAdmittedAfter = 0.12
+	// A withdrawn gateway becomes ready again if they, or the larger ones, admit less than this share over the
+	// settle time: nobody can take its callers then. In the simulated hall, those that are not larger admit 15 to
+	// 45 % with its callers at the rate that the hall can carry, and 2 to 12 % at twice this rate.
+	minAdmittedAfter = 0.05
 	// Gateways of earlier releases tell only whether they are short of CPU time. They may be so for this
 	// part of the window.
 	maxSimilarShort = 0.7
 	shortWindow     = 3 * time.Second
 	// Minimum time between records of the hall's state that reports cause.
 	recordInterval = 100 * time.Millisecond
-	// A withdrawn gateway becomes ready again if the larger gateways of its hall have been short of CPU time
-	// for this part of the settle time: nobody can take its callers then.
+	// The same for larger gateways of earlier releases and the settle time.
 	minLargerShort = 0.5
 	// The load balancer uses all gateways of a hall if fewer than half are ready. The rest is a margin
 	// for one that dies.
@@ -89,9 +89,10 @@
 	// Mean shares of connections that similar gateways admit.
 	similarAdmitted      window
 	similarAdmittedAfter window // over the settle time
+	largerAdmitted       window // of the larger ones, over the settle time
 	// Shares of gateways that are short of CPU time.
-	similarShort window // only those that do not tell what they admit
-	largerShort  window
+	similarShort window    // only those that do not tell what they admit
+	largerShort  window    // the same; 1 if there is no larger gateway
 	recordedAt   time.Time // when these windows were last added to
 	status       Status
 	changedAt    time.Time     // when it last withdrew or became ready again; zero: it never withdrew
@@ -112,7 +113,7 @@
 func NewWithdrawal(self Gateway) *Withdrawal {
 	return &Withdrawal{
 		self: self, peers: map[string]*report{}, admitted: window{length: admittedWindow},
-		similarAdmitted: window{length: similarWindow}, similarAdmittedAfter: window{length: settleTime},
+		similarAdmitted: window{length: similarWindow}, similarAdmittedAfter: window{length: settleTime}, largerAdmitted: window{length: settleTime},
 		similarShort: window{length: shortWindow}, largerShort: window{length: settleTime},
 	}
 }
@@ -149,7 +150,8 @@
 	w.similarAdmitted.add(now, w.similar.admitted())
 	w.similarAdmittedAfter.add(now, w.similar.admitted())
 	w.similarShort.add(now, share(w.similar.untold, w.similar.ready, 0))
-	w.largerShort.add(now, share(w.larger.short, w.larger.ready, 1))
+	w.largerShort.add(now, share(w.larger.untold, w.larger.ready, 1))
+	w.largerAdmitted.add(now, w.larger.admitted())
 }
 
 // Lost records that another gateway has stopped or is not heard of any more.
@@ -304,6 +306,7 @@
 func (w *Withdrawal) reasonToReturn(s Sample, c counts) Reason {
 	short, _ := w.largerShort.mean(s.At)
 	admitted, _ := w.similarAdmittedAfter.mean(s.At)
+	largerAdmitted, _ := w.largerAdmitted.mean(s.At)
 	few, many := c.notReady > c.maxNotReady(), c.withdrawn > c.maxWithdrawn()
 	if !few && !many {
 		w.crowdSince = time.Time{}
@@ -323,7 +326,7 @@
 		return FewReady
 	case many && (waited || c.before >= c.maxWithdrawn()):
 		return ManyInFleet
-	case (short >= minLargerShort || admitted < minSimilarAdmittedAfter) && s.At.Sub(w.changedAt) >= settleTime:
+	case (short >= minLargerShort || admitted < minAdmittedAfter || largerAdmitted < minAdmittedAfter) && s.At.Sub(w.changedAt) >= settleTime:
 		return HallShort
 	case s.At.Sub(w.changedAt) >= w.duration:
 		return TimeIsOver
