--- a/gateway/cold_simulation_test.go
+++ b/gateway/cold_simulation_test.go
@@ -481,6 +481,7 @@
 
 // TestColdLimitsInShortRuns runs all simulations of three steps.
 func TestColdLimitsInShortRuns(t *testing.T) {
+	t.Parallel()
 	node, actions := newPeerNode(t), slices.Concat(simActions(), restoreActions())
 	for _, a := range actions {
 		for _, b := range actions {
@@ -494,6 +495,7 @@
 // TestColdLimitsWithRestores runs long random simulations in which the store is restored
 // from backups.
 func TestColdLimitsWithRestores(t *testing.T) {
+	t.Parallel()
 	const worlds, steps = 2000, 30
 	node, actions := newPeerNode(t), slices.Concat(simActions(), restoreActions(), restoreActions())
 	used := 0
@@ -516,6 +518,7 @@
 
 // TestColdLimitsInLongRuns runs long random simulations with fixed seeds.
 func TestColdLimitsInLongRuns(t *testing.T) {
+	t.Parallel()
 	const worlds, steps = 1000, 30
 	node, actions := newPeerNode(t), simActions()
 	cold, used := 0, 0
--- a/gateway/slots_world_test.go
+++ b/gateway/slots_world_test.go
@@ -532,6 +532,7 @@
 // TestPlainBurst: without a queue at the gateways, a burst fills the servers' own queues, these
 // reject most of what is sent, and urgent requests are served no more often than others.
 func TestPlainBurst(t *testing.T) {
+	t.Parallel()
 	for _, gateways := range []int{6, 27} {
 		for _, delay := range []time.Duration{5 * time.Millisecond, 50 * time.Millisecond, 250 * time.Millisecond} {
 			t.Run(fmt.Sprintf("%d gateways, reports of %v", gateways, delay), func(t *testing.T) {
@@ -550,6 +551,7 @@
 
 // TestPlainStall: requests pile up at a server that answers nothing for a second, and are late.
 func TestPlainStall(t *testing.T) {
+	t.Parallel()
 	for _, gateways := range []int{1, 6, 27} {
 		for _, delay := range []time.Duration{5 * time.Millisecond, 250 * time.Millisecond} {
 			if gateways == 1 && delay > 5*time.Millisecond {
@@ -596,6 +598,7 @@
 // serve, for long. Slots that idle while requests wait, and requests that are sent when they are
 // nearly late, cost answers.
 func TestPlainShrunk(t *testing.T) {
+	t.Parallel()
 	for _, uneven := range []bool{false, true} {
 		for _, delay := range []time.Duration{5 * time.Millisecond, 250 * time.Millisecond} {
 			t.Run(fmt.Sprintf("reports of %v, uneven gateways %v", delay, uneven), func(t *testing.T) {
--- a/gateway/surplus_world_test.go
+++ b/gateway/surplus_world_test.go
@@ -359,6 +359,7 @@
 // share. As soon as a few requests fail, less is admitted than asked for, the two count as ahead of an
 // even share, and they were refused whenever their cheapest server was not idle.
 func TestIdleServersAreUsed(t *testing.T) {
+	t.Parallel()
 	const worlds = 4
 	type result struct {
 		refused, besideIdle    int
@@ -394,6 +395,7 @@
 // idle servers must be rare, and no backlogged account may fall behind, also when gateways do not
 // hear of each other for two seconds and when one dies with its unmet demand.
 func TestSurplusUnderPressure(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name   string
 		halted func(w *surplusWorld)
--- a/gateway/withdrawal_world_test.go
+++ b/gateway/withdrawal_world_test.go
@@ -395,6 +395,7 @@
 // the time. Without overload nothing may change. At 500 requests a second the spread callers would
 // overload all small hosts, so the gateway must stay, or the other accounts lose more than it gains.
 func TestHallOfUnequalHosts(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		rate       float64
 		seeds      []uint64
@@ -420,6 +421,7 @@
 // TestWithdrawalFailures: whatever fails while gateways are withdrawn, callers must not be served worse
 // than if none had withdrawn, and the load balancer must have half of the hall.
 func TestWithdrawalFailures(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name    string
 		options hallWorldOptions
@@ -440,6 +442,7 @@
 // TestLoadRisesWhileWithdrawn: a gateway that withdrew while its hall had enough CPU must return when the
 // hall has too little, or the callers that moved overload the other small hosts.
 func TestLoadRisesWhileWithdrawn(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name    string
 		options hallWorldOptions
