soak: a server that announces that it leaves stays undone once

Cause: the function that takes the fault back was assigned to the named result that the returned function then called, so it called itself for ever. Found in the stacks of the time-out. TestSoakVersionsSignals and TestSoakSignals pass in 45 s now.

--- a/soak/words.go
+++ b/soak/words.go
@@ -189,10 +189,10 @@
 // announceLeaving has a server announce in its answers that it is leaving, and later restart.
 // Before the restart it serves for longer than leavingGrace, so that late requests are recorded.
 func (r *Run) announceLeaving(s *backend, born int64) (undo func()) {
-	undo = s.behave(func(b *platformtest.Behaviour) { b.Leaving = true })
+	stay := s.behave(func(b *platformtest.Behaviour) { b.Leaving = true })
 	return func() {
 		time.Sleep(leavingGrace)
-		undo()
+		stay()
 		r.crashAndRestart(s, born)
 	}
 }
