--- a/soak/book.go
+++ b/soak/book.go
@@ -23,6 +23,7 @@
 	sent       map[string]string          // kind of each request
 	accounts   map[string]string          // account of each request; none: t1
 	answers    []answer                   // to regular requests
+	unanswered []answer                   // regular requests without an answer
 	refused    map[string]bool            // requests that were answered as not executed
 	stopping   map[string]bool            // caller addresses of gateways in a planned stop with no other fault active
 	highest    map[string]acceptedVersion // newest version accepted, by gateway and incarnation
@@ -37,6 +38,7 @@
 	at            time.Time
 	kind, account string
 	served        bool
+	detail        string // duration, gateway, and status with the start of a refusal or the error
 }
 
 // acceptedVersion is the newest version whose key a gateway has accepted, and when that was
@@ -76,7 +78,7 @@
 }
 
 // recordAnswer records an answer and checks it against what its request must return.
-func (b *recorder) recordAnswer(id, kind, front string, status int, body string, readErr error, planned bool) {
+func (b *recorder) recordAnswer(id, kind, front string, status int, body string, readErr error, planned bool, detail string) {
 	want := expected(kind, id)
 	switch {
 	case readErr != nil && planned:
@@ -97,7 +99,14 @@
 	if served {
 		b.served++
 	}
-	b.answers = append(b.answers, answer{time.Now(), kind, cmp.Or(b.accounts[id], "t1"), served})
+	b.answers = append(b.answers, answer{time.Now(), kind, cmp.Or(b.accounts[id], "t1"), served, detail})
+}
+
+// recordUnanswered records a request to which no answer arrived.
+func (b *recorder) recordUnanswered(kind, account, detail string) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.unanswered = append(b.unanswered, answer{at: time.Now(), kind: kind, account: account, detail: detail})
 }
 
 // recordAccepted records that a gateway accepted a version's key in a request sent at the
@@ -207,14 +216,20 @@
 	r.recorder.sent[id], r.recorder.accounts[id] = kind, account
 	planned := r.recorder.stopping[p.front]
 	r.recorder.mutex.Unlock()
+	began := time.Now()
 	status, body, err := r.send(client, p, "/"+kind+"/", id, steadyKeys[account], defaultBody)
+	detail := fmt.Sprintf("%s after %s by %s: %d", id, time.Since(began).Round(time.Millisecond), p.name, status)
+	if status != http.StatusOK || err != nil {
+		detail += fmt.Sprintf(" %.60q %v", body, err)
+	}
 	if status == 0 {
+		r.recorder.recordUnanswered(kind, account, detail)
 		return // nothing is guaranteed without an answer
 	}
 	r.recorder.mutex.Lock()
 	planned = planned || r.recorder.stopping[p.front]
 	r.recorder.mutex.Unlock()
-	r.recorder.recordAnswer(id, kind, p.front, status, body, err, planned)
+	r.recorder.recordAnswer(id, kind, p.front, status, body, err, planned, detail)
 	if status == http.StatusServiceUnavailable && (r.options.Surplus || r.options.Plain) {
 		time.Sleep(refusedPause)
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -277,7 +277,7 @@
 		faults = slices.Concat(faults, slices.Repeat(plainFaults, len(faults)/len(plainFaults)))
 	}
 	defer r.close()
-	r.settle(settleBefore)
+	r.settle(r.settleBefore())
 	r.fatalPaused.Store(false)
 	var active sync.WaitGroup
 	for end := time.Now().Add(d); time.Now().Before(end); {
@@ -320,6 +320,16 @@
 	}
 }
 
+// settleBefore returns how long the fleet settles before the first fault. What accounts have got is known
+// only after some seconds: in the first two, the gateways have not learned how many requests servers
+// take, have no retries left, and serve whoever comes when a slot becomes free.
+func (r *Run) settleBefore() time.Duration {
+	if r.options.Surplus {
+		return settleAfter
+	}
+	return settleBefore
+}
+
 // allServers returns the servers of both services, with those that were replaced.
 func (r *Run) allServers() []*backend { return slices.Concat(r.servers, r.plain, r.retired) }
 
--- a/soak/surplus.go
+++ b/soak/surplus.go
@@ -1,6 +1,9 @@
 package soak
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // This file generates accounts that ask for more than their shares of a token rate, in addition to all
 // other faults. Whenever the fleet has settled, each account gets some of its requests served.
@@ -31,6 +34,9 @@
 	}
 }
 
+// detailsBefore is the time before a check from which requests that were not served are told.
+const detailsBefore = 2 * time.Second
+
 // checkSurplus checks that each account has been served since a time.
 func (r *Run) checkSurplus(from time.Time) {
 	if !r.options.Surplus {
@@ -38,15 +44,19 @@
 	}
 	r.recorder.mutex.Lock()
 	served := map[string]int{}
-	for _, a := range r.recorder.answers {
-		if a.served && a.at.After(from) {
+	others := map[string][]string{} // by account
+	for _, a := range slices.Concat(r.recorder.answers, r.recorder.unanswered) {
+		switch {
+		case a.served && a.at.After(from):
 			served[a.account]++
+		case a.at.After(from.Add(-detailsBefore)):
+			others[a.account] = append(others[a.account], a.at.Format("05.000 ")+a.detail)
 		}
 	}
 	r.recorder.mutex.Unlock()
 	for account := range steadyKeys {
 		if served[account] == 0 {
-			r.recorder.violationf("account %s got no request served in %s without faults; served: %v", account, time.Since(from), served)
+			r.recorder.violationf("account %s got no request served in %s without faults; served: %v; its other requests: %q", account, time.Since(from), served, others[account])
 		}
 	}
 }
