peer: crashes are sent at once, and not while no other gateway is known

A beacon holds four crashes, and the next one went out at the next heartbeat: the news of 20 crashes took 2.5 s, that of 60 took 8 s. What was sent while a gateway knew of no other, as for a moment after its process was frozen for a second, reached nobody.

--- a/gateway/peer/beacon.go
+++ b/gateway/peer/beacon.go
@@ -66,7 +66,7 @@
 
 // addRefusals adds the refusals that are still to be sent.
 func (n *Node) addRefusals(now time.Time, b *peerpb.Beacon) {
-	for _, r := range n.pendingRefusals.next(maxRefusals) {
+	for _, r := range n.pendingRefusals.next(now, maxRefusals) {
 		b.Refusals = append(b.Refusals, &peerpb.Refusal{Key: r.Key, LeftMs: milliseconds(r.Deadline.Sub(now)), SpentMs: milliseconds(now.Sub(r.FirstAttempt))})
 	}
 }
--- a/gateway/peer/crashes.go
+++ b/gateway/peer/crashes.go
@@ -11,7 +11,7 @@
 // addCrashes adds what is still to be sent about crashed servers, requests and parts that did not
 // cause a crash, and leaving servers.
 func (n *Node) addCrashes(now time.Time, b *peerpb.Beacon) {
-	for _, e := range n.pendingCrashes.next(maxCrashesPerBeacon) {
+	for _, e := range n.pendingCrashes.next(now, maxCrashesPerBeacon) {
 		b.Ends = append(b.Ends, &peerpb.End{
 			Server:   e.Server,
 			Suspects: packKeys(e.Suspects),
@@ -19,11 +19,11 @@
 			AgeMs:    milliseconds(now.Sub(e.At)),
 		})
 	}
-	for _, a := range n.pendingCleared.next(maxClearedPerBeacon) {
+	for _, a := range n.pendingCleared.next(now, maxClearedPerBeacon) {
 		b.Answered = append(b.Answered, &peerpb.Answered{Key: a.Key[:], Servers: a.Servers})
 	}
-	b.PartsAnswered = packKeys(n.pendingAnswered.next(maxPartsAnsweredPerBeacon))
-	b.Leaves = n.pendingLeaving.next(maxLeavingPerBeacon)
+	b.PartsAnswered = packKeys(n.pendingAnswered.next(now, maxPartsAnsweredPerBeacon))
+	b.Leaves = n.pendingLeaving.next(now, maxLeavingPerBeacon)
 }
 
 // packKeys concatenates keys.
--- a/gateway/peer/crashes_test.go
+++ b/gateway/peer/crashes_test.go
@@ -20,8 +20,8 @@
 		{Key: Key{4}, Request: Key{9}, Account: "b"},
 	}}
 	n := &Node{}
-	n.pendingCrashes.add(sent, maxPendingCrashes)
-	n.pendingAnswered.add(Key{7}, maxPendingPartsAnswered)
+	n.pendingCrashes.add(now, sent, maxPendingCrashes)
+	n.pendingAnswered.add(now, Key{7}, maxPendingPartsAnswered)
 	b := &peerpb.Beacon{}
 	n.addCrashes(now, b)
 	received, _ := decodeCrashes(now, b)
@@ -32,6 +32,23 @@
 	require.Equal(t, sent.Parts[2:], received[0].Parts, "parts without a valid request are dropped")
 }
 
+// TestOldItems checks that items which nobody could be told of in time are dropped, and that others are
+// sent twice.
+func TestOldItems(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var q resendQueue[int]
+	q.add(now, 1, 10)
+	q.add(now.Add(2*time.Second), 2, 10)
+	q.add(now.Add(2*time.Second), 3, 10)
+	late := now.Add(resendTimeout + time.Second)
+	require.Equal(t, []int{2}, q.next(late, 1))
+	require.True(t, q.hasUnsent())
+	require.Equal(t, []int{2, 3}, q.next(late, 10))
+	require.False(t, q.hasUnsent())
+	require.Equal(t, []int{3}, q.next(late.Add(time.Hour), 10), "it was sent before")
+	require.Empty(t, q.next(late, 10))
+}
+
 // TestCrashBytes measures what crashes add to a beacon, for docs/CAPACITY.md, and checks that the
 // largest one fits into a datagram.
 func TestCrashBytes(t *testing.T) {
@@ -45,10 +62,10 @@
 			for p := range parts {
 				c.Parts = append(c.Parts, Part{Key: Key{byte(i), byte(p)}, Request: Key{byte(p)}, Account: "account-of-a-tenant"})
 			}
-			n.pendingCrashes.add(c, maxPendingCrashes)
+			n.pendingCrashes.add(time.Now(), c, maxPendingCrashes)
 		}
 		for i := range maxPartsAnsweredPerBeacon {
-			n.pendingAnswered.add(Key{byte(i)}, maxPendingPartsAnswered)
+			n.pendingAnswered.add(time.Now(), Key{byte(i)}, maxPendingPartsAnswered)
 		}
 		for i := range loads {
 			n.addLoad(Load{Server: uint64(i) << 40, Work: time.Second, Parts: []uint64{1 << 60, 1 << 61, 1 << 62, 1 << 63, 5}, Tokens: 17000})
--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -298,17 +298,17 @@
 		case l := <-n.backlogs:
 			n.pendingBacklogs[l.Server] = l.Remaining
 		case r := <-n.refusals:
-			n.pendingRefusals.add(r, maxRefusals)
+			n.pendingRefusals.add(time.Now(), r, maxRefusals)
 		case e := <-n.crashes:
 			e.Suspects = e.Suspects[:min(len(e.Suspects), maxSuspectsPerCrash)]
 			e.Parts = e.Parts[:min(len(e.Parts), maxPartsPerCrash)]
-			n.pendingCrashes.add(e, maxPendingCrashes)
+			n.pendingCrashes.add(time.Now(), e, maxPendingCrashes)
 		case a := <-n.cleared:
-			n.pendingCleared.add(a, maxPendingCleared)
+			n.pendingCleared.add(time.Now(), a, maxPendingCleared)
 		case k := <-n.partsAnswered:
-			n.pendingAnswered.add(k, maxPendingPartsAnswered)
+			n.pendingAnswered.add(time.Now(), k, maxPendingPartsAnswered)
 		case s := <-n.leavingServers:
-			n.pendingLeaving.add(s, maxPendingLeaving)
+			n.pendingLeaving.add(time.Now(), s, maxPendingLeaving)
 		case o := <-n.origins:
 			n.sendOrigins(time.Now(), o)
 		case q := <-n.originQueries:
@@ -319,8 +319,11 @@
 				scheduled = true
 			}
 		case <-sendTimer.C:
-			scheduled = false
 			n.send(time.Now(), false)
+			// At the interval of heartbeats, the news of 20 crashes would take 2.5 s.
+			if scheduled = n.hasUnsent(); scheduled {
+				sendTimer.Reset(n.loadDelay())
+			}
 		case <-n.relays.timer.C:
 			n.forwardBundles(time.Now())
 		case <-heartbeatTicker.C:
@@ -338,6 +341,11 @@
 	}
 }
 
+// hasUnsent reports whether the next beacon holds items for which the last one had no room.
+func (n *Node) hasUnsent() bool {
+	return n.relays.livePeers > 0 && (n.pendingCrashes.hasUnsent() || n.pendingCleared.hasUnsent() || n.pendingAnswered.hasUnsent() || n.pendingLeaving.hasUnsent())
+}
+
 // contactSilentPeers announces this node to the peers that are not alive.
 func (n *Node) contactSilentPeers() {
 	for a, r := range n.peers {
@@ -391,11 +399,13 @@
 		n.heartbeats++
 	}
 	b, state := n.newBeacon(full, discovery)
+	n.rankRelays(now)
 	n.addLoads(b)
-	n.addRefusals(now, b)
-	n.addCrashes(now, b)
+	if n.relays.livePeers > 0 { // a process that was frozen considers all others dead for a moment
+		n.addRefusals(now, b)
+		n.addCrashes(now, b)
+	}
 	n.lastRunning = state.Running
-	n.rankRelays(now)
 	if discovery || n.leaving {
 		n.sendToSilentPeers(b)
 	}
--- a/gateway/peer/peer_test.go
+++ b/gateway/peer/peer_test.go
@@ -253,6 +253,43 @@
 	require.Equal(t, peer.Cleared{Key: peer.Key{7}, Servers: []string{"i-7@5"}}, b.cleared[0])
 }
 
+// TestManyCrashes guards against crashes that others learn of only seconds later, because each beacon
+// has room for a few of them and beacons without new loads go out four times a second.
+func TestManyCrashes(t *testing.T) {
+	port := freePort(t)
+	a := join(t, port, 1, peer.State{})
+	b := join(t, port, 2, peer.State{}, "127.0.0.1")
+	eventually(t, "the nodes find each other", func() bool { return a.livePeers() == 1 && b.livePeers() == 1 })
+	const count = 60
+	for n := range byte(count) {
+		a.node.PublishCrash(peer.Crash{Server: fmt.Sprintf("i-%d@5", n), Suspects: []peer.Key{{n}}})
+	}
+	eventually(t, "all arrive", func() bool {
+		b.mutex.Lock()
+		defer b.mutex.Unlock()
+		servers := map[string]bool{}
+		for _, e := range b.crashes {
+			servers[e.Server] = true
+		}
+		return len(servers) == count
+	})
+}
+
+// TestCrashesWithoutPeers guards against crashes that nobody learns of because no other gateway was known
+// to be alive when they happened, and against old ones that are sent long after.
+func TestCrashesWithoutPeers(t *testing.T) {
+	port := freePort(t)
+	a := join(t, port, 1, peer.State{})
+	a.node.PublishCrash(peer.Crash{Server: "i-1@5"})
+	time.Sleep(600 * time.Millisecond) // two heartbeats
+	b := join(t, port, 2, peer.State{}, "127.0.0.1")
+	eventually(t, "it arrives", func() bool {
+		b.mutex.Lock()
+		defer b.mutex.Unlock()
+		return len(b.crashes) == 2
+	})
+}
+
 // TestLeaving checks that each leaving server is sent in two beacons, even if many leave at
 // once.
 func TestLeaving(t *testing.T) {
--- a/gateway/peer/size_test.go
+++ b/gateway/peer/size_test.go
@@ -31,7 +31,7 @@
 		}
 		now := time.Now()
 		for range refusals {
-			n.pendingRefusals.add(Refusal{Key: 1 << 60, Deadline: now.Add(10 * time.Second), FirstAttempt: now.Add(-time.Second)}, maxRefusals)
+			n.pendingRefusals.add(now, Refusal{Key: 1 << 60, Deadline: now.Add(10 * time.Second), FirstAttempt: now.Add(-time.Second)}, maxRefusals)
 		}
 		b, _ := n.newBeacon(whole, false)
 		n.addLoads(b)
