gateway: one mode for each optional decision

Each optional decision had two booleans, of which one said that the other depends on the configuration; a combination of them meant nothing. Now each has a mode (off, auto, on), as in the settings. No decision changes; the tests of gateway's features, worlds and platform's parts pass.

--- a/cmd/opalbridge/gateway.go
+++ b/cmd/opalbridge/gateway.go
@@ -206,17 +206,25 @@
 			ShareWindow: s.ShareWindow, Policy: placement.DefaultPolicy(), Hall: s.Hall,
 			ColdLimits: warmup.Limits{Factor: s.ColdFactor, Extra: s.ColdExtra}, Regions: s.Regions,
 			Features: gateway.Features{
-				IdleSurplus: s.IdleSurplus != settings.Off, SurplusAuto: s.IdleSurplus == settings.Auto,
-				QueuePlainWork: s.QueuePlainWork != settings.Off, PlainQueueAuto: s.QueuePlainWork == settings.Auto,
-				Withdraw: s.Withdraw != settings.Off, WithdrawAuto: s.Withdraw == settings.Auto,
-				AvoidPauses: s.AvoidPauses, MoveStreams: s.MoveStreams != settings.Off, MoveStreamsAuto: s.MoveStreams == settings.Auto,
-				BackUpStreams: s.BackUpStreams != settings.Off, BackUpStreamsAuto: s.BackUpStreams == settings.Auto,
+				IdleSurplus: featureMode(s.IdleSurplus), QueuePlainWork: featureMode(s.QueuePlainWork), Withdraw: featureMode(s.Withdraw),
+				MoveStreams: featureMode(s.MoveStreams), BackUpStreams: featureMode(s.BackUpStreams), AvoidPauses: s.AvoidPauses,
 			},
 		},
 		MilliCPU: int(s.CPULimit * 1000), MemoryLimit: int64(s.MemoryMB) << 20, FileLimit: openFileLimit(s), ShutdownGrace: s.StopTimeout, Log: log, Metrics: requestMetrics{metrics},
 	})
 }
 
+// featureMode translates the mode of an optional decision.
+func featureMode(m settings.Mode) gateway.Mode {
+	switch m {
+	case settings.Auto:
+		return gateway.Auto
+	case settings.On:
+		return gateway.On
+	}
+	return gateway.Off
+}
+
 // openFileLimit returns how many files and sockets the process may open. 0 means no limit.
 func openFileLimit(s *settings.Settings) int {
 	if s.FileLimit > 0 {
--- a/gateway/call_continue_test.go
+++ b/gateway/call_continue_test.go
@@ -25,7 +25,7 @@
 	g, err := New(Options{
 		Peer: peer.Options{Address: "127.0.0.1:0"}, Log: zerolog.Nop(), Copies: copies,
 		Dispatcher: DispatcherOptions{
-			ShareWindow: 4 * time.Second, Hall: "h", Policy: placement.DefaultPolicy(), Features: Features{MoveStreams: true},
+			ShareWindow: 4 * time.Second, Hall: "h", Policy: placement.DefaultPolicy(), Features: Features{MoveStreams: On},
 			Regions: map[string]string{"h": "near", "g": "near", "f": "far"},
 		},
 	})
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -111,35 +111,6 @@
 	Features    Features
 }
 
-// Features selects optional decisions. Each takes effect only where the configuration calls for it
-// as well; the packages named here say when.
-type Features struct {
-	IdleSurplus    bool // idle servers for accounts beyond their share: package surplus
-	AvoidPauses    bool // placement regards pauses of running streams: package decode
-	MoveStreams    bool // streams move off servers that leave: package continuation
-	BackUpStreams  bool // streams are backed up: package continuation
-	QueuePlainWork bool // requests to plain servers wait for slots: package slots
-	SurplusAuto    bool // IdleSurplus applies only to services whose configuration calls for it
-	PlainQueueAuto bool // the same for QueuePlainWork
-	Withdraw       bool // an overloaded gateway withdraws from the load balancer: package offload
-	WithdrawAuto   bool // Withdraw applies only if the configuration calls for it
-	// The same for MoveStreams and BackUpStreams.
-	MoveStreamsAuto   bool
-	BackUpStreamsAuto bool
-}
-
-// movesStreams reports whether streams move off servers that leave.
-func (d *dispatcher) movesStreams() bool {
-	f := d.settings.Features
-	return f.MoveStreams && (!f.MoveStreamsAuto || d.tolerantStreams.Load())
-}
-
-// backsUpStreams reports whether streams are backed up.
-func (d *dispatcher) backsUpStreams() bool {
-	f := d.settings.Features
-	return f.BackUpStreams && (!f.BackUpStreamsAuto || d.tolerantStreams.Load())
-}
-
 // pendingAttempt is a request that was sent and has no first event yet.
 type pendingAttempt struct {
 	server         string
@@ -172,7 +143,7 @@
 		coldLimiter: warmup.NewLimiter(), lastRequested: map[string]time.Time{}, halls: map[string]string{},
 	}
 	d.balancer.SetRegions(s.Regions)
-	if s.Features.QueuePlainWork {
+	if s.Features.QueuePlainWork != Off {
 		d.slots, d.reportedAt = d.balancer.QueuePlainWork(), map[string]time.Time{}
 	}
 	d.peerState.Store(&peer.State{})
--- a/gateway/dispatcher_slots.go
+++ b/gateway/dispatcher_slots.go
@@ -24,7 +24,7 @@
 // configuration. What a gateway knows of the others' requests may be 250 ms old; with a shorter
 // objective, a request would be decided on by what was there before its caller sent it.
 func (d *dispatcher) setSlotServices(c *catalog.Configuration) {
-	if d.slots == nil || !d.settings.Features.PlainQueueAuto || c == nil {
+	if d.slots == nil || d.settings.Features.QueuePlainWork != Auto || c == nil {
 		return
 	}
 	services := map[string]bool{}
--- a/gateway/dispatcher_slots_test.go
+++ b/gateway/dispatcher_slots_test.go
@@ -27,7 +27,7 @@
 func newSlotFixture(t *testing.T) *slotFixture {
 	f := &slotFixture{t: t, now: time.Now(), decisions: map[SlotDecision]int{}}
 	f.dispatcher = newDispatcher(zerolog.New(&f.log), DispatcherOptions{
-		ShareWindow: 4 * time.Second, Hall: "h", Policy: placement.DefaultPolicy(), Features: Features{QueuePlainWork: true},
+		ShareWindow: 4 * time.Second, Hall: "h", Policy: placement.DefaultPolicy(), Features: Features{QueuePlainWork: On},
 		Retries: budget.Limits{Ratio: 0.2, FixedRetries: 50, Window: 10 * time.Second},
 	}, f.now.Add(-time.Minute))
 	f.metrics = f
--- a/gateway/dispatcher_surplus.go
+++ b/gateway/dispatcher_surplus.go
@@ -22,14 +22,14 @@
 
 // usesSurplus reports whether package surplus decides.
 func (d *dispatcher) usesSurplus() bool {
-	return d.settings.Features.IdleSurplus && d.view.Configuration != nil && d.view.Configuration.Limits.TokensPerSecond > 0
+	return d.settings.Features.IdleSurplus != Off && d.view.Configuration != nil && d.view.Configuration.Limits.TokensPerSecond > 0
 }
 
 // setSurplus adds the table to the decisions, or removes it, as the configuration says.
 func (d *dispatcher) setSurplus() {
 	var services map[string]bool
 	used := d.usesSurplus()
-	if used && d.settings.Features.SurplusAuto {
+	if used && d.settings.Features.IdleSurplus == Auto {
 		services = d.surplusServices(d.view.Configuration)
 		used = len(services) > 0
 	}
--- a/gateway/dispatcher_surplus_test.go
+++ b/gateway/dispatcher_surplus_test.go
@@ -19,7 +19,7 @@
 func newSurplusDispatcher(t testing.TB, now time.Time, servers int) *dispatcher {
 	t.Helper()
 	d := newTestDispatcher(t, now, servers)
-	d.settings.Features.IdleSurplus = true
+	d.settings.Features.IdleSurplus = On
 	d.setView(now, d.view)
 	require.NotNil(t, d.surplus)
 	return d
@@ -44,7 +44,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			c, err := catalog.NewConfiguration(catalog.Document{Limits: catalog.Limits{TokensPerSecond: test.rate}})
 			require.NoError(t, err)
-			d.settings.Features.IdleSurplus = test.idle
+			d.settings.Features.IdleSurplus = onIf(test.idle)
 			d.setView(now, &View{Configuration: c})
 			require.Equal(t, test.want, d.surplus != nil)
 		})
@@ -212,7 +212,7 @@
 	now := time.Now()
 	for _, idle := range []bool{false, true} {
 		d := newTestDispatcher(t, now, 1)
-		d.settings.Features.IdleSurplus = idle
+		d.settings.Features.IdleSurplus = onIf(idle)
 		d.setView(now, d.view)
 		d.overdraw(now, "other", 4000)
 		d.overdraw(now, "a", 7000) // capped
--- a/gateway/features_test.go
+++ b/gateway/features_test.go
@@ -39,15 +39,14 @@
 		{"streams of one service have no objective", Features{}, 6, []catalog.Route{stream(800*time.Millisecond, gap), streamTo("q", 0, gap)}, true, false, false},
 		{"all services with streams are called for", Features{}, 6, []catalog.Route{stream(800*time.Millisecond, gap), streamTo("q", 450*time.Millisecond, gap)}, true, false, true},
 		{"no routes", Features{}, 6, nil, false, false, false},
-		{"always on", Features{IdleSurplus: true, QueuePlainWork: true, Withdraw: true, MoveStreams: true, BackUpStreams: true}, 3, []catalog.Route{stream(300*time.Millisecond, gap), plain(120 * time.Millisecond)}, true, true, true},
+		{"always on", Features{IdleSurplus: On, QueuePlainWork: On, Withdraw: On, MoveStreams: On, BackUpStreams: On}, 3, []catalog.Route{stream(300*time.Millisecond, gap), plain(120 * time.Millisecond)}, true, true, true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			now := time.Now()
 			f := test.features
-			if !f.IdleSurplus {
-				f = Features{IdleSurplus: true, SurplusAuto: true, QueuePlainWork: true, PlainQueueAuto: true, Withdraw: true, WithdrawAuto: true,
-					MoveStreams: true, MoveStreamsAuto: true, BackUpStreams: true, BackUpStreamsAuto: true}
+			if f.IdleSurplus == Off {
+				f = Features{IdleSurplus: Auto, QueuePlainWork: Auto, Withdraw: Auto, MoveStreams: Auto, BackUpStreams: Auto}
 			}
 			f.AvoidPauses = true
 			d := newDispatcher(newTestDispatcher(t, now, 1).log, DispatcherOptions{ShareWindow: 4 * time.Second, Policy: placement.DefaultPolicy(), Features: f}, now)
@@ -89,6 +88,14 @@
 	now := time.Now()
 	w := newWithdrawal(&Gateway{dispatcher: newTestDispatcher(t, now, 1), options: Options{MilliCPU: 144}})
 	require.False(t, withdrawsWhenOverloaded(w, now))
-	w = newWithdrawal(&Gateway{dispatcher: newTestDispatcher(t, now, 1), options: Options{MilliCPU: 144, Dispatcher: DispatcherOptions{Features: Features{Withdraw: true}}}})
+	w = newWithdrawal(&Gateway{dispatcher: newTestDispatcher(t, now, 1), options: Options{MilliCPU: 144, Dispatcher: DispatcherOptions{Features: Features{Withdraw: On}}}})
 	require.True(t, withdrawsWhenOverloaded(w, now))
 }
+
+// onIf returns the mode of a decision that is made, or is not.
+func onIf(on bool) Mode {
+	if on {
+		return On
+	}
+	return Off
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -175,7 +175,7 @@
 	g.origins = newOriginTracker(g.started)
 	if o.Copies != nil {
 		g.copyCleaner = transfer.NewCleaner(o.Copies, o.Log)
-		if o.Dispatcher.Features.MoveStreams || o.Dispatcher.Features.BackUpStreams {
+		if f := o.Dispatcher.Features; f.MoveStreams != Off || f.BackUpStreams != Off {
 			g.runs = transfer.NewRuns(transfer.Options{Copies: o.Copies, Planner: g.dispatcher, Lifetimes: runLifetimes{g}, Cleaner: g.copyCleaner})
 		}
 	}
--- a/gateway/slots_world_test.go
+++ b/gateway/slots_world_test.go
@@ -98,7 +98,7 @@
 
 type slotWorldOptions struct {
 	site        *slotSite // nil: burstSite
-	queue       bool      // plain_queue: slots
+	queue       Mode      // plain_queue
 	gateways    int
 	reportDelay time.Duration // interval of what gateways tell each other, and its mean age
 	reportsEnd  time.Duration // reports are lost from then on; 0: never
@@ -517,7 +517,7 @@
 	t.Helper()
 	const seed = 1
 	before = runSlotWorld(o, seed)
-	o.queue = true
+	o.queue = On
 	after = runSlotWorld(o, seed)
 	t.Logf("before: %v", before)
 	t.Logf("after:  %v", after)
--- a/gateway/surplus_world_test.go
+++ b/gateway/surplus_world_test.go
@@ -112,7 +112,7 @@
 	}
 	for i := range surplusGateways {
 		d := newTestDispatcher(t, w.now, 0)
-		d.settings.Features.IdleSurplus, d.settings.Address = o.idle, fmt.Sprintf("10.0.0.%d", i+1)
+		d.settings.Features.IdleSurplus, d.settings.Address = onIf(o.idle), fmt.Sprintf("10.0.0.%d", i+1)
 		d.setView(w.now, v)
 		w.gateways = append(w.gateways, d)
 		w.exchange(d, time.Duration(i)*demandDelay/surplusGateways)
--- a/gateway/withdrawal.go
+++ b/gateway/withdrawal.go
@@ -26,13 +26,13 @@
 
 // newWithdrawal returns the gateway's withdrawal, or nil if the settings switch it off.
 func newWithdrawal(g *Gateway) *withdrawal {
-	f := g.options.Dispatcher.Features
-	if !f.Withdraw {
+	mode := g.options.Dispatcher.Features.Withdraw
+	if mode == Off {
 		return nil
 	}
 	return &withdrawal{
 		log:       g.log,
-		calledFor: func() bool { return !f.WithdrawAuto || g.dispatcher.tolerantStreams.Load() },
+		calledFor: func() bool { return mode == On || g.dispatcher.tolerantStreams.Load() },
 		decision: offload.NewWithdrawal(offload.Gateway{
 			Address: g.options.Dispatcher.Address, Hall: g.options.Dispatcher.Hall, MilliCPU: g.options.MilliCPU,
 		}),
--- a/gateway/withdrawal_world_test.go
+++ b/gateway/withdrawal_world_test.go
@@ -30,7 +30,7 @@
 
 type hallWorldOptions struct {
 	seed        uint64
-	withdraw    bool
+	withdraw    Mode
 	rate        float64 // requests a second
 	laterRate   float64 // from changesAt on; 0: the rate does not change
 	changesAt   time.Duration
@@ -376,9 +376,9 @@
 	for _, seed := range seeds {
 		t.Run(fmt.Sprintf("%s, seed %d", name, seed), func(t *testing.T) {
 			o := o
-			o.seed, o.withdraw = seed, false
+			o.seed, o.withdraw = seed, Off
 			before := newHallWorld(o).play()
-			o.withdraw = true
+			o.withdraw = On
 			after := newHallWorld(o).play()
 			fmt.Printf("%s, seed %d\n  off: %s\n  on:  %s\n", name, seed, before, after)
 			require.GreaterOrEqual(t, float64(after.inTime), float64(before.inTime)-hallTolerance*float64(before.requests))
