surplus: only the last free slot is left to requests within their shares

The change before counted the request itself among the half of the slots that may be in use, which moved the bound for large servers too: a server with exactly half of its slots free no longer got a request beyond the shares, and TestHasSuitable failed. Now the bound is as before, and the last free slot is left.

--- a/gateway/surplus/surplus.go
+++ b/gateway/surplus/surplus.go
@@ -32,10 +32,8 @@
 	// request must be predicted for it to get surplus capacity: a request that arrives behind it
 	// is delayed by less than that, and the rest of the objective covers errors of the prediction.
 	ObjectiveFraction = 0.25
-	// maxOccupancy is the fraction of a server's slots that may be in use, including that of the request
-	// itself: with two slots, requests beyond the shares otherwise took both, and those within them
-	// found none. When prefill and decoding both saturate a server, its streams take several times as
-	// long.
+	// maxOccupancy is the fraction of a server's slots that may be in use. When prefill and
+	// decoding both saturate a server, its streams take several times as long.
 	maxOccupancy = 0.5
 	// protection is how long unmet demand of one account keeps surplus capacity from accounts
 	// behind it. Other gateways learn of it up to 250 ms late.
@@ -102,10 +100,13 @@
 	return s.IsIdle() && s.Predicted <= fraction(objective, ObjectiveFraction) && !s.DelaysStreams
 }
 
-// IsIdle reports whether nothing is queued at a server and half of its slots are still free when it gets
-// one more request. The only slot of a server counts as half.
+// IsIdle reports whether nothing is queued at a server, at least half of its slots are free, and its last
+// free slot is left to requests within their shares, unless it is the only slot.
 func (s Server) IsIdle() bool {
-	return s.Slots > 0 && s.QueueTime <= 0 && float64(s.Running+1) <= max(maxOccupancy*float64(s.Slots), 1)
+	if s.Slots <= 0 || s.QueueTime > 0 || float64(s.Running) > maxOccupancy*float64(s.Slots) {
+		return false
+	}
+	return s.Running == 0 || s.Running < s.Slots-1
 }
 
 // Action is what is done with a request.
