--- a/gateway/peer/crashes_test.go
+++ b/gateway/peer/crashes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -32,6 +33,29 @@
 	require.Equal(t, sent.Parts[2:], received[0].Parts, "parts without a valid request are dropped")
 }
 
+// TestCrashesWithoutPeers guards against crashes that nobody learns of because no other gateway was known
+// to be alive when they were to be sent.
+func TestCrashesWithoutPeers(t *testing.T) {
+	now := time.Now()
+	n := &Node{self: netip.MustParseAddr("127.0.0.1"), options: Options{State: func() State { return State{} }}, peers: map[netip.Addr]*remote{}, relays: newRelayState()}
+	defer n.relays.timer.Stop()
+	crashesSent := func() int {
+		n.relays.rankedAt = time.Time{}
+		n.send(now, false)
+		held := n.relays.ownHallBeacons
+		b := &peerpb.Beacon{}
+		require.NoError(t, proto.Unmarshal(held[len(held)-1].Beacon, b))
+		return len(b.Ends)
+	}
+	n.pendingCrashes.add(now, Crash{Server: "i-1@5"}, maxPendingCrashes)
+	require.Zero(t, crashesSent())
+	require.Zero(t, crashesSent())
+	n.peers[netip.MustParseAddr("127.0.0.2")] = &remote{alive: true, lastHeard: now}
+	require.Equal(t, 1, crashesSent())
+	require.Equal(t, 1, crashesSent())
+	require.Zero(t, crashesSent(), "it was sent twice")
+}
+
 // TestOldItems checks that items which nobody could be told of in time are dropped, and that others are
 // sent twice.
 func TestOldItems(t *testing.T) {
--- a/gateway/peer/peer_test.go
+++ b/gateway/peer/peer_test.go
@@ -275,21 +275,6 @@
 	})
 }
 
-// TestCrashesWithoutPeers guards against crashes that nobody learns of because no other gateway was known
-// to be alive when they happened, and against old ones that are sent long after.
-func TestCrashesWithoutPeers(t *testing.T) {
-	port := freePort(t)
-	a := join(t, port, 1, peer.State{})
-	a.node.PublishCrash(peer.Crash{Server: "i-1@5"})
-	time.Sleep(600 * time.Millisecond) // two heartbeats
-	b := join(t, port, 2, peer.State{}, "127.0.0.1")
-	eventually(t, "it arrives", func() bool {
-		b.mutex.Lock()
-		defer b.mutex.Unlock()
-		return len(b.crashes) == 2
-	})
-}
-
 // TestLeaving checks that each leaving server is sent in two beacons, even if many leave at
 // once.
 func TestLeaving(t *testing.T) {
