gateway: log lines and counters tell when a request goes past a server for pauses or memory

Cause: with `pauses: avoid`, an operator saw the predicted pause of the server that a request went to, but not that it had gone past another one, nor for what, and nothing of memory.

Change: Assign and Refuse carry the server that would have been best if pauses and memory did not count (placement.Avoided). attempt.sent and request.refused log it; the gauges pauses_avoided, memory_avoided and memory_exceeded count requests.

--- a/cmd/opalbridge/optional_test.go
+++ b/cmd/opalbridge/optional_test.go
@@ -200,6 +200,15 @@
 	return f.hasMetric(`opalbridge_gateway_pauses_predicted\S* [1-9]`)
 }
 
+// exceedsMemory has a prompt be sent to the only server although it does not fit into its memory.
+func (f *optionalFleet) exceedsMemory() bool {
+	status, text := f.send("/stream/x", "large", 60_000, 10)
+	require.Equal(f.t, http.StatusOK, status, text)
+	require.True(f.t, f.hasMetric(`opalbridge_gateway_pauses_avoided\S* 0$`))
+	require.True(f.t, f.hasMetric(`opalbridge_gateway_memory_avoided\S* 0$`))
+	return f.hasMetric(`opalbridge_gateway_memory_exceeded\S* 1$`)
+}
+
 // decidesOnSurplus has an account be over its share while its requests queue at the only server.
 func (f *optionalFleet) decidesOnSurplus() bool {
 	status, text := f.send("/stream/x", "first", 20_000, 1)
@@ -226,7 +235,8 @@
 	backups := optionalConfiguration{objective: 800, engine: `{` + figures + `,"stride":1,"backups":true}`}
 	neither := optionalConfiguration{objective: 800, engine: `{` + figures + `,"stride":1}`}
 	pauses := optionalConfiguration{objective: 5000, gap: 500, engine: `{` + figures + `,"stride":6}`}
-	noGap, fewTokens := pauses, pauses
+	noGap, fewTokens, littleMemory := pauses, pauses, pauses
+	littleMemory.engine = `{"capacity":64,"kv_tokens":50000,"stride":6}`
 	noGap.gap = 0
 	fewTokens.engine = `{` + figures + `,"stride":3}`
 	shares := optionalConfiguration{objective: 800, gap: 500, engine: `{` + figures + `,"stride":6}`, rate: 100}
@@ -263,6 +273,8 @@
 		{"pauses", "", "called for", pauses, 1, 0, (*optionalFleet).predictsPauses, false},
 		{"pauses", "pauses: avoid", "no longest pause", noGap, 1, 0, (*optionalFleet).predictsPauses, false},
 		{"pauses", "pauses: avoid", "few tokens in an event", fewTokens, 1, 0, (*optionalFleet).predictsPauses, false},
+		{"pauses", "pauses: avoid", "little memory", littleMemory, 1, 0, (*optionalFleet).exceedsMemory, true},
+		{"pauses", "pauses: ignore", "little memory", littleMemory, 1, 0, (*optionalFleet).exceedsMemory, false},
 		{"surplus", "surplus: idle", "called for", shares, 1, 0, (*optionalFleet).decidesOnSurplus, true},
 		{"surplus", "surplus: auto\npauses: avoid", "called for", shares, 1, 0, (*optionalFleet).decidesOnSurplus, true},
 		{"surplus", "surplus: share", "called for", shares, 1, 0, (*optionalFleet).decidesOnSurplus, false},
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -218,7 +218,7 @@
 		Int("prompt", c.placeReq.PromptTokens).Int("reread", d.SharedMissTokens).Float64("tokens", c.cost).
 		Dur("left", c.deadline.Sub(sent)).Dur("spent", c.sinceFirstAttempt).Bool("again", c.sinceFirstAttempt > 0).
 		Str("account", c.account).Bool("over_share", c.placeReq.OverShare).Float64("ahead", c.placeReq.ShareRatio).
-		Dur("pause", d.Pause).Float64("late_share", d.LateShare).
+		Dur("pause", d.Pause).Float64("late_share", d.LateShare).EmbedObject(avoidedFields(d.Avoided)).
 		Dur("held", c.placeReq.Waited).Str("held_for", string(c.placeReq.HoldReason)).
 		Str("copy_from", d.CopyFrom).EmbedObject(surplusFields(d.Surplus)).Msg("request sent to server")
 }
@@ -328,7 +328,7 @@
 		Dur("spent", c.sinceFirstAttempt).Bool("again", c.sinceFirstAttempt > 0).Str("server_version", c.placeReq.Version).
 		Bool("over_share", c.placeReq.OverShare).Bool("stop", c.placeReq.Capped).Float64("ahead", c.placeReq.ShareRatio).
 		Int("waiting_before", c.placeReq.Ahead).Dur("held", c.placeReq.Waited).
-		EmbedObject(surplusFields(d.Surplus)).Bool("beside_idle", d.BesideIdle).Msg("request refused")
+		EmbedObject(avoidedFields(d.Avoided)).EmbedObject(surplusFields(d.Surplus)).Bool("beside_idle", d.BesideIdle).Msg("request refused")
 }
 
 // fail sends the final response to a request that no server has answered.
--- a/gateway/decode/decode_test.go
+++ b/gateway/decode/decode_test.go
@@ -70,6 +70,27 @@
 	}
 }
 
+// TestLateShares guards against streams that count as late at other pauses than those that callers and
+// slow moments make late: one in five from half of the longest pause on, all of them when it is exceeded
+// by more than the prediction is off.
+func TestLateShares(t *testing.T) {
+	const longest = 500 * ms
+	tests := []struct {
+		pause time.Duration
+		want  float64
+	}{
+		{150 * ms, 0},
+		{200 * ms, 0.1},
+		{250 * ms, 0.2},
+		{400 * ms, 0.2},
+		{475 * ms, 0.6},
+		{550 * ms, 1},
+	}
+	for _, test := range tests {
+		require.InDelta(t, test.want, decode.LateShare(test.pause, longest), 1e-9, test.pause)
+	}
+}
+
 // TestCanDelay: where prefill cannot make streams late, or decoding alone does, placement need not
 // regard pauses.
 func TestCanDelay(t *testing.T) {
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -62,6 +62,7 @@
 	livePeers       atomic.Int64 // live gateways other than this one
 	tolerantStreams atomic.Bool  // see allStreamsTolerant
 	pausesPredicted atomic.Int64 // requests sent although running streams were expected to be late because of them
+	avoided         avoidedCounts
 	metrics         Metrics
 	started         time.Time
 
--- a/gateway/dispatcher_pauses.go
+++ b/gateway/dispatcher_pauses.go
@@ -1,8 +1,11 @@
 package gateway
 
 import (
+	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"opalbridge.dev/gateway/catalog"
 	"opalbridge.dev/gateway/placement"
 )
@@ -56,6 +59,43 @@
 	if a.LateShare >= pauseThreshold {
 		d.pausesPredicted.Add(1)
 	}
+	d.avoided.record(a.Avoided)
+}
+
+// avoidedCounts counts requests that were sent elsewhere because of pauses or memory.
+type avoidedCounts struct {
+	pauses atomic.Int64 // past a server, because of the pauses of its streams
+	memory atomic.Int64 // past a server into whose memory they did not fit
+	full   atomic.Int64 // to a server although they fitted into no server's memory
+}
+
+// record counts a request that is sent.
+func (c *avoidedCounts) record(a placement.Avoided) {
+	switch a.Reason {
+	case placement.AvoidPauses:
+		c.pauses.Add(1)
+	case placement.AvoidMemory:
+		c.memory.Add(1)
+	}
+	if a.FitsNowhere {
+		c.full.Add(1)
+	}
+}
+
+// avoidedFields are the log fields that tell how regard to pauses and memory changed a decision.
+type avoidedFields placement.Avoided
+
+// MarshalZerologObject implements zerolog.LogObjectMarshaler.
+func (f avoidedFields) MarshalZerologObject(e *zerolog.Event) {
+	if f.Server != "" {
+		e.Str("avoided", f.Server).Str("avoided_for", string(f.Reason))
+	}
+	if f.LateShare > 0 {
+		e.Float64("avoided_late_share", f.LateShare)
+	}
+	if f.FullServers > 0 {
+		e.Int("full_servers", f.FullServers).Bool("fits_nowhere", f.FitsNowhere)
+	}
 }
 
 // recordAnswerEnd releases an attempt's memory and learns from the length of its answer.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -272,6 +272,9 @@
 	BackingOff           int           // servers that have asked this gateway to back off
 	Origins              int           // attempts of callers whose streams' versions are remembered
 	PausesPredicted      int64         // requests sent although running streams were expected to be late because of them
+	PausesAvoided        int64         // requests sent past a server because of the pauses of its streams
+	MemoryAvoided        int64         // requests sent past a server into whose memory they did not fit
+	MemoryExceeded       int64         // requests sent although they fitted into no server's memory
 	Withdrawn            bool          // the gateway fails the load balancer's health checks, as it is overloaded
 }
 
@@ -291,6 +294,7 @@
 	s.AnnouncedLeaving, s.BackingOff = g.signals.count(time.Now())
 	s.Origins = g.origins.count()
 	s.PausesPredicted = g.dispatcher.pausesPredicted.Load()
+	s.PausesAvoided, s.MemoryAvoided, s.MemoryExceeded = g.dispatcher.avoided.pauses.Load(), g.dispatcher.avoided.memory.Load(), g.dispatcher.avoided.full.Load()
 	s.Suspects = g.suspects.Count()
 	s.Quarantined, s.QuarantinedParts = g.suspects.QuarantinedCount()
 	if v.Configuration != nil {
--- a/gateway/placement/candidate.go
+++ b/gateway/placement/candidate.go
@@ -19,6 +19,7 @@
 	cost             time.Duration // orders candidates
 	pause            time.Duration // longest pause of the streams there; 0: unknown
 	lateShare        float64       // share of these streams that is late because of it
+	pauseCost        time.Duration // of cost: what these streams lose
 }
 
 // evaluate returns the candidate for a server; from is the server of its version that caches most
@@ -43,7 +44,8 @@
 	c.sharedMissTokens = max(missing-copied, 0)
 	c.cost += scale(s.timeFor(now, b.policy.prefillTime(c.sharedMissTokens, c.sharedMissTokens)), b.policy.RecomputeWeight)
 	c.pause, c.lateShare = s.pauseAfter(now, c.prefillTime)
-	c.cost += s.pauseCost(c.lateShare)
+	c.pauseCost = s.pauseCost(c.lateShare)
+	c.cost += c.pauseCost
 	return c
 }
 
@@ -68,20 +70,25 @@
 	return time.Duration(max(over, 0)) * b.policy.SlotDelay
 }
 
-// cheapest returns the cheapest candidate among the servers that may prefill the request's
-// shared prefix, or among all servers once one of them caches most of it, since copies are
-// cheap.
-func (b *Balancer) cheapest(now time.Time, req *Request, servers []*server) candidate {
+// targets returns the servers that may prefill the request's shared prefix, or all servers once one
+// of them caches most of it, since copies are cheap. It also returns the holders of the prompt.
+func (b *Balancer) targets(now time.Time, req *Request, servers []*server) ([]*server, cacheHolders) {
 	holders := b.cacheHolders(now, req)
-	targets := b.affinityServers(now, req, servers)
 	if _, shared := sharedPrefix(req); float64(holders.mostTokens()) >= b.policy.MinCachedFraction*float64(shared) && len(holders) > 0 {
-		targets = servers
+		return servers, holders
 	}
+	return b.affinityServers(now, req, servers), holders
+}
+
+// cheapest returns the cheapest candidate among the targets of a request, and the server that it goes
+// past because of pauses.
+func (b *Balancer) cheapest(now time.Time, req *Request, servers []*server) (candidate, Avoided) {
+	targets, holders := b.targets(now, req, servers)
 	candidates := make([]candidate, 0, len(targets))
 	for _, s := range targets {
 		candidates = append(candidates, b.evaluate(now, req, s, holders[s.Version]))
 	}
-	return slices.MinFunc(candidates, func(x, y candidate) int { return cmp.Compare(x.cost, y.cost) })
+	return cheapestWithPauses(candidates)
 }
 
 // cheapestIdle returns the cheapest server that has no backlog and caches nearly all shared
--- a/gateway/placement/memory.go
+++ b/gateway/placement/memory.go
@@ -54,25 +54,24 @@
 }
 
 // withMemory returns the servers into whose memory a request fits, or all of them if it fits
-// nowhere or if memory is not regarded.
-func (b *Balancer) withMemory(req *Request, servers []*server) []*server {
+// nowhere or if memory is not regarded. full is how many it does not fit into.
+func (b *Balancer) withMemory(req *Request, servers []*server) (fitting []*server, full int) {
 	if !servers[0].decoding.regarded() || servers[0].engine.KVTokens <= 0 {
-		return servers
+		return servers, 0
 	}
-	full := 0
 	for _, s := range servers {
 		if !s.fits(req) {
 			full++
 		}
 	}
 	if full == 0 || full == len(servers) {
-		return servers
+		return servers, full
 	}
-	fitting := make([]*server, 0, len(servers)-full)
+	fitting = make([]*server, 0, len(servers)-full)
 	for _, s := range servers {
 		if s.fits(req) {
 			fitting = append(fitting, s)
 		}
 	}
-	return fitting
+	return fitting, full
 }
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -88,6 +88,7 @@
 	SendBefore       time.Time     // the request must not be sent later than this; zero: no limit
 	Pause            time.Duration // longest pause of the streams there after it; 0: unknown
 	LateShare        float64       // share of these streams that is expected to be late because of it
+	Avoided          Avoided
 	Surplus          Surplus
 	Backup           catalog.Server // set by the caller of Place: where the run is backed up; zero: nowhere
 }
@@ -98,6 +99,7 @@
 	Predicted  time.Duration // time until the first event at the best server
 	Reason     Reason
 	Surplus    Surplus
+	Avoided    Avoided
 	BesideIdle bool // set by the caller of Place; see [Balancer.HasSuitable]
 }
 
@@ -323,8 +325,10 @@
 }
 
 func (b *Balancer) placeEngine(now time.Time, req *Request, servers []*server) Decision {
-	servers = b.withMemory(req, servers)
-	best := b.cheapest(now, req, servers)
+	all := servers
+	servers, full := b.withMemory(req, all)
+	best, avoided := b.cheapest(now, req, servers)
+	cheapest := best.server
 	r := b.deferReason(now, req, best)
 	var granted surplus.Decision
 	if b.decidesSurplus(now, req) {
@@ -334,6 +338,12 @@
 			best, r = c, InTime
 		}
 	}
+	if best.server != cheapest {
+		avoided = Avoided{} // its account's share decided
+	} else if len(servers) < len(all) {
+		avoided = b.avoidedFull(now, req, all, best, avoided)
+	}
+	avoided.FullServers, avoided.FitsNowhere = full, full == len(all)
 	why := Surplus{Reason: granted.Reason, Ahead: granted.Ahead}
 	if r != InTime {
 		if why.Reason == "" && b.concernsSurplus(req) {
@@ -345,13 +355,13 @@
 		if granted.Action == surplus.Wait || b.shouldHold(req, best, r) {
 			return Hold{Predicted: best.predicted, PrefillTime: best.prefillTime, Reason: r, Surplus: why}
 		}
-		return Refuse{RetryAfter: b.retryAfter(req, best, r), Predicted: best.predicted, Reason: r, Surplus: why}
+		return Refuse{RetryAfter: b.retryAfter(req, best, r), Predicted: best.predicted, Reason: r, Surplus: why, Avoided: avoided}
 	}
 	load := Load{Server: best.server.ID, Work: best.work, Parts: partHashes(req.Parts), CacheTokens: best.uncachedTokens + req.OutputTokens}
 	if best.server.decoding.regarded() {
 		load.HeldTokens = best.uncachedTokens + req.heldOutput()
 	}
-	assign := Assign{Surplus: why, Pause: best.pause, LateShare: best.lateShare, Server: best.server.Server, Load: load, Predicted: best.predicted, QueueTime: best.queueTime, PrefillTime: best.prefillTime, SharedMissTokens: best.sharedMissTokens}
+	assign := Assign{Surplus: why, Pause: best.pause, LateShare: best.lateShare, Avoided: avoided, Server: best.server.Server, Load: load, Predicted: best.predicted, QueueTime: best.queueTime, PrefillTime: best.prefillTime, SharedMissTokens: best.sharedMissTokens}
 	assign.NominalLatency = best.work + best.server.speed.firstEventTime()
 	if best.copyFrom != nil {
 		assign.CopyFrom = best.copyFrom.Address
