gateway: a log line tells why the answer to kv-move did not count

For the call that copies while the run goes on, stream.moved said only "its server does not answer". No test read these lines. TestRemoteMemory passed without the memory of other gateways' requests, since the pauses at that server decided as well.

Change: stream.moved has copy_error. TestRemoteMemory lets nothing but memory speak for the server, and bounds what counts for each request. TestSlowServerIsTriedAgain checks the predicted pause of the slow server, before and after.

--- a/gateway/call_continue.go
+++ b/gateway/call_continue.go
@@ -318,7 +318,7 @@
 		result = continuedUnanswered
 		line.Str("handle", o.Handle).AnErr("reason", o.Err)
 	case transfer.Stayed:
-		line.Str("reason", string(o.Reason))
+		line.Str("reason", string(o.Reason)).AnErr("copy_error", r.CopyError())
 	}
 	line.Str("outcome", result).Msg("server leaves under a stream")
 	c.gateway.countContinuation(c.service, ContinuationMove, result)
--- a/gateway/continuation/transfer/move.go
+++ b/gateway/continuation/transfer/move.go
@@ -199,6 +199,9 @@
 	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
 	result, err := r.copyTo(ctx, target, false)
+	r.mutex.Lock()
+	r.copyErr = err
+	r.mutex.Unlock()
 	if err != nil {
 		return "", reasonSourceFails
 	}
--- a/gateway/continuation/transfer/run.go
+++ b/gateway/continuation/transfer/run.go
@@ -109,6 +109,7 @@
 	phase       movePhase
 	stopMove    context.CancelFunc // ends the move before its phase is moveStopping
 	confirmed   bool               // the stream's connection leads to the believed lifetime of the server
+	copyErr     error              // of the latest copy while it went on; nil: it was answered
 	finalResult Outcome            // used by the call's goroutine only; nil: not known yet
 }
 
@@ -261,6 +262,13 @@
 	return true
 }
 
+// CopyError returns why the latest copy of the run while it went on failed; nil: it did not.
+func (r *Run) CopyError() error {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.copyErr
+}
+
 // MoveBegun reports whether it was begun to move the run.
 func (r *Run) MoveBegun() bool {
 	r.mutex.Lock()
--- a/gateway/placement/pauses_model_test.go
+++ b/gateway/placement/pauses_model_test.go
@@ -185,7 +185,8 @@
 
 // TestSlowServerIsTriedAgain guards against a server that was slow for a while and that no request
 // reaches any more, since only first events there show that it is as fast as the others again. What
-// was seen of it counts less and less, until the median of its service does.
+// was seen of it counts less and less, until the median of its service does. While it counts, the
+// streams there are expected to pause for longer.
 func TestSlowServerIsTriedAgain(t *testing.T) {
 	const (
 		count  = 5
@@ -227,6 +228,14 @@
 				}
 				return float64(n) / requests
 			}
+			// pause returns the pause of the streams there during prefill without a break.
+			pause := func(now time.Time) time.Duration {
+				r := &placement.Request{Service: "m", Hall: "h", PromptTokens: 1_000_000}
+				for i := 1; i < count; i++ {
+					r.Exclude = append(r.Exclude, fmt.Sprintf("i-%02d", i))
+				}
+				return b.Place(now, r).(placement.Assign).Pause
+			}
 			now := start
 			for range rounds {
 				others(now)
@@ -234,10 +243,12 @@
 				now = now.Add(round)
 			}
 			require.Zero(t, sent(now))
+			require.Greater(t, pause(now), quietInterval+busyInterval*3/2)
 			for end := now.Add(after); now.Before(end); now = now.Add(round) {
 				others(now)
 			}
 			require.InDelta(t, 1.0/count, sent(now), 0.15)
+			require.InEpsilon(t, quietInterval+busyInterval, pause(now), 0.1)
 		})
 	}
 }
--- a/gateway/placement/pauses_test.go
+++ b/gateway/placement/pauses_test.go
@@ -538,19 +538,26 @@
 	}
 }
 
-// TestRemoteMemory: other gateways tell only how many requests they run at a server.
+// TestRemoteMemory guards against requests of other gateways that do not count as holding memory, or
+// other than as the mean of the service's requests: other gateways tell only how many requests they run
+// at a server. The server that has room has a long backlog, so that nothing but memory speaks for it.
 func TestRemoteMemory(t *testing.T) {
-	b := memoryBalancer(2, 100_000, longestPause)
-	for i := range 400 {
-		now := start.Add(time.Duration(i) * time.Second)
-		b.RecordSent(now, placement.Load{Server: "i-00", CacheTokens: 10_000}, false)
-	}
-	b.SetRemoteRunning("i-01", 10)
-	b.SetRemoteRunning("i-00", 4)
-	now := start.Add(time.Hour)
-	for range 20 {
-		a := b.Place(now, &placement.Request{Service: "m", Hall: "h", PromptTokens: 20_000, OutputTokens: 100, Objective: time.Second, CallerTimeout: time.Second}).(placement.Assign)
-		require.Equal(t, "i-00", a.Server.ID)
+	for _, test := range []struct {
+		running int // requests of 10,000 tokens at the server without a backlog
+		want    string
+	}{
+		{7, "i-01"},
+		{8, "i-00"},
+	} {
+		b := memoryBalancer(2, 100_000, longestPause)
+		for i := range 400 {
+			b.RecordSent(start.Add(time.Duration(i)*time.Second), placement.Load{Server: "i-00", CacheTokens: 10_000}, false)
+		}
+		b.SetRemoteRunning("i-01", test.running)
+		now := start.Add(time.Hour)
+		b.RecordSent(now, placement.Load{Server: "i-00", Work: 5 * time.Second}, false)
+		a := b.Place(now, &placement.Request{Service: "m", Hall: "h", PromptTokens: 20_000, OutputTokens: 100}).(placement.Assign)
+		require.Equal(t, test.want, a.Server.ID, "%d running", test.running)
 	}
 }
 
