gateway/peer: full beacons tell spare CPU

Cause: a gateway that hands connections off to other halls needs to know how much CPU these have to spare; the CPU share in the beacons says only whether they are short of it.

Change: field 27 of the beacon is the percentage of the gateway's CPU that it does not use, plus 1. It is sent when it has changed by a tenth, once more after that, and in every fourth full beacon, and never in more than two full beacons in a row. A gateway that does not tell it, or is of an earlier release, sends none.

The field takes 3 bytes, at most 2 of a full beacon on average.

--- a/gateway/peer/beacon.go
+++ b/gateway/peer/beacon.go
@@ -40,6 +40,7 @@
 		b.Rollouts = s.Rollouts
 		b.Demands, b.DemandsTold, b.Hall, b.Weight = s.Demands, true, n.options.Hall, uint32(max(s.Weight, 0))
 		b.NotAdmitted, b.Readiness = uint32(min(max(s.NotAdmitted, 0), 100)), uint32(s.Readiness)
+		b.Spare = encodeSpare(s)
 		for _, v := range s.Speeds {
 			b.Speeds = append(b.Speeds, &peerpb.Speed{Service: v.Service, Reading: float32(v.PrefillSlowdown), FirstStepUs: microseconds(v.FirstEventDelay)})
 		}
@@ -175,6 +176,9 @@
 	if newest {
 		hall := r.hall
 		r.sequence = b.Sequence
+		if newIncarnation {
+			r.spare = 0 // it may run an earlier release now
+		}
 		r.applyGauges(b, &u)
 		if r.hall != hall {
 			n.relays.rankedAt = time.Time{}
@@ -189,6 +193,10 @@
 	if b.DemandsTold {
 		r.weight, u.Weight = b.Weight, int(b.Weight)
 		u.NotAdmitted, u.Readiness = int(min(b.NotAdmitted, 100)), offload.Readiness(b.Readiness)
+		if b.Spare > 0 {
+			r.spare = b.Spare
+		}
+		u.TellsSpare, u.Spare = r.spare > 0, decodeSpare(b.Weight, r.spare)
 	}
 	if b.Hall != "" {
 		r.hall = b.Hall
--- a/gateway/peer/messages.go
+++ b/gateway/peer/messages.go
@@ -76,6 +76,8 @@
 	Weight               int               // thousandths of a core that it may use; 0 while it is short of processor time
 	NotAdmitted          int               // percent of connections that it does not admit, at least 1 while it is short of processor time
 	Readiness            offload.Readiness // what it answers to the load balancer
+	TellsSpare           bool              // Spare is reported
+	Spare                int               // thousandths of a core of Weight that it does not use
 	Rollouts             []*peerpb.Rollout
 }
 
@@ -98,6 +100,8 @@
 	Weight         int               // thousandths of a core that it may use; 0 while it is short of processor time; only if Full
 	NotAdmitted    int               // percent of connections that it does not admit; only if Full
 	Readiness      offload.Readiness // only if Full
+	TellsSpare     bool              // it has reported its spare CPU since it started; only if Full
+	Spare          int               // thousandths of a core of Weight that it did not use when it told last; only if Full
 	Rollouts       []*peerpb.Rollout // only if Full, and only those that have changed
 	// Demands is set only if HasDemands.
 	Demands              []*peerpb.Demand
--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -33,6 +33,9 @@
 	"opalbridge.dev/gateway/peer/peerpb"
 )
 
+// Timeout is the time after which a gateway that has not been heard from counts as dead.
+const Timeout = time.Second
+
 // Intervals and sizes.
 const (
 	// Delay between the first pending load and its beacon. Two gateways that do not know of each
@@ -51,7 +54,7 @@
 	startupSearchInterval = 100 * time.Millisecond
 	startupSearchDuration = 3 * time.Second
 	// A gateway that has not been heard from for this long is considered dead: four heartbeats.
-	peerTimeout = time.Second
+	peerTimeout = Timeout
 	// An address that has been silent for this long is forgotten, unless it is a seed.
 	forgetAfter = 30 * time.Second
 	// Each item is sent in this many beacons, in case one is lost; they take different relays.
@@ -115,6 +118,7 @@
 	origins        chan origin.Origin
 	originQueries  chan originQuery
 	sendSoon       chan struct{}
+	reportSoon     chan struct{}
 	packets        chan packet
 	updates        chan []Update
 	sentDatagrams  atomic.Int64
@@ -135,6 +139,7 @@
 	sequence        uint64 // of the latest beacon
 	leaving         bool
 	relays          relayState
+	spare           spareReport
 }
 
 // pendingLoad is a load and the number of beacons that contained it.
@@ -152,6 +157,7 @@
 	newestLoad         uint64    // sequence number of the newest load taken over
 	hall               string
 	weight             uint32
+	spare              uint32 // reported last, as encoded; 0: none since its process started
 	alive              bool
 	sequence           uint64    // of its newest beacon
 	lastDirect         time.Time // when its last own datagram arrived
@@ -193,6 +199,7 @@
 		origins:         make(chan origin.Origin, queueSize),
 		originQueries:   make(chan originQuery, queueSize),
 		sendSoon:        make(chan struct{}, 1),
+		reportSoon:      make(chan struct{}, 1),
 		packets:         make(chan packet, queueSize),
 		updates:         make(chan []Update, queueSize),
 		pendingBacklogs: map[uint64]time.Duration{},
@@ -318,6 +325,8 @@
 				sendTimer.Reset(baseLoadDelay)
 				scheduled = true
 			}
+		case <-n.reportSoon:
+			n.send(time.Now(), true)
 		case <-sendTimer.C:
 			n.send(time.Now(), false)
 			// At the interval of heartbeats, the news of 20 crashes would take 2.5 s.
@@ -399,6 +408,9 @@
 		n.heartbeats++
 	}
 	b, state := n.newBeacon(full, discovery)
+	if full {
+		b.Spare = n.spare.next(b.Spare)
+	}
 	n.rankRelays(now)
 	n.addLoads(b)
 	if n.relays.livePeers > 0 { // a process that was frozen considers all others dead for a moment
--- a/gateway/peer/peer_test.go
+++ b/gateway/peer/peer_test.go
@@ -50,10 +50,16 @@
 
 // joinHall starts a node of a hall.
 func joinHall(t *testing.T, port, n int, hall string, state peer.State, seeds ...string) *member {
+	t.Helper()
+	return joinState(t, port, n, hall, func() peer.State { return state }, seeds...)
+}
+
+// joinState starts a node of a hall whose state may change.
+func joinState(t *testing.T, port, n int, hall string, state func() peer.State, seeds ...string) *member {
 	t.Helper()
 	node, err := peer.Listen(peer.Options{
 		Address: fmt.Sprintf("127.0.%d.%d:%d", n/250, n%250, port), Hall: hall, Seeds: seeds,
-		State: func() peer.State { return state }, OnError: func(error) {},
+		State: state, OnError: func(error) {},
 	})
 	require.NoError(t, err)
 	ctx, stop := context.WithCancel(context.Background())
--- a/gateway/peer/relay_test.go
+++ b/gateway/peer/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -208,3 +209,62 @@
 		}
 	}
 }
+
+// TestSpareReachesAllHalls: spare CPU must be known in all halls, also to a gateway that has heard a beacon
+// without it, and must be 0 while the gateway is short of CPU time. A gateway that does not tell it must
+// count as one of an earlier release.
+func TestSpareReachesAllHalls(t *testing.T) {
+	port := freePort(t)
+	states := []peer.State{
+		{Weight: 800, TellsSpare: true, Spare: 400}, {Weight: 144, TellsSpare: true}, {Weight: 800, Spare: 400}, {TellsSpare: true, Spare: 400},
+	}
+	var members []*member
+	for i, s := range states {
+		members = append(members, joinHall(t, port, i+1, fmt.Sprintf("hall-%d", i/2), s, "127.0.0.1"))
+	}
+	want := []struct {
+		tells bool
+		spare int
+	}{{true, 400}, {true, 0}, {false, 0}, {false, 0}} // the last one has always been short of CPU time
+	for i, m := range members {
+		for j, w := range want {
+			if i == j {
+				continue
+			}
+			from := fmt.Sprintf("127.0.0.%d", j+1)
+			eventually(t, fmt.Sprintf("node %d knows the spare CPU of node %d", i+1, j+1), func() bool {
+				m.mutex.Lock()
+				defer m.mutex.Unlock()
+				u := m.lastUpdate[from]
+				return u.Full && u.TellsSpare == w.tells && u.Spare == w.spare && u.Weight == states[j].Weight
+			})
+		}
+	}
+}
+
+// TestReportSoon: a gateway that has become short of CPU time must not get connections from other halls until its
+// next beacon is due.
+func TestReportSoon(t *testing.T) {
+	port := freePort(t)
+	var beacons, weight atomic.Int64
+	weight.Store(800)
+	a := joinState(t, port, 1, "a", func() peer.State {
+		beacons.Add(1)
+		return peer.State{Weight: int(weight.Load()), TellsSpare: true, Spare: 400}
+	})
+	b := joinHall(t, port, 2, "b", peer.State{}, "127.0.0.1")
+	spareOf := func(want int) func() bool {
+		return func() bool {
+			b.mutex.Lock()
+			defer b.mutex.Unlock()
+			u, known := b.lastUpdate["127.0.0.1"]
+			return known && u.Full && u.Spare == want
+		}
+	}
+	eventually(t, "its spare CPU is known", spareOf(400))
+	last := beacons.Load()
+	eventually(t, "a beacon is due", func() bool { return beacons.Load() > last })
+	weight.Store(0)
+	a.node.ReportSoon()
+	require.Eventually(t, spareOf(0), 150*time.Millisecond, time.Millisecond, "the next beacon is due in 250 ms")
+}
--- a/gateway/peer/size_test.go
+++ b/gateway/peer/size_test.go
@@ -53,7 +53,10 @@
 	notAdmitted := proto.Size(&peerpb.Datagram{Beacon: &peerpb.Beacon{Hall: "hall-1", NotAdmitted: 100}}) -
 		proto.Size(&peerpb.Datagram{Beacon: &peerpb.Beacon{Hall: "hall-1"}})
 	fmt.Printf("figure beacon-not-admitted %d B\n", notAdmitted)
+	spare := proto.Size(&peerpb.Datagram{Beacon: &peerpb.Beacon{Hall: "hall-1", Spare: 101}}) -
+		proto.Size(&peerpb.Datagram{Beacon: &peerpb.Beacon{Hall: "hall-1"}})
+	fmt.Printf("figure beacon-spare %d B\n", spare)
 	const most = 1<<32 - 1
 	unmet := proto.Size(&peerpb.Demand{Unmet: most, Priority: most, OldestMs: most, RecentMs: most, Need: most})
-	require.Less(t, size(maxLoads, 100, 48, 100, maxRefusals, true)+48*unmet+withdrawn+notAdmitted, maxDatagramSize, "a beacon must fit into one datagram")
+	require.Less(t, size(maxLoads, 100, 48, 100, maxRefusals, true)+48*unmet+withdrawn+notAdmitted+spare, maxDatagramSize, "a beacon must fit into one datagram")
 }
