gateway/offload: which gateway takes a connection that this one cannot serve

Cause: a gateway hands connections off within its hall only, and rejects them when the hall is short of CPU time, even if other halls are idle.

Change: Handoff chooses a gateway: of the own hall first, then of other halls of the region, weighted by their spare CPU. Not used yet.

Result: go test ./gateway/offload passes.

--- a/gateway/offload/offload.go
+++ b/gateway/offload/offload.go
@@ -19,8 +19,19 @@
 // callers that move, so a gateway does not withdraw if those that are not larger admit too few connections, and
 // returns if they admit hardly any or those that are larger are short of CPU time.
 //
-// The package does no locking and no I/O and does not read the clock. A Withdrawal must be used by
-// one goroutine at a time.
+// A [Handoff] decides which gateway takes a connection that this one cannot serve:
+//
+//	h := offload.NewHandoff("a", map[string]string{"a": "north", "b": "north"}, time.Second)
+//	h.Report(now, offload.Gateway{Address: "10.1.1.34", Hall: "b", MilliCPU: 800, Spare: 500, TellsSpare: true})
+//	c := h.Choose(offload.ChoiceOptions{Now: now, Random: rand.Float64(), OtherHalls: true})
+//	if c.Outcome != offload.None { … } // c.Address takes it
+//
+// Gateways of the same hall come first, then those of other halls of the region. Each report allows this gateway
+// its part of the spare CPU that has accrued since the one before, so gateways that hand connections off at the same
+// time do not overload another hall, and little is handed off to one whose reports are lost.
+//
+// The package does no locking and no I/O and does not read the clock. A Withdrawal or a Handoff must be used
+// by one goroutine at a time.
 package offload
 
 // Readiness is what a gateway answers to the load balancer's health checks.
@@ -42,4 +53,8 @@
 	// tell: it runs an earlier release.
 	NotAdmitted int
 	Readiness   Readiness
+	// Spare is what it does not use of MilliCPU. If TellsSpare is not set, it runs an earlier release or
+	// takes no connections from other halls.
+	Spare      int
+	TellsSpare bool
 }
