--- a/cmd/opalbridge/gateway.go
+++ b/cmd/opalbridge/gateway.go
@@ -17,6 +17,7 @@
 
 	"opalbridge.dev/gateway"
 	"opalbridge.dev/gateway/budget"
+	"opalbridge.dev/gateway/offload"
 	"opalbridge.dev/gateway/peer"
 	"opalbridge.dev/gateway/placement"
 	"opalbridge.dev/gateway/warmup"
@@ -95,6 +96,11 @@
 	c.RecordStreamContinued(service, string(s), outcome)
 }
 
+// ConnectionOffloaded implements gateway.Metrics.
+func (c requestMetrics) ConnectionOffloaded(outcome offload.Outcome) {
+	c.RecordConnectionOffloaded(string(outcome))
+}
+
 func runGateway(ctx context.Context, s *settings.Settings, file string) error {
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(heapLimitRatio * float64(s.MemoryMB) * (1 << 20)))
@@ -207,7 +213,7 @@
 			ColdLimits: warmup.Limits{Factor: s.ColdFactor, Extra: s.ColdExtra}, Regions: s.Regions,
 			Features: gateway.Features{
 				IdleSurplus: featureMode(s.IdleSurplus), QueuePlainWork: featureMode(s.QueuePlainWork), Withdraw: featureMode(s.Withdraw),
-				MoveStreams: featureMode(s.MoveStreams), BackUpStreams: featureMode(s.BackUpStreams), AvoidPauses: s.AvoidPauses,
+				MoveStreams: featureMode(s.MoveStreams), BackUpStreams: featureMode(s.BackUpStreams), Offload: featureMode(s.Offload), AvoidPauses: s.AvoidPauses,
 			},
 		},
 		MilliCPU: int(s.CPULimit * 1000), MemoryLimit: int64(s.MemoryMB) << 20, FileLimit: openFileLimit(s), ShutdownGrace: s.StopTimeout, Log: log, Metrics: requestMetrics{metrics},
--- a/gateway/admission_test.go
+++ b/gateway/admission_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -14,6 +15,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"opalbridge.dev/gateway/offload"
 	"opalbridge.dev/gateway/reject"
 )
 
@@ -37,8 +39,11 @@
 	}
 }
 
-// deniedCounter counts denied requests.
-type deniedCounter struct{ denied atomic.Int64 }
+// deniedCounter counts denied requests and offloaded connections.
+type deniedCounter struct {
+	denied    atomic.Int64
+	offloaded sync.Map // counts by outcome
+}
 
 func (c *deniedCounter) RequestEnded(o Outcome) {
 	if o.Result == "denied" {
@@ -52,6 +57,20 @@
 func (c *deniedCounter) SlotDecided(string, SlotDecision)                 {}
 func (c *deniedCounter) StreamContinued(string, ContinuationStep, string) {}
 
+func (c *deniedCounter) ConnectionOffloaded(o offload.Outcome) {
+	n, _ := c.offloaded.LoadOrStore(o, &atomic.Int64{})
+	n.(*atomic.Int64).Add(1)
+}
+
+// offloadedTo returns how many connections had an outcome.
+func (c *deniedCounter) offloadedTo(o offload.Outcome) int {
+	n, ok := c.offloaded.Load(o)
+	if !ok {
+		return 0
+	}
+	return int(n.(*atomic.Int64).Load())
+}
+
 // startAdmission starts an admission listener with a capacity, in front of a server that
 // responds with 200.
 func startAdmission(t *testing.T, r capacity, o *overload) (address string, m *deniedCounter) {
--- a/gateway/dispatcher_retries.go
+++ b/gateway/dispatcher_retries.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"opalbridge.dev/gateway/offload"
 	"opalbridge.dev/gateway/placement"
 )
 
@@ -101,3 +102,4 @@
 func (discardMetrics) StreamResumed(string, ResumeOutcome)              {}
 func (discardMetrics) SlotDecided(string, SlotDecision)                 {}
 func (discardMetrics) StreamContinued(string, ContinuationStep, string) {}
+func (discardMetrics) ConnectionOffloaded(offload.Outcome)              {}
--- a/gateway/dispatcher_slots_test.go
+++ b/gateway/dispatcher_slots_test.go
@@ -10,6 +10,7 @@
 
 	"opalbridge.dev/gateway/budget"
 	"opalbridge.dev/gateway/catalog"
+	"opalbridge.dev/gateway/offload"
 	"opalbridge.dev/gateway/peer"
 	"opalbridge.dev/gateway/placement"
 	"opalbridge.dev/gateway/rollout"
@@ -41,6 +42,7 @@
 func (f *slotFixture) RetryAcknowledged(string, time.Duration)          {}
 func (f *slotFixture) StreamResumed(string, ResumeOutcome)              {}
 func (f *slotFixture) StreamContinued(string, ContinuationStep, string) {}
+func (f *slotFixture) ConnectionOffloaded(offload.Outcome)              {}
 
 // SlotDecided implements Metrics.
 func (f *slotFixture) SlotDecided(_ string, d SlotDecision) { f.decisions[d]++ }
--- a/gateway/features.go
+++ b/gateway/features.go
@@ -8,6 +8,7 @@
 	BackUpStreams  Mode // streams are backed up: package continuation
 	QueuePlainWork Mode // requests to plain servers wait for slots: package slots
 	Withdraw       Mode // an overloaded gateway withdraws from the load balancer: package offload
+	Offload        Mode // connections are handed off to other halls: package offload
 	AvoidPauses    bool // placement regards pauses of running streams: package decode
 }
 
--- a/gateway/features_test.go
+++ b/gateway/features_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"opalbridge.dev/gateway/catalog"
+	"opalbridge.dev/gateway/offload"
 	"opalbridge.dev/gateway/peer"
 	"opalbridge.dev/gateway/placement"
 )
@@ -39,14 +40,14 @@
 		{"streams of one service have no objective", Features{}, 6, []catalog.Route{stream(800*time.Millisecond, gap), streamTo("q", 0, gap)}, true, false, false},
 		{"all services with streams are called for", Features{}, 6, []catalog.Route{stream(800*time.Millisecond, gap), streamTo("q", 450*time.Millisecond, gap)}, true, false, true},
 		{"no routes", Features{}, 6, nil, false, false, false},
-		{"always on", Features{IdleSurplus: On, QueuePlainWork: On, Withdraw: On, MoveStreams: On, BackUpStreams: On}, 3, []catalog.Route{stream(300*time.Millisecond, gap), plain(120 * time.Millisecond)}, true, true, true},
+		{"always on", Features{IdleSurplus: On, QueuePlainWork: On, Withdraw: On, MoveStreams: On, BackUpStreams: On, Offload: On}, 3, []catalog.Route{stream(300*time.Millisecond, gap), plain(120 * time.Millisecond)}, true, true, true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			now := time.Now()
 			f := test.features
 			if f.IdleSurplus == Off {
-				f = Features{IdleSurplus: Auto, QueuePlainWork: Auto, Withdraw: Auto, MoveStreams: Auto, BackUpStreams: Auto}
+				f = Features{IdleSurplus: Auto, QueuePlainWork: Auto, Withdraw: Auto, MoveStreams: Auto, BackUpStreams: Auto, Offload: Auto}
 			}
 			f.AvoidPauses = true
 			d := newDispatcher(newTestDispatcher(t, now, 1).log, DispatcherOptions{ShareWindow: 4 * time.Second, Policy: placement.DefaultPolicy(), Features: f}, now)
@@ -67,6 +68,12 @@
 			require.Equal(t, test.withdraw, withdrawsWhenOverloaded(w, now))
 			require.Equal(t, test.withdraw, d.movesStreams(), "the same rule")
 			require.Equal(t, test.withdraw, d.backsUpStreams(), "the same rule")
+			g := &Gateway{dispatcher: d, options: Options{Dispatcher: d.settings, MilliCPU: 144}}
+			require.Equal(t, test.withdraw, g.offloadsToOtherHalls(), "the same rule")
+			s := newSpareCPU(g)
+			s.sample(now, false)
+			_, tells := s.told()
+			require.Equal(t, test.withdraw, tells, "spare CPU is told to other halls")
 		})
 	}
 }
@@ -92,6 +99,36 @@
 	require.True(t, withdrawsWhenOverloaded(w, now))
 }
 
+// TestOffloadInHall: a gateway whose settings keep connections in its hall, or whose configuration does not call for
+// more, must choose as before: by CPU share among the gateways of its hall, whatever they have to spare. It must
+// not tell its spare CPU, so that no other hall hands connections off to it.
+func TestOffloadInHall(t *testing.T) {
+	for _, mode := range []Mode{Off, Auto} {
+		g, err := New(Options{Peer: peer.Options{Address: "127.0.0.1:0"}, MilliCPU: 144, Dispatcher: DispatcherOptions{
+			ShareWindow: time.Second, Hall: "a", Regions: map[string]string{"a": "r", "b": "r"}, Features: Features{Offload: mode},
+		}})
+		require.NoError(t, err)
+		now := time.Now()
+		g.offloadTargets.update(now, peer.Update{From: "3", Hall: "b", Alive: true, Full: true, Weight: 800, TellsSpare: true, Spare: 800})
+		require.False(t, g.canOffload())
+		require.Equal(t, offload.None, g.offloadTargets.choose(now, "").Outcome)
+		g.offloadTargets.update(now, peer.Update{From: "1", Hall: "a", Alive: true, Full: true, Weight: 200, TellsSpare: true})
+		g.offloadTargets.update(now, peer.Update{From: "2", Hall: "a", Alive: true, Full: true, Weight: 600, TellsSpare: true})
+		require.True(t, g.canOffload())
+		chosen := map[string]int{}
+		const many = 2000
+		for range many {
+			chosen[g.offloadTargets.choose(now.Add(time.Hour), "1").Address]++
+		}
+		require.Len(t, chosen, 2)
+		require.InDelta(t, many*3/4, chosen["2"], 120)
+		require.False(t, g.spare.sample(now, true))
+		s := g.peerState()
+		require.False(t, s.TellsSpare)
+		require.Zero(t, s.Spare)
+	}
+}
+
 // onIf returns the mode of a decision that is made, or is not.
 func onIf(on bool) Mode {
 	if on {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -33,7 +33,8 @@
 // and signals.go applies what servers announce in responses. origins.go and call_resume.go keep a
 // stream at the software version that began it; call_continue.go and dispatcher_continuation.go have
 // streams go on at other servers from copies of their runs, which package transfer asks for;
-// server_lifetime.go tells a server's lifetimes apart. withdrawal.go has an overloaded gateway withdraw
+// server_lifetime.go tells a server's lifetimes apart. offload.go hands connections off to other gateways
+// and spare_cpu.go measures what CPU time this one could give to theirs; withdrawal.go has an overloaded gateway withdraw
 // from the load balancer (package offload). stop.go shuts the gateway down.
 package gateway
 
@@ -47,6 +48,7 @@
 
 	"opalbridge.dev/duty"
 	"opalbridge.dev/gateway/continuation/transfer"
+	"opalbridge.dev/gateway/offload"
 	"opalbridge.dev/gateway/peer"
 	"opalbridge.dev/gateway/protocol"
 	"opalbridge.dev/gateway/suspect"
@@ -93,6 +95,8 @@
 	SlotDecided(service string, decision SlotDecision)
 	// StreamContinued records what became of a step by which a stream continues at another server.
 	StreamContinued(service string, s ContinuationStep, outcome string)
+	// ConnectionOffloaded records what became of a connection that the gateway had no CPU time to serve.
+	ConnectionOffloaded(outcome offload.Outcome)
 }
 
 // Outcome describes a finished request.
@@ -141,6 +145,7 @@
 	active                atomic.Int64 // requests being served
 	capacity              capacity
 	offloadTargets        *offloadTargets
+	spare                 *spareCPU       // nil: it is not told to other gateways
 	withdrawal            *withdrawal     // nil: it never withdraws from the load balancer
 	offloader             *offloader      // set by serve
 	background            context.Context // context of background tasks; set by serve
@@ -155,7 +160,8 @@
 	g := &Gateway{options: o, log: o.Log, started: time.Now(), pool: upstream.NewPool(o.Codec)}
 	g.view.Store(&View{})
 	g.capacity = capacityFor(o.MemoryLimit, o.FileLimit)
-	g.offloadTargets = &offloadTargets{hall: o.Dispatcher.Hall, weights: map[string]int{}}
+	g.offloadTargets = newOffloadTargets(o.Dispatcher.Hall, o.Dispatcher.Regions, g.offloadsToOtherHalls)
+	g.spare = newSpareCPU(g)
 	g.claims = make(chan warmup.Claim, claimQueueSize)
 	g.dispatcher = newDispatcher(o.Log, o.Dispatcher, time.Now())
 	if o.Metrics != nil {
@@ -204,6 +210,7 @@
 		s.Weight = g.options.MilliCPU
 	}
 	s.NotAdmitted = g.overload.notAdmittedPercent(now)
+	s.Spare, s.TellsSpare = g.spare.told()
 	s.Readiness = g.readiness()
 	if v.Configuration != nil {
 		s.ConfigurationVersion = v.Configuration.Version
--- a/gateway/handoff/handoff.go
+++ b/gateway/handoff/handoff.go
@@ -119,13 +119,30 @@
 // Forward forwards a caller's connection to the gateway at an address until it has ended, and
 // closes it. If it returns ErrNotForwarded, the connection is still open and untouched.
 func (f *Forwarder) Forward(ctx context.Context, address string, conn net.Conn) error {
+	s, err := f.Open(ctx, address)
+	if err != nil {
+		return err
+	}
+	s.Forward(conn)
+	return nil
+}
+
+// Stream is open to a gateway and forwards one connection.
+type Stream struct{ stream *yamux.Stream }
+
+// Open opens a stream to the gateway at an address. Its error is ErrNotForwarded.
+func (f *Forwarder) Open(ctx context.Context, address string) (*Stream, error) {
 	stream, err := f.openStream(ctx, address)
 	if err != nil {
-		return errors.CombineErrors(ErrNotForwarded, err)
+		return nil, errors.CombineErrors(ErrNotForwarded, err)
 	}
-	t := tunnel{caller: conn, stream: stream}
+	return &Stream{stream}, nil
+}
+
+// Forward forwards a caller's connection until it has ended, and closes it. It must be called once.
+func (s *Stream) Forward(conn net.Conn) {
+	t := tunnel{caller: conn, stream: s.stream}
 	t.run()
-	return nil
 }
 
 // openStream opens a stream to a gateway.
--- a/gateway/offload.go
+++ b/gateway/offload.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -16,72 +18,100 @@
 	"github.com/rs/zerolog"
 
 	"opalbridge.dev/gateway/handoff"
+	"opalbridge.dev/gateway/offload"
 	"opalbridge.dev/gateway/peer"
 	"opalbridge.dev/gateway/reject"
 )
 
-// This file offloads callers' connections to other gateways of the hall when this one lacks
-// processor time for them. The load balancer picks a gateway by a hash of the caller, and
+// This file offloads callers' connections to other gateways of the hall, and of other halls of the region if the
+// settings say so, when this one lacks processor time for them. Package offload decides which one takes a connection. The load balancer picks a gateway by a hash of the caller, and
 // picks the same one for a retry, so all connections of an account with few callers may reach
 // one host, whatever its capacity: rejected callers would come back to it.
 
-// offloadTargets holds the gateways of the hall that may take connections. It is safe for
-// concurrent use.
+// offloadTargets decides which gateway takes a connection. It is safe for concurrent use.
 type offloadTargets struct {
-	hall    string
-	mutex   sync.Mutex
-	weights map[string]int // weights by IP address
+	otherHalls func() bool // whether gateways of other halls may take connections
+	mutex      sync.Mutex
+	decision   *offload.Handoff
+}
+
+func newOffloadTargets(hall string, regions map[string]string, otherHalls func() bool) *offloadTargets {
+	return &offloadTargets{otherHalls: otherHalls, decision: offload.NewHandoff(hall, regions, peer.Timeout)}
+}
+
+// offloadsToOtherHalls reports whether the settings and the configuration have connections handed off to other halls.
+func (g *Gateway) offloadsToOtherHalls() bool {
+	return g.options.Dispatcher.Features.Offload.applies(g.dispatcher.tolerantStreams.Load())
 }
 
 // update applies an update from another gateway.
-func (t *offloadTargets) update(u peer.Update) {
+func (t *offloadTargets) update(now time.Time, u peer.Update) {
 	if !u.Full && u.Alive {
 		return
 	}
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if !u.Alive || u.Hall != t.hall || u.Weight <= 0 {
-		delete(t.weights, u.From)
+	if !u.Alive {
+		t.decision.Lost(u.From)
 		return
 	}
-	t.weights[u.From] = u.Weight
+	t.decision.Report(now, offload.Gateway{
+		Address: u.From, Hall: u.Hall, MilliCPU: u.Weight, NotAdmitted: u.NotAdmitted, Readiness: u.Readiness,
+		Spare: u.Spare, TellsSpare: u.TellsSpare,
+	})
 }
 
-// available reports whether there is a gateway that may take connections.
-func (t *offloadTargets) available() bool {
+// obstacle returns why no gateway can take a connection; empty: one can.
+func (t *offloadTargets) obstacle(now time.Time) offload.Obstacle {
+	o := offload.ChoiceOptions{Now: now, OtherHalls: t.otherHalls()}
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return len(t.weights) > 0
+	return t.decision.Obstacle(o)
 }
 
-// pick draws a gateway at random, weighted by processor, or "" if there is none.
-func (t *offloadTargets) pick() string {
+// choose chooses a gateway at random, except one that could not be reached.
+func (t *offloadTargets) choose(now time.Time, except string) offload.Choice {
+	o := offload.ChoiceOptions{Now: now, Random: rand.Float64(), OtherHalls: t.otherHalls(), Except: except}
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	sum := 0
-	for _, w := range t.weights {
-		sum += w
-	}
-	if sum == 0 {
-		return ""
-	}
-	n := rand.IntN(sum)
-	for address, w := range t.weights {
-		if n -= w; n < 0 {
-			return address
-		}
-	}
-	return ""
+	return t.decision.Choose(o)
+}
+
+// failed records that a gateway could not be reached.
+func (t *offloadTargets) failed(address string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.decision.Failed(address)
 }
 
-// canOffload reports whether connections may be offloaded. The requests on an offloaded
-// connection are not read here, so the region constraints of their accounts are not known: the
+// offloadObstacle returns why no connection may be offloaded; empty: connections may. The requests on an
+// offloaded connection are not read here, so the region constraints of their accounts are not known: the
 // load balancer may have brought callers of another region here. Therefore nothing is
 // offloaded while some requests must not be read in this region.
-func (g *Gateway) canOffload() bool {
+func (g *Gateway) offloadObstacle() offload.Obstacle {
 	c := g.view.Load().Configuration
 	region := g.options.Dispatcher.Regions[g.options.Dispatcher.Hall]
-	return g.offloadTargets.available() && (c == nil || c.Unrestricted(region))
+	if c != nil && !c.Unrestricted(region) {
+		return offload.Restricted
+	}
+	return g.offloadTargets.obstacle(time.Now())
+}
+
+// canOffload reports whether connections may be offloaded.
+func (g *Gateway) canOffload() bool { return g.offloadObstacle() == "" }
+
+// mayOffload reports whether a connection may be offloaded, and records if not.
+func (g *Gateway) mayOffload() bool {
+	obstacle := g.offloadObstacle()
+	if obstacle != "" {
+		g.offloader.record(offload.Choice{Outcome: offload.None, Obstacle: obstacle})
+	}
+	return obstacle == ""
+}
+
+// offloadConn offloads a connection from which nothing has been read; false: nothing was done.
+func (g *Gateway) offloadConn(c *callerConn) bool {
+	return g.mayOffload() && g.offloader.offload(g.background, c)
 }
 
 // offloader offloads connections.
@@ -91,12 +121,55 @@
 	targets   *offloadTargets
 	forwarder *handoff.Forwarder
 	overload  *overload
+	metrics   Metrics
 	reject    func(reject.Conn) // takes a connection that could not be offloaded
 	active    atomic.Int64
 	started   atomic.Int64 // since the last log line
+	outcomes  offloadOutcomes
 	ended     chan struct{}
 }
 
+// offloadCounts counts what became of connections.
+type offloadCounts struct {
+	halls    map[string]int // connections handed off, by hall
+	none     int
+	failed   int
+	obstacle offload.Obstacle // of the latest connection that no gateway could take
+}
+
+// offloadOutcomes counts what became of connections since the last log line. It is safe for concurrent use.
+type offloadOutcomes struct {
+	mutex  sync.Mutex
+	counts offloadCounts
+}
+
+// add counts a connection.
+func (o *offloadOutcomes) add(c offload.Choice) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	switch c.Outcome {
+	case offload.None:
+		o.counts.none++
+		o.counts.obstacle = c.Obstacle
+	case offload.Failed:
+		o.counts.failed++
+	default:
+		if o.counts.halls == nil {
+			o.counts.halls = map[string]int{}
+		}
+		o.counts.halls[c.Hall]++
+	}
+}
+
+// take returns the counts and starts anew.
+func (o *offloadOutcomes) take() offloadCounts {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	taken := o.counts
+	o.counts = offloadCounts{}
+	return taken
+}
+
 // Capacity of the channel of finished connections.
 const endedQueueSize = 64
 
@@ -112,8 +185,8 @@
 		return nil, errors.Wrap(err, "gateway: own peer address")
 	}
 	return &offloader{
-		log: g.log, port: port, targets: g.offloadTargets, forwarder: handoff.NewForwarder(), overload: &g.overload, reject: reject,
-		ended: make(chan struct{}, endedQueueSize),
+		log: g.log, port: port, targets: g.offloadTargets, forwarder: handoff.NewForwarder(), overload: &g.overload, metrics: g.options.Metrics,
+		reject: reject, ended: make(chan struct{}, endedQueueSize),
 	}, nil
 }
 
@@ -123,31 +196,45 @@
 	reject.Conn
 }
 
+// record records what became of a connection.
+func (o *offloader) record(c offload.Choice) {
+	o.outcomes.add(c)
+	if o.metrics != nil {
+		o.metrics.ConnectionOffloaded(c.Outcome)
+	}
+}
+
 // offload offloads a connection in the background; false: there is no gateway to take it.
 func (o *offloader) offload(ctx context.Context, c offloadableConn) bool {
-	to := o.targets.pick()
-	if to == "" {
+	choice := o.targets.choose(time.Now(), "")
+	if choice.Outcome == offload.None {
+		o.record(choice)
 		return false
 	}
 	o.active.Add(1)
 	o.started.Add(1)
 	go func() {
-		o.forward(ctx, to, c)
+		o.forward(ctx, choice, c)
 		o.ended <- struct{}{}
 	}()
 	return true
 }
 
 // forward relays a connection to another gateway until it ends.
-func (o *offloader) forward(ctx context.Context, to string, c offloadableConn) {
+func (o *offloader) forward(ctx context.Context, choice offload.Choice, c offloadableConn) {
 	for range maxOffloadAttempts {
-		if o.forwarder.Forward(ctx, net.JoinHostPort(to, o.port), c) == nil {
+		stream, err := o.forwarder.Open(ctx, net.JoinHostPort(choice.Address, o.port))
+		if err == nil {
+			o.record(choice)
+			stream.Forward(c)
 			return
 		}
-		if to = o.targets.pick(); to == "" {
+		o.targets.failed(choice.Address)
+		if choice = o.targets.choose(time.Now(), choice.Address); choice.Outcome == offload.None {
 			break
 		}
 	}
+	o.record(offload.Choice{Outcome: offload.Failed})
 	o.reject(c)
 }
 
@@ -164,11 +251,7 @@
 		case <-o.ended:
 			o.active.Add(-1)
 		case <-tick.C:
-			started, deferred := o.started.Swap(0), o.overload.deferred.Swap(0)
-			if started > 0 || deferred > 0 {
-				o.log.Info().Str("event", "connection.passed_on").Int64("connections", started).Int64("open", o.active.Load()).
-					Int64("left_in_queue", deferred).Msg("connections offloaded")
-			}
+			o.logCounts()
 		case <-done:
 			done = nil
 			o.forwarder.Close()
@@ -176,6 +259,29 @@
 	}
 }
 
+// logCounts logs what became of connections since the last line. Outcomes are logged where connections may go to
+// other halls.
+func (o *offloader) logCounts() {
+	started, deferred, outcomes := o.started.Swap(0), o.overload.deferred.Swap(0), o.outcomes.take()
+	withOutcomes := o.targets.otherHalls()
+	if started == 0 && deferred == 0 && (!withOutcomes || outcomes.none+outcomes.failed == 0) {
+		return
+	}
+	line := o.log.Info().Str("event", "connection.passed_on").Int64("connections", started).Int64("open", o.active.Load()).
+		Int64("left_in_queue", deferred)
+	if withOutcomes {
+		halls := zerolog.Dict()
+		for _, hall := range slices.Sorted(maps.Keys(outcomes.halls)) {
+			halls.Int(hall, outcomes.halls[hall])
+		}
+		line.Dict("halls", halls).Int("failed", outcomes.failed).Int("none", outcomes.none)
+		if outcomes.none > 0 {
+			line.Str("reason", string(outcomes.obstacle))
+		}
+	}
+	line.Msg("connections offloaded")
+}
+
 // drain waits until no offloaded connection is left, or ctx ends.
 func (o *offloader) drain(ctx context.Context) {
 	tick := time.NewTicker(drainPollInterval)
@@ -246,7 +352,7 @@
 	if g.offloader == nil || isOffloaded(r.Context()) || r.Header.Get("Expect") != "" {
 		return false
 	}
-	if !g.canOffload() || !g.overload.offloads() || g.overload.sampleOverdue(now, offloadMaxDelay) {
+	if !g.overload.offloads() || g.overload.sampleOverdue(now, offloadMaxDelay) || !g.mayOffload() {
 		return false
 	}
 	conn, buffered, err := http.NewResponseController(w).Hijack()
--- a/gateway/offload/handoff.go
+++ b/gateway/offload/handoff.go
@@ -165,8 +165,13 @@
 	return Choice{Outcome: OtherHall, Address: t.Address, Hall: t.Hall}
 }
 
-// Available reports whether Choose would find a gateway.
-func (h *Handoff) Available(o ChoiceOptions) bool { return h.choose(&o) != nil }
+// Obstacle returns why Choose would find no gateway; empty: it would find one.
+func (h *Handoff) Obstacle(o ChoiceOptions) Obstacle {
+	if h.choose(&o) != nil {
+		return ""
+	}
+	return h.obstacle(&o)
+}
 
 // preference is how much a gateway is preferred for a connection.
 type preference int
@@ -223,7 +228,7 @@
 		return hallWithSpare, t.MilliCPU
 	case own:
 		return hallWithoutSpare, t.MilliCPU
-	case t.TellsSpare && t.left >= connectionCost:
+	case t.left >= connectionCost:
 		return otherWithSpare, int(t.left)
 	}
 	return unusable, 0
--- a/gateway/offload/handoff_test.go
+++ b/gateway/offload/handoff_test.go
@@ -115,6 +115,19 @@
 	}
 }
 
+// TestRegionsNotSet: without the regions of the halls, connections must stay in their hall: another one may be in a
+// region where they must not be read.
+func TestRegionsNotSet(t *testing.T) {
+	for _, regions := range []map[string]string{nil, {"b": "north"}, {hall: "north"}} {
+		h := offload.NewHandoff(hall, regions, handoffTimeout)
+		h.Report(start, target("3", "b", 800, 800))
+		o := offload.ChoiceOptions{Now: start, OtherHalls: true}
+		require.Equal(t, offload.None, h.Choose(o).Outcome)
+		h.Report(start, target("1", hall, 800, 800))
+		require.Equal(t, offload.OwnHall, h.Choose(o).Outcome)
+	}
+}
+
 // TestHandoffBound: whatever a gateway is asked to hand off, other halls must not get more than their spare CPU
 // bears, divided among the gateways that hand connections off, and nothing more when reports stop.
 func TestHandoffBound(t *testing.T) {
@@ -202,7 +215,7 @@
 			now := start.Add(beaconInterval)
 			test.event(h, now)
 			o := offload.ChoiceOptions{Now: now, OtherHalls: true}
-			require.Equal(t, test.taken, h.Available(o))
+			require.Equal(t, test.taken, h.Obstacle(o) == "")
 			c := h.Choose(o)
 			require.Equal(t, test.taken, c.Outcome == offload.OtherHall)
 			if test.taken {
--- a/gateway/offload_path_test.go
+++ b/gateway/offload_path_test.go
@@ -29,6 +29,11 @@
 }
 
 func startOverloaded(t *testing.T, serve http.HandlerFunc) *overloadedGateway {
+	t.Helper()
+	return startOverloadedWith(t, newOffloadTargets("h", nil, func() bool { return false }), serve)
+}
+
+func startOverloadedWith(t *testing.T, targets *offloadTargets, serve http.HandlerFunc) *overloadedGateway {
 	t.Helper()
 	listen := func(address string) net.Listener {
 		l, err := net.Listen("tcp4", address)
@@ -49,16 +54,16 @@
 	run(func() error { return links.Serve(peers) })
 	run(func() error { return server.Serve(offloaded) })
 
-	g := &Gateway{log: zerolog.Nop(), capacity: capacityFor(0, 0), offloadTargets: &offloadTargets{hall: "h", weights: map[string]int{}}}
+	g := &Gateway{log: zerolog.Nop(), capacity: capacityFor(0, 0), offloadTargets: targets}
 	g.view.Store(&View{})
 	g.options = Options{CallerListener: front, Codec: idCodec{}, Metrics: &deniedCounter{}, Peer: peer.Options{Address: peers.Addr().String()}}
 	g.overload.notAdmitted.Store(shareScale)
-	g.offloadTargets.update(peer.Update{From: "127.0.0.2", Hall: "h", Alive: true, Full: true, Weight: 800})
+	g.offloadTargets.update(time.Now(), peer.Update{From: "127.0.0.2", Hall: "h", Alive: true, Full: true, Weight: 800})
 	a := newAdmission(g)
 	o, err := newOffloader(g, a.reject)
 	require.NoError(t, err)
-	a.offload = func(c *callerConn) bool { return o.offload(ctx, c) }
 	g.offloader, g.background = o, ctx
+	a.offload = g.offloadConn
 	ownServer := &http.Server{ConnContext: withConn, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/own" || !g.offloadRequest(w, r) {
 			w.WriteHeader(http.StatusTeapot)
@@ -136,7 +141,7 @@
 	status, _ := s.post(t, "y")
 	require.Equal(t, http.StatusOK, status)
 
-	s.offloader.targets.update(peer.Update{From: "127.0.0.2", Hall: "h", Alive: true, Full: true})
+	s.offloader.targets.update(time.Now(), peer.Update{From: "127.0.0.2", Hall: "h", Alive: true, Full: true})
 	status, _ = s.post(t, "z")
 	require.Equal(t, http.StatusServiceUnavailable, status, "no gateway of the hall has processor time left")
 }
@@ -145,8 +150,8 @@
 // response.
 func TestOffloadTargetGone(t *testing.T) {
 	s := startOverloaded(t, func(http.ResponseWriter, *http.Request) {})
-	s.offloader.targets.update(peer.Update{From: "127.0.0.2"})
-	s.offloader.targets.update(peer.Update{From: "127.0.0.3", Hall: "h", Alive: true, Full: true, Weight: 1})
+	s.offloader.targets.update(time.Now(), peer.Update{From: "127.0.0.2"})
+	s.offloader.targets.update(time.Now(), peer.Update{From: "127.0.0.3", Hall: "h", Alive: true, Full: true, Weight: 1})
 	for range 3 {
 		status, _ := s.post(t, "x")
 		require.Equal(t, http.StatusServiceUnavailable, status)
--- a/gateway/offload_test.go
+++ b/gateway/offload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -11,10 +12,12 @@
 // TestOffloadTargets checks that only gateways of the same hall with processor time to spare
 // get connections, in proportion to their weight.
 func TestOffloadTargets(t *testing.T) {
-	targets := &offloadTargets{hall: "a", weights: map[string]int{}}
-	require.Empty(t, targets.pick())
+	now := time.Now()
+	targets := newOffloadTargets("a", nil, func() bool { return false })
+	pick := func() string { return targets.choose(now, "").Address }
+	require.Empty(t, pick())
 	report := func(from, hall string, weight int) {
-		targets.update(peer.Update{From: from, Hall: hall, Alive: true, Full: true, Weight: weight})
+		targets.update(now, peer.Update{From: from, Hall: hall, Alive: true, Full: true, Weight: weight})
 	}
 	report("1", "a", 144)
 	report("2", "a", 800)
@@ -23,18 +26,18 @@
 	chosen := map[string]int{}
 	const many = 2000
 	for range many {
-		chosen[targets.pick()]++
+		chosen[pick()]++
 	}
 	require.Len(t, chosen, 2)
 	require.InDelta(t, many*800/944, chosen["2"], 120)
-	targets.update(peer.Update{From: "2", Hall: "a", Alive: true})
-	require.Contains(t, []string{"1", "2"}, targets.pick(), "an incremental heartbeat carries no weight")
+	targets.update(now, peer.Update{From: "2", Hall: "a", Alive: true})
+	require.Contains(t, []string{"1", "2"}, pick(), "an incremental heartbeat carries no weight")
 	report("2", "a", 0) // overloaded
 	for range 10 {
-		require.Equal(t, "1", targets.pick())
+		require.Equal(t, "1", pick())
 	}
-	targets.update(peer.Update{From: "1"}) // gone
-	require.Empty(t, targets.pick())
+	targets.update(now, peer.Update{From: "1"}) // gone
+	require.Empty(t, pick())
 }
 
 // TestThrottleOffloadsFirst checks that requests that are not admitted are offloaded as long
--- a/gateway/overload.go
+++ b/gateway/overload.go
@@ -168,6 +168,9 @@
 		before := t.admitted
 		o.record(&t, due, now)
 		g.withdrawal.sample(now, t.admitted)
+		if g.spare.sample(now, o.overloaded(now)) {
+			g.peers.ReportSoon()
+		}
 		if before == 1 && t.admitted < 1 || before < 1 && t.admitted == 1 {
 			g.log.Warn().Str("event", "gateway.overload").Bool("overloaded", t.admitted < 1).Dur("late", now.Sub(due)).
 				Int64("requests", g.active.Load()).Msg("admission control")
--- a/gateway/peer/spare_test.go
+++ b/gateway/peer/spare_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"opalbridge.dev/gateway/peer/peerpb"
 )
 
 // TestSpareReports: a considerable change must be reported at once and once more, as a datagram may be
@@ -42,6 +46,34 @@
 	}
 }
 
+// TestSpareOfNewProcess: what a process told must not count for the next one at its address, which may run an earlier
+// release. Within a process it counts while beacons leave it out.
+func TestSpareOfNewProcess(t *testing.T) {
+	n := &Node{peers: map[netip.Addr]*remote{}}
+	from, now := netip.MustParseAddr("10.0.0.1"), time.Now()
+	beacons := []struct {
+		incarnation uint64
+		weight      uint32
+		spare       uint32
+		told        bool
+		want        int
+	}{
+		{1, 800, 0, false, 0},
+		{1, 800, 51, true, 400},
+		{1, 800, 0, true, 400},
+		{1, 0, 0, true, 0}, // short of CPU time
+		{1, 800, 0, true, 400},
+		{2, 800, 0, false, 0},
+		{2, 800, 101, true, 800},
+	}
+	for i, b := range beacons {
+		u, ok := n.applyBeacon(now, from, &peerpb.Beacon{Incarnation: b.incarnation, Sequence: uint64(i + 1), DemandsTold: true, Hall: "a", Weight: b.weight, Spare: b.spare}, 0)
+		require.True(t, ok)
+		require.Equal(t, b.told, u.TellsSpare, "beacon %d", i)
+		require.Equal(t, b.want, u.Spare, "beacon %d", i)
+	}
+}
+
 // TestSpareEncoding: what is reported must be what the gateway has, and no value may be read as more than
 // its CPU.
 func TestSpareEncoding(t *testing.T) {
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -40,8 +40,8 @@
 	if err != nil {
 		return err
 	}
-	listener.offload = func(c *callerConn) bool { return g.canOffload() && o.offload(background, c) }
 	g.offloader, g.background = o, background
+	listener.offload = g.offloadConn
 	offloadCtx, stopOffload := context.WithCancel(context.WithoutCancel(background))
 	offloadDone := make(chan struct{})
 	go func() {
--- a/gateway/update_receiver.go
+++ b/gateway/update_receiver.go
@@ -28,7 +28,7 @@
 			}
 			g.dispatcher.send(peersUpdated{list})
 			for _, u := range list {
-				g.offloadTargets.update(u)
+				g.offloadTargets.update(time.Now(), u)
 				g.withdrawal.update(time.Now(), u)
 				g.callerRetries.addRemote(time.Now(), u.Refusals)
 				g.suspects.SetPeerLive(u.From, u.Alive)
--- a/gateway/withdrawal_world_test.go
+++ b/gateway/withdrawal_world_test.go
@@ -39,6 +39,9 @@
 	dies        []int         // these gateways die at diesAt
 	restarts    int           // this gateway starts anew at diesAt
 	diesAt      time.Duration
+	halls       int           // 0: one, in a fleet of three
+	offload     Mode          // if there are several halls
+	burstAt     time.Duration // from this time on, for burstLength, the rate is burstFactor times as high; 0: never
 }
 
 // hallWorldResult counts what callers got.
@@ -48,6 +51,9 @@
 	changes                                 int           // of gateways' readiness by withdrawals
 	tooFew                                  time.Duration // the load balancer used fewer than half of the living gateways
 	idle                                    float64       // part of the CPU time of the large hosts
+	otherHall                               int           // of offloaded, those to other halls
+	elsewhere, elsewhereInTime              int           // requests of the callers of the other halls
+	idleInBurst                             float64       // part of the CPU time of the other halls during the burst
 }
 
 func (r hallWorldResult) String() string {
@@ -64,13 +70,16 @@
 
 type hallGateway struct {
 	name       string
+	hall       string
 	cpu        float64 // cores
 	backlog    time.Duration
 	busy       time.Duration
 	throttle   throttle
 	overload   *overload
 	rejects    rejectLimiter
-	targets    map[string]int // weights of gateways that take connections
+	targets    map[string]int  // weights of gateways that take connections
+	handoff    *offloadTargets // decides instead of targets if there are several halls
+	spare      *spareCPU
 	withdrawal *withdrawal
 	due, runs  time.Duration // of the next sample, and when its goroutine runs; 0: not known yet
 	queue      []hallRequest // the kernel's accept queue
@@ -91,18 +100,35 @@
 	// A request waits for the CPU some five times on its way.
 	hallWaits  = 5
 	hallLength = 90 * time.Second
+	// A burst of the fleet's load.
+	burstFactor = 1.7
+	burstLength = 20 * time.Second
 )
 
+// hallNames are the names of the halls. Two thirds of the callers reach the first one.
+var hallNames = []string{"a", "b", "c"}
+
 func newHallWorld(o hallWorldOptions) *hallWorld {
 	w := &hallWorld{options: o, random: rand.New(rand.NewPCG(o.seed, 1)), arrivals: rand.New(rand.NewPCG(o.seed, 2)), start: time.Unix(1000, 0)}
-	for i := range 9 {
-		g := &hallGateway{name: fmt.Sprintf("10.0.0.%d", i+1), cpu: 0.144, used: true}
+	for n := range 9 * max(o.halls, 1) {
+		hall, i := n/9, n%9
+		g := &hallGateway{name: fmt.Sprintf("10.0.%d.%d", hall, i+1), hall: hallNames[hall], cpu: 0.144, used: true}
 		if i < 2 {
 			g.cpu = 0.8
 		}
 		w.begin(g)
 		w.gateways = append(w.gateways, g)
 	}
+	if o.halls > 1 {
+		for n := range 900 {
+			hall := hallNames[0]
+			if n%3 == 0 {
+				hall = hallNames[1+n/3%(o.halls-1)]
+			}
+			w.callers = append(w.callers, fmt.Sprint(hall, " caller-", n))
+		}
+		return w
+	}
 	// Half of the callers belong to one account, and all of these reach one small host.
 	for n := 0; len(w.callers) < 400; n++ {
 		c := fmt.Sprint("caller-", n)
@@ -119,27 +145,45 @@
 	g.throttle, g.overload = throttle{admitted: 1, offloaded: 1}, &overload{}
 	g.overload.start(w.start.Add(g.due))
 	g.targets = map[string]int{}
-	g.withdrawal = newWithdrawal(&Gateway{log: zerolog.Nop(), options: Options{
-		MilliCPU: int(g.cpu * 1000), Dispatcher: DispatcherOptions{Address: g.name, Hall: "a", Features: Features{Withdraw: w.options.withdraw}},
-	}})
+	gateway := &Gateway{log: zerolog.Nop(), dispatcher: &dispatcher{}, options: Options{MilliCPU: int(g.cpu * 1000), Dispatcher: DispatcherOptions{
+		Address: g.name, Hall: g.hall, Regions: map[string]string{"a": "r", "b": "r", "c": "r"},
+		Features: Features{Withdraw: w.options.withdraw, Offload: w.options.offload},
+	}}}
+	gateway.dispatcher.settings = gateway.options.Dispatcher
+	g.withdrawal = newWithdrawal(gateway)
+	g.handoff = newOffloadTargets(g.hall, gateway.options.Dispatcher.Regions, gateway.offloadsToOtherHalls)
+	if g.spare = newSpareCPU(gateway); g.spare != nil {
+		g.spare.used = func() time.Duration { return g.busy }
+	}
+	if w.options.halls > 1 {
+		return
+	}
 	for i := range 18 { // in the other halls
 		g.withdrawal.update(w.start.Add(w.now), peer.Update{From: fmt.Sprintf("10.0.1.%d", i+1), Hall: "b", Alive: true, Full: true, Weight: 800})
 	}
 }
 
+// reaches reports whether a caller reaches a gateway's hall.
+func (w *hallWorld) reaches(caller string, g *hallGateway) bool {
+	return w.options.halls <= 1 || caller[:1] == g.hall
+}
+
 // pick returns the gateway that the load balancer uses for a caller: rendezvous hashing over those
 // that it uses, or over all if it uses fewer than half.
 func (w *hallWorld) pick(caller string) *hallGateway {
-	used := 0
+	used, total := 0, 0
 	for _, g := range w.gateways {
-		if g.used {
-			used++
+		if w.reaches(caller, g) {
+			total++
+			if g.used {
+				used++
+			}
 		}
 	}
 	var best *hallGateway
 	highest := uint64(0)
 	for _, g := range w.gateways {
-		if !g.used && 2*used >= len(w.gateways) {
+		if !g.used && 2*used >= total || !w.reaches(caller, g) {
 			continue
 		}
 		h := fnv.New64a()
@@ -164,15 +208,34 @@
 		return serveConn
 	case w.random.Float64() < g.throttle.offloaded && !g.overload.sampleOverdue(now, offloadMaxDelay):
 		return offloadConn
-	case len(g.targets) == 0 || g.rejects.allow(now):
-		g.overload.backlogged.Store(len(g.targets) > 0)
+	case !w.hasTarget(g) || g.rejects.allow(now):
+		g.overload.backlogged.Store(w.hasTarget(g))
 		return rejectConn
 	}
 	g.overload.backlogged.Store(true)
 	return deferConn
 }
 
-// target does what offloadTargets.pick does.
+// hasTarget reports whether there is a gateway that takes connections.
+func (w *hallWorld) hasTarget(g *hallGateway) bool {
+	if w.options.halls > 1 {
+		return g.handoff.obstacle(w.start.Add(w.now)) == ""
+	}
+	return len(g.targets) > 0
+}
+
+// choose does what offloadTargets.choose does, with the world's random numbers.
+func (w *hallWorld) choose(g *hallGateway) *hallGateway {
+	c := g.handoff.decision.Choose(offload.ChoiceOptions{Now: w.start.Add(w.now), Random: w.random.Float64(), OtherHalls: g.handoff.otherHalls()})
+	for _, to := range w.gateways {
+		if to.name == c.Address {
+			return to
+		}
+	}
+	return nil
+}
+
+// target chooses a gateway of the only hall.
 func (w *hallWorld) target(g *hallGateway) *hallGateway {
 	sum := 0
 	for _, weight := range g.targets {
@@ -199,7 +262,13 @@
 			return
 		}
 		g.queue = g.queue[1:]
-		to := w.target(g)
+		var to *hallGateway
+		switch {
+		case w.options.halls <= 1:
+			to = w.target(g)
+		case action == offloadConn:
+			to = w.choose(g)
+		}
 		switch {
 		case g.dead:
 			w.retry(r)
@@ -207,6 +276,9 @@
 			w.serve(r, g, 0)
 		case action == offloadConn && to != nil && !to.dead:
 			w.result.offloaded++
+			if to.hall != g.hall {
+				w.result.otherHall++
+			}
 			delay := w.delay(g)
 			g.backlog += hallOffloadCost
 			w.serve(r, to, delay)
@@ -236,6 +308,14 @@
 		return
 	}
 	w.result.inTime++
+	if w.elsewhere(r) {
+		w.result.elsewhereInTime++
+	}
+}
+
+// elsewhere reports whether a request's caller reaches another hall than the first.
+func (w *hallWorld) elsewhere(r hallRequest) bool {
+	return w.options.halls > 1 && r.caller[:1] != hallNames[0]
 }
 
 // sample takes a gateway's sample of its scheduling delay when the goroutine for it runs.
@@ -247,7 +327,7 @@
 		return
 	}
 	g.throttle.minAdmitted = minAdmittedShare
-	if len(g.targets) > 0 {
+	if w.hasTarget(g) {
 		g.throttle.minAdmitted = 0
 	}
 	g.overload.record(&g.throttle, w.start.Add(g.due), w.start.Add(w.now))
@@ -256,18 +336,23 @@
 	if g.withdrawal.isWithdrawn() != before {
 		w.result.changes++
 	}
+	if g.spare.sample(w.start.Add(w.now), g.overload.overloaded(w.start.Add(w.now))) {
+		w.report(g)
+	}
 	g.due, g.runs = w.now+delaySampleInterval, 0
 }
 
 // report sends a gateway's beacon to the others.
 func (w *hallWorld) report(g *hallGateway) {
-	u := peer.Update{From: g.name, Hall: "a", Alive: !g.dead, Full: true}
+	u := peer.Update{From: g.name, Hall: g.hall, Alive: !g.dead, Full: true}
 	if w.options.reportsEnd > 0 && w.now >= w.options.reportsFrom && w.now < w.options.reportsEnd {
 		u.Alive = false
 	}
 	if !g.overload.overloaded(w.start.Add(w.now)) {
 		u.Weight = int(g.cpu * 1000)
+		u.Spare, _ = g.spare.told()
 	}
+	_, u.TellsSpare = g.spare.told()
 	u.NotAdmitted = g.overload.notAdmittedPercent(w.start.Add(w.now))
 	if g.withdrawal.isWithdrawn() {
 		u.Readiness = offload.Withdrawn
@@ -277,6 +362,7 @@
 			if other.targets[g.name] = u.Weight; !u.Alive || u.Weight == 0 {
 				delete(other.targets, g.name)
 			}
+			other.handoff.update(w.start.Add(w.now), u)
 			other.withdrawal.update(w.start.Add(w.now), u)
 		}
 	}
@@ -306,6 +392,10 @@
 	}
 }
 
+func (w *hallWorld) inBurst() bool {
+	return w.options.burstAt > 0 && w.now >= w.options.burstAt && w.now < w.options.burstAt+burstLength
+}
+
 func (w *hallWorld) play() hallWorldResult {
 	due := time.Duration(0)
 	for ; w.now < hallLength; w.now += hallStep {
@@ -322,6 +412,9 @@
 			work := min(g.backlog, time.Duration(g.cpu*float64(hallStep)))
 			g.backlog -= work
 			g.busy += work
+			if w.inBurst() && g.hall != hallNames[0] {
+				w.result.idleInBurst += (1 - work.Seconds()/g.cpu/hallStep.Seconds()) * g.cpu
+			}
 			if !g.dead {
 				w.sample(g)
 			}
@@ -338,9 +431,15 @@
 		if w.options.laterRate > 0 && w.now >= w.options.changesAt {
 			rate = w.options.laterRate
 		}
+		if w.inBurst() {
+			rate *= burstFactor
+		}
 		for ; due <= w.now; due += time.Duration(w.arrivals.ExpFloat64() / rate * float64(time.Second)) {
 			w.result.requests++
 			waiting = append(waiting, hallRequest{caller: w.callers[w.arrivals.IntN(len(w.callers))], arrived: w.now, due: w.now})
+			if w.elsewhere(waiting[len(waiting)-1]) {
+				w.result.elsewhere++
+			}
 		}
 		for _, r := range waiting {
 			if r.due > w.now {
@@ -357,6 +456,15 @@
 	for _, g := range w.gateways {
 		w.result.failed += len(g.queue)
 	}
+	total := 0.0
+	for _, g := range w.gateways {
+		if g.hall != hallNames[0] {
+			total += g.cpu
+		}
+	}
+	if total > 0 {
+		w.result.idleInBurst *= hallStep.Seconds() / burstLength.Seconds() / total
+	}
 	for _, g := range w.gateways[:2] {
 		w.result.idle += (1 - g.busy.Seconds()/g.cpu/hallLength.Seconds()) / 2
 	}
--- a/settings/mode_test.go
+++ b/settings/mode_test.go
@@ -16,20 +16,23 @@
 		text           string
 		surplus, plain settings.Mode
 		withdraw       settings.Mode
+		offload        settings.Mode
 		valid          bool
 	}{
-		{"", settings.Off, settings.Off, settings.Off, true},
-		{"surplus: share\nplain_queue: none\nwithdraw: off\n", settings.Off, settings.Off, settings.Off, true},
-		{"surplus: auto\nplain_queue: auto\nwithdraw: auto\n", settings.Auto, settings.Auto, settings.Auto, true},
-		{"surplus: idle\nplain_queue: slots\nwithdraw: on\n", settings.On, settings.On, settings.On, true},
-		{"surplus: Idle\n", settings.Off, settings.Off, settings.Off, false},
-		{"surplus: on\n", settings.Off, settings.Off, settings.Off, false},
-		{"plain_queue: \"\"\n", settings.Off, settings.Off, settings.Off, false},
-		{"pauses: auto\n", settings.Off, settings.Off, settings.Off, false},
-		{"withdraw: yes\n", settings.Off, settings.Off, settings.Off, false},
-		{"withdraw: Auto\n", settings.Off, settings.Off, settings.Off, false},
-		{"stream_backups: 1\n", settings.Off, settings.Off, settings.Off, false},
-		{"stream_moves: yes\n", settings.Off, settings.Off, settings.Off, false},
+		{"", settings.Off, settings.Off, settings.Off, settings.Off, true},
+		{"surplus: share\nplain_queue: none\nwithdraw: off\noffload: hall\n", settings.Off, settings.Off, settings.Off, settings.Off, true},
+		{"surplus: auto\nplain_queue: auto\nwithdraw: auto\noffload: auto\n", settings.Auto, settings.Auto, settings.Auto, settings.Auto, true},
+		{"surplus: idle\nplain_queue: slots\nwithdraw: on\noffload: region\n", settings.On, settings.On, settings.On, settings.On, true},
+		{"surplus: Idle\n", settings.Off, settings.Off, settings.Off, settings.Off, false},
+		{"surplus: on\n", settings.Off, settings.Off, settings.Off, settings.Off, false},
+		{"plain_queue: \"\"\n", settings.Off, settings.Off, settings.Off, settings.Off, false},
+		{"pauses: auto\n", settings.Off, settings.Off, settings.Off, settings.Off, false},
+		{"withdraw: yes\n", settings.Off, settings.Off, settings.Off, settings.Off, false},
+		{"withdraw: Auto\n", settings.Off, settings.Off, settings.Off, settings.Off, false},
+		{"offload: on\n", settings.Off, settings.Off, settings.Off, settings.Off, false},
+		{"offload: Region\n", settings.Off, settings.Off, settings.Off, settings.Off, false},
+		{"stream_backups: 1\n", settings.Off, settings.Off, settings.Off, settings.Off, false},
+		{"stream_moves: yes\n", settings.Off, settings.Off, settings.Off, settings.Off, false},
 	}
 	for _, test := range tests {
 		t.Run(fmt.Sprintf("%q", test.text), func(t *testing.T) {
@@ -42,6 +45,7 @@
 			require.Equal(t, test.surplus, s.IdleSurplus)
 			require.Equal(t, test.plain, s.QueuePlainWork)
 			require.Equal(t, test.withdraw, s.Withdraw)
+			require.Equal(t, test.offload, s.Offload)
 		})
 	}
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -86,6 +86,7 @@
 	BackUpStreams  Mode
 	QueuePlainWork Mode
 	Withdraw       Mode
+	Offload        Mode
 }
 
 // Mode says whether an optional decision is made.
@@ -232,6 +233,8 @@
 		func(s *Settings, t string) error { return setMode(&s.QueuePlainWork, t, "none", "slots") }},
 	{"withdraw", gateway, false, "off", "Whether a gateway without CPU time for its callers fails the load balancer's health checks for a while, if a larger one in its hall has CPU to spare: off, on, or auto (on if, of every service with streams, pauses are avoided and the objectives are 450 ms or more).",
 		func(s *Settings, t string) error { return setMode(&s.Withdraw, t, "off", "on") }},
+	{"offload", gateway, false, "hall", "Which gateways take connections that one without CPU time cannot serve: hall (of its hall), region (of its hall, then those of other halls of the region that have CPU to spare; needs regions), or auto (region if, of every service with streams, pauses are avoided and the objectives are 450 ms or more).",
+		func(s *Settings, t string) error { return setMode(&s.Offload, t, "hall", "region") }},
 }
 
 // Parse parses the settings of a role. If the content is valid YAML but not valid
--- a/telemetry/gateway.go
+++ b/telemetry/gateway.go
@@ -21,12 +21,13 @@
 	slots        metric.Int64Counter
 	refusals     metric.Int64Counter
 	continued    metric.Int64Counter
+	offloaded    metric.Int64Counter
 }
 
 // NewGatewayMetrics creates the instruments of a gateway.
 func NewGatewayMetrics(m metric.Meter) (*GatewayMetrics, error) {
 	var c GatewayMetrics
-	var errs [10]error
+	var errs [11]error
 	c.requests, errs[0] = m.Int64Counter("opalbridge.gateway.requests", metric.WithDescription("requests that ended, by service, kind and result"))
 	c.attempts, errs[1] = m.Int64Counter("opalbridge.gateway.attempts", metric.WithDescription("sends to servers, by service; over opalbridge.gateway.requests"))
 	c.first, errs[2] = m.Float64Histogram("opalbridge.gateway.first", metric.WithUnit("s"), metric.WithDescription("time from arrival to the first byte passed on"))
@@ -37,6 +38,7 @@
 	c.slots, errs[7] = m.Int64Counter("opalbridge.gateway.slot_decisions", metric.WithDescription("requests to plain services that were held or refused for want of a slot, by service and decision"))
 	c.refusals, errs[8] = m.Int64Counter("opalbridge.gateway.refusals", metric.WithDescription("requests refused, by service, by why they got no capacity beyond their account's share, and by whether an idle server could have served them within a quarter of their objective"))
 	c.continued, errs[9] = m.Int64Counter("opalbridge.gateway.streams_continued", metric.WithDescription("steps by which streams continue at other servers: move, backup, resume; by service and outcome"))
+	c.offloaded, errs[10] = m.Int64Counter("opalbridge.gateway.connections_offloaded", metric.WithDescription("connections for which the gateway lacked CPU time, by outcome: own_hall and other_hall (a gateway there took it), none (no gateway could take it), failed (those that could were not reached)"))
 	return &c, errors.Wrap(errors.Join(errs[:]...), "telemetry: gateway")
 }
 
@@ -86,6 +88,11 @@
 	c.continued.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("step", step), attribute.String("outcome", outcome)))
 }
 
+// RecordConnectionOffloaded records what became of a connection for which the gateway lacked CPU time.
+func (c *GatewayMetrics) RecordConnectionOffloaded(outcome string) {
+	c.offloaded.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome)))
+}
+
 // RecordRetryAcknowledged records the time from the decision on a retry to its server's first sign of
 // life.
 func (c *GatewayMetrics) RecordRetryAcknowledged(service string, delay time.Duration) {
