--- a/cmd/opalbridge/withdraw_test.go
+++ b/cmd/opalbridge/withdraw_test.go
@@ -18,34 +18,46 @@
 	"opalbridge.dev/platform/platformtest"
 )
 
-// withdrawalFleet is a hall of one small and three larger gateways, each a process.
+// withdrawalFleet is a fleet of gateways, each a process.
 type withdrawalFleet struct {
 	gateways []*process
+	fronts   []string // addresses for callers
 	health   []string // addresses of health checks
 	metrics  []string
 	logs     []chan string // each gateway's log, once it has ended
 }
 
+// gatewayHost is a host of a gateway.
+type gatewayHost struct {
+	hall string
+	cpu  float64
+}
+
+// startWithdrawalFleet starts a hall of one small and three larger gateways.
 func startWithdrawalFleet(t *testing.T, setting string) *withdrawalFleet {
-	store := &platformtest.Store{}
-	h := httptest.NewServer(store)
-	t.Cleanup(h.Close)
+	return startGatewayFleet(t, []gatewayHost{{"a", 0.144}, {"a", 0.8}, {"a", 0.8}, {"a", 0.8}}, "withdraw: "+setting+"\n")
+}
+
+func startGatewayFleet(t *testing.T, hosts []gatewayHost, settings string) *withdrawalFleet {
+	entries := &platformtest.Store{}
+	store := httptest.NewServer(entries)
+	t.Cleanup(store.Close)
 	server := &platformtest.Server{ID: "i-0", Service: "s", Hall: "a"}
 	s := httptest.NewServer(server)
 	t.Cleanup(s.Close)
-	store.Put(platform.ServersPrefix+server.ID, server.Entry(strings.TrimPrefix(s.URL, "http://"), "ready"))
-	store.Put(platform.ConfigurationKey, []byte(`{"version":1,"routes":[
+	entries.Put(platform.ServersPrefix+server.ID, server.Entry(strings.TrimPrefix(s.URL, "http://"), "ready"))
+	entries.Put(platform.ConfigurationKey, []byte(`{"version":1,"routes":[
  {"name":"stream","host":"h","prefix":"/","kind":"streaming","timeout_ms":3000,"goal_ms":800,"service":"s","max_attempts":1}],
  "services":[{"name":"s","max_conns":100}],"limits":{"max_body_bytes":1000,"idle_timeout_ms":15000},
  "tenants":[{"name":"t1","api_keys":["k1"],"priority":1}]}`))
 	port, err := platformtest.FreePort()
 	require.NoError(t, err)
 	f := &withdrawalFleet{}
-	for i, cpu := range []float64{0.144, 0.8, 0.8, 0.8} {
-		health, metrics := freeAddress(t), freeAddress(t)
+	for i, h := range hosts {
+		front, health, metrics := freeAddress(t), freeAddress(t), freeAddress(t)
 		file := filepath.Join(t.TempDir(), "gateway.yaml")
-		text := fmt.Sprintf("name: g-%d\nhall: a\nfront_address: %s\nready_address: %s\npeer_address: 127.0.0.%d:%d\nadmin_address: %s\nstore_address: %s\nseeds: 127.0.0.1,127.0.0.2\nprocessor: %g\nstop_timeout: 1s\nwithdraw: %s\n",
-			i, freeAddress(t), health, i+1, port, metrics, strings.TrimPrefix(h.URL, "http://"), cpu, setting)
+		text := fmt.Sprintf("name: g-%d\nhall: %s\nfront_address: %s\nready_address: %s\npeer_address: 127.0.0.%d:%d\nadmin_address: %s\nstore_address: %s\nseeds: 127.0.0.1,127.0.0.2\nprocessor: %g\nstop_timeout: 1s\n%s",
+			i, h.hall, front, health, i+1, port, metrics, strings.TrimPrefix(store.URL, "http://"), h.cpu, settings)
 		require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
 		p, out := startProcess(t, "gateway", "--settings", file)
 		lines := make(chan string, 1)
@@ -53,7 +65,7 @@
 			b, _ := io.ReadAll(out) // the pipe is closed when the process has been waited for
 			lines <- string(b)
 		}()
-		f.gateways, f.health, f.metrics, f.logs = append(f.gateways, p), append(f.health, health), append(f.metrics, metrics), append(f.logs, lines)
+		f.gateways, f.fronts, f.health, f.metrics, f.logs = append(f.gateways, p), append(f.fronts, front), append(f.health, health), append(f.metrics, metrics), append(f.logs, lines)
 	}
 	require.Eventually(t, func() bool {
 		for i := range f.gateways {
@@ -77,6 +89,16 @@
 	return r.StatusCode
 }
 
+// metricsPage returns a gateway's metrics.
+func (f *withdrawalFleet) metricsPage(t *testing.T, gateway int) string {
+	r, err := http.Get("http://" + f.metrics[gateway] + "/metrics")
+	require.NoError(t, err)
+	defer r.Body.Close()
+	page, err := io.ReadAll(r.Body)
+	require.NoError(t, err)
+	return string(page)
+}
+
 // overload leaves a gateway little CPU time until stop is closed, and reports its end on done.
 func (f *withdrawalFleet) overload(gateway int, stop <-chan struct{}, done chan<- struct{}) {
 	defer close(done)
@@ -108,12 +130,7 @@
 	}
 	time.Sleep(time.Second)
 	require.Equal(t, http.StatusServiceUnavailable, f.status(0), "it stays withdrawn for a minute")
-	r, err := http.Get("http://" + f.metrics[0] + "/metrics")
-	require.NoError(t, err)
-	defer r.Body.Close()
-	page, err := io.ReadAll(r.Body)
-	require.NoError(t, err)
-	require.Regexp(t, `(?m)^opalbridge_gateway_withdrawn(\{.*\})? 1$`, string(page))
+	require.Regexp(t, `(?m)^opalbridge_gateway_withdrawn(\{.*\})? 1$`, f.metricsPage(t, 0))
 	for i := 1; i < len(f.gateways); i++ { // planned stops: the hall has too few ready gateways left
 		require.NoError(t, f.gateways[i].command.Process.Signal(syscall.SIGTERM))
 	}
--- a/gateway/handoff/handoff.go
+++ b/gateway/handoff/handoff.go
@@ -44,7 +44,7 @@
 // Sizes and timeouts of links.
 const (
 	// Opening a link fails after this time: within a hall the round trip takes less than a
-	// millisecond.
+	// millisecond, between halls of a region less than three.
 	linkDialTimeout = 300 * time.Millisecond
 	// After a failure to open a link, no other attempt to the same gateway is made for this
 	// long.
