gateway/offload: a choice within the hall looks at its gateways only

The own hall's stand first now, and only they are looked at in that case. go test ./gateway/offload passes.

--- a/gateway/offload.go
+++ b/gateway/offload.go
@@ -24,9 +24,10 @@
 )
 
 // This file offloads callers' connections to other gateways of the hall, and of other halls of the region if the
-// settings say so, when this one lacks processor time for them. Package offload decides which one takes a connection. The load balancer picks a gateway by a hash of the caller, and
-// picks the same one for a retry, so all connections of an account with few callers may reach
-// one host, whatever its capacity: rejected callers would come back to it.
+// settings say so, when this one lacks processor time for them. Package offload decides which one takes a
+// connection. The load balancer picks a gateway by a hash of the caller, and picks the same one for a retry, so
+// all connections of an account with few callers may reach one host, whatever its capacity: rejected callers
+// would come back to it.
 
 // offloadTargets decides which gateway takes a connection. It is safe for concurrent use.
 type offloadTargets struct {
--- a/gateway/offload/handoff.go
+++ b/gateway/offload/handoff.go
@@ -60,7 +60,8 @@
 	hall    string
 	regions map[string]string // region of each hall
 	timeout time.Duration     // a gateway that has not reported for this long is lost
-	targets []*target         // in order of address
+	targets []*target         // of the own hall, and then of others, each in order of address
+	ownHall int               // number of targets of the own hall
 	short   map[string]int    // gateways that are short of CPU time, by hall; those of other regions do not count
 }
 
@@ -83,8 +84,41 @@
 	return hall == h.hall || region != "" && h.regions[hall] == region
 }
 
+// find returns the index of a gateway among the targets.
 func (h *Handoff) find(address string) (index int, found bool) {
-	return slices.BinarySearchFunc(h.targets, address, func(t *target, a string) int { return cmp.Compare(t.Address, a) })
+	if index, found = search(h.targets[:h.ownHall], address); found {
+		return index, true
+	}
+	index, found = search(h.targets[h.ownHall:], address)
+	return h.ownHall + index, found
+}
+
+func search(list []*target, address string) (index int, found bool) {
+	return slices.BinarySearchFunc(list, address, func(t *target, a string) int { return cmp.Compare(t.Address, a) })
+}
+
+// add adds a gateway that is not among the targets, and returns it.
+func (h *Handoff) add(now time.Time, g Gateway) *target {
+	t := &target{Gateway: g, reportedAt: now.Add(-reportInterval)}
+	if g.Hall == h.hall {
+		i, _ := search(h.targets[:h.ownHall], g.Address)
+		h.targets = slices.Insert(h.targets, i, t)
+		h.ownHall++
+	} else {
+		i, _ := search(h.targets[h.ownHall:], g.Address)
+		h.targets = slices.Insert(h.targets, h.ownHall+i, t)
+	}
+	h.count(g, 1)
+	return t
+}
+
+// candidates returns the gateways that may take a connection. Where those of other halls may not, a fleet of
+// hundreds of gateways costs no more than the own hall.
+func (h *Handoff) candidates(o *ChoiceOptions) []*target {
+	if o.OtherHalls {
+		return h.targets
+	}
+	return h.targets[:h.ownHall]
 }
 
 // Report takes over another gateway's state.
@@ -93,16 +127,9 @@
 		h.Lost(g.Address)
 		return
 	}
-	i, found := h.find(g.Address)
-	if !found {
-		h.targets = slices.Insert(h.targets, i, &target{Gateway: g, reportedAt: now.Add(-reportInterval)})
-	} else {
-		h.count(h.targets[i].Gateway, -1)
-	}
-	h.count(g, 1)
-	t := h.targets[i]
+	t := h.update(now, g)
 	age := min(max(now.Sub(t.reportedAt), 0), maxSpareAge)
-	t.Gateway, t.reportedAt = g, now
+	t.reportedAt = now
 	part := func(d time.Duration) time.Duration {
 		return d * time.Duration(g.Spare) / 1000 / time.Duration(h.senders(g.Hall))
 	}
@@ -114,6 +141,23 @@
 	t.left = min(t.left+part(age), max(part(maxSpareAge), connectionCost))
 }
 
+// update replaces a gateway's state, or adds the gateway.
+func (h *Handoff) update(now time.Time, g Gateway) *target {
+	i, found := h.find(g.Address)
+	if found && h.targets[i].Hall != g.Hall {
+		h.Lost(g.Address)
+		found = false
+	}
+	if !found {
+		return h.add(now, g)
+	}
+	t := h.targets[i]
+	h.count(t.Gateway, -1)
+	h.count(g, 1)
+	t.Gateway = g
+	return t
+}
+
 // count counts a gateway that is short of CPU time.
 func (h *Handoff) count(g Gateway, n int) {
 	if g.MilliCPU <= 0 && g.Readiness != NotReady {
@@ -141,6 +185,9 @@
 	if i, found := h.find(address); found {
 		h.count(h.targets[i].Gateway, -1)
 		h.targets = slices.Delete(h.targets, i, i+1)
+		if i < h.ownHall {
+			h.ownHall--
+		}
 	}
 }
 
@@ -187,7 +234,7 @@
 // choose draws a gateway among those that are preferred most, or returns nil if none is usable.
 func (h *Handoff) choose(o *ChoiceOptions) *target {
 	var sums [unusable]int
-	for _, t := range h.targets {
+	for _, t := range h.candidates(o) {
 		if p, weight := h.rate(o, t); p != unusable {
 			sums[p] += weight
 		}
@@ -203,7 +250,7 @@
 // draw draws one of the gateways of a preference, whose weights add up to sum.
 func (h *Handoff) draw(o *ChoiceOptions, best preference, sum int) *target {
 	n := min(int(o.Random*float64(sum)), sum-1)
-	for _, t := range h.targets {
+	for _, t := range h.candidates(o) {
 		if p, weight := h.rate(o, t); p == best {
 			if n -= weight; n < 0 {
 				return t
@@ -220,9 +267,9 @@
 	switch {
 	case t.MilliCPU <= 0:
 		return unusable, 0
-	case !o.OtherHalls && own:
+	case !o.OtherHalls:
 		return hallWithSpare, t.MilliCPU
-	case !o.OtherHalls || !h.usable(o, t):
+	case !h.usable(o, t):
 		return unusable, 0
 	case own && (!t.TellsSpare || t.left >= connectionCost):
 		return hallWithSpare, t.MilliCPU
@@ -242,9 +289,9 @@
 // obstacle says why no gateway can take a connection.
 func (h *Handoff) obstacle(o *ChoiceOptions) Obstacle {
 	obstacle := NoGateway
-	for _, t := range h.targets {
+	for _, t := range h.candidates(o) {
 		switch {
-		case !h.usable(o, t) || t.Hall != h.hall && !o.OtherHalls:
+		case !h.usable(o, t):
 		case t.MilliCPU > 0:
 			return NoSpare // it would have been chosen if it were of this hall
 		default:
