gateway/offload: a test of gateways that change their hall; a comment in its place

A gateway that starts again in another hall would stand in the wrong part of the list; without the change of its place TestChangedHall fails. The comment on the larger gateways of earlier releases referred to a constant that no longer stood before it. No decision changes.

--- a/gateway/offload/handoff_test.go
+++ b/gateway/offload/handoff_test.go
@@ -225,6 +225,26 @@
 	}
 }
 
+// TestChangedHall guards against a gateway that stands in two halls, or stays in a hall that it has left,
+// after it has started again in another one.
+func TestChangedHall(t *testing.T) {
+	h := newHandoff(start)
+	for _, step := range []struct {
+		hall string
+		want offload.Outcome
+	}{{"b", offload.OtherHall}, {hall, offload.OwnHall}, {"b", offload.OtherHall}, {hall, offload.OwnHall}} {
+		h.Report(start, target("1", step.hall, 800, 800))
+		c := h.Choose(offload.ChoiceOptions{Now: start, OtherHalls: true})
+		require.Equal(t, step.want, c.Outcome)
+		require.Equal(t, step.hall, c.Hall)
+		within := h.Choose(offload.ChoiceOptions{Now: start})
+		require.Equal(t, step.hall == hall, within.Outcome == offload.OwnHall)
+	}
+	h.Lost("1")
+	require.Equal(t, offload.None, h.Choose(offload.ChoiceOptions{Now: start, OtherHalls: true}).Outcome)
+	require.Equal(t, offload.NoGateway, h.Obstacle(offload.ChoiceOptions{Now: start, OtherHalls: true}))
+}
+
 // BenchmarkChoose measures a choice at a gateway whose hall is short, for docs/CAPACITY.md.
 func BenchmarkChoose(b *testing.B) {
 	for _, n := range []int{30, 300, 2400} {
--- a/gateway/offload/withdrawal.go
+++ b/gateway/offload/withdrawal.go
@@ -26,10 +26,10 @@
 	// part of the window.
 	maxSimilarShort = 0.7
 	shortWindow     = 3 * time.Second
+	// Larger gateways of earlier releases may be short of CPU time for less than this part of the settle time.
+	minLargerShort = 0.5
 	// Minimum time between records of the hall's state that reports cause.
 	recordInterval = 100 * time.Millisecond
-	// The same for larger gateways of earlier releases and the settle time.
-	minLargerShort = 0.5
 	// The load balancer uses all gateways of a hall if fewer than half are ready. The rest is a margin
 	// for one that dies.
 	minReadyNumerator, minReadyDenominator = 3, 5
