gateway: no third choice for a connection that two gateways did not take

Cause: after the last attempt to open a link, another gateway was chosen and its spare CPU counted as used, though the connection was rejected.

Change: a gateway is chosen only if it is tried.

--- a/gateway/offload.go
+++ b/gateway/offload.go
@@ -222,18 +222,22 @@
 
 // forward relays a connection to another gateway until it ends.
 func (o *offloader) forward(ctx context.Context, choice offload.Choice, c offloadableConn) {
-	for range maxOffloadAttempts {
+	for attempt := range maxOffloadAttempts {
+		if attempt > 0 {
+			o.targets.failed(choice.Address)
+			choice = o.targets.choose(time.Now(), choice.Address)
+		}
+		if choice.Outcome == offload.None {
+			break
+		}
 		stream, err := o.forwarder.Open(ctx, net.JoinHostPort(choice.Address, o.port))
 		if err == nil {
 			o.record(choice)
 			stream.Forward(c)
 			return
 		}
-		o.targets.failed(choice.Address)
-		if choice = o.targets.choose(time.Now(), choice.Address); choice.Outcome == offload.None {
-			break
-		}
 	}
+	o.targets.failed(choice.Address)
 	o.record(offload.Choice{Outcome: offload.Failed})
 	o.reject(c)
 }
