placement: tests of engines without slots and without memory

Cause: no test failed when a server of whose slots nothing is known divided by none, or when an engine that reports no memory counted as full.

Change: TestNoSlotsAnywhere and TestMemoryUnknown.

Measured: each fails with its check taken out of the code, and passes with it; package gateway/placement passes.

--- a/gateway/placement/engine_test.go
+++ b/gateway/placement/engine_test.go
@@ -152,3 +152,18 @@
 		})
 	}
 }
+
+// TestNoSlotsAnywhere guards against a server of whose slots neither the configuration nor its entry
+// tells, and that counts as full while it is idle: no slots in use of none are no share of them.
+func TestNoSlotsAnywhere(t *testing.T) {
+	for _, slots := range []int{0, -1, math.MinInt} {
+		b := placement.NewBalancer(placement.DefaultPolicy())
+		b.SetServers(start, []catalog.Server{{ID: "i-1", Service: "m", Hall: "h", Capacity: slots}}, func(string) *catalog.Engine {
+			return &catalog.Engine{Slots: slots, KVTokens: 500_000}
+		})
+		for _, over := range []bool{false, true} {
+			r := &placement.Request{Service: "m", Hall: "h", PromptTokens: 1000, Objective: time.Second, Remaining: time.Minute, OverShare: over, ShareRatio: 0.6}
+			require.IsType(t, placement.Assign{}, b.Place(start, r), "%d slots, over share %v", slots, over)
+		}
+	}
+}
--- a/gateway/placement/pauses_model_test.go
+++ b/gateway/placement/pauses_model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -183,6 +184,17 @@
 	require.Zero(t, a.Load.HeldTokens)
 }
 
+// TestMemoryUnknown guards against an engine that reports no memory, or a negative one, and whose servers
+// count as full.
+func TestMemoryUnknown(t *testing.T) {
+	for _, tokens := range []int{0, -1, math.MinInt} {
+		b := memoryBalancer(2, tokens, longestPause)
+		a, ok := b.Place(start, &placement.Request{Service: "m", Hall: "h", PromptTokens: 20_000, OutputTokens: 100}).(placement.Assign)
+		require.True(t, ok)
+		require.Equal(t, placement.Avoided{}, a.Avoided, "%d tokens", tokens)
+	}
+}
+
 // TestSlowServerIsTriedAgain guards against a server that was slow for a while and that no request
 // reaches any more, since only first events there show that it is as fast as the others again. What
 // was seen of it counts less and less, until the median of its service does. While it counts, the
