--- a/gateway/placement/backoff.go
+++ b/gateway/placement/backoff.go
@@ -91,6 +91,9 @@
 	return max(s.Capacity, 1)
 }
 
+// knowsSlots reports whether the configuration or the server's entry says how many slots it has.
+func (s *server) knowsSlots() bool { return s.engine != nil && s.engine.Slots > 0 || s.Capacity > 0 }
+
 // RecordAccepting records that a server has begun to answer a request of this gateway, which
 // shows that it accepts work.
 func (b *Balancer) RecordAccepting(now time.Time, server string) {
--- a/gateway/placement/candidate.go
+++ b/gateway/placement/candidate.go
@@ -64,8 +64,11 @@
 }
 
 // crowdingDelay returns the delay expected of a server that runs nearly as many requests as
-// it has slots.
+// it has slots. A server of whose slots nothing is known does not count as crowded.
 func (b *Balancer) crowdingDelay(s *server) time.Duration {
+	if !s.knowsSlots() {
+		return 0
+	}
 	over := s.localRunning + s.remoteRunning - s.slots() + b.policy.SlotHeadroom
 	return time.Duration(max(over, 0)) * b.policy.SlotDelay
 }
