soak: plain servers stall in every run, and probes do not pass for requests

One request in two seconds satisfied the check, and a server that stays stalled gets one probe in that time. The share of requests that are served is that of the fleet, so stalls at one gateway do not show in it.

Now each plain server stalls for 2 s after the faults, longer than the requests that it has then. Each server must get a quarter of an even part of the fleet's requests from each gateway, and the test fails if no gateway has noticed a stall.

--- a/soak/plain.go
+++ b/soak/plain.go
@@ -1,10 +1,13 @@
 package soak
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"os"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -26,6 +29,13 @@
 	plainBurst = 50
 	// minPlainServed is the share of requests that are served while the fleet has settled.
 	minPlainServed = 0.5
+	// plainStall outlasts the requests that a server has when it stalls (their timeout is 1.5 s), so that
+	// only probes can show that it answers again.
+	plainStall = 2 * time.Second
+	// minPlainPart is the least number of requests that a server gets from a gateway, in parts of the
+	// number if all got the same: callers choose gateways at random. A server that stays stalled gets
+	// one probe in 2 s.
+	minPlainPart = 0.25
 )
 
 // plainKinds are the kinds of requests to the plain service; each has a route of its own.
@@ -72,40 +82,87 @@
 	}},
 }
 
+// stallPlainServers has each plain server in turn answer nothing for plainStall, while no other fault is
+// active. The random faults of a seed may include no stall, or one that ends while a gateway is down.
+func (r *Run) stallPlainServers() {
+	for _, s := range r.plain {
+		undo := s.behave(func(b *platformtest.Behaviour) { b.Stall = true })
+		time.Sleep(plainStall)
+		undo()
+	}
+}
+
 // checkPlain checks that since a time, most requests to the plain service were served, and that each
-// gateway has sent some to each of its servers.
+// gateway has sent each of its servers a fair part of them. A server that a gateway takes for stalled
+// gets a few probes, which must not pass for regular requests.
 func (r *Run) checkPlain(from time.Time) {
 	if !r.options.Plain {
 		return
 	}
-	r.recorder.mutex.Lock()
-	all, served := 0, 0
-	for _, a := range r.recorder.answers {
-		if a.at.After(from) && (a.kind == "plain-once" || a.kind == "plain-many") {
-			all++
-			if a.served {
-				served++
+	all, served := r.recorder.plainAnswers(from)
+	if float64(served) < minPlainServed*float64(all) || served == 0 {
+		r.recorder.violationf("the plain service served %d of %d requests in %s without faults", served, all, time.Since(from))
+	}
+	arrived := r.recorder.plainArrivals(from)
+	sent := 0
+	for _, p := range r.gateways {
+		for _, s := range r.plain {
+			sent += arrived[gatewayAndServer{p.name, s.ID}]
+		}
+	}
+	even := float64(sent) / float64(len(r.gateways)*len(r.plain))
+	for _, p := range r.gateways {
+		for _, s := range r.plain {
+			if n := arrived[gatewayAndServer{p.name, s.ID}]; n == 0 || float64(n) < minPlainPart*even {
+				r.recorder.violationf("plain server %s got %d requests of %s in %s without faults; an even part is %.0f", s.ID, n, p.name, time.Since(from), even)
 			}
 		}
 	}
-	r.recorder.mutex.Unlock()
-	if float64(served) < minPlainServed*float64(all) || served == 0 {
-		r.recorder.violationf("the plain service served %d of %d requests in %s without faults", served, all, time.Since(from))
+}
+
+// plainAnswers returns the number of answers to requests to the plain service since a time, and how many
+// of the requests were served.
+func (b *recorder) plainAnswers(from time.Time) (all, served int) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	for _, a := range b.answers {
+		if !a.at.After(from) || !slices.Contains(plainKinds, a.kind) {
+			continue
+		}
+		all++
+		if a.served {
+			served++
+		}
 	}
-	r.recorder.mutex.Lock()
-	arrived := map[string]int{}
-	for _, a := range r.recorder.signals.arrivals {
+	return all, served
+}
+
+// gatewayAndServer names a gateway and a server.
+type gatewayAndServer struct{ gateway, server string }
+
+// plainArrivals returns the number of requests that have reached servers since a time.
+func (b *recorder) plainArrivals(from time.Time) map[gatewayAndServer]int {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	arrived := map[gatewayAndServer]int{}
+	for _, a := range b.signals.arrivals {
 		if a.at.After(from) {
 			gateway, _, _ := strings.Cut(a.gateway, "/")
-			arrived[gateway+" "+serverOf(a.lifetime)]++
+			arrived[gatewayAndServer{gateway, serverOf(a.lifetime)}]++
 		}
 	}
-	r.recorder.mutex.Unlock()
+	return arrived
+}
+
+// Stalls returns how often the gateways have taken a server for stalled, by their logs.
+func (r *Run) Stalls() (int, error) {
+	n := 0
 	for _, p := range r.gateways {
-		for _, s := range r.plain {
-			if arrived[p.name+" "+s.ID] == 0 {
-				r.recorder.violationf("plain server %s got no request of %s in %s without faults", s.ID, p.name, time.Since(from))
-			}
+		log, err := os.ReadFile(p.log.Name())
+		if err != nil {
+			return 0, err
 		}
+		n += bytes.Count(log, []byte(`"event":"server.stalled"`))
 	}
+	return n, nil
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -298,6 +298,7 @@
 		time.Sleep(time.Duration(r.random.Int64N(int64(maxFaultDuration / 3))))
 	}
 	active.Wait()
+	r.stallPlainServers()
 	r.settle(settleAfter)
 	r.checkRecovery()
 	r.stop()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -136,9 +136,13 @@
 	require.Positive(t, r.Continued())
 }
 
-// TestSoakPlain runs a seed with requests that wait for the slots of plain servers, which stall.
+// TestSoakPlain runs a seed with requests that wait for the slots of plain servers, which stall. It
+// guards against a gateway that does not send to a server again after its stall.
 func TestSoakPlain(t *testing.T) {
-	play(t, build(t), soak.Options{Seed: 9700, Restarts: true, Plain: true})
+	r := play(t, build(t), soak.Options{Seed: 9700, Restarts: true, Plain: true})
+	stalls, err := r.Stalls()
+	require.NoError(t, err)
+	require.Positive(t, stalls, "no gateway has noticed a stall")
 }
 
 // TestSoakSurplus runs a seed with accounts that ask for more than their shares.
