soak: tests print the faults that were injected, and files are named for what they hold

Start and Play are split, files are named after their content (recorder, faults, signals, restores), and some names of faults say what happens.

--- a/soak/trouble.go
+++ b/soak/faults.go
@@ -142,7 +142,7 @@
 	{"server breaks off", behaviourFault(func(b *platformtest.Behaviour) { b.Reset = true })},
 	{"server cuts streams", behaviourFault(func(b *platformtest.Behaviour) { b.CutAfter = 3 })},
 	{"server is full", behaviourFault(func(b *platformtest.Behaviour) { b.Reject = true })},
-	{"server is mute", behaviourFault(func(b *platformtest.Behaviour) { b.Hang = true })},
+	{"server does not answer", behaviourFault(func(b *platformtest.Behaviour) { b.Hang = true })},
 	{"server is slow", behaviourFault(func(b *platformtest.Behaviour) { b.ServiceTime = 400 * time.Millisecond })},
 }
 
@@ -213,7 +213,7 @@
 		r.crashAndRestart(r.randomServer(random), randomStartTime(random))
 		return func() { r.store.SetFaults(platformtest.Faults{}) }
 	}},
-	{"server's entry is spoilt", func(r *Run, random *rand.Rand) func() {
+	{"server's entry is malformed", func(r *Run, random *rand.Rand) func() {
 		s := r.randomServer(random)
 		r.put("servers/"+s.ID, malformedEntries[random.IntN(len(malformedEntries))])
 		return func() { r.announce(s, "ready") }
--- a/soak/returns.go
+++ b/soak/restores.go
@@ -84,13 +84,13 @@
 // restoreFaults are the faults of a store that is restored from a copy. They are kept apart from
 // baseFaults so that a seed without them draws the same faults as before.
 var restoreFaults = []fault{
-	{"store comes back from a copy", func(r *Run, random *rand.Rand) func() { return r.outageAndRestore(random, 1) }},
-	{"store comes back twice", func(r *Run, random *rand.Rand) func() { return r.outageAndRestore(random, 2) }},
-	{"store comes back without a word", func(r *Run, random *rand.Rand) func() {
+	{"store is restored from a copy", func(r *Run, random *rand.Rand) func() { return r.outageAndRestore(random, 1) }},
+	{"store is restored from a copy twice", func(r *Run, random *rand.Rand) func() { return r.outageAndRestore(random, 2) }},
+	{"store is restored without an outage", func(r *Run, random *rand.Rand) func() {
 		older, seed := r.store.Backup(), random.Uint64()
 		return func() { r.restoreCopy(older, rand.New(rand.NewPCG(r.options.Seed, seed))) }
 	}},
-	{"store comes back after a server said that it leaves", func(r *Run, random *rand.Rand) func() {
+	{"store is restored after a server announced that it leaves", func(r *Run, random *rand.Rand) func() {
 		s, undo := r.randomServer(random), r.outageAndRestore(random, 1)
 		r.announce(s, "draining")
 		return func() {
@@ -99,12 +99,12 @@
 			r.announce(s, "ready")
 		}
 	}},
-	{"store comes back after a configuration", func(r *Run, random *rand.Rand) func() {
+	{"store is restored after a configuration was written", func(r *Run, random *rand.Rand) func() {
 		undo := r.outageAndRestore(random, 1)
 		r.configure()
 		return undo
 	}},
-	{"store comes back as a gateway starts", func(r *Run, random *rand.Rand) func() {
+	{"store is restored as a gateway starts", func(r *Run, random *rand.Rand) func() {
 		undo, p := r.outageAndRestore(random, 1), r.randomGateway(random)
 		p.kill()
 		return func() {
--- a/soak/words.go
+++ b/soak/signals.go
@@ -154,10 +154,10 @@
 // signalFaults are the faults of what servers announce. They are kept apart from baseFaults so
 // that a seed without them draws the same faults as before.
 var signalFaults = []fault{
-	{"server says that it leaves", func(r *Run, random *rand.Rand) func() {
+	{"server announces that it leaves", func(r *Run, random *rand.Rand) func() {
 		return r.announceLeaving(r.randomServer(random), randomStartTime(random))
 	}},
-	{"server says that it leaves while the store is down", func(r *Run, random *rand.Rand) func() {
+	{"server announces that it leaves while the store is down", func(r *Run, random *rand.Rand) func() {
 		r.store.SetFaults(platformtest.Faults{Unavailable: true})
 		undo := r.announceLeaving(r.randomServer(random), randomStartTime(random))
 		return func() {
@@ -165,15 +165,15 @@
 			undo()
 		}
 	}},
-	{"server asks for rest", func(r *Run, random *rand.Rand) func() {
+	{"server asks for backoff", func(r *Run, random *rand.Rand) func() {
 		return r.requestBackoff(r.randomServer(random), random)
 	}},
-	{"server asks for rest as busy", func(r *Run, random *rand.Rand) func() {
+	{"server asks for backoff with status 429", func(r *Run, random *rand.Rand) func() {
 		return r.randomServer(random).behave(func(b *platformtest.Behaviour) {
 			b.Reject, b.RejectStatus, b.RetryAfter = true, http.StatusTooManyRequests, "1"
 		})
 	}},
-	{"all servers ask for rest", func(r *Run, random *rand.Rand) func() {
+	{"all servers ask for backoff", func(r *Run, random *rand.Rand) func() {
 		var undo []func()
 		for _, s := range r.servers {
 			undo = append(undo, r.requestBackoff(s, random))
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -67,6 +67,7 @@
 type Run struct {
 	options      Options
 	random       *rand.Rand // draws the faults; owned by Play
+	injected     []string   // names of the faults, in order; owned by Play
 	store        *platformtest.Store
 	storeAddress string
 	writeMutex   sync.Mutex        // guards written, and writes to the store by operators and servers
@@ -120,64 +121,80 @@
 	r.closers = append(r.closers, store.Close)
 	r.storeAddress = strings.TrimPrefix(store.URL, "http://")
 	r.configure()
-	for i := range o.Servers {
-		b, err := r.addServer(i, versionOf(i, o.Versions))
+	if err := r.startServers(); err != nil {
+		return r, err
+	}
+	if err := r.startGateways(); err != nil {
+		return r, err
+	}
+	r.startCallers()
+	return r, nil
+}
+
+// startServers starts the servers of both services.
+func (r *Run) startServers() error {
+	for i := range r.options.Servers {
+		b, err := r.addServer(i, versionOf(i, r.options.Versions))
 		if err != nil {
-			return r, err
+			return err
 		}
 		r.servers = append(r.servers, b)
 	}
-	if o.Plain {
-		for i := range plainServers {
-			b, err := r.addPlainServer(i)
-			if err != nil {
-				return r, err
-			}
-			r.plain = append(r.plain, b)
+	if !r.options.Plain {
+		return nil
+	}
+	for i := range plainServers {
+		b, err := r.addPlainServer(i)
+		if err != nil {
+			return err
 		}
+		r.plain = append(r.plain, b)
 	}
+	return nil
+}
+
+// startGateways starts the gateways.
+func (r *Run) startGateways() error {
 	port, err := platformtest.FreePort()
 	if err != nil {
-		return r, err
+		return err
 	}
-	for i := range o.Gateways {
-		p, err := newProcess(o, i, port, r.storeAddress)
+	for i := range r.options.Gateways {
+		p, err := newProcess(r.options, i, port, r.storeAddress)
 		if err != nil {
-			return r, err
+			return err
 		}
 		r.gateways = append(r.gateways, p)
 		if err := p.start(); err != nil {
-			return r, err
+			return err
 		}
 	}
+	return nil
+}
+
+// startCallers starts the callers of all kinds that the options ask for.
+func (r *Run) startCallers() {
 	ctx, stop := context.WithCancel(context.Background())
 	r.stop = stop
-	for i := range o.Callers {
-		r.callers.Add(1)
-		go r.runCaller(ctx, i)
-	}
-	if o.Plain {
-		for i := range plainCallers {
+	start := func(count int, run func(ctx context.Context, caller int)) {
+		for i := range count {
 			r.callers.Add(1)
-			go r.runPlainCaller(ctx, i)
+			go run(ctx, i)
 		}
 	}
-	if o.Versions {
-		for i := range resumingCallers {
-			r.callers.Add(1)
-			go r.runResumingCaller(ctx, i)
-		}
+	start(r.options.Callers, r.runCaller)
+	if r.options.Plain {
+		start(plainCallers, r.runPlainCaller)
 	}
-	r.fatalPaused.Store(!o.Early)
-	for i := range o.Fatal {
-		r.callers.Add(1)
-		go r.runFatalCaller(ctx, i)
+	if r.options.Versions {
+		start(resumingCallers, r.runResumingCaller)
 	}
-	if o.Part {
+	r.fatalPaused.Store(!r.options.Early)
+	start(r.options.Fatal, r.runFatalCaller)
+	if r.options.Part {
 		r.callers.Add(1)
 		go r.runPartCaller(ctx)
 	}
-	return r, nil
 }
 
 // manyCallers is the number of callers if servers must be busy: accounts beyond their shares find none
@@ -254,61 +271,77 @@
 
 // Play injects faults for the duration d, lets the fleet settle, and returns the violations.
 func (r *Run) Play(d time.Duration) []string {
-	faults := baseFaults
-	if r.options.Restarts {
-		faults = slices.Concat(baseFaults, restartFaults)
-	}
-	if r.options.Restores {
-		faults = slices.Concat(faults, restoreFaults, restoreFaults, restoreFaults)
-	}
-	if r.options.Signals {
-		faults = slices.Concat(faults, signalFaults, signalFaults, signalFaults, signalFaults)
-	}
-	if r.options.Versions {
-		faults = slices.Concat(faults, versionFaults, versionFaults, versionFaults, versionFaults)
-	}
-	if r.options.Moves {
-		faults = slices.Concat(faults, slices.Repeat([]fault{leavingFault}, len(faults)))
-	}
-	if r.options.Backups {
-		faults = slices.Concat(faults, slices.Repeat(backupFaults, len(faults)/len(backupFaults)))
-	}
-	if r.options.Plain {
-		faults = slices.Concat(faults, slices.Repeat(plainFaults, len(faults)/len(plainFaults)))
-	}
 	defer r.close()
 	r.settle(r.settleBefore())
 	r.fatalPaused.Store(false)
+	r.injectFaults(d)
+	r.stallPlainServers()
+	r.settle(settleAfter)
+	r.checkRecovery()
+	r.stop()
+	r.callers.Wait()
+	r.recorder.checkRuns(r.allServers())
+	r.checkFatal()
+	r.checkPart()
+	return r.recorder.report()
+}
+
+// injectFaults injects random faults, which overlap, and planned stops for the duration d, and returns once
+// all of them have ended.
+func (r *Run) injectFaults(d time.Duration) {
+	faults := r.options.faults()
 	var active sync.WaitGroup
 	for end := time.Now().Add(d); time.Now().Before(end); {
 		if r.random.IntN(8) == 0 {
 			active.Wait() // a planned stop is checked only without other faults
+			r.injected = append(r.injected, "planned stop of a gateway")
 			r.plannedStop()
 			continue
 		}
 		f := faults[r.random.IntN(len(faults))]
+		r.injected = append(r.injected, f.name)
 		length := minFaultDuration + time.Duration(r.random.Int64N(int64(maxFaultDuration-minFaultDuration)))
 		undo := f.inject(r, r.random)
-		active.Add(1)
-		go func() {
-			defer active.Done()
+		active.Go(func() {
 			time.Sleep(length)
 			undo()
-		}()
+		})
 		time.Sleep(time.Duration(r.random.Int64N(int64(maxFaultDuration / 3))))
 	}
 	active.Wait()
-	r.stallPlainServers()
-	r.settle(settleAfter)
-	r.checkRecovery()
-	r.stop()
-	r.callers.Wait()
-	r.recorder.checkRuns(r.allServers())
-	r.checkFatal()
-	r.checkPart()
-	return r.recorder.report()
 }
 
+// faults returns the faults that are drawn from. Those that an option asks for are repeated, so that they
+// are drawn more often.
+func (o Options) faults() []fault {
+	faults := baseFaults
+	if o.Restarts {
+		faults = slices.Concat(baseFaults, restartFaults)
+	}
+	if o.Restores {
+		faults = slices.Concat(faults, slices.Repeat(restoreFaults, 3))
+	}
+	if o.Signals {
+		faults = slices.Concat(faults, slices.Repeat(signalFaults, 4))
+	}
+	if o.Versions {
+		faults = slices.Concat(faults, slices.Repeat(versionFaults, 4))
+	}
+	if o.Moves {
+		faults = slices.Concat(faults, slices.Repeat([]fault{leavingFault}, len(faults)))
+	}
+	if o.Backups {
+		faults = slices.Concat(faults, slices.Repeat(backupFaults, len(faults)/len(backupFaults)))
+	}
+	if o.Plain {
+		faults = slices.Concat(faults, slices.Repeat(plainFaults, len(faults)/len(plainFaults)))
+	}
+	return faults
+}
+
+// Injected returns the names of the faults that Play has injected, in order.
+func (r *Run) Injected() []string { return r.injected }
+
 // settle waits for d while no fault is active, and checks that callers are served in the second half.
 func (r *Run) settle(d time.Duration) {
 	time.Sleep(d / 2)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -59,7 +60,9 @@
 	o.Binary, o.Dir = binary, dir
 	r, err := soak.Start(o)
 	require.NoError(t, err)
-	require.Empty(t, r.Play(*plays), "seed %d", o.Seed)
+	violations := r.Play(*plays)
+	t.Logf("faults: %s", strings.Join(r.Injected(), "; "))
+	require.Empty(t, violations, "seed %d", o.Seed)
 	if o.Moves || o.Backups {
 		t.Logf("%d streams went on from copies", r.Continued())
 	}
