placement: requests may be refused for streams that would become late

soak: callers of the check of resumption come back when a gateway is short of processor, and the check tells the other answers.

--- a/gateway/placement/avoided.go
+++ b/gateway/placement/avoided.go
@@ -40,23 +40,6 @@
 	return *with, avoided
 }
 
-// inTimeAnyway returns the server that would be best if pauses and memory did not count, if a request is in
-// time there: nothing is refused or held for the sake of running streams.
-func (b *Balancer) inTimeAnyway(now time.Time, req *Request, servers []*server) (best candidate, ok bool) {
-	if !servers[0].decoding.regarded() {
-		return best, false
-	}
-	targets, holders := b.targets(now, req, servers)
-	for i, s := range targets {
-		c := b.evaluate(now, req, s, holders[s.Version])
-		c.cost -= c.pauseCost
-		if i == 0 || c.cost < best.cost {
-			best = c
-		}
-	}
-	return best, b.deferReason(now, req, best) == InTime
-}
-
 // avoidedFull returns the cheapest of the servers that have no free memory for a request as avoided, if it
 // costs less than the best of the others.
 func (b *Balancer) avoidedFull(now time.Time, req *Request, servers []*server, best candidate, avoided Avoided) Avoided {
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -328,13 +328,8 @@
 	all := servers
 	servers, full := b.withMemory(req, all)
 	best, avoided := b.cheapest(now, req, servers)
-	r := b.deferReason(now, req, best)
-	if r == TooLate {
-		if c, ok := b.inTimeAnyway(now, req, all); ok {
-			best, r, avoided = c, InTime, Avoided{}
-		}
-	}
 	cheapest := best.server
+	r := b.deferReason(now, req, best)
 	var granted surplus.Decision
 	if b.decidesSurplus(now, req) {
 		best, r, granted = b.placeSurplus(now, req, servers, best, r)
@@ -345,7 +340,7 @@
 	}
 	if best.server != cheapest {
 		avoided = Avoided{} // its account's share decided
-	} else if len(servers) < len(all) && best.server.fits(req) {
+	} else if len(servers) < len(all) {
 		avoided = b.avoidedFull(now, req, all, best, avoided)
 	}
 	avoided.FullServers, avoided.FitsNowhere = full, full == len(all)
--- a/soak/recorder.go
+++ b/soak/recorder.go
@@ -274,13 +274,18 @@
 		r.recorder.sent[id] = "many"
 		r.recorder.mutex.Unlock()
 		status, body, _ := r.send(client, p, "/many/", id, key, defaultBody)
-		busy := r.options.Surplus || strings.HasPrefix(body, "gateway short of processor")
-		if status != http.StatusServiceUnavailable || !busy || time.Since(began) > maxOverload {
+		busy := r.options.Surplus && status == http.StatusServiceUnavailable || isOverloaded(status, body)
+		if !busy || time.Since(began) > maxOverload {
 			return status
 		}
 	}
 }
 
+// isOverloaded reports whether a gateway that is short of processor time rejected a request.
+func isOverloaded(status int, body string) bool {
+	return status == http.StatusServiceUnavailable && strings.HasPrefix(body, "gateway short of processor")
+}
+
 // maxOverload is the time for which a gateway may refuse probes because the machine or the servers are
 // busy.
 const maxOverload = 5 * time.Second
--- a/soak/resume.go
+++ b/soak/resume.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"maps"
 	"math/rand/v2"
 	"net/http"
@@ -43,7 +44,8 @@
 	id       string // of the try that brought its first event
 	last     int    // ID of the last event
 	versions map[string]bool
-	status   int // of the latest try; 0: no answer
+	status   int    // of the latest try; 0: no answer
+	refusal  string // its body, if it has no events
 }
 
 // runResumingCaller reads streams and takes them up when they break, until ctx ends.
@@ -76,7 +78,7 @@
 // readStream begins a stream, or takes it up, at a gateway, reads up to limit events and closes
 // the connection.
 func (r *Run) readStream(s *resumedStream, p *process, id string, limit int) {
-	s.status = 0
+	s.status, s.refusal = 0, ""
 	r.recorder.mutex.Lock()
 	r.recorder.sent[id] = "versions"
 	r.recorder.mutex.Unlock()
@@ -102,6 +104,8 @@
 	}
 	defer response.Body.Close()
 	if s.status = response.StatusCode; s.status != http.StatusOK {
+		body, _ := io.ReadAll(response.Body) // told only if the check fails
+		s.refusal = string(body)
 		return
 	}
 	lines := bufio.NewScanner(response.Body)
@@ -119,6 +123,16 @@
 	}
 }
 
+// readAdmittedStream reads like readStream. While the gateway is short of processor time it sends again.
+func (r *Run) readAdmittedStream(s *resumedStream, p *process, id string, limit int) {
+	for began := time.Now(); ; time.Sleep(refusedPause) {
+		r.readStream(s, p, fmt.Sprintf("%s-%d", id, time.Since(began).Milliseconds()), limit)
+		if !isOverloaded(s.status, s.refusal) || time.Since(began) > maxOverload {
+			return
+		}
+	}
+}
+
 // event returns the version that an event's data names; ok is false for other lines.
 func (s *resumedStream) event(line string) (version string, ok bool) {
 	data, ok := strings.CutPrefix(line, "data: piece ")
@@ -135,21 +149,23 @@
 	}
 	time.Sleep(configPropagation)
 	resumed, began := 0, 0
+	var others []string // latest answers of the streams that did not go on
 	for i := range checkedStreams {
 		s := &resumedStream{versions: map[string]bool{}}
-		r.readStream(s, r.gateways[i%len(r.gateways)], fmt.Sprintf("after-%d", i), 2)
-		if s.last == 0 {
-			continue
+		r.readAdmittedStream(s, r.gateways[i%len(r.gateways)], fmt.Sprintf("after-%d", i), 2)
+		if s.last > 0 {
+			began++
+			r.readAdmittedStream(s, r.gateways[(i+1)%len(r.gateways)], fmt.Sprintf("after-%d-again", i), streamEvents)
 		}
-		began++
-		r.readStream(s, r.gateways[(i+1)%len(r.gateways)], fmt.Sprintf("after-%d-again", i), streamEvents)
 		if s.last == streamEvents {
 			resumed++
+		} else {
+			others = append(others, fmt.Sprintf("%d after event %d: %q", s.status, s.last, s.refusal))
 		}
 		r.checkStream(s)
 	}
 	if resumed < minResumed {
-		r.recorder.violationf("%d of %d streams were begun after the faults, and %d went on at another gateway", began, checkedStreams, resumed)
+		r.recorder.violationf("%d of %d streams were begun after the faults, and %d went on at another gateway; others: %v", began, checkedStreams, resumed, others)
 	}
 }
 
