review: an entry with fields missing draws a service's requests

An entry without version, cold_left_ms, call_seq and born is taken for a server, and the 404 of what listens there is passed on although it carries neither the request's ID nor a seal.

Command: review/build.sh, then review/2/run.sh.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -4,4 +4,4 @@
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$here/../.." || exit 2
 [ -x target/opalbridge ] && [ -x target/review-standin ] || { echo "build first: the deploy file's build, then review/build.sh"; exit 2; }
-exec timeout -k 5 110 target/review-standin bodies "$here/record.txt"
+exec timeout -k 5 110 target/review-standin garbage "$here/record.txt"
--- a/review/standin/load.go
+++ b/review/standin/load.go
@@ -125,6 +125,7 @@
 // plainAnswer is what a client saw of a request.
 type plainAnswer struct {
 	status int // 0: no answer
+	sealed bool
 	err    error
 	kept   bool // the channel had been used before
 }
@@ -153,7 +154,7 @@
 		return a
 	}
 	defer response.Body.Close()
-	a.status = response.StatusCode
+	a.status, a.sealed = response.StatusCode, response.Header.Get("Response-Seal") != ""
 	_, a.err = io.Copy(io.Discard, response.Body)
 	return a
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -26,7 +26,7 @@
 var cases = map[string]func(r *record, trouble bool) (broken bool, err error){
 	"truncated": runTruncated,
 	"garbage":   runGarbage,
-	"bodies":    runBodies,
+	"foreign":   runForeign,
 }
 
 func main() {
