--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -86,14 +87,23 @@
 `, d.front, d.ready, freeAddress(), freeAddress(), store, memoryMB, descriptors)
 }
 
+// Ports of processes are drawn from below the range from which the kernel takes those of outgoing
+// connections.
+const (
+	firstPort = 20000
+	portCount = 10000
+)
+
 // freeAddress returns a loopback address whose port is free.
 func freeAddress() string {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return "127.0.0.1:0"
+	for range 1000 {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount))
+		if l, err := net.Listen("tcp4", address); err == nil {
+			l.Close()
+			return address
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return "127.0.0.1:0"
 }
 
 // entry is what a server writes of itself into the store.
