upstream, gateway: what others send is bounded in size, and together by the process's memory

Callers saw: one answer of zero bytes without a line end made the gateway exceed its memory_mb 1.2 s later (285 MB of 284).

Cause: http.ReadResponse read the connection itself, and nothing bounded a line or a head but the deadline of its request. By the list of docs/design/outside-bytes.md the same held for interim heads and the answer to the request for a link; and limits of a kind alone (1 MB an answer, 4 MB a body, 64 KB a head) let 1,900 requests hold gigabytes, since admission counted 60 KB for each.

Change: heads are limited with the interim ones before them (64 KB, response_head_kb). Package memory is one budget of 0.4 of memory_mb, from which requests take their fixed sum and what they hold beside it: bodies, buffered answers, long events and heads. An owner holds at most as much as it leaves free. A body without room is refused before it is read (503, Retry-After); an answer without room is passed on unbuffered. Bytes that are no answer have a type with their kind, a line (answer.invalid) and a metric, count against their server, and are not taken for its crash. Surplus bytes on idle connections are found within a second.

--- a/cmd/opalbridge/gateway.go
+++ b/cmd/opalbridge/gateway.go
@@ -20,6 +20,7 @@
 	"opalbridge.dev/gateway/offload"
 	"opalbridge.dev/gateway/peer"
 	"opalbridge.dev/gateway/placement"
+	"opalbridge.dev/gateway/upstream"
 	"opalbridge.dev/gateway/warmup"
 	"opalbridge.dev/platform"
 	"opalbridge.dev/settings"
@@ -96,6 +97,11 @@
 	c.RecordStreamContinued(service, string(s), outcome)
 }
 
+// InvalidReceived implements gateway.Metrics.
+func (c requestMetrics) InvalidReceived(service string, kind upstream.Invalid) {
+	c.RecordInvalid(service, string(kind))
+}
+
 // ConnectionOffloaded implements gateway.Metrics.
 func (c requestMetrics) ConnectionOffloaded(outcome offload.Outcome) {
 	c.RecordConnectionOffloaded(string(outcome))
@@ -149,6 +155,7 @@
 		{Name: "opalbridge.gateway.servers", Description: "servers believed to exist", Read: func() float64 { return float64(g.Status().Servers) }},
 		{Name: "opalbridge.gateway.peers", Description: "other gateways believed to live", Read: func() float64 { return float64(g.Status().Peers) }},
 		{Name: "opalbridge.gateway.active_requests", Description: "requests in hand", Read: func() float64 { return float64(g.Status().Active) }},
+		{Name: "opalbridge.gateway.held_memory", Unit: "By", Description: "memory that requests in hand have reserved, of four tenths of memory_mb", Read: func() float64 { return float64(g.Status().HeldMemory) }},
 		{Name: "opalbridge.gateway.lateness", Unit: "s", Description: "of the process's own timers, as of the latest measurement", Read: func() float64 { return g.Status().SchedulingDelay.Seconds() }},
 		{Name: "opalbridge.gateway.admitted", Description: "share of requests that the process has time for", Read: func() float64 { return g.Status().AdmittedShare }},
 		{Name: "opalbridge.gateway.withdrawn", Description: "1 while the gateway fails the balancer's health checks, as it lacks processor time for its callers", Read: func() float64 { return withdrawnGauge(g.Status().Withdrawn) }},
@@ -198,6 +205,7 @@
 		MaxIdleConns: storeConnections, MaxIdleConnsPerHost: storeConnections,
 		DisableCompression: true,
 	}}}
+	held := gateway.NewMemory(int64(s.MemoryMB) << 20)
 	return gateway.New(gateway.Options{
 		CallerListener: callers, ReadyListener: ready, PeerListener: peers,
 		ReadyPath: platform.ReadyPath,
@@ -219,7 +227,7 @@
 				MoveStreams: featureMode(s.MoveStreams), BackUpStreams: featureMode(s.BackUpStreams), Offload: featureMode(s.Offload), AvoidPauses: s.AvoidPauses,
 			},
 		},
-		MilliCPU: int(s.CPULimit * 1000), MemoryLimit: int64(s.MemoryMB) << 20, FileLimit: openFileLimit(s), ShutdownGrace: s.StopTimeout, Log: log, Metrics: requestMetrics{metrics},
+		MilliCPU: int(s.CPULimit * 1000), MemoryLimit: int64(s.MemoryMB) << 20, Memory: held, MaxHeadBytes: s.ResponseHeadKB << 10, FileLimit: openFileLimit(s), ShutdownGrace: s.StopTimeout, Log: log, Metrics: requestMetrics{metrics},
 	})
 }
 
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -11,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 
+	"opalbridge.dev/gateway/memory"
 	"opalbridge.dev/gateway/reject"
 )
 
@@ -45,8 +47,10 @@
 const (
 	// File descriptors for files, the listeners, the store and other gateways.
 	reservedDescriptors = 300
-	// Memory of a request in flight: goroutines, buffers, body, and socket buffers.
+	// Memory of a request in flight: goroutines, buffers, a short body, and socket buffers.
 	memoryPerRequest = 60 << 10
+	// Bytes of a request's body that belong to memoryPerRequest. Longer bodies are counted besides.
+	coveredBody = 16 << 10
 	// Share of the memory available to requests. The rest is for the process itself and for
 	// garbage.
 	requestMemoryShare = 0.4
@@ -54,6 +58,15 @@
 	memoryPerIdleConn = 16 << 10
 )
 
+// NewMemory returns the memory that requests may hold in a process with a memory limit in bytes; nil if
+// there is none, as a limit of 0 says.
+func NewMemory(limit int64) *memory.Budget {
+	if limit <= 0 {
+		return nil
+	}
+	return memory.NewBudget(int64(requestMemoryShare * float64(limit)))
+}
+
 // capacityFor returns the capacity of a process with a memory limit in bytes and a limit on
 // file descriptors; 0 means no limit.
 func capacityFor(memory int64, descriptors int) capacity {
@@ -76,6 +89,7 @@
 type admissionListener struct {
 	net.Listener
 	capacity  capacity
+	memory    *memory.Budget // for long heads of requests
 	overload  *overload
 	offload   func(*callerConn) bool // offloads a connection; false: no gateway takes it
 	rejecter  *reject.Rejecter
@@ -138,7 +152,7 @@
 
 func newAdmission(g *Gateway) *admissionListener {
 	return &admissionListener{
-		Listener: g.options.CallerListener, capacity: g.capacity, overload: &g.overload, rejecter: newRejecter(g),
+		Listener: g.options.CallerListener, capacity: g.capacity, memory: g.options.Memory, overload: &g.overload, rejecter: newRejecter(g),
 		offload: func(*callerConn) bool { return false },
 		unread:  unreadConns{since: map[*callerConn]time.Time{}},
 	}
@@ -183,7 +197,7 @@
 		if action == deferConn {
 			action = rejectConn // it has been accepted already
 		}
-		caller := &callerConn{Conn: c, admission: a}
+		caller := &callerConn{Conn: c, admission: a, held: a.memory.NewReservation(headOwner, coveredCallerHead)}
 		if action == rejectConn {
 			a.reject(caller) // it does not count against the capacity
 			continue
@@ -194,6 +208,7 @@
 		if action == serveConn {
 			return caller, nil
 		}
+		caller.headRead = true // it is not read here
 		if !a.offload(caller) {
 			a.reject(caller)
 		}
@@ -280,6 +295,42 @@
 	counted   bool // it counts against the capacity
 	once      sync.Once
 	hasRead   bool // something was read; used only by the reading goroutine
+
+	// The head of a request, used only by the goroutine that serves the connection.
+	headRead bool // the head of the current request has been read, or is not read here
+	head     memory.Head
+	held     *memory.Reservation // of the head
+}
+
+// coveredCallerHead is the memory of a request's head that belongs to the memory of a connection
+// (memoryPerIdleConn).
+const coveredCallerHead = 8 << 10
+
+// headOwner is the owner of the memory for long heads of requests. Whose they are is not known yet.
+const headOwner = "heads of callers"
+
+// stateChanged follows the state of the connection in the HTTP server: active once the head of a request
+// has been read, and idle after the response.
+func (c *callerConn) stateChanged(s http.ConnState) {
+	switch s {
+	case http.StateActive:
+		c.headRead = true
+	case http.StateIdle:
+		c.headRead, c.head = false, memory.Head{}
+		c.held.Release()
+	case http.StateClosed, http.StateHijacked:
+		c.headRead = true
+		c.held.Release()
+	}
+}
+
+// holdHead reserves the memory for what has been read of a head, and reports whether there is any.
+func (c *callerConn) holdHead(p []byte) bool {
+	if c.headRead {
+		return true
+	}
+	c.head.Count(p)
+	return c.held.GrowTo(c.head.Memory())
 }
 
 // Close implements net.Conn.
@@ -300,6 +351,9 @@
 		c.hasRead = true
 		c.admission.unread.remove(c)
 	}
+	if !c.holdHead(b[:n]) {
+		return 0, errors.Wrap(memory.ErrNoRoom, "gateway: head of a request")
+	}
 	return n, err
 }
 
--- a/gateway/admission_test.go
+++ b/gateway/admission_test.go
@@ -15,8 +15,10 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"opalbridge.dev/gateway/memory"
 	"opalbridge.dev/gateway/offload"
 	"opalbridge.dev/gateway/reject"
+	"opalbridge.dev/gateway/upstream"
 )
 
 // TestCapacity checks that a process's capacity follows from its own limits.
@@ -55,6 +57,7 @@
 func (c *deniedCounter) RetryAcknowledged(string, time.Duration)          {}
 func (c *deniedCounter) StreamResumed(string, ResumeOutcome)              {}
 func (c *deniedCounter) SlotDecided(string, SlotDecision)                 {}
+func (c *deniedCounter) InvalidReceived(string, upstream.Invalid)         {}
 func (c *deniedCounter) StreamContinued(string, ContinuationStep, string) {}
 
 func (c *deniedCounter) ConnectionOffloaded(o offload.Outcome) {
@@ -236,3 +239,55 @@
 	require.Eventually(t, func() bool { return callerClosed(ctx) }, time.Second, time.Millisecond)
 	require.False(t, callerClosed(t.Context()), "a request without a caller's connection")
 }
+
+// TestLongHeadsOfCallers guards against heads of requests that take the memory of the process, while they
+// are incomplete and after.
+func TestLongHeadsOfCallers(t *testing.T) {
+	const head = "GET / HTTP/1.1\r\nHost: h\r\n"
+	field := "A: " + strings.Repeat("x", 10<<10) + "\r\n"
+	b := memory.NewBudget(100 << 10)
+	idle := &idleCallers{since: map[net.Conn]time.Time{}, limit: 100}
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	admission := &admissionListener{Listener: l, capacity: capacity{connections: 100}, memory: b, overload: &overload{}, unread: unreadConns{since: map[*callerConn]time.Time{}}}
+	var handled atomic.Int64
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { handled.Add(1) }), MaxHeaderBytes: maxHeaderBytes, ConnState: idle.observe}
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(admission) }()
+	defer func() {
+		server.Close()
+		require.ErrorIs(t, <-ended, http.ErrServerClosed)
+	}()
+	open := func(text string) net.Conn {
+		c, err := net.Dial("tcp4", l.Addr().String())
+		require.NoError(t, err)
+		_, err = c.Write([]byte(text))
+		require.NoError(t, err)
+		return c
+	}
+	usable := func() bool {
+		c := open(head + "\r\n")
+		defer c.Close()
+		answer, err := http.ReadResponse(bufio.NewReader(c), nil)
+		return err == nil && answer.StatusCode == http.StatusOK
+	}
+	var held []net.Conn
+	for range 20 {
+		c := open(head + field + field) // not the end of the head
+		held = append(held, c)
+	}
+	require.Eventually(t, func() bool { return b.Used() > 20<<10 }, 5*time.Second, time.Millisecond)
+	require.LessOrEqual(t, b.Used(), int64(50<<10))
+	require.True(t, usable(), "short heads are read")
+	for _, c := range held {
+		c.Close()
+	}
+	require.Eventually(t, func() bool { return b.Used() == 0 }, 5*time.Second, time.Millisecond)
+	c := open(head + field + "\r\n")
+	defer c.Close()
+	answer, err := http.ReadResponse(bufio.NewReader(c), nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, answer.StatusCode, "a long head is read while there is memory")
+	require.Eventually(t, func() bool { return b.Used() == 0 }, 5*time.Second, time.Millisecond)
+	require.EqualValues(t, 2, handled.Load())
+}
--- a/gateway/caches.go
+++ b/gateway/caches.go
@@ -121,6 +121,7 @@
 	start := time.Now()
 	content, err := g.options.Caches.Contents(ctx, s.Address)
 	if err != nil {
+		g.recordInvalidCall(s, err)
 		g.log.Info().Str("event", "cache.unknown").Str("server", s.ID).Err(err).Msg("cache query failed; assuming an empty cache")
 		return
 	}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -13,6 +13,7 @@
 	"opalbridge.dev/gateway/catalog"
 	"opalbridge.dev/gateway/continuation"
 	"opalbridge.dev/gateway/continuation/transfer"
+	"opalbridge.dev/gateway/memory"
 	"opalbridge.dev/gateway/placement"
 	"opalbridge.dev/gateway/protocol"
 	"opalbridge.dev/gateway/suspect"
@@ -26,6 +27,7 @@
 	request           *http.Request
 	meta              protocol.Request
 	body              []byte
+	bodyMemory        *memory.Reservation // holds the memory of body
 	route             *catalog.Route
 	account           string
 	priority          int // 0 is the most urgent
@@ -268,6 +270,7 @@
 	case upstream.Indeterminate:
 		c.delivered++
 		c.mayHaveRun = true
+		c.recordInvalid(d.Server, r.Err)
 		if next, ok := c.movedAway(ctx, c.serverRun, false, r.Err); ok {
 			return placement.Abandoned, next
 		}
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -77,6 +77,9 @@
 }
 
 func (i *idleCallers) observe(c net.Conn, s http.ConnState) {
+	if caller, ok := c.(*callerConn); ok {
+		caller.stateChanged(s)
+	}
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
 	if s == http.StateIdle || s == http.StateNew {
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -245,6 +245,8 @@
 		d.applyStatusWritten(now, m)
 	case claimWritten:
 		d.applyClaimOutcome(now, m)
+	case invalidReceived:
+		d.balancer.RecordInvalid(now, m.server)
 	case leavingAnnounced:
 		d.balancer.MarkLeaving(m.server)
 	case backoffRequested:
--- a/gateway/dispatcher_messages.go
+++ b/gateway/dispatcher_messages.go
@@ -63,6 +63,9 @@
 		server string
 		until  time.Time // it wants no requests before then
 	}
+	// invalidReceived reports that a server has sent bytes that are no answer, apart from the attempts
+	// that they ended.
+	invalidReceived struct{ server string }
 	// viewReplaced passes on a new view.
 	viewReplaced struct{ view *View }
 	// peersUpdated passes on updates from other gateways.
@@ -77,6 +80,7 @@
 func (claimWritten) dispatcherMessage()         {}
 func (leavingAnnounced) dispatcherMessage()     {}
 func (backoffRequested) dispatcherMessage()     {}
+func (invalidReceived) dispatcherMessage()      {}
 func (viewReplaced) dispatcherMessage()         {}
 func (peersUpdated) dispatcherMessage()         {}
 func (rolloutStatusWritten) dispatcherMessage() {}
--- a/gateway/dispatcher_retries.go
+++ b/gateway/dispatcher_retries.go
@@ -5,6 +5,7 @@
 
 	"opalbridge.dev/gateway/offload"
 	"opalbridge.dev/gateway/placement"
+	"opalbridge.dev/gateway/upstream"
 )
 
 // This file spends the fleet's retry budget and reports how it was spent.
@@ -101,5 +102,6 @@
 func (discardMetrics) RetryAcknowledged(string, time.Duration)          {}
 func (discardMetrics) StreamResumed(string, ResumeOutcome)              {}
 func (discardMetrics) SlotDecided(string, SlotDecision)                 {}
+func (discardMetrics) InvalidReceived(string, upstream.Invalid)         {}
 func (discardMetrics) StreamContinued(string, ContinuationStep, string) {}
 func (discardMetrics) ConnectionOffloaded(offload.Outcome)              {}
--- a/gateway/dispatcher_slots_test.go
+++ b/gateway/dispatcher_slots_test.go
@@ -14,6 +14,7 @@
 	"opalbridge.dev/gateway/peer"
 	"opalbridge.dev/gateway/placement"
 	"opalbridge.dev/gateway/rollout"
+	"opalbridge.dev/gateway/upstream"
 )
 
 // slotFixture is a dispatcher before one plain server with two slots.
@@ -41,6 +42,7 @@
 func (f *slotFixture) RetryDecided(string, bool)                        {}
 func (f *slotFixture) RetryAcknowledged(string, time.Duration)          {}
 func (f *slotFixture) StreamResumed(string, ResumeOutcome)              {}
+func (f *slotFixture) InvalidReceived(string, upstream.Invalid)         {}
 func (f *slotFixture) StreamContinued(string, ContinuationStep, string) {}
 func (f *slotFixture) ConnectionOffloaded(offload.Outcome)              {}
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -48,6 +48,7 @@
 
 	"opalbridge.dev/duty"
 	"opalbridge.dev/gateway/continuation/transfer"
+	"opalbridge.dev/gateway/memory"
 	"opalbridge.dev/gateway/offload"
 	"opalbridge.dev/gateway/peer"
 	"opalbridge.dev/gateway/protocol"
@@ -72,10 +73,12 @@
 	Suspects       suspect.Store   // nil: requests that crashed servers are not remembered once all gateways have restarted
 	Codec          protocol.Codec
 	Dispatcher     DispatcherOptions
-	MilliCPU       int           // thousandths of a core that the process may use
-	MemoryLimit    int64         // bytes that the process may use; 0: no limit
-	FileLimit      int           // file descriptors that the process may open; 0: no limit
-	ShutdownGrace  time.Duration // upper bound on the time of a planned stop
+	MilliCPU       int            // thousandths of a core that the process may use
+	MemoryLimit    int64          // bytes that the process may use; 0: no limit
+	Memory         *memory.Budget // of requests, see NewMemory; nil: no limit
+	MaxHeadBytes   int            // limit of the head of a server's answer; 0: upstream.DefaultMaxHeadBytes
+	FileLimit      int            // file descriptors that the process may open; 0: no limit
+	ShutdownGrace  time.Duration  // upper bound on the time of a planned stop
 	Log            zerolog.Logger
 	Metrics        Metrics
 }
@@ -95,6 +98,8 @@
 	SlotDecided(service string, decision SlotDecision)
 	// StreamContinued records what became of a step by which a stream continues at another server.
 	StreamContinued(service string, s ContinuationStep, outcome string)
+	// InvalidReceived records that a server has sent bytes that are no answer.
+	InvalidReceived(service string, kind upstream.Invalid)
 	// ConnectionOffloaded records what became of a connection that the gateway had no CPU time to serve.
 	ConnectionOffloaded(outcome offload.Outcome)
 }
@@ -180,12 +185,14 @@
 	g.signals = newServerSignals()
 	g.origins = newOriginTracker(g.started)
 	if o.Copies != nil {
+		o.Copies = recordedCopies{o.Copies, g}
 		g.copyCleaner = transfer.NewCleaner(o.Copies, o.Log)
 		if f := o.Dispatcher.Features; f.MoveStreams != Off || f.BackUpStreams != Off {
 			g.runs = transfer.NewRuns(transfer.Options{Copies: o.Copies, Planner: g.dispatcher, Lifetimes: runLifetimes{g}, Cleaner: g.copyCleaner})
 		}
 	}
-	g.pool.OnSignal = g.handleSignal
+	g.pool.OnSignal, g.pool.OnSurplus = g.handleSignal, g.recordSurplus
+	g.pool.Memory, g.pool.MaxHeadBytes = o.Memory, o.MaxHeadBytes
 	o.Peer.Origins = g.origins
 	o.Peer.Hall = o.Dispatcher.Hall
 	o.Peer.State = g.peerState
@@ -270,6 +277,7 @@
 	Servers              int
 	Peers                int
 	Active               int           // requests in flight
+	HeldMemory           int64         // bytes that they and connections have reserved
 	SchedulingDelay      time.Duration // scheduling delay of the process, as of the latest sample
 	AdmittedShare        float64       // share of requests that the overload control admits
 	Suspects             int           // requests, and parts of their prompts, that were at servers when these crashed
@@ -294,6 +302,7 @@
 		Servers:         len(v.Servers),
 		Peers:           int(g.dispatcher.livePeers.Load()),
 		Active:          int(g.active.Load()),
+		HeldMemory:      g.options.Memory.Used(),
 		SchedulingDelay: time.Duration(g.overload.delay.Load()),
 		AdmittedShare:   g.overload.admittedShare(),
 		Withdrawn:       g.withdrawal.isWithdrawn(),
--- a/gateway/handoff/handoff.go
+++ b/gateway/handoff/handoff.go
@@ -51,6 +51,8 @@
 	linkRetryDelay = time.Second
 	// Connections of a link that the other gateway has not accepted yet.
 	linkAcceptBacklog = 256
+	// The head of the answer to the request for a link, in bytes.
+	maxLinkHead = 4 << 10
 	// A stream closed by one side only is dropped after this time.
 	streamCloseTimeout = 5 * time.Second
 	// Responses are copied in chunks of this size: a few events.
@@ -211,8 +213,7 @@
 	if _, err := io.WriteString(conn, request); err != nil {
 		return nil, errors.Wrapf(err, "handoff: request a link from %s", address)
 	}
-	reader := bufio.NewReader(conn)
-	response, err := http.ReadResponse(reader, nil)
+	response, err := http.ReadResponse(bufio.NewReader(io.LimitReader(conn, maxLinkHead)), nil)
 	if err != nil {
 		return nil, errors.Wrapf(err, "handoff: link to %s", address)
 	}
--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -14,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"opalbridge.dev/gateway/catalog"
+	"opalbridge.dev/gateway/memory"
 	"opalbridge.dev/gateway/origin"
 	"opalbridge.dev/gateway/peer"
 )
@@ -27,8 +27,16 @@
 	handoverTimeout = time.Second
 	// A view holds the configuration (at most 1 MB) in base64 and the servers.
 	maxViewBytes = 16 << 20
+	// The head of a gateway's answer takes some hundred bytes.
+	maxViewHeadBytes = 16 << 10
 )
 
+// viewClient fetches views. The address of a gateway may belong to another program by now.
+var viewClient = &http.Client{
+	Transport:     &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxViewHeadBytes},
+	CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+}
+
 // serveView handles the request of another gateway for the view.
 func (g *Gateway) serveView(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
@@ -132,12 +140,15 @@
 		return peerView{}, errors.Wrap(err, "gateway: create view request")
 	}
 	request.Close = true
-	response, err := http.DefaultClient.Do(request)
+	response, err := viewClient.Do(request)
 	if err != nil {
 		return peerView{}, errors.Wrapf(err, "gateway: request view of %s", from)
 	}
 	defer response.Body.Close()
-	raw, err := io.ReadAll(io.LimitReader(response.Body, maxViewBytes))
+	if response.StatusCode != http.StatusOK {
+		return peerView{}, errors.Newf("gateway: view of %s: status %d", from, response.StatusCode)
+	}
+	raw, err := memory.ReadAll(response.Body, response.ContentLength, maxViewBytes, nil)
 	if err != nil {
 		return peerView{}, errors.Wrapf(err, "gateway: view of %s", from)
 	}
--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -12,6 +12,7 @@
 
 	"opalbridge.dev/gateway/catalog"
 	"opalbridge.dev/gateway/idhash"
+	"opalbridge.dev/gateway/memory"
 	"opalbridge.dev/gateway/placement"
 	"opalbridge.dev/gateway/protocol"
 )
@@ -54,6 +55,11 @@
 		return
 	}
 	defer g.active.Add(-1)
+	if !g.options.Memory.Take(memoryPerRequest) {
+		g.deny(w, r, denial{status: http.StatusServiceUnavailable, reason: "gateway short of memory", retryAfter: fullRetryAfter})
+		return
+	}
+	defer g.options.Memory.Return(memoryPerRequest)
 	if !g.overload.admits() {
 		if !g.offloadRequest(w, r) {
 			g.rejectOverloaded(w, r)
@@ -68,6 +74,7 @@
 		g.deny(w, r, d)
 		return
 	}
+	defer c.bodyMemory.Release()
 	ctx, cancel := context.WithDeadlineCause(r.Context(), c.deadline, errDeadline)
 	defer cancel()
 	c.run(ctx)
@@ -99,7 +106,9 @@
 		arrived: arrived, deadline: arrived.Add(requestTimeout(route, meta)), regions: route.Regions.Intersect(account.Regions),
 	}
 	c.sequence.StartAfter(meta.LastEventID)
+	c.bodyMemory = g.options.Memory.NewReservation("account "+account.Name, coveredBody)
 	if d := c.readBody(v.Configuration.Limits); d.status != 0 {
+		c.bodyMemory.Release()
 		return nil, d
 	}
 	c.setPlaceReq(v)
@@ -154,6 +163,9 @@
 	return timeout
 }
 
+// denyBody is the response to a request for whose body there is no memory.
+var denyBody = denial{status: http.StatusServiceUnavailable, reason: "gateway short of memory for bodies", retryAfter: fullRetryAfter}
+
 // readBody reads the whole body, which must arrive before the deadline.
 func (c *call) readBody(l catalog.Limits) denial {
 	limit := l.BodyBytes
@@ -166,15 +178,22 @@
 	if c.request.ContentLength == 0 {
 		return denial{}
 	}
+	if c.request.ContentLength > c.gateway.options.Memory.MaxPerOwner() {
+		return denial{status: http.StatusRequestEntityTooLarge, reason: "body too long for the memory of this gateway"}
+	}
+	if !c.bodyMemory.GrowTo(c.request.ContentLength) {
+		return denyBody
+	}
 	control := http.NewResponseController(c.w)
 	if err := control.SetReadDeadline(c.deadline); err != nil {
 		return denial{status: http.StatusServiceUnavailable, reason: "connection is closing", retryAfter: fullRetryAfter}
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.request.Body, limit))
-	var tooLarge *http.MaxBytesError
+	body, err := memory.ReadAll(c.request.Body, c.request.ContentLength, limit, c.bodyMemory)
 	switch {
-	case errors.As(err, &tooLarge):
+	case errors.Is(err, memory.ErrTooLong):
 		return denial{status: http.StatusRequestEntityTooLarge, reason: "body too long"}
+	case errors.Is(err, memory.ErrNoRoom):
+		return denyBody
 	case err != nil:
 		return denial{status: http.StatusBadRequest, reason: "body was not received: " + err.Error()}
 	}
--- a/gateway/placement/observe.go
+++ b/gateway/placement/observe.go
@@ -182,6 +182,15 @@
 	}
 }
 
+// RecordInvalid records that a server has sent bytes that are no answer, apart from the requests that
+// ended with them.
+func (b *Balancer) RecordInvalid(now time.Time, server string) {
+	if s := b.servers[server]; s != nil {
+		s.decayFailures(now)
+		s.failures++
+	}
+}
+
 // RecordSilence records that a first event is long overdue at a server that shows no sign of
 // life, and ejects the server.
 func (b *Balancer) RecordSilence(now time.Time, server string) {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"opalbridge.dev/gateway/catalog"
+	"opalbridge.dev/gateway/memory"
 	"opalbridge.dev/gateway/placement"
 	"opalbridge.dev/gateway/upstream"
 )
@@ -20,8 +21,11 @@
 // Sizes of responses.
 const (
 	// A response that is not a stream is buffered up to this size before its first byte is
-	// relayed, so that a truncated one can be retried or reported as failed.
+	// relayed, so that a truncated one can be retried or reported as failed. One for which there is
+	// no memory is relayed as it comes.
 	maxBufferedResponse = 1 << 20
+	// Bytes of a response, and of an event, that belong to the memory of a request (memoryPerRequest).
+	coveredAnswer = 8 << 10
 	// Maximum size of a stream's event. Events hold a few tokens.
 	maxEventBytes = 64 << 10
 	// Buffer size for reading a stream: several events fit.
@@ -53,20 +57,23 @@
 
 // relayBuffered relays a response that is not a stream.
 func (c *call) relayBuffered(ctx context.Context, d placement.Assign, sent time.Time, r *upstream.Response) (placement.Outcome, step) {
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxBufferedResponse))
-	if err != nil {
+	held := c.gateway.options.Memory.NewReservation(d.Server.ID, coveredAnswer)
+	defer held.Release()
+	body, err := memory.ReadAll(r.Body, r.Length, maxBufferedResponse, held)
+	whole := err == nil
+	if err != nil && !errors.Is(err, memory.ErrTooLong) && !errors.Is(err, memory.ErrNoRoom) {
 		if ctx.Err() != nil {
 			return placement.Abandoned, c.abandonAttempt(ctx, d, sent)
 		}
-		c.reportLost(d, sent, lossConnectionBroke)
+		c.reportBroken(d, sent, err)
 		return placement.Failed, c.retryOrFail(errors.Wrapf(err, "gateway: answer of server %s", d.Server.ID))
 	}
-	if len(body) < maxBufferedResponse && c.endedByCrash(ctx, d, sent, r) {
+	if whole && c.endedByCrash(ctx, d, sent, r) {
 		return placement.Failed, c.retryOrFail(errors.Newf("gateway: server %s crashed within its answer", d.Server.ID))
 	}
 	c.gateway.dispatcher.send(firstEventReceived{attemptID: d.ID, server: d.Server.ID})
 	c.copyHeader(r)
-	if r.Length < 0 && len(body) < maxBufferedResponse && c.request.Method != http.MethodHead {
+	if r.Length < 0 && whole && c.request.Method != http.MethodHead {
 		c.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	c.writeHeader(r)
@@ -74,8 +81,10 @@
 		c.result, c.reason = "left", err.Error()
 		return placement.Served, doneStep{}
 	}
-	if len(body) == maxBufferedResponse {
+	if !whole {
+		held.Release()
 		if _, err := io.Copy(c.w, r.Body); err != nil {
+			c.recordInvalid(d.Server, err)
 			return placement.Failed, failStep{err: err}
 		}
 	}
@@ -107,11 +116,12 @@
 // relayStream relays events as they arrive. Only whole events are relayed, so that another
 // server can resume a broken stream where the route allows that.
 func (c *call) relayStream(ctx context.Context, d placement.Assign, sent time.Time, r *upstream.Response) (placement.Outcome, step) {
-	events := bufio.NewReaderSize(r.Body, eventBufferSize)
+	events := eventReader{reader: bufio.NewReaderSize(r.Body, eventBufferSize), held: c.gateway.options.Memory.NewReservation(d.Server.ID, coveredAnswer)}
+	defer events.held.Release()
 	control := http.NewResponseController(c.w)
 	started := false
 	for {
-		event, err := readEvent(events)
+		event, err := events.read()
 		if err != nil {
 			if next, ok := c.movedAway(ctx, c.serverRun, err == io.EOF && !r.Unframed, err); ok {
 				return placement.Abandoned, next
@@ -121,7 +131,7 @@
 			return placement.Abandoned, c.abandonAttempt(ctx, d, sent)
 		}
 		if err != nil && err != io.EOF {
-			c.reportLost(d, sent, lossConnectionBroke)
+			c.reportBroken(d, sent, err)
 			return placement.Failed, c.continueOrRetry(ctx, d, errors.Wrapf(err, "gateway: stream of server %s", d.Server.ID))
 		}
 		if err == io.EOF && len(event) > 0 && r.Length < 0 {
@@ -141,7 +151,7 @@
 				return placement.Failed, c.retryOrFail(err)
 			}
 			c.pinVersion(ctx, d.Server, r)
-			if werr := c.relayEvent(r, control, event, events.Buffered() > 0); werr != nil {
+			if werr := c.relayEvent(r, control, event, events.reader.Buffered() > 0); werr != nil {
 				c.result, c.reason = "left", werr.Error()
 				return placement.Abandoned, doneStep{}
 			}
@@ -222,17 +232,38 @@
 	return err == nil && id <= last
 }
 
-// readEvent reads up to the empty line that ends an event. At the end of the stream it returns
-// the rest and io.EOF.
-func readEvent(r *bufio.Reader) ([]byte, error) {
+// reportBroken records that an answer could not be read to its end: its connection broke, or the server
+// has sent bytes that are no answer.
+func (c *call) reportBroken(d placement.Assign, sent time.Time, err error) {
+	if !c.recordInvalid(d.Server, err) {
+		c.reportLost(d, sent, lossConnectionBroke)
+	}
+}
+
+// errEventTooLong reports an event beyond the limit.
+var errEventTooLong = errors.New("gateway: event of a stream is too long")
+
+// eventReader reads the events of a stream.
+type eventReader struct {
+	reader *bufio.Reader
+	held   *memory.Reservation // for long events
+}
+
+// read reads up to the empty line that ends an event. At the end of the stream it returns the rest and
+// io.EOF.
+func (r eventReader) read() ([]byte, error) {
+	r.held.Release()
 	var event []byte
 	for {
-		line, err := r.ReadSlice('\n')
+		line, err := r.reader.ReadSlice('\n')
+		if len(event)+len(line) > maxEventBytes {
+			return event, upstream.NewInvalidError(upstream.InvalidLongEvent, errEventTooLong)
+		}
+		if !r.held.GrowTo(int64(len(event) + len(line))) {
+			return event, errors.Wrap(memory.ErrNoRoom, "gateway: event of a stream")
+		}
 		atLineStart := len(event) == 0 || event[len(event)-1] == '\n'
 		event = append(event, line...)
-		if len(event) > maxEventBytes {
-			return event, errors.New("gateway: event of a stream is too long")
-		}
 		if err == bufio.ErrBufferFull {
 			continue // the line continues
 		}
--- a/gateway/server_lifetime.go
+++ b/gateway/server_lifetime.go
@@ -33,6 +33,7 @@
 	defer cancel()
 	born, err := g.options.Lifetimes.Born(ctx, s.Address)
 	if err != nil {
+		g.recordInvalidCall(s, err)
 		return err
 	}
 	if born != s.Born {
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"net"
 	"sync"
@@ -12,6 +13,7 @@
 	"golang.org/x/sys/unix"
 
 	"opalbridge.dev/gateway/catalog"
+	"opalbridge.dev/gateway/memory"
 	"opalbridge.dev/gateway/protocol"
 )
 
@@ -43,6 +45,13 @@
 	// OnSignal, if not nil, is called with what a response says about its server as soon as its
 	// head has been read, even if the caller no longer waits for it. It must not block.
 	OnSignal func(s catalog.Server, sig Signal)
+	// OnSurplus, if not nil, is called when a server has sent bytes after a whole answer. It must not
+	// block.
+	OnSurplus func(server string)
+	// Memory limits what long heads of answers may take; nil: no limit.
+	Memory *memory.Budget
+	// MaxHeadBytes limits the head of an answer; 0: [DefaultMaxHeadBytes].
+	MaxHeadBytes int
 
 	codec protocol.Codec
 	mutex sync.Mutex
@@ -53,6 +62,14 @@
 // NewPool returns an empty pool.
 func NewPool(c protocol.Codec) *Pool { return &Pool{codec: c, idle: map[string][]*conn{}} }
 
+func (p *Pool) maxHeadBytes() int { return cmp.Or(p.MaxHeadBytes, DefaultMaxHeadBytes) }
+
+func (p *Pool) reportSurplus(server string) {
+	if p.OnSurplus != nil {
+		p.OnSurplus(server)
+	}
+}
+
 // Dials returns the number of connection attempts so far.
 func (p *Pool) Dials() int64 {
 	p.mutex.Lock()
@@ -67,8 +84,15 @@
 		if c == nil {
 			return p.dial(ctx, s)
 		}
-		if c.usable(time.Now(), idempotent) {
+		if !c.withinIdleTimeout(time.Now(), idempotent) {
+			c.Close()
+			continue
+		}
+		switch c.idleState() {
+		case idleOpen:
 			return c, nil
+		case idleSurplus:
+			p.reportSurplus(s.ID)
 		}
 		c.Close()
 	}
@@ -108,18 +132,30 @@
 }
 
 // Retain closes the idle connections to servers that are not in the given set, and those that
-// have been idle too long.
+// have been idle too long or on which something has arrived.
 func (p *Pool) Retain(servers map[string]bool) {
+	for _, server := range p.retain(servers) {
+		p.reportSurplus(server)
+	}
+}
+
+// retain does the work of Retain and returns the servers that have sent surplus bytes, each as often as
+// it has.
+func (p *Pool) retain(servers map[string]bool) (surplus []string) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	now := time.Now()
 	for id, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if servers[id] && c.withinIdleTimeout(now, true) {
+			state := c.idleState()
+			if state == idleOpen && servers[id] && c.withinIdleTimeout(now, true) {
 				kept = append(kept, c)
 				continue
 			}
+			if state == idleSurplus {
+				surplus = append(surplus, id)
+			}
 			c.Close()
 		}
 		if len(kept) == 0 {
@@ -128,6 +164,7 @@
 		}
 		p.idle[id] = kept
 	}
+	return surplus
 }
 
 func (c *conn) withinIdleTimeout(now time.Time, idempotent bool) bool {
@@ -142,26 +179,40 @@
 	return age < limit
 }
 
-// usable reports whether the connection is within its idle timeout, open, and has no unread
-// input.
-func (c *conn) usable(now time.Time, idempotent bool) bool {
-	return c.withinIdleTimeout(now, idempotent) && c.reader.Buffered() == 0 && c.openAndIdle()
-}
+// idleState is the state of an idle connection.
+type idleState int
 
-// openAndIdle reports whether the peer has neither closed the connection nor sent unsolicited
-// bytes.
-func (c *conn) openAndIdle() bool {
+// States of idle connections.
+const (
+	idleOpen    idleState = iota // open, and nothing has arrived
+	idleClosed                   // closed by the server, or broken
+	idleSurplus                  // the server has sent bytes that nobody has asked for
+)
+
+// idleState looks at an idle connection without reading from it.
+func (c *conn) idleState() idleState {
+	if c.reader.Buffered() > 0 {
+		return idleSurplus
+	}
 	raw, err := c.Conn.(syscall.Conn).SyscallConn()
 	if err != nil {
-		return false
+		return idleClosed
 	}
-	idle := false
+	state := idleClosed
 	err = raw.Control(func(fd uintptr) {
 		var one [1]byte
-		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		idle = err == unix.EAGAIN
+		n, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		switch {
+		case err == unix.EAGAIN:
+			state = idleOpen
+		case n > 0:
+			state = idleSurplus
+		}
 	})
-	return err == nil && idle
+	if err != nil {
+		return idleClosed
+	}
+	return state
 }
 
 // dialResult is the result of one connection attempt.
@@ -190,7 +241,7 @@
 				if running > 0 {
 					go closeUnusedDial(results)
 				}
-				return &conn{Conn: r.conn, reader: bufio.NewReaderSize(r.conn, readBufferSize)}, nil
+				return newConn(r.conn), nil
 			}
 			if running == 0 {
 				return nil, errors.Wrapf(r.err, "upstream: connect to server %s", s.ID)
@@ -199,6 +250,11 @@
 	}
 }
 
+func newConn(c net.Conn) *conn {
+	l := &headLimiter{conn: c}
+	return &conn{Conn: c, limiter: l, reader: bufio.NewReaderSize(l, readBufferSize)}
+}
+
 func (p *Pool) connect(ctx context.Context, s catalog.Server, results chan<- dialResult) {
 	p.mutex.Lock()
 	p.dials++
--- a/gateway/upstream/upstream.go
+++ b/gateway/upstream/upstream.go
@@ -15,6 +15,10 @@
 // The client of net/http is not used because it retries some requests on its own when a
 // connection breaks. A response is returned only if it names the request and, for a success,
 // carries the server's seal. A connection that has received unsolicited bytes is not reused.
+//
+// A server may send anything, without end. Heads are bounded in size, and long ones by the memory that
+// is left for them; bodies are read by the caller of Send. Bytes that are no answer give an
+// [InvalidError]; those after a whole answer are reported to [Pool.OnSurplus].
 package upstream
 
 import (
@@ -33,6 +37,7 @@
 	"github.com/cockroachdb/errors"
 
 	"opalbridge.dev/gateway/catalog"
+	"opalbridge.dev/gateway/memory"
 	"opalbridge.dev/gateway/protocol"
 )
 
@@ -74,7 +79,7 @@
 // Indeterminate means that the request may have run and no usable response arrived.
 // ConnectionFailed is set if the connection broke, and not if an unusable response was received.
 type Indeterminate struct {
-	Err              error
+	Err              error // an [InvalidError] if the server has sent bytes that are no answer
 	ConnectionFailed bool
 }
 
@@ -98,6 +103,7 @@
 
 	conn     *conn
 	pool     *Pool
+	head     *memory.Reservation
 	server   string
 	written  <-chan error
 	stop     func() bool
@@ -108,12 +114,17 @@
 // Close ends the exchange. The connection is kept only if the response was read to its end and
 // nothing followed it; otherwise it is closed, which stops the server's work.
 func (r *Response) Close() {
+	r.head.Release()
 	if !r.stop() {
 		r.conn.Close() // ctx has ended: its closing of the connection may still be in progress
 		return
 	}
-	if !r.complete || !r.reusable || !r.requestWritten() || r.conn.reader.Buffered() > 0 {
+	surplus := r.complete && r.conn.reader.Buffered() > 0
+	if !r.complete || !r.reusable || !r.requestWritten() || surplus {
 		r.conn.Close()
+		if surplus {
+			r.pool.reportSurplus(r.server)
+		}
 		return
 	}
 	r.pool.put(r.server, r.conn)
@@ -136,16 +147,20 @@
 	}
 }
 
-// eofTracker records that the body was read to its true end.
-type eofTracker struct {
+// bodyReader records that the body was read to its true end, and tells bytes that are no body from a
+// connection that broke.
+type bodyReader struct {
 	io.Reader
 	response *Response
 }
 
-func (r eofTracker) Read(p []byte) (int, error) {
+func (r bodyReader) Read(p []byte) (int, error) {
 	n, err := r.Reader.Read(p)
-	if err == io.EOF {
+	switch {
+	case err == io.EOF:
 		r.response.complete = true
+	case err != nil && r.response.conn.limiter.err == nil:
+		err = NewInvalidError(InvalidBody, err)
 	}
 	return n, err
 }
@@ -182,16 +197,18 @@
 	}
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	written := c.writeRequest(r)
-	response, err := c.readResponseHead(r)
+	head := p.Memory.NewReservation(s.ID, coveredHeadMemory)
+	response, err := c.readResponseHead(r, p.maxHeadBytes(), head)
 	if err != nil {
+		head.Release()
 		stop()
 		c.Close()
 		if timedOut(ctx, err) {
 			p.closeIdle(s.ID)
 		}
-		return Indeterminate{Err: errors.CombineErrors(context.Cause(ctx), err), ConnectionFailed: true}
+		return Indeterminate{Err: errors.CombineErrors(context.Cause(ctx), err), ConnectionFailed: connectionFailed(err)}
 	}
-	return p.classify(c, s, r, response, written, stop)
+	return p.classify(c, s, r, response, head, written, stop)
 }
 
 // confirm confirms where the connection leads, if the request asks for that.
@@ -206,6 +223,13 @@
 	return nil
 }
 
+// connectionFailed reports whether a head could not be read because of its connection, and not because of
+// what was read.
+func connectionFailed(err error) bool {
+	var invalid *InvalidError
+	return !errors.As(err, &invalid) && !errors.Is(err, memory.ErrNoRoom)
+}
+
 // timedOut reports whether a connection showed no sign of life until it was given up. Other
 // connections that were open at the same time may be dead too, which would only show on use.
 func timedOut(ctx context.Context, err error) bool {
@@ -236,14 +260,14 @@
 }
 
 // classify turns the head of a response into a result.
-func (p *Pool) classify(c *conn, s catalog.Server, r *Request, response *http.Response, written <-chan error, stop func() bool) Result {
+func (p *Pool) classify(c *conn, s catalog.Server, r *Request, response *http.Response, head *memory.Reservation, written <-chan error, stop func() bool) Result {
 	resp := &Response{
 		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength,
-		conn: c, pool: p, server: s.ID, written: written, stop: stop,
+		conn: c, pool: p, head: head, server: s.ID, written: written, stop: stop,
 		reusable: !response.Close && response.ProtoAtLeast(1, 1),
 		Unframed: response.ContentLength < 0 && len(response.TransferEncoding) == 0,
 	}
-	resp.Body = eofTracker{response.Body, resp}
+	resp.Body = bodyReader{response.Body, resp}
 	c.idleTimeout = keepAliveTimeout(response.Header)
 	info := p.codec.Response(response.StatusCode, response.Header)
 	RemoveHopByHopHeaders(resp.Header)
@@ -253,16 +277,16 @@
 	switch {
 	case info.RequestID != "" && info.RequestID != r.ID:
 		resp.Close()
-		return Indeterminate{Err: errors.Newf("upstream: server %s responded to request %s instead of %s", s.ID, info.RequestID, r.ID)}
+		return Indeterminate{Err: &InvalidError{InvalidOtherRequest, "it names request " + shorten(info.RequestID)}}
 	case info.NotExecuted:
 		discardAndClose(resp)
 		return NotExecuted{Status: response.StatusCode, WrongInstance: response.StatusCode == http.StatusMisdirectedRequest}
 	case response.StatusCode < 300 && (!info.Sealed || info.RequestID == ""):
 		resp.Close()
-		return Indeterminate{Err: errors.Newf("upstream: server %s: success response without seal or request ID", s.ID)}
+		return Indeterminate{Err: &InvalidError{InvalidUnsealed, "a success without seal or request ID"}}
 	case response.StatusCode < 300 && response.Header.Get("Content-Encoding") != "":
 		resp.Close()
-		return Indeterminate{Err: errors.Newf("upstream: server %s sent a content encoding that was not requested", s.ID)}
+		return Indeterminate{Err: &InvalidError{InvalidEncoding, "a content encoding that was not requested"}}
 	}
 	return Responded{Response: resp}
 }
@@ -298,10 +322,13 @@
 	return written
 }
 
+// expectedHead is the size of most heads of requests, in bytes.
+const expectedHead = 1 << 10
+
 // encodeHead encodes the request line and the headers.
 func encodeHead(r *Request) []byte {
 	var b bytes.Buffer
-	b.Grow(1024 + len(r.Body))
+	b.Grow(expectedHead + min(len(r.Body), maxInlineBody))
 	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	// Writes to a bytes.Buffer never fail.
 	_ = r.Header.WriteSubset(&b, map[string]bool{"Host": true, "Content-Length": true, "Transfer-Encoding": true})
@@ -312,21 +339,24 @@
 	return b.Bytes()
 }
 
-// readResponseHead reads the head of the final response, skipping interim ones.
-func (c *conn) readResponseHead(r *Request) (*http.Response, error) {
+// readResponseHead reads the head of the final response, skipping interim ones. All of them together may
+// take up to limit bytes.
+func (c *conn) readResponseHead(r *Request, limit int, reservation *memory.Reservation) (*http.Response, error) {
+	c.limiter.begin(limit, reservation)
+	defer c.limiter.end()
 	for range maxInterimResponses {
+		c.limiter.nextHead()
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
-		if err != nil {
-			return nil, errors.Wrap(err, "upstream: read response")
-		}
-		if response.StatusCode >= 200 {
+		switch {
+		case err != nil:
+			return nil, c.limiter.headError(err)
+		case response.StatusCode == http.StatusSwitchingProtocols:
+			return nil, &InvalidError{InvalidHead, "a switch of protocols that was not requested"}
+		case response.StatusCode >= http.StatusOK:
 			return response, nil
 		}
-		if response.StatusCode == http.StatusSwitchingProtocols {
-			return nil, errors.New("upstream: unexpected switch of protocols")
-		}
 	}
-	return nil, errors.New("upstream: too many interim responses")
+	return nil, &InvalidError{InvalidHead, "too many interim responses"}
 }
 
 // keepAliveTimeout returns how long the server keeps an idle connection open; 0: not stated.
@@ -365,7 +395,8 @@
 // conn is a connection to a server.
 type conn struct {
 	net.Conn
-	reader      *bufio.Reader
+	limiter     *headLimiter  // reads from Conn
+	reader      *bufio.Reader // reads from limiter
 	idleTimeout time.Duration // announced by the server; 0: not stated
 	idleSince   time.Time     // when the connection became idle
 	confirmed   atomic.Bool   // it leads to the lifetime that it was opened for
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -63,21 +63,22 @@
 	Records           int
 
 	// The following fields apply to gateways only.
-	FrontAddress string
-	ReadyAddress string
-	StoreAddress string
-	Seeds        []string
-	MemoryMB     int
-	CPULimit     float64
-	FileLimit    int
-	RetryRatio   float64
-	RetryExtra   float64
-	RetryWindow  time.Duration
-	Gateways     int
-	ShareWindow  time.Duration
-	ColdFactor   float64
-	ColdExtra    float64
-	Regions      map[string]string
+	FrontAddress   string
+	ReadyAddress   string
+	StoreAddress   string
+	Seeds          []string
+	MemoryMB       int
+	ResponseHeadKB int
+	CPULimit       float64
+	FileLimit      int
+	RetryRatio     float64
+	RetryExtra     float64
+	RetryWindow    time.Duration
+	Gateways       int
+	ShareWindow    time.Duration
+	ColdFactor     float64
+	ColdExtra      float64
+	Regions        map[string]string
 
 	// Optional decisions of gateways; see their keys.
 	IdleSurplus    Mode
@@ -201,6 +202,8 @@
 		func(s *Settings, t string) error { return setAddresses(&s.Seeds, t) }},
 	{"memory_mb", gateway, false, "0", "Memory of the process in MB, of which the garbage collector keeps clear; 0: no limit.",
 		func(s *Settings, t string) error { return setInt(&s.MemoryMB, t, 0, 1<<20) }},
+	{"response_head_kb", gateway, false, "64", "Longest head of a server's answer in KB (1,024 bytes), with the interim heads before it. A server that sends a longer one has not answered.",
+		func(s *Settings, t string) error { return setInt(&s.ResponseHeadKB, t, 1, 1024) }},
 	{"processor", gateway, false, "1", "Share of a core that the process may use; those of a hall that have most pass news on for the others.",
 		func(s *Settings, t string) error { return setFloat(&s.CPULimit, t, 0, 1024) }},
 	{"descriptors", gateway, false, "0", "Open files and sockets that the process may have; 0: the system's own limit.",
