platform: the gateway's own calls to servers read bounded answers and follow no redirect

Callers saw nothing yet; found by the list of docs/design/outside-bytes.md. Calls for a server's status, its cache and copies of runs used net/http's default client: 10 MB for a head, up to 4 MB for a body, as many at once as requests wait for one, and a redirect made the call at another address. Bytes that are no answer looked like a call that failed.

Change: one client for them (head 16 KB, no redirect, no compression), one function that reads the answer within the budget, and upstream.InvalidError with the kind of the call. The stand-in's servers can send bytes without end in each part of an answer, and after it.

--- a/cmd/opalbridge/gateway.go
+++ b/cmd/opalbridge/gateway.go
@@ -37,6 +37,8 @@
 	// connection.
 	storeConnections = 2
 	storeDialTimeout = time.Second
+	// The head of an answer of the store.
+	storeHeadBytes = 64 << 10
 )
 
 func gatewayCommand() *cli.Command {
@@ -203,16 +205,16 @@
 	store := &platform.Store{Address: s.StoreAddress, HTTP: &http.Client{Transport: &http.Transport{
 		DialContext:  (&net.Dialer{Timeout: storeDialTimeout}).DialContext,
 		MaxIdleConns: storeConnections, MaxIdleConnsPerHost: storeConnections,
-		DisableCompression: true,
-	}}}
+		DisableCompression: true, MaxResponseHeaderBytes: storeHeadBytes,
+	}, CheckRedirect: platform.RefuseRedirect}}
 	held := gateway.NewMemory(int64(s.MemoryMB) << 20)
 	return gateway.New(gateway.Options{
 		CallerListener: callers, ReadyListener: ready, PeerListener: peers,
 		ReadyPath: platform.ReadyPath,
 		Peer:      peer.Options{Address: s.PeerAddress, Seeds: s.Seeds},
 		Source:    &platform.Feed{Store: store, Halls: s.Regions, OnDecodeError: entries.record},
-		Caches:    &platform.Caches{},
-		Lifetimes: &platform.Reports{},
+		Caches:    &platform.Caches{Memory: held},
+		Lifetimes: &platform.Reports{Memory: held},
 		Copies:    &platform.Copies{},
 		Claims:    &platform.ClaimStore{Store: store, Holder: s.Name + "/" + strconv.FormatInt(time.Now().UnixNano(), 36)},
 		Rollouts:  &platform.RolloutStore{Store: store},
--- a/cmd/opalbridge/process_test.go
+++ b/cmd/opalbridge/process_test.go
@@ -40,7 +40,11 @@
 func startProcess(t *testing.T, args ...string) (p *process, out *bufio.Reader) {
 	self, err := os.Executable()
 	require.NoError(t, err)
-	c := exec.Command(self, args...)
+	return startProgram(t, self, args...)
+}
+
+func startProgram(t *testing.T, program string, args ...string) (p *process, out *bufio.Reader) {
+	c := exec.Command(program, args...)
 	c.Env = append(os.Environ(), runAsProgramEnv+"=1")
 	pipe, err := c.StdoutPipe()
 	require.NoError(t, err)
