--- a/gateway/upstream/invalid.go
+++ b/gateway/upstream/invalid.go
@@ -21,7 +21,7 @@
 	InvalidLongHead     Invalid = "long_head"     // the head, with the interim ones before it, is too long
 	InvalidBody         Invalid = "body"          // the body breaks the framing of the protocol
 	InvalidLongEvent    Invalid = "long_event"    // an event of a stream is too long
-	InvalidOtherRequest Invalid = "other_request" // the answer is one to another request
+	InvalidOtherRequest Invalid = "other_request" // the answer does not name the request
 	InvalidUnsealed     Invalid = "unsealed"      // a success for which the server does not vouch
 	InvalidEncoding     Invalid = "encoding"      // a content encoding that was not requested
 	InvalidSurplus      Invalid = "surplus"       // bytes after a whole answer
--- a/gateway/upstream/upstream.go
+++ b/gateway/upstream/upstream.go
@@ -25,6 +25,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -275,15 +276,15 @@
 		p.OnSignal(s, sig)
 	}
 	switch {
-	case info.RequestID != "" && info.RequestID != r.ID:
+	case info.RequestID != r.ID:
 		resp.Close()
-		return Indeterminate{Err: &InvalidError{InvalidOtherRequest, "it names request " + shorten(info.RequestID)}}
+		return Indeterminate{Err: &InvalidError{InvalidOtherRequest, fmt.Sprintf("status %d, which names request %q", response.StatusCode, shorten(info.RequestID))}}
 	case info.NotExecuted:
 		discardAndClose(resp)
 		return NotExecuted{Status: response.StatusCode, WrongInstance: response.StatusCode == http.StatusMisdirectedRequest}
-	case response.StatusCode < 300 && (!info.Sealed || info.RequestID == ""):
+	case response.StatusCode < 300 && !info.Sealed:
 		resp.Close()
-		return Indeterminate{Err: &InvalidError{InvalidUnsealed, "a success without seal or request ID"}}
+		return Indeterminate{Err: &InvalidError{InvalidUnsealed, "a success without a seal"}}
 	case response.StatusCode < 300 && response.Header.Get("Content-Encoding") != "":
 		resp.Close()
 		return Indeterminate{Err: &InvalidError{InvalidEncoding, "a content encoding that was not requested"}}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -231,11 +231,15 @@
 var malformedEntries = [][]byte{
 	nil,
 	[]byte("\xff\x00"),
-	[]byte(`{"service":"s","zone":"z","capacity":64,"state":"ready"}`),
-	[]byte(`{"service":"s","addr":"nowhere","zone":"z","capacity":64,"state":"ready"}`),
-	[]byte(`{"service":"s","addr":"127.0.0.1:9","zone":"z","capacity":-1,"state":"ready"}`),
+	[]byte(`{"service":"s","zone":"z","version":"v1","capacity":64,"state":"ready","cold_left_ms":0,"call_seq":0}`),
+	[]byte(`{"service":"s","addr":"nowhere","zone":"z","version":"v1","capacity":64,"state":"ready","cold_left_ms":0,"call_seq":0}`),
+	[]byte(`{"service":"s","addr":"127.0.0.1:9","zone":"z","version":"v1","capacity":-1,"state":"ready","cold_left_ms":0,"call_seq":0}`),
+	[]byte(`{"service":"s","addr":"127.0.0.1:9","zone":"z","capacity":64,"state":"ready","cold_left_ms":0,"call_seq":0}`),
+	[]byte(`{"service":"s","addr":"127.0.0.1:9","zone":"z","version":"v1","capacity":64,"state":"ready","call_seq":0}`),
+	[]byte(`{"service":"s","addr":"127.0.0.1:9","zone":"z","version":"v1","capacity":64,"state":"ready","cold_left_ms":0}`),
+	[]byte(`{"service":"s","addr":"127.0.0.1:9","zone":"z","version":"v1","capacity":64,"state":"ready","cold_left_ms":0,"call_seq":0,"born":"7"}`),
 	[]byte(`{"service":["s"],"addr":7,"zone":null,"capacity":"64","state":{},"born":"x"}`),
-	[]byte(`{"service":"s","addr":"127.0.0.1:9","zone":"z","capacity":64,"state":"asleep"}`),
+	[]byte(`{"service":"s","addr":"127.0.0.1:9","zone":"z","version":"v1","capacity":64,"state":"asleep","cold_left_ms":0,"call_seq":0}`),
 }
 
 // randomStartTime draws the start time of a server, in milliseconds. The clock of its host may
