gateway: an answer that is given up because its caller has left is aborted

Cause: the end of the caller's sending direction ends the request's context, which counts as a caller that has left; call.fail returned, and net/http completed the answer.

Change: it aborts the connection, as it does for a stream that is cut.

Measured: TestCallerClosesSendingDirection failed in its three cases before, passes now.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -339,7 +339,10 @@
 	c.reason = f.err.Error()
 	switch {
 	case c.callerClosed || c.request.Context().Err() != nil:
-		c.result = "left" // the caller no longer reads
+		// The caller no longer reads, or has closed its sending direction alone: then it must not take
+		// what follows for the end of an answer.
+		c.result = "left"
+		panic(http.ErrAbortHandler)
 	case c.headerSent:
 		c.result = "cut"
 		c.gateway.log.Warn().Str("event", "request.cut").Str("request", c.meta.ID).Err(f.err).Str("last_event", c.lastEventID).Msg("response truncated")
