gateway: the end of an unframed answer is looked at whatever is believed of its server

Cause: such an answer ends with its connection, and so do the connections of a process that ends. Whether the server still takes connections was looked at only for servers that take work, not for answers of 1 MB and more, and a lifetime that had taken the address answered for the one before.

Change: every unframed answer is followed by that look; a server that was to end is looked at again after 20 ms; where entries tell born, the server's report is asked for its lifetime. What may be incomplete is cut, or goes on elsewhere where the route allows it. No request is blamed for a server that was leaving, as before.

--- a/gateway/call_quarantine.go
+++ b/gateway/call_quarantine.go
@@ -166,11 +166,12 @@
 	c.gateway.crashes.requestLost(time.Now(), d.Server, planned, heard, lostRequest{kind: kind, Request: lost})
 }
 
-// endedByCrash reports whether an unframed response has ended because its server crashed, and if so
-// records the loss. The end of its connection does not tell; a server that refuses new ones has
-// crashed, unless it was leaving.
-func (c *call) endedByCrash(ctx context.Context, d placement.Assign, sent time.Time, r *upstream.Response) bool {
-	if !r.Unframed || !c.gateway.view.Load().acceptsWork(d.Server.ID) || !refusesConnections(ctx, d.Server) {
+// endedWithServer reports whether an unframed response has ended because its server did, and if so
+// records the loss, which is no crash if the server was leaving. The end of its connection does not tell:
+// the kernel closes the connections of a process that ends, too. A response that was complete just
+// before is taken for one that may not be.
+func (c *call) endedWithServer(ctx context.Context, d placement.Assign, sent time.Time, r *upstream.Response) bool {
+	if !r.Unframed || !c.serverEnded(ctx, d.Server) {
 		return false
 	}
 	c.reportLost(d, sent, lossConnectionBroke)
@@ -178,6 +179,31 @@
 	return true
 }
 
+// endingDelay is the time between two looks at a server that was to end: while a process ends, its
+// connections may be closed before its listener.
+const endingDelay = 20 * time.Millisecond
+
+// serverEnded reports whether the lifetime of a server that closed a connection a moment ago has ended:
+// nothing listens at its address, or another lifetime does. The report of a server, which tells the
+// lifetime, is asked for only if its entry tells one.
+func (c *call) serverEnded(ctx context.Context, s catalog.Server) bool {
+	if refusesConnections(ctx, s) {
+		return true
+	}
+	if !c.gateway.view.Load().acceptsWork(s.ID) {
+		select {
+		case <-ctx.Done():
+			return true // it may have ended
+		case <-time.After(endingDelay):
+		}
+		if refusesConnections(ctx, s) {
+			return true
+		}
+	}
+	otherLifetime := errors.Is(c.gateway.confirmLifetime(ctx, s), errOtherLifetime)
+	return otherLifetime || ctx.Err() != nil // nobody knows, after the deadline
+}
+
 // summary describes the request for operators.
 func (c *call) summary() string {
 	text := c.account + " " + c.request.Method + " " + c.request.Host + requestTarget(c.request)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -68,8 +68,8 @@
 		c.reportBroken(d, sent, err)
 		return placement.Failed, c.retryOrFail(errors.Wrapf(err, "gateway: answer of server %s", d.Server.ID))
 	}
-	if whole && c.endedByCrash(ctx, d, sent, r) {
-		return placement.Failed, c.retryOrFail(errors.Newf("gateway: server %s crashed within its answer", d.Server.ID))
+	if whole && c.endedWithServer(ctx, d, sent, r) {
+		return placement.Failed, c.retryOrFail(errors.Newf("gateway: server %s ended within its answer", d.Server.ID))
 	}
 	c.gateway.dispatcher.send(firstEventReceived{attemptID: d.ID, server: d.Server.ID})
 	c.copyHeader(r)
@@ -87,6 +87,9 @@
 			c.recordInvalid(d.Server, err)
 			return placement.Failed, failStep{err: err}
 		}
+		if c.endedWithServer(ctx, d, sent, r) {
+			return placement.Failed, failStep{err: errors.Newf("gateway: server %s ended within its answer", d.Server.ID)}
+		}
 	}
 	c.result = "served"
 	if r.Status >= http.StatusBadRequest {
@@ -138,8 +141,8 @@
 			c.reportLost(d, sent, lossConnectionBroke)
 			return placement.Failed, c.continueOrRetry(ctx, d, errors.Newf("gateway: stream of server %s ends within an event", d.Server.ID))
 		}
-		if err == io.EOF && c.endedByCrash(ctx, d, sent, r) {
-			return placement.Failed, c.continueOrRetry(ctx, d, errors.Newf("gateway: server %s crashed within its stream", d.Server.ID))
+		if err == io.EOF && c.endedWithServer(ctx, d, sent, r) {
+			return placement.Failed, c.continueOrRetry(ctx, d, errors.Newf("gateway: server %s ended within its stream", d.Server.ID))
 		}
 		if !started {
 			started = true
