soak: servers that send bytes that are no answer, and entries that lack fields

With -garbles servers send bytes without end in nine parts of an answer, and to the gateways' own calls, entries lack a field each, beside all other faults, in series and overlapping; gateways have 144 MB and may not exceed it.

--- a/soak/fatal.go
+++ b/soak/fatal.go
@@ -87,6 +87,9 @@
 	w.ResponseWriter.WriteHeader(status)
 }
 
+// Unwrap returns the writer whose connection can be taken over.
+func (w *backoffRecorder) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 // Flush implements http.Flusher.
 func (w *backoffRecorder) Flush() { w.ResponseWriter.(http.Flusher).Flush() }
 
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -234,10 +234,6 @@
 	[]byte(`{"service":"s","zone":"z","version":"v1","capacity":64,"state":"ready","cold_left_ms":0,"call_seq":0}`),
 	[]byte(`{"service":"s","addr":"nowhere","zone":"z","version":"v1","capacity":64,"state":"ready","cold_left_ms":0,"call_seq":0}`),
 	[]byte(`{"service":"s","addr":"127.0.0.1:9","zone":"z","version":"v1","capacity":-1,"state":"ready","cold_left_ms":0,"call_seq":0}`),
-	[]byte(`{"service":"s","addr":"127.0.0.1:9","zone":"z","capacity":64,"state":"ready","cold_left_ms":0,"call_seq":0}`),
-	[]byte(`{"service":"s","addr":"127.0.0.1:9","zone":"z","version":"v1","capacity":64,"state":"ready","call_seq":0}`),
-	[]byte(`{"service":"s","addr":"127.0.0.1:9","zone":"z","version":"v1","capacity":64,"state":"ready","cold_left_ms":0}`),
-	[]byte(`{"service":"s","addr":"127.0.0.1:9","zone":"z","version":"v1","capacity":64,"state":"ready","cold_left_ms":0,"call_seq":0,"born":"7"}`),
 	[]byte(`{"service":["s"],"addr":7,"zone":null,"capacity":"64","state":{},"born":"x"}`),
 	[]byte(`{"service":"s","addr":"127.0.0.1:9","zone":"z","version":"v1","capacity":64,"state":"asleep","cold_left_ms":0,"call_seq":0}`),
 }
--- a/soak/process.go
+++ b/soak/process.go
@@ -47,6 +47,9 @@
 	p.settings = filepath.Join(o.Dir, p.name+".yaml")
 	text := fmt.Sprintf("name: %s\nhall: hall\nfront_address: %s\nready_address: %s\npeer_address: 127.0.0.%d:%d\nstore_address: %s\n"+
 		"seeds: 127.0.0.1,127.0.0.2\nstop_timeout: 6s\nrepeat_ratio: 1\nrepeat_extra: 200\n", p.name, p.front, p.address, i+1, port, p.proxy.Address())
+	if o.Garbles {
+		text += fmt.Sprintf("memory_mb: %d\n", garbledMemoryMB)
+	}
 	for _, option := range []struct {
 		on      bool
 		setting string
@@ -144,12 +147,18 @@
 	}
 }
 
-func (p *process) ready() bool {
+func (p *process) ready() bool { return p.notReady() == "" }
+
+// notReady returns why the process is not ready; empty: it is.
+func (p *process) notReady() string {
 	client := http.Client{Timeout: time.Second}
 	r, err := client.Get("http://" + p.address + platform.ReadyPath)
 	if err != nil {
-		return false
+		return err.Error()
 	}
 	r.Body.Close()
-	return r.StatusCode == http.StatusOK
+	if r.StatusCode != http.StatusOK {
+		return r.Status
+	}
+	return ""
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -46,6 +46,7 @@
 	Backups  bool   // streams are backed up, and servers crash often
 	Plain    bool   // also send requests to plain servers with few slots, which stall
 	Surplus  bool   // three accounts share a token rate, and two of them ask for more than their shares
+	Garbles  bool   // servers and other writers also send what is no part of the protocol, and gateways have little memory
 	Versions bool   // also replace servers by servers of another software version, and have callers take up streams
 }
 
@@ -282,6 +283,7 @@
 	r.callers.Wait()
 	r.recorder.checkRuns(r.allServers())
 	r.checkFatal()
+	r.checkMemory()
 	r.checkPart()
 	return r.recorder.report()
 }
@@ -318,6 +320,9 @@
 	if o.Restarts {
 		faults = slices.Concat(baseFaults, restartFaults)
 	}
+	if o.Garbles {
+		faults = slices.Concat(faults, slices.Repeat(garbleFaults, 6))
+	}
 	if o.Restores {
 		faults = slices.Concat(faults, slices.Repeat(restoreFaults, 3))
 	}
@@ -388,8 +393,8 @@
 	// A server that crashes restarts with a new lifetime, which is not draining.
 	r.fatalPaused.Store(true)
 	for _, p := range r.gateways {
-		if !p.ready() {
-			r.recorder.violationf("gateway %s is not ready after the faults", p.name)
+		if reason := p.notReady(); reason != "" {
+			r.recorder.violationf("gateway %s is not ready after the faults: %s", p.name, reason)
 		}
 	}
 	if r.options.Versions {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -31,6 +31,7 @@
 	plain    = flag.Bool("plain", false, "also send requests to plain servers with few slots, which stall")
 	surplus  = flag.Bool("surplus", false, "three accounts share a token rate, and two of them ask for more than their shares")
 	moves    = flag.Bool("moves", false, "streams move off servers that leave, which happens often")
+	garbles  = flag.Bool("garbles", false, "servers and other writers also send what is no part of the protocol")
 	logs     = flag.String("logs", "", "directory that keeps the gateways' logs")
 )
 
@@ -80,7 +81,7 @@
 	}
 	for n := range uint64(*seeds) {
 		t.Run(fmt.Sprintf("seed=%d", from+n), func(t *testing.T) {
-			play(t, binary, soak.Options{Seed: from + n, Restarts: *restarts, Fatal: *fatal, Early: *early, Signals: *words, Restores: *copies, Versions: *versions, Part: *part, Moves: *moves, Backups: *backups, Plain: *plain, Surplus: *surplus})
+			play(t, binary, soak.Options{Seed: from + n, Restarts: *restarts, Fatal: *fatal, Early: *early, Signals: *words, Restores: *copies, Versions: *versions, Part: *part, Moves: *moves, Backups: *backups, Plain: *plain, Surplus: *surplus, Garbles: *garbles})
 		})
 	}
 }
@@ -101,6 +102,12 @@
 	play(t, build(t), soak.Options{Seed: 4000, Restarts: true})
 }
 
+// TestSoakGarbles plays a seed with servers that send bytes that are no answer, without end, and entries
+// that lack fields.
+func TestSoakGarbles(t *testing.T) {
+	play(t, build(t), soak.Options{Seed: 10000, Restarts: true, Garbles: true})
+}
+
 // TestSoakFatal runs a seed with requests that crash servers.
 func TestSoakFatal(t *testing.T) {
 	play(t, build(t), soak.Options{Seed: 6000, Restarts: true, Fatal: 4})
