gateway: whether a head is being read is told to two goroutines

Cause: a connection's headRead was a plain field. When a response is aborted and its request's body was not read, net/http reads the rest of it, then reads ahead in a goroutine of its own, while the first one closes the connection and tells its state.

Change: the field is atomic; what it guards is touched by the goroutine that serves the connection alone.

Measured: TestAbortedResponseWhileReading fails with the race detector on the code before, passes now.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -208,7 +208,7 @@
 		if action == serveConn {
 			return caller, nil
 		}
-		caller.headRead = true // it is not read here
+		caller.headRead.Store(true) // it is not read here
 		if !a.offload(caller) {
 			a.reject(caller)
 		}
@@ -296,9 +296,10 @@
 	once      sync.Once
 	hasRead   bool // something was read; used only by the reading goroutine
 
-	// The head of a request, used only by the goroutine that serves the connection.
-	headRead bool // the head of the current request has been read, or is not read here
-	head     memory.Head
+	// Whether the head of the current request has been read, or is not read here. While it has, the HTTP
+	// server may read in another goroutine, also when it closes the connection.
+	headRead atomic.Bool
+	head     memory.Head         // used only by the goroutine that serves the connection, as is held
 	held     *memory.Reservation // of the head
 }
 
@@ -314,19 +315,20 @@
 func (c *callerConn) stateChanged(s http.ConnState) {
 	switch s {
 	case http.StateActive:
-		c.headRead = true
+		c.headRead.Store(true)
 	case http.StateIdle:
-		c.headRead, c.head = false, memory.Head{}
+		c.headRead.Store(false)
+		c.head = memory.Head{}
 		c.held.Release()
 	case http.StateClosed, http.StateHijacked:
-		c.headRead = true
+		c.headRead.Store(true)
 		c.held.Release()
 	}
 }
 
 // holdHead reserves the memory for what has been read of a head, and reports whether there is any.
 func (c *callerConn) holdHead(p []byte) bool {
-	if c.headRead {
+	if c.headRead.Load() {
 		return true
 	}
 	c.head.Count(p)
--- a/gateway/admission_test.go
+++ b/gateway/admission_test.go
@@ -291,3 +291,32 @@
 	require.Eventually(t, func() bool { return b.Used() == 0 }, 5*time.Second, time.Millisecond)
 	require.EqualValues(t, 2, handled.Load())
 }
+
+// TestAbortedResponseWhileReading guards against a race between the HTTP server's reading ahead and the
+// end of a connection whose response is aborted. The race detector shows it.
+func TestAbortedResponseWhileReading(t *testing.T) {
+	idle := &idleCallers{since: map[net.Conn]time.Time{}, limit: 100}
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	admission := &admissionListener{Listener: l, capacity: capacity{connections: 100}, memory: memory.NewBudget(1 << 20), overload: &overload{}, unread: unreadConns{since: map[*callerConn]time.Time{}}}
+	server := &http.Server{
+		// The server reads the rest of the body, and then ahead, while it closes the connection.
+		Handler:   http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }),
+		ConnState: idle.observe,
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(admission) }()
+	defer func() {
+		server.Close()
+		require.ErrorIs(t, <-ended, http.ErrServerClosed)
+	}()
+	for range 100 {
+		c, err := net.Dial("tcp4", l.Addr().String())
+		require.NoError(t, err)
+		_, err = c.Write([]byte("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello"))
+		require.NoError(t, err)
+		_, err = http.ReadResponse(bufio.NewReader(c), nil)
+		require.Error(t, err)
+		c.Close()
+	}
+}
