--- a/cmd/opalbridge/gateway.go
+++ b/cmd/opalbridge/gateway.go
@@ -109,6 +109,11 @@
 	c.RecordConnectionOffloaded(string(outcome))
 }
 
+// RequestDropped implements gateway.Metrics.
+func (c requestMetrics) RequestDropped(d gateway.DroppedRequest) {
+	c.RecordDropped(string(d))
+}
+
 func runGateway(ctx context.Context, s *settings.Settings, file string) error {
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(heapLimitRatio * float64(s.MemoryMB) * (1 << 20)))
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -1,15 +1,12 @@
 package gateway
 
 import (
-	"context"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 
 	"opalbridge.dev/gateway/memory"
@@ -91,7 +88,8 @@
 	capacity  capacity
 	memory    *memory.Budget // for long heads of requests
 	overload  *overload
-	offload   func(*callerConn) bool // offloads a connection; false: no gateway takes it
+	offload   func(*callerConn) bool                           // offloads a connection; false: no gateway takes it
+	onDropped func(*callerConn, DroppedRequest, time.Duration) // records a request that gets no answer, and for how long it was read; nil: it is not recorded
 	rejecter  *reject.Rejecter
 	openConns atomic.Int64 // accepted connections that are not closed
 	unread    unreadConns
@@ -153,11 +151,20 @@
 func newAdmission(g *Gateway) *admissionListener {
 	return &admissionListener{
 		Listener: g.options.CallerListener, capacity: g.capacity, memory: g.options.Memory, overload: &g.overload, rejecter: newRejecter(g),
-		offload: func(*callerConn) bool { return false },
-		unread:  unreadConns{since: map[*callerConn]time.Time{}},
+		offload:   func(*callerConn) bool { return false },
+		unread:    unreadConns{since: map[*callerConn]time.Time{}},
+		onDropped: g.recordDropped,
 	}
 }
 
+// recordDropped records that a connection was closed although a request had arrived on it.
+func (g *Gateway) recordDropped(c *callerConn, d DroppedRequest, readFor time.Duration) {
+	g.options.Metrics.RequestDropped(d)
+	g.log.Warn().Str("event", "request.dropped").Str("caller", c.RemoteAddr().String()).Str("arrived", string(d)).
+		Dur("read_for", readFor).Bool("stopping", g.stopping.Load()).Dur("late", time.Duration(g.overload.delay.Load())).
+		Msg("connection closed without an answer to a request that had arrived")
+}
+
 // rejectReason is the reason of rejections of connections.
 const rejectReason = "gateway short of processor or connections"
 
@@ -287,139 +294,3 @@
 func (a *admissionListener) reject(c reject.Conn) {
 	a.rejecter.Reject(c) // the rejecter receives until the listener is closed
 }
-
-// callerConn is a caller's connection. It counts against the capacity until it is closed.
-type callerConn struct {
-	net.Conn
-	admission *admissionListener
-	counted   bool // it counts against the capacity
-	once      sync.Once
-	hasRead   bool // something was read; used only by the reading goroutine
-
-	// Whether the head of the current request has been read, or is not read here. While it has, the HTTP
-	// server may read in another goroutine, also when it closes the connection.
-	headRead atomic.Bool
-	head     memory.Head         // used only by the goroutine that serves the connection, as is held
-	held     *memory.Reservation // of the head
-}
-
-// coveredCallerHead is the memory of a request's head that belongs to the memory of a connection
-// (memoryPerIdleConn).
-const coveredCallerHead = 8 << 10
-
-// headOwner is the owner of the memory for long heads of requests. Whose they are is not known yet.
-const headOwner = "heads of callers"
-
-// stateChanged follows the state of the connection in the HTTP server: active once the head of a request
-// has been read, and idle after the response.
-func (c *callerConn) stateChanged(s http.ConnState) {
-	switch s {
-	case http.StateActive:
-		c.headRead.Store(true)
-	case http.StateIdle:
-		c.headRead.Store(false)
-		c.head = memory.Head{}
-		c.held.Release()
-	case http.StateClosed, http.StateHijacked:
-		c.headRead.Store(true)
-		c.held.Release()
-	}
-}
-
-// holdHead reserves the memory for what has been read of a head, and reports whether there is any.
-func (c *callerConn) holdHead(p []byte) bool {
-	if c.headRead.Load() {
-		return true
-	}
-	c.head.Count(p)
-	return c.held.GrowTo(c.head.Memory())
-}
-
-// Close implements net.Conn.
-func (c *callerConn) Close() error {
-	c.once.Do(func() {
-		if c.counted {
-			c.admission.openConns.Add(-1)
-			c.admission.unread.remove(c)
-		}
-	})
-	return c.Conn.Close()
-}
-
-// Read implements net.Conn.
-func (c *callerConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	if !c.hasRead {
-		c.hasRead = true
-		c.admission.unread.remove(c)
-	}
-	if !c.holdHead(b[:n]) {
-		return 0, errors.Wrap(memory.ErrNoRoom, "gateway: head of a request")
-	}
-	return n, err
-}
-
-// ReadNow implements reject.Conn.
-func (c *callerConn) ReadNow(buffer []byte) (n int, err error) {
-	raw, err := rawConn(c.Conn)
-	if err != nil {
-		return 0, err
-	}
-	readErr := raw.Read(func(fd uintptr) bool {
-		n, err = unix.Read(int(fd), buffer)
-		return true
-	})
-	if readErr != nil {
-		return 0, readErr
-	}
-	return n, err
-}
-
-// CallerClosed implements handoff.CloseChecker.
-func (c *callerConn) CallerClosed() bool { return c.closedByCaller() }
-
-// connKey is the context key of a request's connection.
-type connKey struct{}
-
-// withConn makes a connection available to handlers.
-func withConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, c)
-}
-
-// callerClosed reports whether the caller of a request has closed its connection.
-func callerClosed(ctx context.Context) bool {
-	c, ok := ctx.Value(connKey{}).(*callerConn)
-	return ok && c.closedByCaller()
-}
-
-// closedByCaller reports whether the caller has closed the connection, without waiting for the
-// goroutine that reads it to notice.
-func (c *callerConn) closedByCaller() bool {
-	n, err := peek(c.Conn)
-	return n == 0 && err == nil || err == unix.ECONNRESET
-}
-
-// peek looks at the next byte without consuming it; it does not block.
-func peek(c net.Conn) (n int, err error) {
-	raw, err := rawConn(c)
-	if err != nil {
-		return 0, err
-	}
-	var one [1]byte
-	controlErr := raw.Control(func(fd uintptr) {
-		n, _, err = unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-	})
-	if controlErr != nil {
-		return 0, controlErr
-	}
-	return n, err
-}
-
-// rawConn returns the socket of a caller's connection.
-func rawConn(c net.Conn) (syscall.RawConn, error) {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return nil, errors.Newf("gateway: connection type %T has no socket", c)
-	}
-	return sc.SyscallConn()
-}
--- a/gateway/admission_test.go
+++ b/gateway/admission_test.go
@@ -59,6 +59,7 @@
 func (c *deniedCounter) SlotDecided(string, SlotDecision)                 {}
 func (c *deniedCounter) InvalidReceived(string, upstream.Invalid)         {}
 func (c *deniedCounter) StreamContinued(string, ContinuationStep, string) {}
+func (c *deniedCounter) RequestDropped(DroppedRequest)                    {}
 
 func (c *deniedCounter) ConnectionOffloaded(o offload.Outcome) {
 	n, _ := c.offloaded.LoadOrStore(o, &atomic.Int64{})
--- /dev/null
+++ b/gateway/caller_conn.go
@@ -0,0 +1,216 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
+
+	"opalbridge.dev/gateway/memory"
+)
+
+// callerConn is a caller's connection. It counts against the capacity until it is closed.
+type callerConn struct {
+	net.Conn
+	admission *admissionListener
+	counted   bool // it counts against the capacity
+	once      sync.Once
+	hasRead   bool // something was read; used only by the reading goroutine
+
+	// Whether the head of the current request has been read, or is not read here. While it has, the HTTP
+	// server may read in another goroutine, also when it closes the connection.
+	headRead atomic.Bool
+	head     memory.Head         // used only by the goroutine that serves the connection, as is held
+	held     *memory.Reservation // of the head
+
+	progress    atomic.Int32 // a connProgress
+	requestFrom atomic.Int64 // when the first byte of the current request was read, in ns since the process's epoch
+	callerEnded atomic.Bool  // a read has failed: the caller has closed, or the connection is broken
+}
+
+// connProgress is how far a caller's connection has come with its current request.
+type connProgress int32
+
+const (
+	awaitsRequest  connProgress = iota // nothing of it has been read
+	readsHead                          // part of it has been read
+	handlesRequest                     // a handler, the rejecter or another gateway is responsible for it
+)
+
+// DroppedRequest says what of a request had arrived when the gateway closed its connection without an answer.
+type DroppedRequest string
+
+// Values of DroppedRequest.
+const (
+	DroppedUnread DroppedRequest = "unread" // bytes that the gateway had not read
+	DroppedRead   DroppedRequest = "read"   // bytes that the gateway had read; no handler had been called
+)
+
+// coveredCallerHead is the memory of a request's head that belongs to the memory of a connection
+// (memoryPerIdleConn).
+const coveredCallerHead = 8 << 10
+
+// headOwner is the owner of the memory for long heads of requests. Whose they are is not known yet.
+const headOwner = "heads of callers"
+
+// stateChanged follows the state of the connection in the HTTP server: active once the head of a request
+// has been read, and idle after the response.
+func (c *callerConn) stateChanged(s http.ConnState) {
+	switch s {
+	case http.StateActive:
+		c.headRead.Store(true)
+	case http.StateIdle:
+		c.headRead.Store(false)
+		c.head = memory.Head{}
+		c.held.Release()
+		c.progress.Store(int32(awaitsRequest))
+	case http.StateClosed, http.StateHijacked:
+		c.headRead.Store(true)
+		c.held.Release()
+	}
+}
+
+// handled records that a handler, the rejecter or another gateway is responsible for the current request.
+func (c *callerConn) handled() { c.progress.Store(int32(handlesRequest)) }
+
+// holdHead reserves the memory for what has been read of a head, and reports whether there is any.
+func (c *callerConn) holdHead(p []byte) bool {
+	if c.headRead.Load() {
+		return true
+	}
+	c.head.Count(p)
+	return c.held.GrowTo(c.head.Memory())
+}
+
+// Close implements net.Conn.
+func (c *callerConn) Close() error {
+	c.once.Do(func() {
+		c.recordDropped(time.Now())
+		if c.counted {
+			c.admission.openConns.Add(-1)
+			c.admission.unread.remove(c)
+		}
+	})
+	return c.Conn.Close()
+}
+
+// recordDropped records a request that ends with the connection although no handler has been called for it
+// and no answer has been sent.
+func (c *callerConn) recordDropped(now time.Time) {
+	if c.callerEnded.Load() || c.admission.onDropped == nil {
+		return
+	}
+	switch connProgress(c.progress.Load()) {
+	case awaitsRequest:
+		if n, err := peek(c.Conn); err == nil && n > 0 {
+			c.admission.onDropped(c, DroppedUnread, 0)
+		}
+	case readsHead:
+		c.admission.onDropped(c, DroppedRead, now.Sub(processEpoch)-time.Duration(c.requestFrom.Load()))
+	}
+}
+
+// processEpoch is the zero of times that are kept as numbers.
+var processEpoch = time.Now()
+
+// Read implements net.Conn.
+func (c *callerConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if !c.hasRead {
+		c.hasRead = true
+		c.admission.unread.remove(c)
+	}
+	if n > 0 && c.progress.CompareAndSwap(int32(awaitsRequest), int32(readsHead)) {
+		c.requestFrom.Store(int64(time.Since(processEpoch)))
+	}
+	if err != nil && !isTimeout(err) {
+		c.callerEnded.Store(true)
+	}
+	if !c.holdHead(b[:n]) {
+		return 0, errors.Wrap(memory.ErrNoRoom, "gateway: head of a request")
+	}
+	return n, err
+}
+
+// isTimeout reports whether a read or write has ended at its deadline.
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
+
+// Write implements net.Conn.
+func (c *callerConn) Write(b []byte) (int, error) {
+	c.handled() // also by the HTTP server itself, which answers requests that it can't parse
+	return c.Conn.Write(b)
+}
+
+// ReadNow implements reject.Conn.
+func (c *callerConn) ReadNow(buffer []byte) (n int, err error) {
+	raw, err := rawConn(c.Conn)
+	if err != nil {
+		return 0, err
+	}
+	readErr := raw.Read(func(fd uintptr) bool {
+		n, err = unix.Read(int(fd), buffer)
+		return true
+	})
+	if readErr != nil {
+		return 0, readErr
+	}
+	return n, err
+}
+
+// CallerClosed implements handoff.CloseChecker.
+func (c *callerConn) CallerClosed() bool { return c.closedByCaller() }
+
+// connKey is the context key of a request's connection.
+type connKey struct{}
+
+// withConn makes a connection available to handlers.
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// callerClosed reports whether the caller of a request has closed its connection.
+func callerClosed(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(*callerConn)
+	return ok && c.closedByCaller()
+}
+
+// closedByCaller reports whether the caller has closed the connection, without waiting for the
+// goroutine that reads it to notice.
+func (c *callerConn) closedByCaller() bool {
+	n, err := peek(c.Conn)
+	return n == 0 && err == nil || err == unix.ECONNRESET
+}
+
+// peek looks at the next byte without consuming it; it does not block.
+func peek(c net.Conn) (n int, err error) {
+	raw, err := rawConn(c)
+	if err != nil {
+		return 0, err
+	}
+	var one [1]byte
+	controlErr := raw.Control(func(fd uintptr) {
+		n, _, err = unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	})
+	if controlErr != nil {
+		return 0, controlErr
+	}
+	return n, err
+}
+
+// rawConn returns the socket of a caller's connection.
+func rawConn(c net.Conn) (syscall.RawConn, error) {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return nil, errors.Newf("gateway: connection type %T has no socket", c)
+	}
+	return sc.SyscallConn()
+}
--- a/gateway/dispatcher_retries.go
+++ b/gateway/dispatcher_retries.go
@@ -105,3 +105,4 @@
 func (discardMetrics) InvalidReceived(string, upstream.Invalid)         {}
 func (discardMetrics) StreamContinued(string, ContinuationStep, string) {}
 func (discardMetrics) ConnectionOffloaded(offload.Outcome)              {}
+func (discardMetrics) RequestDropped(DroppedRequest)                    {}
--- a/gateway/dispatcher_slots_test.go
+++ b/gateway/dispatcher_slots_test.go
@@ -45,6 +45,7 @@
 func (f *slotFixture) InvalidReceived(string, upstream.Invalid)         {}
 func (f *slotFixture) StreamContinued(string, ContinuationStep, string) {}
 func (f *slotFixture) ConnectionOffloaded(offload.Outcome)              {}
+func (f *slotFixture) RequestDropped(DroppedRequest)                    {}
 
 // SlotDecided implements Metrics.
 func (f *slotFixture) SlotDecided(_ string, d SlotDecision) { f.decisions[d]++ }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -102,6 +102,8 @@
 	InvalidReceived(service string, kind upstream.Invalid)
 	// ConnectionOffloaded records what became of a connection that the gateway had no CPU time to serve.
 	ConnectionOffloaded(outcome offload.Outcome)
+	// RequestDropped records that the gateway closed a connection on which a request had arrived, without an answer.
+	RequestDropped(d DroppedRequest)
 }
 
 // Outcome describes a finished request.
@@ -147,6 +149,7 @@
 	copyCleaner           *transfer.Cleaner // nil: runs do not move
 	callerRetries         callerRetryTracker
 	stopping              atomic.Bool
+	cutting               atomic.Bool  // the grace period of the shutdown has expired, and what is left is cut
 	active                atomic.Int64 // requests being served
 	capacity              capacity
 	offloadTargets        *offloadTargets
--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -49,6 +49,9 @@
 // handle serves one request.
 func (g *Gateway) handle(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
+	if conn, ok := r.Context().Value(connKey{}).(*callerConn); ok {
+		conn.handled()
+	}
 	if g.active.Add(1) > g.capacity.requests {
 		g.active.Add(-1)
 		g.deny(w, r, denial{status: http.StatusServiceUnavailable, reason: "too many requests at this gateway", retryAfter: fullRetryAfter})
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -107,7 +107,8 @@
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(g.options.ShutdownGrace-shutdownReserve))
 	defer cancel()
 	if err := callerServer.Shutdown(ctx); err != nil {
-		g.log.Warn().Str("event", "stop.cut").Int64("requests", g.active.Load()).Err(err).Msg("shutdown grace period expired")
+		g.cutting.Store(true)
+		g.log.Warn().Str("event", "stop.cut").Int64("requests", g.active.Load()).Int64("offloaded", o.active.Load()).Err(err).Msg("shutdown grace period expired")
 	}
 	o.drain(ctx)
 }
--- a/telemetry/gateway.go
+++ b/telemetry/gateway.go
@@ -23,12 +23,13 @@
 	continued    metric.Int64Counter
 	offloaded    metric.Int64Counter
 	invalid      metric.Int64Counter
+	dropped      metric.Int64Counter
 }
 
 // NewGatewayMetrics creates the instruments of a gateway.
 func NewGatewayMetrics(m metric.Meter) (*GatewayMetrics, error) {
 	var c GatewayMetrics
-	var errs [12]error
+	var errs [13]error
 	c.requests, errs[0] = m.Int64Counter("opalbridge.gateway.requests", metric.WithDescription("requests that ended, by service, kind and result"))
 	c.attempts, errs[1] = m.Int64Counter("opalbridge.gateway.attempts", metric.WithDescription("sends to servers, by service; over opalbridge.gateway.requests"))
 	c.first, errs[2] = m.Float64Histogram("opalbridge.gateway.first", metric.WithUnit("s"), metric.WithDescription("time from arrival to the first byte passed on"))
@@ -41,6 +42,7 @@
 	c.continued, errs[9] = m.Int64Counter("opalbridge.gateway.streams_continued", metric.WithDescription("steps by which streams continue at other servers: move, backup, resume; by service and outcome"))
 	c.offloaded, errs[10] = m.Int64Counter("opalbridge.gateway.connections_offloaded", metric.WithDescription("connections for which the gateway lacked CPU time, by outcome: own_hall and other_hall (a gateway there took it), none (no gateway could take it), failed (those that could were not reached)"))
 	c.invalid, errs[11] = m.Int64Counter("opalbridge.gateway.invalid_answers", metric.WithDescription("times that a server has sent bytes that are no answer, by service and kind"))
+	c.dropped, errs[12] = m.Int64Counter("opalbridge.gateway.requests_dropped", metric.WithDescription("connections that the gateway closed without an answer to a request that had arrived, by arrived: unread, read"))
 	return &c, errors.Wrap(errors.Join(errs[:]...), "telemetry: gateway")
 }
 
@@ -95,6 +97,11 @@
 	c.offloaded.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome)))
 }
 
+// RecordDropped records that a connection was closed without an answer to a request that had arrived on it.
+func (c *GatewayMetrics) RecordDropped(arrived string) {
+	c.dropped.Add(context.Background(), 1, metric.WithAttributes(attribute.String("arrived", arrived)))
+}
+
 // RecordInvalid records that a server has sent bytes that are no answer.
 func (c *GatewayMetrics) RecordInvalid(service, kind string) {
 	c.invalid.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("kind", kind)))
