gateway: a planned stop answers each request that has arrived

What callers saw: under planned work alone, requests whose connections a stopping gateway closed without an answer, 2.5 s after its SIGTERM.

Cause: the stop was http.Server.Shutdown. It closes connections as idle until the head of a next request has been parsed, whatever has arrived on them; what is read after the call is parsed and dropped without a handler (conn.serve returns if the server is shutting down); and closing the listener resets what waits in the accept queue. With processor time to spare these windows last microseconds; a gateway that is short of it leaves requests in its sockets for hundreds of milliseconds. The class: a goroutine that does not read from a connection decides that nothing has arrived on it.

Change: Shutdown is not used. From 2.5 s after the SIGTERM the gateway retires connections: the goroutine that reads looks into the socket itself and closes the connection only if it is empty. The accept queue is emptied into the rejecter before the listener is closed. A request that may outlast the stop is refused at once. At the end of the grace period, requests that wait are refused as not run, those that run get a 502 or, begun, are cut, each with its own line, before the connections are closed. Idle limits retire connections in the same way.

Why it holds: bytes that have arrived are seen by a peek at the socket in the goroutine that would read them, with the close as the next system call; a first byte read and a retirement exclude each other by a mutex.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -92,6 +93,7 @@
 	onDropped func(*callerConn, DroppedRequest, time.Duration) // records a request that gets no answer, and for how long it was read; nil: it is not recorded
 	rejecter  *reject.Rejecter
 	openConns atomic.Int64 // accepted connections that are not closed
+	open      openCallerConns
 	unread    unreadConns
 	closed    atomic.Bool
 	rejects   rejectLimiter // used only by the goroutine that calls Accept
@@ -183,7 +185,7 @@
 		action := a.nextAction(began)
 		if action == deferConn {
 			if a.closed.Load() {
-				return nil, net.ErrClosed
+				return nil, http.ErrServerClosed
 			}
 			time.Sleep(deferInterval)
 			continue
@@ -195,6 +197,9 @@
 			}
 		}
 		c, err := a.Listener.Accept()
+		if err != nil && a.closed.Load() {
+			return nil, http.ErrServerClosed
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -204,14 +209,15 @@
 		if action == deferConn {
 			action = rejectConn // it has been accepted already
 		}
-		caller := &callerConn{Conn: c, admission: a, held: a.memory.NewReservation(headOwner, coveredCallerHead)}
+		caller := &callerConn{Conn: c, admission: a, accepted: time.Now(), held: a.memory.NewReservation(headOwner, coveredCallerHead)}
 		if action == rejectConn {
 			a.reject(caller) // it does not count against the capacity
 			continue
 		}
 		a.openConns.Add(1)
 		caller.counted = true
-		a.unread.add(caller, time.Now())
+		a.open.add(caller)
+		a.unread.add(caller, caller.accepted)
 		if action == serveConn {
 			return caller, nil
 		}
@@ -270,6 +276,19 @@
 	return a.Listener.Close()
 }
 
+// stop ends the listener. Connections that are waiting in the kernel's accept queue are rejected with a
+// response, where closing the listener alone would reset them.
+func (a *admissionListener) stop() error {
+	a.closed.Store(true)
+	for {
+		s, ok := a.acceptSocket()
+		if !ok {
+			return a.Listener.Close()
+		}
+		a.reject(s)
+	}
+}
+
 // acceptSocket accepts a pending connection without the setup that the runtime does for each
 // connection: that saves three of the some nine system calls that a rejection takes. ok is
 // false if no connection is pending.
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -342,9 +342,6 @@
 		// The caller no longer reads, or has closed its sending direction alone: then it must not take
 		// what follows for the end of an answer.
 		c.result = "left"
-		if c.gateway.cutting.Load() {
-			c.result, c.reason = "cut", "the gateway's grace period has expired"
-		}
 		panic(http.ErrAbortHandler)
 	case c.headerSent:
 		c.result = "cut"
--- a/gateway/caller_conn.go
+++ b/gateway/caller_conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -29,9 +30,14 @@
 	head     memory.Head         // used only by the goroutine that serves the connection, as is held
 	held     *memory.Reservation // of the head
 
+	accepted    time.Time
 	progress    atomic.Int32 // a connProgress
 	requestFrom atomic.Int64 // when the first byte of the current request was read, in ns since the process's epoch
 	callerEnded atomic.Bool  // a read has failed: the caller has closed, or the connection is broken
+	retiring    atomic.Bool  // it ends as soon as nothing of a request has arrived
+	// Guards the read deadline of a connection that is being retired: once a byte of a request has been
+	// read, retire must not end the reading of the rest.
+	mutex sync.Mutex
 }
 
 // connProgress is how far a caller's connection has come with its current request.
@@ -95,6 +101,7 @@
 		if c.counted {
 			c.admission.openConns.Add(-1)
 			c.admission.unread.remove(c)
+			c.admission.open.remove(c)
 		}
 	})
 	return c.Conn.Close()
@@ -121,13 +128,13 @@
 
 // Read implements net.Conn.
 func (c *callerConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
+	n, err := c.readOrRetire(b)
 	if !c.hasRead {
 		c.hasRead = true
 		c.admission.unread.remove(c)
 	}
-	if n > 0 && c.progress.CompareAndSwap(int32(awaitsRequest), int32(readsHead)) {
-		c.requestFrom.Store(int64(time.Since(processEpoch)))
+	if n > 0 && c.awaitsRequest() {
+		c.beginRequest(time.Now())
 	}
 	if err != nil && !isTimeout(err) {
 		c.callerEnded.Store(true)
@@ -138,6 +145,52 @@
 	return n, err
 }
 
+// awaitsRequest reports whether nothing of a next request has been read.
+func (c *callerConn) awaitsRequest() bool {
+	return connProgress(c.progress.Load()) == awaitsRequest
+}
+
+// beginRequest records that the first bytes of a request have been read.
+func (c *callerConn) beginRequest(now time.Time) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.progress.Store(int32(readsHead))
+	c.requestFrom.Store(int64(now.Sub(processEpoch)))
+	if c.retiring.Load() {
+		_ = c.Conn.SetReadDeadline(now.Add(headerTimeout)) // on a closed connection the next read fails
+	}
+}
+
+// retire has the connection end as soon as nothing of a request has arrived on it, which the goroutine that
+// reads from it decides: another one can't know what it has just read. It does nothing while a request is read
+// or served.
+func (c *callerConn) retire() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if !c.awaitsRequest() || c.retiring.Swap(true) {
+		return
+	}
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // on a closed connection nothing is left to end
+}
+
+// readOrRetire reads. Instead, it closes a connection that is being retired and on which nothing has arrived,
+// and returns io.EOF.
+func (c *callerConn) readOrRetire(b []byte) (int, error) {
+	for {
+		if c.retiring.Load() && c.awaitsRequest() {
+			if _, err := peek(c.Conn); err == unix.EAGAIN {
+				c.Close()
+				return 0, io.EOF
+			}
+			_ = c.Conn.SetReadDeadline(time.Now().Add(headerTimeout)) // on a closed connection the read fails
+		}
+		n, err := c.Conn.Read(b)
+		if n > 0 || !isTimeout(err) || !c.retiring.Load() || !c.awaitsRequest() {
+			return n, err
+		}
+	}
+}
+
 // isTimeout reports whether a read or write has ended at its deadline.
 func isTimeout(err error) bool {
 	var netErr net.Error
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -71,9 +71,10 @@
 // idleCallers closes callers' connections that are idle for longer than the configuration
 // allows. The HTTP server's own timeout cannot follow a change of the configuration.
 type idleCallers struct {
-	mutex sync.Mutex
-	since map[net.Conn]time.Time
-	limit int // of more, those idle for longest are closed
+	mutex  sync.Mutex
+	since  map[net.Conn]time.Time
+	limit  int // of more, those idle for longest are closed
+	served int // connections that the HTTP server has, idle or not
 }
 
 func (i *idleCallers) observe(c net.Conn, s http.ConnState) {
@@ -82,6 +83,12 @@
 	}
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
+	switch s {
+	case http.StateNew:
+		i.served++
+	case http.StateClosed, http.StateHijacked:
+		i.served--
+	}
 	if s == http.StateIdle || s == http.StateNew {
 		i.since[c] = time.Now()
 		return
@@ -89,6 +96,13 @@
 	delete(i.since, c)
 }
 
+// count returns the number of connections that the HTTP server has.
+func (i *idleCallers) count() int {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	return i.served
+}
+
 func (i *idleCallers) run(ctx context.Context, g *Gateway) {
 	tick := time.NewTicker(idleCallersInterval)
 	defer tick.Stop()
@@ -114,17 +128,26 @@
 	}
 	conns := slices.SortedFunc(maps.Keys(i.since), func(a, b net.Conn) int { return i.since[a].Compare(i.since[b]) })
 	for _, c := range conns[:len(conns)-limit] {
-		c.Close()
+		endIdle(c)
 		delete(i.since, c)
 	}
 }
 
+// endIdle ends an idle connection, unless a request has arrived on it.
+func endIdle(c net.Conn) {
+	if caller, ok := c.(*callerConn); ok {
+		caller.retire()
+		return
+	}
+	c.Close()
+}
+
 func (i *idleCallers) closeIdleSince(cutoff time.Time) {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
 	for c, since := range i.since {
 		if since.Before(cutoff) {
-			c.Close()
+			endIdle(c)
 			delete(i.since, c)
 		}
 	}
--- /dev/null
+++ b/gateway/drain.go
@@ -0,0 +1,134 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// This file ends callers' connections in a planned stop. The Shutdown method of http.Server can't: it closes
+// connections as idle on which a request has arrived, and drops without a response what it reads after the
+// call. Here the goroutine that reads from a connection decides whether a request has arrived
+// (callerConn.retire); each request that has arrived gets a response.
+
+// Times of a planned stop.
+const (
+	// How long connections are accepted after a shutdown is requested: the load balancer
+	// checks once a second and needs two failed checks.
+	shutdownDelay = 2500 * time.Millisecond
+	// Part of the grace period that is reserved for ending the remaining requests and connections.
+	shutdownReserve = 500 * time.Millisecond
+	// Part of the reserve for responses to requests that are ended.
+	finalResponseTime = 300 * time.Millisecond
+	// Interval at which connections are ended.
+	drainInterval = 20 * time.Millisecond
+	// A new connection is kept for this long until its request arrives.
+	newConnTime = 300 * time.Millisecond
+	// Retry-After of a stopping gateway: the caller's next connection reaches another one.
+	stopRetryAfter = 50 * time.Millisecond
+)
+
+// errGraceExpired is the cause of the end of requests that are left when the grace period has expired.
+var errGraceExpired = errors.New("gateway: it is stopping, and its grace period has expired")
+
+// shutdown ends all connections, and returns when there are none or the grace period is over.
+func (g *Gateway) shutdown(listener *admissionListener, served *idleCallers, o *offloader) {
+	began := time.Now()
+	end := began.Add(g.options.ShutdownGrace - shutdownReserve)
+	g.stopping.Store(true)
+	g.log.Info().Str("event", "stop").Int64("requests", g.active.Load()).Msg("shutdown requested")
+	time.Sleep(min(shutdownDelay, g.options.ShutdownGrace/2))
+	g.stopEnd.Store(&end)
+	if err := listener.stop(); err != nil {
+		g.log.Warn().Str("event", "stop.listener").Err(err).Msg("cannot close the listener")
+	}
+	d := drainer{listener: listener, served: served, offloader: o}
+	if d.run(end) {
+		return
+	}
+	g.log.Warn().Str("event", "stop.cut").Int64("requests", g.active.Load()).Int("connections", served.count()).
+		Int64("offloaded", o.active.Load()).Msg("shutdown grace period expired")
+	g.expire()
+	d.run(end.Add(finalResponseTime))
+}
+
+// drainer ends the connections of a gateway that is stopping.
+type drainer struct {
+	listener  *admissionListener
+	served    *idleCallers
+	offloader *offloader
+}
+
+// run ends connections on which no request has arrived, until there are none left; false: some are left at the end.
+func (d *drainer) run(end time.Time) bool {
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	tick := time.NewTicker(drainInterval)
+	defer tick.Stop()
+	for !d.done() {
+		d.listener.open.retire(time.Now())
+		select {
+		case <-ctx.Done():
+			return d.done()
+		case <-tick.C:
+		}
+	}
+	return true
+}
+
+// done reports whether no connection is left.
+func (d *drainer) done() bool {
+	return d.served.count() == 0 && d.offloader.active.Load() == 0 && d.listener.rejecter.Pending() == 0
+}
+
+// openCallerConns is the set of callers' connections that are served or forwarded. Its zero value is empty.
+// It is safe for concurrent use.
+type openCallerConns struct {
+	mutex sync.Mutex
+	conns map[*callerConn]struct{}
+}
+
+func (o *openCallerConns) add(c *callerConn) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if o.conns == nil {
+		o.conns = map[*callerConn]struct{}{}
+	}
+	o.conns[c] = struct{}{}
+}
+
+func (o *openCallerConns) remove(c *callerConn) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	delete(o.conns, c)
+}
+
+// retire retires the connections, except new ones whose request may be on its way.
+func (o *openCallerConns) retire(now time.Time) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	for c := range o.conns {
+		if now.Sub(c.accepted) >= newConnTime {
+			c.retire()
+		}
+	}
+}
+
+// stopsBefore reports whether the gateway ends before a request's deadline. Such a request is refused once
+// connections are being ended: it might be cut, and is served at another gateway.
+func (g *Gateway) stopsBefore(deadline time.Time) bool {
+	end := g.stopEnd.Load()
+	return end != nil && deadline.After(*end)
+}
+
+// endsConnection reports whether the connection of a request ends after its response.
+func (g *Gateway) endsConnection(r *http.Request) bool {
+	if g.stopping.Load() || isOffloaded(r.Context()) {
+		return true
+	}
+	c, ok := r.Context().Value(connKey{}).(*callerConn)
+	return ok && c.retiring.Load()
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -149,7 +149,9 @@
 	copyCleaner           *transfer.Cleaner // nil: runs do not move
 	callerRetries         callerRetryTracker
 	stopping              atomic.Bool
-	cutting               atomic.Bool  // the grace period of the shutdown has expired, and what is left is cut
+	stopEnd               atomic.Pointer[time.Time] // when the gateway ends what is left; nil: connections are not ended yet
+	expired               context.Context           // ends when the grace period of the shutdown has expired
+	expire                context.CancelFunc
 	active                atomic.Int64 // requests being served
 	capacity              capacity
 	offloadTargets        *offloadTargets
@@ -167,6 +169,7 @@
 	}
 	g := &Gateway{options: o, log: o.Log, started: time.Now(), pool: upstream.NewPool(o.Codec)}
 	g.view.Store(&View{})
+	g.expired, g.expire = context.WithCancel(context.Background())
 	g.capacity = capacityFor(o.MemoryLimit, o.FileLimit)
 	g.offloadTargets = newOffloadTargets(o.Dispatcher.Hall, o.Dispatcher.Regions, g.offloadsToOtherHalls)
 	g.spare = newSpareCPU(g)
--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -69,7 +69,7 @@
 		}
 		return
 	}
-	if g.stopping.Load() || isOffloaded(r.Context()) {
+	if g.endsConnection(r) {
 		w.Header().Set("Connection", "close")
 	}
 	c, d := g.newCall(w, r, arrived)
@@ -78,8 +78,15 @@
 		return
 	}
 	defer c.bodyMemory.Release()
+	if g.stopsBefore(c.deadline) {
+		g.deny(w, r, denial{status: http.StatusServiceUnavailable, reason: "gateway is stopping", retryAfter: stopRetryAfter})
+		return
+	}
 	ctx, cancel := context.WithDeadlineCause(r.Context(), c.deadline, errDeadline)
 	defer cancel()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	defer context.AfterFunc(g.expired, func() { end(errGraceExpired) })()
 	c.run(ctx)
 }
 
--- a/gateway/reject/reject.go
+++ b/gateway/reject/reject.go
@@ -15,6 +15,7 @@
 	"fmt"
 	"io"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -82,6 +83,7 @@
 	conns    chan Conn
 	buffer   []byte
 	waiting  []*rejectedConn
+	pending  atomic.Int64
 	ids      []string // of the requests rejected since the last log line
 	loggedAt time.Time
 }
@@ -93,7 +95,13 @@
 
 // Reject passes a connection to the Rejecter, which closes it. It blocks while too many are
 // waiting, and for good after Run has ended.
-func (r *Rejecter) Reject(c Conn) { r.conns <- c }
+func (r *Rejecter) Reject(c Conn) {
+	r.pending.Add(1)
+	r.conns <- c
+}
+
+// Pending returns the number of connections that have not been rejected yet.
+func (r *Rejecter) Pending() int { return int(r.pending.Load()) }
 
 // rejectedConn is a connection that is being rejected.
 type rejectedConn struct {
@@ -106,7 +114,8 @@
 	disconnected   bool
 }
 
-// Run rejects connections until ctx ends; then it closes the rest.
+// Run rejects connections until ctx ends; then it responds to those whose request has arrived, and closes the
+// rest.
 func (r *Rejecter) Run(ctx context.Context) {
 	tick := time.NewTicker(pollInterval)
 	tick.Stop()
@@ -136,12 +145,15 @@
 
 func (r *Rejecter) closeAll() {
 	for _, c := range r.waiting {
-		c.Close()
+		c.readAvailable(r.buffer)
+		r.finish(c)
 	}
 	for {
 		select {
 		case c := <-r.conns:
-			c.Close()
+			rejected := &rejectedConn{Conn: c}
+			rejected.readAvailable(r.buffer)
+			r.finish(rejected)
 		default:
 			return
 		}
@@ -169,6 +181,7 @@
 
 // finish ends a connection. An incomplete request gets no response.
 func (r *Rejecter) finish(c *rejectedConn) {
+	defer r.pending.Add(-1)
 	defer c.Close()
 	if c.disconnected || !c.headerComplete {
 		return
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -111,7 +111,7 @@
 	if r.Length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(r.Length, 10))
 	}
-	if c.gateway.stopping.Load() || isOffloaded(c.request.Context()) {
+	if c.gateway.endsConnection(c.request) {
 		h.Set("Connection", "close")
 	}
 }
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -13,22 +13,17 @@
 	"opalbridge.dev/gateway/offload"
 )
 
-// Times of connections and of the shutdown.
+// Limits on the heads of requests.
 const (
 	// Time limit for reading a request header.
 	headerTimeout = 10 * time.Second
 	// Maximum size of a request header that is read; configurations set lower limits.
 	maxHeaderBytes = 64 << 10
-	// How long connections are accepted after a shutdown is requested: the load balancer
-	// checks once a second and needs two failed checks.
-	shutdownDelay = 2500 * time.Millisecond
-	// Part of the grace period that is reserved for closing the remaining connections.
-	shutdownReserve = 500 * time.Millisecond
 )
 
-// serve handles requests until ctx ends, then shuts down: readiness fails first, idle
-// connections are closed once the load balancer has had time to notice, requests in flight are
-// completed, and what is left at the end of the grace period is aborted.
+// serve handles requests until ctx ends, then shuts down: readiness fails first, connections are ended
+// once the load balancer has had time to notice, requests that have arrived are completed, and what is left
+// at the end of the grace period is ended (drain.go).
 func (g *Gateway) serve(ctx, background context.Context) error {
 	idle := &idleCallers{since: map[net.Conn]time.Time{}, limit: int(min(maxIdleCallers, g.capacity.connections/2))}
 	callerServer := &http.Server{
@@ -75,7 +70,7 @@
 		serveErrs <- http.ErrServerClosed
 	}
 	if serveErr == nil {
-		g.shutdown(callerServer, o)
+		g.shutdown(listener, idle, o)
 	}
 	callerServer.Close()
 	peerServer.Close()
@@ -98,21 +93,6 @@
 // health checks, other gateways.
 const listenerCount = 4
 
-// shutdown waits for the requests in flight.
-func (g *Gateway) shutdown(callerServer *http.Server, o *offloader) {
-	began := time.Now()
-	g.stopping.Store(true)
-	g.log.Info().Str("event", "stop").Int64("requests", g.active.Load()).Msg("shutdown requested")
-	time.Sleep(min(shutdownDelay, g.options.ShutdownGrace/2))
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(g.options.ShutdownGrace-shutdownReserve))
-	defer cancel()
-	if err := callerServer.Shutdown(ctx); err != nil {
-		g.cutting.Store(true)
-		g.log.Warn().Str("event", "stop.cut").Int64("requests", g.active.Load()).Int64("offloaded", o.active.Load()).Err(err).Msg("shutdown grace period expired")
-	}
-	o.drain(ctx)
-}
-
 // readyHandler handles the load balancer's health checks.
 func (g *Gateway) readyHandler() http.Handler {
 	r := chi.NewRouter()
