gateway: a planned stop waits for the goroutine that accepts connections

A connection that was accepted and not yet known to the HTTP server counted nowhere, so that the stop could take the gateway for empty. Connections count from their acceptance on, and the stop waits until the accepting goroutine has seen that the listener is closed. Found by reading.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -96,6 +96,7 @@
 	open      openCallerConns
 	unread    unreadConns
 	closed    atomic.Bool
+	ended     atomic.Bool   // the server has seen that the listener is closed
 	rejects   rejectLimiter // used only by the goroutine that calls Accept
 }
 
@@ -177,9 +178,18 @@
 	})
 }
 
-// Accept implements net.Listener. The decision on the next connection is made before it is
-// accepted, since a connection to be rejected is accepted with fewer system calls.
+// Accept implements net.Listener. Once the listener is closed, it returns http.ErrServerClosed.
 func (a *admissionListener) Accept() (net.Conn, error) {
+	c, err := a.accept()
+	if err == http.ErrServerClosed {
+		a.ended.Store(true)
+	}
+	return c, err
+}
+
+// accept returns the next connection to be served. The decision on the next connection is made before it is
+// accepted, since a connection to be rejected is accepted with fewer system calls.
+func (a *admissionListener) accept() (net.Conn, error) {
 	for {
 		began := time.Now()
 		action := a.nextAction(began)
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -81,7 +81,8 @@
 
 // done reports whether no connection is left.
 func (d *drainer) done() bool {
-	return d.served.count() == 0 && d.offloader.active.Load() == 0 && d.listener.rejecter.Pending() == 0
+	left := d.listener.openConns.Load() + int64(d.served.count()+d.listener.rejecter.Pending()) + d.offloader.active.Load()
+	return left == 0 && d.listener.ended.Load()
 }
 
 // openCallerConns is the set of callers' connections that are served or forwarded. Its zero value is empty.
