gateway: a planned stop waits for connections that are being accepted or handed over

What callers saw: a connection that was being accepted, or had been taken from the HTTP server to be passed on or rejected, when the last other connection ended, was closed with the process although its request had arrived.

Cause: the drain ended when the HTTP server, the offloader and the rejecter had no connection. A connection is known to none of them between the accept and the server's StateNew, and between Hijack, which takes it from the server's count, and the offloader's count.

Change: the drain also waits until Accept has returned its last connection, and until all callers' connections are closed, which the set of open connections tells.

Measured: on the code before, `go test -race ./gateway -run TestDrainCountsAcceptedConnections` fails ("a connection is being accepted: Should be false"). It passes now.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -96,6 +96,7 @@
 	open      openCallerConns
 	unread    unreadConns
 	closed    atomic.Bool
+	ended     atomic.Bool   // it is closed, and Accept returns no more connections
 	rejects   rejectLimiter // used only by the goroutine that calls Accept
 }
 
@@ -185,7 +186,7 @@
 		action := a.nextAction(began)
 		if action == deferConn {
 			if a.closed.Load() {
-				return nil, http.ErrServerClosed
+				return nil, a.end()
 			}
 			time.Sleep(deferInterval)
 			continue
@@ -198,7 +199,7 @@
 		}
 		c, err := a.Listener.Accept()
 		if err != nil && a.closed.Load() {
-			return nil, http.ErrServerClosed
+			return nil, a.end()
 		}
 		if err != nil {
 			return nil, err
@@ -228,6 +229,12 @@
 	}
 }
 
+// end records that Accept returns no more connections. It returns Accept's error.
+func (a *admissionListener) end() error {
+	a.ended.Store(true)
+	return http.ErrServerClosed
+}
+
 // connAction is what is done with a connection.
 type connAction int
 
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -79,9 +79,11 @@
 	return true
 }
 
-// done reports whether no connection is left.
+// done reports whether no connection is left. One that has been accepted, or is passed from the HTTP server to
+// the offloader or the rejecter, is known to none of these yet, but is open.
 func (d *drainer) done() bool {
-	return d.served.count() == 0 && d.offloader.active.Load() == 0 && d.listener.rejecter.Pending() == 0
+	return d.listener.ended.Load() && d.listener.open.count() == 0 &&
+		d.served.count() == 0 && d.offloader.active.Load() == 0 && d.listener.rejecter.Pending() == 0
 }
 
 // openCallerConns is the set of callers' connections that are served or forwarded. Its zero value is empty.
@@ -106,6 +108,13 @@
 	delete(o.conns, c)
 }
 
+// count returns the number of connections.
+func (o *openCallerConns) count() int {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return len(o.conns)
+}
+
 // retire retires the connections, except new ones whose request may be on its way.
 func (o *openCallerConns) retire(now time.Time) {
 	o.mutex.Lock()
--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -70,3 +70,48 @@
 	require.NoError(t, err)
 	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
 }
+
+// lateListener stands for a process that is short of processor time: its accepts return late.
+type lateListener struct {
+	*net.TCPListener
+	accepted chan struct{} // receives when a connection has been accepted
+	resumed  chan struct{} // closed when accepts return
+}
+
+// Accept implements net.Listener.
+func (l *lateListener) Accept() (net.Conn, error) {
+	c, err := l.TCPListener.Accept()
+	if err == nil {
+		l.accepted <- struct{}{}
+		<-l.resumed
+	}
+	return c, err
+}
+
+// TestDrainCountsAcceptedConnections guards against a stop that ends before the HTTP server knows of all accepted connections.
+func TestDrainCountsAcceptedConnections(t *testing.T) {
+	l := &lateListener{TCPListener: listenLocal(t), accepted: make(chan struct{}, 1), resumed: make(chan struct{})}
+	d := newDrainer(t, l)
+	conns := make(chan net.Conn, 1)
+	ended := make(chan error, 1)
+	go func() {
+		for {
+			c, err := d.listener.Accept()
+			if err != nil {
+				ended <- err
+				return
+			}
+			conns <- c
+		}
+	}()
+	dialCaller(t, l, drainRequest)
+	<-l.accepted
+	require.NoError(t, d.listener.stop())
+	require.False(t, d.done(), "a connection is being accepted")
+	close(l.resumed)
+	c := <-conns
+	require.ErrorIs(t, <-ended, http.ErrServerClosed)
+	require.False(t, d.done(), "a connection has been accepted, and the HTTP server does not have it yet")
+	c.Close()
+	require.True(t, d.done())
+}
