gateway: a connection with a buffered request is not ended as idle

What callers saw: on a connection that was being retired, a second request that had come along with the first, or whose first byte had, was closed without an answer.

Cause: after a response the connection counts as awaiting a request, whatever the HTTP server has buffered. If the whole next request is there, the server reads ahead while it calls the handler; that read found the socket empty and closed the connection. If the server's read-ahead has taken the first byte, the read for the rest did.

Change: a request whose head came from the buffer begins when its head has been parsed (StateActive, before the server reads ahead); one whose first byte was read ahead begins with StateIdle. Not covered: a part of a next head of more than that byte, sent before the response to the request before, which the connection does not see in the server's buffer.

--- a/gateway/caller_conn.go
+++ b/gateway/caller_conn.go
@@ -35,6 +35,7 @@
 	requestFrom atomic.Int64 // when the first byte of the current request was read, in ns since the process's epoch
 	callerEnded atomic.Bool  // a read has failed: the caller has closed, or the connection is broken
 	retiring    atomic.Bool  // it ends as soon as nothing of a request has arrived
+	readAhead   atomic.Bool  // the first byte of the next request has been read while one is served
 	// Guards the read deadline of a connection that is being retired: once a byte of a request has been
 	// read, retire must not end the reading of the rest.
 	mutex sync.Mutex
@@ -70,12 +71,18 @@
 func (c *callerConn) stateChanged(s http.ConnState) {
 	switch s {
 	case http.StateActive:
+		if c.awaitsRequest() {
+			c.beginRequest(time.Now()) // the head came with the request before
+		}
 		c.headRead.Store(true)
 	case http.StateIdle:
 		c.headRead.Store(false)
 		c.head = memory.Head{}
 		c.held.Release()
 		c.progress.Store(int32(awaitsRequest))
+		if c.readAhead.Swap(false) {
+			c.beginRequest(time.Now())
+		}
 	case http.StateClosed, http.StateHijacked:
 		c.headRead.Store(true)
 		c.held.Release()
@@ -136,6 +143,9 @@
 	if n > 0 && c.awaitsRequest() {
 		c.beginRequest(time.Now())
 	}
+	if n == 1 && len(b) == 1 && c.headRead.Load() {
+		c.readAhead.Store(true) // the HTTP server reads single bytes only to notice a caller that closes
+	}
 	if err != nil && !isTimeout(err) {
 		c.callerEnded.Store(true)
 	}
--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -148,3 +148,52 @@
 	require.NoError(t, <-stopped)
 	require.Error(t, err, "connected to a listener that accepts nothing any more")
 }
+
+// TestRetireBufferedRequest guards against the end of a connection whose next request the HTTP server has buffered.
+func TestRetireBufferedRequest(t *testing.T) {
+	tests := []struct {
+		name                string
+		first, second, rest string // written at first, while the first request is handled, and after its response
+	}{
+		{"whole", drainRequest + drainRequest, "", ""},
+		{"one byte", drainRequest, drainRequest[:1], drainRequest[1:]},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			d := newDrainer(t, listenLocal(t))
+			handling := make(chan struct{}, 2)
+			server := &http.Server{
+				Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+					handling <- struct{}{}
+					time.Sleep(50 * time.Millisecond) // the server reads ahead meanwhile
+					r.Context().Value(connKey{}).(*callerConn).handled()
+				}),
+				ConnContext: withConn,
+				ConnState: func(c net.Conn, s http.ConnState) {
+					d.served.observe(c, s)
+					if s == http.StateIdle {
+						c.(*callerConn).retire()
+					}
+				},
+			}
+			ended := make(chan error, 1)
+			go func() { ended <- server.Serve(d.listener) }()
+			defer func() {
+				server.Close()
+				require.ErrorIs(t, <-ended, http.ErrServerClosed)
+			}()
+			caller := dialCaller(t, d.listener, test.first)
+			<-handling
+			_, err := io.WriteString(caller, test.second)
+			require.NoError(t, err)
+			reader := bufio.NewReader(caller)
+			_, err = http.ReadResponse(reader, nil)
+			require.NoError(t, err)
+			time.Sleep(20 * time.Millisecond)
+			_, err = io.WriteString(caller, test.rest)
+			require.NoError(t, err)
+			_, err = http.ReadResponse(reader, nil)
+			require.NoError(t, err, "the second request had arrived and got no answer")
+		})
+	}
+}
