gateway: a short grace period leaves time for responses

What callers saw: with a stop_timeout below 0.8 s (or 1 s, with the drain cut short), requests in hand were closed without an answer.

Cause: the reserve of 500 ms was taken off whatever the grace period was. Below 500 ms the drain's end and the end of the time for final responses lay before the stop, so that connections were closed in the moment in which the requests were ended.

Change: the reserve is at most a quarter of the grace period, and the time for final responses three fifths of that. Grace periods from 2 s on keep their times.

Measured: on the code before, `go test -race ./platform -run TestStopAnswersAtGraceEnd` fails for 400 ms ("unexpected EOF", a 502 is asked for) and passes for 1.6 s; both pass now, twice, as do TestStopAnswersArrivedRequests and gateway's packages (82 s).

--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -37,10 +37,13 @@
 // shutdown ends all connections, and returns when there are none or the grace period is over.
 func (g *Gateway) shutdown(listener *admissionListener, served *idleCallers, o *offloader) {
 	began := time.Now()
-	end := began.Add(g.options.ShutdownGrace - shutdownReserve)
+	grace := g.options.ShutdownGrace
+	// A short grace period is divided: half to accept connections, a quarter to end them, and the reserve.
+	reserve := min(shutdownReserve, grace/4)
+	end := began.Add(grace - reserve)
 	g.stopping.Store(true)
 	g.log.Info().Str("event", "stop").Int64("requests", g.active.Load()).Msg("shutdown requested")
-	time.Sleep(min(shutdownDelay, g.options.ShutdownGrace/2))
+	time.Sleep(min(shutdownDelay, grace/2))
 	g.stopEnd.Store(&end)
 	if err := listener.stop(); err != nil {
 		g.log.Warn().Str("event", "stop.listener").Err(err).Msg("cannot close the listener")
@@ -52,7 +55,7 @@
 	g.log.Warn().Str("event", "stop.cut").Int64("requests", g.active.Load()).Int("connections", served.count()).
 		Int64("offloaded", o.active.Load()).Msg("shutdown grace period expired")
 	g.expire()
-	d.run(end.Add(finalResponseTime))
+	d.run(end.Add(min(finalResponseTime, reserve*3/5)))
 }
 
 // drainer ends the connections of a gateway that is stopping.
