handoff: a connection of which nothing was forwarded is given back

What callers saw: a connection that an overloaded gateway had handed to another one was closed without an answer when that gateway closed its stream or its link broke, although the caller's request lay in the socket, or had just been read and was thrown away.

Cause: the tunnel took the end of the stream for the end of the caller's connection. Neither the goroutine that reads from the stream nor the deadline by which it stops the other one knows whether a request has arrived.

Change: the first of the two goroutines that moves the tunnel on decides whether anything is forwarded. If the stream ends first, the reading goroutine keeps what it reads, and Forward returns the connection with these bytes. The offloader passes it to the rejecter: a request that has arrived or arrives within its time gets 503 with a time to come back. A request of which something was forwarded gets 502 as before.

--- a/gateway/handoff/handoff.go
+++ b/gateway/handoff/handoff.go
@@ -7,7 +7,7 @@
 //
 //	f := handoff.NewForwarder()
 //	defer f.Close()
-//	err := f.Forward(ctx, "10.1.0.34:7400", conn) // until the connection has ended
+//	read, err := f.Forward(ctx, "10.1.0.34:7400", conn) // until the connection has ended
 //
 // At the other gateway, with a hijacked connection that requested [Path]:
 //
@@ -16,16 +16,19 @@
 //	err := l.ServeLink(ctx, hijacked) // until the link has ended
 //
 // A link that breaks ends its connections, just as a gateway that dies does. A caller that has
-// not received any byte of a response gets a 502, since its request may have run.
+// not received any byte of a response gets a 502, since its request may have run. A connection of
+// which nothing has been forwarded by then is returned ([ErrNotForwarded]).
 package handoff
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -119,14 +122,14 @@
 }
 
 // Forward forwards a caller's connection to the gateway at an address until it has ended, and
-// closes it. If it returns ErrNotForwarded, the connection is still open and untouched.
-func (f *Forwarder) Forward(ctx context.Context, address string, conn net.Conn) error {
+// closes it. If it returns ErrNotForwarded, the connection is still open, and read is what was
+// read from it.
+func (f *Forwarder) Forward(ctx context.Context, address string, conn net.Conn) (read []byte, err error) {
 	s, err := f.Open(ctx, address)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	s.Forward(conn)
-	return nil
+	return s.Forward(conn)
 }
 
 // Stream is open to a gateway and forwards one connection.
@@ -142,9 +145,11 @@
 }
 
 // Forward forwards a caller's connection until it has ended, and closes it. It must be called once.
-func (s *Stream) Forward(conn net.Conn) {
+// If the stream ends before anything has been forwarded, Forward returns ErrNotForwarded. The
+// connection is still open then, and read is what was read from it.
+func (s *Stream) Forward(conn net.Conn) (read []byte, err error) {
 	t := tunnel{caller: conn, stream: s.stream}
-	t.run()
+	return t.run()
 }
 
 // openStream opens a stream to a gateway.
@@ -234,33 +239,52 @@
 
 // tunnel copies bytes between a caller and a stream.
 type tunnel struct {
-	caller      net.Conn
-	stream      *yamux.Stream
-	requestSent bool // bytes of a request were forwarded
+	caller    net.Conn
+	stream    *yamux.Stream
+	progress  atomic.Int32 // a tunnelProgress
+	responded atomic.Bool  // the response direction has ended
+
+	// Written by the goroutine that reads from the caller.
+	read        []byte // not forwarded, since the stream had ended
+	callerEnded bool   // the caller has closed, or its connection is broken
 }
 
+// tunnelProgress is how far a tunnel has come. The first goroutine that moves it on decides.
+type tunnelProgress = int32
+
+const (
+	awaitsRequest tunnelProgress = iota // nothing of a request has been forwarded
+	requestSent                         // bytes of a request were forwarded, or are being forwarded
+	endedUnopened                       // the stream has ended, and nothing will be forwarded
+)
+
 var (
 	responseBuffers = sync.Pool{New: func() any { return new([responseBufferSize]byte) }}
 	requestBuffers  = sync.Pool{New: func() any { return new([requestBufferSize]byte) }}
 )
 
 // run copies bytes until both directions have ended.
-func (t *tunnel) run() {
+func (t *tunnel) run() (read []byte, err error) {
 	requestDone := make(chan struct{})
 	go func() {
 		t.copyRequest()
 		close(requestDone)
 	}()
 	responded := t.copyResponse()
-	// Unblocks the goroutine that reads from the caller, so that requestSent is final.
-	_ = t.caller.SetReadDeadline(time.Unix(1, 0))
+	t.progress.CompareAndSwap(awaitsRequest, endedUnopened)
+	t.responded.Store(true)
+	_ = t.caller.SetReadDeadline(time.Unix(1, 0)) // unblocks the goroutine that reads from the caller
 	<-requestDone
-	if t.requestSent && !responded && !t.callerClosed() {
+	t.stream.Close()
+	if t.progress.Load() == endedUnopened && !t.callerEnded {
+		return t.read, errors.CombineErrors(ErrNotForwarded, t.caller.SetReadDeadline(time.Time{}))
+	}
+	if !responded && !t.callerEnded && !t.callerClosed() {
 		// A caller that has gone gets no response.
 		_, _ = io.WriteString(t.caller, badGatewayResponse)
 	}
 	t.caller.Close()
-	t.stream.Close()
+	return nil, nil
 }
 
 // badGatewayResponse is sent when a request was forwarded and no response came back.
@@ -273,8 +297,7 @@
 		return true
 	}
 	_, err := t.caller.Read(one[:])
-	var timeout net.Error
-	return err != nil && !(errors.As(err, &timeout) && timeout.Timeout())
+	return err != nil && !isTimeout(err)
 }
 
 // copyRequest forwards what the caller sends, and closes the stream when the caller closes.
@@ -284,22 +307,41 @@
 	for {
 		n, err := t.caller.Read(chunk[:])
 		if l, ok := t.caller.(CloseChecker); ok && n > 0 && l.CallerClosed() {
+			t.callerEnded = true
 			t.stream.Close()
 			return
 		}
-		if n > 0 {
-			t.requestSent = true
-			if _, err := t.stream.Write(chunk[:n]); err != nil {
-				return
-			}
+		if n > 0 && !t.forward(chunk[:n]) {
+			return
+		}
+		if err != nil && t.responded.Load() {
+			t.callerEnded = !isTimeout(err)
+			return
 		}
 		if err != nil {
+			t.callerEnded = true
 			t.stream.Close()
 			return
 		}
 	}
 }
 
+// forward forwards bytes of a request, and reports whether the next ones may be.
+func (t *tunnel) forward(b []byte) bool {
+	if !t.progress.CompareAndSwap(awaitsRequest, requestSent) && t.progress.Load() == endedUnopened {
+		t.read = bytes.Clone(b)
+		return false
+	}
+	_, err := t.stream.Write(b)
+	return err == nil
+}
+
+// isTimeout reports whether a read has ended at its deadline.
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
 // copyResponse forwards the other gateway's response. It reports whether there was any.
 func (t *tunnel) copyResponse() (responded bool) {
 	chunk := responseBuffers.Get().(*[responseBufferSize]byte)
--- a/gateway/handoff/handoff_test.go
+++ b/gateway/handoff/handoff_test.go
@@ -69,7 +69,10 @@
 		if err != nil {
 			return
 		}
-		go func() { f.results <- f.forwarder.Forward(context.Background(), f.peer, c) }()
+		go func() {
+			_, err := f.forwarder.Forward(context.Background(), f.peer, c)
+			f.results <- err
+		}()
 	}
 }
 
@@ -218,7 +221,8 @@
 	caller, conn := net.Pipe()
 	defer caller.Close()
 	for range 3 {
-		require.ErrorIs(t, forwarder.Forward(t.Context(), address, conn), handoff.ErrNotForwarded)
+		_, err := forwarder.Forward(t.Context(), address, conn)
+		require.ErrorIs(t, err, handoff.ErrNotForwarded)
 	}
 	go func() { _, _ = conn.Write([]byte("still open")) }()
 	got := make([]byte, 10)
--- a/gateway/offload.go
+++ b/gateway/offload.go
@@ -195,6 +195,7 @@
 type offloadableConn interface {
 	net.Conn
 	reject.Conn
+	handoff.CloseChecker
 }
 
 // record records what became of a connection.
@@ -221,7 +222,8 @@
 	return true
 }
 
-// forward relays a connection to another gateway until it ends.
+// forward relays a connection to another gateway until it ends. A connection of which nothing could be forwarded is
+// rejected once its request has arrived.
 func (o *offloader) forward(ctx context.Context, choice offload.Choice, c offloadableConn) {
 	for attempt := range maxOffloadAttempts {
 		if attempt > 0 {
@@ -234,7 +236,9 @@
 		stream, err := o.forwarder.Open(ctx, net.JoinHostPort(choice.Address, o.port))
 		if err == nil {
 			o.record(choice)
-			stream.Forward(c)
+			if read, err := stream.Forward(c); errors.Is(err, handoff.ErrNotForwarded) {
+				o.reject(&replayConn{offloadableConn: c, read: read})
+			}
 			return
 		}
 	}
@@ -323,10 +327,10 @@
 	}
 }
 
-// replayConn is a caller's connection from which a request has been read, and which replays it
-// from its start.
+// replayConn is a caller's connection from which a request has been read, all or in part, and which
+// replays it from its start.
 type replayConn struct {
-	*callerConn
+	offloadableConn
 	read []byte
 }
 
@@ -337,7 +341,7 @@
 		r.read = r.read[n:]
 		return n, nil
 	}
-	return r.callerConn.Read(b)
+	return r.offloadableConn.Read(b)
 }
 
 // ReadNow implements reject.Conn.
@@ -345,7 +349,7 @@
 	if len(r.read) > 0 {
 		return r.Read(b)
 	}
-	return r.callerConn.ReadNow(b)
+	return r.offloadableConn.ReadNow(b)
 }
 
 // offloadRequest offloads a request together with its connection, which this gateway has been
@@ -371,7 +375,7 @@
 	}
 	// Peek of buffered bytes does not fail.
 	unread, _ := buffered.Reader.Peek(buffered.Reader.Buffered())
-	replay := &replayConn{callerConn: c, read: append(requestHead(r), unread...)}
+	replay := &replayConn{offloadableConn: c, read: append(requestHead(r), unread...)}
 	if !g.offloader.offload(g.background, replay) {
 		g.offloader.reject(replay)
 	}
--- a/gateway/offload_path_test.go
+++ b/gateway/offload_path_test.go
@@ -26,6 +26,7 @@
 	offloader *offloader
 	address   string
 	target    *Gateway
+	server    *http.Server // serves the connections that are offloaded
 }
 
 func startOverloaded(t *testing.T, serve http.HandlerFunc) *overloadedGateway {
@@ -92,7 +93,7 @@
 		stopReject()
 		<-rejectDone
 	})
-	return &overloadedGateway{gateway: g, admission: a, offloader: o, address: front.Addr().String(), target: target}
+	return &overloadedGateway{gateway: g, admission: a, offloader: o, address: front.Addr().String(), target: target, server: server}
 }
 
 // idCodec reads request IDs from the header Id.
