gateway: a connection that is being rejected is read while it is retired

What callers saw: from 2.5 s after a SIGTERM, connections that could not be handed to another gateway, and waited for their request to be rejected with 503, were closed without an answer.

Cause: the drain retires every open connection. That sets the read deadline in the past, and the rejecter reads through the runtime's poller, which refuses to read after the deadline: the rejecter took the error for the caller's end.

Change: ReadNow reads the socket whatever the deadline is. The rejecter alone decides on these connections; it reads what has arrived before it closes one.

Measured: go test ./gateway -run TestRetiredWhileRejected fails three times of three before ("unexpected EOF: a request that had arrived got no answer") and passes.

--- a/gateway/caller_conn.go
+++ b/gateway/caller_conn.go
@@ -203,18 +203,15 @@
 	return c.Conn.Write(b)
 }
 
-// ReadNow implements reject.Conn.
+// ReadNow implements reject.Conn. It reads whatever the read deadline is, which retire sets in the past.
 func (c *callerConn) ReadNow(buffer []byte) (n int, err error) {
 	raw, err := rawConn(c.Conn)
 	if err != nil {
 		return 0, err
 	}
-	readErr := raw.Read(func(fd uintptr) bool {
-		n, err = unix.Read(int(fd), buffer)
-		return true
-	})
-	if readErr != nil {
-		return 0, readErr
+	controlErr := raw.Control(func(fd uintptr) { n, err = unix.Read(int(fd), buffer) })
+	if controlErr != nil {
+		return 0, controlErr
 	}
 	return n, err
 }
--- a/gateway/offload_end_test.go
+++ b/gateway/offload_end_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"opalbridge.dev/gateway/peer"
 )
 
 const shortRequest = "GET /x HTTP/1.1\r\nHost: h\r\nId: a\r\n\r\n"
@@ -68,3 +70,16 @@
 		})
 	}
 }
+
+// TestRetiredWhileRejected guards against a stop that ends the reading from a connection that is being rejected, so
+// that its request gets no answer.
+func TestRetiredWhileRejected(t *testing.T) {
+	s := startOverloaded(t, echo)
+	s.offloader.targets.update(time.Now(), peer.Update{From: "127.0.0.2"})
+	s.offloader.targets.update(time.Now(), peer.Update{From: failingAddress, Hall: "h", Alive: true, Full: true, Weight: 1})
+	c := s.dial(t) // the gateway that is chosen refuses connections
+	require.Eventually(t, func() bool { return s.admission.rejecter.Pending() == 1 }, 2*time.Second, time.Millisecond)
+	s.admission.open.retire(time.Now().Add(time.Minute))
+	time.Sleep(20 * time.Millisecond)
+	require.Equal(t, http.StatusServiceUnavailable, exchange(t, c, shortRequest).StatusCode)
+}
