handoff: a connection that is closed unread tells that nothing has run

What callers saw: a request that reached a serving gateway as it closed its side of the connection (idle, stopping, listener closed) got 502, as if it might have run, or no answer. Nothing of it had been read.

Cause: the end of a stream doesn't tell the forwarding gateway whether its bytes were read, and a goroutine that doesn't read from the stream closed it.

Change: a Conn that is closed before anything has been read from it sends a final 503 with a time to come back; bytes that a concurrent read takes from the stream afterwards are dropped. The forwarding gateway passes it on if it has forwarded any of a request; else it discards it and gets its connection back. Retire ends a Conn in the goroutine that reads from it, unless anything has arrived, which is then served. The listener's refusal of new streams does the same.

Measured: go test ./gateway/handoff -run TestUnreadRequestIsRefused fails in both cases before (502 for 503) and passes. TestRetire guards the new method. go test -race -count=3 ./gateway/handoff passes.

--- a/gateway/handoff/handoff.go
+++ b/gateway/handoff/handoff.go
@@ -348,6 +348,9 @@
 	defer responseBuffers.Put(chunk)
 	for {
 		n, err := t.stream.Read(chunk[:])
+		if n > 0 && !responded && t.progress.CompareAndSwap(awaitsRequest, endedUnopened) {
+			return false // the other gateway has ended the connection, and nothing of a request has been forwarded
+		}
 		if n > 0 {
 			responded = true
 			if _, err := t.caller.Write(chunk[:n]); err != nil {
--- a/gateway/handoff/handoff_test.go
+++ b/gateway/handoff/handoff_test.go
@@ -35,16 +35,7 @@
 	require.NoError(t, err)
 	ctx, breakLinks := context.WithCancel(context.Background())
 	accepted := handoff.NewListener(peers.Addr())
-	links := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		conn, _, err := http.NewResponseController(w).Hijack()
-		if err != nil {
-			return
-		}
-		if _, err := io.WriteString(conn, "HTTP/1.1 101 Switching Protocols\r\n\r\n"); err != nil {
-			return
-		}
-		_ = accepted.ServeLink(ctx, conn) // ends with the test
-	})}
+	links := &http.Server{Handler: serveLinks(ctx, accepted)}
 	server := &http.Server{Handler: serve}
 	errs := make(chan error, 2)
 	go func() { errs <- links.Serve(peers) }()
@@ -63,6 +54,20 @@
 	return f
 }
 
+// serveLinks opens links.
+func serveLinks(ctx context.Context, l *handoff.Listener) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		if _, err := io.WriteString(conn, "HTTP/1.1 101 Switching Protocols\r\n\r\n"); err != nil {
+			return
+		}
+		_ = l.ServeLink(ctx, conn) // ends with the test
+	}
+}
+
 func (f *fleet) accept() {
 	for {
 		c, err := f.front.Accept()
--- a/gateway/handoff/listener.go
+++ b/gateway/handoff/listener.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -24,7 +25,8 @@
 }
 
 // Conn is a caller's connection forwarded by another gateway. Its writes are batched: the
-// forwarding gateway is short of processor time, and each chunk costs it a write.
+// forwarding gateway is short of processor time, and each chunk costs it a write. If it is closed
+// before anything has been read from it, the forwarding gateway is told that nothing has run.
 type Conn struct {
 	*yamux.Stream
 	mutex     sync.Mutex
@@ -33,8 +35,28 @@
 	lastFlush time.Time
 	writeErr  error
 	closed    bool
+
+	readMutex    sync.Mutex
+	readProgress readProgress
+	retiring     bool      // it ends as soon as nothing has arrived
+	readDeadline time.Time // as it was set; a connection that is being retired has another one
+	peerEnded    bool      // the other gateway has ended the connection, or the link has broken
 }
 
+// readProgress is how far the reading from a Conn has come.
+type readProgress int
+
+const (
+	readsNothing readProgress = iota // nothing has been read
+	hasRead                          // bytes of a request have been read
+	endedUnread                      // it has ended, and nothing has been or will be read
+)
+
+// notRunResponse answers a request that arrives on a connection that has ended unread. The forwarding
+// gateway passes it on if it has forwarded any of a request.
+const notRunResponse = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 0.050\r\n" +
+	"Content-Type: text/plain; charset=utf-8\r\nContent-Length: 38\r\n\r\nnot run: the connection was not served"
+
 // Data written within this time after a flush is held until the time is over, so that the events
 // of a stream are flushed at most ten times a second. The first event is flushed at once. The
 // interval is well below the 200 ms that the delivery of an event may take.
@@ -86,8 +108,110 @@
 	}
 }
 
+// Read implements net.Conn.
+func (c *Conn) Read(b []byte) (int, error) {
+	for {
+		retiring := c.setRetireDeadline()
+		n, err := c.Stream.Read(b)
+		if n > 0 {
+			return c.beginRead(n, err)
+		}
+		if isTimeout(err) && retiring {
+			_ = c.Close() // the link may have broken
+			return 0, io.EOF
+		}
+		if isTimeout(err) && c.isRetiring() {
+			continue // Retire has ended the read; what has arrived meanwhile is read
+		}
+		if err != nil && !isTimeout(err) {
+			c.recordEnd()
+		}
+		return n, err
+	}
+}
+
+// recordEnd records that the other gateway has ended the connection.
+func (c *Conn) recordEnd() {
+	c.readMutex.Lock()
+	defer c.readMutex.Unlock()
+	c.peerEnded = true
+}
+
+// beginRead records that n bytes have been read. They are dropped if the connection was closed before.
+func (c *Conn) beginRead(n int, err error) (int, error) {
+	c.readMutex.Lock()
+	defer c.readMutex.Unlock()
+	switch c.readProgress {
+	case endedUnread:
+		return 0, net.ErrClosed
+	case readsNothing:
+		c.readProgress = hasRead
+		if c.retiring {
+			_ = c.Stream.SetReadDeadline(c.readDeadline) // returns no error
+		}
+	}
+	return n, err
+}
+
+// isRetiring reports whether the connection ends as soon as nothing has arrived.
+func (c *Conn) isRetiring() bool {
+	c.readMutex.Lock()
+	defer c.readMutex.Unlock()
+	return c.retiring && c.readProgress == readsNothing
+}
+
+// setRetireDeadline has the next read return what has arrived, and not wait for more, if the connection
+// is being retired. It reports whether it is.
+func (c *Conn) setRetireDeadline() bool {
+	c.readMutex.Lock()
+	defer c.readMutex.Unlock()
+	retiring := c.retiring && c.readProgress == readsNothing
+	if retiring {
+		_ = c.Stream.SetReadDeadline(time.Unix(1, 0)) // returns no error
+	}
+	return retiring
+}
+
+// Retire has the connection end as soon as nothing of a request has arrived on it, which the goroutine
+// that reads from it decides: another one can't know what it has just read. It does nothing once
+// something has been read. A Conn carries one request.
+func (c *Conn) Retire() {
+	c.readMutex.Lock()
+	defer c.readMutex.Unlock()
+	if c.readProgress != readsNothing || c.retiring {
+		return
+	}
+	c.retiring = true
+	_ = c.Stream.SetReadDeadline(time.Unix(1, 0)) // returns no error
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.readMutex.Lock()
+	defer c.readMutex.Unlock()
+	c.readDeadline = t
+	return c.Stream.SetReadDeadline(t)
+}
+
+// SetDeadline implements net.Conn.
+func (c *Conn) SetDeadline(t time.Time) error {
+	return errors.CombineErrors(c.SetReadDeadline(t), c.SetWriteDeadline(t))
+}
+
+// endReading ends the reading, and reports whether the other gateway is to be told that nothing has run.
+func (c *Conn) endReading() bool {
+	c.readMutex.Lock()
+	defer c.readMutex.Unlock()
+	if c.readProgress == hasRead {
+		return false
+	}
+	c.readProgress = endedUnread
+	return !c.peerEnded
+}
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
+	notRun := c.endReading()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.closed {
@@ -97,6 +221,9 @@
 	if c.timer != nil {
 		c.timer.Stop()
 	}
+	if notRun && len(c.pending) == 0 && c.lastFlush.IsZero() {
+		c.pending = append(c.pending, notRunResponse...)
+	}
 	return errors.CombineErrors(c.flush(), c.Stream.Close())
 }
 
@@ -136,9 +263,9 @@
 		select {
 		case l.conns <- &Conn{Stream: stream}:
 		case <-l.closed:
-			stream.Close() // a stopping gateway accepts no more connections
+			_ = (&Conn{Stream: stream}).Close() // a stopping gateway accepts no more connections
 		case <-ctx.Done():
-			stream.Close()
+			_ = (&Conn{Stream: stream}).Close()
 		}
 	}
 }
--- /dev/null
+++ b/gateway/handoff/retire_test.go
@@ -0,0 +1,145 @@
+package handoff_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"opalbridge.dev/gateway/handoff"
+)
+
+// startListener starts a fleet whose serving gateway leaves the accepted connections to the test.
+func startListener(t *testing.T) (*fleet, *handoff.Listener) {
+	t.Helper()
+	peers, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	front, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	ctx, breakLinks := context.WithCancel(context.Background())
+	l := handoff.NewListener(peers.Addr())
+	links := &http.Server{Handler: serveLinks(ctx, l)}
+	errs := make(chan error, 1)
+	go func() { errs <- links.Serve(peers) }()
+	f := &fleet{t: t, forwarder: handoff.NewForwarder(), peer: peers.Addr().String(), front: front, results: make(chan error, 100), breakLinks: breakLinks}
+	go f.accept()
+	t.Cleanup(func() {
+		front.Close()
+		f.forwarder.Close()
+		breakLinks()
+		l.Close()
+		links.Close()
+		<-errs
+	})
+	return f, l
+}
+
+// accept accepts a connection that has been forwarded.
+func accept(t *testing.T, l *handoff.Listener) *handoff.Conn {
+	t.Helper()
+	c, err := l.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() { c.Close() })
+	return c.(*handoff.Conn)
+}
+
+// serveOnce reads a request and answers it.
+func serveOnce(c net.Conn) {
+	defer c.Close()
+	if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+		return
+	}
+	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+}
+
+const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+
+// TestRetire guards against a connection that is ended although a request has arrived on it, or is not ended although
+// none has.
+func TestRetire(t *testing.T) {
+	tests := []struct {
+		name      string
+		early     int  // bytes of the request that have arrived before the connection is retired
+		readsLate bool // they are not read before
+		givenBack bool
+	}{
+		{"nothing has arrived", 0, false, true},
+		{"nothing has arrived, read late", 0, true, true},
+		{"the request has arrived", len(request), true, false},
+		{"part of the request has arrived", 10, true, false},
+		{"part of the request has been read", 10, false, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			f, l := startListener(t)
+			c := f.dial()
+			served := accept(t, l)
+			require.NoError(t, served.SetReadDeadline(time.Now().Add(time.Minute)))
+			done := make(chan struct{})
+			serve := func() {
+				serveOnce(served)
+				close(done)
+			}
+			if !test.readsLate {
+				go serve()
+			}
+			_, err := io.WriteString(c, request[:test.early])
+			require.NoError(t, err)
+			time.Sleep(50 * time.Millisecond) // until it has crossed the link
+			served.Retire()
+			served.Retire()
+			if test.readsLate {
+				go serve()
+			}
+			if test.givenBack {
+				select {
+				case err := <-f.results:
+					require.ErrorIs(t, err, handoff.ErrNotForwarded)
+				case <-time.After(2 * time.Second):
+					require.Fail(t, "the connection has not ended")
+				}
+				<-done
+				return
+			}
+			time.Sleep(50 * time.Millisecond)
+			_, err = io.WriteString(c, request[test.early:])
+			require.NoError(t, err)
+			response, err := http.ReadResponse(bufio.NewReader(c), nil)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, response.StatusCode)
+			<-done
+		})
+	}
+}
+
+// TestUnreadRequestIsRefused guards against a 502, or no answer, to a request that reaches a connection that is closed
+// before anything of it has been read: it has not run.
+func TestUnreadRequestIsRefused(t *testing.T) {
+	tests := []struct {
+		name  string
+		close func(l *handoff.Listener, accept func() *handoff.Conn)
+	}{
+		{"the connection is closed", func(_ *handoff.Listener, accept func() *handoff.Conn) { accept().Close() }},
+		{"the listener is closed", func(l *handoff.Listener, _ func() *handoff.Conn) { l.Close() }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			f, l := startListener(t)
+			c := f.dial()
+			_, err := io.WriteString(c, request)
+			require.NoError(t, err)
+			time.Sleep(50 * time.Millisecond) // until it has been forwarded
+			test.close(l, func() *handoff.Conn { return accept(t, l) })
+			response, err := http.ReadResponse(bufio.NewReader(c), nil)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+			require.NotEmpty(t, response.Header.Get("Retry-After"))
+			require.True(t, response.Close)
+		})
+	}
+}
