gateway: a stop and idle limits retire forwarded connections

What callers saw: a stopping gateway that serves connections of others kept those on which nothing arrived to the end of its grace period and then closed them with whatever had arrived; the same limit on idle connections closed a forwarded connection of whose request a part had been read, and its caller got 502.

Cause: the drain knew callers' own connections only, and endIdle closed every other one from a goroutine that doesn't read from it.

Change: both call handoff.Conn.Retire.

--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 
+	"opalbridge.dev/gateway/handoff"
 	"opalbridge.dev/gateway/upstream"
 )
 
@@ -135,11 +136,14 @@
 
 // endIdle ends an idle connection, unless a request has arrived on it.
 func endIdle(c net.Conn) {
-	if caller, ok := c.(*callerConn); ok {
-		caller.retire()
-		return
+	switch c := c.(type) {
+	case *callerConn:
+		c.retire()
+	case *handoff.Conn:
+		c.Retire()
+	default:
+		c.Close()
 	}
-	c.Close()
 }
 
 func (i *idleCallers) closeIdleSince(cutoff time.Time) {
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -7,12 +7,14 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"opalbridge.dev/gateway/handoff"
 )
 
 // This file ends callers' connections in a planned stop. The Shutdown method of http.Server can't: it closes
 // connections as idle on which a request has arrived, and drops without a response what it reads after the
 // call. Here the goroutine that reads from a connection decides whether a request has arrived
-// (callerConn.retire); each request that has arrived gets a response.
+// (callerConn.retire, handoff.Conn.Retire); each request that has arrived gets a response.
 
 // Times of a planned stop.
 const (
@@ -69,7 +71,9 @@
 	tick := time.NewTicker(drainInterval)
 	defer tick.Stop()
 	for !d.done() {
-		d.listener.open.retire(time.Now())
+		now := time.Now()
+		d.listener.open.retire(now)
+		d.served.retireForwarded(now)
 		select {
 		case <-ctx.Done():
 			return d.done()
@@ -117,6 +121,18 @@
 	}
 }
 
+// retireForwarded retires the connections that other gateways forward to this one, except new ones whose request
+// may be on its way.
+func (i *idleCallers) retireForwarded(now time.Time) {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	for c, since := range i.since {
+		if forwarded, ok := c.(*handoff.Conn); ok && now.Sub(since) >= newConnTime {
+			forwarded.Retire()
+		}
+	}
+}
+
 // stopsBefore reports whether the gateway ends before a request's deadline. Such a request is refused once
 // connections are being ended: it might be cut, and is served at another gateway.
 func (g *Gateway) stopsBefore(deadline time.Time) bool {
--- a/gateway/offload_end_test.go
+++ b/gateway/offload_end_test.go
@@ -83,3 +83,15 @@
 	time.Sleep(20 * time.Millisecond)
 	require.Equal(t, http.StatusServiceUnavailable, exchange(t, c, shortRequest).StatusCode)
 }
+
+// TestIdleLimitSparesForwardedRequest guards against an idle limit that closes a forwarded connection of whose request
+// a part has been read.
+func TestIdleLimitSparesForwardedRequest(t *testing.T) {
+	s := startOverloaded(t, echo)
+	c := s.dialOffloaded(t)
+	_, err := io.WriteString(c, shortRequest[:10])
+	require.NoError(t, err)
+	time.Sleep(50 * time.Millisecond) // until it has been read
+	s.idle.closeIdleSince(time.Now())
+	require.Equal(t, http.StatusOK, exchange(t, c, shortRequest[10:]).StatusCode)
+}
--- a/gateway/offload_path_test.go
+++ b/gateway/offload_path_test.go
@@ -27,6 +27,7 @@
 	address   string
 	target    *Gateway
 	server    *http.Server // serves the connections that are offloaded
+	idle      *idleCallers // of that server
 }
 
 func startOverloaded(t *testing.T, serve http.HandlerFunc) *overloadedGateway {
@@ -51,7 +52,8 @@
 	target := newIdleGateway(t)
 	offloaded := handoff.NewListener(peers.Addr())
 	links := &http.Server{Handler: target.peersHandler(ctx, offloaded)}
-	server := &http.Server{Handler: serve, ConnContext: withConn}
+	idle := &idleCallers{since: map[net.Conn]time.Time{}, limit: maxIdleCallers}
+	server := &http.Server{Handler: serve, ConnContext: withConn, ConnState: idle.observe}
 	run(func() error { return links.Serve(peers) })
 	run(func() error { return server.Serve(offloaded) })
 
@@ -93,7 +95,7 @@
 		stopReject()
 		<-rejectDone
 	})
-	return &overloadedGateway{gateway: g, admission: a, offloader: o, address: front.Addr().String(), target: target, server: server}
+	return &overloadedGateway{gateway: g, admission: a, offloader: o, address: front.Addr().String(), target: target, server: server, idle: idle}
 }
 
 // idCodec reads request IDs from the header Id.
