handoff: a deadline of the caller's side does not end a request in progress

What callers saw: in a stop with a grace period of more than ten seconds, a request that arrived on a handed-off connection just as it was being retired was ended ten seconds later without an answer.

Cause: the connection gets a read deadline again when a byte of a request is read (callerConn), and the tunnel took the time-out for the caller's end and closed the stream, as if the caller had gone.

Change: the tunnel removes a deadline at which a read ends, and goes on unless the response is complete.

Measured: go test ./gateway/handoff -run TestDeadlineOfCaller fails before ("unexpected EOF") and passes; go test -race -count=3 ./gateway/handoff passes.

--- a/gateway/handoff/handoff.go
+++ b/gateway/handoff/handoff.go
@@ -273,7 +273,8 @@
 	responded := t.copyResponse()
 	t.progress.CompareAndSwap(awaitsRequest, endedUnopened)
 	t.responded.Store(true)
-	_ = t.caller.SetReadDeadline(time.Unix(1, 0)) // unblocks the goroutine that reads from the caller
+	// Unblocks the goroutine that reads from the caller, which looks at responded after it has reset a deadline.
+	_ = t.caller.SetReadDeadline(time.Unix(1, 0))
 	<-requestDone
 	t.stream.Close()
 	if t.progress.Load() == endedUnopened && !t.callerEnded {
@@ -314,9 +315,13 @@
 		if n > 0 && !t.forward(chunk[:n]) {
 			return
 		}
-		if err != nil && t.responded.Load() {
-			t.callerEnded = !isTimeout(err)
-			return
+		if isTimeout(err) {
+			// The caller's side has a deadline of its own if its connection is being retired.
+			_ = t.caller.SetReadDeadline(time.Time{}) // on a closed connection the next read fails
+			if t.responded.Load() {
+				return
+			}
+			continue
 		}
 		if err != nil {
 			t.callerEnded = true
--- a/gateway/handoff/handoff_test.go
+++ b/gateway/handoff/handoff_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -24,6 +25,8 @@
 	front      net.Listener
 	results    chan error // result of each forwarded connection
 	breakLinks context.CancelFunc
+
+	callerDeadline atomic.Int64 // for reading from callers, a time.Duration; 0: none
 }
 
 // start starts a fleet whose second gateway serves with the given handler.
@@ -74,6 +77,9 @@
 		if err != nil {
 			return
 		}
+		if d := time.Duration(f.callerDeadline.Load()); d > 0 {
+			_ = c.SetReadDeadline(time.Now().Add(d))
+		}
 		go func() {
 			_, err := f.forwarder.Forward(context.Background(), f.peer, c)
 			f.results <- err
@@ -234,3 +240,22 @@
 	_, err = io.ReadFull(caller, got)
 	require.NoError(t, err)
 }
+
+// TestDeadlineOfCaller guards against a tunnel that ends a request in progress because a deadline for reading from its
+// caller, such as a connection that is being retired has, expires.
+func TestDeadlineOfCaller(t *testing.T) {
+	f := start(t, func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-r.Context().Done():
+			panic(http.ErrAbortHandler)
+		case <-time.After(200 * time.Millisecond):
+			w.Header().Set("Connection", "close")
+		}
+	})
+	f.callerDeadline.Store(int64(50 * time.Millisecond))
+	c := f.dial()
+	fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	answer, err := http.ReadResponse(bufio.NewReader(c), nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, answer.StatusCode)
+}
