--- a/gateway/offload_end_test.go
+++ b/gateway/offload_end_test.go
@@ -95,3 +95,77 @@
 	s.idle.closeIdleSince(time.Now())
 	require.Equal(t, http.StatusOK, exchange(t, c, shortRequest[10:]).StatusCode)
 }
+
+// TestTunnelsAreRetired guards against a stopping gateway that keeps the tunnel of a silent caller, or ends one on
+// which a request has arrived.
+func TestTunnelsAreRetired(t *testing.T) {
+	retire := func(s *overloadedGateway) { s.admission.open.retire(time.Now().Add(time.Minute)) }
+	tests := []struct {
+		name  string
+		early int // bytes of the request that have been forwarded before
+		ends  bool
+	}{
+		{"nothing has arrived", 0, true},
+		{"part of the request has been forwarded", 10, false},
+		{"the request is being served", len(shortRequest), false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := startOverloaded(t, func(w http.ResponseWriter, r *http.Request) {
+				select {
+				case <-r.Context().Done():
+					panic(http.ErrAbortHandler)
+				case <-time.After(200 * time.Millisecond):
+					w.Header().Set("Connection", "close")
+				}
+			})
+			c := s.dialOffloaded(t)
+			_, err := io.WriteString(c, shortRequest[:test.early])
+			require.NoError(t, err)
+			time.Sleep(50 * time.Millisecond)
+			retire(s)
+			if !test.ends {
+				time.Sleep(50 * time.Millisecond)
+				require.Equal(t, http.StatusOK, exchange(t, c, shortRequest[test.early:]).StatusCode)
+			}
+			require.Eventually(t, func() bool { return s.offloader.active.Load() == 0 }, 500*time.Millisecond, time.Millisecond)
+			_, err = c.Read(make([]byte, 1))
+			require.ErrorIs(t, err, io.EOF)
+			require.Zero(t, s.admission.rejecter.Pending())
+			require.Zero(t, s.admission.openConns.Load())
+		})
+	}
+}
+
+// TestRequestsMeetRetirement guards against requests that get no answer, or are said to have possibly run although
+// nothing of them has been read, as they arrive while the other gateway retires their connections.
+func TestRequestsMeetRetirement(t *testing.T) {
+	const callers, rounds = 20, 10
+	served := 0
+	for round := range rounds {
+		s := startOverloaded(t, echo)
+		conns := make([]net.Conn, callers)
+		for i := range conns {
+			conns[i] = s.dial(t)
+		}
+		require.Eventually(t, func() bool { return s.offloader.active.Load() == callers }, 2*time.Second, time.Millisecond)
+		require.Eventually(t, func() bool { return s.idle.count() == callers }, 2*time.Second, time.Millisecond)
+		go func() {
+			time.Sleep(time.Duration(round) * 100 * time.Microsecond)
+			s.idle.retireForwarded(time.Now().Add(time.Minute))
+		}()
+		for _, c := range conns {
+			_, err := io.WriteString(c, shortRequest)
+			require.NoError(t, err)
+		}
+		for _, c := range conns {
+			response, err := http.ReadResponse(bufio.NewReader(c), nil)
+			require.NoError(t, err)
+			require.Contains(t, []int{http.StatusOK, http.StatusServiceUnavailable}, response.StatusCode)
+			if response.StatusCode == http.StatusOK {
+				served++
+			}
+		}
+	}
+	t.Logf("%d of %d served", served, callers*rounds)
+}
