gateway: OPTIONS * is answered like any other request

What callers saw: OPTIONS * got 200 from the gateway itself, without a server's seal, and left a connection open that another gateway forwards. A second request on it could meet the end of its stream, and was then closed away: the tunnel had passed a response on, so it gave no 502.

Cause: net/http answers OPTIONS * before the handler.

Change: its general handler is off; the gateway answers 404 and closes the connection. Each other way of answering closes it already: the gateway's answers and denials, and 400, 417, 431, 501 and 505 of net/http, which sends no 408. An interim response does not change that.

--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -29,6 +29,8 @@
 	callerServer := &http.Server{
 		Handler: http.HandlerFunc(g.handle), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnState: idle.observe, ConnContext: withConn, ErrorLog: nil,
+		// The general handler of OPTIONS * answers with a success and keeps the connection open.
+		DisableGeneralOptionsHandler: true,
 	}
 	listener := newAdmission(g)
 	o, err := newOffloader(g, listener.reject)
