handoff: a caller that has an interim response only gets a 502 if its link breaks

What callers saw: a request with Expect: 100-continue got 100 Continue and then a closed connection when the gateway that served it ended.

Cause: the tunnel took any byte of a response for the beginning of the final one.

Change: 100 Continue, the one interim response that a gateway sends, does not count.

Measured: go test ./gateway/handoff -run TestLinkBreaksAfterInterimResponse fails before ("unexpected EOF") and passes; go test -race -count=3 ./gateway/handoff passes.

--- a/gateway/handoff/handoff.go
+++ b/gateway/handoff/handoff.go
@@ -347,23 +347,32 @@
 	return errors.As(err, &timeout) && timeout.Timeout()
 }
 
-// copyResponse forwards the other gateway's response. It reports whether there was any.
+// interimResponse is what the serving gateway sends to a caller that waits before it sends the body of its request.
+// It sends no other interim response.
+const interimResponse = "HTTP/1.1 100 Continue\r\n\r\n"
+
+// copyResponse forwards the other gateway's response. It reports whether there was any of a final one.
 func (t *tunnel) copyResponse() (responded bool) {
 	chunk := responseBuffers.Get().(*[responseBufferSize]byte)
 	defer responseBuffers.Put(chunk)
+	interim := 0 // bytes of interimResponse that have been forwarded
 	for {
 		n, err := t.stream.Read(chunk[:])
-		if n > 0 && !responded && t.progress.CompareAndSwap(awaitsRequest, endedUnopened) {
+		if n > 0 && t.progress.CompareAndSwap(awaitsRequest, endedUnopened) {
 			return false // the other gateway has ended the connection, and nothing of a request has been forwarded
 		}
 		if n > 0 {
-			responded = true
+			if !responded && n <= len(interimResponse)-interim && interimResponse[interim:interim+n] == string(chunk[:n]) {
+				interim += n
+			} else {
+				responded = true
+			}
 			if _, err := t.caller.Write(chunk[:n]); err != nil {
-				return responded
+				return true
 			}
 		}
 		if err != nil {
-			return responded
+			return responded || interim%len(interimResponse) != 0
 		}
 	}
 }
--- a/gateway/handoff/handoff_test.go
+++ b/gateway/handoff/handoff_test.go
@@ -220,6 +220,24 @@
 	}
 }
 
+// TestLinkBreaksAfterInterimResponse guards against a caller that gets no final response because an interim one has been
+// sent before the link broke.
+func TestLinkBreaksAfterInterimResponse(t *testing.T) {
+	f := start(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.ReadAll(r.Body) // the caller sends none
+	})
+	c := f.dial()
+	fmt.Fprint(c, "POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\n")
+	reader := bufio.NewReader(c)
+	answer, err := http.ReadResponse(reader, nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusContinue, answer.StatusCode)
+	f.breakLinks()
+	answer, err = http.ReadResponse(reader, nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusBadGateway, answer.StatusCode)
+}
+
 // TestNoLink checks that the connection is left untouched, and that the gateway is not contacted
 // again at once.
 func TestNoLink(t *testing.T) {
