handoff: a connection tells whether it has ended with its link

When a gateway that forwards connections ends, the one that serves them sees each request's context end, as if each caller had left. LinkEnded tells the two apart: it is decided by the first read that fails, so a caller that left before its link ended counts as one that left.

--- a/gateway/handoff/handoff_test.go
+++ b/gateway/handoff/handoff_test.go
@@ -29,6 +29,9 @@
 	callerDeadline atomic.Int64 // for reading from callers, a time.Duration; 0: none
 }
 
+// connKey is the context key of a request's connection.
+type connKey struct{}
+
 // start starts a fleet whose second gateway serves with the given handler.
 func start(t *testing.T, serve http.HandlerFunc) *fleet {
 	t.Helper()
@@ -39,7 +42,9 @@
 	ctx, breakLinks := context.WithCancel(context.Background())
 	accepted := handoff.NewListener(peers.Addr())
 	links := &http.Server{Handler: serveLinks(ctx, accepted)}
-	server := &http.Server{Handler: serve}
+	server := &http.Server{Handler: serve, ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, c)
+	}}
 	errs := make(chan error, 2)
 	go func() { errs <- links.Serve(peers) }()
 	go func() { errs <- server.Serve(accepted) }()
@@ -277,3 +282,41 @@
 	require.NoError(t, err)
 	require.Equal(t, http.StatusOK, answer.StatusCode)
 }
+
+// TestLinkEnded guards against a request that seems to have lost its caller when its link has ended, or the other way
+// round.
+func TestLinkEnded(t *testing.T) {
+	tests := []struct {
+		name  string
+		end   func(f *fleet, caller net.Conn)
+		ended bool
+	}{
+		{"the caller closes", func(_ *fleet, caller net.Conn) { caller.Close() }, false},
+		{"the forwarding gateway ends", func(f *fleet, _ net.Conn) { f.forwarder.Close() }, true},
+		{"the serving gateway ends the link", func(f *fleet, _ net.Conn) { f.breakLinks() }, true},
+		{"the caller closes, then the link ends", func(f *fleet, caller net.Conn) {
+			caller.Close()
+			time.Sleep(50 * time.Millisecond)
+			f.forwarder.Close()
+		}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			began, during, after := make(chan struct{}), make(chan bool, 1), make(chan bool, 1)
+			f := start(t, func(w http.ResponseWriter, r *http.Request) {
+				c := r.Context().Value(connKey{}).(*handoff.Conn)
+				during <- c.LinkEnded()
+				close(began)
+				<-r.Context().Done()
+				time.Sleep(100 * time.Millisecond)
+				after <- c.LinkEnded()
+			})
+			c := f.dial()
+			fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+			<-began
+			test.end(f, c)
+			require.False(t, <-during)
+			require.Equal(t, test.ended, <-after)
+		})
+	}
+}
--- a/gateway/handoff/listener.go
+++ b/gateway/handoff/listener.go
@@ -40,7 +40,8 @@
 	readProgress readProgress
 	retiring     bool      // it ends as soon as nothing has arrived
 	readDeadline time.Time // as it was set; a connection that is being retired has another one
-	peerEnded    bool      // the other gateway has ended the connection, or the link has broken
+	peerEnded    bool      // the other gateway has ended the connection, or the link has ended
+	linkEnded    bool      // of these, the latter
 }
 
 // readProgress is how far the reading from a Conn has come.
@@ -130,11 +131,24 @@
 	}
 }
 
-// recordEnd records that the other gateway has ended the connection.
+// recordEnd records that the other gateway has ended the connection, or the link has ended.
 func (c *Conn) recordEnd() {
 	c.readMutex.Lock()
 	defer c.readMutex.Unlock()
-	c.peerEnded = true
+	if !c.peerEnded {
+		c.peerEnded, c.linkEnded = true, c.Session().IsClosed()
+	}
+}
+
+// LinkEnded reports whether the connection has ended with its link: the gateway that forwards it has
+// ended, or can't be reached, and nothing is known of the caller. It is false if the caller left before.
+func (c *Conn) LinkEnded() bool {
+	c.readMutex.Lock()
+	defer c.readMutex.Unlock()
+	if c.peerEnded {
+		return c.linkEnded
+	}
+	return c.Session().IsClosed()
 }
 
 // beginRead records that n bytes have been read. They are dropped if the connection was closed before.
