gateway: a request without memory for its head gets 503

What callers saw: while the memory for heads was in use, proper requests with long heads got 400, which callers do not retry, or a reset that destroyed it.

Cause: the read that finds no memory for a head (holdHead) returned an error of its own, to which net/http answers 400 Bad Request, or nothing where it waits for the first bytes of a next request; then it closes the connection, which the rest of the request on its way turns into a reset.

Change: the goroutine that reads answers 503 with Retry-After, closes its sending direction, and reads until the caller has closed, for a second at most. Line request.denied.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -91,12 +91,14 @@
 	overload  *overload
 	offload   func(*callerConn) bool                           // offloads a connection; false: no gateway takes it
 	onDropped func(*callerConn, DroppedRequest, time.Duration) // records a request that gets no answer, and for how long it was read; nil: it is not recorded
-	rejecter  *reject.Rejecter
-	openConns atomic.Int64 // accepted connections that are not closed
-	open      openCallerConns
-	unread    unreadConns
-	closed    atomic.Bool
-	rejects   rejectLimiter // used only by the goroutine that calls Accept
+	// Records that a request was refused for want of memory for its head; nil: it is not recorded.
+	onHeadRefused func(*callerConn)
+	rejecter      *reject.Rejecter
+	openConns     atomic.Int64 // accepted connections that are not closed
+	open          openCallerConns
+	unread        unreadConns
+	closed        atomic.Bool
+	rejects       rejectLimiter // used only by the goroutine that calls Accept
 }
 
 // rejectLimiter limits the rejected connections per window of time.
@@ -155,10 +157,17 @@
 		Listener: g.options.CallerListener, capacity: g.capacity, memory: g.options.Memory, overload: &g.overload, rejecter: newRejecter(g),
 		offload:   func(*callerConn) bool { return false },
 		unread:    unreadConns{since: map[*callerConn]time.Time{}},
-		onDropped: g.recordDropped,
+		onDropped: g.recordDropped, onHeadRefused: g.recordHeadRefused,
 	}
 }
 
+// recordHeadRefused records that a request was refused for want of memory for its head.
+func (g *Gateway) recordHeadRefused(c *callerConn) {
+	g.options.Metrics.RequestEnded(Outcome{Result: "denied"})
+	g.log.Info().Str("event", "request.denied").Str("caller", c.RemoteAddr().String()).Int("status", http.StatusServiceUnavailable).
+		Str("reason", "gateway short of memory for heads").Dur("retry_after", fullRetryAfter).Msg("request denied")
+}
+
 // recordDropped records that a connection was closed although a request had arrived on it.
 func (g *Gateway) recordDropped(c *callerConn, d DroppedRequest, readFor time.Duration) {
 	g.options.Metrics.RequestDropped(d)
--- a/gateway/caller_conn.go
+++ b/gateway/caller_conn.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sys/unix"
 
 	"opalbridge.dev/gateway/memory"
+	"opalbridge.dev/gateway/reject"
 )
 
 // callerConn is a caller's connection. It counts against the capacity until it is closed.
@@ -140,11 +141,54 @@
 		c.callerEnded.Store(true)
 	}
 	if !c.holdHead(b[:n]) {
-		return 0, errors.Wrap(memory.ErrNoRoom, "gateway: head of a request")
+		c.refuseHead()
+		// The HTTP server answers other errors with 400.
+		return 0, &net.OpError{Op: "read", Net: "tcp", Err: errors.Wrap(memory.ErrNoRoom, "gateway: head of a request")}
 	}
 	return n, err
 }
 
+// lingerTime is how long a connection is read after an answer that came before the whole request had arrived:
+// closing it with unread bytes resets it, which may destroy the answer on its way.
+const lingerTime = time.Second
+
+// headRefusal answers a request for whose head there is no memory.
+var headRefusal = reject.Response("gateway short of memory for heads", fullRetryAfter)
+
+// refuseHead answers a request for whose head there is no memory, and closes the connection. It is called by the
+// goroutine that reads from it.
+func (c *callerConn) refuseHead() {
+	c.held.Release()
+	if c.admission.onHeadRefused != nil {
+		c.admission.onHeadRefused(c)
+	}
+	deadline := time.Now().Add(lingerTime)
+	if err := c.Conn.SetDeadline(deadline); err == nil {
+		c.answerAndLinger(headRefusal)
+	}
+	c.Close()
+}
+
+// answerAndLinger writes an answer, and reads until the caller closes or the deadline has passed.
+func (c *callerConn) answerAndLinger(answer []byte) {
+	if _, err := c.Write(answer); err != nil {
+		return // the caller is gone
+	}
+	if err := c.CloseWrite(); err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, c.Conn) // the caller has its answer, whatever ends its request
+}
+
+// CloseWrite closes the sending direction.
+func (c *callerConn) CloseWrite() error {
+	w, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return errors.Newf("gateway: connection type %T has no sending direction to close", c.Conn)
+	}
+	return w.CloseWrite()
+}
+
 // awaitsRequest reports whether nothing of a next request has been read.
 func (c *callerConn) awaitsRequest() bool {
 	return connProgress(c.progress.Load()) == awaitsRequest
--- a/gateway/reject/reject.go
+++ b/gateway/reject/reject.go
@@ -50,12 +50,11 @@
 	OnRejected func() // called for each rejected request; must not block
 }
 
-// response returns the response that tells a caller that its request has not run, and when to
-// retry.
-func (o Options) response() []byte {
+// Response returns the response that tells a caller that its request has not run, why, and when it may retry.
+func Response(reason string, retryAfter time.Duration) []byte {
 	return fmt.Appendf(nil, "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n"+
 		"Content-Type: text/plain; charset=utf-8\r\nRetry-After: %.3f\r\nContent-Length: %d\r\n\r\n%s\n",
-		o.RetryAfter.Seconds(), len(o.Reason)+1, o.Reason)
+		retryAfter.Seconds(), len(reason)+1, reason)
 }
 
 // Conn is a connection that can be rejected.
@@ -90,7 +89,7 @@
 
 // New returns a Rejecter that is not running yet.
 func New(o Options) *Rejecter {
-	return &Rejecter{options: o, response: o.response(), conns: make(chan Conn, maxPending), buffer: make([]byte, bufferSize)}
+	return &Rejecter{options: o, response: Response(o.Reason, o.RetryAfter), conns: make(chan Conn, maxPending), buffer: make([]byte, bufferSize)}
 }
 
 // Reject passes a connection to the Rejecter, which closes it. It blocks while too many are
