reject: a response is not destroyed by the close that follows it

What callers saw: a reset in place of the 503 of an overloaded gateway, when the request's body came slowly (0.3 s after the connection), its head was longer than 16 KB, its body followed an Expect: 100-continue, or a chunk of it ended like the last one.

Cause: the rejecter closes a connection in the same moment in which it has written the response. Bytes that are unread then, or come later, make the kernel reset the connection, and the reset discards what the caller has not read yet.

Change: unless the request is known to have been read to its end, the sending direction is closed only, and the connection is read until its caller closes it, for a second at most, 128 such connections at most. The end of a chunked body is also found where it arrives in two pieces.

--- a/gateway/reject/reject.go
+++ b/gateway/reject/reject.go
@@ -32,6 +32,13 @@
 	pollInterval = 5 * time.Millisecond
 	// Timeout is the time after which a connection without a whole request is closed.
 	Timeout = 300 * time.Millisecond
+	// A connection whose request had not been read to its end is read for this long after the response, or until
+	// the caller closes it: a close with unread bytes resets it, which may destroy the response on its way.
+	lingerTime = time.Second
+	// Maximum number of connections that are read after their response; at the bound, the oldest is closed.
+	maxLingering = 128
+	// Reads per lingering connection and poll.
+	maxLingerReads = 4
 	// Maximum size of a request header that is read.
 	maxHeaderBytes = 16 << 10
 	bufferSize     = 32 << 10
@@ -60,6 +67,7 @@
 // Conn is a connection that can be rejected.
 type Conn interface {
 	io.WriteCloser
+	CloseWrite() error
 	ReadNow(b []byte) (int, error) // does not block; EAGAIN: no data is available
 }
 
@@ -72,19 +80,23 @@
 // Write implements io.Writer.
 func (s Socket) Write(b []byte) (int, error) { return unix.Write(int(s), b) }
 
+// CloseWrite closes the sending direction.
+func (s Socket) CloseWrite() error { return unix.Shutdown(int(s), unix.SHUT_WR) }
+
 // Close implements io.Closer.
 func (s Socket) Close() error { return unix.Close(int(s)) }
 
 // Rejecter responds to rejected connections.
 type Rejecter struct {
-	options  Options
-	response []byte
-	conns    chan Conn
-	buffer   []byte
-	waiting  []*rejectedConn
-	pending  atomic.Int64
-	ids      []string // of the requests rejected since the last log line
-	loggedAt time.Time
+	options   Options
+	response  []byte
+	conns     chan Conn
+	buffer    []byte
+	waiting   []*rejectedConn
+	lingering []lingeringConn // oldest first
+	pending   atomic.Int64
+	ids       []string // of the requests rejected since the last log line
+	loggedAt  time.Time
 }
 
 // New returns a Rejecter that is not running yet.
@@ -99,7 +111,7 @@
 	r.conns <- c
 }
 
-// Pending returns the number of connections that have not been rejected yet.
+// Pending returns the number of connections that have not been closed yet.
 func (r *Rejecter) Pending() int { return int(r.pending.Load()) }
 
 // rejectedConn is a connection that is being rejected.
@@ -110,9 +122,38 @@
 	headerComplete bool
 	bodyLeft       int64 // bytes of the body still to be read
 	chunked        bool
+	lastBytes      []byte // of a chunked body, as many as mark its end
+	expects        bool   // the caller waits for 100 Continue, but may send its body without it
+	tooLong        bool   // the header is not read to its end
 	disconnected   bool
 }
 
+// wholeRead reports whether it is certain that nothing of the request is unread or on its way.
+func (c *rejectedConn) wholeRead() bool {
+	// The end of a chunked body is recognized by its last bytes, which may also stand within the body.
+	return c.headerComplete && !c.tooLong && !c.chunked && !c.expects && c.bodyLeft <= 0
+}
+
+// lingeringConn is a connection that is read after its response.
+type lingeringConn struct {
+	Conn
+	until time.Time
+}
+
+// ended reads what has arrived, and reports whether the caller has closed the connection.
+func (c lingeringConn) ended(buffer []byte) bool {
+	for range maxLingerReads {
+		n, err := c.ReadNow(buffer)
+		if err == unix.EAGAIN {
+			return false
+		}
+		if err != nil || n == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Run rejects connections until ctx ends; then it responds to those whose request has arrived, and closes the
 // rest.
 func (r *Rejecter) Run(ctx context.Context) {
@@ -129,31 +170,39 @@
 			r.closeAll()
 			return
 		case c := <-conns:
-			if len(r.waiting) == 0 {
+			if r.idle() {
 				tick.Reset(pollInterval)
 			}
 			r.waiting = append(r.waiting, &rejectedConn{Conn: c, since: time.Now()})
 		case now := <-tick.C:
 			r.poll(now)
-			if len(r.waiting) == 0 {
+			r.pollLingering(now)
+			if r.idle() {
 				tick.Stop()
 			}
 		}
 	}
 }
 
+// idle reports whether there is no connection to poll.
+func (r *Rejecter) idle() bool { return len(r.waiting) == 0 && len(r.lingering) == 0 }
+
 func (r *Rejecter) closeAll() {
 	for _, c := range r.waiting {
 		c.readAvailable(r.buffer)
-		r.finish(c)
+		r.finish(c, time.Now())
 	}
 	for {
 		select {
 		case c := <-r.conns:
 			rejected := &rejectedConn{Conn: c}
 			rejected.readAvailable(r.buffer)
-			r.finish(rejected)
+			r.finish(rejected, time.Now())
 		default:
+			for _, c := range r.lingering {
+				c.ended(r.buffer)
+				r.close(c)
+			}
 			return
 		}
 	}
@@ -169,7 +218,7 @@
 			kept = append(kept, c)
 			continue
 		}
-		r.finish(c)
+		r.finish(c, now)
 	}
 	clear(r.waiting[len(kept):])
 	r.waiting = kept
@@ -178,17 +227,41 @@
 	}
 }
 
-// finish ends a connection. An incomplete request gets no response.
-func (r *Rejecter) finish(c *rejectedConn) {
-	defer r.pending.Add(-1)
-	defer c.Close()
+// pollLingering reads from the connections that have their response, and closes those that have ended.
+func (r *Rejecter) pollLingering(now time.Time) {
+	kept := r.lingering[:0]
+	for n, c := range r.lingering {
+		if c.ended(r.buffer) || now.After(c.until) || len(r.lingering)-n > maxLingering {
+			r.close(c)
+			continue
+		}
+		kept = append(kept, c)
+	}
+	clear(r.lingering[len(kept):])
+	r.lingering = kept
+}
+
+// finish responds to a request. An incomplete header gets no response.
+func (r *Rejecter) finish(c *rejectedConn, now time.Time) {
 	if c.disconnected || !c.headerComplete {
+		r.close(c)
 		return
 	}
 	// The caller may be gone, so a write error is ignored.
 	_, _ = c.Write(r.response)
 	r.ids = append(r.ids, string(headerValue(c.header, r.options.IDHeader)))
 	r.options.OnRejected()
+	if c.wholeRead() || c.CloseWrite() != nil {
+		r.close(c)
+		return
+	}
+	r.lingering = append(r.lingering, lingeringConn{c.Conn, now.Add(lingerTime)})
+}
+
+// close closes a connection.
+func (r *Rejecter) close(c io.Closer) {
+	c.Close()
+	r.pending.Add(-1)
 }
 
 // logRejected logs the requests that were rejected since the last log line.
@@ -215,7 +288,7 @@
 			return true
 		}
 		if len(c.header) > maxHeaderBytes {
-			c.headerComplete = true
+			c.headerComplete, c.tooLong = true, true
 			return true
 		}
 	}
@@ -243,17 +316,22 @@
 		c.checkLastChunk(body)
 	}
 	if len(headerValue(c.header, "Expect")) > 0 {
-		c.bodyLeft = 0 // the caller waits for 100 Continue before it sends the body
+		c.bodyLeft, c.expects = 0, true
 	}
 }
 
+// lastChunk ends a chunked body without trailers.
+const lastChunk = "0\r\n\r\n"
+
 // checkLastChunk records whether a chunked body ends with these bytes.
 func (c *rejectedConn) checkLastChunk(b []byte) {
 	if !c.chunked {
 		return
 	}
+	c.lastBytes = append(c.lastBytes, b[max(len(b)-len(lastChunk), 0):]...)
+	c.lastBytes = c.lastBytes[max(len(c.lastBytes)-len(lastChunk), 0):]
 	c.bodyLeft = 1
-	if bytes.HasSuffix(b, []byte("0\r\n\r\n")) {
+	if string(c.lastBytes) == lastChunk {
 		c.bodyLeft = 0
 	}
 }
