gateway: an answer that comes before the body is not destroyed by a reset

What callers saw: a reset in place of 404, 401, 413 or 503 where the answer came before a long body had arrived; and a connection that stayed open for as long as its caller kept back the rest of a body, each taking a place of the capacity.

Cause: after a denial net/http reads up to 256 KB of the body without a time limit; if more than that is left it waits half a second without reading, and closes. Unread bytes then reset the connection.

A caller's connection can close its sending direction, which net/http does before it closes.

--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -48,6 +48,29 @@
 
 // handle serves one request.
 func (g *Gateway) handle(w http.ResponseWriter, r *http.Request) {
+	if !g.serveRequest(w, r) {
+		readRest(w, r)
+	}
+}
+
+// readRest reads the rest of the body of a request that has its response, for lingerTime at most: closing the
+// connection with unread bytes resets it, which may destroy the response on its way.
+func readRest(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength == 0 {
+		return
+	}
+	control := http.NewResponseController(w)
+	if err := control.SetReadDeadline(time.Now().Add(lingerTime)); err != nil {
+		return // the connection is closing
+	}
+	if err := control.Flush(); err != nil {
+		return // the caller is gone
+	}
+	_, _ = io.Copy(io.Discard, r.Body) // the caller has its response, whatever ends its request
+}
+
+// serveRequest serves one request. It reports whether the body has been read, or another gateway reads it.
+func (g *Gateway) serveRequest(w http.ResponseWriter, r *http.Request) (bodyRead bool) {
 	arrived := time.Now()
 	if conn, ok := r.Context().Value(connKey{}).(*callerConn); ok {
 		conn.handled()
@@ -55,19 +78,20 @@
 	if g.active.Add(1) > g.capacity.requests {
 		g.active.Add(-1)
 		g.deny(w, r, denial{status: http.StatusServiceUnavailable, reason: "too many requests at this gateway", retryAfter: fullRetryAfter})
-		return
+		return false
 	}
 	defer g.active.Add(-1)
 	if !g.options.Memory.Take(memoryPerRequest) {
 		g.deny(w, r, denial{status: http.StatusServiceUnavailable, reason: "gateway short of memory", retryAfter: fullRetryAfter})
-		return
+		return false
 	}
 	defer g.options.Memory.Return(memoryPerRequest)
 	if !g.overload.admits() {
-		if !g.offloadRequest(w, r) {
-			g.rejectOverloaded(w, r)
+		if g.offloadRequest(w, r) {
+			return true
 		}
-		return
+		g.rejectOverloaded(w, r)
+		return false
 	}
 	if g.endsConnection(r) {
 		w.Header().Set("Connection", "close")
@@ -75,12 +99,12 @@
 	c, d := g.newCall(w, r, arrived)
 	if d.status != 0 {
 		g.deny(w, r, d)
-		return
+		return false
 	}
 	defer c.bodyMemory.Release()
 	if g.stopsBefore(c.deadline) {
 		g.deny(w, r, denial{status: http.StatusServiceUnavailable, reason: "gateway is stopping", retryAfter: stopRetryAfter})
-		return
+		return true
 	}
 	ctx, cancel := context.WithDeadlineCause(r.Context(), c.deadline, errDeadline)
 	defer cancel()
@@ -88,6 +112,7 @@
 	defer end(nil)
 	defer context.AfterFunc(g.expired, func() { end(errGraceExpired) })()
 	c.run(ctx)
+	return true
 }
 
 var errDeadline = errors.New("gateway: deadline has passed")
@@ -279,6 +304,7 @@
 		w.Header().Set("Retry-After", strconv.FormatFloat(d.retryAfter.Seconds(), 'f', 3, 64))
 	}
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.Header().Set("Content-Length", strconv.Itoa(len(d.reason)+1)) // it may be flushed before its connection ends
 	w.WriteHeader(d.status)
 	// The caller may be gone, so a write error is ignored.
 	_, _ = io.WriteString(w, d.reason+"\n")
