gateway: idle limits do not close connections that other gateways forward

A connection that another gateway forwards, and that the limit on idle connections or on their time reaches, was closed with whatever had arrived on it.

Cause: connections are idle for the HTTP server until the head of a request has been parsed. The goroutine that applies the limits closed forwarded ones itself; only callers' own connections decide at their reader.

Change: the limits are for callers' own connections. A forwarded one serves one request, since its answer announces the end of the connection, and the time limit on heads (10 s) ends one without a request.

Measured: go test ./gateway -run TestIdleLimitsSpareForwardedConnections; on the code before it fails ("io: read/write on closed pipe"). Now it passes, with -race too.

--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -72,13 +72,14 @@
 // allows. The HTTP server's own timeout cannot follow a change of the configuration.
 type idleCallers struct {
 	mutex  sync.Mutex
-	since  map[net.Conn]time.Time
+	since  map[net.Conn]time.Time // of callers' own connections
 	limit  int // of more, those idle for longest are closed
 	served int // connections that the HTTP server has, idle or not
 }
 
 func (i *idleCallers) observe(c net.Conn, s http.ConnState) {
-	if caller, ok := c.(*callerConn); ok {
+	caller, own := c.(*callerConn)
+	if own {
 		caller.stateChanged(s)
 	}
 	i.mutex.Lock()
@@ -89,7 +90,8 @@
 	case http.StateClosed, http.StateHijacked:
 		i.served--
 	}
-	if s == http.StateIdle || s == http.StateNew {
+	// A connection that another gateway forwards serves one request, for which the time limit on heads is enough.
+	if own && (s == http.StateIdle || s == http.StateNew) {
 		i.since[c] = time.Now()
 		return
 	}
@@ -137,9 +139,7 @@
 func endIdle(c net.Conn) {
 	if caller, ok := c.(*callerConn); ok {
 		caller.retire()
-		return
 	}
-	c.Close()
 }
 
 func (i *idleCallers) closeIdleSince(cutoff time.Time) {
