merge the other ways in which connections are closed

Idle limits retire forwarded connections, as the branch on hand-off has it; what is neither is left alone, which TestIdleLimitsSpareForwardedConnections asks for.

--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -141,8 +141,6 @@
 		c.retire()
 	case *handoff.Conn:
 		c.Retire()
-	default:
-		c.Close()
 	}
 }
 
--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -45,8 +45,8 @@
 	return l.(*net.TCPListener)
 }
 
-// dialCaller connects to a listener and writes text.
-func dialCaller(t *testing.T, l net.Listener, text string) net.Conn {
+// dialAndWrite connects to a listener and writes text.
+func dialAndWrite(t *testing.T, l net.Listener, text string) net.Conn {
 	t.Helper()
 	c, err := net.Dial("tcp4", l.Addr().String())
 	require.NoError(t, err)
@@ -60,7 +60,7 @@
 // TestRejectRetiredConnection guards against a rejecter that can't read the request on a connection that is being retired.
 func TestRejectRetiredConnection(t *testing.T) {
 	d := newDrainer(t, listenLocal(t))
-	caller := dialCaller(t, d.listener, drainRequest)
+	caller := dialAndWrite(t, d.listener, drainRequest)
 	accepted, err := d.listener.Accept()
 	require.NoError(t, err)
 	c := accepted.(*callerConn)
@@ -104,7 +104,7 @@
 			conns <- c
 		}
 	}()
-	dialCaller(t, l, drainRequest)
+	dialAndWrite(t, l, drainRequest)
 	<-l.accepted
 	require.NoError(t, d.listener.stop())
 	require.False(t, d.done(), "a connection is being accepted")
@@ -182,7 +182,7 @@
 				server.Close()
 				require.ErrorIs(t, <-ended, http.ErrServerClosed)
 			}()
-			caller := dialCaller(t, d.listener, test.first)
+			caller := dialAndWrite(t, d.listener, test.first)
 			<-handling
 			_, err := io.WriteString(caller, test.second)
 			require.NoError(t, err)
