gateway: a denied request is told by its id, and by the time since a stop began

What on call saw: request.denied named host and path alone, so the answer of a caller who complained could not be found by its id, and nothing told that the gateway was stopping.

Change: the line has request (the header of the codec) and, once a shutdown was requested, stopping_for.

The fixture newIdleGateway has a codec now, as every gateway has.

--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -38,6 +38,7 @@
 func (g *Gateway) shutdown(listener *admissionListener, served *idleCallers, o *offloader) {
 	began := time.Now()
 	end := began.Add(g.options.ShutdownGrace - shutdownReserve)
+	g.stopBegan.Store(&began)
 	g.stopping.Store(true)
 	g.log.Info().Str("event", "stop").Int64("requests", g.active.Load()).Msg("shutdown requested")
 	time.Sleep(min(shutdownDelay, g.options.ShutdownGrace/2))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -149,6 +149,7 @@
 	copyCleaner           *transfer.Cleaner // nil: runs do not move
 	callerRetries         callerRetryTracker
 	stopping              atomic.Bool
+	stopBegan             atomic.Pointer[time.Time] // when a shutdown was requested; nil: it was not
 	stopEnd               atomic.Pointer[time.Time] // when the gateway ends what is left; nil: connections are not ended yet
 	expired               context.Context           // ends when the grace period of the shutdown has expired
 	expire                context.CancelFunc
--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -262,7 +262,11 @@
 // deny responds to a request that goes to no server.
 func (g *Gateway) deny(w http.ResponseWriter, r *http.Request, d denial) {
 	writeDenial(w, d)
-	g.log.Info().Str("event", "request.denied").Str("host", r.Host).Str("path", r.URL.Path).
+	line := g.log.Info().Str("event", "request.denied").Str("request", r.Header.Get(g.options.Codec.RequestIDHeader()))
+	if began := g.stopBegan.Load(); began != nil {
+		line.Dur("stopping_for", time.Since(*began))
+	}
+	line.Str("host", r.Host).Str("path", r.URL.Path).
 		Int("status", d.status).Str("reason", d.reason).Dur("retry_after", d.retryAfter).
 		EmbedObject(revisionFields(g.view.Load().Revision)).Dur("view_age", time.Since(g.confirmedAt())).Msg("request denied")
 	g.options.Metrics.RequestEnded(Outcome{Result: "denied"})
--- a/gateway/view_test.go
+++ b/gateway/view_test.go
@@ -16,7 +16,7 @@
 func newIdleGateway(t *testing.T) *Gateway {
 	t.Helper()
 	g, err := New(Options{
-		Peer: peer.Options{Address: "127.0.0.1:0"}, Log: zerolog.Nop(), Dispatcher: DispatcherOptions{ShareWindow: time.Second, Hall: "h"},
+		Codec: idCodec{}, Peer: peer.Options{Address: "127.0.0.1:0"}, Log: zerolog.Nop(), Dispatcher: DispatcherOptions{ShareWindow: time.Second, Hall: "h"},
 	})
 	require.NoError(t, err)
 	return g
