gateway: a request whose body is still coming is refused when the grace period expires

What callers saw: a planned stop closed the connection of a request whose body was still coming, without an answer and without a line.

Cause: the body is read before the request has a context that ends with the grace period; only its deadline ended the reading.

Change: the end of the grace period ends the reading, and the request is refused as not run, with Retry-After and a line.

Measured: go test ./platform -run TestEndOfGracePeriod on the code before: "body is still coming: the request got no answer, unexpected EOF"; with the change it passes twice.

--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -176,7 +176,12 @@
 // denyBody is the response to a request for whose body there is no memory.
 var denyBody = denial{status: http.StatusServiceUnavailable, reason: "gateway short of memory for bodies", retryAfter: fullRetryAfter}
 
-// readBody reads the whole body, which must arrive before the deadline.
+// denyExpired is the response to a request whose body has not arrived when the grace period of a planned stop
+// expires.
+var denyExpired = denial{status: http.StatusServiceUnavailable, reason: "not run: " + errGraceExpired.Error(), retryAfter: stopRetryAfter}
+
+// readBody reads the whole body, which must arrive before the deadline and before the grace period of a planned
+// stop expires.
 func (c *call) readBody(l catalog.Limits) denial {
 	limit := l.BodyBytes
 	if limit <= 0 {
@@ -198,8 +203,13 @@
 	if err := control.SetReadDeadline(c.deadline); err != nil {
 		return denial{status: http.StatusServiceUnavailable, reason: "connection is closing", retryAfter: fullRetryAfter}
 	}
+	stop := context.AfterFunc(c.gateway.expired, func() {
+		_ = control.SetReadDeadline(time.Unix(1, 0)) // on a closed connection the read fails
+	})
 	body, err := memory.ReadAll(c.request.Body, c.request.ContentLength, limit, c.bodyMemory)
 	switch {
+	case !stop():
+		return denyExpired
 	case errors.Is(err, memory.ErrTooLong):
 		return denial{status: http.StatusRequestEntityTooLarge, reason: "body too long"}
 	case errors.Is(err, memory.ErrNoRoom):
