gateway: a request that may outlast a planned stop is refused before its body is read

What callers saw: such a request, arrived while connections were being ended, was answered only once its whole body had come, or at the end of the grace period.

Change: it is refused as soon as its head is known, and once more after its body, since connections may be ended meanwhile.

Measured: go test ./platform -run TestRequestsAfterConnectionsEnd on the code before: refused after 250 ms, with the end of the grace period, for "its body is still coming"; with the change at once; two plays, and TestEndOfGracePeriod and TestStopAnswersArrivedRequests, pass.

--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -78,8 +78,8 @@
 		return
 	}
 	defer c.bodyMemory.Release()
-	if g.stopsBefore(c.deadline) {
-		g.deny(w, r, denial{status: http.StatusServiceUnavailable, reason: "gateway is stopping", retryAfter: stopRetryAfter})
+	if g.stopsBefore(c.deadline) { // connections have been ended since its head was read
+		g.deny(w, r, denyStopping)
 		return
 	}
 	ctx, cancel := context.WithDeadlineCause(r.Context(), c.deadline, errDeadline)
@@ -90,6 +90,9 @@
 	c.run(ctx)
 }
 
+// denyStopping is the response to a request that may outlast a planned stop.
+var denyStopping = denial{status: http.StatusServiceUnavailable, reason: "gateway is stopping", retryAfter: stopRetryAfter}
+
 var errDeadline = errors.New("gateway: deadline has passed")
 
 // newCall validates a request against the configuration and reads its body. The denial's
@@ -115,6 +118,9 @@
 		gateway: g, w: w, request: r, meta: meta, route: route, account: account.Name, priority: account.PriorityOn(route),
 		arrived: arrived, deadline: arrived.Add(requestTimeout(route, meta)), regions: route.Regions.Intersect(account.Regions),
 	}
+	if g.stopsBefore(c.deadline) {
+		return nil, denyStopping
+	}
 	c.sequence.StartAfter(meta.LastEventID)
 	c.bodyMemory = g.options.Memory.NewReservation("account "+account.Name, coveredBody)
 	if d := c.readBody(v.Configuration.Limits); d.status != 0 {
