gateway: a stream whose run is being moved ends with the grace period

What callers saw: a stream whose server was just being asked to stop its run was ended 0.3 s after the end of the grace period, by the close of its connection, and had no line.

Cause: the end of an attempt waits for a stop in progress, for a second at most, before the answer is ended. The last answers of a planned stop have 0.3 s.

Change: when the grace period has expired, nobody goes on with the run, so its end does not wait for the stop; what became of the run is recorded when that is known.

Measured: go test ./platform -run TestEndOfGracePeriod on the code before: "its run moves: 1.401 s is not less than 1.35 s", the grace period expires at 1.1 s; with the change it passes twice with the race detector.

--- a/gateway/call_continue.go
+++ b/gateway/call_continue.go
@@ -97,12 +97,24 @@
 	return r
 }
 
-// endRun ends what beginRun has begun. A copy that was not used is freed.
+// endRun ends what beginRun has begun.
 func (c *call) endRun(r *transfer.Run) {
 	if r == nil {
 		return
 	}
 	c.gateway.runs.End(r)
+	if isOver(r.Stream) {
+		go c.finishRun(r) // a stop in progress may take longer than the answer may wait
+		return
+	}
+	c.finishRun(r)
+}
+
+// isOver reports whether a request has ended whatever becomes of its run.
+func isOver(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errGraceExpired) }
+
+// finishRun records what became of a run that has ended. A copy that was not used is freed.
+func (c *call) finishRun(r *transfer.Run) {
 	outcome := r.Finish()
 	if c.movedFrom != r {
 		c.gateway.copyCleaner.Free(r.Server, transfer.Handle(outcome)) // it does not go on from the copy
@@ -115,7 +127,7 @@
 // be that of a stopped run. The end of an unframed stream does not show that the answer is incomplete,
 // so a run that was stopped and goes on nowhere has a next step as well.
 func (c *call) movedAway(ctx context.Context, r *transfer.Run, complete bool, err error) (s step, ok bool) {
-	if r == nil {
+	if r == nil || isOver(ctx) {
 		return nil, false
 	}
 	outcome := r.Finish()
