gateway: a stream that is taken up when the grace period expires is not begun anew

What callers saw: a caller that took up a stream, and whose request ended while the version that began the stream was looked for, was told to begin it anew (Opalbridge-Begin-Anew), although it can go on at another gateway; the line said that no gateway knows where it began.

Cause: a search that its context ends returns what a search without a result returns.

Change: a request whose context has ended fails for that reason: at the end of the grace period it is refused as not run.

Measured: go test ./gateway -run TestUnfinishedOriginLookup on the code before: "should be empty, but was true" for the header; with the change three plays pass.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -303,7 +303,7 @@
 }
 
 // contextEnded returns the step after the request's context has ended.
-func (c *call) contextEnded(ctx context.Context) step {
+func (c *call) contextEnded(ctx context.Context) failStep {
 	cause := context.Cause(ctx)
 	return failStep{err: cause, deadlinePassed: errors.Is(cause, errDeadline)}
 }
--- a/gateway/call_resume.go
+++ b/gateway/call_resume.go
@@ -62,6 +62,10 @@
 	}
 	began := time.Now()
 	server, outcome, err := c.findOrigin(ctx)
+	if err != nil && ctx.Err() != nil { // the search was not finished
+		c.fail(ctx, c.contextEnded(ctx))
+		return false
+	}
 	c.recordResume(outcome, server, time.Since(began))
 	if err != nil {
 		c.refuseResume(err)
--- /dev/null
+++ b/gateway/call_resume_test.go
@@ -0,0 +1,31 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"opalbridge.dev/gateway/catalog"
+	"opalbridge.dev/gateway/protocol"
+)
+
+// TestUnfinishedOriginLookup guards against a caller that is told to begin its stream anew, although it can go on at
+// another gateway, because its request ends while the version that began the stream is looked for.
+func TestUnfinishedOriginLookup(t *testing.T) {
+	w := httptest.NewRecorder()
+	c := &call{
+		gateway: newIdleGateway(t), w: w, request: httptest.NewRequest(http.MethodPost, "/", nil), route: &catalog.Route{Kind: catalog.Stream, Resumable: true},
+		meta: protocol.Request{ID: "a", Resumes: "first", LastEventID: "3"}, arrived: time.Now(),
+	}
+	ctx, cancel := context.WithCancelCause(t.Context())
+	time.AfterFunc(20*time.Millisecond, func() { cancel(errGraceExpired) })
+	require.False(t, c.pinResumed(ctx))
+	require.Equal(t, http.StatusServiceUnavailable, w.Code)
+	require.Empty(t, w.Header().Get(beginAnewHeader))
+	require.Equal(t, "refused", c.result)
+	require.Equal(t, errGraceExpired.Error(), c.reason)
+}
