gateway: a stream that waits for the certainty of its origin ends with the grace period

What callers saw: a stream whose server broke off just before the end of the grace period was ended up to 0.25 s after it; what is left is closed 0.3 s after it.

Cause: another attempt first waits until the version that began the stream is certain, whatever becomes of the request.

Change: the wait ends with the request, and the request then fails for the reason of its end.

Measured: go test ./platform -run TestEndOfGracePeriod on the code before: "waits for the origin of its stream: 1.323 s is not less than 1.3 s", the grace period expires at 1.1 s; with the change it ends at once.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -120,7 +120,10 @@
 	if err := c.checkQuarantine(false); err != nil {
 		return failStep{err: err}
 	}
-	c.awaitOrigin()
+	c.awaitOrigin(ctx)
+	if ctx.Err() != nil {
+		return c.contextEnded(ctx)
+	}
 	now := time.Now()
 	c.placeReq.Remaining = c.deadline.Sub(now)
 	c.placeReq.Objective, c.placeReq.FullObjective = 0, c.route.Objective
--- a/gateway/call_continue.go
+++ b/gateway/call_continue.go
@@ -148,7 +148,7 @@
 	c.movedFrom = r
 	c.moves++
 	c.recordMove(r, outcome)
-	c.awaitOrigin()
+	c.awaitOrigin(ctx)
 	if c.placeReq.Pinned && c.placeReq.Version == "" {
 		c.placeReq.Version = r.Server.Version // certain since the move began, see checkMovable
 	}
@@ -161,7 +161,7 @@
 	if d.Backup.ID == "" || !c.sequence.Joinable() || c.gateway.runs.SharedID(c.meta.ID) {
 		return c.retryOrFail(err)
 	}
-	c.awaitOrigin()
+	c.awaitOrigin(ctx)
 	if !c.serverCrashed(ctx, d.Server, c.placeReq.Pinned && c.placeReq.Version != "") {
 		return c.retryOrFail(err)
 	}
@@ -208,7 +208,11 @@
 
 // continueRun sends the request to the first of the servers at which its run can go on.
 func (c *call) continueRun(ctx context.Context, s continueStep) step {
-	c.awaitOrigin()
+	c.awaitOrigin(ctx)
+	if ctx.Err() != nil {
+		c.freeCopies(s.points)
+		return c.contextEnded(ctx)
+	}
 	if c.relayed > 0 && (!c.placeReq.Pinned || c.placeReq.Version == "" || c.placeReq.Version != s.points[0].Server.Version) {
 		c.freeCopies(s.points)
 		return c.retryOrFail(errors.Wrap(s.err, "gateway: the version that began the stream is not certain"))
--- a/gateway/call_resume.go
+++ b/gateway/call_resume.go
@@ -160,13 +160,16 @@
 	done <- s.Version
 }
 
-// awaitOrigin waits, before another attempt, until the version that began the stream is certain.
-func (c *call) awaitOrigin() {
+// awaitOrigin waits, before another attempt, until the version that began the stream is certain, or ctx ends.
+func (c *call) awaitOrigin(ctx context.Context) {
 	if c.origin == nil {
 		return
 	}
-	c.placeReq.Version = <-c.origin // takes lifetimeQueryTimeout at most
-	c.origin = nil
+	select {
+	case c.placeReq.Version = <-c.origin: // takes lifetimeQueryTimeout at most
+		c.origin = nil
+	case <-ctx.Done():
+	}
 }
 
 // lifetimeCheck returns the check of a server's lifetime that a stream needs to go on there; nil if
