--- a/gateway/call.go
+++ b/gateway/call.go
@@ -120,7 +120,10 @@
 	if err := c.checkQuarantine(false); err != nil {
 		return failStep{err: err}
 	}
-	c.awaitOrigin()
+	c.awaitOrigin(ctx)
+	if ctx.Err() != nil {
+		return c.contextEnded(ctx)
+	}
 	now := time.Now()
 	c.placeReq.Remaining = c.deadline.Sub(now)
 	c.placeReq.Objective, c.placeReq.FullObjective = 0, c.route.Objective
@@ -303,7 +306,7 @@
 }
 
 // contextEnded returns the step after the request's context has ended.
-func (c *call) contextEnded(ctx context.Context) step {
+func (c *call) contextEnded(ctx context.Context) failStep {
 	cause := context.Cause(ctx)
 	return failStep{err: cause, deadlinePassed: errors.Is(cause, errDeadline)}
 }
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -43,6 +43,7 @@
 	// A short grace period is divided: half to accept connections, a quarter to end them, and the reserve.
 	reserve := min(shutdownReserve, grace/4)
 	end := began.Add(grace - reserve)
+	g.stopBegan.Store(&began)
 	g.stopping.Store(true)
 	g.log.Info().Str("event", "stop").Int64("requests", g.active.Load()).Msg("shutdown requested")
 	time.Sleep(min(shutdownDelay, grace/2))
--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -102,8 +102,8 @@
 		return false
 	}
 	defer c.bodyMemory.Release()
-	if g.stopsBefore(c.deadline) {
-		g.deny(w, r, denial{status: http.StatusServiceUnavailable, reason: "gateway is stopping", retryAfter: stopRetryAfter})
+	if g.stopsBefore(c.deadline) { // connections have been ended since its head was read
+		g.deny(w, r, denyStopping)
 		return true
 	}
 	ctx, cancel := context.WithDeadlineCause(r.Context(), c.deadline, errDeadline)
@@ -115,6 +115,9 @@
 	return true
 }
 
+// denyStopping is the response to a request that may outlast a planned stop.
+var denyStopping = denial{status: http.StatusServiceUnavailable, reason: "gateway is stopping", retryAfter: stopRetryAfter}
+
 var errDeadline = errors.New("gateway: deadline has passed")
 
 // newCall validates a request against the configuration and reads its body. The denial's
@@ -140,6 +143,9 @@
 		gateway: g, w: w, request: r, meta: meta, route: route, account: account.Name, priority: account.PriorityOn(route),
 		arrived: arrived, deadline: arrived.Add(requestTimeout(route, meta)), regions: route.Regions.Intersect(account.Regions),
 	}
+	if g.stopsBefore(c.deadline) {
+		return nil, denyStopping
+	}
 	c.sequence.StartAfter(meta.LastEventID)
 	c.bodyMemory = g.options.Memory.NewReservation("account "+account.Name, coveredBody)
 	if d := c.readBody(v.Configuration.Limits); d.status != 0 {
@@ -201,7 +207,12 @@
 // denyBody is the response to a request for whose body there is no memory.
 var denyBody = denial{status: http.StatusServiceUnavailable, reason: "gateway short of memory for bodies", retryAfter: fullRetryAfter}
 
-// readBody reads the whole body, which must arrive before the deadline.
+// denyExpired is the response to a request whose body has not arrived when the grace period of a planned stop
+// expires.
+var denyExpired = denial{status: http.StatusServiceUnavailable, reason: "not run: " + errGraceExpired.Error(), retryAfter: stopRetryAfter}
+
+// readBody reads the whole body, which must arrive before the deadline and before the grace period of a planned
+// stop expires.
 func (c *call) readBody(l catalog.Limits) denial {
 	limit := l.BodyBytes
 	if limit <= 0 {
@@ -223,8 +234,13 @@
 	if err := control.SetReadDeadline(c.deadline); err != nil {
 		return denial{status: http.StatusServiceUnavailable, reason: "connection is closing", retryAfter: fullRetryAfter}
 	}
+	stop := context.AfterFunc(c.gateway.expired, func() {
+		_ = control.SetReadDeadline(time.Unix(1, 0)) // on a closed connection the read fails
+	})
 	body, err := memory.ReadAll(c.request.Body, c.request.ContentLength, limit, c.bodyMemory)
 	switch {
+	case !stop():
+		return denyExpired
 	case errors.Is(err, memory.ErrTooLong):
 		return denial{status: http.StatusRequestEntityTooLarge, reason: "body too long"}
 	case errors.Is(err, memory.ErrNoRoom):
@@ -287,7 +303,11 @@
 // deny responds to a request that goes to no server.
 func (g *Gateway) deny(w http.ResponseWriter, r *http.Request, d denial) {
 	writeDenial(w, d)
-	g.log.Info().Str("event", "request.denied").Str("host", r.Host).Str("path", r.URL.Path).
+	line := g.log.Info().Str("event", "request.denied").Str("request", r.Header.Get(g.options.Codec.RequestIDHeader()))
+	if began := g.stopBegan.Load(); began != nil {
+		line.Dur("stopping_for", time.Since(*began))
+	}
+	line.Str("host", r.Host).Str("path", r.URL.Path).
 		Int("status", d.status).Str("reason", d.reason).Dur("retry_after", d.retryAfter).
 		EmbedObject(revisionFields(g.view.Load().Revision)).Dur("view_age", time.Since(g.confirmedAt())).Msg("request denied")
 	g.options.Metrics.RequestEnded(Outcome{Result: "denied"})
