gateway: a stop names the offloaded connections that it cuts

A stop.cut line told the number of connections that other gateways serve and nothing of them, so nobody could tell which callers were cut.

--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -53,6 +53,7 @@
 	}
 	g.log.Warn().Str("event", "stop.cut").Int64("requests", g.active.Load()).Int("connections", served.count()).
 		Int64("offloaded", o.active.Load()).Msg("shutdown grace period expired")
+	o.tunnels.logCut(g.log, time.Now())
 	g.expire()
 	d.run(end.Add(finalResponseTime))
 }
--- a/gateway/handoff/handoff.go
+++ b/gateway/handoff/handoff.go
@@ -133,7 +133,16 @@
 }
 
 // Stream is open to a gateway and forwards one connection.
-type Stream struct{ stream *yamux.Stream }
+type Stream struct {
+	stream            *yamux.Stream
+	request, response atomic.Int64 // bytes that have been forwarded
+}
+
+// Forwarded returns the number of bytes of a request and of its response that have been forwarded. It may
+// be called while Forward runs.
+func (s *Stream) Forwarded() (request, response int64) {
+	return s.request.Load(), s.response.Load()
+}
 
 // Open opens a stream to the gateway at an address. Its error is ErrNotForwarded.
 func (f *Forwarder) Open(ctx context.Context, address string) (*Stream, error) {
@@ -141,14 +150,14 @@
 	if err != nil {
 		return nil, errors.CombineErrors(ErrNotForwarded, err)
 	}
-	return &Stream{stream}, nil
+	return &Stream{stream: stream}, nil
 }
 
 // Forward forwards a caller's connection until it has ended, and closes it. It must be called once.
 // If the stream ends before anything has been forwarded, Forward returns ErrNotForwarded. The
 // connection is still open then, and read is what was read from it.
 func (s *Stream) Forward(conn net.Conn) (read []byte, err error) {
-	t := tunnel{caller: conn, stream: s.stream}
+	t := tunnel{caller: conn, Stream: s}
 	return t.run()
 }
 
@@ -239,8 +248,8 @@
 
 // tunnel copies bytes between a caller and a stream.
 type tunnel struct {
+	*Stream
 	caller    net.Conn
-	stream    *yamux.Stream
 	progress  atomic.Int32 // a tunnelProgress
 	responded atomic.Bool  // the response direction has ended
 
@@ -337,7 +346,8 @@
 		t.read = bytes.Clone(b)
 		return false
 	}
-	_, err := t.stream.Write(b)
+	n, err := t.stream.Write(b)
+	t.request.Add(int64(n))
 	return err == nil
 }
 
@@ -367,7 +377,9 @@
 			} else {
 				responded = true
 			}
-			if _, err := t.caller.Write(chunk[:n]); err != nil {
+			written, err := t.caller.Write(chunk[:n])
+			t.response.Add(int64(written))
+			if err != nil {
 				return true
 			}
 		}
--- a/gateway/offload.go
+++ b/gateway/offload.go
@@ -127,6 +127,7 @@
 	active    atomic.Int64
 	started   atomic.Int64 // since the last log line
 	outcomes  offloadOutcomes
+	tunnels   tunnels
 	ended     chan struct{}
 }
 
@@ -236,6 +237,7 @@
 		stream, err := o.forwarder.Open(ctx, net.JoinHostPort(choice.Address, o.port))
 		if err == nil {
 			o.record(choice)
+			defer o.tunnels.add(&openTunnel{stream: stream, caller: c.RemoteAddr().String(), peer: choice.Address, began: time.Now()})()
 			if read, err := stream.Forward(c); errors.Is(err, handoff.ErrNotForwarded) {
 				o.reject(&replayConn{offloadableConn: c, read: read})
 			}
