--- a/gateway/caller_conn.go
+++ b/gateway/caller_conn.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sys/unix"
 
 	"opalbridge.dev/gateway/memory"
+	"opalbridge.dev/gateway/reject"
 )
 
 // callerConn is a caller's connection. It counts against the capacity until it is closed.
@@ -35,6 +36,7 @@
 	requestFrom atomic.Int64 // when the first byte of the current request was read, in ns since the process's epoch
 	callerEnded atomic.Bool  // a read has failed: the caller has closed, or the connection is broken
 	retiring    atomic.Bool  // it ends as soon as nothing of a request has arrived
+	readAhead   atomic.Bool  // the first byte of the next request has been read while one is served
 	// Guards the read deadline of a connection that is being retired: once a byte of a request has been
 	// read, retire must not end the reading of the rest.
 	mutex sync.Mutex
@@ -70,12 +72,18 @@
 func (c *callerConn) stateChanged(s http.ConnState) {
 	switch s {
 	case http.StateActive:
+		if c.awaitsRequest() {
+			c.beginRequest(time.Now()) // the head came with the request before
+		}
 		c.headRead.Store(true)
 	case http.StateIdle:
 		c.headRead.Store(false)
 		c.head = memory.Head{}
 		c.held.Release()
 		c.progress.Store(int32(awaitsRequest))
+		if c.readAhead.Swap(false) {
+			c.beginRequest(time.Now())
+		}
 	case http.StateClosed, http.StateHijacked:
 		c.headRead.Store(true)
 		c.held.Release()
@@ -136,15 +144,61 @@
 	if n > 0 && c.awaitsRequest() {
 		c.beginRequest(time.Now())
 	}
+	if n == 1 && len(b) == 1 && c.headRead.Load() {
+		c.readAhead.Store(true) // the HTTP server reads single bytes only to notice a caller that closes
+	}
 	if err != nil && !isTimeout(err) {
 		c.callerEnded.Store(true)
 	}
 	if !c.holdHead(b[:n]) {
-		return 0, errors.Wrap(memory.ErrNoRoom, "gateway: head of a request")
+		c.refuseHead()
+		// The HTTP server answers other errors with 400.
+		return 0, &net.OpError{Op: "read", Net: "tcp", Err: errors.Wrap(memory.ErrNoRoom, "gateway: head of a request")}
 	}
 	return n, err
 }
 
+// lingerTime is how long a connection is read after an answer that came before the whole request had arrived:
+// closing it with unread bytes resets it, which may destroy the answer on its way.
+const lingerTime = time.Second
+
+// headRefusal answers a request for whose head there is no memory.
+var headRefusal = reject.Response("gateway short of memory for heads", fullRetryAfter)
+
+// refuseHead answers a request for whose head there is no memory, and closes the connection. It is called by the
+// goroutine that reads from it.
+func (c *callerConn) refuseHead() {
+	c.held.Release()
+	if c.admission.onHeadRefused != nil {
+		c.admission.onHeadRefused(c)
+	}
+	deadline := time.Now().Add(lingerTime)
+	if err := c.Conn.SetDeadline(deadline); err == nil {
+		c.answerAndLinger(headRefusal)
+	}
+	c.Close()
+}
+
+// answerAndLinger writes an answer, and reads until the caller closes or the deadline has passed.
+func (c *callerConn) answerAndLinger(answer []byte) {
+	if _, err := c.Write(answer); err != nil {
+		return // the caller is gone
+	}
+	if err := c.CloseWrite(); err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, c.Conn) // the caller has its answer, whatever ends its request
+}
+
+// CloseWrite closes the sending direction.
+func (c *callerConn) CloseWrite() error {
+	w, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return errors.Newf("gateway: connection type %T has no sending direction to close", c.Conn)
+	}
+	return w.CloseWrite()
+}
+
 // awaitsRequest reports whether nothing of a next request has been read.
 func (c *callerConn) awaitsRequest() bool {
 	return connProgress(c.progress.Load()) == awaitsRequest
@@ -203,7 +257,8 @@
 	return c.Conn.Write(b)
 }
 
-// ReadNow implements reject.Conn. It reads whatever the read deadline is, which retire sets in the past.
+// ReadNow implements reject.Conn. It reads whatever the read deadline is, which has passed on a connection that
+// is being retired.
 func (c *callerConn) ReadNow(buffer []byte) (n int, err error) {
 	raw, err := rawConn(c.Conn)
 	if err != nil {
