handoff: a closed listener tells other gateways to open no more connections

What callers saw: requests that were forwarded to a gateway that was about to end got 502, as if they might have run, where their connections had been opened and nobody had accepted them.

Cause: a link took new connections until the process ended, and a reset of one that was never accepted was taken for a failure within a request.

Change: closing the listener sends GoAway on its links: other gateways choose another one, with the connection untouched. A stream that is reset so early that it can't have been accepted (an accepted one is reset five seconds after its close at the earliest) is answered with 503: not run.

Measured: go test ./gateway/handoff -run 'TestClosedListener|TestResetStream' -count=3 fails on the code before (Forward returns no ErrNotForwarded; 502 for 503) and passes, with -race -count=5.

--- a/gateway/handoff/handoff.go
+++ b/gateway/handoff/handoff.go
@@ -58,6 +58,9 @@
 	maxLinkHead = 4 << 10
 	// A stream closed by one side only is dropped after this time.
 	streamCloseTimeout = 5 * time.Second
+	// A stream that is reset this soon after it was opened has not been accepted: an accepted one is reset
+	// streamCloseTimeout after its close at the earliest.
+	streamRefusalTime = streamCloseTimeout - time.Second
 	// Responses are copied in chunks of this size: a few events.
 	responseBufferSize = 4 << 10
 	// Requests are copied in larger chunks: most prompts of 17,000 tokens take one or two, which
@@ -135,6 +138,7 @@
 // Stream is open to a gateway and forwards one connection.
 type Stream struct {
 	stream            *yamux.Stream
+	opened            time.Time
 	request, response atomic.Int64 // bytes that have been forwarded
 }
 
@@ -146,11 +150,12 @@
 
 // Open opens a stream to the gateway at an address. Its error is ErrNotForwarded.
 func (f *Forwarder) Open(ctx context.Context, address string) (*Stream, error) {
+	opened := time.Now()
 	stream, err := f.openStream(ctx, address)
 	if err != nil {
 		return nil, errors.CombineErrors(ErrNotForwarded, err)
 	}
-	return &Stream{stream: stream}, nil
+	return &Stream{stream: stream, opened: opened}, nil
 }
 
 // Forward forwards a caller's connection until it has ended, and closes it. It must be called once.
@@ -279,7 +284,11 @@
 		t.copyRequest()
 		close(requestDone)
 	}()
-	responded := t.copyResponse()
+	responded, err := t.copyResponse()
+	answer := badGatewayResponse
+	if errors.Is(err, yamux.ErrConnectionReset) && time.Since(t.opened) < streamRefusalTime {
+		answer = notRunResponse
+	}
 	t.progress.CompareAndSwap(awaitsRequest, endedUnopened)
 	t.responded.Store(true)
 	// Unblocks the goroutine that reads from the caller, which looks at responded after it has reset a deadline.
@@ -291,7 +300,7 @@
 	}
 	if !responded && !t.callerEnded && !t.callerClosed() {
 		// A caller that has gone gets no response.
-		_, _ = io.WriteString(t.caller, badGatewayResponse)
+		_, _ = io.WriteString(t.caller, answer)
 	}
 	t.caller.Close()
 	return nil, nil
@@ -361,15 +370,16 @@
 // It sends no other interim response.
 const interimResponse = "HTTP/1.1 100 Continue\r\n\r\n"
 
-// copyResponse forwards the other gateway's response. It reports whether there was any of a final one.
-func (t *tunnel) copyResponse() (responded bool) {
+// copyResponse forwards the other gateway's response. It reports whether there was any of a final one, and
+// why it ended.
+func (t *tunnel) copyResponse() (responded bool, err error) {
 	chunk := responseBuffers.Get().(*[responseBufferSize]byte)
 	defer responseBuffers.Put(chunk)
 	interim := 0 // bytes of interimResponse that have been forwarded
 	for {
 		n, err := t.stream.Read(chunk[:])
 		if n > 0 && t.progress.CompareAndSwap(awaitsRequest, endedUnopened) {
-			return false // the other gateway has ended the connection, and nothing of a request has been forwarded
+			return false, nil // the other gateway has ended the connection, and nothing of a request has been forwarded
 		}
 		if n > 0 {
 			if !responded && n <= len(interimResponse)-interim && interimResponse[interim:interim+n] == string(chunk[:n]) {
@@ -380,11 +390,11 @@
 			written, err := t.caller.Write(chunk[:n])
 			t.response.Add(int64(written))
 			if err != nil {
-				return true
+				return true, err
 			}
 		}
 		if err != nil {
-			return responded || interim%len(interimResponse) != 0
+			return responded || interim%len(interimResponse) != 0, err
 		}
 	}
 }
--- a/gateway/handoff/listener.go
+++ b/gateway/handoff/listener.go
@@ -251,7 +251,8 @@
 	}
 }
 
-// Close implements net.Listener. Accepted connections stay open.
+// Close implements net.Listener. Accepted connections stay open; other gateways are told not to open more,
+// and those that they have opened and nobody has accepted are refused.
 func (l *Listener) Close() error {
 	l.once.Do(func() { close(l.closed) })
 	return nil
@@ -268,7 +269,15 @@
 		conn.Close()
 		return errors.Wrap(err, "handoff: accept link")
 	}
-	defer session.Close()
+	told := make(chan struct{})
+	go func() {
+		l.tellClosed(session)
+		close(told)
+	}()
+	defer func() {
+		session.Close()
+		<-told
+	}()
 	for {
 		stream, err := session.AcceptStreamWithContext(ctx)
 		if err != nil {
@@ -283,3 +292,13 @@
 		}
 	}
 }
+
+// tellClosed tells the other gateway when the listener is closed, so that it opens no more streams. It returns
+// then, or when the link has ended.
+func (l *Listener) tellClosed(session *yamux.Session) {
+	select {
+	case <-l.closed:
+		_ = session.GoAway() // the link may have ended
+	case <-session.CloseChan():
+	}
+}
--- a/gateway/handoff/retire_test.go
+++ b/gateway/handoff/retire_test.go
@@ -3,12 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"testing"
 	"time"
 
+	"github.com/hashicorp/yamux"
 	"github.com/stretchr/testify/require"
 
 	"opalbridge.dev/gateway/handoff"
@@ -143,3 +145,94 @@
 		})
 	}
 }
+
+// TestClosedListenerTakesNoStreams guards against requests that are forwarded to a gateway that will not serve them.
+func TestClosedListenerTakesNoStreams(t *testing.T) {
+	f, l := startListener(t)
+	first := f.dial()
+	served := accept(t, l)
+	l.Close()
+	time.Sleep(50 * time.Millisecond)
+	c := f.dial()
+	_, err := io.WriteString(c, request)
+	require.NoError(t, err)
+	select {
+	case err := <-f.results:
+		require.ErrorIs(t, err, handoff.ErrNotForwarded)
+	case <-time.After(2 * time.Second):
+		require.Fail(t, "the connection has been forwarded")
+	}
+	go serveOnce(served) // it was accepted before
+	_, err = io.WriteString(first, request)
+	require.NoError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(first), nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, response.StatusCode)
+}
+
+// TestResetStreamIsRefused guards against a 502 to a request on a stream that the other gateway has not accepted.
+func TestResetStreamIsRefused(t *testing.T) {
+	peers, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer peers.Close()
+	sessions := make(chan *yamux.Session, 1)
+	go func() {
+		conn, err := peers.Accept()
+		if err != nil {
+			return
+		}
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 101 Switching Protocols\r\n\r\n")
+		config := yamux.DefaultConfig()
+		config.AcceptBacklog, config.LogOutput = 1, io.Discard // the second stream is reset
+		session, err := yamux.Server(conn, config)
+		if err == nil {
+			sessions <- session
+		}
+	}()
+	front, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer front.Close()
+	f := &fleet{t: t, forwarder: handoff.NewForwarder(), peer: peers.Addr().String(), front: front, results: make(chan error, 2)}
+	go f.accept()
+	f.dial()
+	session := <-sessions
+	defer f.forwarder.Close()
+	defer session.Close()
+	require.Eventually(t, func() bool { return session.NumStreams() == 1 }, 2*time.Second, time.Millisecond)
+	caller, forwarded := net.Pipe()
+	defer caller.Close()
+	stream, err := f.forwarder.Open(t.Context(), f.peer)
+	require.NoError(t, err)
+	answers := make(chan int, 1)
+	go func() {
+		response, err := http.ReadResponse(bufio.NewReader(caller), nil)
+		if err == nil {
+			answers <- response.StatusCode
+		}
+	}()
+	_, err = stream.Forward(&eagerConn{Conn: forwarded, request: request})
+	if errors.Is(err, handoff.ErrNotForwarded) {
+		return // the reset was seen before the request was sent
+	}
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, <-answers)
+}
+
+// eagerConn is a caller's connection on which a request has arrived.
+type eagerConn struct {
+	net.Conn
+	request string
+}
+
+// Read implements net.Conn.
+func (c *eagerConn) Read(b []byte) (int, error) {
+	if c.request == "" {
+		return c.Conn.Read(b)
+	}
+	n := copy(b, c.request)
+	c.request = c.request[n:]
+	return n, nil
+}
