gateway: a stop takes no more forwarded connections once it ends connections

What callers saw: 502 for requests that other gateways forwarded to a stopping one until its last moment: nobody had accepted their connections, or the process ended as it did. The stop also went on for as long as new ones came.

Cause: the listener for forwarded connections was open to the end, and the drain didn't count one that has been accepted and is not yet known to the HTTP server.

Change: it is closed with the callers' listener, 2.5 s after the SIGTERM, which tells other gateways to choose another one; the drain also waits until its Accept has returned for the last time.

--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -37,7 +37,7 @@
 var errGraceExpired = errors.New("gateway: it is stopping, and its grace period has expired")
 
 // shutdown ends all connections, and returns when there are none or the grace period is over.
-func (g *Gateway) shutdown(listener *admissionListener, served *idleCallers, o *offloader) {
+func (g *Gateway) shutdown(d drainer) {
 	began := time.Now()
 	grace := g.options.ShutdownGrace
 	// A short grace period is divided: half to accept connections, a quarter to end them, and the reserve.
@@ -48,16 +48,16 @@
 	g.log.Info().Str("event", "stop").Int64("requests", g.active.Load()).Msg("shutdown requested")
 	time.Sleep(min(shutdownDelay, grace/2))
 	g.stopEnd.Store(&end)
-	if err := listener.stop(); err != nil {
+	if err := d.listener.stop(); err != nil {
 		g.log.Warn().Str("event", "stop.listener").Err(err).Msg("cannot close the listener")
 	}
-	d := drainer{listener: listener, served: served, offloader: o}
+	d.forwarded.Close()
 	if d.run(end) {
 		return
 	}
-	g.log.Warn().Str("event", "stop.cut").Int64("requests", g.active.Load()).Int("connections", served.count()).
-		Int64("offloaded", o.active.Load()).Msg("shutdown grace period expired")
-	o.tunnels.logCut(g.log, time.Now())
+	g.log.Warn().Str("event", "stop.cut").Int64("requests", g.active.Load()).Int("connections", d.served.count()).
+		Int64("offloaded", d.offloader.active.Load()).Msg("shutdown grace period expired")
+	d.offloader.tunnels.logCut(g.log, time.Now())
 	g.expire()
 	d.run(end.Add(min(finalResponseTime, reserve*3/5)))
 }
@@ -65,6 +65,7 @@
 // drainer ends the connections of a gateway that is stopping.
 type drainer struct {
 	listener  *admissionListener
+	forwarded *forwardedListener
 	served    *idleCallers
 	offloader *offloader
 }
@@ -91,7 +92,7 @@
 // done reports whether no connection is left. One that has been accepted, or is passed from the HTTP server to
 // the offloader or the rejecter, is known to none of these yet, but is open.
 func (d *drainer) done() bool {
-	return d.listener.ended.Load() && d.listener.open.count() == 0 &&
+	return d.listener.ended.Load() && d.forwarded.ended.Load() && d.listener.open.count() == 0 &&
 		d.served.count() == 0 && d.offloader.active.Load() == 0 && d.listener.rejecter.Pending() == 0
 }
 
--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"opalbridge.dev/gateway/handoff"
 	"opalbridge.dev/gateway/reject"
 )
 
@@ -35,7 +36,9 @@
 		<-ended
 		a.Close()
 	})
-	return drainer{listener: a, served: &idleCallers{since: map[net.Conn]time.Time{}, limit: 100}, offloader: &offloader{}}
+	forwarded := &forwardedListener{Listener: handoff.NewListener(l.Addr())}
+	forwarded.ended.Store(true)
+	return drainer{listener: a, forwarded: forwarded, served: &idleCallers{since: map[net.Conn]time.Time{}, limit: 100}, offloader: &offloader{}}
 }
 
 func listenLocal(t *testing.T) *net.TCPListener {
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -45,7 +46,7 @@
 		o.run(offloadCtx)
 		close(offloadDone)
 	}()
-	offloaded := handoff.NewListener(g.options.PeerListener.Addr())
+	offloaded := &forwardedListener{Listener: handoff.NewListener(g.options.PeerListener.Addr())}
 	rejectCtx, stopReject := context.WithCancel(context.WithoutCancel(background))
 	rejectDone := make(chan struct{})
 	go func() {
@@ -53,7 +54,7 @@
 		close(rejectDone)
 	}()
 	readyServer := &http.Server{Handler: g.readyHandler(), ReadHeaderTimeout: headerTimeout}
-	peerServer := &http.Server{Handler: g.peersHandler(background, offloaded), ReadHeaderTimeout: headerTimeout}
+	peerServer := &http.Server{Handler: g.peersHandler(background, offloaded.Listener), ReadHeaderTimeout: headerTimeout}
 	serveErrs := make(chan error, listenerCount)
 	go func() { serveErrs <- callerServer.Serve(listener) }()
 	go func() { serveErrs <- callerServer.Serve(offloaded) }()
@@ -72,7 +73,7 @@
 		serveErrs <- http.ErrServerClosed
 	}
 	if serveErr == nil {
-		g.shutdown(listener, idle, o)
+		g.shutdown(drainer{listener: listener, forwarded: offloaded, served: idle, offloader: o})
 	}
 	callerServer.Close()
 	peerServer.Close()
@@ -91,6 +92,22 @@
 	return serveErr
 }
 
+// forwardedListener is a listener for connections that other gateways forward.
+type forwardedListener struct {
+	*handoff.Listener
+	ended atomic.Bool // it is closed, and Accept returns no more connections
+}
+
+// Accept implements net.Listener.
+func (l *forwardedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		l.ended.Store(true)
+		return nil, http.ErrServerClosed
+	}
+	return c, nil
+}
+
 // Number of listeners: callers, connections offloaded by other gateways, the load balancer's
 // health checks, other gateways.
 const listenerCount = 4
--- a/gateway/tunnels_test.go
+++ b/gateway/tunnels_test.go
@@ -64,7 +64,8 @@
 	silent := s.dialOffloaded(t)
 	waits, answers := send(shortRequest), send("GET /answers HTTP/1.1\r\nHost: h\r\n\r\n")
 	<-answered
-	s.gateway.shutdown(s.admission, s.idle, s.offloader)
+	forwarded := &forwardedListener{Listener: handoff.NewListener(s.admission.Addr())}
+	s.gateway.shutdown(drainer{listener: s.admission, forwarded: forwarded, served: s.idle, offloader: s.offloader})
 	list := cutTunnels(t, &log)
 	require.Len(t, list, 2, "the silent one (%s) has been retired", silent.LocalAddr())
 	want := cutTunnel{"stop.tunnel_cut", waits.LocalAddr().String(), servingAddress, int64(len(shortRequest)), 0}
