handoff: an early answer ends a long request at once and is not reset

What callers saw: a request with a body of more than 256 KB that the serving gateway stopped reading (a denial, a close without an answer) kept its connection for five seconds, and where there was no answer the caller got none in that time; then the connection was reset over the rest of the body, with an answer that might still be on its way.

Cause: the goroutine that forwards the request waited for room in the stream, and the tunnel waited for it; at the end the connection was closed with unread bytes.

Change: the end of the response ends the write as well. After an early answer, one of the tunnel's own or the refusal of an unread connection, the tunnel closes its sending direction and reads on until the caller closes, for a second at most and a tenth of one if the link has ended. A complete request costs nothing more.

Measured: go test ./gateway/handoff -run TestEarlyAnswerIsNotReset fails in all three cases before (no 502, and no end of the connection, in 5 s) and passes; go test -race -count=3 ./gateway/handoff passes, and the tests of stops, forwarded connections and early answers in platform.

--- a/gateway/handoff/handoff.go
+++ b/gateway/handoff/handoff.go
@@ -260,7 +260,10 @@
 
 	// Written by the goroutine that reads from the caller.
 	read        []byte // not forwarded, since the stream had ended
+	unsent      bool   // bytes of the request could not be forwarded
 	callerEnded bool   // the caller has closed, or its connection is broken
+
+	refused bool // the response is notRunResponse; written by the goroutine that reads from the stream
 }
 
 // tunnelProgress is how far a tunnel has come. The first goroutine that moves it on decides.
@@ -293,19 +296,45 @@
 	t.responded.Store(true)
 	// Unblocks the goroutine that reads from the caller, which looks at responded after it has reset a deadline.
 	_ = t.caller.SetReadDeadline(time.Unix(1, 0))
+	_ = t.stream.SetWriteDeadline(time.Unix(1, 0)) // the other gateway may no longer read the request
 	<-requestDone
 	t.stream.Close()
 	if t.progress.Load() == endedUnopened && !t.callerEnded {
 		return t.read, errors.CombineErrors(ErrNotForwarded, t.caller.SetReadDeadline(time.Time{}))
 	}
-	if !responded && !t.callerEnded && !t.callerClosed() {
-		// A caller that has gone gets no response.
-		_, _ = io.WriteString(t.caller, answer)
+	switch {
+	case t.callerEnded:
+	case responded && errors.Is(err, io.EOF) && (t.unsent || t.refused):
+		t.linger()
+	case !responded && !t.callerClosed():
+		_, _ = io.WriteString(t.caller, answer) // the caller may be gone
+		t.linger()
 	}
 	t.caller.Close()
 	return nil, nil
 }
 
+const (
+	// How long the rest of a request is read after an early answer.
+	lingerTime = time.Second
+	// The same if the link has ended: this process may be about to end.
+	shortLingerTime = 100 * time.Millisecond
+)
+
+// linger ends the sending direction and reads until the caller closes, for lingerTime at most: closing the
+// connection with unread bytes resets it, which may destroy the response on its way.
+func (t *tunnel) linger() {
+	limit := lingerTime
+	if t.stream.Session().IsClosed() {
+		limit = shortLingerTime
+	}
+	w, ok := t.caller.(interface{ CloseWrite() error })
+	if !ok || w.CloseWrite() != nil || t.caller.SetReadDeadline(time.Now().Add(limit)) != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, t.caller) // the caller has its response, whatever ends its request
+}
+
 // badGatewayResponse is sent when a request was forwarded and no response came back.
 const badGatewayResponse = "HTTP/1.1 502 Bad Gateway\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
@@ -357,6 +386,7 @@
 	}
 	n, err := t.stream.Write(b)
 	t.request.Add(int64(n))
+	t.unsent = err != nil
 	return err == nil
 }
 
@@ -382,6 +412,7 @@
 			return false, nil // the other gateway has ended the connection, and nothing of a request has been forwarded
 		}
 		if n > 0 {
+			t.refused = !responded && string(chunk[:n]) == notRunResponse
 			if !responded && n <= len(interimResponse)-interim && interimResponse[interim:interim+n] == string(chunk[:n]) {
 				interim += n
 			} else {
--- a/gateway/handoff/retire_test.go
+++ b/gateway/handoff/retire_test.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -236,3 +238,57 @@
 	c.request = c.request[n:]
 	return n, nil
 }
+
+// TestEarlyAnswerIsNotReset guards against an answer that is destroyed by a reset since its caller still sends, and
+// against a connection that is kept although both sides have ended.
+func TestEarlyAnswerIsNotReset(t *testing.T) {
+	const size = 1 << 20 // more than a stream takes that nobody reads
+	tests := []struct {
+		name   string
+		serve  func(c net.Conn)
+		status int
+	}{
+		{"not served", func(c net.Conn) { c.Close() }, http.StatusServiceUnavailable},
+		{"answered early", func(c net.Conn) {
+			_, _ = http.ReadRequest(bufio.NewReader(c))
+			_, _ = io.WriteString(c, "HTTP/1.1 413 Too Long\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+			c.Close()
+		}, http.StatusRequestEntityTooLarge},
+		{"not answered", func(c net.Conn) {
+			_, _ = http.ReadRequest(bufio.NewReader(c))
+			c.Close()
+		}, http.StatusBadGateway},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			f, l := startListener(t)
+			c := f.dial()
+			body := strings.Repeat("x", size)
+			_, err := fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", size, body[:size/2])
+			require.NoError(t, err)
+			time.Sleep(50 * time.Millisecond)
+			test.serve(accept(t, l))
+			time.Sleep(200 * time.Millisecond)
+			_, err = io.WriteString(c, body[size/2:size-1])
+			require.NoError(t, err)
+			time.Sleep(50 * time.Millisecond)
+			_, err = io.WriteString(c, body[size-1:])
+			require.NoError(t, err)
+			reader := bufio.NewReader(c)
+			response, err := http.ReadResponse(reader, nil)
+			require.NoError(t, err)
+			require.Equal(t, test.status, response.StatusCode)
+			_, err = io.ReadAll(response.Body)
+			require.NoError(t, err)
+			_, err = reader.ReadByte()
+			require.ErrorIs(t, err, io.EOF)
+			select {
+			case err := <-f.results:
+				require.NoError(t, err)
+			case <-time.After(3 * time.Second):
+				require.Fail(t, "the connection is kept")
+			}
+		})
+	}
+}
--- a/gateway/offload.go
+++ b/gateway/offload.go
@@ -197,6 +197,7 @@
 	net.Conn
 	reject.Conn
 	handoff.CloseChecker
+	CloseWrite() error
 }
 
 // record records what became of a connection.
