--- a/gateway/handoff/handoff.go
+++ b/gateway/handoff/handoff.go
@@ -58,6 +58,9 @@
 	maxLinkHead = 4 << 10
 	// A stream closed by one side only is dropped after this time.
 	streamCloseTimeout = 5 * time.Second
+	// A stream that is reset this soon after it was opened has not been accepted: an accepted one is reset
+	// streamCloseTimeout after its close at the earliest.
+	streamRefusalTime = streamCloseTimeout - time.Second
 	// Responses are copied in chunks of this size: a few events.
 	responseBufferSize = 4 << 10
 	// Requests are copied in larger chunks: most prompts of 17,000 tokens take one or two, which
@@ -133,22 +136,33 @@
 }
 
 // Stream is open to a gateway and forwards one connection.
-type Stream struct{ stream *yamux.Stream }
+type Stream struct {
+	stream            *yamux.Stream
+	opened            time.Time
+	request, response atomic.Int64 // bytes that have been forwarded
+}
+
+// Forwarded returns the number of bytes of a request and of its response that have been forwarded. It may
+// be called while Forward runs.
+func (s *Stream) Forwarded() (request, response int64) {
+	return s.request.Load(), s.response.Load()
+}
 
 // Open opens a stream to the gateway at an address. Its error is ErrNotForwarded.
 func (f *Forwarder) Open(ctx context.Context, address string) (*Stream, error) {
+	opened := time.Now()
 	stream, err := f.openStream(ctx, address)
 	if err != nil {
 		return nil, errors.CombineErrors(ErrNotForwarded, err)
 	}
-	return &Stream{stream}, nil
+	return &Stream{stream: stream, opened: opened}, nil
 }
 
 // Forward forwards a caller's connection until it has ended, and closes it. It must be called once.
 // If the stream ends before anything has been forwarded, Forward returns ErrNotForwarded. The
 // connection is still open then, and read is what was read from it.
 func (s *Stream) Forward(conn net.Conn) (read []byte, err error) {
-	t := tunnel{caller: conn, stream: s.stream}
+	t := tunnel{caller: conn, Stream: s}
 	return t.run()
 }
 
@@ -239,14 +253,17 @@
 
 // tunnel copies bytes between a caller and a stream.
 type tunnel struct {
+	*Stream
 	caller    net.Conn
-	stream    *yamux.Stream
 	progress  atomic.Int32 // a tunnelProgress
 	responded atomic.Bool  // the response direction has ended
 
 	// Written by the goroutine that reads from the caller.
 	read        []byte // not forwarded, since the stream had ended
+	unsent      bool   // bytes of the request could not be forwarded
 	callerEnded bool   // the caller has closed, or its connection is broken
+
+	refused bool // the response is notRunResponse; written by the goroutine that reads from the stream
 }
 
 // tunnelProgress is how far a tunnel has come. The first goroutine that moves it on decides.
@@ -270,24 +287,54 @@
 		t.copyRequest()
 		close(requestDone)
 	}()
-	responded := t.copyResponse()
+	responded, err := t.copyResponse()
+	answer := badGatewayResponse
+	if errors.Is(err, yamux.ErrConnectionReset) && time.Since(t.opened) < streamRefusalTime {
+		answer = notRunResponse
+	}
 	t.progress.CompareAndSwap(awaitsRequest, endedUnopened)
 	t.responded.Store(true)
 	// Unblocks the goroutine that reads from the caller, which looks at responded after it has reset a deadline.
 	_ = t.caller.SetReadDeadline(time.Unix(1, 0))
+	_ = t.stream.SetWriteDeadline(time.Unix(1, 0)) // the other gateway may no longer read the request
 	<-requestDone
 	t.stream.Close()
 	if t.progress.Load() == endedUnopened && !t.callerEnded {
 		return t.read, errors.CombineErrors(ErrNotForwarded, t.caller.SetReadDeadline(time.Time{}))
 	}
-	if !responded && !t.callerEnded && !t.callerClosed() {
-		// A caller that has gone gets no response.
-		_, _ = io.WriteString(t.caller, badGatewayResponse)
+	switch {
+	case t.callerEnded:
+	case responded && errors.Is(err, io.EOF) && (t.unsent || t.refused):
+		t.linger()
+	case !responded && !t.callerClosed():
+		_, _ = io.WriteString(t.caller, answer) // the caller may be gone
+		t.linger()
 	}
 	t.caller.Close()
 	return nil, nil
 }
 
+const (
+	// How long the rest of a request is read after an early answer.
+	lingerTime = time.Second
+	// The same if the link has ended: this process may be about to end.
+	shortLingerTime = 100 * time.Millisecond
+)
+
+// linger ends the sending direction and reads until the caller closes, for lingerTime at most: closing the
+// connection with unread bytes resets it, which may destroy the response on its way.
+func (t *tunnel) linger() {
+	limit := lingerTime
+	if t.stream.Session().IsClosed() {
+		limit = shortLingerTime
+	}
+	w, ok := t.caller.(interface{ CloseWrite() error })
+	if !ok || w.CloseWrite() != nil || t.caller.SetReadDeadline(time.Now().Add(limit)) != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, t.caller) // the caller has its response, whatever ends its request
+}
+
 // badGatewayResponse is sent when a request was forwarded and no response came back.
 const badGatewayResponse = "HTTP/1.1 502 Bad Gateway\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
@@ -337,7 +384,9 @@
 		t.read = bytes.Clone(b)
 		return false
 	}
-	_, err := t.stream.Write(b)
+	n, err := t.stream.Write(b)
+	t.request.Add(int64(n))
+	t.unsent = err != nil
 	return err == nil
 }
 
@@ -351,28 +400,32 @@
 // It sends no other interim response.
 const interimResponse = "HTTP/1.1 100 Continue\r\n\r\n"
 
-// copyResponse forwards the other gateway's response. It reports whether there was any of a final one.
-func (t *tunnel) copyResponse() (responded bool) {
+// copyResponse forwards the other gateway's response. It reports whether there was any of a final one, and
+// why it ended.
+func (t *tunnel) copyResponse() (responded bool, err error) {
 	chunk := responseBuffers.Get().(*[responseBufferSize]byte)
 	defer responseBuffers.Put(chunk)
 	interim := 0 // bytes of interimResponse that have been forwarded
 	for {
 		n, err := t.stream.Read(chunk[:])
 		if n > 0 && t.progress.CompareAndSwap(awaitsRequest, endedUnopened) {
-			return false // the other gateway has ended the connection, and nothing of a request has been forwarded
+			return false, nil // the other gateway has ended the connection, and nothing of a request has been forwarded
 		}
 		if n > 0 {
+			t.refused = !responded && string(chunk[:n]) == notRunResponse
 			if !responded && n <= len(interimResponse)-interim && interimResponse[interim:interim+n] == string(chunk[:n]) {
 				interim += n
 			} else {
 				responded = true
 			}
-			if _, err := t.caller.Write(chunk[:n]); err != nil {
-				return true
+			written, err := t.caller.Write(chunk[:n])
+			t.response.Add(int64(written))
+			if err != nil {
+				return true, err
 			}
 		}
 		if err != nil {
-			return responded || interim%len(interimResponse) != 0
+			return responded || interim%len(interimResponse) != 0, err
 		}
 	}
 }
