gateway: what the end of the grace period frees goes to no request that it ends as well

What callers saw: when the grace period of a planned stop expired, some requests that waited for slots were sent to servers and ended in the same millisecond: a 502 that may have run, where a 503 that has not run was due.

Cause: requests are ended one after the other. The first ones free their slots, and the dispatcher gives these to waiting requests whose own end is still to come.

Change: a decision to send that comes after the end of the grace period is given back, and the request refused as not run. The slots are freed after that moment, so none of them is used.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -178,6 +178,11 @@
 		c.callerClosed = true
 		return failStep{err: errCallerClosed}
 	}
+	// What the end of the grace period frees must not go to a request that it ends as well.
+	if c.gateway.expired.Err() != nil {
+		c.gateway.dispatcher.send(attemptEnded{attemptID: d.ID, server: d.Server.ID, end: placement.Abandoned})
+		return failStep{err: errGraceExpired}
+	}
 	if err := c.checkQuarantine(true); err != nil { // other gateways may have reported crashes while it waited
 		c.gateway.dispatcher.send(attemptEnded{attemptID: d.ID, server: d.Server.ID, end: placement.Abandoned})
 		return failStep{err: err}
