--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -91,12 +91,15 @@
 	overload  *overload
 	offload   func(*callerConn) bool                           // offloads a connection; false: no gateway takes it
 	onDropped func(*callerConn, DroppedRequest, time.Duration) // records a request that gets no answer, and for how long it was read; nil: it is not recorded
-	rejecter  *reject.Rejecter
-	openConns atomic.Int64 // accepted connections that are not closed
-	open      openCallerConns
-	unread    unreadConns
-	closed    atomic.Bool
-	rejects   rejectLimiter // used only by the goroutine that calls Accept
+	// Records that a request was refused for want of memory for its head; nil: it is not recorded.
+	onHeadRefused func(*callerConn)
+	rejecter      *reject.Rejecter
+	openConns     atomic.Int64 // accepted connections that are not closed
+	open          openCallerConns
+	unread        unreadConns
+	closed        atomic.Bool
+	ended         atomic.Bool   // it is closed, and Accept returns no more connections
+	rejects       rejectLimiter // used only by the goroutine that calls Accept
 }
 
 // rejectLimiter limits the rejected connections per window of time.
@@ -155,10 +158,17 @@
 		Listener: g.options.CallerListener, capacity: g.capacity, memory: g.options.Memory, overload: &g.overload, rejecter: newRejecter(g),
 		offload:   func(*callerConn) bool { return false },
 		unread:    unreadConns{since: map[*callerConn]time.Time{}},
-		onDropped: g.recordDropped,
+		onDropped: g.recordDropped, onHeadRefused: g.recordHeadRefused,
 	}
 }
 
+// recordHeadRefused records that a request was refused for want of memory for its head.
+func (g *Gateway) recordHeadRefused(c *callerConn) {
+	g.options.Metrics.RequestEnded(Outcome{Result: "denied"})
+	g.log.Info().Str("event", "request.denied").Str("caller", c.RemoteAddr().String()).Int("status", http.StatusServiceUnavailable).
+		Str("reason", "gateway short of memory for heads").Dur("retry_after", fullRetryAfter).Msg("request denied")
+}
+
 // recordDropped records that a connection was closed although a request had arrived on it.
 func (g *Gateway) recordDropped(c *callerConn, d DroppedRequest, readFor time.Duration) {
 	g.options.Metrics.RequestDropped(d)
@@ -185,7 +195,7 @@
 		action := a.nextAction(began)
 		if action == deferConn {
 			if a.closed.Load() {
-				return nil, http.ErrServerClosed
+				return nil, a.end()
 			}
 			time.Sleep(deferInterval)
 			continue
@@ -198,7 +208,7 @@
 		}
 		c, err := a.Listener.Accept()
 		if err != nil && a.closed.Load() {
-			return nil, http.ErrServerClosed
+			return nil, a.end()
 		}
 		if err != nil {
 			return nil, err
@@ -228,6 +238,12 @@
 	}
 }
 
+// end records that Accept returns no more connections. It returns Accept's error.
+func (a *admissionListener) end() error {
+	a.ended.Store(true)
+	return http.ErrServerClosed
+}
+
 // connAction is what is done with a connection.
 type connAction int
 
@@ -281,7 +297,7 @@
 func (a *admissionListener) stop() error {
 	a.closed.Store(true)
 	for {
-		s, ok := a.acceptSocket()
+		s, ok := a.acceptOrShutDown()
 		if !ok {
 			return a.Listener.Close()
 		}
@@ -289,6 +305,25 @@
 	}
 }
 
+// acceptOrShutDown accepts a pending connection. If none is pending, it ends the listening with the next system
+// call: Close alone would first wait for the goroutine that calls Accept, and reset what arrives meanwhile.
+func (a *admissionListener) acceptOrShutDown() (s reject.Socket, ok bool) {
+	sysConn, isSysConn := a.Listener.(syscall.Conn)
+	if !isSysConn {
+		return 0, false
+	}
+	raw, err := sysConn.SyscallConn()
+	if err != nil {
+		return 0, false // closed
+	}
+	controlErr := raw.Control(func(listener uintptr) {
+		if s, err = acceptNow(listener); err != nil {
+			_ = unix.Shutdown(int(listener), unix.SHUT_RD) // the listener is closed next
+		}
+	})
+	return s, controlErr == nil && err == nil
+}
+
 // acceptSocket accepts a pending connection without the setup that the runtime does for each
 // connection: that saves three of the some nine system calls that a rejection takes. ok is
 // false if no connection is pending.
@@ -301,14 +336,20 @@
 	if err != nil {
 		return 0, false // closed: Accept returns the error
 	}
-	controlErr := raw.Control(func(listener uintptr) {
-		var fd int
-		fd, _, err = unix.Accept4(int(listener), unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
-		s = reject.Socket(fd)
-	})
+	controlErr := raw.Control(func(listener uintptr) { s, err = acceptNow(listener) })
 	return s, controlErr == nil && err == nil
 }
 
+// acceptNow accepts a pending connection. It does not block; EAGAIN: none is pending.
+func acceptNow(listener uintptr) (reject.Socket, error) {
+	for {
+		fd, _, err := unix.Accept4(int(listener), unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		if err != unix.ECONNABORTED { // the caller has reset a connection that was pending
+			return reject.Socket(fd), err
+		}
+	}
+}
+
 // reject passes a connection to the rejecter.
 func (a *admissionListener) reject(c reject.Conn) {
 	a.rejecter.Reject(c) // the rejecter receives until the listener is closed
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -7,12 +7,14 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"opalbridge.dev/gateway/handoff"
 )
 
 // This file ends callers' connections in a planned stop. The Shutdown method of http.Server can't: it closes
 // connections as idle on which a request has arrived, and drops without a response what it reads after the
 // call. Here the goroutine that reads from a connection decides whether a request has arrived
-// (callerConn.retire); each request that has arrived gets a response.
+// (callerConn.retire, handoff.Conn.Retire); each request that has arrived gets a response.
 
 // Times of a planned stop.
 const (
@@ -37,11 +39,14 @@
 // shutdown ends all connections, and returns when there are none or the grace period is over.
 func (g *Gateway) shutdown(listener *admissionListener, served *idleCallers, o *offloader) {
 	began := time.Now()
-	end := began.Add(g.options.ShutdownGrace - shutdownReserve)
+	grace := g.options.ShutdownGrace
+	// A short grace period is divided: half to accept connections, a quarter to end them, and the reserve.
+	reserve := min(shutdownReserve, grace/4)
+	end := began.Add(grace - reserve)
 	g.stopBegan.Store(&began)
 	g.stopping.Store(true)
 	g.log.Info().Str("event", "stop").Int64("requests", g.active.Load()).Msg("shutdown requested")
-	time.Sleep(min(shutdownDelay, g.options.ShutdownGrace/2))
+	time.Sleep(min(shutdownDelay, grace/2))
 	g.stopEnd.Store(&end)
 	if err := listener.stop(); err != nil {
 		g.log.Warn().Str("event", "stop.listener").Err(err).Msg("cannot close the listener")
@@ -53,7 +58,7 @@
 	g.log.Warn().Str("event", "stop.cut").Int64("requests", g.active.Load()).Int("connections", served.count()).
 		Int64("offloaded", o.active.Load()).Msg("shutdown grace period expired")
 	g.expire()
-	d.run(end.Add(finalResponseTime))
+	d.run(end.Add(min(finalResponseTime, reserve*3/5)))
 }
 
 // drainer ends the connections of a gateway that is stopping.
@@ -70,7 +75,9 @@
 	tick := time.NewTicker(drainInterval)
 	defer tick.Stop()
 	for !d.done() {
-		d.listener.open.retire(time.Now())
+		now := time.Now()
+		d.listener.open.retire(now)
+		d.served.retireForwarded(now)
 		select {
 		case <-ctx.Done():
 			return d.done()
@@ -80,9 +87,11 @@
 	return true
 }
 
-// done reports whether no connection is left.
+// done reports whether no connection is left. One that has been accepted, or is passed from the HTTP server to
+// the offloader or the rejecter, is known to none of these yet, but is open.
 func (d *drainer) done() bool {
-	return d.served.count() == 0 && d.offloader.active.Load() == 0 && d.listener.rejecter.Pending() == 0
+	return d.listener.ended.Load() && d.listener.open.count() == 0 &&
+		d.served.count() == 0 && d.offloader.active.Load() == 0 && d.listener.rejecter.Pending() == 0
 }
 
 // openCallerConns is the set of callers' connections that are served or forwarded. Its zero value is empty.
@@ -107,6 +116,13 @@
 	delete(o.conns, c)
 }
 
+// count returns the number of connections.
+func (o *openCallerConns) count() int {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return len(o.conns)
+}
+
 // retire retires the connections, except new ones whose request may be on its way.
 func (o *openCallerConns) retire(now time.Time) {
 	o.mutex.Lock()
@@ -118,6 +134,18 @@
 	}
 }
 
+// retireForwarded retires the connections that other gateways forward to this one, except new ones whose request
+// may be on its way.
+func (i *idleCallers) retireForwarded(now time.Time) {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	for c, since := range i.since {
+		if forwarded, ok := c.(*handoff.Conn); ok && now.Sub(since) >= newConnTime {
+			forwarded.Retire()
+		}
+	}
+}
+
 // stopsBefore reports whether the gateway ends before a request's deadline. Such a request is refused once
 // connections are being ended: it might be cut, and is served at another gateway.
 func (g *Gateway) stopsBefore(deadline time.Time) bool {
