gateway: the line of a request that ended without an answer tells what ended it

What on call saw: a request whose context had ended was told as left, context canceled, whether its caller had closed its connection, the connection had broken, the link of the gateway that forwards it had ended, or this gateway had closed it.

Cause: the HTTP server cancels the context in the same way for all of these, and a failed write to the caller was told as left with the text of the system.

Change: a connection keeps the error that ended its reading, and a forwarded one tells whether its link has ended; request.ended and request.cut have the cause (ended_by: caller, connection, link, stop, deadline) and a reason of its own. What a link or this gateway has ended is cut or failed, not left. A write that fails within a long answer is no longer told as the failure of the server.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -43,7 +43,6 @@
 	attempts        int           // number of times it was sent to a server
 	delivered       int           // number of times it reached a server
 	mayHaveRun      bool          // a server may have run it
-	callerClosed    bool          // the caller has closed its connection
 	headerSent      bool          // the response header has been sent to the caller
 	lastEventID     string        // ID of the last event relayed
 	firstByteAt     time.Time     // when the first byte was sent to the caller; zero: not yet
@@ -54,6 +53,7 @@
 	firstEventAt    time.Time     // when the first of them was sent to the caller
 	result          string        // for logs and metrics
 	reason          string
+	endedBy         endCause          // empty: the answer was complete, or the request failed for another reason
 	cachedSubjects  *suspect.Subjects // computed by subjects; nil: not yet
 	responseStarted atomic.Bool       // the caller has received part of a response
 	trial           bool              // it is quarantined but is sent once as a trial
@@ -167,15 +167,11 @@
 	return objective - elapsed
 }
 
-// errCallerClosed is the cause of failure of a request whose caller has closed its connection.
-var errCallerClosed = errors.New("gateway: the caller has left")
-
 // send sends the request to a server and relays the response.
 func (c *call) send(ctx context.Context, d placement.Assign) step {
 	// An overloaded process notices late that a caller has disconnected.
 	if c.gateway.overload.overloaded(time.Now()) && callerClosed(ctx) {
 		c.gateway.dispatcher.send(attemptEnded{attemptID: d.ID, server: d.Server.ID, end: placement.Abandoned})
-		c.callerClosed = true
 		return failStep{err: errCallerClosed}
 	}
 	// What the end of the grace period frees must not go to a request that it ends as well.
@@ -344,17 +340,20 @@
 
 // fail sends the final response to a request that no server has answered.
 func (c *call) fail(ctx context.Context, f failStep) {
-	c.reason = f.err.Error()
+	f.err = c.failure(f.err)
+	c.reason, c.endedBy = f.err.Error(), endCauseOf(f.err)
 	switch {
-	case c.callerClosed || c.request.Context().Err() != nil:
+	case c.endedBy == endedByCaller || c.endedBy == endedByConnection:
 		// The caller no longer reads, or has closed its sending direction alone: then it must not take
 		// what follows for the end of an answer.
 		c.result = "left"
-		panic(http.ErrAbortHandler)
+		c.abort()
 	case c.headerSent:
 		c.result = "cut"
-		c.gateway.log.Warn().Str("event", "request.cut").Str("request", c.meta.ID).Err(f.err).Str("last_event", c.lastEventID).Msg("response truncated")
-		panic(http.ErrAbortHandler) // closes the connection, so that the caller sees a truncated response
+		c.abort() // the caller sees a truncated response
+	case c.endedBy == endedByLink || c.request.Context().Err() != nil: // there is no connection for an answer
+		c.result = "failed"
+		c.abort()
 	case errors.Is(f.err, errQuarantined):
 		c.result = "barred"
 		c.deny(denial{status: http.StatusBadGateway, reason: c.reason})
@@ -393,7 +392,7 @@
 	}
 	c.gateway.options.Metrics.RequestEnded(o)
 	c.gateway.log.Info().Str("event", "request.ended").Str("request", c.meta.ID).Str("route", c.route.Name).
-		Str("kind", kindName(c.route)).Dur("spent", c.sinceFirstAttempt).Str("account", c.account).Str("result", o.Result).Str("reason", c.reason).Int("attempts", c.attempts).
+		Str("kind", kindName(c.route)).Dur("spent", c.sinceFirstAttempt).Str("account", c.account).Str("result", o.Result).Str("reason", c.reason).Str("ended_by", string(c.endedBy)).Int("attempts", c.attempts).
 		Dur("first", o.FirstByte).Dur("pause", c.maxEventGap).Dur("whole", o.Total).EmbedObject(revisionFields(c.gateway.view.Load().Revision)).Msg("request finished")
 }
 
--- a/gateway/caller_conn.go
+++ b/gateway/caller_conn.go
@@ -32,11 +32,12 @@
 	held     *memory.Reservation // of the head
 
 	accepted    time.Time
-	progress    atomic.Int32 // a connProgress
-	requestFrom atomic.Int64 // when the first byte of the current request was read, in ns since the process's epoch
-	callerEnded atomic.Bool  // a read has failed: the caller has closed, or the connection is broken
-	retiring    atomic.Bool  // it ends as soon as nothing of a request has arrived
-	readAhead   atomic.Bool  // the first byte of the next request has been read while one is served
+	progress    atomic.Int32          // a connProgress
+	requestFrom atomic.Int64          // when the first byte of the current request was read, in ns since the process's epoch
+	callerEnded atomic.Bool           // a read has failed: the caller has closed, or the connection is broken
+	readError   atomic.Pointer[error] // of that read
+	retiring    atomic.Bool           // it ends as soon as nothing of a request has arrived
+	readAhead   atomic.Bool           // the first byte of the next request has been read while one is served
 	// Guards the read deadline of a connection that is being retired: once a byte of a request has been
 	// read, retire must not end the reading of the rest.
 	mutex sync.Mutex
@@ -148,6 +149,7 @@
 		c.readAhead.Store(true) // the HTTP server reads single bytes only to notice a caller that closes
 	}
 	if err != nil && !isTimeout(err) {
+		c.readError.CompareAndSwap(nil, &err)
 		c.callerEnded.Store(true)
 	}
 	if !c.holdHead(b[:n]) {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -78,12 +78,18 @@
 	}
 	c.writeHeader(r)
 	if _, err := c.w.Write(body); err != nil {
-		c.result, c.reason = "left", err.Error()
-		return placement.Served, doneStep{}
+		return placement.Served, c.writeFailed(ctx, err)
 	}
 	if !whole {
 		held.Release()
-		if _, err := io.Copy(c.w, r.Body); err != nil {
+		rest := &errorReader{Reader: r.Body}
+		_, err := io.Copy(c.w, rest)
+		switch {
+		case err != nil && rest.err == nil:
+			return placement.Served, c.writeFailed(ctx, err)
+		case err != nil && ctx.Err() != nil:
+			return placement.Abandoned, c.abandonAttempt(ctx, d, sent)
+		case err != nil:
 			c.recordInvalid(d.Server, err)
 			return placement.Failed, failStep{err: err}
 		}
@@ -102,6 +108,21 @@
 	return placement.Served, doneStep{}
 }
 
+// errorReader keeps the error of the reader, other than io.EOF.
+type errorReader struct {
+	io.Reader
+	err error
+}
+
+// Read implements io.Reader.
+func (r *errorReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if err != nil && err != io.EOF {
+		r.err = err
+	}
+	return n, err
+}
+
 // copyHeader copies the header of a server's response.
 func (c *call) copyHeader(r *upstream.Response) {
 	h := c.w.Header()
@@ -155,8 +176,7 @@
 			}
 			c.pinVersion(ctx, d.Server, r)
 			if werr := c.relayEvent(r, control, event, events.reader.Buffered() > 0); werr != nil {
-				c.result, c.reason = "left", werr.Error()
-				return placement.Abandoned, doneStep{}
+				return placement.Abandoned, c.writeFailed(ctx, werr)
 			}
 		}
 		if err == io.EOF {
