gateway: an answer that its caller does not read ends with the grace period

What callers saw: an answer that its caller read too slowly was broken off by the close of its connection, 0.3 s after the end of the grace period; the process ended in the same moment, so that its line could be lost.

Cause: a handler that waits for room to write does not notice that its request has ended.

Change: when the grace period expires, what is written to the caller has 0.15 s left.

--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -25,6 +25,8 @@
 	shutdownReserve = 500 * time.Millisecond
 	// Part of the reserve for responses to requests that are ended.
 	finalResponseTime = 300 * time.Millisecond
+	// Part of that for writing a response whose caller reads slowly.
+	finalWriteTime = finalResponseTime / 2
 	// Interval at which connections are ended.
 	drainInterval = 20 * time.Millisecond
 	// A new connection is kept for this long until its request arrives.
--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -110,7 +110,11 @@
 	defer cancel()
 	ctx, end := context.WithCancelCause(ctx)
 	defer end(nil)
-	defer context.AfterFunc(g.expired, func() { end(errGraceExpired) })()
+	defer context.AfterFunc(g.expired, func() {
+		end(errGraceExpired)
+		// A caller that reads slowly must not keep the request from its end.
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(finalWriteTime))
+	})()
 	c.run(ctx)
 	return true
 }
