explain: stops, ends of links and what they ended are told

What on call saw: the story of a request that a stop had ended or refused did not show the stop, and the tables counted what stops and links ended with other failures, or as left.

Cause: lines whose requests field is a number (stop, stop.cut, server.stalled, server.ended, retries.spent) were dropped as those of another program, since the field is a list elsewhere.

Change: the field is read in both forms. Stories describe stop, stop.cut, link.ended, the time since a shutdown was requested, and ended_by; account counts by ended_by, with columns for stop and link.

Measured: go test ./explain -run TestStory on the code before fails in the three new cases ("shutdown requested, 43 requests in hand" is missing); with the change the package passes.

--- a/explain/account.go
+++ b/explain/account.go
@@ -24,6 +24,7 @@
 	RefusedWhileIdle   int            `json:"refused_while_idle"`       // refused requests predicted within idleLimit of the objective
 	Failed             int            `json:"failed"`                   // requests that got no answer or a failure
 	Canceled           int            `json:"left"`                     // requests whose caller disconnected
+	EndedBy            map[string]int `json:"ended_by,omitempty"`       // requests without a complete answer by what ended them: caller, connection, link, stop, deadline
 	FailedAfterRetry   int            `json:"failed_repeats"`           // failed requests that were sent to more than one server
 	RefusedHoldSeconds float64        `json:"seconds_held_in_vain"`     // time that refused requests were held
 	PrefillSeconds     float64        `json:"seconds_of_reading"`       // predicted prefill time sent to servers
@@ -57,6 +58,12 @@
 // overShareReason is the reason logged when an account is refused for being over its share.
 const overShareReason = "account over its share"
 
+// What ended a request, as gateways log it.
+const (
+	endedByStop = "stop" // the gateway's own
+	endedByLink = "link" // of the gateway that forwarded the connection
+)
+
 // requestLines holds the log lines of one request.
 type requestLines struct {
 	sent    *Line
@@ -158,6 +165,12 @@
 
 func (t *Tally) add(rl *requestLines) {
 	first := rl.ended.Elapsed == 0
+	if by := rl.ended.EndedBy; by != "" {
+		if t.EndedBy == nil {
+			t.EndedBy = map[string]int{}
+		}
+		t.EndedBy[by]++
+	}
 	if first {
 		t.Callers++
 	}
@@ -259,7 +272,7 @@
 		return cmp.Or(cmp.Compare(group[y].Callers, group[x].Callers), cmp.Compare(x, y))
 	})
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintf(t, "%s\tcallers\tin time\tlate\treturned\tover share\tother refusals\twhile idle\tfailed\tleft\theld in vain s\treading s\tmiss ms\tp90\tgap\t\n", view)
+	fmt.Fprintf(t, "%s\tcallers\tin time\tlate\treturned\tover share\tother refusals\twhile idle\tfailed\tleft\tby stop\tby link\theld in vain s\treading s\tmiss ms\tp90\tgap\t\n", view)
 	for _, k := range keys {
 		group[k].row(t, cmp.Or(k, "-"))
 	}
@@ -275,6 +288,6 @@
 			others += n
 		}
 	}
-	fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.0f\t%.0f\t%.2f\t\n", name, t.Callers, t.InTime, t.Late, t.ServedOnRetry,
-		t.Refused[overShareReason], others, t.RefusedWhileIdle, t.Failed, t.Canceled, t.RefusedHoldSeconds, t.PrefillSeconds, t.ErrorMedian, t.ErrorP90, t.Gap)
+	fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.0f\t%.0f\t%.2f\t\n", name, t.Callers, t.InTime, t.Late, t.ServedOnRetry,
+		t.Refused[overShareReason], others, t.RefusedWhileIdle, t.Failed, t.Canceled, t.EndedBy[endedByStop], t.EndedBy[endedByLink], t.RefusedHoldSeconds, t.PrefillSeconds, t.ErrorMedian, t.ErrorP90, t.Gap)
 }
--- a/explain/account_test.go
+++ b/explain/account_test.go
@@ -24,8 +24,8 @@
 {"node":"g2","hall":"h2","event":"request.ended","request":"c","route":"r","account":"y","result":"refused","reason":"account over its share","attempts":0,"whole":50,"spent":0,"time":"2026-01-01T00:00:00.250Z"}
 {"node":"g2","hall":"h2","event":"attempt.sent","request":"d","attempt":1,"server":"s2","predicted":80,"reading":10,"tokens":1000,"time":"2026-01-01T00:00:00.500Z"}
 {"node":"g2","hall":"h2","event":"request.ended","request":"d","route":"r","account":"y","result":"served","attempts":1,"first":80,"whole":100,"spent":250,"time":"2026-01-01T00:00:00.600Z"}
-{"node":"g2","hall":"h2","event":"request.ended","request":"e","route":"q","account":"y","result":"cut","attempts":2,"whole":300,"spent":0,"time":"2026-01-01T00:00:00.700Z"}
-{"node":"g2","hall":"h2","event":"request.ended","request":"f","route":"q","account":"y","result":"left","attempts":1,"whole":300,"spent":0,"time":"2026-01-01T00:00:00.700Z"}
+{"node":"g2","hall":"h2","event":"request.ended","request":"e","route":"q","account":"y","result":"cut","ended_by":"stop","attempts":2,"whole":300,"spent":0,"time":"2026-01-01T00:00:00.700Z"}
+{"node":"g2","hall":"h2","event":"request.ended","request":"f","route":"q","account":"y","result":"left","ended_by":"caller","attempts":1,"whole":300,"spent":0,"time":"2026-01-01T00:00:00.700Z"}
 a line of another program
 `
 
@@ -41,6 +41,7 @@
 	require.Equal(t, 1, a.Total.Failed)
 	require.Equal(t, 1, a.Total.FailedAfterRetry)
 	require.Equal(t, 1, a.Total.Canceled)
+	require.Equal(t, map[string]int{"stop": 1, "caller": 1}, a.Total.EndedBy)
 	require.InDelta(t, 0.05, a.Total.RefusedHoldSeconds, 1e-9)
 	require.InDelta(t, 0.2, a.Total.InTimeShare(), 1e-9)
 	require.Equal(t, 2, a.Accounts["x"].Callers)
@@ -58,6 +59,7 @@
 		var b bytes.Buffer
 		require.NoError(t, a.Table(&b, view))
 		require.Contains(t, b.String(), "all")
+		require.Contains(t, b.String(), "by stop")
 	}
 	require.ErrorContains(t, a.Table(&bytes.Buffer{}, "moon"), "no view")
 	file := filepath.Join(t.TempDir(), "plot.png")
--- a/explain/story.go
+++ b/explain/story.go
@@ -21,7 +21,7 @@
 	Node          string    `json:"node"`
 	Event         string    `json:"event"`
 	Request       string    `json:"request"`
-	Requests      []string  `json:"requests"` // set instead of Request if the line is about several
+	Requests      requests  `json:"requests"` // set instead of Request if the line is about several
 	Server        string    `json:"server"`
 	Account       string    `json:"account"`
 	Reason        string    `json:"reason"`
@@ -47,7 +47,8 @@
 	RetryAfter    float64   `json:"retry_after"`
 	PrefillTime   float64   `json:"reading"`
 	Objective     float64   `json:"objective"`
-	Elapsed       float64   `json:"spent"` // since the caller's first request
+	Elapsed       float64   `json:"spent"`        // since the caller's first request
+	StoppingFor   float64   `json:"stopping_for"` // since a shutdown was requested; 0: it was not
 	Tokens        float64   `json:"tokens"`
 	Hall          string    `json:"hall"`
 	Route         string    `json:"route"`
@@ -56,11 +57,29 @@
 	OverShare     bool      `json:"over_share"`
 	Retried       bool      `json:"again"`
 	Leaving       bool      `json:"leaving"`
+	EndedBy       string    `json:"ended_by"`
+	Peer          string    `json:"peer"`
+	Connections   int       `json:"connections"`
+	Offloaded     int       `json:"offloaded"` // connections that other gateways serve
 	MayHaveRun    bool      `json:"may_have_run"`
 
 	order int // position among the lines of its log
 }
 
+// requests is the field of a line about several requests: their IDs, or only their number.
+type requests struct {
+	ids   []string
+	count int
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (r *requests) UnmarshalJSON(b []byte) error {
+	if bytes.HasPrefix(b, []byte("[")) {
+		return json.Unmarshal(b, &r.ids)
+	}
+	return json.Unmarshal(b, &r.count)
+}
+
 // Limits of reading logs.
 const (
 	maxLineSize = 1 << 20
@@ -76,7 +95,7 @@
 	var own, changes []Line
 	for _, r := range logs {
 		err := readLines(r, func(l Line) {
-			if slices.Contains(l.Requests, request) {
+			if slices.Contains(l.Requests.ids, request) {
 				l.Request = request
 			}
 			if l.Request == request {
@@ -90,7 +109,7 @@
 		}
 	}
 	if len(own) == 0 {
-		return errors.Newf("explain: no line names request %s", request)
+		return errors.Newf("explain: no line names request %s; one that no gateway has read has only a request.dropped without its id", request)
 	}
 	lines := append(own, relatedChanges(own, changes)...)
 	slices.SortStableFunc(lines, func(a, b Line) int {
@@ -189,12 +208,25 @@
 		return fmt.Sprintf("refused as not run: %s; the best server would have taken %.0f ms; told to come back after %.0f ms (over share: %t, had come back: %t)",
 			l.Reason, l.Predicted, l.RetryAfter, l.OverShare, l.Retried)
 	case "request.denied":
-		return fmt.Sprintf("denied with %d: %s", l.Status, l.Reason)
+		stopping := ""
+		if l.StoppingFor > 0 {
+			stopping = fmt.Sprintf(", %.1f s after a shutdown was requested", l.StoppingFor/1e3)
+		}
+		return fmt.Sprintf("denied with %d%s: %s", l.Status, stopping, l.Reason)
 	case "request.cut":
 		return "answer broken off: " + l.Error
 	case "request.ended":
 		text := fmt.Sprintf("%s after %d attempts, first byte after %.0f ms, end after %.0f ms", l.Result, l.Attempts, l.FirstByte, l.Total)
+		if l.EndedBy != "" {
+			text += ", ended by " + l.EndedBy
+		}
 		return text + reasonText(l)
+	case "stop":
+		return fmt.Sprintf("shutdown requested, %d requests in hand", l.Requests.count)
+	case "stop.cut":
+		return fmt.Sprintf("grace period expired: %d requests, %d connections and %d that others serve are ended", l.Requests.count, l.Connections, l.Offloaded)
+	case "link.ended":
+		return fmt.Sprintf("link of gateway %s ended: %s", l.Peer, l.Error)
 	case "configuration.in_force":
 		return fmt.Sprintf("configuration %d in force (store revision %d)", l.Version, l.Revision)
 	case "server.changed":
--- a/explain/story_test.go
+++ b/explain/story_test.go
@@ -30,6 +30,17 @@
 {"level":"info","node":"g2","event":"request.denied","requests":["r4","r5"],"status":503,"reason":"short of processor","retry_after":150,"time":"2026-12-02T14:00:09Z"}
 `
 
+// The log of a gateway that stops, and of one whose link to another one ends.
+const stopLog = `{"level":"info","node":"g3","event":"stop","requests":43,"time":"2026-12-02T15:00:00Z"}
+{"level":"info","node":"g3","event":"request.denied","request":"s1","status":503,"reason":"gateway is stopping","stopping_for":2700,"time":"2026-12-02T15:00:02.7Z"}
+{"level":"warn","node":"g3","event":"stop.cut","requests":2,"connections":3,"offloaded":1,"time":"2026-12-02T15:00:07.5Z"}
+{"level":"info","node":"g3","event":"request.ended","request":"s2","result":"cut","reason":"gateway: grace period","ended_by":"stop","attempts":1,"time":"2026-12-02T15:00:07.5Z"}
+{"level":"info","node":"g4","event":"link.ended","peer":"10.0.0.3:41","error":"EOF","time":"2026-12-02T15:00:08Z"}
+{"level":"warn","node":"g4","event":"request.cut","request":"s3","error":"gateway: link","ended_by":"link","time":"2026-12-02T15:00:08Z"}
+{"level":"info","node":"g4","event":"request.ended","request":"s3","result":"cut","reason":"gateway: link","ended_by":"link","attempts":1,"time":"2026-12-02T15:00:08Z"}
+{"level":"warn","node":"g4","event":"request.dropped","caller":"10.9.0.1:5","arrived":"read","read_for":12,"stopping":true,"time":"2026-12-02T15:00:08Z"}
+`
+
 func TestStory(t *testing.T) {
 	tests := []struct {
 		name    string
@@ -49,12 +60,15 @@
 			"goes on at server i-6 by a handle of server i-4 after event 9 (moved): refused: status 503",
 		}, []string{"i-1 "}},
 		{"refused", "r3", []string{"refused as not run: no server in time", "come back after 200 ms"}, []string{"configuration 7"}},
+		{"denied while stopping", "s1", []string{"shutdown requested, 43 requests in hand", "denied with 503, 2.7 s after a shutdown was requested: gateway is stopping"}, []string{"grace period"}},
+		{"ended by a stop", "s2", []string{"shutdown requested", "grace period expired: 2 requests, 3 connections and 1 that others serve are ended", "cut after 1 attempts", "ended by stop"}, []string{"gateway is stopping"}},
+		{"ended by a link", "s3", []string{"link of gateway 10.0.0.3:41 ended: EOF", "answer broken off: gateway: link", "ended by link"}, []string{"shutdown", "dropped"}},
 		{"denied with others", "r5", []string{"503", "short of processor"}, []string{"r4"}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			var out strings.Builder
-			require.NoError(t, explain.Story(&out, test.request, strings.NewReader(gateway2Log), strings.NewReader(gateway1Log)))
+			require.NoError(t, explain.Story(&out, test.request, strings.NewReader(gateway2Log), strings.NewReader(gateway1Log), strings.NewReader(stopLog)))
 			offset := 0
 			for _, want := range test.want {
 				next := strings.Index(out.String()[offset:], want)
