gateway: a request whose trial the store does not confirm ends with the grace period

What callers saw: a quarantined request that was being tried when the grace period expired got no answer in the 0.3 s that are left, if the store did not answer, and was told as barred.

Cause: the question to the store, 0.5 s at most, ended with the connection only.

Change: it ends with the request, whose end is then the reason.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -117,7 +117,7 @@
 
 // attempt places the request once and sends it.
 func (c *call) attempt(ctx context.Context) step {
-	if err := c.checkQuarantine(false); err != nil {
+	if err := c.checkQuarantine(ctx, false); err != nil {
 		return failStep{err: err}
 	}
 	c.awaitOrigin(ctx)
@@ -179,9 +179,9 @@
 		c.gateway.dispatcher.send(attemptEnded{attemptID: d.ID, server: d.Server.ID, end: placement.Abandoned})
 		return failStep{err: errGraceExpired}
 	}
-	if err := c.checkQuarantine(true); err != nil { // other gateways may have reported crashes while it waited
+	if err := c.checkQuarantine(ctx, true); err != nil { // other gateways may have reported crashes while it waited
 		c.gateway.dispatcher.send(attemptEnded{attemptID: d.ID, server: d.Server.ID, end: placement.Abandoned})
-		return failStep{err: err}
+		return failStep{err: err, deadlinePassed: errors.Is(err, errDeadline)}
 	}
 	sent := time.Now()
 	if err := c.checkAvailable(sent, d.Server); err != nil {
--- a/gateway/call_end_test.go
+++ b/gateway/call_end_test.go
@@ -14,6 +14,8 @@
 	"github.com/stretchr/testify/require"
 
 	"opalbridge.dev/gateway/catalog"
+	"opalbridge.dev/gateway/placement"
+	"opalbridge.dev/gateway/quarantine"
 )
 
 // forwardedConn stands for a connection that another gateway forwards.
@@ -123,3 +125,26 @@
 		})
 	}
 }
+
+// unansweringStore is a suspect.Store that answers nothing.
+type unansweringStore struct{ recordingStore }
+
+func (*unansweringStore) CountTrial(ctx context.Context, _ quarantine.Key, _ int) (bool, error) {
+	<-ctx.Done()
+	return false, ctx.Err()
+}
+
+// TestRequestEndsWithinTrial guards against a request that gets no answer, or is told as barred, because it ends
+// while the store is asked whether it may be tried.
+func TestRequestEndsWithinTrial(t *testing.T) {
+	g := newIdleGateway(t)
+	g.suspects.Store = &unansweringStore{}
+	c := &call{gateway: g, request: httptest.NewRequest(http.MethodPost, "/", nil), route: &catalog.Route{}, arrived: time.Now()}
+	stored := map[quarantine.Key]quarantine.StoredRecord{c.requestKey(): {Servers: []string{"a", "b", "c"}, Simultaneous: true}}
+	g.suspects.ApplyStored(time.Now().Add(-time.Minute), nil, stored, false)
+	ctx, cancel := context.WithCancelCause(t.Context())
+	time.AfterFunc(20*time.Millisecond, func() { cancel(errGraceExpired) })
+	began := time.Now()
+	require.Equal(t, failStep{err: errGraceExpired}, c.send(ctx, placement.Assign{Server: readyServer("i-1")}))
+	require.Less(t, time.Since(began), 200*time.Millisecond)
+}
--- a/gateway/call_quarantine.go
+++ b/gateway/call_quarantine.go
@@ -120,8 +120,8 @@
 }
 
 // checkQuarantine returns an error if the request may not be sent to a server. With sending set, it
-// uses up a trial of a quarantined request if one is due.
-func (c *call) checkQuarantine(sending bool) error {
+// uses up a trial of a quarantined request if one is due, which the store has to confirm.
+func (c *call) checkQuarantine(ctx context.Context, sending bool) error {
 	_, barring := c.crashesSeen()
 	if len(barring) == 0 || c.trial {
 		return nil
@@ -132,10 +132,13 @@
 		}
 		return quarantineError(c.subjects(), barring)
 	}
-	c.trial = c.gateway.suspects.ClaimTrial(c.request.Context(), c.subjects())
+	c.trial = c.gateway.suspects.ClaimTrial(ctx, c.subjects())
 	if c.trial {
 		return nil
 	}
+	if ctx.Err() != nil {
+		return context.Cause(ctx)
+	}
 	return quarantineError(c.subjects(), barring)
 }
 
