gateway: a request that a stop refuses may come back at once

What callers saw: a request that waited and was refused as not run at the end of the grace period was told to come back after 0.5 s, although the next connection reaches another gateway.

Change: Retry-After is 50 ms, as in other refusals of a gateway that stops.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -362,7 +362,11 @@
 		c.refuseResume(f.err)
 	case !c.mayHaveRun:
 		c.result = "refused"
-		c.deny(denial{status: http.StatusServiceUnavailable, reason: "not run: " + c.reason, retryAfter: unknownRetryAfter})
+		d := denial{status: http.StatusServiceUnavailable, reason: "not run: " + c.reason, retryAfter: unknownRetryAfter}
+		if c.endedBy == endedByStop {
+			d.retryAfter = stopRetryAfter
+		}
+		c.deny(d)
 	case f.deadlinePassed:
 		c.result = "failed"
 		c.deny(denial{status: http.StatusGatewayTimeout, reason: c.reason})
