gateway: a time limit does not end the reading of a request that has arrived

A connection whose request arrives in the moment of the limit for heads (10 s after the connection), or that a process without processor time reads after it, is closed without an answer.

Cause: once a read deadline has passed, the runtime returns its error without looking into the socket, and net/http closes the connection without an answer.

Change: at the deadline the reading goroutine takes what has arrived of a head; with nothing there, the limit holds. Ends of the HTTP server's reading ahead, and limits of bodies, are as before.

Measured: go test ./gateway -run TestReadDeadline; on the code before "a request has arrived" fails (0 bytes for 27). Now its three cases pass, with -race too, and platform TestStopAnswersArrivedRequests.

--- a/gateway/caller_conn.go
+++ b/gateway/caller_conn.go
@@ -229,10 +229,27 @@
 			_ = c.Conn.SetReadDeadline(time.Now().Add(headerTimeout)) // on a closed connection the read fails
 		}
 		n, err := c.Conn.Read(b)
-		if n > 0 || !isTimeout(err) || !c.retiring.Load() || !c.awaitsRequest() {
+		if n > 0 || !isTimeout(err) {
 			return n, err
 		}
+		if c.retiring.Load() && c.awaitsRequest() {
+			continue
+		}
+		return c.readArrived(b, err)
+	}
+}
+
+// readArrived reads what of a head has arrived by the deadline of a read: the runtime doesn't look into the socket
+// after it, and a process that is short of processor time may not have read before. It returns timeout if nothing has.
+func (c *callerConn) readArrived(b []byte, timeout error) (int, error) {
+	if c.headRead.Load() {
+		return 0, timeout // the HTTP server ends its reading ahead so, and a body has the request's deadline
 	}
+	n, err := c.readSocket(b)
+	if err != nil || n == 0 {
+		return 0, timeout
+	}
+	return n, nil
 }
 
 // isTimeout reports whether a read or write has ended at its deadline.
@@ -248,17 +265,17 @@
 }
 
 // ReadNow implements reject.Conn.
-func (c *callerConn) ReadNow(buffer []byte) (n int, err error) {
+func (c *callerConn) ReadNow(buffer []byte) (n int, err error) { return c.readSocket(buffer) }
+
+// readSocket reads what has arrived, whatever the read deadline; EAGAIN: nothing has.
+func (c *callerConn) readSocket(buffer []byte) (n int, err error) {
 	raw, err := rawConn(c.Conn)
 	if err != nil {
 		return 0, err
 	}
-	readErr := raw.Read(func(fd uintptr) bool {
-		n, err = unix.Read(int(fd), buffer)
-		return true
-	})
-	if readErr != nil {
-		return 0, readErr
+	controlErr := raw.Control(func(fd uintptr) { n, err = unix.Read(int(fd), buffer) })
+	if controlErr != nil {
+		return 0, controlErr
 	}
 	return n, err
 }
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -73,8 +73,8 @@
 type idleCallers struct {
 	mutex  sync.Mutex
 	since  map[net.Conn]time.Time // of callers' own connections
-	limit  int // of more, those idle for longest are closed
-	served int // connections that the HTTP server has, idle or not
+	limit  int                    // of more, those idle for longest are closed
+	served int                    // connections that the HTTP server has, idle or not
 }
 
 func (i *idleCallers) observe(c net.Conn, s http.ConnState) {
--- a/gateway/callers_idle_test.go
+++ b/gateway/callers_idle_test.go
@@ -26,3 +26,48 @@
 	require.NoError(t, err)
 	require.Equal(t, 1, i.count())
 }
+
+// TestReadDeadline guards against a time limit that ends the reading of a request which has arrived before the
+// process had time to read it.
+func TestReadDeadline(t *testing.T) {
+	tests := []struct {
+		name    string
+		arrived string
+		aborted bool // the HTTP server ends its reading ahead while it serves a request
+		want    int
+	}{
+		{"a request has arrived", "GET / HTTP/1.1\r\nHost: h\r\n\r\n", false, 27},
+		{"nothing has arrived", "", false, 0},
+		{"reading ahead is ended", "GET / HTTP/1.1\r\nHost: h\r\n\r\n", true, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			l, err := net.Listen("tcp4", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer l.Close()
+			caller, _ := dialCaller(t, l.Addr().String())
+			accepted, err := l.Accept()
+			require.NoError(t, err)
+			c := &callerConn{Conn: accepted, admission: &admissionListener{}}
+			defer c.Close()
+			c.headRead.Store(test.aborted)
+			_, err = io.WriteString(caller, test.arrived)
+			require.NoError(t, err)
+			require.Eventually(t, func() bool {
+				n, _ := peek(accepted)
+				return n == min(len(test.arrived), 1) || test.arrived == ""
+			}, 5*time.Second, time.Millisecond)
+			require.NoError(t, c.SetReadDeadline(time.Unix(1, 0)))
+			buffer := make([]byte, 100)
+			n, err := c.Read(buffer)
+			require.Equal(t, test.want, n)
+			if test.want == 0 {
+				require.True(t, isTimeout(err), "%v", err)
+				return
+			}
+			require.NoError(t, err)
+			_, err = c.Read(buffer)
+			require.True(t, isTimeout(err), "%v", err)
+		})
+	}
+}
