gateway: a request whose body does not come in time gets 408

What callers saw: 400, which callers do not retry and which counts as a denial of a proper request, where the body had not arrived by the request's deadline (a slow link, or a route's time-out below the caller's).

Cause: every error while a body is read was answered 400 Bad Request, a time-out too.

Change: a time-out is answered with 408, which promises that the request has not run. 400 is left for bodies that break the protocol.

--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -229,6 +229,8 @@
 		return denial{status: http.StatusRequestEntityTooLarge, reason: "body too long"}
 	case errors.Is(err, memory.ErrNoRoom):
 		return denyBody
+	case isTimeout(err):
+		return denial{status: http.StatusRequestTimeout, reason: "body was not received in time"}
 	case err != nil:
 		return denial{status: http.StatusBadRequest, reason: "body was not received: " + err.Error()}
 	}
