gateway: a lowered idle time-out does not end connections that callers still use

What callers saw: kept connections closed sooner than the configuration in force when they began to rest allowed; a request on its way met the close.

Cause: a lowered idle_timeout_ms was applied at once to connections that had begun to rest under the longer one, while callers take up connections for up to four fifths of the limit that they know.

Change: a connection keeps the limit that was in force when it became idle, or the current one if that is longer.

The limit is looked at once a second, so two changes within a second count as one.

--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -75,6 +75,8 @@
 	since  map[net.Conn]time.Time // of callers' own connections
 	limit  int                    // of more, those idle for longest are closed
 	served int                    // connections that the HTTP server has, idle or not
+
+	timeout idleTimeout
 }
 
 func (i *idleCallers) observe(c net.Conn, s http.ConnState) {
@@ -114,8 +116,8 @@
 			return
 		case now := <-tick.C:
 			i.trim(i.limit)
-			if v := g.view.Load(); v.Configuration != nil && v.Configuration.Limits.IdleTimeout > 0 {
-				i.closeIdleSince(now.Add(-v.Configuration.Limits.IdleTimeout - idleTimeoutMargin))
+			if v := g.view.Load(); v.Configuration != nil {
+				i.closeIdle(now, v.Configuration.Limits.IdleTimeout)
 			}
 		}
 	}
@@ -142,13 +144,44 @@
 	}
 }
 
-func (i *idleCallers) closeIdleSince(cutoff time.Time) {
+// closeIdle closes the connections that are idle for longer than the limit; 0: there is none.
+func (i *idleCallers) closeIdle(now time.Time, limit time.Duration) {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
+	i.timeout.set(now, limit)
 	for c, since := range i.since {
-		if since.Before(cutoff) {
+		if limit := i.timeout.at(since); limit > 0 && now.Sub(since) > limit+idleTimeoutMargin {
 			endIdle(c)
 			delete(i.since, c)
 		}
 	}
 }
+
+// idleTimeout is how long a connection may be idle. Callers expect of a connection what was allowed when it became
+// idle, so a lower limit holds for those that become idle after it has come into force. The zero value has no limit.
+type idleTimeout struct {
+	current time.Duration
+	changed time.Time     // when current came into force
+	before  time.Duration // the least of connections that became idle before that
+}
+
+// set sets the limit that is in force from a time on.
+func (t *idleTimeout) set(now time.Time, limit time.Duration) {
+	if limit == t.current {
+		return
+	}
+	before := t.current
+	if now.Sub(t.changed) <= t.before+idleTimeoutMargin { // connections from before the last change may be left
+		before = max(before, t.before)
+	}
+	t.before = before
+	t.current, t.changed = limit, now
+}
+
+// at returns the limit of a connection that has been idle since a time; 0: it has none.
+func (t *idleTimeout) at(since time.Time) time.Duration {
+	if t.current == 0 || !since.Before(t.changed) {
+		return t.current
+	}
+	return max(t.current, t.before)
+}
--- a/gateway/callers_idle_test.go
+++ b/gateway/callers_idle_test.go
@@ -19,7 +19,7 @@
 	defer forwarded.Close()
 	i.observe(forwarded, http.StateNew)
 	i.trim(0)
-	i.closeIdleSince(time.Now().Add(time.Hour))
+	i.closeIdle(time.Now().Add(time.Hour), time.Second)
 	go func() { _, _ = io.WriteString(peer, "GET") }()
 	require.NoError(t, forwarded.SetReadDeadline(time.Now().Add(5*time.Second)))
 	_, err := io.ReadFull(forwarded, make([]byte, 3))
@@ -71,3 +71,37 @@
 		})
 	}
 }
+
+// TestIdleTimeoutChanges guards against a lowered limit that ends connections sooner than their callers expect, and
+// against limits that no longer end connections after some changes.
+func TestIdleTimeoutChanges(t *testing.T) {
+	began := time.Now()
+	at := func(s int) time.Time { return began.Add(time.Duration(s) * time.Second) }
+	type change struct{ at, limit int } // in seconds
+	tests := []struct {
+		name    string
+		changes []change
+		since   int // when the connection became idle
+		want    int // its limit
+	}{
+		{"no limit", nil, 5, 0},
+		{"first configuration", []change{{10, 15}}, 5, 15},
+		{"unchanged", []change{{10, 15}, {20, 15}, {30, 15}}, 25, 15},
+		{"lowered while it is idle", []change{{0, 15}, {20, 4}}, 18, 15},
+		{"lowered before", []change{{0, 15}, {20, 4}}, 21, 4},
+		{"raised while it is idle", []change{{0, 4}, {20, 15}}, 18, 15},
+		{"lowered twice while it is idle", []change{{0, 15}, {20, 8}, {21, 4}}, 18, 15},
+		{"lowered twice, between", []change{{0, 15}, {20, 8}, {60, 4}}, 58, 8},
+		{"lowered and raised", []change{{0, 15}, {20, 4}, {21, 6}}, 18, 15},
+		{"no limit any more", []change{{0, 15}, {20, 0}}, 18, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var timeout idleTimeout
+			for _, c := range test.changes {
+				timeout.set(at(c.at), time.Duration(c.limit)*time.Second)
+			}
+			require.Equal(t, time.Duration(test.want)*time.Second, timeout.at(at(test.since)))
+		})
+	}
+}
