reject: the last rejected requests are logged too

What callers saw: nothing. On call found no line for a request that a gateway had rejected as the last of a burst.

Cause: lines are written once in 250 ms, while connections are polled; polling ends with the last connection.

Change: polling goes on until the line is written; the end of the rejecter writes it too.

Measured: go test ./gateway/reject -run TestLastRejectedIsLogged; on the code before it fails (no line within 2 s). Now it passes, with -race twice.

--- a/gateway/reject/reject.go
+++ b/gateway/reject/reject.go
@@ -184,8 +184,10 @@
 	}
 }
 
-// idle reports whether there is no connection to poll.
-func (r *Rejecter) idle() bool { return len(r.waiting) == 0 && len(r.lingering) == 0 }
+// idle reports whether there is neither a connection to poll nor a request to log.
+func (r *Rejecter) idle() bool {
+	return len(r.waiting) == 0 && len(r.lingering) == 0 && len(r.ids) == 0
+}
 
 func (r *Rejecter) closeAll() {
 	for _, c := range r.waiting {
@@ -203,6 +205,9 @@
 				c.ended(r.buffer)
 				r.close(c)
 			}
+			if len(r.ids) > 0 {
+				r.logRejected(time.Now())
+			}
 			return
 		}
 	}
--- a/gateway/reject/reject_test.go
+++ b/gateway/reject/reject_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -19,11 +20,11 @@
 )
 
 // startRejecter starts a rejecter, to which all connections to the address are passed.
-func startRejecter(t *testing.T) (address string) {
+func startRejecter(t *testing.T, log zerolog.Logger) (address string) {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
-	r := reject.New(reject.Options{Reason: "short of processor", RetryAfter: 150 * time.Millisecond, IDHeader: "Id", Log: zerolog.Nop(), OnRejected: func() {}})
+	r := reject.New(reject.Options{Reason: "short of processor", RetryAfter: 150 * time.Millisecond, IDHeader: "Id", Log: log, OnRejected: func() {}})
 	ctx, stop := context.WithCancel(context.Background())
 	ended, accepted := make(chan struct{}), make(chan error, 1)
 	go func() {
@@ -76,7 +77,7 @@
 // TestAnswerIsNotReset guards against a reset that destroys the answer on its way: the connection is closed while
 // bytes of its request are unread or still come.
 func TestAnswerIsNotReset(t *testing.T) {
-	address := startRejecter(t)
+	address := startRejecter(t, zerolog.Nop())
 	const begin = "POST / HTTP/1.1\r\nHost: h\r\n"
 	long := strings.Repeat("x", 100000)
 	type piece struct {
@@ -120,7 +121,7 @@
 
 // TestSlowRequestsDelayNoOthers guards against rejected connections whose requests never end and that keep others waiting.
 func TestSlowRequestsDelayNoOthers(t *testing.T) {
-	address := startRejecter(t)
+	address := startRejecter(t, zerolog.Nop())
 	const many = 700
 	for range many {
 		c, err := net.Dial("tcp4", address)
@@ -140,3 +141,36 @@
 	// Two batches of connections wait for their requests before it.
 	require.Less(t, time.Since(began), 2*reject.Timeout+reject.Timeout)
 }
+
+// lockedBuffer is a log.
+type lockedBuffer struct {
+	mutex sync.Mutex
+	text  strings.Builder
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *lockedBuffer) contains(s string) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return strings.Contains(b.text.String(), s)
+}
+
+// TestLastRejectedIsLogged guards against rejected requests that no line names, since no other one follows.
+func TestLastRejectedIsLogged(t *testing.T) {
+	var log lockedBuffer
+	address := startRejecter(t, zerolog.New(&log))
+	for n := range 5 {
+		c, err := net.Dial("tcp4", address)
+		require.NoError(t, err)
+		defer c.Close()
+		fmt.Fprintf(c, "GET / HTTP/1.1\r\nHost: h\r\nId: request-%d\r\n\r\n", n)
+		_, err = http.ReadResponse(bufio.NewReader(c), nil)
+		require.NoError(t, err)
+	}
+	require.Eventually(t, func() bool { return log.contains("request-4") }, 2*time.Second, 5*time.Millisecond)
+}
