gateway: a connection that is retired while it is to be forwarded can be rejected (test)

A planned stop retires connections also while a link for them is being opened. If no gateway takes one, it is rejected; the rejecter read it under the read deadline that retiring had set, took the time-out for a caller that had gone, and closed the connection without an answer. Since "a time limit does not end the reading of a request that has arrived" it reads whatever the deadline.

--- a/gateway/callers_idle_test.go
+++ b/gateway/callers_idle_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 )
 
 // TestIdleLimitsSpareForwardedConnections guards against idle limits that close a connection which another gateway
@@ -105,3 +106,26 @@
 		})
 	}
 }
+
+// TestRejectedWhileRetired guards against a connection that is closed without an answer: it is retired while it is to be
+// forwarded, and rejected since no gateway takes it.
+func TestRejectedWhileRetired(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	caller, _ := dialCaller(t, l.Addr().String())
+	accepted, err := l.Accept()
+	require.NoError(t, err)
+	c := &callerConn{Conn: accepted, admission: &admissionListener{}}
+	defer c.Close()
+	c.retire()
+	buffer := make([]byte, 100)
+	_, err = c.ReadNow(buffer)
+	require.Equal(t, unix.EAGAIN, err, "nothing has arrived")
+	_, err = io.WriteString(caller, "GET")
+	require.NoError(t, err)
+	require.Eventually(t, func() bool {
+		n, err := c.ReadNow(buffer)
+		return n == 3 && err == nil
+	}, 5*time.Second, time.Millisecond)
+}
