gateway: a kept connection with less than four bytes of a request is closed in time

What callers saw: nothing. A caller that sent one to three bytes of a next request kept its place of the capacity for ever.

Cause: net/http sets the time limit for a head on a kept connection once it has four bytes of it, and limits on idle connections leave alone one on which a request has begun to arrive.

Measured: go test ./gateway -run TestShortBeginningHasDeadline; on the code before its cases "G" and "GET" fail (no deadline). Now all three pass, with -race too.

--- a/gateway/caller_conn.go
+++ b/gateway/caller_conn.go
@@ -135,7 +135,7 @@
 		c.admission.unread.remove(c)
 	}
 	if n > 0 && c.awaitsRequest() {
-		c.beginRequest(time.Now())
+		c.beginRequest(n, time.Now())
 	}
 	if err != nil && !isTimeout(err) {
 		c.callerEnded.Store(true)
@@ -194,13 +194,16 @@
 	return connProgress(c.progress.Load()) == awaitsRequest
 }
 
-// beginRequest records that the first bytes of a request have been read.
-func (c *callerConn) beginRequest(now time.Time) {
+// The HTTP server sets the time limit for a head on a kept connection once it has this many bytes of it.
+const minTimedBytes = 4
+
+// beginRequest records that the first n bytes of a request have been read.
+func (c *callerConn) beginRequest(n int, now time.Time) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.progress.Store(int32(readsHead))
 	c.requestFrom.Store(int64(now.Sub(processEpoch)))
-	if c.retiring.Load() {
+	if c.retiring.Load() || n < minTimedBytes && !c.headRead.Load() {
 		_ = c.Conn.SetReadDeadline(now.Add(headerTimeout)) // on a closed connection the next read fails
 	}
 }
--- a/gateway/callers_idle_test.go
+++ b/gateway/callers_idle_test.go
@@ -129,3 +129,36 @@
 		return n == 3 && err == nil
 	}, 5*time.Second, time.Millisecond)
 }
+
+// deadlineConn records the read deadline that was set last.
+type deadlineConn struct {
+	net.Conn
+	data     string
+	deadline time.Time
+}
+
+func (c *deadlineConn) Read(b []byte) (int, error)         { return copy(b, c.data), nil }
+func (c *deadlineConn) SetReadDeadline(at time.Time) error { c.deadline = at; return nil }
+
+// TestShortBeginningHasDeadline guards against kept connections that are never closed: of a next request so few bytes
+// have arrived that the HTTP server sets no deadline yet, and the connection is not idle either.
+func TestShortBeginningHasDeadline(t *testing.T) {
+	tests := []struct {
+		data string
+		want bool
+	}{{"G", true}, {"GET", true}, {"GET / HTTP/1.1\r\n", false}}
+	for _, test := range tests {
+		t.Run(test.data, func(t *testing.T) {
+			conn := &deadlineConn{data: test.data}
+			c := &callerConn{Conn: conn, admission: &admissionListener{}}
+			c.stateChanged(http.StateIdle)
+			n, err := c.Read(make([]byte, 100))
+			require.NoError(t, err)
+			require.Equal(t, len(test.data), n)
+			require.Equal(t, test.want, !conn.deadline.IsZero())
+			if test.want {
+				require.WithinDuration(t, time.Now().Add(headerTimeout), conn.deadline, time.Second)
+			}
+		})
+	}
+}
