gateway: a connection is not idle once a byte of a next request has been read ahead

A connection that is retired (idle limits, a planned stop) was closed between the first byte of a request and the others, if these arrived apart.

Cause: while it serves a request, net/http reads one byte ahead. With the end of the response the connection counts as one on which nothing has arrived, and the socket is empty if only that byte has come.

Change: a byte that was read ahead begins the next request, with its time limit.

Measured: go test ./gateway -run TestByteReadAhead; on the code before it fails (unexpected EOF). Now it passes, three times with -race; platform TestStopAnswersArrivedRequests passes too.

--- a/gateway/caller_conn.go
+++ b/gateway/caller_conn.go
@@ -31,6 +31,8 @@
 	head     memory.Head         // used only by the goroutine that serves the connection, as is held
 	held     *memory.Reservation // of the head
 
+	// The HTTP server has read the first byte of a next request while it served the current one.
+	readAhead   atomic.Bool
 	accepted    time.Time
 	progress    atomic.Int32 // a connProgress
 	requestFrom atomic.Int64 // when the first byte of the current request was read, in ns since the process's epoch
@@ -129,7 +131,14 @@
 
 // Read implements net.Conn.
 func (c *callerConn) Read(b []byte) (int, error) {
+	ahead := len(b) == 1 && c.headRead.Load() // while it serves a request, the HTTP server reads single bytes only ahead
+	if c.awaitsRequest() && c.readAhead.Swap(false) {
+		c.beginRequest(1, time.Now())
+	}
 	n, err := c.readOrRetire(b)
+	if ahead && n > 0 {
+		c.readAhead.Store(true)
+	}
 	if !c.hasRead {
 		c.hasRead = true
 		c.admission.unread.remove(c)
--- a/gateway/connection_ends_test.go
+++ b/gateway/connection_ends_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"opalbridge.dev/gateway/memory"
 )
@@ -89,3 +90,58 @@
 		})
 	}
 }
+
+// TestByteReadAhead guards against a connection that is closed as idle although the HTTP server has read the first byte
+// of a next request while it ended the response to the last one.
+func TestByteReadAhead(t *testing.T) {
+	l, err := ListenCallers("127.0.0.1:0")
+	require.NoError(t, err)
+	idle := &idleCallers{since: map[net.Conn]time.Time{}, limit: 100}
+	a := &admissionListener{Listener: l, capacity: capacity{connections: 100}, overload: &overload{}, unread: unreadConns{since: map[*callerConn]time.Time{}}}
+	entered, leave := make(chan *callerConn, 2), make(chan struct{}, 2)
+	server := &http.Server{
+		Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			conn := r.Context().Value(connKey{}).(*callerConn)
+			conn.handled()
+			entered <- conn
+			<-leave
+		}),
+		ConnState: idle.observe, ConnContext: withConn,
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(a) }()
+	t.Cleanup(func() {
+		server.Close()
+		require.ErrorIs(t, <-ended, http.ErrServerClosed)
+	})
+	const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	c, reader := dialCaller(t, l.Addr().String())
+	_, err = io.WriteString(c, request)
+	require.NoError(t, err)
+	conn := <-entered
+	_, err = io.WriteString(c, request[:1])
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { // until it has been read
+		_, err := peek(conn.Conn)
+		return err == unix.EAGAIN
+	}, 5*time.Second, time.Millisecond)
+	time.Sleep(50 * time.Millisecond)
+	leave <- struct{}{}
+	response, err := http.ReadResponse(reader, nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	require.Eventually(t, func() bool { // until the HTTP server awaits the next request
+		idle.mutex.Lock()
+		defer idle.mutex.Unlock()
+		return len(idle.since) == 1
+	}, 5*time.Second, time.Millisecond)
+	time.Sleep(50 * time.Millisecond)
+	conn.retire()
+	time.Sleep(50 * time.Millisecond)
+	leave <- struct{}{}
+	_, err = io.WriteString(c, request[1:])
+	require.NoError(t, err)
+	response, err = http.ReadResponse(reader, nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, response.StatusCode)
+}
