reject: the bound of TestSlowRequestsDelayNoOthers follows from what it guards against (test)

The bound was 0.9 s for an expected 0.6 s, which a busy machine may exceed. The fault that it guards against, that connections which are read after their response keep others waiting, takes 2.6 s; the bound is 2 s now.

Measured: go test ./gateway/reject -run TestSlowRequestsDelayNoOthers; with such connections counted among those that wait, it fails with 2.58 s. Without, it passes, three times with -race.

--- a/gateway/reject/reject_test.go
+++ b/gateway/reject/reject_test.go
@@ -138,8 +138,8 @@
 	response, err := http.ReadResponse(bufio.NewReader(c), nil)
 	require.NoError(t, err)
 	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
-	// Two batches of connections wait for their requests before it.
-	require.Less(t, time.Since(began), 2*reject.Timeout+reject.Timeout)
+	// Two batches of connections wait for their requests before it. It takes 2.6 s if they wait until they are closed.
+	require.Less(t, time.Since(began), 2*time.Second)
 }
 
 // lockedBuffer is a log.
