cmd/opalbridge: SIGHUP ends no gateway, from its first instructions until it exits

What callers saw: a gateway that got SIGHUP while it started was gone, and with it all that was sent to it until the next start. During the last moments of a stop, SIGHUP ended it too, before its log was written.

Cause: SIGHUP was received from watchReload on, after the initialization of all packages and the opening of all sockets, and no longer after the last request. Outside of that time its default action applies.

Change: main receives SIGHUP before anything else if the command is gateway, and never stops. Other commands end by SIGHUP as before.

Measured: go test ./cmd/opalbridge -run TestHangups: 200 SIGHUPs in the first 100 ms of each of five starts, and SIGHUPs all through the stop.

--- a/cmd/opalbridge/gateway.go
+++ b/cmd/opalbridge/gateway.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"strconv"
 	"syscall"
@@ -41,9 +40,12 @@
 	storeHeadBytes = 64 << 10
 )
 
+// gatewayName is the name of the gateway command; hangup_linux.go repeats it.
+const gatewayName = "gateway"
+
 func gatewayCommand() *cli.Command {
 	return &cli.Command{
-		Name:  "gateway",
+		Name:  gatewayName,
 		Usage: "run a gateway on an entry host, before servers without agents",
 		Description: "Example:\n  opalbridge gateway --settings gateway.yaml\n\n" +
 			"Without --settings, the file is named by the platform's environment variable.\n" +
@@ -264,30 +266,6 @@
 // maxFileLimit is the largest limit that counts as one. Larger values mean no limit.
 const maxFileLimit = 1 << 20
 
-// watchReload checks the settings file at each SIGHUP and logs whether it is valid. Settings
-// of a gateway (addresses, limits) are fixed for the life of the process; what may change
-// while it runs is part of the operators' configuration.
-func watchReload(file string, log zerolog.Logger) (stop func()) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		for range signals {
-			if _, err := readSettings(settings.Gateway, file); err != nil {
-				log.Error().Str("event", "reload").Err(err).Msg("settings file is invalid; keeping the current settings")
-				continue
-			}
-			log.Info().Str("event", "reload").Msg("settings file is valid; it takes effect at the next start")
-		}
-	}()
-	return func() {
-		signal.Stop(signals)
-		close(signals)
-		<-done
-	}
-}
-
 // serveMetrics serves the metrics page until the process ends.
 func serveMetrics(address string, t *telemetry.Telemetry, log zerolog.Logger) error {
 	l, err := net.Listen("tcp4", address)
--- /dev/null
+++ b/cmd/opalbridge/hangup_test.go
@@ -0,0 +1,159 @@
+package main
+
+import (
+	"fmt"
+	"math"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"opalbridge.dev/platform"
+	"opalbridge.dev/platform/platformtest"
+)
+
+// Signals of TestHangups.
+const (
+	hangupCount    = 200
+	hangupInterval = 500 * time.Microsecond
+)
+
+// hangupFleet is a store and a server, for a gateway that gets signals.
+type hangupFleet struct{ front, ready, settings string }
+
+func newHangupFleet(t *testing.T) hangupFleet {
+	store := &platformtest.Store{}
+	h := httptest.NewServer(store)
+	t.Cleanup(h.Close)
+	s := &platformtest.Server{ID: "i-0", Service: "s", Hall: "hall-1"}
+	backend := httptest.NewServer(s)
+	t.Cleanup(backend.Close)
+	store.Put(platform.ConfigurationKey, optionalConfiguration{objective: 1000}.document())
+	store.Put(platform.ServersPrefix+s.ID, s.Entry(strings.TrimPrefix(backend.URL, "http://"), "ready"))
+	f := hangupFleet{freeAddress(t), freeAddress(t), filepath.Join(t.TempDir(), "gateway.yaml")}
+	text := fmt.Sprintf("name: gateway-1\nhall: hall-1\nfront_address: %s\nready_address: %s\npeer_address: %s\nstore_address: %s\nstop_timeout: 1s\n",
+		f.front, f.ready, freeAddress(t), strings.TrimPrefix(h.URL, "http://"))
+	require.NoError(t, os.WriteFile(f.settings, []byte(text), 0o600))
+	return f
+}
+
+// hangupGateway is a gateway process that gets signals.
+type hangupGateway struct {
+	process *os.Process
+	output  strings.Builder // complete once it has ended
+	ended   chan struct{}   // closed when it has ended
+	err     error           // how it ended
+}
+
+// start starts the gateway.
+func (f hangupFleet) start(t *testing.T) *hangupGateway {
+	self, err := os.Executable()
+	require.NoError(t, err)
+	g := &hangupGateway{ended: make(chan struct{})}
+	c := exec.Command(self, "gateway", "--settings", f.settings)
+	c.Env = append(os.Environ(), runAsProgramEnv+"=1")
+	c.Stdout, c.Stderr = &g.output, &g.output
+	require.NoError(t, c.Start())
+	g.process = c.Process
+	go func() {
+		g.err = c.Wait()
+		close(g.ended)
+	}()
+	t.Cleanup(func() {
+		_ = g.process.Kill() // it may have exited
+		<-g.ended
+	})
+	return g
+}
+
+// requireRunning requires that no signal has ended the process.
+func (g *hangupGateway) requireRunning(t *testing.T) {
+	select {
+	case <-g.ended:
+		require.Fail(t, "the gateway has ended", "%v: %s", g.err, g.output.String())
+	default:
+	}
+}
+
+// hangUp sends SIGHUPs while the process runs, up to a number of them.
+func (g *hangupGateway) hangUp(count int) {
+	for range count {
+		select {
+		case <-g.ended:
+			return
+		case <-time.After(hangupInterval):
+			_ = g.process.Signal(syscall.SIGHUP) // it may have exited
+		}
+	}
+}
+
+func (f hangupFleet) isReady() bool {
+	answer, err := http.Get("http://" + f.ready + platform.ReadyPath)
+	if err != nil {
+		return false
+	}
+	answer.Body.Close()
+	return answer.StatusCode == http.StatusOK
+}
+
+// statusMask matches the signals that a process ignores or catches.
+var statusMask = regexp.MustCompile(`(?m)^Sig(?:Ign|Cgt):\s+([0-9a-f]+)$`)
+
+// setsHangup reports whether the process has replaced the default action of SIGHUP.
+func setsHangup(pid int) bool {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return false
+	}
+	for _, m := range statusMask.FindAllSubmatch(status, -1) {
+		mask, err := strconv.ParseUint(string(m[1]), 16, 64)
+		if err == nil && mask&1 != 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// TestHangups guards against a gateway that SIGHUP ends while it starts or stops.
+func TestHangups(t *testing.T) {
+	for n := range 5 {
+		t.Run(fmt.Sprintf("start %d", n), func(t *testing.T) {
+			f := newHangupFleet(t)
+			g, began := f.start(t), time.Now()
+			require.Eventually(t, func() bool { return setsHangup(g.process.Pid) }, time.Second, 20*time.Microsecond)
+			t.Logf("SIGHUP had its default action for at most %s", time.Since(began))
+			g.hangUp(hangupCount)
+			for !f.isReady() && time.Since(began) < 20*time.Second {
+				g.requireRunning(t)
+				time.Sleep(5 * time.Millisecond)
+			}
+			f.requireServing(t)
+
+			require.NoError(t, g.process.Signal(syscall.SIGTERM))
+			g.hangUp(math.MaxInt)
+			require.NoError(t, g.err, "a SIGHUP during the stop has ended it")
+			require.Contains(t, g.output.String(), `"event":"stopped"`)
+		})
+	}
+}
+
+// requireServing requires that the gateway serves a request.
+func (f hangupFleet) requireServing(t *testing.T) {
+	r, err := http.NewRequest(http.MethodPost, "http://"+f.front+"/once/x", strings.NewReader("hello"))
+	require.NoError(t, err)
+	r.Host = "h"
+	platform.SetCallerHeaders(r.Header, "after-hangups", "k1", 3*time.Second)
+	answer, err := http.DefaultClient.Do(r)
+	require.NoError(t, err)
+	answer.Body.Close()
+	require.Equal(t, http.StatusOK, answer.StatusCode)
+}
--- a/cmd/opalbridge/main.go
+++ b/cmd/opalbridge/main.go
@@ -41,6 +41,7 @@
 )
 
 func main() {
+	receiveHangups(os.Args)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	err := rootCommand().Run(ctx, os.Args)
 	stop()
