soak: planned work alone, with callers that know when a request had arrived

The soak's callers leave it to a client library when connections are used, and a request without any answer counts as nothing. So it could not see a request that a stopping gateway reads and drops.

Change: Options.Stops (-stops) does planned work instead of faults, in series and overlapping: SIGTERM of one, several and all gateways in turn, with grace periods of 3 to 8 s; SIGHUP at any time, also during a stop and in the first 100 ms of a start; idle_timeout_ms from 0.1 to 15 s, a route and a key that come and go, a route that moves to another service; servers that leave and return. Gateways are suspended for 150 to 400 ms when they end connections in a stop, and at times after a change of the configuration. 200 callers with connections of their own keep them busy, rest, send late, or send in pieces.

Checked, with suspensions excused in nothing but the times of configurations and servers that leave: a request that was sent whole 200 ms or more before its connection ended, or that reached a server, has an answer (the callers' own lateness is taken off); only streams are cut, in the last sixth of the grace period, if sent within 3 s of the SIGTERM; 401, 404, successes and the service fit a configuration that may be in force; what was refused has not run; a server that leaves gets nothing 2.4 s later; a gateway ends only when it is stopped, without failure and within its grace period plus 1 s, and is ready 10 s after its start.

--- a/soak/process.go
+++ b/soak/process.go
@@ -23,16 +23,18 @@
 	binary   string
 	log      *os.File
 	proxy    *Proxy // between the gateway and the store
+	grace    time.Duration
 
 	mutex       sync.Mutex
 	command     *exec.Cmd
 	ended       chan struct{} // closed when the command has exited
+	err         error         // how it has exited, once ended is closed
 	incarnation int
 	pauses      int // of the current incarnation
 }
 
 func newProcess(o Options, i, port int, store string) (*process, error) {
-	p := &process{name: fmt.Sprintf("gateway-%d", i), binary: o.Binary}
+	p := &process{name: fmt.Sprintf("gateway-%d", i), binary: o.Binary, grace: o.grace(i)}
 	var err error
 	if p.proxy, err = NewProxy(store); err != nil {
 		return nil, err
@@ -46,7 +48,7 @@
 	p.front, p.address = fmt.Sprintf("127.0.0.1:%d", ports[0]), fmt.Sprintf("127.0.0.1:%d", ports[1])
 	p.settings = filepath.Join(o.Dir, p.name+".yaml")
 	text := fmt.Sprintf("name: %s\nhall: hall\nfront_address: %s\nready_address: %s\npeer_address: 127.0.0.%d:%d\nstore_address: %s\n"+
-		"seeds: 127.0.0.1,127.0.0.2\nstop_timeout: 6s\nrepeat_ratio: 1\nrepeat_extra: 200\n", p.name, p.front, p.address, i+1, port, p.proxy.Address())
+		"seeds: 127.0.0.1,127.0.0.2\nstop_timeout: %s\nrepeat_ratio: 1\nrepeat_extra: 200\n", p.name, p.front, p.address, i+1, port, p.proxy.Address(), p.grace)
 	if o.Garbles {
 		text += fmt.Sprintf("memory_mb: %d\n", garbledMemoryMB)
 	}
@@ -79,7 +81,10 @@
 	}
 	ended := make(chan struct{})
 	go func() {
-		_ = c.Wait() // a killed process returns an error
+		err := c.Wait()
+		p.mutex.Lock()
+		p.err = err
+		p.mutex.Unlock()
 		close(ended)
 	}()
 	p.command, p.ended = c, ended
@@ -138,6 +143,26 @@
 	p.wait()
 }
 
+// result returns how the process has exited; false: it runs.
+func (p *process) result() (ended bool, err error) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return !p.running(), p.err
+}
+
+// waitUntil waits until the process has exited, up to a time, and reports whether it has.
+func (p *process) waitUntil(end time.Time) bool {
+	p.mutex.Lock()
+	ended := p.ended
+	p.mutex.Unlock()
+	select {
+	case <-ended:
+		return true
+	case <-time.After(time.Until(end)):
+		return false
+	}
+}
+
 func (p *process) wait() {
 	p.mutex.Lock()
 	ended := p.ended
--- a/soak/recorder.go
+++ b/soak/recorder.go
@@ -144,7 +144,7 @@
 	}
 	for id, n := range runs {
 		kind, known := b.sent[id]
-		once := kind == "once" || kind == "stream" || kind == "plain-once"
+		once := slices.Contains(onceKinds, kind)
 		switch {
 		case !known:
 			b.violationf("request %s ran but was never sent", id)
@@ -177,6 +177,9 @@
 	}
 }
 
+// onceKinds are the kinds of requests that run once at most.
+var onceKinds = []string{"once", "stream", "plain-once", "moved"}
+
 // kinds are the kinds of requests; each has a route of its own.
 var kinds = []string{"once", "many", "stream", "resume"}
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -10,6 +10,7 @@
 // signals. The store and the backend servers are fakes in this process; the gateways reach
 // them through proxies that delay data, withhold it in one direction and reset connections.
 // Faults follow each other and overlap. The datagrams between gateways are not disturbed.
+// With Options.Stops, there is planned work instead of faults, and no request that has arrived may be lost.
 package soak
 
 import (
@@ -47,6 +48,7 @@
 	Plain    bool   // also send requests to plain servers with few slots, which stall
 	Surplus  bool   // three accounts share a token rate, and two of them ask for more than their shares
 	Garbles  bool   // servers and other writers also send what is no part of the protocol, and gateways have little memory
+	Stops    bool   // planned work only, instead of faults, with callers of its own; it goes with no other option
 	Versions bool   // also replace servers by servers of another software version, and have callers take up streams
 }
 
@@ -85,6 +87,9 @@
 	fatalPaused  atomic.Bool // no fatal requests are sent
 	network      platformtest.Network
 	healthy      platformtest.Behaviour
+	planned      *plannedWork // with Stops
+	answers      answers      // of the callers of planned work
+	lateness     lateness     // of this process, with Stops
 }
 
 // backend is a fake server behind its proxy.
@@ -110,6 +115,9 @@
 	if o.Surplus || o.Backups {
 		o.Callers = orDefault(o.Callers, manyCallers)
 	}
+	if o.Stops {
+		o.Gateways, o.Callers = orDefault(o.Gateways, stopGateways), orDefault(o.Callers, stopCallers)
+	}
 	o.Gateways, o.Servers, o.Callers = orDefault(o.Gateways, 3), orDefault(o.Servers, 4), orDefault(o.Callers, 12)
 	r := &Run{options: o, random: rand.New(rand.NewPCG(o.Seed, 1)), store: &platformtest.Store{}, written: map[string][]byte{}, recorder: newRecorder(), healthy: healthy}
 	if o.copiesRuns() {
@@ -118,6 +126,11 @@
 	if o.Surplus {
 		r.healthy.EventInterval = 30 * time.Millisecond // so that most servers have half of their slots taken
 	}
+	if o.Stops {
+		if err := r.startPlannedWork(); err != nil {
+			return r, err
+		}
+	}
 	store := httptest.NewServer(r.store)
 	r.closers = append(r.closers, store.Close)
 	r.storeAddress = strings.TrimPrefix(store.URL, "http://")
@@ -141,6 +154,9 @@
 		}
 		r.servers = append(r.servers, b)
 	}
+	if r.options.Stops {
+		return r.addMovedServers()
+	}
 	if !r.options.Plain {
 		return nil
 	}
@@ -183,6 +199,11 @@
 			go run(ctx, i)
 		}
 	}
+	if r.options.Stops {
+		go r.lateness.run(ctx)
+		start(r.options.Callers, r.runConnections)
+		return
+	}
 	start(r.options.Callers, r.runCaller)
 	if r.options.Plain {
 		start(plainCallers, r.runPlainCaller)
@@ -219,7 +240,16 @@
 	if r.options.Versions {
 		s.Restart(time.Now().UnixMilli()) // servers that start again under their ID tell when
 	}
-	return r.listen(s, r.healthy)
+	return r.listen(s, r.healthyServer(i))
+}
+
+// healthyServer returns the behaviour of a server without faults.
+func (r *Run) healthyServer(i int) platformtest.Behaviour {
+	b := r.healthy
+	if r.options.Stops {
+		b.EventInterval = stopIntervals[i%len(stopIntervals)]
+	}
+	return b
 }
 
 // listen has a server listen behind a proxy, and announces it.
@@ -256,6 +286,12 @@
 	if r.options.Surplus {
 		slots, rate = surplusSlots, surplusRate
 	}
+	idle, routes, keys := 15*time.Second, "", ""
+	if r.options.Stops {
+		c := r.planned.current()
+		idle = c.idle
+		routes, keys = c.document()
+	}
 	r.put(platform.ConfigurationKey, fmt.Appendf(nil, `{"version":%d,"routes":[
  {"name":"stream","host":"h","prefix":"/stream/","kind":"streaming","timeout_ms":4000,"goal_ms":800,"service":"s","max_attempts":1},
  {"name":"resume","host":"h","prefix":"/resume/","kind":"streaming","timeout_ms":4000,"goal_ms":800,"service":"s","max_attempts":2,"resumable":true},
@@ -263,11 +299,11 @@
  {"name":"once","host":"h","prefix":"/once/","kind":"non_idempotent","timeout_ms":1500,"goal_ms":300,"service":"s","max_attempts":1},
  {"name":"many","host":"h","prefix":"/many/","kind":"idempotent","timeout_ms":1500,"goal_ms":300,"service":"s","max_attempts":2},
  {"name":"plain-once","host":"h","prefix":"/plain-once/","kind":"non_idempotent","timeout_ms":1500,"goal_ms":300,"service":"p","max_attempts":1},
- {"name":"plain-many","host":"h","prefix":"/plain-many/","kind":"idempotent","timeout_ms":1500,"goal_ms":300,"service":"p","max_attempts":2}],
+ {"name":"plain-many","host":"h","prefix":"/plain-many/","kind":"idempotent","timeout_ms":1500,"goal_ms":300,"service":"p","max_attempts":2}%s],
  "services":[{"name":"s","max_conns":500,"runtime":{"capacity":%d,"kv_tokens":500000,"token_kv_bytes":%d,"link_mbps":550000,"stride":1,"moves":%t,"backups":%t}},
- {"name":"p","max_conns":500}],"limits":{"idle_timeout_ms":15000,"tokens_per_s":%d},
- "tenants":[{"name":"t1","api_keys":["steady","key-%d"]},{"name":"t2","api_keys":["steady-t2"]},{"name":"t3","api_keys":["steady-t3"]}]}`,
-		r.version, slots, copiedBytes, r.options.Moves, r.options.Backups, rate, r.version))
+ {"name":"p","max_conns":500}],"limits":{"idle_timeout_ms":%d,"tokens_per_s":%d},
+ "tenants":[{"name":"t1","api_keys":["steady","key-%d"%s]},{"name":"t2","api_keys":["steady-t2"]},{"name":"t3","api_keys":["steady-t3"]}]}`,
+		r.version, routes, slots, copiedBytes, r.options.Moves, r.options.Backups, idle.Milliseconds(), rate, r.version, keys))
 }
 
 // Play injects faults for the duration d, lets the fleet settle, and returns the violations.
@@ -275,13 +311,18 @@
 	defer r.close()
 	r.settle(r.settleBefore())
 	r.fatalPaused.Store(false)
-	r.injectFaults(d)
-	r.stallPlainServers()
+	if r.options.Stops {
+		r.doPlannedWork(d)
+	} else {
+		r.injectFaults(d)
+		r.stallPlainServers()
+	}
 	r.settle(settleAfter)
 	r.checkRecovery()
 	r.stop()
 	r.callers.Wait()
 	r.recorder.checkRuns(r.allServers())
+	r.checkPlanned()
 	r.checkFatal()
 	r.checkMemory()
 	r.checkPart()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -18,7 +18,7 @@
 var (
 	seeds    = flag.Int("seeds", 1, "number of seeds to run")
 	first    = flag.Uint64("first", 1, "first seed")
-	plays    = flag.Duration("plays", 6*time.Second, "duration of the faults of each seed")
+	plays    = flag.Duration("plays", 0, "duration of the faults or planned work of each seed; 0: 6s, or 20s of planned work")
 	fresh    = flag.Bool("fresh", false, "take the first seed from the current time")
 	fatal    = flag.Int("fatal", 0, "number of requests that crash servers, up to 4")
 	part     = flag.Bool("part", false, "a part of prompts crashes servers, in requests of which no two are alike")
@@ -32,6 +32,9 @@
 	surplus  = flag.Bool("surplus", false, "three accounts share a token rate, and two of them ask for more than their shares")
 	moves    = flag.Bool("moves", false, "streams move off servers that leave, which happens often")
 	garbles  = flag.Bool("garbles", false, "servers and other writers also send what is no part of the protocol")
+	stops    = flag.Bool("stops", false, "planned work only: stops, SIGHUPs, configuration changes and servers that leave")
+	gateways = flag.Int("gateways", 0, "number of gateways")
+	command  = flag.String("binary", "", "opalbridge command; empty: it is built")
 	logs     = flag.String("logs", "", "directory that keeps the gateways' logs")
 )
 
@@ -43,15 +46,30 @@
 	{2040, "open: with four other runs on the machine, a gateway was once not ready after the faults; probably one of the other runs took its port while it was down, because they chose free ports by searching"},
 }
 
-// build builds the opalbridge command.
+// build builds the opalbridge command, unless one is given.
 func build(t *testing.T) string {
 	t.Helper()
+	if *command != "" {
+		return *command
+	}
 	binary := filepath.Join(t.TempDir(), "opalbridge")
 	out, err := exec.Command("go", "build", "-o", binary, "opalbridge.dev/cmd/opalbridge").CombinedOutput()
 	require.NoError(t, err, string(out))
 	return binary
 }
 
+// timeOf returns the duration of a seed's faults or planned work.
+func timeOf(o soak.Options) time.Duration {
+	switch {
+	case *plays > 0:
+		return *plays
+	case o.Stops:
+		return 20 * time.Second
+	default:
+		return 6 * time.Second
+	}
+}
+
 func play(t *testing.T, binary string, o soak.Options) *soak.Run {
 	dir := t.TempDir()
 	if *logs != "" {
@@ -61,8 +79,11 @@
 	o.Binary, o.Dir = binary, dir
 	r, err := soak.Start(o)
 	require.NoError(t, err)
-	violations := r.Play(*plays)
+	violations := r.Play(timeOf(o))
 	t.Logf("faults: %s", strings.Join(r.Injected(), "; "))
+	if o.Stops {
+		t.Log(r.Planned())
+	}
 	require.Empty(t, violations, "seed %d", o.Seed)
 	if o.Moves || o.Backups {
 		t.Logf("%d streams went on from copies", r.Continued())
@@ -81,7 +102,7 @@
 	}
 	for n := range uint64(*seeds) {
 		t.Run(fmt.Sprintf("seed=%d", from+n), func(t *testing.T) {
-			play(t, binary, soak.Options{Seed: from + n, Restarts: *restarts, Fatal: *fatal, Early: *early, Signals: *words, Restores: *copies, Versions: *versions, Part: *part, Moves: *moves, Backups: *backups, Plain: *plain, Surplus: *surplus, Garbles: *garbles})
+			play(t, binary, soak.Options{Seed: from + n, Restarts: *restarts, Fatal: *fatal, Early: *early, Signals: *words, Restores: *copies, Versions: *versions, Part: *part, Moves: *moves, Backups: *backups, Plain: *plain, Surplus: *surplus, Garbles: *garbles, Stops: *stops, Gateways: *gateways})
 		})
 	}
 }
@@ -97,6 +118,11 @@
 	}
 }
 
+// TestSoakStops runs a seed of planned work. It guards against requests that have arrived and are closed without an answer.
+func TestSoakStops(t *testing.T) {
+	play(t, build(t), soak.Options{Seed: 11000, Stops: true})
+}
+
 // TestSoakRestarts plays a seed with servers that start again under their ID.
 func TestSoakRestarts(t *testing.T) {
 	play(t, build(t), soak.Options{Seed: 4000, Restarts: true})
