soak: as many callers of planned work for each gateway, however many gateways

With 32 gateways, 200 callers reach each one with six connections, so hardly any request is under way when it ends connections. There are 50 callers for each gateway now, as there were with four.

--- a/soak/soak.go
+++ b/soak/soak.go
@@ -116,7 +116,7 @@
 		o.Callers = orDefault(o.Callers, manyCallers)
 	}
 	if o.Stops {
-		o.Gateways, o.Callers = orDefault(o.Gateways, stopGateways), orDefault(o.Callers, stopCallers)
+		o.Gateways, o.Callers = orDefault(o.Gateways, stopGateways), orDefault(o.Callers, stopCallers*orDefault(o.Gateways, stopGateways))
 	}
 	o.Gateways, o.Servers, o.Callers = orDefault(o.Gateways, 3), orDefault(o.Servers, 4), orDefault(o.Callers, 12)
 	r := &Run{options: o, random: rand.New(rand.NewPCG(o.Seed, 1)), store: &platformtest.Store{}, written: map[string][]byte{}, recorder: newRecorder(), healthy: healthy}
--- a/soak/stops.go
+++ b/soak/stops.go
@@ -22,8 +22,8 @@
 
 const (
 	stopGateways  = 4
-	stopCallers   = 200
-	stopHangups   = 6 // at most, during a stop
+	stopCallers   = 50 // for each gateway
+	stopHangups   = 6  // at most, during a stop
 	startHangups  = 40
 	hangupsFor    = 100 * time.Millisecond // from the start of a gateway
 	minSuspension = 150 * time.Millisecond
