--- a/gateway/handoff/handoff_test.go
+++ b/gateway/handoff/handoff_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -24,8 +25,13 @@
 	front      net.Listener
 	results    chan error // result of each forwarded connection
 	breakLinks context.CancelFunc
+
+	callerDeadline atomic.Int64 // for reading from callers, a time.Duration; 0: none
 }
 
+// connKey is the context key of a request's connection.
+type connKey struct{}
+
 // start starts a fleet whose second gateway serves with the given handler.
 func start(t *testing.T, serve http.HandlerFunc) *fleet {
 	t.Helper()
@@ -35,17 +41,10 @@
 	require.NoError(t, err)
 	ctx, breakLinks := context.WithCancel(context.Background())
 	accepted := handoff.NewListener(peers.Addr())
-	links := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		conn, _, err := http.NewResponseController(w).Hijack()
-		if err != nil {
-			return
-		}
-		if _, err := io.WriteString(conn, "HTTP/1.1 101 Switching Protocols\r\n\r\n"); err != nil {
-			return
-		}
-		_ = accepted.ServeLink(ctx, conn) // ends with the test
-	})}
-	server := &http.Server{Handler: serve}
+	links := &http.Server{Handler: serveLinks(ctx, accepted)}
+	server := &http.Server{Handler: serve, ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, c)
+	}}
 	errs := make(chan error, 2)
 	go func() { errs <- links.Serve(peers) }()
 	go func() { errs <- server.Serve(accepted) }()
@@ -63,13 +62,33 @@
 	return f
 }
 
+// serveLinks opens links.
+func serveLinks(ctx context.Context, l *handoff.Listener) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		if _, err := io.WriteString(conn, "HTTP/1.1 101 Switching Protocols\r\n\r\n"); err != nil {
+			return
+		}
+		_ = l.ServeLink(ctx, conn) // ends with the test
+	}
+}
+
 func (f *fleet) accept() {
 	for {
 		c, err := f.front.Accept()
 		if err != nil {
 			return
 		}
-		go func() { f.results <- f.forwarder.Forward(context.Background(), f.peer, c) }()
+		if d := time.Duration(f.callerDeadline.Load()); d > 0 {
+			_ = c.SetReadDeadline(time.Now().Add(d))
+		}
+		go func() {
+			_, err := f.forwarder.Forward(context.Background(), f.peer, c)
+			f.results <- err
+		}()
 	}
 }
 
@@ -206,6 +225,24 @@
 	}
 }
 
+// TestLinkBreaksAfterInterimResponse guards against a caller that gets no final response because an interim one has been
+// sent before the link broke.
+func TestLinkBreaksAfterInterimResponse(t *testing.T) {
+	f := start(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.ReadAll(r.Body) // the caller sends none
+	})
+	c := f.dial()
+	fmt.Fprint(c, "POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\n")
+	reader := bufio.NewReader(c)
+	answer, err := http.ReadResponse(reader, nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusContinue, answer.StatusCode)
+	f.breakLinks()
+	answer, err = http.ReadResponse(reader, nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusBadGateway, answer.StatusCode)
+}
+
 // TestNoLink checks that the connection is left untouched, and that the gateway is not contacted
 // again at once.
 func TestNoLink(t *testing.T) {
@@ -218,10 +255,68 @@
 	caller, conn := net.Pipe()
 	defer caller.Close()
 	for range 3 {
-		require.ErrorIs(t, forwarder.Forward(t.Context(), address, conn), handoff.ErrNotForwarded)
+		_, err := forwarder.Forward(t.Context(), address, conn)
+		require.ErrorIs(t, err, handoff.ErrNotForwarded)
 	}
 	go func() { _, _ = conn.Write([]byte("still open")) }()
 	got := make([]byte, 10)
 	_, err = io.ReadFull(caller, got)
 	require.NoError(t, err)
 }
+
+// TestDeadlineOfCaller guards against a tunnel that ends a request in progress because a deadline for reading from its
+// caller, such as a connection that is being retired has, expires.
+func TestDeadlineOfCaller(t *testing.T) {
+	f := start(t, func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-r.Context().Done():
+			panic(http.ErrAbortHandler)
+		case <-time.After(200 * time.Millisecond):
+			w.Header().Set("Connection", "close")
+		}
+	})
+	f.callerDeadline.Store(int64(50 * time.Millisecond))
+	c := f.dial()
+	fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	answer, err := http.ReadResponse(bufio.NewReader(c), nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, answer.StatusCode)
+}
+
+// TestLinkEnded guards against a request that seems to have lost its caller when its link has ended, or the other way
+// round.
+func TestLinkEnded(t *testing.T) {
+	tests := []struct {
+		name  string
+		end   func(f *fleet, caller net.Conn)
+		ended bool
+	}{
+		{"the caller closes", func(_ *fleet, caller net.Conn) { caller.Close() }, false},
+		{"the forwarding gateway ends", func(f *fleet, _ net.Conn) { f.forwarder.Close() }, true},
+		{"the serving gateway ends the link", func(f *fleet, _ net.Conn) { f.breakLinks() }, true},
+		{"the caller closes, then the link ends", func(f *fleet, caller net.Conn) {
+			caller.Close()
+			time.Sleep(50 * time.Millisecond)
+			f.forwarder.Close()
+		}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			began, during, after := make(chan struct{}), make(chan bool, 1), make(chan bool, 1)
+			f := start(t, func(w http.ResponseWriter, r *http.Request) {
+				c := r.Context().Value(connKey{}).(*handoff.Conn)
+				during <- c.LinkEnded()
+				close(began)
+				<-r.Context().Done()
+				time.Sleep(100 * time.Millisecond)
+				after <- c.LinkEnded()
+			})
+			c := f.dial()
+			fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+			<-began
+			test.end(f, c)
+			require.False(t, <-during)
+			require.Equal(t, test.ended, <-after)
+		})
+	}
+}
