gateway: a stopping gateway begins no request of another gateway that may outlast its stop

What callers saw: a stream of a gateway that was not stopping when it was sent was cut 1.8 s later, long before the end of that gateway's own grace period.

Cause: the connection had been handed off to another gateway, which got SIGTERM before the request came. For the first 2.5 s of a stop, requests are taken whatever their deadline, and what is left at the end of the grace period is cut. For a gateway's own callers that is a stream of a stopping gateway; for the callers of the one that forwards it is not.

Change: a request that another gateway has forwarded and whose deadline is after the end of the stop is refused from the start of the stop, as all are once connections are being ended.

--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -44,6 +44,7 @@
 	reserve := min(shutdownReserve, grace/4)
 	end := began.Add(grace - reserve)
 	g.stopBegan.Store(&began)
+	g.stopPlanned.Store(&end)
 	g.stopping.Store(true)
 	g.log.Info().Str("event", "stop").Int64("requests", g.active.Load()).Msg("shutdown requested")
 	time.Sleep(min(shutdownDelay, grace/2))
@@ -147,9 +148,13 @@
 }
 
 // stopsBefore reports whether the gateway ends before a request's deadline. Such a request is refused once
-// connections are being ended: it might be cut, and is served at another gateway.
-func (g *Gateway) stopsBefore(deadline time.Time) bool {
+// connections are being ended: it might be cut, and is served at another gateway. One that another gateway has
+// forwarded is refused from the start of the stop, since the gateway to which its caller is connected does not stop.
+func (g *Gateway) stopsBefore(ctx context.Context, deadline time.Time) bool {
 	end := g.stopEnd.Load()
+	if isOffloaded(ctx) {
+		end = g.stopPlanned.Load()
+	}
 	return end != nil && deadline.After(*end)
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -150,6 +150,7 @@
 	callerRetries         callerRetryTracker
 	stopping              atomic.Bool
 	stopBegan             atomic.Pointer[time.Time] // when a shutdown was requested; nil: it was not
+	stopPlanned           atomic.Pointer[time.Time] // when a requested shutdown ends what is left; nil: it was not requested
 	stopEnd               atomic.Pointer[time.Time] // when the gateway ends what is left; nil: connections are not ended yet
 	expired               context.Context           // ends when the grace period of the shutdown has expired
 	expire                context.CancelFunc
--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -102,7 +102,7 @@
 		return false
 	}
 	defer c.bodyMemory.Release()
-	if g.stopsBefore(c.deadline) { // connections have been ended since its head was read
+	if g.stopsBefore(r.Context(), c.deadline) { // connections have been ended since its head was read
 		g.deny(w, r, denyStopping)
 		return true
 	}
@@ -143,7 +143,7 @@
 		gateway: g, w: w, request: r, meta: meta, route: route, account: account.Name, priority: account.PriorityOn(route),
 		arrived: arrived, deadline: arrived.Add(requestTimeout(route, meta)), regions: route.Regions.Intersect(account.Regions),
 	}
-	if g.stopsBefore(c.deadline) {
+	if g.stopsBefore(r.Context(), c.deadline) {
 		return nil, denyStopping
 	}
 	c.sequence.StartAfter(meta.LastEventID)
