soak: a stream may be cut at the end of its caller's time

The check of planned work allowed cuts at the end of a grace period only. A cut earlier than 3.5 s after the first byte of the request was sent is a violation, as before.

--- a/soak/stop_callers.go
+++ b/soak/stop_callers.go
@@ -297,10 +297,11 @@
 	r.answers.early++
 }
 
-// checkCut checks that an answer that was cut is that of a stream at the end of a grace period.
+// checkCut checks that an answer that was cut is that of a stream, at the end of a grace period or of the
+// stream's own time.
 func (r *Run) checkCut(q *request) {
 	isStream := q.kind == "stream" || q.kind == "resume"
-	if !isStream || !r.planned.mayCut(q.gateway, q.sent, q.ended) {
+	if !isStream || !q.outOfTime() && !r.planned.mayCut(q.gateway, q.sent, q.ended) {
 		r.recorder.violationf("%s: its answer (%d) was cut %s later, %s: %v", q, q.status, q.ended.Sub(q.sent).Round(time.Millisecond), r.planned.sinceStop(q.gateway, q.ended), q.err)
 		return
 	}
@@ -309,6 +310,9 @@
 	r.answers.cuts++
 }
 
+// outOfTime reports whether the time that its caller gives a request was over when it ended.
+func (q *request) outOfTime() bool { return q.ended.Sub(q.began) >= callerDeadline }
+
 // checkServed checks the body of a success, and that a configuration allowed it.
 func (r *Run) checkServed(q *request) {
 	if want := expected(q.kind, q.id); q.body != want {
--- a/soak/stops_test.go
+++ b/soak/stops_test.go
@@ -56,3 +56,23 @@
 		})
 	}
 }
+
+// TestOutOfTime guards against a check that excuses answers which are cut before their callers' time is over.
+func TestOutOfTime(t *testing.T) {
+	tests := []struct {
+		name        string
+		sent, ended time.Duration // after the first byte was sent
+		want        bool
+	}{
+		{"in time", 0, 3499 * time.Millisecond, false},
+		{"at the deadline", 0, 3500 * time.Millisecond, true},
+		{"sent slowly", 1200 * time.Millisecond, 3500 * time.Millisecond, true},
+	}
+	began := time.Now()
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			q := request{began: began, sent: began.Add(test.sent), ended: began.Add(test.ended)}
+			require.Equal(t, test.want, q.outOfTime())
+		})
+	}
+}
