gateway/upstream: look at a connection again just before a request is written

Callers saw 502 for requests that must not run twice, and that no server had read: their outcome counted as unknown.

Cause: Pool.get looks into a kept connection, and then BeforeSend and ConfirmLifetime (a network call) pass time. A close or surplus bytes that arrive meanwhile were met only after the request had been written.

Change: Send looks again after the checks. A kept connection that has ended gives way to the next one, with all checks made again; a new one ends with Unsent (ErrConnectionEnded), which is true of it. Costs one recvfrom a request.

On the code before, `go test -run TestKeptConnectionEnds ./upstream` in gateway failed in all four cases: expected "200 body", actual "indeterminate". TestNewConnectionEndsBeforeWrite came with the change and needs its new error. Now `go test -race -count=1 ./upstream` passes.

--- a/gateway/upstream/upstream.go
+++ b/gateway/upstream/upstream.go
@@ -65,6 +65,10 @@
 // ErrTooLate reports that a request was not sent because its SendBefore time had passed.
 var ErrTooLate = errors.New("upstream: too late to be sent")
 
+// ErrConnectionEnded reports that a request was not sent because the server had closed the new connection, or had
+// sent something on it, before the request.
+var ErrConnectionEnded = errors.New("upstream: the server has ended the new connection before the request was sent")
+
 // Result is what is known about a request after Send.
 type Result interface{ result() }
 
@@ -178,24 +182,10 @@
 // Send sends a request to a server and waits for the head of the response. When ctx ends, the
 // connection is closed.
 func (p *Pool) Send(ctx context.Context, s catalog.Server, r *Request) Result {
-	c, err := p.get(ctx, s, r.Idempotent)
+	c, err := p.acquire(ctx, s, r)
 	if err != nil {
 		return Unsent{Err: err}
 	}
-	if !r.SendBefore.IsZero() && time.Now().After(r.SendBefore) {
-		p.put(s.ID, c)
-		return Unsent{Err: ErrTooLate}
-	}
-	if r.BeforeSend != nil {
-		if err := r.BeforeSend(); err != nil {
-			p.put(s.ID, c)
-			return Unsent{Err: err}
-		}
-	}
-	if err := c.confirm(ctx, r); err != nil {
-		c.Close()
-		return Unsent{Err: err}
-	}
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	written := c.writeRequest(r)
 	head := p.Memory.NewReservation(s.ID, coveredHeadMemory)
@@ -212,6 +202,51 @@
 	return p.classify(c, s, r, response, head, written, stop)
 }
 
+// acquire returns a connection over which the request may be sent now. The checks before a request take time; what
+// arrives on the connection meanwhile would be met only after the write, when the request may have run.
+func (p *Pool) acquire(ctx context.Context, s catalog.Server, r *Request) (*conn, error) {
+	for {
+		c, err := p.get(ctx, s, r.Idempotent)
+		if err != nil {
+			return nil, err
+		}
+		kept := !c.idleSince.IsZero()
+		if err := p.check(ctx, c, s, r); err != nil {
+			return nil, err
+		}
+		state := c.idleState()
+		if state == idleOpen {
+			return c, nil
+		}
+		if state == idleSurplus {
+			p.reportSurplus(s.ID)
+		}
+		c.Close()
+		if !kept {
+			return nil, ErrConnectionEnded
+		}
+	}
+}
+
+// check makes the checks before a request is sent.
+func (p *Pool) check(ctx context.Context, c *conn, s catalog.Server, r *Request) error {
+	if !r.SendBefore.IsZero() && time.Now().After(r.SendBefore) {
+		p.put(s.ID, c)
+		return ErrTooLate
+	}
+	if r.BeforeSend != nil {
+		if err := r.BeforeSend(); err != nil {
+			p.put(s.ID, c)
+			return err
+		}
+	}
+	if err := c.confirm(ctx, r); err != nil {
+		c.Close()
+		return err
+	}
+	return nil
+}
+
 // confirm confirms where the connection leads, if the request asks for that.
 func (c *conn) confirm(ctx context.Context, r *Request) error {
 	if r.ConfirmLifetime == nil || c.confirmed.Load() {
--- a/gateway/upstream/upstream_test.go
+++ b/gateway/upstream/upstream_test.go
@@ -367,3 +367,68 @@
 	require.Equal(t, "200 body", sendAndDescribe(t.Context(), pool, s, onTime))
 	require.Equal(t, int64(1), pool.Dials())
 }
+
+// TestKeptConnectionEndsBeforeWrite guards against a request that is written to a connection whose end, or surplus
+// bytes, have arrived during the checks before it: it has not run, but that would count as unknown.
+func TestKeptConnectionEndsBeforeWrite(t *testing.T) {
+	tests := []struct {
+		name    string
+		surplus string // what the server sends; empty: it closes
+		confirm bool   // during ConfirmLifetime, instead of BeforeSend
+	}{
+		{"closed during BeforeSend", "", false},
+		{"surplus during BeforeSend", "x", false},
+		{"closed during ConfirmLifetime", "", true},
+		{"surplus during ConfirmLifetime", "x", true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			checking := make(chan struct{})
+			server, s := serve(t, func(c net.Conn, n int, _ *http.Request) bool {
+				fmt.Fprint(c, completeResponse)
+				if n > 0 {
+					return true
+				}
+				<-checking
+				fmt.Fprint(c, test.surplus)
+				return test.surplus != ""
+			})
+			p := upstream.NewPool(codec{})
+			require.Equal(t, "200 body", sendAndDescribe(t.Context(), p, s, newRequest()))
+			check := sync.OnceFunc(func() {
+				close(checking)
+				time.Sleep(50 * time.Millisecond)
+			})
+			r := newRequest()
+			if test.confirm {
+				r.ConfirmLifetime = func(context.Context) error { check(); return nil }
+			} else {
+				r.BeforeSend = func() error { check(); return nil }
+			}
+			require.Equal(t, "200 body", sendAndDescribe(t.Context(), p, s, r))
+			require.EqualValues(t, 2, p.Dials())
+			require.Len(t, server.requests, 2)
+		})
+	}
+}
+
+// TestNewConnectionEndsBeforeWrite guards against a result that leaves open whether a request has run which was never
+// written, as its server had closed the new connection during the checks.
+func TestNewConnectionEndsBeforeWrite(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	r := newRequest()
+	r.ConfirmLifetime = func(context.Context) error {
+		c, err := l.Accept()
+		if err != nil {
+			return err
+		}
+		defer time.Sleep(50 * time.Millisecond)
+		return c.Close()
+	}
+	unsent, ok := upstream.NewPool(codec{}).Send(t.Context(), catalog.Server{ID: "i-1", Address: l.Addr().String()}, r).(upstream.Unsent)
+	require.True(t, ok)
+	require.ErrorIs(t, unsent.Err, upstream.ErrConnectionEnded)
+}
