router/callers: answer each request that has arrived before a stopping router ends

Callers of a router that was stopped saw connections reset, or closed without an answer, with requests on them that had arrived, and answers that ended early.

Cause: runRouter and the dev fleet called http.Server.Close as soon as the channel of Router.Drain was closed. That channel says that no request is open in the router; a refusal or the last chunk may not have been written then, and requests may lie in sockets, in the accept queue and in half-parsed heads. A goroutine that does not read from a connection decided that nothing had arrived on it.

Change: the new package callers serves the HTTP callers of a router. Its Stop takes what waits in the accept queue, closes the listener, and has the goroutine that reads from a connection (also under TLS) end it when nothing has arrived. It returns when all connections have ended, within stop_timeout. While the router drains, answers carry Connection: close. A second signal now ends the whole stop of the dev fleet, where it ended the wait for one process.

--- a/cmd/opalbridge/dev.go
+++ b/cmd/opalbridge/dev.go
@@ -199,7 +199,7 @@
 func (f *devFleet) startRouters(listen string) error {
 	for i := range devRouters {
 		name := fmt.Sprintf("router-%d", i+1)
-		callers, err := net.Listen("tcp", listen)
+		front, err := listenForCallers(listen)
 		if err != nil {
 			return usageError(errors.Wrap(err, "dev: --listen"))
 		}
@@ -215,13 +215,13 @@
 		if err := f.store.SetHost(f.ctx, kv.Host{Name: name, Role: kv.Router, Hall: devHall(i), Address: s.PeerAddress}); err != nil {
 			return err
 		}
-		parts, err := startRouter(f.ctx, s, f.telemetry, f.log.With().Str("node", name).Logger(), callers, peers)
+		parts, err := startRouter(f.ctx, s, f.telemetry, f.log.With().Str("node", name).Logger(), front, peers)
 		if err != nil {
 			return err
 		}
 		f.routers = append(f.routers, parts)
 		f.done = append(f.done, parts.done)
-		f.callers = append(f.callers, "http://"+callers.Addr().String())
+		f.callers = append(f.callers, "http://"+front.Addr().String())
 	}
 	return nil
 }
@@ -257,12 +257,15 @@
 }
 
 func (f *devFleet) stop(cancel context.CancelFunc) {
+	secondSignal, stop := untilSignal()
+	defer stop()
 	for _, p := range f.routers {
-		waitDrained(devStopTimeout, p.router.Drain(), func() {})
-		_ = p.http.Close()
+		p.stop(secondSignal, devStopTimeout, f.log)
 	}
+	agentsCtx, cancelAgents := context.WithTimeout(secondSignal, devStopTimeout)
+	defer cancelAgents()
 	for _, a := range f.agents {
-		waitDrained(devStopTimeout, a.Drain(), func() {})
+		waitDrained(agentsCtx, a.Drain(), func() {})
 	}
 	cancel()
 	for _, d := range f.done {
--- a/cmd/opalbridge/run.go
+++ b/cmd/opalbridge/run.go
@@ -22,6 +22,7 @@
 	"opalbridge.dev/operator"
 	"opalbridge.dev/platform"
 	"opalbridge.dev/router"
+	"opalbridge.dev/router/callers"
 	"opalbridge.dev/secure"
 	"opalbridge.dev/settings"
 	"opalbridge.dev/telemetry"
@@ -121,15 +122,15 @@
 	return platform.KV{Store: &platform.Store{Address: u.Host, TLS: u.Scheme == "https"}}, nil
 }
 
-// runningRouter is a started router with its HTTP server.
+// runningRouter is a started router with its server for callers.
 type runningRouter struct {
-	router *router.Router
-	done   <-chan error
-	http   *http.Server
+	router  *router.Router
+	done    <-chan error
+	callers *callers.Server
 }
 
 // startRouter builds a router from its settings and starts it on the listeners.
-func startRouter(ctx context.Context, s *settings.Settings, t *telemetry.Telemetry, log zerolog.Logger, callers, peers net.Listener) (*runningRouter, error) {
+func startRouter(ctx context.Context, s *settings.Settings, t *telemetry.Telemetry, log zerolog.Logger, front callers.Listener, peers net.Listener) (*runningRouter, error) {
 	metrics, err := telemetry.NewRouterMetrics(t.Meter("router"))
 	if err != nil {
 		return nil, err
@@ -142,8 +143,9 @@
 	if err != nil {
 		return nil, err
 	}
+	var callerTLS *tls.Config
 	if k != nil {
-		callers = tls.NewListener(callers, k.CallerConfig())
+		callerTLS = k.CallerConfig()
 	}
 	peers = k.wrapPeerListener(peers)
 	r, err := router.New(router.Options{
@@ -168,9 +170,9 @@
 	if err != nil {
 		return nil, err
 	}
-	parts := &runningRouter{router: r, done: r.Start(ctx), http: newServer(mux)}
+	parts := &runningRouter{router: r, done: r.Start(ctx), callers: callers.NewServer(newServer(mux))}
 	go func() {
-		if err := parts.http.Serve(callers); !errors.Is(err, http.ErrServerClosed) {
+		if err := parts.callers.Serve(front, callerTLS); err != nil {
 			log.Error().Err(err).Msg("caller server stopped")
 		}
 	}()
@@ -182,7 +184,7 @@
 	if err != nil {
 		return err
 	}
-	callers, err := net.Listen("tcp", s.CallerAddress)
+	front, err := listenForCallers(s.CallerAddress)
 	if err != nil {
 		return errors.Wrap(err, "router: listen for callers")
 	}
@@ -192,42 +194,61 @@
 	}
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	parts, err := startRouter(runCtx, s, t, log, callers, peers)
+	parts, err := startRouter(runCtx, s, t, log, front, peers)
 	if err != nil {
 		return err
 	}
 	if err := serveAdmin(s, t, log); err != nil {
 		return err
 	}
-	log.Info().Str("callers", callers.Addr().String()).Str("peers", peers.Addr().String()).Msg("router started")
+	log.Info().Str("callers", front.Addr().String()).Str("peers", peers.Addr().String()).Msg("router started")
 	<-ctx.Done()
 	log.Info().Int("open", parts.router.OpenRequests()).Msg("stopping: refusing new requests, completing open ones")
-	waitDrained(s.StopTimeout, parts.router.Drain(), func() { log.Info().Int("open", parts.router.OpenRequests()).Msg("waiting for open requests") })
-	_ = parts.http.Close()
+	secondSignal, stop := untilSignal()
+	defer stop()
+	parts.stop(secondSignal, s.StopTimeout, log)
 	cancel()
 	<-parts.done
 	return t.Shutdown(context.WithoutCancel(ctx))
 }
 
+// listenForCallers listens on an IP and port.
+func listenForCallers(address string) (callers.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return l.(*net.TCPListener), nil
+}
+
+// stop refuses new requests, and returns when all that have arrived are answered, the limit has passed or ctx ends.
+func (p *runningRouter) stop(ctx context.Context, limit time.Duration, log zerolog.Logger) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	p.callers.EndConnections()
+	waitDrained(ctx, p.router.Drain(), func() { log.Info().Int("open", p.router.OpenRequests()).Msg("waiting for open requests") })
+	if err := p.callers.Stop(ctx); err != nil {
+		log.Warn().Err(err).Msg("callers' connections were cut")
+	}
+}
+
+// untilSignal returns a context that ends with the next interrupt or SIGTERM.
+func untilSignal() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+}
+
 // stopLogInterval is the interval of progress messages during a shutdown.
 const stopLogInterval = 5 * time.Second
 
-// waitDrained waits until drained is closed, the limit has passed or a second signal
-// arrives. It calls logProgress at intervals.
-func waitDrained(limit time.Duration, drained <-chan struct{}, logProgress func()) {
-	secondSignal, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	timeout := time.NewTimer(limit)
-	defer timeout.Stop()
+// waitDrained waits until drained is closed or ctx ends. It calls logProgress at intervals.
+func waitDrained(ctx context.Context, drained <-chan struct{}, logProgress func()) {
 	t := time.NewTicker(stopLogInterval)
 	defer t.Stop()
 	for {
 		select {
 		case <-drained:
 			return
-		case <-secondSignal.Done():
-			return
-		case <-timeout.C:
+		case <-ctx.Done():
 			return
 		case <-t.C:
 			logProgress()
@@ -301,7 +322,11 @@
 	log.Info().Str("peers", peers.Addr().String()).Str("server", s.ServerURL).Msg("agent started")
 	<-ctx.Done()
 	log.Info().Int("running", a.Running()).Msg("stopping: refusing new work, completing running attempts")
-	waitDrained(s.StopTimeout, a.Drain(), func() { log.Info().Int("running", a.Running()).Msg("waiting for running attempts") })
+	secondSignal, stop := untilSignal()
+	defer stop()
+	stopCtx, cancelStop := context.WithTimeout(secondSignal, s.StopTimeout)
+	defer cancelStop()
+	waitDrained(stopCtx, a.Drain(), func() { log.Info().Int("running", a.Running()).Msg("waiting for running attempts") })
 	cancel()
 	<-done
 	return t.Shutdown(context.WithoutCancel(ctx))
