platform, gateway: the wait for an origin is tested without tight times

At a load of 34, with the race detector, the case "waits for the origin of its stream" of TestEndOfGracePeriod got its 502 since the first event came later than the 30 ms that the case left for it.

--- a/gateway/call_resume_test.go
+++ b/gateway/call_resume_test.go
@@ -29,3 +29,19 @@
 	require.Equal(t, "refused", c.result)
 	require.Equal(t, errGraceExpired.Error(), c.reason)
 }
+
+// TestOriginWaitEndsWithRequest guards against a request that waits, after its end, until the version that began its
+// stream is certain.
+func TestOriginWaitEndsWithRequest(t *testing.T) {
+	c := &call{gateway: newIdleGateway(t), request: httptest.NewRequest(http.MethodPost, "/", nil), route: &catalog.Route{}, origin: make(chan string)}
+	ctx, cancel := context.WithCancelCause(t.Context())
+	time.AfterFunc(20*time.Millisecond, func() { cancel(errGraceExpired) })
+	ended := make(chan step, 1)
+	go func() { ended <- c.attempt(ctx) }()
+	select {
+	case s := <-ended:
+		require.Equal(t, failStep{err: errGraceExpired}, s)
+	case <-time.After(2 * time.Second):
+		require.Fail(t, "it waits on")
+	}
+}
