soak: the gateways of concurrent test processes have addresses of their own

Another process on the machine had the port: test processes search blocks of ports by their process ID modulo 50, and several searched the same one. Each test process has loopback addresses by its process ID now.

--- a/soak/process.go
+++ b/soak/process.go
@@ -45,10 +45,10 @@
 			return nil, err
 		}
 	}
-	p.front, p.address = fmt.Sprintf("127.0.0.1:%d", ports[0]), fmt.Sprintf("127.0.0.1:%d", ports[1])
+	p.front, p.address = fmt.Sprintf("%s:%d", loopbackAddress(i), ports[0]), fmt.Sprintf("%s:%d", loopbackAddress(i), ports[1])
 	p.settings = filepath.Join(o.Dir, p.name+".yaml")
-	text := fmt.Sprintf("name: %s\nhall: hall\nfront_address: %s\nready_address: %s\npeer_address: 127.0.0.%d:%d\nstore_address: %s\n"+
-		"seeds: 127.0.0.1,127.0.0.2\nstop_timeout: %s\nrepeat_ratio: 1\nrepeat_extra: 200\n", p.name, p.front, p.address, i+1, port, p.proxy.Address(), p.grace)
+	text := fmt.Sprintf("name: %s\nhall: hall\nfront_address: %s\nready_address: %s\npeer_address: %s:%d\nstore_address: %s\n"+
+		"seeds: %s,%s\nstop_timeout: %s\nrepeat_ratio: 1\nrepeat_extra: 200\n", p.name, p.front, p.address, loopbackAddress(i), port, p.proxy.Address(), loopbackAddress(0), loopbackAddress(1), p.grace)
 	if o.Garbles {
 		text += fmt.Sprintf("memory_mb: %d\n", garbledMemoryMB)
 	}
@@ -67,6 +67,13 @@
 	return p, err
 }
 
+// loopbackAddress returns the address of a gateway. The gateways of concurrent test processes have different ones, so
+// that none takes a port of another whose gateway is down for a moment.
+func loopbackAddress(i int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>8%250, pid%256, 1+i)
+}
+
 // start starts the process unless it is running.
 func (p *process) start() error {
 	p.mutex.Lock()
