soak: a gateway that gets its SIGTERM late may exit late

Its own lateness between the SIGTERM and the end counts for the gateway now, as it does for answers.

--- a/soak/stops.go
+++ b/soak/stops.go
@@ -31,7 +31,8 @@
 	// A gateway ends connections this long after a SIGTERM, or after half of its grace period if that is
 	// shorter.
 	stopDelay = 2500 * time.Millisecond
-	// A gateway has exited this long after its grace period.
+	// A gateway has exited this long after its grace period, or later by as much as this process ran late: the
+	// gateway's time begins when it gets to receive the signal.
 	exitSlack = time.Second
 	startTime = 10 * time.Second // a gateway is ready by then
 	// Longest time of the requests of a server that leaves.
@@ -310,7 +311,8 @@
 			r.suspend(p, plan.suspendFor)
 		}
 	})
-	if !p.waitUntil(at.Add(p.grace + exitSlack)) {
+	end := at.Add(p.grace + exitSlack)
+	if !p.waitUntil(end) && !p.waitUntil(end.Add(r.lateness.most(at, time.Now()))) {
 		r.recorder.violationf("gateway %s still runs %s after its SIGTERM", p.name, time.Since(at))
 		p.kill()
 	} else if _, err := p.result(); err != nil {
