soak: requests without an answer are checked when the callers' lateness is known

A request was checked as soon as its caller saw the end of its connection. If the whole process had been late, the measurement of that came after the check. The check runs at the end of the play now, with the same bound.

--- a/soak/stop_callers.go
+++ b/soak/stop_callers.go
@@ -253,8 +253,7 @@
 	switch {
 	case errors.Is(q.err, os.ErrDeadlineExceeded):
 		r.recorder.violationf("%s: neither answered nor closed after %s", q, answerTimeout)
-	case q.status == 0:
-		r.checkUnanswered(q)
+	case q.status == 0: // checkPlanned checks it: how late this process was is known a moment later only
 	case !q.whole():
 		r.checkCut(q)
 	case q.status == http.StatusOK:
@@ -276,7 +275,7 @@
 	if q.whole() {
 		a.statuses[q.status]++
 	}
-	if q.status == 0 {
+	if q.status == 0 && !errors.Is(q.err, os.ErrDeadlineExceeded) {
 		a.unanswered = append(a.unanswered, q)
 	}
 	if q.kind == "moved" {
@@ -289,13 +288,11 @@
 func (r *Run) checkUnanswered(q *request) {
 	after := q.ended.Sub(q.sent)
 	if late := r.lateness.most(q.sent, q.ended); after-late >= lostSlack {
-		r.recorder.violationf("%s: its connection ended without an answer %s later, %s, callers up to %s late: %v",
-			q, after.Round(time.Millisecond), r.planned.sinceStop(q.gateway, q.ended), late.Round(time.Millisecond), q.err)
+		r.recorder.violationf("%s: its connection ended at %s without an answer, %s later, %s, callers up to %s late: %v",
+			q, q.ended.Format("15:04:05.000"), after.Round(time.Millisecond), r.planned.sinceStop(q.gateway, q.ended), late.Round(time.Millisecond), q.err)
 		return
 	}
-	r.planned.logf("%s: its connection ended without an answer %s later, %s: %v", q, after, r.planned.sinceStop(q.gateway, q.ended), q.err)
-	r.answers.mutex.Lock()
-	defer r.answers.mutex.Unlock()
+	r.planned.logf("%s: its connection ended at %s without an answer, %s later, %s: %v", q, q.ended.Format("15:04:05.000"), after, r.planned.sinceStop(q.gateway, q.ended), q.err)
 	r.answers.early++
 }
 
@@ -392,6 +389,7 @@
 		}
 	}
 	for _, q := range r.answers.unanswered {
+		r.checkUnanswered(q)
 		if at, ok := ran[q.id]; ok {
 			r.recorder.violationf("%s: passed on after %s, and its connection ended without an answer %s later, %s",
 				q, at.at.Sub(q.sent), q.ended.Sub(q.sent), r.planned.sinceStop(q.gateway, q.ended))
