--- a/gateway/caller_conn.go
+++ b/gateway/caller_conn.go
@@ -32,11 +32,12 @@
 	held     *memory.Reservation // of the head
 
 	accepted    time.Time
-	progress    atomic.Int32 // a connProgress
-	requestFrom atomic.Int64 // when the first byte of the current request was read, in ns since the process's epoch
-	callerEnded atomic.Bool  // a read has failed: the caller has closed, or the connection is broken
-	retiring    atomic.Bool  // it ends as soon as nothing of a request has arrived
-	readAhead   atomic.Bool  // the first byte of the next request has been read while one is served
+	progress    atomic.Int32          // a connProgress
+	requestFrom atomic.Int64          // when the first byte of the current request was read, in ns since the process's epoch
+	callerEnded atomic.Bool           // a read has failed: the caller has closed, or the connection is broken
+	readError   atomic.Pointer[error] // of that read
+	retiring    atomic.Bool           // it ends as soon as nothing of a request has arrived
+	readAhead   atomic.Bool           // the first byte of the next request has been read while one is served
 	// Guards the read deadline of a connection that is being retired: once a byte of a request has been
 	// read, retire must not end the reading of the rest.
 	mutex sync.Mutex
@@ -73,7 +74,7 @@
 	switch s {
 	case http.StateActive:
 		if c.awaitsRequest() {
-			c.beginRequest(time.Now()) // the head came with the request before
+			c.beginRequest(minTimedBytes, time.Now()) // the head came with the request before
 		}
 		c.headRead.Store(true)
 	case http.StateIdle:
@@ -81,8 +82,8 @@
 		c.head = memory.Head{}
 		c.held.Release()
 		c.progress.Store(int32(awaitsRequest))
-		if c.readAhead.Swap(false) {
-			c.beginRequest(time.Now())
+		if c.readAhead.Load() {
+			c.beginRequest(1, time.Now())
 		}
 	case http.StateClosed, http.StateHijacked:
 		c.headRead.Store(true)
@@ -136,18 +137,23 @@
 
 // Read implements net.Conn.
 func (c *callerConn) Read(b []byte) (int, error) {
+	ahead := len(b) == 1 && c.headRead.Load() // while it serves a request, the HTTP server reads single bytes only ahead
+	if !c.headRead.Load() && c.readAhead.Swap(false) {
+		c.beginRequest(1, time.Now()) // again: the HTTP server has reset the deadline meanwhile
+	}
 	n, err := c.readOrRetire(b)
+	if ahead && n > 0 {
+		c.readAhead.Store(true)
+	}
 	if !c.hasRead {
 		c.hasRead = true
 		c.admission.unread.remove(c)
 	}
 	if n > 0 && c.awaitsRequest() {
-		c.beginRequest(time.Now())
-	}
-	if n == 1 && len(b) == 1 && c.headRead.Load() {
-		c.readAhead.Store(true) // the HTTP server reads single bytes only to notice a caller that closes
+		c.beginRequest(n, time.Now())
 	}
 	if err != nil && !isTimeout(err) {
+		c.readError.CompareAndSwap(nil, &err)
 		c.callerEnded.Store(true)
 	}
 	if !c.holdHead(b[:n]) {
@@ -204,13 +210,16 @@
 	return connProgress(c.progress.Load()) == awaitsRequest
 }
 
-// beginRequest records that the first bytes of a request have been read.
-func (c *callerConn) beginRequest(now time.Time) {
+// The HTTP server sets the time limit for a head on a kept connection once it has this many bytes of it.
+const minTimedBytes = 4
+
+// beginRequest records that the first n bytes of a request have been read.
+func (c *callerConn) beginRequest(n int, now time.Time) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.progress.Store(int32(readsHead))
 	c.requestFrom.Store(int64(now.Sub(processEpoch)))
-	if c.retiring.Load() {
+	if c.retiring.Load() || n < minTimedBytes && !c.headRead.Load() {
 		_ = c.Conn.SetReadDeadline(now.Add(headerTimeout)) // on a closed connection the next read fails
 	}
 }
@@ -239,12 +248,29 @@
 			_ = c.Conn.SetReadDeadline(time.Now().Add(headerTimeout)) // on a closed connection the read fails
 		}
 		n, err := c.Conn.Read(b)
-		if n > 0 || !isTimeout(err) || !c.retiring.Load() || !c.awaitsRequest() {
+		if n > 0 || !isTimeout(err) {
 			return n, err
 		}
+		if c.retiring.Load() && c.awaitsRequest() {
+			continue
+		}
+		return c.readArrived(b, err)
 	}
 }
 
+// readArrived reads what of a head has arrived by the deadline of a read: the runtime doesn't look into the socket
+// after it, and a process that is short of processor time may not have read before. It returns timeout if nothing has.
+func (c *callerConn) readArrived(b []byte, timeout error) (int, error) {
+	if c.headRead.Load() {
+		return 0, timeout // the HTTP server ends its reading ahead so, and a body has the request's deadline
+	}
+	n, err := c.readSocket(b)
+	if err != nil || n == 0 {
+		return 0, timeout
+	}
+	return n, nil
+}
+
 // isTimeout reports whether a read or write has ended at its deadline.
 func isTimeout(err error) bool {
 	var netErr net.Error
@@ -257,9 +283,11 @@
 	return c.Conn.Write(b)
 }
 
-// ReadNow implements reject.Conn. It reads whatever the read deadline is, which has passed on a connection that
-// is being retired.
-func (c *callerConn) ReadNow(buffer []byte) (n int, err error) {
+// ReadNow implements reject.Conn.
+func (c *callerConn) ReadNow(buffer []byte) (n int, err error) { return c.readSocket(buffer) }
+
+// readSocket reads what has arrived, whatever the read deadline; EAGAIN: nothing has.
+func (c *callerConn) readSocket(buffer []byte) (n int, err error) {
 	raw, err := rawConn(c.Conn)
 	if err != nil {
 		return 0, err
--- a/gateway/handoff/retire_test.go
+++ b/gateway/handoff/retire_test.go
@@ -3,12 +3,16 @@
 import (
 	"bufio"
 	"context"
+	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/hashicorp/yamux"
 	"github.com/stretchr/testify/require"
 
 	"opalbridge.dev/gateway/handoff"
@@ -143,3 +147,148 @@
 		})
 	}
 }
+
+// TestClosedListenerTakesNoStreams guards against requests that are forwarded to a gateway that will not serve them.
+func TestClosedListenerTakesNoStreams(t *testing.T) {
+	f, l := startListener(t)
+	first := f.dial()
+	served := accept(t, l)
+	l.Close()
+	time.Sleep(50 * time.Millisecond)
+	c := f.dial()
+	_, err := io.WriteString(c, request)
+	require.NoError(t, err)
+	select {
+	case err := <-f.results:
+		require.ErrorIs(t, err, handoff.ErrNotForwarded)
+	case <-time.After(2 * time.Second):
+		require.Fail(t, "the connection has been forwarded")
+	}
+	go serveOnce(served) // it was accepted before
+	_, err = io.WriteString(first, request)
+	require.NoError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(first), nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, response.StatusCode)
+}
+
+// TestResetStreamIsRefused guards against a 502 to a request on a stream that the other gateway has not accepted.
+func TestResetStreamIsRefused(t *testing.T) {
+	peers, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer peers.Close()
+	sessions := make(chan *yamux.Session, 1)
+	go func() {
+		conn, err := peers.Accept()
+		if err != nil {
+			return
+		}
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 101 Switching Protocols\r\n\r\n")
+		config := yamux.DefaultConfig()
+		config.AcceptBacklog, config.LogOutput = 1, io.Discard // the second stream is reset
+		session, err := yamux.Server(conn, config)
+		if err == nil {
+			sessions <- session
+		}
+	}()
+	front, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer front.Close()
+	f := &fleet{t: t, forwarder: handoff.NewForwarder(), peer: peers.Addr().String(), front: front, results: make(chan error, 2)}
+	go f.accept()
+	f.dial()
+	session := <-sessions
+	defer f.forwarder.Close()
+	defer session.Close()
+	require.Eventually(t, func() bool { return session.NumStreams() == 1 }, 2*time.Second, time.Millisecond)
+	caller, forwarded := net.Pipe()
+	defer caller.Close()
+	stream, err := f.forwarder.Open(t.Context(), f.peer)
+	require.NoError(t, err)
+	answers := make(chan int, 1)
+	go func() {
+		response, err := http.ReadResponse(bufio.NewReader(caller), nil)
+		if err == nil {
+			answers <- response.StatusCode
+		}
+	}()
+	_, err = stream.Forward(&eagerConn{Conn: forwarded, request: request})
+	if errors.Is(err, handoff.ErrNotForwarded) {
+		return // the reset was seen before the request was sent
+	}
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, <-answers)
+}
+
+// eagerConn is a caller's connection on which a request has arrived.
+type eagerConn struct {
+	net.Conn
+	request string
+}
+
+// Read implements net.Conn.
+func (c *eagerConn) Read(b []byte) (int, error) {
+	if c.request == "" {
+		return c.Conn.Read(b)
+	}
+	n := copy(b, c.request)
+	c.request = c.request[n:]
+	return n, nil
+}
+
+// TestEarlyAnswerIsNotReset guards against an answer that is destroyed by a reset since its caller still sends, and
+// against a connection that is kept although both sides have ended.
+func TestEarlyAnswerIsNotReset(t *testing.T) {
+	const size = 1 << 20 // more than a stream takes that nobody reads
+	tests := []struct {
+		name   string
+		serve  func(c net.Conn)
+		status int
+	}{
+		{"not served", func(c net.Conn) { c.Close() }, http.StatusServiceUnavailable},
+		{"answered early", func(c net.Conn) {
+			_, _ = http.ReadRequest(bufio.NewReader(c))
+			_, _ = io.WriteString(c, "HTTP/1.1 413 Too Long\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+			c.Close()
+		}, http.StatusRequestEntityTooLarge},
+		{"not answered", func(c net.Conn) {
+			_, _ = http.ReadRequest(bufio.NewReader(c))
+			c.Close()
+		}, http.StatusBadGateway},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			f, l := startListener(t)
+			c := f.dial()
+			body := strings.Repeat("x", size)
+			_, err := fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", size, body[:size/2])
+			require.NoError(t, err)
+			time.Sleep(50 * time.Millisecond)
+			test.serve(accept(t, l))
+			time.Sleep(200 * time.Millisecond)
+			_, err = io.WriteString(c, body[size/2:size-1])
+			require.NoError(t, err)
+			time.Sleep(50 * time.Millisecond)
+			_, err = io.WriteString(c, body[size-1:])
+			require.NoError(t, err)
+			reader := bufio.NewReader(c)
+			response, err := http.ReadResponse(reader, nil)
+			require.NoError(t, err)
+			require.Equal(t, test.status, response.StatusCode)
+			_, err = io.ReadAll(response.Body)
+			require.NoError(t, err)
+			_, err = reader.ReadByte()
+			require.ErrorIs(t, err, io.EOF)
+			select {
+			case err := <-f.results:
+				require.NoError(t, err)
+			case <-time.After(3 * time.Second):
+				require.Fail(t, "the connection is kept")
+			}
+		})
+	}
+}
--- a/gateway/offload_end_test.go
+++ b/gateway/offload_end_test.go
@@ -92,7 +92,7 @@
 	_, err := io.WriteString(c, shortRequest[:10])
 	require.NoError(t, err)
 	time.Sleep(50 * time.Millisecond) // until it has been read
-	s.idle.closeIdleSince(time.Now())
+	s.idle.closeIdle(time.Now().Add(time.Minute), time.Millisecond)
 	require.Equal(t, http.StatusOK, exchange(t, c, shortRequest[10:]).StatusCode)
 }
 
