--- a/gateway/offload.go
+++ b/gateway/offload.go
@@ -175,9 +175,6 @@
 // Capacity of the channel of finished connections.
 const endedQueueSize = 64
 
-// drainPollInterval is how often a planned stop checks whether offloaded connections are left.
-const drainPollInterval = 5 * time.Millisecond
-
 // Maximum number of gateways tried per connection.
 const maxOffloadAttempts = 2
 
@@ -294,19 +291,6 @@
 	line.Msg("connections offloaded")
 }
 
-// drain waits until no offloaded connection is left, or ctx ends.
-func (o *offloader) drain(ctx context.Context) {
-	tick := time.NewTicker(drainPollInterval)
-	defer tick.Stop()
-	for o.active.Load() > 0 {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
-	}
-}
-
 // linkHandler opens links on which another gateway offloads connections to this one.
 func (g *Gateway) linkHandler(ctx context.Context, l *handoff.Listener) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
