agent: a drain ends once the calls of routers that have arrived are answered

Callers of a router saw requests that must not run twice end as unknown ("the agent that had it is gone") when an agent was stopped as planned.

Cause: the channel of Agent.Drain was closed as soon as no attempt ran, and the command then ended the agent. Calls that had arrived or were on their way, and ends of answers that were not written yet, were lost with its connections.

Change: Drain counts the streams of routers that are open, and waits until none has been open for 500 ms (chosen, not measured: longer than a round trip between halls and a router's way from a binding to its call). A planned stop of an agent takes at least that long; stop_timeout still limits it. The dev fleet drains its agents at the same time.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -89,7 +89,9 @@
 	jobs        jobs
 	draining    atomic.Bool
 	violations  atomic.Int64
+	idle        chan struct{} // closed when a draining agent runs no attempt
 	drained     chan struct{} // closed when a drain is complete
+	calls       openCalls
 	stopped     chan struct{} // closed when the admission loop has ended
 	goroutines  *duty.Group
 	lifetime    context.Context // the agent's context: an attempt outlives its connection
@@ -106,6 +108,7 @@
 		options:     o.withDefaults(),
 		incarnation: rand.Text(),
 		events:      make(chan event, eventQueueSize),
+		idle:        make(chan struct{}),
 		drained:     make(chan struct{}),
 		stopped:     make(chan struct{}),
 		goroutines:  duty.NewGroup(),
@@ -151,10 +154,12 @@
 }
 
 // Drain begins a planned stop: no new attempts are admitted, running ones continue.
-// The channel is closed when no attempt is running.
+// The channel is closed when no attempt is running, and all calls of routers that
+// have arrived are answered.
 func (a *Agent) Drain() <-chan struct{} {
 	if a.draining.CompareAndSwap(false, true) {
 		a.send(drainEvent{})
+		a.goroutines.Go(a.lifetime, "drain", a.waitForCalls)
 	}
 	return a.drained
 }
--- a/agent/leaving.go
+++ b/agent/leaving.go
@@ -77,14 +77,14 @@
 	d.agent.record(explain.Event{Kind: kind, Text: text})
 }
 
-// checkDrained closes the drained channel once a draining agent runs no attempt.
+// checkDrained closes the idle channel once a draining agent runs no attempt.
 func (d *admission) checkDrained() {
 	if !d.agent.draining.Load() || d.scheduler.Running() > 0 {
 		return
 	}
 	select {
-	case <-d.agent.drained:
+	case <-d.agent.idle:
 	default:
-		close(d.agent.drained)
+		close(d.agent.idle)
 	}
 }
--- a/agent/peer.go
+++ b/agent/peer.go
@@ -124,6 +124,8 @@
 const firstMessageTimeout = 10 * time.Second
 
 func (a *Agent) serveStream(ctx context.Context, p *wire.Peer, s *wire.Stream) {
+	a.calls.begin()
+	defer a.calls.end()
 	defer s.Close()
 	readCtx, cancel := context.WithTimeout(ctx, firstMessageTimeout)
 	release := s.CloseWhenDone(readCtx)
--- a/cmd/opalbridge/dev.go
+++ b/cmd/opalbridge/dev.go
@@ -264,6 +264,9 @@
 	}
 	agentsCtx, cancelAgents := context.WithTimeout(secondSignal, devStopTimeout)
 	defer cancelAgents()
+	for _, a := range f.agents {
+		a.Drain()
+	}
 	for _, a := range f.agents {
 		waitDrained(agentsCtx, a.Drain(), func() {})
 	}
--- a/fleettest/fleet.go
+++ b/fleettest/fleet.go
@@ -237,6 +237,15 @@
 	a.Node = nil
 }
 
+// EndAgent ends an agent as its command does after a drain: what it has sent still arrives.
+func (f *Fleet) EndAgent(a *Agent) {
+	a.stop()
+	<-a.done
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.Node = nil
+}
+
 // running returns the running agent, or nil.
 func (a *Agent) running() *agent.Agent {
 	a.mutex.Lock()
--- a/fleettest/stop_test.go
+++ b/fleettest/stop_test.go
@@ -52,6 +52,25 @@
 	}
 }
 
+// TestStoppedAgentHasAnswered guards against an agent that ends after its drain with calls of routers unanswered.
+func TestStoppedAgentHasAnswered(t *testing.T) {
+	for at := time.Duration(0); at < 1400*time.Millisecond; at += 10 * time.Millisecond {
+		bubbletest.Run(t, func(t *testing.T) {
+			f := matrixFleet(t)
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				time.Sleep(at)
+				<-f.Agents[0].Node.Drain()
+				f.EndAgent(f.Agents[0])
+			}()
+			a := f.Do(context.Background(), call(true))
+			<-ended
+			require.Equal(t, attempt.Executed{Complete: true}, a.Outcome, "stopped at %s", at)
+		})
+	}
+}
+
 // newWorkBound is the time after an accepted change within which a leaving server may
 // still get new work. The change itself may take 18 s to reach a node that was
 // disconnected (docs/operators/stops.md).
