cmd/opalbridge, soak: tests send no SIGHUP before a new process has instructions of its own

TestHangups failed once, in 12 runs of five starts so far, beside six plays of the soak; its output was not kept. Suspected: the test sends from the moment at which /proc tells that the process ignores or catches SIGHUP. Just after the start that can still be the mask of the test's own process: in 5 of 20 starts it was told after 0.1 to 0.5 ms, where the loader alone usually takes 0.6 ms. Signals that arrive then meet the loader, in which a process can't handle them. The test also waits for the process to have mapped the C library; so does the soak.

--- a/cmd/opalbridge/hangup_test.go
+++ b/cmd/opalbridge/hangup_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"fmt"
 	"math"
 	"net/http"
@@ -108,8 +109,13 @@
 // statusMask matches the signals that a process ignores or catches.
 var statusMask = regexp.MustCompile(`(?m)^Sig(?:Ign|Cgt):\s+([0-9a-f]+)$`)
 
-// setsHangup reports whether the process has replaced the default action of SIGHUP.
+// setsHangup reports whether the process has replaced the default action of SIGHUP. Until it has loaded the C
+// library, its masks may still be those of this process.
 func setsHangup(pid int) bool {
+	maps, err := os.ReadFile(fmt.Sprintf("/proc/%d/maps", pid))
+	if err != nil || !bytes.Contains(maps, []byte("libc.so")) {
+		return false
+	}
 	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
 		return false
--- a/soak/stops.go
+++ b/soak/stops.go
@@ -487,12 +487,20 @@
 }
 
 // setsHangup waits until the process has replaced the default action of SIGHUP, which is the system's until
-// its first instructions have run. It reports false if the process has ended.
+// its first instructions have run. It reports false if the process has ended. Until the process has loaded the C
+// library, its masks may still be those of this one.
 func (p *process) setsHangup() bool {
 	p.mutex.Lock()
 	pid := p.command.Process.Pid
 	p.mutex.Unlock()
 	for began := time.Now(); time.Since(began) < time.Second; time.Sleep(50 * time.Microsecond) {
+		maps, err := os.ReadFile(fmt.Sprintf("/proc/%d/maps", pid))
+		if err != nil {
+			return false
+		}
+		if !bytes.Contains(maps, []byte("libc.so")) {
+			continue
+		}
 		status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 		if err != nil {
 			return false
