--- a/gateway/handoff/retire_test.go
+++ b/gateway/handoff/retire_test.go
@@ -46,10 +46,20 @@
 // accept accepts a connection that has been forwarded.
 func accept(t *testing.T, l *handoff.Listener) *handoff.Conn {
 	t.Helper()
-	c, err := l.Accept()
-	require.NoError(t, err)
-	t.Cleanup(func() { c.Close() })
-	return c.(*handoff.Conn)
+	accepted := make(chan net.Conn, 1)
+	go func() {
+		if c, err := l.Accept(); err == nil {
+			accepted <- c
+		}
+	}()
+	select {
+	case c := <-accepted:
+		t.Cleanup(func() { c.Close() })
+		return c.(*handoff.Conn)
+	case <-time.After(5 * time.Second):
+		require.FailNow(t, "no connection has been forwarded")
+		return nil
+	}
 }
 
 // serveOnce reads a request and answers it.
