--- a/review/standin-2/case_drain.go
+++ b/review/standin-2/case_drain.go
@@ -9,6 +9,7 @@
 var cases = map[string]func(p *play) (broken bool, err error){
 	"drain-watch-cut": drainWatchCut,
 	"cold-restart":    coldRestart,
+	"settings-moved":  settingsMoved,
 }
 
 // Times of drainWatchCut.
--- a/review/standin-2/harness.go
+++ b/review/standin-2/harness.go
@@ -260,6 +260,7 @@
 type store struct {
 	platformtest.Store
 	address string
+	server  *http.Server // at that address
 	play    *play
 
 	cutTime atomic.Int64 // how long a watch waits before it is cut, in ns; 0: it is not
@@ -274,9 +275,9 @@
 		return nil, err
 	}
 	s.address = l.Addr().String()
-	server := &http.Server{Handler: s}
-	go func() { _ = server.Serve(l) }() // ends with the play
-	p.closeLater(func() { server.Close() })
+	s.server = &http.Server{Handler: s}
+	go func() { _ = s.server.Serve(l) }() // ends with the play
+	p.closeLater(func() { s.server.Close() })
 	return s, nil
 }
 
