--- a/review/standin-2/case_cold.go
+++ b/review/standin-2/case_cold.go
@@ -19,9 +19,11 @@
 
 // Times of coldRestart.
 const (
-	coldSettle    = 4 * time.Second // traffic before the evacuation
-	coldEvacuated = 5 * time.Second // length of the evacuation
-	coldBefore    = 300 * time.Millisecond
+	coldSettle    = 4 * time.Second        // traffic before the evacuation
+	coldEvacuated = 5 * time.Second        // length of the evacuation
+	coldDown      = 350 * time.Millisecond // for which the killed gateway is down
+	coldBefore    = 100 * time.Millisecond // from the server's coldness to the end of the evacuation
+	coldStart     = 50 * time.Millisecond  // from the gateway's start to the end of the evacuation
 	coldAfter     = 5 * time.Second
 )
 
@@ -76,7 +78,13 @@
 	zone, cold, restarted := zones[1], servers[1], p.gateways[1]
 	s.putJSON("op/evacuate/"+zone, map[string]any{})
 	p.logf("operator: zone %s is evacuated", zone)
-	time.Sleep(coldEvacuated - coldBefore)
+	end := time.Now().Add(coldEvacuated)
+	time.Sleep(time.Until(end.Add(-coldStart - coldDown)))
+	if p.trouble {
+		restarted.signal(syscall.SIGKILL)
+		<-restarted.done
+	}
+	time.Sleep(time.Until(end.Add(-coldBefore)))
 	var once sync.Once
 	becameCold := time.Now()
 	cold.mutex.Lock()
@@ -95,17 +103,13 @@
 		}
 	}
 	time.AfterFunc(beatInterval, cold.beat) // its last heartbeat came just before it became cold
-	if p.trouble {
-		restarted.signal(syscall.SIGKILL)
-		<-restarted.done
-	}
-	time.Sleep(time.Until(becameCold.Add(coldBefore - 50*time.Millisecond)))
+	time.Sleep(time.Until(end.Add(-coldStart)))
 	if p.trouble {
 		if err := restarted.start(); err != nil {
 			return false, err
 		}
 	}
-	time.Sleep(time.Until(becameCold.Add(coldBefore)))
+	time.Sleep(time.Until(end))
 	s.Remove("op/evacuate/" + zone)
 	p.logf("operator: zone %s is taken back", zone)
 	time.Sleep(coldAfter)
