gateway: a stream of an unnamed attempt goes on only after the longest wait

Cause: a service counted as having had one version after two timeouts of the route (15 s at most). A timeout does not bound how long a caller waits, and a server whose entry has gone may begin streams for some seconds more. Ruled out by the same test: callers that name an attempt, and what gateways hand over.

Change: one version over max(15 s, timeout, Deadline-Ms) + 5 s. 15 s is the longest budget of the sheets, 5 s the longest drain_ms.

--- a/gateway/call_resume.go
+++ b/gateway/call_resume.go
@@ -41,12 +41,11 @@
 const originRetentionSlack = 30 * time.Second
 
 // A caller may take up a stream without naming an attempt if its service has had one version only
-// for so long: for unnamedSpans timeouts of the route (the attempt that began the stream and the
-// one that resumes it), and no longer than maxUnnamedSpan. A version whose last entry went before
-// that serves no stream any more, and its callers have come back.
+// for as long as a caller may wait, which a route's timeout does not bound, and before that as long
+// as a server whose entry has gone may still have begun streams.
 const (
-	unnamedSpans   = 2
-	maxUnnamedSpan = 15 * time.Second
+	longestWait   = 15 * time.Second
+	longestLinger = 5 * time.Second
 )
 
 // resumes reports whether the caller takes up a stream.
@@ -123,7 +122,8 @@
 		timeout = defaultDeadline
 	}
 	service := c.route.Targets[0].Service
-	version, ok := c.gateway.origins.onlyVersion(time.Now(), service, min(unnamedSpans*timeout, maxUnnamedSpan))
+	span := max(timeout, c.meta.Deadline, longestWait) + longestLinger
+	version, ok := c.gateway.origins.onlyVersion(time.Now(), service, span)
 	if !ok {
 		return catalog.Server{}, ResumeUnnamed, errOriginUnnamed
 	}
