--- a/engine/client.go
+++ b/engine/client.go
@@ -20,6 +20,9 @@
 
 const dialTimeout = 2 * time.Second
 
+// maxHeadBytes limits the head of an answer. Heads of servers take some hundred bytes.
+const maxHeadBytes = 64 << 10
+
 // Client calls a model engine or plain service over HTTP. It implements [Server].
 type Client struct {
 	BaseURL string // URL, without a trailing slash
@@ -39,6 +42,8 @@
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
+		// A server may send a head without end.
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	return &Client{BaseURL: base, HTTP: &http.Client{
 		Transport: transport,
--- a/engine/client_test.go
+++ b/engine/client_test.go
@@ -83,6 +83,56 @@
 	}
 }
 
+// countingConn counts the bytes that are read.
+type countingConn struct {
+	net.Conn
+	read *atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.read.Add(int64(n))
+	return n, err
+}
+
+// TestEndlessHeadIsNotKept guards against a client that keeps a head without end until it runs out of memory.
+func TestEndlessHeadIsNotKept(t *testing.T) {
+	const (
+		sent = 8 << 20
+		most = 128 << 10
+	)
+	tests := []struct{ name, start, piece string }{
+		{"field", "HTTP/1.1 200 OK\r\nA: ", strings.Repeat("x", 4096)},
+		{"fields", "HTTP/1.1 200 OK\r\n", strings.Repeat("Name: value\r\n", 300)},
+		{"status line", "HTTP/1.1 200 ", strings.Repeat("x", 4096)},
+		{"interim heads", "", strings.Repeat("HTTP/1.1 103 Early Hints\r\nName: value\r\n\r\n", 100)},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var read atomic.Int64
+			ended := make(chan struct{})
+			dial := func(context.Context, string, string) (net.Conn, error) {
+				client, server := net.Pipe()
+				go func() {
+					defer close(ended)
+					defer server.Close()
+					_, _ = http.ReadRequest(bufio.NewReader(server)) // what follows does not depend on it
+					_, err := io.WriteString(server, test.start)
+					for n := 0; n < sent && err == nil; n += len(test.piece) {
+						_, err = io.WriteString(server, test.piece)
+					}
+				}()
+				return countingConn{client, &read}, nil
+			}
+			_, err := engine.NewClientWithDialer("http://server", dial).Do(t.Context(), &engine.Call{Method: http.MethodGet, Path: "/"})
+			require.Error(t, err)
+			<-ended
+			require.Less(t, read.Load(), int64(most), "bytes read")
+		})
+	}
+}
+
 // TestUnreachableServerReturnsErrNotSent checks that a refused connection is reported
 // as ErrNotSent, so that the call may be retried.
 func TestUnreachableServerReturnsErrNotSent(t *testing.T) {
