soak: the store cuts waiting watches

The soak's store cut watches only with all other calls, so no seed could show a cut that is taken for an outage. With -cuts it cuts them at once, after 300 ms, and while it is slow, beside servers that leave; the faults are kept apart, so other seeds draw what they drew.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -163,6 +163,16 @@
 	}},
 }
 
+// cutFaults are the faults of watches that are cut, and of servers that leave meanwhile. They are kept
+// apart from baseFaults so that a seed without them draws the same faults as before.
+var cutFaults = []fault{
+	{"store cuts watches at once", storeFault(platformtest.Faults{CutWatches: 50 * time.Millisecond})},
+	{"store cuts watches", storeFault(platformtest.Faults{CutWatches: 300 * time.Millisecond})},
+	{"store cuts watches and is slow", storeFault(platformtest.Faults{CutWatches: 300 * time.Millisecond, Delay: slowLink})},
+	leavingFault,
+	leavingFault,
+}
+
 // crashOnce has a server refuse connections, lose its runs, and start again.
 func crashOnce(r *Run, random *rand.Rand) (undo func()) {
 	r.crashServer(r.randomServer(random), "")
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -48,6 +48,7 @@
 	Plain    bool   // also send requests to plain servers with few slots, which stall
 	Surplus  bool   // three accounts share a token rate, and two of them ask for more than their shares
 	Garbles  bool   // servers and other writers also send what is no part of the protocol, and gateways have little memory
+	Cuts     bool   // the store also cuts waiting watches, beside servers whose entry goes
 	Stops    bool   // planned work only, instead of faults, with callers of its own; it goes with no other option
 	Versions bool   // also replace servers by servers of another software version, and have callers take up streams
 }
@@ -364,6 +365,9 @@
 	if o.Garbles {
 		faults = slices.Concat(faults, slices.Repeat(garbleFaults, 6))
 	}
+	if o.Cuts {
+		faults = slices.Concat(faults, slices.Repeat(cutFaults, 4))
+	}
 	if o.Restores {
 		faults = slices.Concat(faults, slices.Repeat(restoreFaults, 3))
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -32,6 +32,7 @@
 	surplus  = flag.Bool("surplus", false, "three accounts share a token rate, and two of them ask for more than their shares")
 	moves    = flag.Bool("moves", false, "streams move off servers that leave, which happens often")
 	garbles  = flag.Bool("garbles", false, "servers and other writers also send what is no part of the protocol")
+	cuts     = flag.Bool("cuts", false, "the store also cuts waiting watches, beside servers whose entry goes")
 	stops    = flag.Bool("stops", false, "planned work only: stops, SIGHUPs, configuration changes and servers that leave")
 	gateways = flag.Int("gateways", 0, "number of gateways")
 	callers  = flag.Int("callers", 0, "number of callers")
@@ -103,7 +104,7 @@
 	}
 	for n := range uint64(*seeds) {
 		t.Run(fmt.Sprintf("seed=%d", from+n), func(t *testing.T) {
-			play(t, binary, soak.Options{Seed: from + n, Restarts: *restarts, Fatal: *fatal, Early: *early, Signals: *words, Restores: *copies, Versions: *versions, Part: *part, Moves: *moves, Backups: *backups, Plain: *plain, Surplus: *surplus, Garbles: *garbles, Stops: *stops, Gateways: *gateways, Callers: *callers})
+			play(t, binary, soak.Options{Seed: from + n, Restarts: *restarts, Fatal: *fatal, Early: *early, Signals: *words, Restores: *copies, Versions: *versions, Part: *part, Moves: *moves, Backups: *backups, Plain: *plain, Surplus: *surplus, Garbles: *garbles, Cuts: *cuts, Stops: *stops, Gateways: *gateways, Callers: *callers})
 		})
 	}
 }
@@ -135,6 +136,12 @@
 	play(t, build(t), soak.Options{Seed: 10000, Restarts: true, Garbles: true})
 }
 
+// TestSoakCuts plays a seed in which the store cuts waiting watches. It guards against cuts that are taken for
+// outages, and against requests at servers that are leaving meanwhile.
+func TestSoakCuts(t *testing.T) {
+	play(t, build(t), soak.Options{Seed: 12000, Cuts: true, Restarts: true})
+}
+
 // TestSoakFatal runs a seed with requests that crash servers.
 func TestSoakFatal(t *testing.T) {
 	play(t, build(t), soak.Options{Seed: 6000, Restarts: true, Fatal: 4})
