--- a/cmd/opalbridge/withdraw_test.go
+++ b/cmd/opalbridge/withdraw_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -67,17 +68,22 @@
 		}()
 		f.gateways, f.fronts, f.health, f.metrics, f.logs = append(f.gateways, p), append(f.fronts, front), append(f.health, health), append(f.metrics, metrics), append(f.logs, lines)
 	}
-	require.Eventually(t, func() bool {
-		for i := range f.gateways {
-			if f.status(i) != http.StatusOK {
-				return false
-			}
-		}
-		return true
-	}, 30*time.Second, 20*time.Millisecond)
+	began := time.Now()
+	for statuses := f.statuses(); slices.ContainsFunc(statuses, func(s int) bool { return s != http.StatusOK }); statuses = f.statuses() {
+		require.Less(t, time.Since(began), 30*time.Second, "statuses of the gateways' health checks: %v", statuses)
+		time.Sleep(20 * time.Millisecond)
+	}
 	return f
 }
 
+// statuses answers the health check of each gateway.
+func (f *withdrawalFleet) statuses() (list []int) {
+	for i := range f.gateways {
+		list = append(list, f.status(i))
+	}
+	return list
+}
+
 // status answers a health check, or 0.
 func (f *withdrawalFleet) status(gateway int) int {
 	c := http.Client{Timeout: 2 * time.Second}
