cmd/opalbridge: processes of tests get ports that no connection takes

What the process wrote to its standard error was thrown away. freeAddress asked the system for a port and closed it again; until the process listened there, a connection of another test could take the port. Packages that run side by side leave 12,000 to 31,000 connections in TIME-WAIT, of some 28,000 ports.

Change: freeAddress takes its ports from platformtest.FreePort, which lie below those of connections; a test that fails tells how its processes ended and what they wrote to their standard error.

--- a/cmd/opalbridge/process_test.go
+++ b/cmd/opalbridge/process_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"net"
@@ -21,6 +22,7 @@
 	"opalbridge.dev/config"
 	"opalbridge.dev/kv"
 	"opalbridge.dev/operator"
+	"opalbridge.dev/platform/platformtest"
 )
 
 // runAsProgramEnv is the environment variable that makes the test binary run as opalbridge.
@@ -46,13 +48,18 @@
 func startProgram(t *testing.T, program string, args ...string) (p *process, out *bufio.Reader) {
 	c := exec.Command(program, args...)
 	c.Env = append(os.Environ(), runAsProgramEnv+"=1")
+	var complaint bytes.Buffer // what it writes to its standard error; read after Wait
+	c.Stderr = &complaint
 	pipe, err := c.StdoutPipe()
 	require.NoError(t, err)
 	require.NoError(t, c.Start())
 	p = &process{command: c}
 	t.Cleanup(func() {
 		_ = c.Process.Kill()
-		_ = c.Wait()
+		err := c.Wait()
+		if t.Failed() {
+			t.Logf("%s: %v: %s", strings.Join(args, " "), err, complaint.String())
+		}
 	})
 	return p, bufio.NewReader(pipe)
 }
@@ -64,11 +71,30 @@
 	return strings.TrimSpace(strings.TrimPrefix(line, "ready: "))
 }
 
+// freeAddress returns a loopback address that no connection takes before a process listens on it.
 func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	port, err := platformtest.FreePort()
 	require.NoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	return fmt.Sprintf("127.0.0.1:%d", port)
+}
+
+// TestFreeAddressesStayFree guards against processes of tests that ended at their start, because another
+// test's connection had taken the port that they were given.
+func TestFreeAddressesStayFree(t *testing.T) {
+	var addresses []string
+	for range 100 {
+		addresses = append(addresses, freeAddress(t))
+	}
+	for range 1000 { // the system chooses these ports, as it does for connections
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		require.NoError(t, err)
+		t.Cleanup(func() { l.Close() })
+	}
+	for _, a := range addresses {
+		l, err := net.Listen("tcp4", a)
+		require.NoError(t, err)
+		require.NoError(t, l.Close())
+	}
 }
 
 // processFleet is a fleet of separate processes.
