cmd/opalbridge, platform: SIGHUP moves a gateway to its store's new address

Cause: SIGHUP only checked the settings file. The store's client kept the address of the start for the life of the process, and a gateway that has lost its store goes on with its last view.

Change: platform.Store.Move ends the calls that are under way, the waiting watch among them, drops what the earlier address still answers, and has all further calls go to the new one. SIGHUP calls it if store_address has changed; each other key that has changed gets a line that it needs a start; a bad file changes nothing.

--- a/cmd/opalbridge/gateway.go
+++ b/cmd/opalbridge/gateway.go
@@ -138,14 +138,15 @@
 		return err
 	}
 	entries := &unreadableEntries{log: log}
-	g, err := openGateway(s, t, log, entries)
+	store := openStore(s)
+	g, err := openGateway(s, store, t, log, entries)
 	if err != nil {
 		return err
 	}
 	if err := registerGauges(t, g, logWriter, entries); err != nil {
 		return err
 	}
-	stopReload := watchReload(file, log)
+	stopReload := (&reloader{file: file, inForce: *s, store: store, log: log}).watch()
 	defer stopReload()
 	if s.AdminAddress != "" {
 		if err := serveMetrics(s.AdminAddress, t, log); err != nil {
@@ -191,8 +192,17 @@
 	return 0
 }
 
+// openStore returns a client of the platform's store.
+func openStore(s *settings.Settings) *platform.Store {
+	return &platform.Store{Address: s.StoreAddress, HTTP: &http.Client{Transport: &http.Transport{
+		DialContext:  (&net.Dialer{Timeout: storeDialTimeout}).DialContext,
+		MaxIdleConns: storeConnections, MaxIdleConnsPerHost: storeConnections,
+		DisableCompression: true, MaxResponseHeaderBytes: storeHeadBytes,
+	}, CheckRedirect: platform.RefuseRedirect}}
+}
+
 // openGateway opens the gateway's sockets and builds the gateway from its settings.
-func openGateway(s *settings.Settings, t *telemetry.Telemetry, log zerolog.Logger, entries *unreadableEntries) (*gateway.Gateway, error) {
+func openGateway(s *settings.Settings, store *platform.Store, t *telemetry.Telemetry, log zerolog.Logger, entries *unreadableEntries) (*gateway.Gateway, error) {
 	metrics, err := telemetry.NewGatewayMetrics(t.Meter("gateway"))
 	if err != nil {
 		return nil, err
@@ -209,11 +219,6 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "gateway: listen for other gateways")
 	}
-	store := &platform.Store{Address: s.StoreAddress, HTTP: &http.Client{Transport: &http.Transport{
-		DialContext:  (&net.Dialer{Timeout: storeDialTimeout}).DialContext,
-		MaxIdleConns: storeConnections, MaxIdleConnsPerHost: storeConnections,
-		DisableCompression: true, MaxResponseHeaderBytes: storeHeadBytes,
-	}, CheckRedirect: platform.RefuseRedirect}}
 	held := gateway.NewMemory(int64(s.MemoryMB) << 20)
 	return gateway.New(gateway.Options{
 		CallerListener: callers, ReadyListener: ready, PeerListener: peers,
--- a/cmd/opalbridge/hangup.go
+++ b/cmd/opalbridge/hangup.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"opalbridge.dev/platform"
 	"opalbridge.dev/settings"
 )
 
@@ -24,10 +25,18 @@
 	signal.Notify(hangups, syscall.SIGHUP)
 }
 
-// watchReload checks the settings file at each SIGHUP and logs whether it is valid. Settings
-// of a gateway (addresses, limits) are fixed for the life of the process; what may change
-// while it runs is part of the operators' configuration.
-func watchReload(file string, log zerolog.Logger) (stop func()) {
+// reloader reads the settings file of a gateway again at each SIGHUP. The address of the store takes effect
+// at once. The other settings need a start: sockets, limits and optional decisions are fixed for the life of
+// the process, and what may change besides is part of the operators' configuration.
+type reloader struct {
+	file    string
+	inForce settings.Settings // as of the start, but for the address of the store
+	store   *platform.Store
+	log     zerolog.Logger
+}
+
+// watch reads the file at each SIGHUP until stop is called.
+func (r *reloader) watch() (stop func()) {
 	ended, done := make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(done)
@@ -36,7 +45,7 @@
 			case <-ended:
 				return
 			case <-hangups:
-				logReload(file, log)
+				r.reload()
 			}
 		}
 	}()
@@ -46,11 +55,32 @@
 	}
 }
 
-// logReload checks the settings file and logs whether it is valid.
-func logReload(file string, log zerolog.Logger) {
-	if _, err := readSettings(settings.Gateway, file); err != nil {
-		log.Error().Str("event", "reload").Err(err).Msg("settings file is invalid; keeping the current settings")
+// reload applies what the file changes, and logs each key that it changes and whether that takes effect. A
+// bad file changes nothing.
+func (r *reloader) reload() {
+	s, err := readSettings(settings.Gateway, r.file)
+	if err != nil {
+		r.log.Error().Str("event", "reload").Err(err).Msg("settings file is invalid; keeping the current settings")
 		return
 	}
-	log.Info().Str("event", "reload").Msg("settings file is valid; it takes effect at the next start")
+	changes := 0
+	for _, key := range settings.Changes(&r.inForce, s) {
+		if key == storeAddressKey {
+			continue
+		}
+		changes++
+		r.log.Warn().Str("event", "reload").Str("key", key).Msg("setting has changed; it takes effect at the next start")
+	}
+	if s.StoreAddress != r.inForce.StoreAddress {
+		changes++
+		r.log.Info().Str("event", "reload").Str("key", storeAddressKey).Str("from", r.inForce.StoreAddress).Str("to", s.StoreAddress).Msg("setting has changed; the store is asked at its new address")
+		r.inForce.StoreAddress = s.StoreAddress
+		r.store.Move(s.StoreAddress)
+	}
+	if changes == 0 {
+		r.log.Info().Str("event", "reload").Msg("settings file is valid and changes nothing")
+	}
 }
+
+// storeAddressKey is the key of the store's address in a settings file.
+const storeAddressKey = "store_address"
--- a/cmd/opalbridge/hangup_test.go
+++ b/cmd/opalbridge/hangup_test.go
@@ -29,7 +29,11 @@
 )
 
 // hangupFleet is a store and a server, for a gateway that gets signals.
-type hangupFleet struct{ front, ready, settings string }
+type hangupFleet struct {
+	front, ready, settings string
+	store                  *platformtest.Store
+	earlier                *httptest.Server // where the settings have the store at the start
+}
 
 func newHangupFleet(t *testing.T) hangupFleet {
 	store := &platformtest.Store{}
@@ -40,7 +44,7 @@
 	t.Cleanup(backend.Close)
 	store.Put(platform.ConfigurationKey, optionalConfiguration{objective: 1000}.document())
 	store.Put(platform.ServersPrefix+s.ID, s.Entry(strings.TrimPrefix(backend.URL, "http://"), "ready"))
-	f := hangupFleet{freeAddress(t), freeAddress(t), filepath.Join(t.TempDir(), "gateway.yaml")}
+	f := hangupFleet{freeAddress(t), freeAddress(t), filepath.Join(t.TempDir(), "gateway.yaml"), store, h}
 	text := fmt.Sprintf("name: gateway-1\nhall: hall-1\nfront_address: %s\nready_address: %s\npeer_address: %s\nstore_address: %s\nstop_timeout: 1s\n",
 		f.front, f.ready, freeAddress(t), strings.TrimPrefix(h.URL, "http://"))
 	require.NoError(t, os.WriteFile(f.settings, []byte(text), 0o600))
@@ -154,6 +158,11 @@
 
 // requireServing requires that the gateway serves a request.
 func (f hangupFleet) requireServing(t *testing.T) {
+	require.Equal(t, http.StatusOK, f.send(t))
+}
+
+// send sends a request and returns the status of its answer.
+func (f hangupFleet) send(t *testing.T) int {
 	r, err := http.NewRequest(http.MethodPost, "http://"+f.front+"/once/x", strings.NewReader("hello"))
 	require.NoError(t, err)
 	r.Host = "h"
@@ -161,5 +170,42 @@
 	answer, err := http.DefaultClient.Do(r)
 	require.NoError(t, err)
 	answer.Body.Close()
-	require.Equal(t, http.StatusOK, answer.StatusCode)
+	return answer.StatusCode
+}
+
+// TestStoreMoves guards against a gateway that lets a key in that was taken away after its store had got
+// another address in the settings (CONFIG).
+func TestStoreMoves(t *testing.T) {
+	const configApply = 2 * time.Second // config_apply_ms of the sites
+	f := newHangupFleet(t)
+	moved := httptest.NewServer(f.store)
+	defer moved.Close()
+	g := f.start(t)
+	require.Eventually(t, f.isReady, 20*time.Second, 20*time.Millisecond)
+	f.requireServing(t)
+
+	text, err := os.ReadFile(f.settings)
+	require.NoError(t, err)
+	earlier := string(text)
+	change := func(text string) {
+		require.NoError(t, os.WriteFile(f.settings, []byte(text), 0o600))
+		require.NoError(t, g.process.Signal(syscall.SIGHUP))
+		time.Sleep(500 * time.Millisecond)
+	}
+	change("no settings")
+	f.requireServing(t)
+	change(strings.Replace(earlier, f.earlier.Listener.Addr().String(), moved.Listener.Addr().String(), 1) + "repeat_ratio: 0.05\n")
+	f.earlier.CloseClientConnections()
+	f.earlier.Close()
+	c := optionalConfiguration{objective: 1000}.document()
+	f.store.Put(platform.ConfigurationKey, bytes.Replace(bytes.Replace(c, []byte(`"k1"`), []byte(`"k2"`), 1), []byte(`"version":1`), []byte(`"version":2`), 1))
+	time.Sleep(configApply)
+	status := f.send(t)
+
+	require.NoError(t, g.process.Signal(syscall.SIGTERM))
+	<-g.ended
+	require.Equal(t, http.StatusUnauthorized, status, g.output.String())
+	require.Regexp(t, `"event":"reload".*"key":"repeat_ratio".*takes effect at the next start`, g.output.String())
+	require.Regexp(t, `"event":"reload".*"key":"store_address".*new address`, g.output.String())
+	require.Regexp(t, `"event":"reload".*settings file is invalid`, g.output.String())
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -88,6 +88,8 @@
 	QueuePlainWork Mode
 	Withdraw       Mode
 	Offload        Mode
+
+	texts map[string]string // by key, as the file or else its default has it
 }
 
 // Mode says whether an optional decision is made.
@@ -247,7 +249,7 @@
 	if err := yaml.Unmarshal(content, &document); err != nil {
 		return nil, errors.Wrap(err, "settings: not YAML")
 	}
-	p := &parser{settings: &Settings{}, fields: Fields(r), lines: map[string]int{}}
+	p := &parser{settings: &Settings{texts: map[string]string{}}, fields: Fields(r), lines: map[string]int{}}
 	p.applyDefaults()
 	p.parseDocument(&document)
 	p.checkRequired()
@@ -272,6 +274,7 @@
 
 func (p *parser) applyDefaults() {
 	for _, f := range p.fields {
+		p.settings.texts[f.Key] = f.Default
 		if f.Default != "" {
 			if err := f.set(p.settings, f.Default); err != nil {
 				panic(errors.NewAssertionErrorWithWrappedErrf(err, "settings: default of %s", f.Key))
@@ -309,6 +312,7 @@
 		p.addError(value.Line, key.Value, "must be a single value")
 		return
 	}
+	p.settings.texts[key.Value] = value.Value
 	if err := p.fields[index].set(p.settings, value.Value); err != nil {
 		p.addError(value.Line, key.Value, "%v", err)
 	}
