engine/httpstrict, gateway/upstream: a reset that a write has met ends no answer

What callers saw: a server answered a long upload at once with a 200 without length or chunks, sent part of its body and reset the connection while the upload was being written.

Cause: the kernel reports a reset to one system call alone. If that was the write of the request, the read reported the end of the stream, which is the end of such an answer. What was kept of the write was looked at only before the connection was reused. Ruled out: the look whether the server has ended (endedWithServer) cannot tell it, since the server lives.

Change: connections to servers are httpstrict.Conn. When a Read meets the end of the stream and the kernel has the connection closed, it waits for the write that is under way, which ends at once, and returns its error, unless that is EPIPE: then the server's end had arrived before the reset. Two other ways were weighed: to ask for the whole request to be written would cut early answers of servers that refuse the rest of a request; EPIPE alone, without the state, would wait for slow uploads.

Why it holds: the state tells an end that has arrived from every other one, and the writer's error, which end came first.

--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -6,12 +6,12 @@
 	"context"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 
+	"opalbridge.dev/engine/httpstrict"
 	"opalbridge.dev/gateway/catalog"
 	"opalbridge.dev/gateway/memory"
 	"opalbridge.dev/gateway/protocol"
@@ -194,7 +194,7 @@
 	if c.reader.Buffered() > 0 {
 		return idleSurplus
 	}
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	raw, err := c.SyscallConn()
 	if err != nil {
 		return idleClosed
 	}
@@ -251,8 +251,9 @@
 }
 
 func newConn(c net.Conn) *conn {
-	l := &headLimiter{conn: c}
-	return &conn{Conn: c, limiter: l, reader: bufio.NewReaderSize(l, readBufferSize)}
+	strict := httpstrict.NewConn(c)
+	l := &headLimiter{conn: strict}
+	return &conn{Conn: strict, limiter: l, reader: bufio.NewReaderSize(l, readBufferSize)}
 }
 
 func (p *Pool) connect(ctx context.Context, s catalog.Server, results chan<- dialResult) {
--- a/gateway/upstream/upstream.go
+++ b/gateway/upstream/upstream.go
@@ -37,6 +37,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"opalbridge.dev/engine/httpstrict"
 	"opalbridge.dev/gateway/catalog"
 	"opalbridge.dev/gateway/memory"
 	"opalbridge.dev/gateway/protocol"
@@ -351,8 +352,7 @@
 		return written
 	}
 	go func() {
-		buffers := net.Buffers{head, r.Body}
-		_, err := buffers.WriteTo(c.Conn)
+		_, err := c.WriteBuffers(net.Buffers{head, r.Body})
 		written <- err
 	}()
 	return written
@@ -430,7 +430,7 @@
 
 // conn is a connection to a server.
 type conn struct {
-	net.Conn
+	*httpstrict.Conn
 	limiter     *headLimiter  // reads from Conn
 	reader      *bufio.Reader // reads from limiter
 	idleTimeout time.Duration // announced by the server; 0: not stated
