gateway/upstream: an answer whose status is none is no answer

What callers saw: a server in trouble sent an answer whose status was 000. Here callers got what followed it in the same connection as the answer, or waited until their deadline and got 504; 600 to 999 were passed on as they were.

Cause: http.ReadResponse takes any three digits, and a sign with two. The gateway took everything below 200 for an interim head and read on.

Change: httpstrict.CheckStatus takes 100 to 599 (RFC 9110, section 15); any other head, an interim one too, is an InvalidError of the kind head: 502, or another server where the route allows that, and a failure of the server. 600 and more could be treated as 5xx instead, which the RFC advises; but such a head comes from no server that speaks the protocol, so nothing else in it is believed either.

Why it holds: the check stands before the loop tells interim heads from final ones.

--- a/gateway/upstream/upstream.go
+++ b/gateway/upstream/upstream.go
@@ -383,9 +383,13 @@
 	for range maxInterimResponses {
 		c.limiter.nextHead()
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
-		switch {
-		case err != nil:
+		if err != nil {
 			return nil, c.limiter.headError(err)
+		}
+		if err := httpstrict.CheckStatus(response.StatusCode); err != nil {
+			return nil, NewInvalidError(InvalidHead, err)
+		}
+		switch {
 		case response.StatusCode == http.StatusSwitchingProtocols:
 			return nil, &InvalidError{InvalidHead, "a switch of protocols that was not requested"}
 		case response.StatusCode >= http.StatusOK:
