engine/httpstrict, gateway/upstream: an answer with a name of a field that is none is no answer

What callers saw: a server in trouble sent an answer in whose head the name of a field held a blank or a control byte. Callers got it as an answer. If that line was the length or the coding, they got another body: "4\r\nbody\r\n0\r\n\r\n" for body, "body and more" for the first four bytes of it.

Cause: the parser of net/http takes a name with a blank, which no reader of the header knows then, and appends a line that begins with one to the field before.

Change: httpstrict.Conn scans the heads of answers, and the interim ones before them, while they are read; the gateway asks it after each head. Names that are no tokens, none at all and lines that begin with a blank make an InvalidError of the kind head; trailers with such a name one of the kind body. RFC 9112 lets a gateway replace a folded line by a blank instead; but a server that sends one has lost the field that the line was. The parsed header alone would show neither such lines nor interim heads.

--- a/engine/httpstrict/conn.go
+++ b/engine/httpstrict/conn.go
@@ -6,8 +6,11 @@
 // A client that reads responses itself wraps its connections:
 //
 //	c := httpstrict.NewConn(connection)
+//	c.BeginResponse()
 //	_, err := c.Write(request)
-//	_, err = c.Read(buffer) // io.EOF: the server has ended its direction of the connection
+//	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+//	err = errors.CombineErrors(c.HeadError(), httpstrict.CheckStatus(response.StatusCode))
+//	_, err = io.ReadAll(response.Body) // nil: the body is framed, or the server has ended its direction
 //
 // The package knows nothing of what servers are: whether one that has closed a connection has
 // finished its response or has ended within it, its users have to find out.
@@ -24,7 +27,7 @@
 )
 
 // Conn is a connection to a server whose Read returns io.EOF only if the server has ended its
-// direction of the connection.
+// direction of the connection. It also looks for faults in the heads of responses.
 //
 // The kernel reports that a connection was reset, or has timed out, to one system call alone. If that
 // is a Write, in another goroutine, then a Read reports the same as at the end of the stream, and a body
@@ -34,14 +37,39 @@
 
 	writing    sync.Mutex // held during writes
 	writeError error      // of the first write that failed
+
+	scanning sync.Mutex // guards head: a response may be read by another goroutine than expects it
+	head     headScanner
 }
 
 // NewConn returns a Conn that uses the given connection, which must not be used otherwise.
 func NewConn(c net.Conn) *Conn { return &Conn{Conn: c} }
 
+// BeginResponse expects the head of a response next, with the interim ones before it.
+func (c *Conn) BeginResponse() {
+	c.scanning.Lock()
+	defer c.scanning.Unlock()
+	c.head.begin()
+}
+
+// HeadError returns what is wrong with the heads that were read since BeginResponse, though net/http
+// takes them; nil: nothing.
+func (c *Conn) HeadError() error {
+	c.scanning.Lock()
+	defer c.scanning.Unlock()
+	return c.head.err
+}
+
+func (c *Conn) scan(p []byte) {
+	c.scanning.Lock()
+	defer c.scanning.Unlock()
+	c.head.scan(p)
+}
+
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	c.scan(p[:n])
 	if err == io.EOF {
 		if failure := c.failure(); failure != nil {
 			return n, failure
--- a/gateway/upstream/upstream.go
+++ b/gateway/upstream/upstream.go
@@ -158,12 +158,16 @@
 type bodyReader struct {
 	io.Reader
 	response *Response
+	parsed   *http.Response // gets the trailers at the end
 }
 
 func (r bodyReader) Read(p []byte) (int, error) {
 	n, err := r.Reader.Read(p)
 	switch {
 	case err == io.EOF:
+		if faulty := httpstrict.CheckFields(r.parsed.Trailer); faulty != nil {
+			return n, NewInvalidError(InvalidBody, faulty)
+		}
 		r.response.complete = true
 	case err != nil && r.response.conn.limiter.err == nil:
 		err = NewInvalidError(InvalidBody, err)
@@ -304,7 +308,7 @@
 		reusable: !response.Close && response.ProtoAtLeast(1, 1),
 		Unframed: response.ContentLength < 0 && len(response.TransferEncoding) == 0,
 	}
-	resp.Body = bodyReader{response.Body, resp}
+	resp.Body = bodyReader{response.Body, resp, response}
 	c.idleTimeout = keepAliveTimeout(response.Header)
 	info := p.codec.Response(response.StatusCode, response.Header)
 	RemoveHopByHopHeaders(resp.Header)
@@ -380,13 +384,14 @@
 func (c *conn) readResponseHead(r *Request, limit int, reservation *memory.Reservation) (*http.Response, error) {
 	c.limiter.begin(limit, reservation)
 	defer c.limiter.end()
+	c.BeginResponse()
 	for range maxInterimResponses {
 		c.limiter.nextHead()
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		if err != nil {
 			return nil, c.limiter.headError(err)
 		}
-		if err := httpstrict.CheckStatus(response.StatusCode); err != nil {
+		if err := errors.CombineErrors(httpstrict.CheckStatus(response.StatusCode), c.HeadError()); err != nil {
 			return nil, NewInvalidError(InvalidHead, err)
 		}
 		switch {
