engine: an agent's answer that a reset ends is not complete

Change: httpstrict.Transport opens its connections as httpstrict.Conn; the agents' client uses it. A connection that was closed here counts as dead: then the error of the write decides.

--- a/engine/client.go
+++ b/engine/client.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"opalbridge.dev/engine/httpstrict"
 )
 
 // Headers that Client sets on every call.
@@ -46,7 +48,7 @@
 		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	return &Client{BaseURL: base, HTTP: &http.Client{
-		Transport: transport,
+		Transport: httpstrict.NewTransport(transport),
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		},
--- a/engine/httpstrict/conn.go
+++ b/engine/httpstrict/conn.go
@@ -126,7 +126,8 @@
 	return c.writeError
 }
 
-// dead reports whether no direction of the connection is open any more.
+// dead reports whether no direction of the connection is open any more. One that was closed here is
+// dead: a client closes a connection to which it can't write, while it reads from it.
 func (c *Conn) dead() bool {
 	raw, err := c.SyscallConn()
 	if err != nil {
@@ -137,5 +138,5 @@
 		info, err := unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO)
 		dead = err == nil && info.State == unix.BPF_TCP_CLOSE
 	})
-	return err == nil && dead
+	return err != nil || dead
 }
--- /dev/null
+++ b/engine/httpstrict/transport.go
@@ -0,0 +1,34 @@
+package httpstrict
+
+import (
+	"context"
+	"net"
+	"net/http"
+)
+
+// Transport is an http.RoundTripper whose responses with bodies that end with their connection end only as
+// [Conn] says.
+type Transport struct{ base *http.Transport }
+
+// NewTransport returns a Transport that makes its round trips with base, which must not be used
+// otherwise.
+func NewTransport(base *http.Transport) *Transport {
+	dial := base.DialContext
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	base.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return NewConn(c), nil
+	}
+	return &Transport{base: base}
+}
+
+// CloseIdleConnections closes the connections that no request uses.
+func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) { return t.base.RoundTrip(r) }
