engine: an agent refuses an answer whose status is none

What callers saw: a model server behind an agent answered with the status 000. The router that was to pass it on ended the connection within its own code (net/http panics for such a status), so callers got no answer at all; 999 was passed on with its body as an answer.

Cause: net/http takes any three digits, the agent passed on what it got, and no one looked between.

Change: httpstrict.Transport refuses statuses outside 100 to 599 as the gateways do. The attempt ends as unknown: 502, or elsewhere where the caller allows that.

Heads that are cut were handled already: those rows passed before and after."

--- a/engine/broken_responses_test.go
+++ b/engine/broken_responses_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -103,3 +104,41 @@
 		})
 	}
 }
+
+// TestMalformedResponses checks that a response which is none, or is cut within its head or trailers, is an
+// error, and that others which look alike are not.
+func TestMalformedResponses(t *testing.T) {
+	const sound = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"
+	status := func(code string) string { return "HTTP/1.1 " + code + " Trouble\r\nContent-Length: 4\r\n\r\nbody" }
+	tests := []struct {
+		name, response string
+		want           string // status and content; empty: an error
+	}{
+		{"sound", sound, "200 body"},
+		{"failure", status("503"), "503 body"},
+		{"after an interim head", "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n" + sound, "200 body"},
+		{"status 000", status("000"), ""},
+		{"status 099", status("099"), ""},
+		{"status 600", status("600"), ""},
+		{"status +20", status("+20"), ""},
+		{"status 000, then a sound response", "HTTP/1.1 000 A\r\n\r\n" + sound, ""},
+		{"cut within the status line", "HTTP/1.1 200 O", ""},
+		{"cut after the status line", "HTTP/1.1 200 OK\r\n", ""},
+		{"cut within a field", "HTTP/1.1 200 OK\r\nContent-Length: 4", ""},
+		{"cut before the empty line", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n", ""},
+		{"cut within the empty line", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r", ""},
+		{"cut after an interim head", "HTTP/1.1 103 Early Hints\r\n\r\n", ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := startResponding(t, func(_ *respondingServer, c *net.TCPConn) { _, _ = io.WriteString(c, test.response) })
+			status, content, err := s.call(t, "x")
+			if test.want == "" {
+				require.Error(t, err, "%d %q", status, content)
+				return
+			}
+			require.NoError(t, err)
+			require.Equal(t, test.want, fmt.Sprintf("%d %s", status, content))
+		})
+	}
+}
--- a/engine/httpstrict/transport.go
+++ b/engine/httpstrict/transport.go
@@ -4,10 +4,12 @@
 	"context"
 	"net"
 	"net/http"
+
+	"github.com/cockroachdb/errors"
 )
 
-// Transport is an http.RoundTripper whose responses with bodies that end with their connection end only as
-// [Conn] says.
+// Transport is an http.RoundTripper that refuses responses which are none, and whose bodies that end
+// with their connection end only as [Conn] says.
 type Transport struct{ base *http.Transport }
 
 // NewTransport returns a Transport that makes its round trips with base, which must not be used
@@ -31,4 +33,14 @@
 func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
 
 // RoundTrip implements http.RoundTripper.
-func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) { return t.base.RoundTrip(r) }
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	response, err := t.base.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	if err := CheckStatus(response.StatusCode); err != nil {
+		response.Body.Close()
+		return nil, errors.Wrapf(err, "httpstrict: response of %s", r.URL.Host)
+	}
+	return response, nil
+}
