--- a/cmd/opalbridge/broken_answers_test.go
+++ b/cmd/opalbridge/broken_answers_test.go
@@ -41,6 +41,9 @@
 		{"status 000", "HTTP/1.1 000 Trouble\r\nContent-Length: 4\r\n\r\nbody", http.StatusBadGateway},
 		{"status 000, then a sound answer", "HTTP/1.1 000 Trouble\r\n\r\n" + sound, http.StatusBadGateway},
 		{"status 999", "HTTP/1.1 999 Trouble\r\nContent-Length: 4\r\n\r\nbody", http.StatusBadGateway},
+		{"blank before the colon", "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", http.StatusBadGateway},
+		{"blank before the name", "HTTP/1.1 200 OK\r\nA: b\r\n Content-Length: 4\r\n\r\nbody", http.StatusBadGateway},
+		{"control byte in a name", "HTTP/1.1 200 OK\r\nA\x01: b\r\nContent-Length: 4\r\n\r\nbody", http.StatusBadGateway},
 		{"cut within the head", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n", http.StatusBadGateway},
 	}
 	for _, test := range tests {
--- a/engine/broken_responses_test.go
+++ b/engine/broken_responses_test.go
@@ -110,6 +110,10 @@
 func TestMalformedResponses(t *testing.T) {
 	const sound = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"
 	status := func(code string) string { return "HTTP/1.1 " + code + " Trouble\r\nContent-Length: 4\r\n\r\nbody" }
+	field := func(line string) string { return "HTTP/1.1 200 OK\r\nA: b\r\n" + line + "\r\n\r\nbody" }
+	trailer := func(line string) string {
+		return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n" + line
+	}
 	tests := []struct {
 		name, response string
 		want           string // status and content; empty: an error
@@ -122,12 +126,21 @@
 		{"status 600", status("600"), ""},
 		{"status +20", status("+20"), ""},
 		{"status 000, then a sound response", "HTTP/1.1 000 A\r\n\r\n" + sound, ""},
+		{"blank before the colon", field("Content-Length : 4"), ""},
+		{"blank in a name", field("Content Length: 4"), ""},
+		{"line that begins with a blank", field(" Content-Length: 4"), ""},
+		{"control byte in a name", field("Content-Length\x01: 4"), ""},
+		{"blank before the colon in an interim head", "HTTP/1.1 103 Early Hints\r\nA : b\r\n\r\n" + sound, ""},
+		{"trailer", trailer("A: b\r\n\r\n"), "200 body"},
+		{"blank before the colon in a trailer", trailer("A : b\r\n\r\n"), ""},
 		{"cut within the status line", "HTTP/1.1 200 O", ""},
 		{"cut after the status line", "HTTP/1.1 200 OK\r\n", ""},
 		{"cut within a field", "HTTP/1.1 200 OK\r\nContent-Length: 4", ""},
 		{"cut before the empty line", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n", ""},
 		{"cut within the empty line", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r", ""},
 		{"cut after an interim head", "HTTP/1.1 103 Early Hints\r\n\r\n", ""},
+		{"cut within a trailer", trailer("A: b\r\n"), ""},
+		{"cut before the trailers", trailer(""), ""},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
