engine: an unframed answer whose server has ended is not complete

What callers saw: a server behind an agent ended within an answer without length or chunks. Callers got the part as a complete answer.

Cause: the kernel closes the connections of a process that ends as the process does itself. The gateways look whether the server is still there; the agents' client did not.

Change: at the end of an unframed body the client opens a connection to its server.

Measured: engine: TestUnframedResponseOfEndedServer failed before for the server that ends (nil for an error); a server that serves on is whole before and after."

--- a/engine/broken_responses_test.go
+++ b/engine/broken_responses_test.go
@@ -155,3 +155,21 @@
 		})
 	}
 }
+
+// TestUnframedResponseOfEndedServer checks that the end of a response without length and chunks, whose server has
+// ended within it, is not taken for the end of the response.
+func TestUnframedResponseOfEndedServer(t *testing.T) {
+	for _, ends := range []bool{false, true} {
+		t.Run(fmt.Sprintf("ends %v", ends), func(t *testing.T) {
+			s := startResponding(t, func(s *respondingServer, c *net.TCPConn) {
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nbody")
+				if ends {
+					s.listener.Close()
+				}
+			})
+			_, content, err := s.call(t, "x")
+			require.Equal(t, "body", content)
+			require.Equal(t, ends, err != nil, "%v", err)
+		})
+	}
+}
--- a/engine/client.go
+++ b/engine/client.go
@@ -2,11 +2,14 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
 	"net"
 	"net/http"
+	"net/url"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -29,6 +32,8 @@
 type Client struct {
 	BaseURL string // URL, without a trailing slash
 	HTTP    *http.Client
+
+	dial func(ctx context.Context, network, address string) (net.Conn, error) // nil: a server is not looked for again
 }
 
 // NewClient returns a client for the server at the given URL.
@@ -47,7 +52,7 @@
 		// A server may send a head without end.
 		MaxResponseHeaderBytes: maxHeadBytes,
 	}
-	return &Client{BaseURL: base, HTTP: &http.Client{
+	return &Client{BaseURL: base, dial: dial, HTTP: &http.Client{
 		Transport: httpstrict.NewTransport(transport),
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
@@ -76,7 +81,47 @@
 		}
 		return nil, err
 	}
-	return &Response{Status: response.StatusCode, Header: response.Header, Body: response.Body}, nil
+	content := response.Body
+	if httpstrict.Unframed(response) {
+		content = &unframedBody{ReadCloser: content, ended: func() bool { return c.refusesConnections(ctx) }}
+	}
+	return &Response{Status: response.StatusCode, Header: response.Header, Body: content}, nil
+}
+
+// errServerEnded means that a server has ended, and perhaps within its response.
+var errServerEnded = errors.New("engine: the server has ended; its response may be incomplete")
+
+// unframedBody is a body that ends with its connection. The kernel closes the connections of a process
+// that ends as the process itself does, so the end counts only while the server is there.
+type unframedBody struct {
+	io.ReadCloser
+	ended func() bool
+}
+
+// Read implements io.Reader.
+func (b *unframedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF && b.ended() {
+		return n, errServerEnded
+	}
+	return n, err
+}
+
+// refusesConnections reports whether nothing listens at the server's address, or nobody waits to learn it.
+func (c *Client) refusesConnections(ctx context.Context) bool {
+	at, err := url.Parse(c.BaseURL)
+	if err != nil || c.dial == nil {
+		return false
+	}
+	port := "80"
+	if at.Scheme == "https" {
+		port = "443"
+	}
+	connection, err := c.dial(ctx, "tcp", net.JoinHostPort(at.Hostname(), cmp.Or(at.Port(), port)))
+	if err == nil {
+		connection.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED) || ctx.Err() != nil
 }
 
 func priority(urgent bool) string {
