platform, gateway, cmd/opalbridge: calls refuse answers that are none

Cause: as for answers to callers; these calls use the client of net/http, and links its parser.

Change: they use httpstrict.Transport, links httpstrict.Conn for the head.

Cut heads, bodies, chunks and trailers, and other statuses, were handled already."

--- a/cmd/opalbridge/gateway.go
+++ b/cmd/opalbridge/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 	"github.com/urfave/cli/v3"
 
+	"opalbridge.dev/engine/httpstrict"
 	"opalbridge.dev/gateway"
 	"opalbridge.dev/gateway/budget"
 	"opalbridge.dev/gateway/offload"
@@ -194,11 +195,11 @@
 
 // openStore returns a client of the platform's store.
 func openStore(s *settings.Settings) *platform.Store {
-	return &platform.Store{Address: s.StoreAddress, HTTP: &http.Client{Transport: &http.Transport{
+	return &platform.Store{Address: s.StoreAddress, HTTP: &http.Client{Transport: httpstrict.NewTransport(&http.Transport{
 		DialContext:  (&net.Dialer{Timeout: storeDialTimeout}).DialContext,
 		MaxIdleConns: storeConnections, MaxIdleConnsPerHost: storeConnections,
 		DisableCompression: true, MaxResponseHeaderBytes: storeHeadBytes,
-	}, CheckRedirect: platform.RefuseRedirect}}
+	}), CheckRedirect: platform.RefuseRedirect}}
 }
 
 // openGateway opens the gateway's sockets and builds the gateway from its settings.
--- a/gateway/handoff/handoff.go
+++ b/gateway/handoff/handoff.go
@@ -34,6 +34,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/yamux"
 
+	"opalbridge.dev/engine/httpstrict"
+
 	"opalbridge.dev/gateway/upstream"
 )
 
@@ -232,8 +234,10 @@
 	if _, err := io.WriteString(conn, request); err != nil {
 		return nil, errors.Wrapf(err, "handoff: request a link from %s", address)
 	}
-	response, err := http.ReadResponse(bufio.NewReader(io.LimitReader(conn, maxLinkHead)), nil)
-	if err != nil {
+	strict := httpstrict.NewConn(conn)
+	strict.BeginResponse()
+	response, err := http.ReadResponse(bufio.NewReader(io.LimitReader(strict, maxLinkHead)), nil)
+	if err = errors.CombineErrors(err, strict.HeadError()); err != nil {
 		return nil, errors.Wrapf(err, "handoff: link to %s", address)
 	}
 	if response.StatusCode != http.StatusSwitchingProtocols {
--- a/gateway/handoff/handoff_test.go
+++ b/gateway/handoff/handoff_test.go
@@ -264,6 +264,46 @@
 	require.NoError(t, err)
 }
 
+// TestBrokenAnswerToLink checks that a connection is not forwarded if the answer to the request for a link is none.
+func TestBrokenAnswerToLink(t *testing.T) {
+	const upgrade = "Connection: Upgrade\r\nUpgrade: " + handoff.Protocol + "\r\n"
+	tests := []struct {
+		name, answer string
+		opens        bool
+	}{
+		{"sound", "HTTP/1.1 101 Switching Protocols\r\n" + upgrade + "\r\n", true},
+		{"status 000", "HTTP/1.1 000 Trouble\r\n" + upgrade + "\r\n", false},
+		{"blank before the colon", "HTTP/1.1 101 Switching Protocols\r\nA : b\r\n" + upgrade + "\r\n", false},
+		{"line that begins with a blank", "HTTP/1.1 101 Switching Protocols\r\n" + upgrade + " A: b\r\n\r\n", false},
+		{"cut", "HTTP/1.1 101 Switching Protocols\r\n" + upgrade, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			l, err := net.Listen("tcp4", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer l.Close()
+			go func() {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer c.Close()
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, test.answer)
+				if test.opens {
+					_, _ = io.Copy(io.Discard, c)
+				}
+			}()
+			forwarder := handoff.NewForwarder()
+			defer forwarder.Close()
+			s, err := forwarder.Open(t.Context(), l.Addr().String())
+			require.Equal(t, test.opens, err == nil, "%v, %v", s, err)
+		})
+	}
+}
+
 // TestDeadlineOfCaller guards against a tunnel that ends a request in progress because a deadline for reading from its
 // caller, such as a connection that is being retired has, expires.
 func TestDeadlineOfCaller(t *testing.T) {
--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"opalbridge.dev/engine/httpstrict"
 	"opalbridge.dev/gateway/catalog"
 	"opalbridge.dev/gateway/memory"
 	"opalbridge.dev/gateway/origin"
@@ -33,7 +34,7 @@
 
 // viewClient fetches views. The address of a gateway may belong to another program by now.
 var viewClient = &http.Client{
-	Transport:     &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxViewHeadBytes},
+	Transport:     httpstrict.NewTransport(&http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxViewHeadBytes}),
 	CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 }
 
--- a/gateway/handover_test.go
+++ b/gateway/handover_test.go
@@ -1,7 +1,11 @@
 package gateway
 
 import (
+	"bufio"
 	"fmt"
+	"io"
+	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -116,3 +120,41 @@
 	require.True(t, ok)
 	require.Equal(t, "v1", version)
 }
+
+// TestBrokenAnswerToViewRequest checks that a view whose answer is none is not taken.
+func TestBrokenAnswerToViewRequest(t *testing.T) {
+	tests := []struct {
+		name, answer string
+		sound        bool
+	}{
+		{"sound", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", true},
+		{"status 000", "HTTP/1.1 000 Trouble\r\nContent-Length: 2\r\n\r\n{}", false},
+		{"blank before the colon", "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\n{}", false},
+		{"line that begins with a blank", "HTTP/1.1 200 OK\r\nA: b\r\n Content-Length: 2\r\n\r\n{}", false},
+		{"cut head", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n", false},
+		{"cut body", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{}", false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			l, err := net.Listen("tcp4", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer l.Close()
+			go func() {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer c.Close()
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					_, _ = io.WriteString(c, test.answer)
+				}
+			}()
+			host, port, err := net.SplitHostPort(l.Addr().String())
+			require.NoError(t, err)
+			g := &Gateway{options: Options{Peer: peer.Options{Address: net.JoinHostPort("127.0.0.2", port)}}}
+			g.view.Store(&View{})
+			_, err = g.fetchView(t.Context(), host)
+			require.Equal(t, test.sound, err == nil, "%v", err)
+		})
+	}
+}
