--- a/gateway/upstream/framing_test.go
+++ b/gateway/upstream/framing_test.go
@@ -1,6 +1,7 @@
 package upstream_test
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -54,3 +55,34 @@
 		})
 	}
 }
+
+// TestCutHeads checks that a head which ends anywhere before its empty line is none, however the connection ends.
+func TestCutHeads(t *testing.T) {
+	const interim = "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"
+	heads := []struct{ name, head string }{
+		{"length", "HTTP/1.1 200 OK\r\nId: a\r\nSeal: s\r\nContent-Length: 15\r\n\r\n"},
+		{"chunks", "HTTP/1.1 200 OK\r\nId: a\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n"},
+		{"neither", "HTTP/1.1 200 OK\r\nId: a\r\nSeal: s\r\n\r\n"},
+		{"no body", "HTTP/1.1 204 No Content\r\nId: a\r\nSeal: s\r\n\r\n"},
+		{"failure", "HTTP/1.1 404 Not Found\r\nId: a\r\nContent-Length: 0\r\n\r\n"},
+		{"refusal", "HTTP/1.1 503 Busy\r\nId: a\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"},
+		{"after an interim head", interim + "HTTP/1.1 200 OK\r\nId: a\r\nSeal: s\r\n\r\n"},
+	}
+	for _, test := range heads {
+		for _, reset := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, reset %v", test.name, reset), func(t *testing.T) {
+				for cut := range len(test.head) {
+					_, s := serve(t, func(c net.Conn, _ int, _ *http.Request) bool {
+						_, _ = io.WriteString(c, test.head[:cut]) // the client's end shows an error
+						if reset {
+							_ = c.(*net.TCPConn).SetLinger(0)
+						}
+						return false
+					})
+					result := upstream.NewPool(codec{}).Send(t.Context(), s, newRequest())
+					require.IsType(t, upstream.Indeterminate{}, result, "%q", test.head[:cut])
+				}
+			})
+		}
+	}
+}
