gateway: a stream of an unnamed attempt goes on only if the view is current

Streams that began at servers of a new version through other gateways broke, were taken up at a gateway that was out of step, and went on at the earlier version.

Cause: a caller that names no attempt goes on if its service has had one version only. A gateway vouched for that for 2.5 s after its view was last confirmed; one that had stood still vouched without asking how long ago. A version that came and went between two views was not recorded. Callers that name the attempt were refused already.

Each server is recorded from its change. After a list that follows two seconds without a confirmation it is not known what has served: a server has its entry for two seconds at least. Weighed: to wait for the next confirmation takes 1.9 s and rests on its time; to ask other gateways does not help those that are cut off together.

Why it holds: the revision is younger than the request, the request younger than the stream.

--- a/gateway/call_resume.go
+++ b/gateway/call_resume.go
@@ -78,7 +78,7 @@
 // findOrigin returns a server of the service and version that began the stream.
 func (c *call) findOrigin(ctx context.Context) (catalog.Server, ResumeOutcome, error) {
 	if c.meta.Resumes == "" {
-		return c.onlyOrigin()
+		return c.onlyOrigin(ctx)
 	}
 	switch f := c.gateway.origins.lookup(ctx, origin.AttemptOf(c.account, c.meta.Resumes)).(type) {
 	case origin.Known:
@@ -112,11 +112,15 @@
 
 // onlyOrigin returns the service and version of a stream whose caller names no attempt. They are
 // known only if the route has a single service, and that has had a single version since before any
-// such stream can have begun.
-func (c *call) onlyOrigin() (catalog.Server, ResumeOutcome, error) {
+// such stream can have begun. The stream may have begun at a version that has joined a moment ago, so
+// the view has to be current.
+func (c *call) onlyOrigin(ctx context.Context) (catalog.Server, ResumeOutcome, error) {
 	if len(c.route.Targets) != 1 {
 		return catalog.Server{}, ResumeUnnamed, errOriginUnnamed
 	}
+	if err := c.gateway.awaitCurrentView(ctx); err != nil {
+		return catalog.Server{}, ResumeUnnamed, errors.CombineErrors(errOriginUnnamed, err)
+	}
 	timeout := c.route.Timeout
 	if timeout == 0 {
 		timeout = defaultDeadline
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -145,6 +145,7 @@
 	activeCalls           *activeCalls
 	signals               *serverSignals
 	origins               *originTracker
+	revisions             revisionQuery
 	runs                  *transfer.Runs    // nil: streams neither move nor are backed up
 	copyCleaner           *transfer.Cleaner // nil: runs do not move
 	callerRetries         callerRetryTracker
--- a/gateway/lifetimes.go
+++ b/gateway/lifetimes.go
@@ -11,6 +11,7 @@
 // upsertServer adds or replaces a server by its entry.
 func (w *storeWatcher) upsertServer(s catalog.Server) {
 	delete(w.missingUntil, s.ID)
+	w.gateway.origins.observeServer(time.Now(), s)
 	s.Evacuated = false // set by publish
 	w.dropPreviousLifetime(s)
 	delete(w.tombstones.servers, s.Name())
--- a/gateway/origin/history.go
+++ b/gateway/origin/history.go
@@ -36,6 +36,10 @@
 	h.seen = slices.DeleteFunc(h.seen, func(v sighting) bool { return now.Sub(v.at) > MaxRetention })
 }
 
+// Sight records a server that there is at a time, perhaps for less time than there is between two
+// observations.
+func (h *History) Sight(now time.Time, s Serving) { h.sight(s, now) }
+
 // Record is a History as it is handed over to a gateway that has started. Times are in milliseconds
 // before it was made.
 type Record struct {
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -197,6 +197,20 @@
 	t.history.Observe(now, list, complete)
 }
 
+// observeServer records a version that has joined, of which the next view may know nothing any more.
+func (t *originTracker) observeServer(now time.Time, s catalog.Server) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.history.Sight(now, origin.Serving{Service: s.Service, Version: s.Version})
+}
+
+// missed records that changes of the servers were missed: which versions have served is not known.
+func (t *originTracker) missed(now time.Time) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.history.Observe(now, nil, false)
+}
+
 // versionRecord returns which versions have served, for another gateway.
 func (t *originTracker) versionRecord(now time.Time) origin.Record {
 	t.mutex.Lock()
--- a/gateway/source.go
+++ b/gateway/source.go
@@ -108,6 +108,8 @@
 	// Watch waits at most wait for changes after a revision. It returns them with the
 	// revision to continue from.
 	Watch(ctx context.Context, revision catalog.Revision, wait time.Duration) ([]Change, catalog.Revision, error)
+	// Revision returns the latest revision of the store, as of a moment after the call.
+	Revision(ctx context.Context) (catalog.Revision, error)
 	// Era returns the latest era of revisions seen in any answer of the store, including
 	// answers to other calls.
 	Era() uint64
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -34,6 +34,10 @@
 	// changeBatchDelay is the pause before the next watch after changes, so that
 	// changes that come together cost one call.
 	changeBatchDelay = 100 * time.Millisecond
+	// minEntryTime is the shortest time between the first and the last moment at which a server has an
+	// entry: it says two seconds before that it leaves. A list tells nothing of servers that came
+	// and went since the view was confirmed.
+	minEntryTime = 2 * time.Second
 	// confirmationTimeout is how long a gateway that does not watch for its hall goes
 	// without a confirmation of its view before it queries the store itself. By then
 	// four beacons, or the store's answers, have been lost.
@@ -254,6 +258,9 @@
 
 // applyList applies a list, unless the view is newer.
 func (w *storeWatcher) applyList(now time.Time, known catalog.Revision, s Snapshot) (list, wait bool) {
+	if s.Revision > known && now.Sub(w.gateway.confirmedAt()) >= minEntryTime {
+		w.gateway.origins.missed(now)
+	}
 	if s.Revision.Era() == known.Era() {
 		w.gateway.confirm(now)
 	}
