platform: an odd entry among the live hosts is skipped

At gateways nothing: odd entries under all prefixes that they read are passed over. Routers stopped following the list of live hosts for as long as one entry stood there that could not be decoded.

Cause: KV.Hosts returned an error for the whole list. What could be decoded was believed, another name than that of its key as well.

--- a/cmd/opalbridge/dev.go
+++ b/cmd/opalbridge/dev.go
@@ -101,7 +101,7 @@
 	if f.url, err = f.serve("127.0.0.1:0", &platformtest.Store{}); err != nil {
 		return err
 	}
-	if f.store, err = openKV(f.url); err != nil {
+	if f.store, err = openKV(f.url, f.log); err != nil {
 		return err
 	}
 	if f.admin, err = f.serve("127.0.0.1:0", adminHandler(f.telemetry)); err != nil {
--- a/cmd/opalbridge/process_test.go
+++ b/cmd/opalbridge/process_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/openai/openai-go/v3"
 	"github.com/openai/openai-go/v3/option"
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"opalbridge.dev/config"
@@ -108,14 +109,14 @@
 }
 
 func listHost(t *testing.T, url string, h kv.Host) {
-	store, err := openKV(url)
+	store, err := openKV(url, zerolog.Nop())
 	require.NoError(t, err)
 	require.NoError(t, store.SetHost(context.Background(), h))
 }
 
 func startProcessFleet(t *testing.T) *processFleet {
 	f := &processFleet{platform: startStandin(t, "platform"), key: operator.NewKey()}
-	kvStore, err := openKV(f.platform)
+	kvStore, err := openKV(f.platform, zerolog.Nop())
 	require.NoError(t, err)
 	store := config.Store{KV: kvStore}
 	o := store.Propose(context.Background(), 0, func(d *config.Document) error {
--- a/cmd/opalbridge/run.go
+++ b/cmd/opalbridge/run.go
@@ -114,12 +114,13 @@
 }
 
 // openKV returns a client of the platform's key-value store at a URL.
-func openKV(address string) (platform.KV, error) {
+func openKV(address string, log zerolog.Logger) (platform.KV, error) {
 	u, err := url.Parse(address)
 	if err != nil || u.Host == "" {
 		return platform.KV{}, usageError(errors.Newf("platform_url %q is not a valid URL", address))
 	}
-	return platform.KV{Store: &platform.Store{Address: u.Host, TLS: u.Scheme == "https"}}, nil
+	entries := &unreadableEntries{log: log}
+	return platform.KV{Store: &platform.Store{Address: u.Host, TLS: u.Scheme == "https"}, OnDecodeError: entries.record}, nil
 }
 
 // runningRouter is a started router with its server for callers.
@@ -135,7 +136,7 @@
 	if err != nil {
 		return nil, err
 	}
-	client, err := openKV(s.PlatformURL)
+	client, err := openKV(s.PlatformURL, log)
 	if err != nil {
 		return nil, err
 	}
