gateway, router: a cut answer to a caller of HTTP/1.0 ends with a reset

What callers saw: callers of HTTP/1.0 got a stream that its server broke off, and a body without end that was cut at the deadline, as complete answers.

Cause: they know no chunks, so an answer of unknown length ends with its connection, and an aborted one closed the connection in the same way. Over a link between gateways the one that forwards sees one kind of end only.

Change: while an answer to HTTP/1.0 is written, closing the connection resets it (no lingering), also if the process ends; once the answer is complete it closes as usual. A router resets it when it aborts an answer. On a forwarded connection such an answer is buffered until it is whole, 16 MB and the memory budget at most, and has a length; what is longer or cut is a 502. A stream that is buffered does not move between servers.

--- a/cmd/opalbridge/broken_answers_test.go
+++ b/cmd/opalbridge/broken_answers_test.go
@@ -1,10 +1,15 @@
 package main
 
 import (
+	"bufio"
 	"bytes"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -63,3 +68,33 @@
 		})
 	}
 }
+
+// TestCutAnswersToHTTP10 checks that callers of HTTP/1.0, for whom the end of the connection is that of the answer, can
+// tell a cut answer of a router from a whole one.
+func TestCutAnswersToHTTP10(t *testing.T) {
+	const chunks = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n7\r\ndata:\n\n\r\n"
+	tests := []struct {
+		name, response string
+		whole          bool
+	}{
+		{"whole", chunks + "0\r\n\r\n", true},
+		{"cut", chunks, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			f := startFastFleet(t, 4, rawModel(test.response))
+			c, err := net.Dial("tcp4", strings.TrimPrefix(f.callers[0], "http://"))
+			require.NoError(t, err)
+			defer c.Close()
+			require.NoError(t, c.SetDeadline(time.Now().Add(10*time.Second)))
+			content := body(5, true)
+			fmt.Fprintf(c, "POST /v1/chat/completions HTTP/1.0\r\nHost: h\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", f.keys[0], len(content), content)
+			answer, err := http.ReadResponse(bufio.NewReader(c), nil)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, answer.StatusCode)
+			got, err := io.ReadAll(answer.Body)
+			require.Equal(t, "data:\n\n", string(got))
+			require.Equal(t, test.whole, err == nil, "%v", err)
+		})
+	}
+}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -101,6 +101,7 @@
 	for {
 		switch s := next.(type) {
 		case doneStep:
+			c.answerComplete()
 			return
 		case failStep:
 			c.fail(ctx, s)
--- a/gateway/call_continue.go
+++ b/gateway/call_continue.go
@@ -66,7 +66,7 @@
 // canContinue reports whether a run of the request could go on at another server. Its ID must be one
 // that a call to a server can name.
 func (c *call) canContinue() bool {
-	return c.gateway.runs != nil && c.route.Kind == catalog.Stream && c.request.Method != http.MethodHead && protocol.ValidHandle(c.meta.ID)
+	return c.gateway.runs != nil && !c.needsLength() && c.route.Kind == catalog.Stream && c.request.Method != http.MethodHead && protocol.ValidHandle(c.meta.ID)
 }
 
 // mayBackUp reports whether a run of the request may be backed up.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -24,6 +24,8 @@
 	// relayed, so that a truncated one can be retried or reported as failed. One for which there is
 	// no memory is relayed as it comes.
 	maxBufferedResponse = 1 << 20
+	// The same for a caller that can't tell a cut response from a whole one otherwise.
+	maxResponseWithLength = 16 << 20
 	// Bytes of a response, and of an event, that belong to the memory of a request (memoryPerRequest).
 	coveredAnswer = 8 << 10
 	// Maximum size of a stream's event. Events hold a few tokens.
@@ -40,7 +42,7 @@
 	if c.headerSent && r.Status != http.StatusOK {
 		return placement.Failed, c.retryOrFail(errors.Newf("gateway: server %s does not resume: status %d", d.Server.ID, r.Status))
 	}
-	if c.route.Kind == catalog.Stream && r.Status == http.StatusOK {
+	if c.route.Kind == catalog.Stream && r.Status == http.StatusOK && !c.needsLength() {
 		return c.relayStream(ctx, d, sent, r)
 	}
 	return c.relayBuffered(ctx, d, sent, r)
@@ -59,7 +61,11 @@
 func (c *call) relayBuffered(ctx context.Context, d placement.Assign, sent time.Time, r *upstream.Response) (placement.Outcome, step) {
 	held := c.gateway.options.Memory.NewReservation(d.Server.ID, coveredAnswer)
 	defer held.Release()
-	body, err := memory.ReadAll(r.Body, r.Length, maxBufferedResponse, held)
+	limit := int64(maxBufferedResponse)
+	if c.needsLength() {
+		limit = maxResponseWithLength
+	}
+	body, err := memory.ReadAll(r.Body, r.Length, limit, held)
 	whole := err == nil
 	if err != nil && !errors.Is(err, memory.ErrTooLong) && !errors.Is(err, memory.ErrNoRoom) {
 		if ctx.Err() != nil {
@@ -68,6 +74,9 @@
 		c.reportBroken(d, sent, err)
 		return placement.Failed, c.retryOrFail(errors.Wrapf(err, "gateway: answer of server %s", d.Server.ID))
 	}
+	if !whole && r.Length < 0 && c.needsLength() {
+		return placement.Failed, failStep{err: errors.Wrapf(err, "gateway: answer of server %s for a caller of HTTP/1.0", d.Server.ID)}
+	}
 	if whole && c.endedWithServer(ctx, d, sent, r) {
 		return placement.Failed, c.retryOrFail(errors.Newf("gateway: server %s ended within its answer", d.Server.ID))
 	}
@@ -202,6 +211,7 @@
 
 // writeHeader writes the response header.
 func (c *call) writeHeader(r *upstream.Response) {
+	c.resetUnlessComplete()
 	c.w.WriteHeader(r.Status)
 	c.headerSent, c.firstByteAt = true, time.Now()
 	c.responseStarted.Store(true)
--- a/router/callers/conn.go
+++ b/router/callers/conn.go
@@ -134,6 +134,15 @@
 	}
 }
 
+// SetLinger sets how closing the connection treats what was not sent; see net.TCPConn.
+func (c *conn) SetLinger(seconds int) error {
+	t, ok := c.socket.Conn.(*net.TCPConn)
+	if !ok {
+		return errors.Newf("callers: connection type %T does not linger", c.socket.Conn)
+	}
+	return t.SetLinger(seconds)
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.server.mutex.Lock()
--- a/router/http.go
+++ b/router/http.go
@@ -123,11 +123,27 @@
 	if s.headWritten {
 		// The caller has received part of the answer: abort the connection so that
 		// the answer does not look complete.
+		if !h.ProtoAtLeast(1, 1) {
+			resetConnection(w)
+		}
 		panic(http.ErrAbortHandler)
 	}
 	writeOutcome(w, q, o)
 }
 
+// resetConnection resets the connection of a caller of HTTP/1.0, which knows no chunks: closing it looks like the
+// end of an answer without a length.
+func resetConnection(w http.ResponseWriter) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return // HTTP/2, or another handler has taken it over
+	}
+	if l, ok := c.(interface{ SetLinger(seconds int) error }); ok {
+		_ = l.SetLinger(0) // fails on a closed connection
+	}
+	c.Close()
+}
+
 // httpSink writes an answer to an HTTP response and flushes every chunk.
 type httpSink struct {
 	writer      http.ResponseWriter
