engine/httpstrict: a transfer coding in an answer of HTTP/1.0 makes it none

What callers would see: an answer of HTTP/1.0 with "Transfer-Encoding: chunked" came with the sizes of the chunks in its body, and with the end of the connection as its end.

Cause: HTTP/1.0 has no codings; net/http drops the field and reads the body as if it had not been there.

Change: the scanner of heads refuses the field in HTTP/1.0, at gateways, agents and in all calls (RFC 9112, section 6.1: the framing is faulty).

--- a/engine/broken_responses_test.go
+++ b/engine/broken_responses_test.go
@@ -131,6 +131,7 @@
 		{"line that begins with a blank", field(" Content-Length: 4"), ""},
 		{"control byte in a name", field("Content-Length\x01: 4"), ""},
 		{"blank before the colon in an interim head", "HTTP/1.1 103 Early Hints\r\nA : b\r\n\r\n" + sound, ""},
+		{"chunks in HTTP/1.0", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", ""},
 		{"trailer", trailer("A: b\r\n\r\n"), "200 body"},
 		{"blank before the colon in a trailer", trailer("A : b\r\n\r\n"), ""},
 		{"cut within the status line", "HTTP/1.1 200 O", ""},
--- a/engine/httpstrict/head.go
+++ b/engine/httpstrict/head.go
@@ -13,8 +13,13 @@
 var (
 	errFieldName = errors.New("httpstrict: the name of a field is none")
 	errFolded    = errors.New("httpstrict: a line of the head begins with a blank")
+	errCoding    = errors.New("httpstrict: a transfer coding in HTTP/1.0")
 )
 
+// codingField is the field that HTTP/1.0 does not know. net/http takes it away and reads the body as
+// if it had not been there (RFC 9112, section 6.1, has a client treat the framing as faulty).
+const codingField = "transfer-encoding"
+
 // CheckFields returns an error if the name of a field is none. It is for trailers, which follow the body.
 func CheckFields(h http.Header) error {
 	for name := range h {
@@ -42,13 +47,17 @@
 // headScanner looks for lines that are no fields in the head of a response and in the interim ones
 // before it, while their bytes arrive.
 type headScanner struct {
-	part headPart
-	code []byte // of the status line, as far as it has arrived
-	err  error  // the first fault
+	part    headPart
+	version []byte // of the status line, as far as it has arrived
+	code    []byte // the same
+	name    []byte // of the current field, in lower case, at most one byte more than codingField
+	err     error  // the first fault
 }
 
 // begin expects a response.
-func (s *headScanner) begin() { *s = headScanner{part: version, code: s.code[:0]} }
+func (s *headScanner) begin() {
+	*s = headScanner{part: version, version: s.version[:0], code: s.code[:0], name: s.name[:0]}
+}
 
 // scan scans the next bytes. Those after the head are ignored.
 func (s *headScanner) scan(p []byte) {
@@ -90,6 +99,8 @@
 		s.part = lineStart
 	case s.part == version && b == ' ':
 		s.part = statusCode
+	case s.part == version && len(s.version) < len("HTTP/1.0"):
+		s.version = append(s.version, b)
 	case s.part != statusCode || b == ' ' && len(s.code) == 0:
 	case len(s.code) < digits && b != ' ':
 		s.code = append(s.code, b)
@@ -111,7 +122,7 @@
 		s.fault(errFieldName)
 		s.part = fieldContent
 	default:
-		s.part = fieldName
+		s.part, s.name = fieldName, s.name[:0]
 		s.scanName(b)
 	}
 }
@@ -120,18 +131,23 @@
 	switch {
 	case b == ':':
 		s.part = fieldContent
+		if string(s.name) == codingField && string(s.version) == "HTTP/1.0" {
+			s.fault(errCoding)
+		}
 	case b == '\n':
 		s.fault(errFieldName)
 		s.part = lineStart
 	case !httpguts.IsTokenRune(rune(b)):
 		s.fault(errFieldName)
+	case len(s.name) <= len(codingField):
+		s.name = append(s.name, b|0x20) // letters in lower case
 	}
 }
 
 // endHead ends a head. After an interim one another follows.
 func (s *headScanner) endHead() {
 	interim := len(s.code) > 0 && s.code[0] == '1' && string(s.code) != "101"
-	s.part, s.code = noHead, s.code[:0]
+	s.part, s.version, s.code = noHead, s.version[:0], s.code[:0]
 	if interim {
 		s.part = version
 	}
--- a/gateway/upstream/upstream_test.go
+++ b/gateway/upstream/upstream_test.go
@@ -195,6 +195,7 @@
 		{"short body", "HTTP/1.1 200 OK\r\nId: a\r\nSeal: s\r\nContent-Length: 9\r\n\r\nbody", "broken body body"},
 		{"unterminated chunks", "HTTP/1.1 200 OK\r\nId: a\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n", "broken body body"},
 		{"conflicting lengths", "HTTP/1.1 200 OK\r\nId: a\r\nSeal: s\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nbody", "indeterminate"},
+		{"chunks in HTTP/1.0", "HTTP/1.0 200 OK\r\nId: a\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", "indeterminate"},
 		{"switched protocols", "HTTP/1.1 101 Switching\r\nUpgrade: x\r\n\r\n", "indeterminate"},
 	}
 	for _, test := range tests {
