--- a/engine/httpstrict/transport.go
+++ b/engine/httpstrict/transport.go
@@ -87,6 +87,5 @@
 // Unframed reports whether the body of a response has neither a length nor chunks and ends with its
 // connection: its end looks the same whether the server has finished it or has ended within it.
 func Unframed(r *http.Response) bool {
-	hasBody := r.Request.Method != http.MethodHead && r.Body != http.NoBody
-	return hasBody && r.ContentLength < 0 && len(r.TransferEncoding) == 0
+	return r.Request.Method != http.MethodHead && r.ContentLength < 0 && len(r.TransferEncoding) == 0
 }
--- a/gateway/call_resume.go
+++ b/gateway/call_resume.go
@@ -118,15 +118,18 @@
 	if len(c.route.Targets) != 1 {
 		return catalog.Server{}, ResumeUnnamed, errOriginUnnamed
 	}
-	if err := c.gateway.awaitCurrentView(ctx); err != nil {
-		return catalog.Server{}, ResumeUnnamed, errors.CombineErrors(errOriginUnnamed, err)
-	}
 	timeout := c.route.Timeout
 	if timeout == 0 {
 		timeout = defaultDeadline
 	}
 	service := c.route.Targets[0].Service
 	span := max(timeout, c.meta.Deadline, longestWait) + longestLinger
+	if _, ok := c.gateway.origins.onlyVersion(time.Now(), service, span); !ok {
+		return catalog.Server{}, ResumeUnnamed, errOriginUnnamed // whatever the view lacks
+	}
+	if err := c.gateway.awaitCurrentView(ctx); err != nil {
+		return catalog.Server{}, ResumeUnnamed, errors.CombineErrors(errOriginUnnamed, err)
+	}
 	version, ok := c.gateway.origins.onlyVersion(time.Now(), service, span)
 	if !ok {
 		return catalog.Server{}, ResumeUnnamed, errOriginUnnamed
--- a/gateway/handoff/handoff.go
+++ b/gateway/handoff/handoff.go
@@ -35,7 +35,6 @@
 	"github.com/hashicorp/yamux"
 
 	"opalbridge.dev/engine/httpstrict"
-
 	"opalbridge.dev/gateway/upstream"
 )
 
--- a/gateway/peer_view.go
+++ b/gateway/peer_view.go
@@ -33,6 +33,9 @@
 // applyPeerView applies a peer's view if it is newer than this gateway's own.
 func (w *storeWatcher) applyPeerView(now time.Time, p peerView) {
 	w.applyTime = now
+	// Before the view is published, for a call that waits for it; and after it, since the view's age decides
+	// whether the history is complete.
+	w.gateway.origins.mergeVersions(now, p.versions)
 	defer w.gateway.origins.mergeVersions(now, p.versions)
 	w.gateway.applyPeerLeaving(now, p.from, p.leaving)
 	v := w.gateway.view.Load()
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -62,7 +62,8 @@
 	held := c.gateway.options.Memory.NewReservation(d.Server.ID, coveredAnswer)
 	defer held.Release()
 	limit := int64(maxBufferedResponse)
-	if c.needsLength() {
+	lengthMissing := r.Length < 0 && c.needsLength()
+	if lengthMissing {
 		limit = maxResponseWithLength
 	}
 	body, err := memory.ReadAll(r.Body, r.Length, limit, held)
@@ -74,7 +75,7 @@
 		c.reportBroken(d, sent, err)
 		return placement.Failed, c.retryOrFail(errors.Wrapf(err, "gateway: answer of server %s", d.Server.ID))
 	}
-	if !whole && r.Length < 0 && c.needsLength() {
+	if !whole && lengthMissing {
 		return placement.Failed, failStep{err: errors.Wrapf(err, "gateway: answer of server %s for a caller of HTTP/1.0", d.Server.ID)}
 	}
 	if whole && c.endedWithServer(ctx, d, sent, r) {
