--- a/engine/httpstrict/head.go
+++ b/engine/httpstrict/head.go
@@ -101,7 +101,10 @@
 		s.part = statusCode
 	case s.part == version && len(s.version) < len("HTTP/1.0"):
 		s.version = append(s.version, b)
-	case s.part != statusCode || b == ' ' && len(s.code) == 0:
+	case s.part != statusCode:
+		// what is left of the version, or the reason
+	case b == ' ' && len(s.code) == 0:
+		// a blank before the code
 	case len(s.code) < digits && b != ' ':
 		s.code = append(s.code, b)
 	default:
