router: an answer to HTTP/1.0 within which the router is killed ends with a reset

What callers saw: callers of HTTP/1.0 got the part of an answer that a router had written before its process was killed as the complete answer.

Cause: a router reset the connection only when it aborted an answer itself; the kernel closes those of a process that ends as at the end of an answer.

Change: as at gateways, closing the connection resets it from the head of such an answer until it is complete. The package callers finds the connection of a request by its context; the router takes over no connection any more.

--- a/cmd/opalbridge/http10_test.go
+++ b/cmd/opalbridge/http10_test.go
@@ -48,18 +48,41 @@
 		return r.StatusCode == http.StatusOK
 	}, 30*time.Second, 20*time.Millisecond)
 
-	c, err := net.Dial("tcp4", front)
+	requireCutByKill(t, gateway, front, "GET /stream/x HTTP/1.0\r\nHost: h\r\nAuthorization: Bearer k1\r\nDeadline-Ms: 15000\r\nAttempt-Id: a\r\n\r\n")
+}
+
+// TestKilledRouterCutsAnswers checks the same of a router, with a connection that has been used before.
+func TestKilledRouterCutsAnswers(t *testing.T) {
+	f := startProcessFleet(t)
+	content := body(500, true)
+	requireCutByKill(t, f.routers[0], strings.TrimPrefix(f.callers[0], "http://"), fmt.Sprintf(
+		"GET /ready HTTP/1.0\r\nConnection: keep-alive\r\n\r\nPOST /v1/chat/completions HTTP/1.0\r\nHost: h\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s",
+		f.key, len(content), content))
+}
+
+// requireCutByKill sends requests at once, kills the process within its answer to the last one, and checks that this
+// answer does not look complete.
+func requireCutByKill(t *testing.T, p *process, address, requests string) {
+	c, err := net.Dial("tcp4", address)
 	require.NoError(t, err)
 	defer c.Close()
 	require.NoError(t, c.SetDeadline(time.Now().Add(20*time.Second)))
-	_, err = io.WriteString(c, "GET /stream/x HTTP/1.0\r\nHost: h\r\nAuthorization: Bearer k1\r\nDeadline-Ms: 15000\r\nAttempt-Id: a\r\n\r\n")
-	require.NoError(t, err)
-	answer, err := http.ReadResponse(bufio.NewReader(c), nil)
+	_, err = io.WriteString(c, requests)
 	require.NoError(t, err)
-	require.Equal(t, http.StatusOK, answer.StatusCode)
+	reader := bufio.NewReader(c)
+	var answer *http.Response
+	for range strings.Count(requests, " HTTP/1.0\r\n") {
+		answer, err = http.ReadResponse(reader, nil)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, answer.StatusCode)
+		if answer.ContentLength >= 0 {
+			_, err = io.Copy(io.Discard, answer.Body)
+			require.NoError(t, err)
+		}
+	}
 	_, err = io.ReadFull(answer.Body, make([]byte, 100))
 	require.NoError(t, err)
-	require.NoError(t, gateway.command.Process.Kill())
+	require.NoError(t, p.command.Process.Kill())
 	rest, err := io.ReadAll(answer.Body)
 	require.Error(t, err, "%d more bytes look like the rest of the answer", len(rest))
 }
--- a/router/callers/callers.go
+++ b/router/callers/callers.go
@@ -55,7 +55,7 @@
 	pending  []net.Conn // taken from the accept queue by Stop
 }
 
-// NewServer returns a server that serves with the given settings. It takes over the handler and ConnState.
+// NewServer returns a server that serves with the given settings. It takes over the handler, ConnState and ConnContext.
 func NewServer(h *http.Server) *Server {
 	s := &Server{http: h, emptied: make(chan struct{}), ended: make(chan struct{}), conns: map[*conn]struct{}{}}
 	next := h.Handler
@@ -70,6 +70,7 @@
 			c.stateChanged(state)
 		}
 	}
+	h.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
 	return s
 }
 
--- a/router/callers/conn.go
+++ b/router/callers/conn.go
@@ -134,13 +134,25 @@
 	}
 }
 
-// SetLinger sets how closing the connection treats what was not sent; see net.TCPConn.
-func (c *conn) SetLinger(seconds int) error {
+// connKey is the key of the connection in the contexts of its requests.
+type connKey struct{}
+
+// ResetOnClose sets whether closing the connection of a request resets it, also if this process ends. It is for answers
+// that end with their connection: until such an answer is complete, an end of the connection must not look like its own.
+func ResetOnClose(r *http.Request, reset bool) {
+	c, ok := r.Context().Value(connKey{}).(*conn)
+	if !ok {
+		return // not from a Server
+	}
 	t, ok := c.socket.Conn.(*net.TCPConn)
 	if !ok {
-		return errors.Newf("callers: connection type %T does not linger", c.socket.Conn)
+		return
+	}
+	seconds := -1 // the default: what was written is sent first
+	if reset {
+		seconds = 0
 	}
-	return t.SetLinger(seconds)
+	_ = t.SetLinger(seconds) // fails on a closed connection
 }
 
 // Close implements net.Conn.
--- a/router/http.go
+++ b/router/http.go
@@ -12,6 +12,7 @@
 
 	"opalbridge.dev/attempt"
 	"opalbridge.dev/config"
+	"opalbridge.dev/router/callers"
 	"opalbridge.dev/wire/wirepb"
 )
 
@@ -115,46 +116,33 @@
 	defer cancel(nil)
 	stop := context.AfterFunc(h.Context(), func() { cancel(errCallerLeft) })
 	defer stop()
-	s := &httpSink{writer: w, controller: http.NewResponseController(w), request: q.ID}
+	s := &httpSink{writer: w, controller: http.NewResponseController(w), received: h, request: q.ID}
 	o := r.Serve(ctx, q, s)
 	if ran, ok := o.(attempt.Executed); ok && ran.Complete {
+		s.setReset(false)
 		return
 	}
 	if s.headWritten {
 		// The caller has received part of the answer: abort the connection so that
 		// the answer does not look complete.
-		if !h.ProtoAtLeast(1, 1) {
-			resetConnection(w)
-		}
 		panic(http.ErrAbortHandler)
 	}
 	writeOutcome(w, q, o)
 }
 
-// resetConnection resets the connection of a caller of HTTP/1.0, which knows no chunks: closing it looks like the
-// end of an answer without a length.
-func resetConnection(w http.ResponseWriter) {
-	c, _, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		return // HTTP/2, or another handler has taken it over
-	}
-	if l, ok := c.(interface{ SetLinger(seconds int) error }); ok {
-		_ = l.SetLinger(0) // fails on a closed connection
-	}
-	c.Close()
-}
-
 // httpSink writes an answer to an HTTP response and flushes every chunk.
 type httpSink struct {
 	writer      http.ResponseWriter
 	controller  *http.ResponseController
-	request     string
+	received    *http.Request
+	request     string // its ID
 	headWritten bool
 }
 
 // Head implements Sink.
 func (s *httpSink) Head(status int, headers []*wirepb.Header) {
 	s.headWritten = true
+	s.setReset(true)
 	for _, h := range headers {
 		if !droppedHeaders[h.Name] || h.Name == "Content-Length" {
 			s.writer.Header().Add(h.Name, h.Value)
@@ -165,6 +153,14 @@
 	s.writer.WriteHeader(status)
 }
 
+// setReset sets whether closing the connection resets it. A caller of HTTP/1.0 knows no chunks: an answer without a
+// length ends with the connection.
+func (s *httpSink) setReset(reset bool) {
+	if !s.received.ProtoAtLeast(1, 1) {
+		callers.ResetOnClose(s.received, reset)
+	}
+}
+
 // Write implements Sink.
 func (s *httpSink) Write(chunk []byte) error {
 	if _, err := s.writer.Write(chunk); err != nil {
