engine/httpstrict: heads of responses with TLS are scanned too

What callers saw: from an agent's server with TLS, an answer with a folded line, with a fault in an interim head, or with chunks in HTTP/1.0 (their framing came as the body). Routers and agents read the store over TLS in the same way.

Cause: http.Transport makes the handshake itself, so heads were scanned as ciphertext, and only what the parser had left of the names could be checked.

Change: the transport makes the handshake and scans what comes out of TLS; below it resets are told as before. A connection on which HTTP/2 is agreed stays as it was.

Measured: engine/httpstrict: TestResponsesWithTLS, three of nine cases failed before; TestHTTP2 passed before. Both passed five times with the race detector.

--- a/engine/httpstrict/transport.go
+++ b/engine/httpstrict/transport.go
@@ -1,22 +1,27 @@
 package httpstrict
 
 import (
+	"cmp"
 	"context"
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
 
 // Transport is an http.RoundTripper that refuses responses which are none, and whose bodies that end
-// with their connection end only as [Conn] says. Of a connection with TLS it sees no lines of heads, but
-// the names of their fields.
+// with their connection end only as [Conn] says. Of responses with TLS through a proxy it checks the status and the names of fields alone.
 type Transport struct{ base *http.Transport }
 
+// dialer dials a connection.
+type dialer func(ctx context.Context, network, address string) (net.Conn, error)
+
 // NewTransport returns a Transport that makes its round trips with base, which must not be used
-// otherwise.
+// otherwise. It takes over DialTLSContext.
 func NewTransport(base *http.Transport) *Transport {
 	dial := base.DialContext
 	if dial == nil {
@@ -29,9 +34,53 @@
 		}
 		return NewConn(c), nil
 	}
+	base.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		return dialTLS(ctx, base, dial, network, address)
+	}
 	return &Transport{base: base}
 }
 
+// http2 is the name of HTTP/2 in a handshake of TLS.
+const http2 = "h2"
+
+// dialTLS dials a connection with TLS, as base is set up for it. It returns a *Conn, or a *tls.Conn if both sides
+// speak HTTP/2, whose responses are always framed.
+func dialTLS(ctx context.Context, base *http.Transport, dial dialer, network, address string) (net.Conn, error) {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, errors.Wrap(err, "httpstrict: address")
+	}
+	c, err := dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	below := NewConn(c)
+	config := &tls.Config{}
+	if base.TLSClientConfig != nil {
+		config = base.TLSClientConfig.Clone()
+	}
+	config.ServerName = cmp.Or(config.ServerName, host)
+	encrypted := tls.Client(below, config)
+	if err := handshake(ctx, encrypted, base.TLSHandshakeTimeout); err != nil {
+		below.Close()
+		return nil, err
+	}
+	if encrypted.ConnectionState().NegotiatedProtocol == http2 {
+		return encrypted, nil
+	}
+	return NewConn(encrypted), nil
+}
+
+// handshake makes a handshake of TLS. A timeout of 0 is none.
+func handshake(ctx context.Context, c *tls.Conn, timeout time.Duration) error {
+	if timeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, timeout)
+		defer cancel()
+	}
+	return c.HandshakeContext(ctx)
+}
+
 // CloseIdleConnections closes the connections that no request uses.
 func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
 
@@ -56,7 +105,8 @@
 	return response, nil
 }
 
-// checkHead checks the head of a response. c is the connection on which it came; nil: that is encrypted.
+// checkHead checks the head of a response. c is the connection on which it came; nil: it speaks HTTP/2, or
+// TLS through a proxy.
 func checkHead(r *http.Response, c *Conn) error {
 	if err := CheckStatus(r.StatusCode); err != nil {
 		return err
@@ -87,5 +137,5 @@
 // Unframed reports whether the body of a response has neither a length nor chunks and ends with its
 // connection: its end looks the same whether the server has finished it or has ended within it.
 func Unframed(r *http.Response) bool {
-	return r.Request.Method != http.MethodHead && r.ContentLength < 0 && len(r.TransferEncoding) == 0
+	return r.ProtoMajor == 1 && r.Request.Method != http.MethodHead && r.ContentLength < 0 && len(r.TransferEncoding) == 0
 }
