engine/httpstrict: with TLS an unframed body ends with the closure alert alone

What callers saw: a part of an answer as the whole, if an agent's server with TLS broke off an answer without length and chunks between two records, for instance because the network had gone.

Cause: crypto/tls takes a connection that ends between two records for the end of the stream, whether or not the closure alert has come.

Change: the connection below TLS records its end; a body that ends with its connection and without the alert is an error (RFC 9112, section 9.8). Bodies with a length or chunks need no alert.

Measured: engine/httpstrict: TestResponsesWithTLS, "unframed, cut" failed before, the other nine passed; all ten, and the tests of engine, pass five times with the race detector.

--- a/engine/httpstrict/conn.go
+++ b/engine/httpstrict/conn.go
@@ -20,6 +20,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
@@ -34,6 +35,8 @@
 // that ends with its connection looks complete.
 type Conn struct {
 	net.Conn
+	below *Conn       // the connection on which TLS runs; nil: this one has no TLS
+	ended atomic.Bool // Read has returned io.EOF
 
 	writing    sync.Mutex // held during writes
 	writeError error      // of the first write that failed
@@ -74,10 +77,15 @@
 		if failure := c.failure(); failure != nil {
 			return n, failure
 		}
+		c.ended.Store(true)
 	}
 	return n, err
 }
 
+// endedWithoutAlert reports whether a connection with TLS ended without its closure alert, after Read has
+// returned io.EOF: crypto/tls takes that for an end between two records.
+func (c *Conn) endedWithoutAlert() bool { return c.below != nil && c.below.ended.Load() }
+
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
 	c.writing.Lock()
--- a/engine/httpstrict/transport.go
+++ b/engine/httpstrict/transport.go
@@ -14,7 +14,8 @@
 )
 
 // Transport is an http.RoundTripper that refuses responses which are none, and whose bodies that end
-// with their connection end only as [Conn] says. Of responses with TLS through a proxy it checks the status and the names of fields alone.
+// with their connection end only as [Conn] says; with TLS only after its closure alert (RFC 9112,
+// section 9.8). Of responses with TLS through a proxy it checks the status and the names of fields alone.
 type Transport struct{ base *http.Transport }
 
 // dialer dials a connection.
@@ -68,7 +69,7 @@
 	if encrypted.ConnectionState().NegotiatedProtocol == http2 {
 		return encrypted, nil
 	}
-	return NewConn(encrypted), nil
+	return &Conn{Conn: encrypted, below: below}, nil
 }
 
 // handshake makes a handshake of TLS. A timeout of 0 is none.
@@ -101,7 +102,7 @@
 		response.Body.Close()
 		return nil, errors.Wrapf(err, "httpstrict: response of %s", r.URL.Host)
 	}
-	response.Body = &body{ReadCloser: response.Body, response: response}
+	response.Body = &body{ReadCloser: response.Body, response: response, conn: used}
 	return response, nil
 }
 
@@ -117,10 +118,11 @@
 	return CheckFields(r.Header)
 }
 
-// body checks the trailers after a body.
+// body checks the end of a body.
 type body struct {
 	io.ReadCloser
 	response *http.Response
+	conn     *Conn // nil: as in checkHead
 }
 
 // Read implements io.Reader.
@@ -130,6 +132,9 @@
 		if faulty := CheckFields(b.response.Trailer); faulty != nil {
 			return n, faulty
 		}
+		if b.conn != nil && Unframed(b.response) && b.conn.endedWithoutAlert() {
+			return n, io.ErrUnexpectedEOF
+		}
 	}
 	return n, err
 }
--- a/engine/httpstrict/transport_test.go
+++ b/engine/httpstrict/transport_test.go
@@ -47,6 +47,7 @@
 // TestResponsesWithTLS checks that responses over TLS are held to the same.
 func TestResponsesWithTLS(t *testing.T) {
 	finish := func(c *tls.Conn) { _ = c.CloseWrite() }
+	cut := func(*tls.Conn) {}
 	tests := []struct {
 		name, response string
 		end            func(c *tls.Conn)
@@ -55,6 +56,7 @@
 		{"length", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody", finish, true},
 		{"after an interim head", "HTTP/1.1 103 A\r\nB: c\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody", finish, true},
 		{"unframed", "HTTP/1.1 200 OK\r\n\r\nbody", finish, true},
+		{"unframed, cut", "HTTP/1.1 200 OK\r\n\r\nbody", cut, false},
 		{"status 000", "HTTP/1.1 000 A\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody", finish, false},
 		{"blank before the colon", "HTTP/1.1 200 OK\r\nContent-Length : 3\r\n\r\nbody", finish, false},
 		{"blank in a name", "HTTP/1.1 200 OK\r\nContent Length: 3\r\n\r\nbody", finish, false},
